--- /dev/null
+++ b/src/app/daemon.rs
@@ -0,0 +1,143 @@
+//! One instance, running.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use super::peer_answers::PeerAnswers;
+use super::stop::stop;
+use crate::board::Blackboard;
+use crate::board::EventKind;
+use crate::catalog::run_repair;
+use crate::catalog::run_watcher;
+use crate::conf::Settings;
+use crate::errors::Code;
+use crate::errors::Coded;
+use crate::measure::Purse;
+use crate::measure::Seat;
+use crate::measure::run_prober;
+use crate::measure::run_roster;
+use crate::measure::run_seat;
+use crate::member::run_joiner;
+use crate::member::run_swim;
+use crate::operator::OperatorDoor;
+use crate::peer::Links;
+use crate::peer::PeerListener;
+use crate::route::Door;
+use crate::route::Router;
+use crate::route::run_placement;
+use crate::status::StatusPage;
+use crate::store::AnyStore;
+
+/// How often slots that came free by time alone are offered to those who wait.
+const TICK: Duration = Duration::from_millis(10);
+const TIDY: Duration = Duration::from_secs(1);
+
+/// A running instance; dropped, it ends at once, as a kill would end it.
+#[derive(Debug)]
+pub struct Daemon {
+    pub router: Router,
+    door: Door,
+    tasks: JoinSet<()>,
+    _peers: PeerListener,
+    _operators: OperatorDoor,
+    _status: StatusPage,
+}
+
+async fn listen(address: SocketAddr, what: &str) -> Result<TcpListener, Coded> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|err| Coded::new(Code::ListenFailed, format!("listen.{what} {address}: {err}")))
+}
+
+fn local(listener: &TcpListener, set: &mut SocketAddr) {
+    if let Ok(address) = listener.local_addr() {
+        *set = address;
+    }
+}
+
+async fn tick(board: Arc<Blackboard>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        for state in board.services().values() {
+            state.core.binder.tick();
+        }
+    }
+}
+
+async fn tidy(board: Arc<Blackboard>) {
+    loop {
+        tokio::time::sleep(TIDY).await;
+        board.outcomes.expire(board.incarnation);
+        for state in board.services().values() {
+            for server in state.core.binder.servers() {
+                server.upstream.close_idle();
+            }
+        }
+    }
+}
+
+impl Daemon {
+    /// Binds all listeners and starts the controllers. A port 0 in the settings is replaced by
+    /// the one that the system gave.
+    ///
+    /// # Errors
+    /// `ListenFailed` names the listener that cannot be bound.
+    pub async fn spawn(mut settings: Settings) -> Result<Self, Coded> {
+        let callers = listen(settings.listen.caller, "caller").await?;
+        let operators = listen(settings.listen.operator, "operator").await?;
+        let peers = listen(settings.listen.peer, "peer").await?;
+        let status = listen(settings.listen.status, "status").await?;
+        local(&callers, &mut settings.listen.caller);
+        local(&operators, &mut settings.listen.operator);
+        local(&peers, &mut settings.listen.peer);
+        local(&status, &mut settings.listen.status);
+        let store = AnyStore::open(settings.platform.as_ref());
+        let links = Links::new(&settings.peers.secret);
+        let incarnation = rand::rng().random::<u64>();
+        let board = Arc::new(Blackboard::new(settings, incarnation));
+        let router =
+            Router { board: Arc::clone(&board), links: links.clone(), store: store.clone() };
+        let seat = Seat::default();
+        let purse = Purse::default();
+        let answers =
+            PeerAnswers { router: router.clone(), seat: seat.clone(), purse: purse.clone() };
+        let secret: Arc<str> = links.secret().into();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(run_placement(Arc::clone(&board)));
+        tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
+        tasks.spawn(run_joiner(Arc::clone(&board), store.clone(), links.clone()));
+        tasks.spawn(run_watcher(Arc::clone(&board), store.clone(), links.clone()));
+        tasks.spawn(run_repair(Arc::clone(&board), links.clone()));
+        tasks.spawn(run_seat(Arc::clone(&board), store.clone(), seat.clone(), purse.clone()));
+        tasks.spawn(run_prober(router.clone(), purse, seat));
+        tasks.spawn(run_roster(Arc::clone(&board), store));
+        tasks.spawn(tick(Arc::clone(&board)));
+        tasks.spawn(tidy(Arc::clone(&board)));
+        board.note(EventKind::Started);
+        Ok(Self {
+            _peers: PeerListener::spawn(peers, secret, answers),
+            _operators: OperatorDoor::spawn(operators, router.clone()),
+            _status: StatusPage::spawn(status, Arc::clone(&board)),
+            door: Door::spawn(callers, router.clone()),
+            router,
+            tasks,
+        })
+    }
+
+    /// The shared state of the instance.
+    #[must_use]
+    pub fn board(&self) -> &Arc<Blackboard> {
+        &self.router.board
+    }
+
+    /// Stops as planned; returns when nothing is in flight any more.
+    pub async fn stop(mut self) {
+        stop(&self.router.board, &self.router.links, self.door).await;
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/src/app/mod.rs
@@ -0,0 +1,7 @@
+//! The daemon: its tasks, its answers to peers, and its planned stop.
+
+mod daemon;
+mod peer_answers;
+mod stop;
+
+pub use daemon::Daemon;
--- /dev/null
+++ b/src/app/peer_answers.rs
@@ -0,0 +1,149 @@
+//! What this instance answers its peers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::warn;
+
+use crate::board::Counter;
+use crate::board::EventKind;
+use crate::catalog::merge_rows;
+use crate::clock::now_ms;
+use crate::errors::Code;
+use crate::measure::Purse;
+use crate::measure::Seat;
+use crate::measure::grant;
+use crate::member::MemberRow;
+use crate::member::answer_ping;
+use crate::outcome::KeptRow;
+use crate::peer::LoadNote;
+use crate::peer::PassHead;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::peer::PeerService;
+use crate::peer::ReplyHead;
+use crate::route::AnswerBody;
+use crate::route::CloseReason;
+use crate::route::Router;
+use crate::route::Ticket;
+
+/// Serves the peer listener; clones share.
+#[derive(Clone, Debug)]
+pub struct PeerAnswers {
+    pub router: Router,
+    pub seat: Seat,
+    pub purse: Purse,
+}
+
+impl PeerAnswers {
+    fn join(&self, row: &MemberRow) -> PeerReply {
+        let board = &self.router.board;
+        let changed = board.members.lock().merge(row, now_ms());
+        if changed {
+            board.publish_members();
+        }
+        PeerReply::Members(board.members.lock().rows(now_ms()))
+    }
+
+    async fn ping_for(&self, target: SocketAddr) -> PeerReply {
+        let board = &self.router.board;
+        let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
+        let own = board.members.lock().own_row(now_ms());
+        let stamp = board.events.clock.stamp();
+        let request = PeerRequest::Ping { from: own, stamp, rumours: Vec::new() };
+        let reached = self.router.links.call(target, &request, within).await.is_ok();
+        PeerReply::Reached(reached)
+    }
+
+    fn digest(&self, digest: u64) -> PeerReply {
+        let catalog = self.router.board.catalog.lock();
+        if catalog.digest() == digest {
+            return PeerReply::Done;
+        }
+        PeerReply::Summary(catalog.summary())
+    }
+
+    fn load(&self, note: &LoadNote) -> PeerReply {
+        if let Some(state) = self.router.board.services().get(&note.service) {
+            state.core.note_free(note.from, note.free);
+        }
+        PeerReply::Done
+    }
+
+    fn leaving(&self, service: &str, server: &str, leaving: bool) -> PeerReply {
+        let board = &self.router.board;
+        let Some(state) = board.services().get(service).cloned() else {
+            return PeerReply::Done;
+        };
+        if state.core.binder.close(server, CloseReason::Told, leaving) {
+            let (service, server) = (service.to_owned(), server.to_owned());
+            board.note(if leaving {
+                EventKind::ServerLeaving { service, server }
+            } else {
+                EventKind::ServerBack { service, server }
+            });
+        }
+        PeerReply::Done
+    }
+
+    fn adopt(&self, from: u64, uptime_ms: u64, rows: Vec<KeptRow>, last: bool) -> PeerReply {
+        let board = &self.router.board;
+        let told_born_ms = now_ms().saturating_sub(uptime_ms);
+        // The earlier of both is nearer to the truth: this message may have waited.
+        let heard_born_ms = board.members.lock().born_ms(from).unwrap_or(told_born_ms);
+        let count = rows.len();
+        board.outcomes.adopt(from, told_born_ms.min(heard_born_ms), rows, last);
+        if last {
+            board.note(EventKind::Adopted { rows: count, from });
+        }
+        PeerReply::Done
+    }
+}
+
+impl PeerService for PeerAnswers {
+    async fn control(&self, request: PeerRequest) -> PeerReply {
+        let board = &self.router.board;
+        match request {
+            PeerRequest::Join(row) => self.join(&row),
+            PeerRequest::Ping { from, stamp, rumours } => answer_ping(board, &from, stamp, rumours),
+            PeerRequest::PingFor { target } => self.ping_for(target).await,
+            PeerRequest::Digest { digest } => self.digest(digest),
+            PeerRequest::Changes(rows) => {
+                merge_rows(board, rows);
+                PeerReply::Done
+            }
+            PeerRequest::Fetch(names) => PeerReply::Changes(board.catalog.lock().pick(&names)),
+            PeerRequest::Load(note) => self.load(&note),
+            PeerRequest::Leaving { service, server, leaving } => {
+                self.leaving(&service, &server, leaving)
+            }
+            PeerRequest::Grant(asked) => {
+                PeerReply::Granted(grant(board, &self.seat, &self.purse, &asked))
+            }
+            PeerRequest::HandOver { incarnation, uptime_ms, rows, last } => {
+                self.adopt(incarnation, uptime_ms, rows, last)
+            }
+        }
+    }
+
+    async fn pass(&self, head: PassHead, body: Bytes) -> (ReplyHead, AnswerBody) {
+        let board = &self.router.board;
+        let service = head.service.clone();
+        let in_flight = board.in_flight();
+        let answer = self.router.handle(Ticket::passed(head, body)).await;
+        drop(in_flight);
+        let services = board.services();
+        let free = services.get(&service).map_or(0, |state| state.core.binder.free_and_waiting().0);
+        (answer.reply_head(free), answer.body)
+    }
+
+    fn body_limit_bytes(&self) -> usize {
+        self.router.board.settings.requests.body_limit_bytes
+    }
+
+    fn refused(&self, from: SocketAddr, why: &str) {
+        self.router.board.counters.add(Counter::PeersRefused);
+        warn!("{} from {from}: {why}", Code::PeerUnauthenticated);
+    }
+}
--- /dev/null
+++ b/src/bin/sorrelwick.rs
@@ -0,0 +1,10 @@
+//! The operators' command-line tool.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static GLOBAL: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    sorrelwick::cli::run_tool()
+}
--- /dev/null
+++ b/src/bin/sorrelwickd.rs
@@ -0,0 +1,10 @@
+//! The daemon: one instance of the load balancer.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static GLOBAL: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    sorrelwick::cli::run_daemon()
+}
--- /dev/null
+++ b/src/board/blackboard.rs
@@ -0,0 +1,217 @@
+//! Everything that the controllers of one instance share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use arc_swap::ArcSwap;
+use log::info;
+use parking_lot::Mutex;
+use tokio::sync::watch;
+
+use super::Counters;
+use super::EventKind;
+use super::EventRing;
+use super::MembersView;
+use crate::catalog::Catalog;
+use crate::clock::now_ms;
+use crate::conf::Settings;
+use crate::member::MemberRow;
+use crate::member::MemberState;
+use crate::member::MemberTable;
+use crate::outcome::OutcomeTable;
+use crate::route::ServiceState;
+
+/// The services in force, by name.
+pub type ServiceMap = HashMap<String, Arc<ServiceState>>;
+
+/// Where the process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Running,
+    /// Named in no new answer; still serves.
+    Leaving,
+    Stopped,
+}
+
+/// The shared state of one instance. The request path reads snapshots and atomics only.
+#[derive(Debug)]
+pub struct Blackboard {
+    pub settings: Settings,
+    /// Random per start of the process.
+    pub incarnation: u64,
+    /// Written by the membership controllers.
+    pub members: Mutex<MemberTable>,
+    /// Written by the catalog controllers.
+    pub catalog: Mutex<Catalog>,
+    pub outcomes: OutcomeTable,
+    pub counters: Counters,
+    pub events: EventRing,
+    view: ArcSwap<MembersView>,
+    services: ArcSwap<ServiceMap>,
+    changed: watch::Sender<u64>,
+    store_up: AtomicBool,
+    phase: AtomicU8,
+    in_flight: Arc<AtomicUsize>,
+}
+
+/// Counts a caller's request until its answer is there.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicUsize>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn own_row(settings: &Settings, incarnation: u64) -> MemberRow {
+    MemberRow {
+        incarnation,
+        generation: 0,
+        state: MemberState::Alive,
+        name: settings.instance.name.clone(),
+        zone: settings.instance.zone.clone(),
+        caller: settings.listen.caller,
+        operator: settings.listen.operator,
+        peer: settings.listen.peer,
+        uptime_ms: 0,
+        successor: None,
+    }
+}
+
+impl Blackboard {
+    /// The state of an instance that starts now.
+    #[must_use]
+    pub fn new(settings: Settings, incarnation: u64) -> Self {
+        let members = MemberTable::new(own_row(&settings, incarnation), now_ms());
+        let outcomes = OutcomeTable::new(incarnation, &settings.outcomes);
+        let board = Self {
+            settings,
+            incarnation,
+            members: Mutex::new(members),
+            catalog: Mutex::default(),
+            outcomes,
+            counters: Counters::default(),
+            events: EventRing::default(),
+            view: ArcSwap::default(),
+            services: ArcSwap::default(),
+            changed: watch::Sender::new(0),
+            store_up: AtomicBool::new(true),
+            phase: AtomicU8::new(Phase::Running as u8),
+            in_flight: Arc::default(),
+        };
+        board.publish_members();
+        board
+    }
+
+    /// Records a change of state in the time line and the log.
+    pub fn note(&self, kind: EventKind) {
+        let (name, detail) = kind.text();
+        info!(event = name, instance = self.settings.instance.name.as_str(); "{name} {detail}");
+        self.events.push(kind);
+    }
+
+    /// Snapshot of the members.
+    #[must_use]
+    pub fn members_view(&self) -> Arc<MembersView> {
+        self.view.load_full()
+    }
+
+    /// Makes the member table visible to the request path, and notes what changed.
+    pub fn publish_members(&self) {
+        let rows = self.members.lock().rows(now_ms());
+        let before = self.view.load_full();
+        let state_of = |view: &MembersView, incarnation: u64| {
+            let known = view.rows.iter().find(|row| row.incarnation == incarnation);
+            known.map(|row| row.state)
+        };
+        for row in &rows {
+            if state_of(&before, row.incarnation) == Some(row.state) {
+                continue;
+            }
+            if row.state == MemberState::Dead {
+                self.counters.add(super::Counter::MembersLost);
+            }
+            let (name, incarnation) = (row.name.clone(), row.incarnation);
+            self.note(EventKind::Member { name, incarnation, state: row.state.name() });
+        }
+        self.view.store(Arc::new(MembersView { rows: rows.into_iter().map(Arc::new).collect() }));
+        self.touch();
+    }
+
+    /// Snapshot of the services in force.
+    #[must_use]
+    pub fn services(&self) -> arc_swap::Guard<Arc<ServiceMap>> {
+        self.services.load()
+    }
+
+    /// Puts services in force; for the placement controller.
+    pub fn set_services(&self, services: ServiceMap) {
+        self.services.store(Arc::new(services));
+    }
+
+    /// Tells the placement controller that its inputs changed.
+    pub fn touch(&self) {
+        self.changed.send_modify(|turn| *turn += 1);
+    }
+
+    /// Changes of what the placement depends on.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Whether the last call to the platform's store was answered.
+    #[must_use]
+    pub fn store_up(&self) -> bool {
+        self.store_up.load(Ordering::Acquire)
+    }
+
+    /// Takes note of how a call to the store ended; only a change of state is an event.
+    pub fn note_store(&self, fault: Option<String>) {
+        self.counters.add(super::Counter::StoreCalls);
+        let up = fault.is_none();
+        if !up {
+            self.counters.add(super::Counter::StoreFailures);
+        }
+        if self.store_up.swap(up, Ordering::AcqRel) == up {
+            return;
+        }
+        match fault {
+            Some(why) => self.note(EventKind::StoreLost { why }),
+            None => self.note(EventKind::StoreBack),
+        }
+    }
+
+    /// Where the process is in its life.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => Phase::Running,
+            1 => Phase::Leaving,
+            _ => Phase::Stopped,
+        }
+    }
+
+    /// Moves on in life; never back.
+    pub fn set_phase(&self, phase: Phase) {
+        self.phase.fetch_max(phase as u8, Ordering::AcqRel);
+    }
+
+    /// Counts a caller's request until the returned value is dropped.
+    #[must_use]
+    pub fn in_flight(&self) -> InFlight {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        InFlight(Arc::clone(&self.in_flight))
+    }
+
+    /// Callers' requests without answer yet.
+    #[must_use]
+    pub fn requests_in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+}
--- /dev/null
+++ b/src/board/mod.rs
@@ -0,0 +1,17 @@
+//! The blackboard: what controllers write and the request path reads.
+
+mod blackboard;
+mod counters;
+mod events;
+mod members_view;
+
+pub use blackboard::Blackboard;
+pub use blackboard::InFlight;
+pub use blackboard::Phase;
+pub use blackboard::ServiceMap;
+pub use counters::Counter;
+pub use counters::Counters;
+pub use events::Event;
+pub use events::EventKind;
+pub use events::EventRing;
+pub use members_view::MembersView;
--- /dev/null
+++ b/src/catalog/spread.rs
@@ -0,0 +1,115 @@
+//! Spreading of configuration between instances: pushes for speed, digests for repair.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use super::ServiceRows;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::board::EventKind;
+use crate::member::MemberRow;
+use crate::peer::Links;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Rows in one message; keeps messages far below the limit of frames.
+const ROWS_PER_MESSAGE: usize = 64;
+/// Time between two repairs; with a push lost, this bounds how long an instance lags.
+const REPAIR_INTERVAL_MS: u64 = 1_500;
+
+/// Takes rows in, puts them in force and returns those that were news.
+pub fn merge_rows(board: &Blackboard, rows: ServiceRows) -> ServiceRows {
+    let mut news = ServiceRows::new();
+    let mut catalog = board.catalog.lock();
+    for (name, row) in rows {
+        if catalog.merge(&name, row.clone()) {
+            news.push((name, row));
+        }
+    }
+    drop(catalog);
+    for (name, row) in &news {
+        board.counters.add(Counter::ConfigMerged);
+        board.note(EventKind::ConfigInForce { service: name.clone(), revision: row.revision });
+    }
+    if !news.is_empty() {
+        board.touch();
+    }
+    news
+}
+
+fn others(board: &Blackboard) -> Vec<Arc<MemberRow>> {
+    let view = board.members_view();
+    let others = view
+        .rows
+        .iter()
+        .filter(|row| row.incarnation != board.incarnation && row.state.may_answer());
+    others.cloned().collect()
+}
+
+/// Sends rows to the other instances of the zone, and to one of each other zone.
+///
+/// Every zone has watchers of its own; the one told elsewhere saves its zone the wait for them
+/// while the store is slow. A push that is lost is made up for by a repair.
+pub fn push_rows(board: &Blackboard, links: &Links, rows: &ServiceRows) {
+    if rows.is_empty() {
+        return;
+    }
+    let own_zone = &board.settings.instance.zone;
+    let mut told_zones: Vec<String> = Vec::new();
+    for row in others(board) {
+        if row.zone != *own_zone {
+            if told_zones.contains(&row.zone) {
+                continue;
+            }
+            told_zones.push(row.zone.clone());
+        }
+        for part in rows.chunks(ROWS_PER_MESSAGE) {
+            let request = PeerRequest::Changes(part.to_vec());
+            let links = links.clone();
+            let address = row.peer;
+            tokio::spawn(async move {
+                let _ = links.call(address, &request, CALL_TIMEOUT).await;
+            });
+        }
+    }
+}
+
+/// Compares digests with one peer and exchanges what either has newer.
+async fn repair_with(board: &Blackboard, links: &Links, peer: &MemberRow) {
+    let digest = board.catalog.lock().digest();
+    let asked = links.call(peer.peer, &PeerRequest::Digest { digest }, CALL_TIMEOUT).await;
+    let Ok(PeerReply::Summary(summary)) = asked else {
+        return;
+    };
+    let (missing, newer) = {
+        let catalog = board.catalog.lock();
+        (catalog.older_than(&summary), catalog.newer_than(&summary))
+    };
+    for names in missing.chunks(ROWS_PER_MESSAGE) {
+        let request = PeerRequest::Fetch(names.to_vec());
+        if let Ok(PeerReply::Changes(rows)) = links.call(peer.peer, &request, CALL_TIMEOUT).await {
+            merge_rows(board, rows);
+        }
+    }
+    for rows in newer.chunks(ROWS_PER_MESSAGE) {
+        let request = PeerRequest::Changes(rows.to_vec());
+        let _ = links.call(peer.peer, &request, CALL_TIMEOUT).await;
+    }
+}
+
+/// Repairs what pushes missed, with one random peer at a time.
+pub async fn run_repair(board: Arc<Blackboard>, links: Links) {
+    loop {
+        let jitter_ms = rand::rng().random_range(0..REPAIR_INTERVAL_MS / 2);
+        tokio::time::sleep(Duration::from_millis(REPAIR_INTERVAL_MS - jitter_ms)).await;
+        let peers = others(&board);
+        if peers.is_empty() {
+            continue;
+        }
+        let at = rand::rng().random_range(0..peers.len());
+        repair_with(&board, &links, &peers[at]).await;
+    }
+}
--- /dev/null
+++ b/src/catalog/watcher.rs
@@ -0,0 +1,80 @@
+//! The controller that watches the store, on a few instances of each zone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::warn;
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::ServiceRows;
+use super::spread::merge_rows;
+use super::spread::push_rows;
+use crate::board::Blackboard;
+use crate::model::Versioned;
+use crate::peer::Links;
+use crate::store::Entry;
+use crate::store::Store;
+
+/// Where the services are in the store.
+pub const SERVICES_PREFIX: &str = "sorrelwick/services/";
+/// Pause after a failed watch, so that a store that is down is not called in a tight loop.
+const FAULT_PAUSE_MS: u64 = 300;
+const TURN_PAUSE: Duration = Duration::from_millis(500);
+
+/// A service's row as it is in the store; `None` for one that cannot be read.
+#[must_use]
+pub fn decode_entry(entry: &Entry) -> Option<(String, Versioned)> {
+    let name = entry.key.strip_prefix(SERVICES_PREFIX)?;
+    let versioned: Versioned = serde_json::from_slice(&entry.value).ok()?;
+    Some((name.to_owned(), versioned))
+}
+
+/// Whether this instance is one of those in its zone that watch the store.
+///
+/// Each counts the live members of its zone for itself. Where two disagree, one more or one
+/// fewer watches for a while, and the repair by digests covers what a zone misses meanwhile.
+fn watches(board: &Blackboard) -> bool {
+    let Some(platform) = &board.settings.platform else {
+        return true;
+    };
+    let view = board.members_view();
+    let zone = &board.settings.instance.zone;
+    let rank = |incarnation: u64| xxh3_64_with_seed(zone.as_bytes(), incarnation);
+    let own = rank(board.incarnation);
+    let in_zone = view.rows.iter().filter(|row| row.zone == *zone && row.state.takes_work());
+    in_zone.filter(|row| rank(row.incarnation) > own).count() < platform.watchers_per_zone
+}
+
+async fn pause(ms: u64) {
+    let jitter_ms = rand::rng().random_range(0..=ms);
+    tokio::time::sleep(Duration::from_millis(ms + jitter_ms)).await;
+}
+
+/// Watches the store and passes changes on to the instances of the zone.
+pub async fn run_watcher<S: Store>(board: Arc<Blackboard>, store: S, links: Links) {
+    let wait_ms = board.settings.platform.as_ref().map_or(10_000, |p| p.watch_wait_ms);
+    let mut index = 0;
+    loop {
+        if !watches(&board) {
+            index = 0;
+            tokio::time::sleep(TURN_PAUSE).await;
+            continue;
+        }
+        let listing = store.watch(SERVICES_PREFIX, index, Duration::from_millis(wait_ms)).await;
+        board.note_store(listing.as_ref().err().map(ToString::to_string));
+        let Ok(listing) = listing else {
+            index = 0;
+            pause(FAULT_PAUSE_MS).await;
+            continue;
+        };
+        // An index that went back means another store, or a restored one: list it anew.
+        index = if listing.index < index { 0 } else { listing.index };
+        let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
+        if rows.len() < listing.entries.len() {
+            warn!("{} services in the store cannot be read", listing.entries.len() - rows.len());
+        }
+        let news = merge_rows(&board, rows);
+        push_rows(&board, &links, &news);
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,15 @@
+//! Command lines of both programs, and what their mains call.
+
+mod daemon_args;
+mod logging;
+mod run_daemon;
+mod run_tool;
+mod tool_args;
+
+pub use daemon_args::DaemonArgs;
+pub use logging::start_logging;
+pub use run_daemon::run_daemon;
+pub use run_tool::run_tool;
+pub use tool_args::ServiceCommand;
+pub use tool_args::ToolArgs;
+pub use tool_args::ToolCommand;
--- /dev/null
+++ b/src/cli/run_tool.rs
@@ -0,0 +1,101 @@
+//! The tool's life from command line to exit code.
+
+use std::process::ExitCode;
+
+use clap::CommandFactory;
+use clap::Parser;
+
+use super::ServiceCommand;
+use super::ToolArgs;
+use super::ToolCommand;
+use crate::command;
+use crate::command::DoorClient;
+use crate::errors::Code;
+use crate::errors::Coded;
+
+/// Exit codes: another operator was first; the outcome is not known; all other errors.
+const EXIT_CONFLICT: u8 = 3;
+const EXIT_UNKNOWN: u8 = 4;
+const EXIT_ERROR: u8 = 1;
+
+const fn exit_code(code: Code) -> u8 {
+    match code {
+        Code::Conflict => EXIT_CONFLICT,
+        Code::CommitUnknown => EXIT_UNKNOWN,
+        _ => EXIT_ERROR,
+    }
+}
+
+/// Runs the tool once.
+#[must_use]
+pub fn run_tool() -> ExitCode {
+    let args = ToolArgs::parse();
+    if let ToolCommand::Completions { shell } = &args.command {
+        clap_complete::generate(
+            *shell,
+            &mut ToolArgs::command(),
+            "sorrelwick",
+            &mut std::io::stdout(),
+        );
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let done = match runtime {
+        Ok(runtime) => runtime.block_on(execute(args)),
+        Err(err) => Err(Coded::new(Code::DoorUnreachable, err.to_string())),
+    };
+    match done {
+        Ok(text) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Err(err) => {
+            eprintln!("error {err}");
+            ExitCode::from(exit_code(err.code))
+        }
+    }
+}
+
+async fn execute(args: ToolArgs) -> Result<String, Coded> {
+    let mut door = DoorClient::open(&args.door, &args.token)?;
+    let json = args.json;
+    match args.command {
+        ToolCommand::Service(service) => execute_service(&mut door, service, json).await,
+        ToolCommand::Drain { service, backend_server } => {
+            command::set_drain(&mut door, &service, &backend_server, true, json).await
+        }
+        ToolCommand::Undrain { service, backend_server } => {
+            command::set_drain(&mut door, &service, &backend_server, false, json).await
+        }
+        ToolCommand::Budget { service, per_s } => {
+            command::set_budget(&mut door, &service, per_s, json).await
+        }
+        ToolCommand::Plan { directory, prune } => {
+            command::plan(&mut door, &directory, prune, json).await
+        }
+        ToolCommand::Apply { directory, prune } => {
+            command::apply(&mut door, &directory, prune, json).await
+        }
+        ToolCommand::Status => command::status(&mut door, &args.token, json).await,
+        ToolCommand::Timeline => command::timeline(&mut door, &args.token, json).await,
+        ToolCommand::Completions { .. } => Ok(String::new()),
+    }
+}
+
+async fn execute_service(
+    door: &mut DoorClient,
+    service: ServiceCommand,
+    json: bool,
+) -> Result<String, Coded> {
+    match service {
+        ServiceCommand::Create { file } => command::put_file(door, &file, 0, json).await,
+        ServiceCommand::Update { file, expected_revision } => {
+            command::put_file(door, &file, expected_revision, json).await
+        }
+        ServiceCommand::Get { name } => command::get(door, &name, json).await,
+        ServiceCommand::List => command::list(door, json).await,
+        ServiceCommand::Delete { name, expected_revision } => {
+            command::delete(door, &name, expected_revision, json).await
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/tool_args.rs
@@ -0,0 +1,89 @@
+//! The operators' tool's command line.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+use clap::Subcommand;
+use clap_complete::Shell;
+
+/// Operates sorrelwick through the door of any of its instances.
+#[derive(Clone, Debug, Parser)]
+#[command(name = "sorrelwick", version)]
+pub struct ToolArgs {
+    /// Operator address of any instance.
+    #[arg(long, global = true, default_value = "127.0.0.1:7001", env = "SORRELWICK_DOOR")]
+    pub door: String,
+    /// The operator's token.
+    #[arg(
+        long,
+        global = true,
+        default_value = "",
+        env = "SORRELWICK_TOKEN",
+        hide_env_values = true
+    )]
+    pub token: String,
+    /// Print JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+    #[command(subcommand)]
+    pub command: ToolCommand,
+}
+
+/// What the tool does.
+#[derive(Clone, Debug, Subcommand)]
+pub enum ToolCommand {
+    /// Create, read and delete services.
+    #[command(subcommand)]
+    Service(ServiceCommand),
+    /// Let a backend server finish its work and give it no more.
+    Drain { service: String, backend_server: String },
+    /// Give a drained backend server work again.
+    Undrain { service: String, backend_server: String },
+    /// Set how many calls a second may be made only to measure.
+    Budget { service: String, per_s: u32 },
+    /// Show what `apply` would change.
+    Plan {
+        /// Directory with one declaration per file, `*.json` or `*.json5`.
+        directory: PathBuf,
+        /// Also delete services that no file declares.
+        #[arg(long)]
+        prune: bool,
+    },
+    /// Commit the declarations of a directory.
+    Apply {
+        /// Directory with one declaration per file, `*.json` or `*.json5`.
+        directory: PathBuf,
+        /// Also delete services that no file declares.
+        #[arg(long)]
+        prune: bool,
+    },
+    /// Instances, and the revisions in force on each.
+    Status,
+    /// Events of all instances in one order.
+    Timeline,
+    /// Print a completion script.
+    Completions { shell: Shell },
+}
+
+/// Calls on one service.
+#[derive(Clone, Debug, Subcommand)]
+pub enum ServiceCommand {
+    /// Create a service from a declaration file.
+    Create { file: PathBuf },
+    /// Replace a service by a declaration file, at the revision that you have seen.
+    Update {
+        file: PathBuf,
+        #[arg(long)]
+        expected_revision: u64,
+    },
+    /// Print a service.
+    Get { name: String },
+    /// List services.
+    List,
+    /// Delete a service, at the revision that you have seen.
+    Delete {
+        name: String,
+        #[arg(long)]
+        expected_revision: u64,
+    },
+}
--- /dev/null
+++ b/src/clock/mod.rs
@@ -0,0 +1,8 @@
+//! Monotonic time for decisions and a hybrid logical clock for the time line.
+
+mod hybrid;
+mod mono;
+
+pub use hybrid::HybridClock;
+pub use mono::now_ms;
+pub use mono::now_us;
--- /dev/null
+++ b/src/command/door_client.rs
@@ -0,0 +1,183 @@
+//! The tool's end of the operators' door.
+
+use std::time::Duration;
+
+use tonic::Request;
+use tonic::Status;
+use tonic::metadata::MetadataValue;
+use tonic::transport::Channel;
+use tonic::transport::Endpoint;
+use uuid::Uuid;
+
+use crate::errors::Code;
+use crate::errors::Coded;
+use crate::r#gen as wire;
+use crate::r#gen::operator_client::OperatorClient;
+use crate::operator::TOKEN_FIELD;
+use crate::operator::code_of_status;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+const CALL_TIMEOUT: Duration = Duration::from_secs(15);
+/// Times that a change whose commit is unknown is sent again, with the same change id.
+const REPEATS: u32 = 3;
+
+/// A connection to one instance's operators' door.
+#[derive(Clone, Debug)]
+pub struct DoorClient {
+    client: OperatorClient<Channel>,
+    token: String,
+}
+
+/// The coded error in a status of the door.
+fn coded(status: &Status) -> Coded {
+    let code = code_of_status(status);
+    let detail = status.message().trim_start_matches(&format!("{code}: ")).to_owned();
+    Coded::new(code, detail)
+}
+
+impl DoorClient {
+    /// Prepares a connection, which opens with the first call.
+    ///
+    /// # Errors
+    /// `DoorUnreachable` for an address that is none.
+    pub fn open(door: &str, token: &str) -> Result<Self, Coded> {
+        let endpoint = Endpoint::from_shared(format!("http://{door}"))
+            .map_err(|err| Coded::new(Code::DoorUnreachable, format!("{door}: {err}")))?;
+        let channel =
+            endpoint.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_TIMEOUT).connect_lazy();
+        Ok(Self { client: OperatorClient::new(channel), token: token.to_owned() })
+    }
+
+    fn request<T>(&self, message: T) -> Request<T> {
+        let mut request = Request::new(message);
+        let value = MetadataValue::try_from(format!("Bearer {}", self.token));
+        if let (false, Ok(value)) = (self.token.is_empty(), value) {
+            request.metadata_mut().insert(TOKEN_FIELD, value);
+        }
+        request
+    }
+
+    /// Commits a service; while the outcome is unknown the same change is sent again.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn put(
+        &mut self,
+        service: &wire::Service,
+        expected_revision: u64,
+    ) -> Result<wire::Versioned, Coded> {
+        let message = wire::PutServiceRequest {
+            service: Some(service.clone()),
+            expected_revision,
+            change_id: Uuid::new_v4().to_string(),
+        };
+        let mut last = Coded::new(Code::CommitUnknown, "not sent");
+        for _ in 0..REPEATS {
+            let request = self.request(message.clone());
+            match self.client.put_service(request).await {
+                Ok(reply) => return Ok(reply.into_inner().current.unwrap_or_default()),
+                Err(status) => last = coded(&status),
+            }
+            if last.code != Code::CommitUnknown {
+                break;
+            }
+        }
+        Err(last)
+    }
+
+    /// Deletes a service.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn delete(
+        &mut self,
+        name: &str,
+        expected_revision: u64,
+    ) -> Result<wire::Versioned, Coded> {
+        let request = self.request(wire::DeleteServiceRequest {
+            name: name.into(),
+            expected_revision,
+            change_id: Uuid::new_v4().to_string(),
+        });
+        let reply = self.client.delete_service(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner().current.unwrap_or_default())
+    }
+
+    /// Sets or lifts a drain mark.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn set_drain(
+        &mut self,
+        service: &str,
+        backend_server: &str,
+        drained: bool,
+    ) -> Result<wire::Versioned, Coded> {
+        let request = self.request(wire::SetDrainRequest {
+            service: service.into(),
+            backend_server: backend_server.into(),
+            drained,
+            change_id: Uuid::new_v4().to_string(),
+        });
+        let reply = self.client.set_drain(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner().current.unwrap_or_default())
+    }
+
+    /// Sets a measuring budget.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn set_budget(
+        &mut self,
+        service: &str,
+        per_s: u32,
+    ) -> Result<wire::Versioned, Coded> {
+        let request = self.request(wire::SetBudgetRequest {
+            service: service.into(),
+            measuring_budget_per_s: per_s,
+            change_id: Uuid::new_v4().to_string(),
+        });
+        let reply = self.client.set_budget(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner().current.unwrap_or_default())
+    }
+
+    /// One service.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn get(&mut self, name: &str) -> Result<wire::Versioned, Coded> {
+        let request = self.request(wire::GetServiceRequest { name: name.into() });
+        let reply = self.client.get_service(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner().current.unwrap_or_default())
+    }
+
+    /// All services.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn list(&mut self) -> Result<Vec<wire::Versioned>, Coded> {
+        let request = self.request(wire::ListServicesRequest {});
+        let reply = self.client.list_services(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner().services)
+    }
+
+    /// The instance's view of the fleet.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn status(&mut self) -> Result<wire::StatusResponse, Coded> {
+        let request = self.request(wire::StatusRequest {});
+        let reply = self.client.status(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner())
+    }
+
+    /// The events that the instance still holds.
+    ///
+    /// # Errors
+    /// As the door told it.
+    pub async fn timeline(&mut self) -> Result<Vec<wire::Event>, Coded> {
+        let request = self.request(wire::TimelineRequest { after_stamp: 0 });
+        let reply = self.client.timeline(request).await.map_err(|err| coded(&err))?;
+        Ok(reply.into_inner().events)
+    }
+}
--- /dev/null
+++ b/src/command/fleet.rs
@@ -0,0 +1,135 @@
+//! Commands over all instances: `status` and `timeline`.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use super::DoorClient;
+use crate::errors::Coded;
+use crate::r#gen as wire;
+
+const STAMP_COUNTER_BITS: u32 = 16;
+const STATES_ASKED: [&str; 3] = ["alive", "suspect", "leaving"];
+
+/// What one instance told, or why it did not.
+struct Told<T> {
+    name: String,
+    zone: String,
+    state: String,
+    reply: Result<T, Coded>,
+}
+
+/// The instances that the first one knows, each with a connection to its own door.
+async fn fleet(door: &mut DoorClient, token: &str) -> Result<Vec<Told<DoorClient>>, Coded> {
+    let first = door.status().await?;
+    let told = first.instances.into_iter().map(|row| Told {
+        reply: DoorClient::open(&row.operator_address, token),
+        name: row.name,
+        zone: row.zone,
+        state: row.state,
+    });
+    Ok(told.collect())
+}
+
+fn asked<T>(told: &Told<T>) -> bool {
+    STATES_ASKED.contains(&told.state.as_str())
+}
+
+fn in_force(status: &wire::StatusResponse) -> BTreeMap<&str, u64> {
+    let live = status.revisions.iter().filter(|row| !row.deleted);
+    live.map(|row| (row.service.as_str(), row.revision)).collect()
+}
+
+fn status_json(all: &[Told<wire::StatusResponse>]) -> String {
+    let rows: Vec<serde_json::Value> = all
+        .iter()
+        .map(|told| match &told.reply {
+            Ok(status) => serde_json::json!({
+                "name": told.name,
+                "zone": told.zone,
+                "state": told.state,
+                "store_reachable": status.store_reachable,
+                "revisions": in_force(status),
+                "counters": status.counters.iter().map(|c| (c.name.as_str(), c.value))
+                    .collect::<BTreeMap<_, _>>(),
+            }),
+            Err(err) => serde_json::json!({
+                "name": told.name, "zone": told.zone, "state": told.state,
+                "error": err.to_string(),
+            }),
+        })
+        .collect();
+    format!("{}\n", serde_json::Value::from(rows))
+}
+
+fn status_text(all: &[Told<wire::StatusResponse>]) -> String {
+    let mut text =
+        format!("{:<16} {:<14} {:<8} {:<6} IN FORCE\n", "INSTANCE", "ZONE", "STATE", "STORE");
+    for told in all {
+        let head = format!("{:<16} {:<14} {:<8}", told.name, told.zone, told.state);
+        let _ = match &told.reply {
+            Ok(status) => {
+                let store = if status.store_reachable { "up" } else { "down" };
+                let revisions: Vec<String> =
+                    in_force(status).iter().map(|(name, rev)| format!("{name}@{rev}")).collect();
+                writeln!(text, "{head} {store:<6} {}", revisions.join(" "))
+            }
+            Err(err) => writeln!(text, "{head} {:<6} {err}", "?"),
+        };
+    }
+    text
+}
+
+/// Instances, zones, and the revisions in force on each, asked of each instance itself.
+///
+/// # Errors
+/// What the first door told; an instance that does not answer is shown as such.
+pub async fn status(door: &mut DoorClient, token: &str, json: bool) -> Result<String, Coded> {
+    let mut all = Vec::new();
+    for told in fleet(door, token).await?.into_iter().filter(asked) {
+        let reply = match told.reply {
+            Ok(mut client) => client.status().await,
+            Err(err) => Err(err),
+        };
+        all.push(Told { name: told.name, zone: told.zone, state: told.state, reply });
+    }
+    Ok(if json { status_json(&all) } else { status_text(&all) })
+}
+
+fn event_text(event: &wire::Event) -> String {
+    let ms = event.stamp >> STAMP_COUNTER_BITS;
+    let (s, ms) = (ms / 1000, ms % 1000);
+    let (hour, minute, second) = (s / 3600 % 24, s / 60 % 60, s % 60);
+    let (instance, kind, detail) = (&event.instance, &event.kind, &event.detail);
+    format!("{hour:02}:{minute:02}:{second:02}.{ms:03} {instance:<16} {kind:<16} {detail}\n")
+}
+
+/// The events of all instances, in the order of their hybrid clocks (times are UTC).
+///
+/// # Errors
+/// What the first door told; an instance that does not answer is left out and named.
+pub async fn timeline(door: &mut DoorClient, token: &str, json: bool) -> Result<String, Coded> {
+    let mut events = Vec::new();
+    for told in fleet(door, token).await?.into_iter().filter(asked) {
+        let Ok(mut client) = told.reply else {
+            continue;
+        };
+        match client.timeline().await {
+            Ok(more) => events.extend(more),
+            Err(err) => eprintln!("{}: {err}", told.name),
+        }
+    }
+    events.sort_by(|a, b| (a.stamp, &a.instance).cmp(&(b.stamp, &b.instance)));
+    if json {
+        let rows: Vec<serde_json::Value> = events
+            .iter()
+            .map(|event| {
+                serde_json::json!({
+                    "stamp": event.stamp, "instance": event.instance,
+                    "kind": event.kind, "detail": event.detail,
+                })
+            })
+            .collect();
+        return Ok(format!("{}\n", serde_json::Value::from(rows)));
+    }
+    Ok(events.iter().map(event_text).collect())
+}
--- /dev/null
+++ b/src/command/plan.rs
@@ -0,0 +1,105 @@
+//! Declarations kept in version control: `plan` and `apply`.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use super::Change;
+use super::DoorClient;
+use super::changes_between;
+use super::read_directory;
+use crate::errors::Code;
+use crate::errors::Coded;
+use crate::model::Service;
+use crate::operator::service_from_wire;
+use crate::operator::service_to_wire;
+
+async fn find_changes(
+    door: &mut DoorClient,
+    directory: &Path,
+    prune: bool,
+) -> Result<Vec<Change>, Coded> {
+    let declared = read_directory(directory)?;
+    let mut current: Vec<(u64, Service)> = Vec::new();
+    for row in door.list().await? {
+        if let Some(service) = row.service {
+            current.push((row.revision, service_from_wire(service)?));
+        }
+    }
+    Ok(changes_between(&current, &declared, prune))
+}
+
+fn render(changes: &[Change], json: bool) -> String {
+    if json {
+        let text = serde_json::to_string_pretty(changes).unwrap_or_default();
+        return format!("{text}\n");
+    }
+    if changes.is_empty() {
+        return "nothing to change\n".into();
+    }
+    let mut text = String::new();
+    for change in changes {
+        let (action, service) = (change.action, &change.service);
+        let _ = writeln!(text, "{action} {service} (revision {})", change.expected_revision);
+        for line in &change.lines {
+            let _ = writeln!(text, "  {line}");
+        }
+    }
+    text
+}
+
+/// Shows what `apply` would change.
+///
+/// # Errors
+/// A faulty declaration, or what the door told.
+pub async fn plan(
+    door: &mut DoorClient,
+    directory: &Path,
+    prune: bool,
+    json: bool,
+) -> Result<String, Coded> {
+    let changes = find_changes(door, directory, prune).await?;
+    Ok(render(&changes, json))
+}
+
+async fn commit(door: &mut DoorClient, change: &Change) -> Result<u64, Coded> {
+    let committed = match &change.declared {
+        Some(service) => door.put(&service_to_wire(service), change.expected_revision).await?,
+        None => door.delete(&change.service, change.expected_revision).await?,
+    };
+    Ok(committed.revision)
+}
+
+/// Commits every change; one that fails does not keep the others from being made.
+///
+/// # Errors
+/// The first failure, a conflict told apart from the rest, after all were tried.
+pub async fn apply(
+    door: &mut DoorClient,
+    directory: &Path,
+    prune: bool,
+    json: bool,
+) -> Result<String, Coded> {
+    let changes = find_changes(door, directory, prune).await?;
+    // The changes are shown before the first is made, also when a later one fails.
+    print!("{}", render(&changes, json));
+    let mut text = String::new();
+    let mut failures: Vec<Coded> = Vec::new();
+    for change in &changes {
+        match commit(door, change).await {
+            Ok(revision) => {
+                let _ = writeln!(text, "committed {} at revision {revision}", change.service);
+            }
+            Err(err) => {
+                let detail = format!("{}: {}", change.service, err.detail);
+                failures.push(Coded::new(err.code, detail));
+            }
+        }
+    }
+    let Some(first) = failures.first() else {
+        return Ok(if json { String::new() } else { text });
+    };
+    eprint!("{text}");
+    let all: Vec<String> = failures.iter().map(ToString::to_string).collect();
+    let worst = failures.iter().find(|err| err.code != Code::Conflict).unwrap_or(first);
+    Err(Coded::new(worst.code, all.join("; ")))
+}
--- /dev/null
+++ b/src/command/service.rs
@@ -0,0 +1,120 @@
+//! Commands on one service.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use super::DoorClient;
+use super::read_declaration;
+use crate::errors::Coded;
+use crate::r#gen as wire;
+use crate::operator::service_from_wire;
+use crate::operator::service_to_wire;
+
+fn committed(row: &wire::Versioned, what: &str, json: bool) -> String {
+    if json {
+        return format!("{}\n", serde_json::json!({ "service": what, "revision": row.revision }));
+    }
+    format!("committed {what} at revision {}\n", row.revision)
+}
+
+/// Commits the declaration in `file`.
+///
+/// # Errors
+/// A faulty declaration, or what the door told.
+pub async fn put_file(
+    door: &mut DoorClient,
+    file: &Path,
+    expected_revision: u64,
+    json: bool,
+) -> Result<String, Coded> {
+    let service = read_declaration(file)?;
+    let row = door.put(&service_to_wire(&service), expected_revision).await?;
+    Ok(committed(&row, &service.name, json))
+}
+
+/// Prints one service as a declaration.
+///
+/// # Errors
+/// What the door told.
+pub async fn get(door: &mut DoorClient, name: &str, json: bool) -> Result<String, Coded> {
+    let row = door.get(name).await?;
+    let service = service_from_wire(row.service.unwrap_or_default())?;
+    let text = serde_json::to_string_pretty(&service).unwrap_or_default();
+    if json {
+        return Ok(format!("{{\"revision\": {}, \"service\": {text}}}\n", row.revision));
+    }
+    Ok(format!("// revision {}\n{text}\n", row.revision))
+}
+
+/// Lists the services.
+///
+/// # Errors
+/// What the door told.
+pub async fn list(door: &mut DoorClient, json: bool) -> Result<String, Coded> {
+    let rows = door.list().await?;
+    let named = rows.iter().filter_map(|row| Some((row.revision, row.service.as_ref()?)));
+    if json {
+        let items: Vec<serde_json::Value> = named
+            .map(|(revision, service)| {
+                let servers = service.backend_servers.len();
+                serde_json::json!({ "name": service.name, "revision": revision, "backend_servers": servers })
+            })
+            .collect();
+        return Ok(format!("{}\n", serde_json::Value::from(items)));
+    }
+    let mut text =
+        format!("{:<32} {:>8} {:>8} {:>8}\n", "SERVICE", "REVISION", "SERVERS", "BUDGET");
+    for (revision, service) in named {
+        let _ = writeln!(
+            text,
+            "{:<32} {revision:>8} {:>8} {:>6}/s",
+            service.name,
+            service.backend_servers.len(),
+            service.measuring_budget_per_s
+        );
+    }
+    Ok(text)
+}
+
+/// Deletes a service.
+///
+/// # Errors
+/// What the door told.
+pub async fn delete(
+    door: &mut DoorClient,
+    name: &str,
+    expected_revision: u64,
+    json: bool,
+) -> Result<String, Coded> {
+    let row = door.delete(name, expected_revision).await?;
+    Ok(committed(&row, name, json))
+}
+
+/// Sets or lifts the drain mark of a backend server.
+///
+/// # Errors
+/// What the door told.
+pub async fn set_drain(
+    door: &mut DoorClient,
+    service: &str,
+    backend_server: &str,
+    drained: bool,
+    json: bool,
+) -> Result<String, Coded> {
+    let row = door.set_drain(service, backend_server, drained).await?;
+    Ok(committed(&row, service, json))
+}
+
+/// Sets the measuring budget of a service.
+///
+/// # Errors
+/// What the door told.
+pub async fn set_budget(
+    door: &mut DoorClient,
+    service: &str,
+    per_s: u32,
+    json: bool,
+) -> Result<String, Coded> {
+    let row = door.set_budget(service, per_s).await?;
+    Ok(committed(&row, service, json))
+}
--- /dev/null
+++ b/src/conf/check.rs
@@ -0,0 +1,104 @@
+//! The ranges of settings.
+
+use super::OutcomeSettings;
+use super::PeerSettings;
+use super::PlatformSettings;
+use super::RequestSettings;
+use super::Settings;
+
+const NAME_MAX: usize = 100;
+/// Fewest characters of a shared secret or token.
+const SECRET_MIN: usize = 16;
+const SEATS_MAX: u32 = 10_000;
+const MS_MAX: u64 = 3_600_000;
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+/// One setting outside its range.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Dotted path of the field.
+    pub field: &'static str,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+struct Faults(Vec<Fault>);
+
+impl Faults {
+    fn need(&mut self, holds: bool, field: &'static str, allowed: impl Into<String>) {
+        if !holds {
+            self.0.push(Fault { field, allowed: allowed.into() });
+        }
+    }
+
+    fn range(&mut self, value: u64, low: u64, high: u64, field: &'static str) {
+        let holds = (low..=high).contains(&value);
+        self.need(holds, field, format!("{value} is not within {low} to {high}"));
+    }
+}
+
+fn check_peers(faults: &mut Faults, peers: &PeerSettings, alone: bool) {
+    let secret_holds = alone || peers.secret.len() >= SECRET_MIN;
+    faults.need(secret_holds, "peers.secret", format!("at least {SECRET_MIN} characters"));
+    faults.range(peers.ping_interval_ms, 10, MS_MAX, "peers.ping_interval_ms");
+    faults.range(peers.ping_timeout_ms, 5, peers.ping_interval_ms, "peers.ping_timeout_ms");
+    faults.range(peers.suspect_timeout_ms, 50, MS_MAX, "peers.suspect_timeout_ms");
+}
+
+fn check_platform(faults: &mut Faults, platform: &PlatformSettings) {
+    faults.range(platform.call_timeout_ms, 10, 60_000, "platform.call_timeout_ms");
+    faults.range(platform.watch_wait_ms, 100, 600_000, "platform.watch_wait_ms");
+    faults.range(platform.lease_ttl_ms, 1_000, MS_MAX, "platform.lease_ttl_ms");
+    faults.range(platform.watchers_per_zone as u64, 1, 100, "platform.watchers_per_zone");
+}
+
+fn check_requests(faults: &mut Faults, requests: &RequestSettings) {
+    faults.range(requests.body_limit_bytes as u64, 0, 64 << 20, "requests.body_limit_bytes");
+    faults.range(requests.answer_buffer_bytes as u64, 0, 16 << 20, "requests.answer_buffer_bytes");
+    faults.range(requests.timeout_max_ms, 1, MS_MAX, "requests.timeout_max_ms");
+    faults.range(requests.queue_max as u64, 0, 1_000_000, "requests.queue_max");
+    faults.range(requests.address_keep_ms, 10, MS_MAX, "requests.address_keep_ms");
+    faults.range(requests.connections_max as u64, 1, 1_000_000, "requests.connections_max");
+}
+
+fn check_outcomes(faults: &mut Faults, outcomes: &OutcomeSettings, keep_ms: u64) {
+    faults.range(outcomes.rows_max as u64, 1, 100_000_000, "outcomes.rows_max");
+    faults.range(outcomes.epoch_ms, 100, MS_MAX, "outcomes.epoch_ms");
+    faults.range(outcomes.window_epochs, 2, 10_000, "outcomes.window_epochs");
+    let window_ms = outcomes.epoch_ms.saturating_mul(outcomes.window_epochs);
+    faults.need(
+        window_ms >= keep_ms,
+        "outcomes.window_epochs",
+        "window_epochs times epoch_ms must cover requests.address_keep_ms",
+    );
+}
+
+fn check_instance(faults: &mut Faults, settings: &Settings) {
+    let name_holds = |name: &str| !name.is_empty() && name.len() <= NAME_MAX;
+    let allowed = format!("1 to {NAME_MAX} characters");
+    faults.need(name_holds(&settings.instance.name), "instance.name", &allowed);
+    faults.need(name_holds(&settings.instance.zone), "instance.zone", &allowed);
+    let door_holds =
+        settings.listen.operator.ip().is_loopback() || settings.operators.token.len() >= SECRET_MIN;
+    let door_allowed = format!("at least {SECRET_MIN} characters when not on loopback");
+    faults.need(door_holds, "operators.token", door_allowed);
+}
+
+/// Every setting outside its range.
+#[must_use]
+pub fn check_settings(settings: &Settings) -> Vec<Fault> {
+    let mut faults = Faults(Vec::new());
+    check_instance(&mut faults, settings);
+    let alone = settings.platform.is_none() && settings.peers.seeds.is_empty();
+    check_peers(&mut faults, &settings.peers, alone);
+    if let Some(platform) = &settings.platform {
+        check_platform(&mut faults, platform);
+    }
+    check_requests(&mut faults, &settings.requests);
+    check_outcomes(&mut faults, &settings.outcomes, settings.requests.address_keep_ms);
+    faults.range(settings.measuring.seats.into(), 1, SEATS_MAX.into(), "measuring.seats");
+    faults.range(settings.measuring.grant_ms, 500, MS_MAX, "measuring.grant_ms");
+    let level_holds = LEVELS.contains(&settings.log.level.as_str());
+    faults.need(level_holds, "log.level", format!("one of {}", LEVELS.join(", ")));
+    faults.0
+}
--- /dev/null
+++ b/src/decide/choose.rs
@@ -0,0 +1,50 @@
+//! Which backend server gets the next request.
+
+use super::Reach;
+use super::ServerLoad;
+
+/// Added to the load of a stalled server, so that it is taken only when no other has a slot.
+const STALL_PENALTY: f32 = 10.0;
+/// Weight of relative latency against relative load.
+const LATENCY_WEIGHT: f32 = 0.25;
+const LATENCY_RATIO_MAX: f32 = 4.0;
+
+/// How much a server's slots are taken, raised by signs of slowness; lower is better.
+fn score(load: &ServerLoad, typical_us: f32, now_us: u64) -> f32 {
+    #[expect(clippy::cast_precision_loss, reason = "counts are at most 10,000")]
+    let taken = load.load(now_us) as f32 / load.limit_now(now_us) as f32;
+    let stall = if load.stalled(typical_us, now_us) { STALL_PENALTY } else { 0.0 };
+    let ratio = if typical_us > 0.0 { load.latency_us() / typical_us } else { 0.0 };
+    taken + stall + LATENCY_WEIGHT * ratio.min(LATENCY_RATIO_MAX)
+}
+
+/// The free server with the lowest score, or `None` when no slot is free.
+///
+/// All servers are compared: with 1,000 of them this stays within microseconds, and two random
+/// choices lose to it (docs/MEASUREMENTS.md). `start` rotates the scan so that ties are spread.
+#[must_use]
+pub fn choose(
+    loads: &[ServerLoad],
+    reach: Reach,
+    avoid: &[usize],
+    typical_us: f32,
+    start: usize,
+    now_us: u64,
+) -> Option<usize> {
+    let count = loads.len();
+    let mut best = None;
+    let mut best_score = f32::INFINITY;
+    let offset = if count == 0 { 0 } else { start % count };
+    for index in (offset..count).chain(0..offset) {
+        let load = &loads[index];
+        if !load.free(reach, now_us) || avoid.contains(&index) {
+            continue;
+        }
+        let score = score(load, typical_us, now_us);
+        if score < best_score {
+            best = Some(index);
+            best_score = score;
+        }
+    }
+    best
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,32 @@
+//! Decisions without I/O: functions of what is known, the time and seeded random numbers.
+
+mod admit;
+mod budget;
+mod choose;
+mod hedge;
+mod homes;
+pub mod naive;
+mod quantile;
+mod retry;
+mod server_load;
+mod slot_pool;
+
+pub use admit::Admission;
+pub use admit::QueueView;
+pub use admit::admit;
+pub use budget::RatioBudget;
+pub use choose::choose;
+pub use hedge::HEDGE_SHARE;
+pub use hedge::hedge_delay_us;
+pub use homes::Candidate;
+pub use homes::homes_of;
+pub use homes::homes_wanted;
+pub use homes::keepers_of;
+pub use quantile::Quantile;
+pub use retry::RETRY_SHARE;
+pub use retry::RetryView;
+pub use retry::may_retry;
+pub use server_load::Finish;
+pub use server_load::Reach;
+pub use server_load::ServerLoad;
+pub use slot_pool::SlotPool;
--- /dev/null
+++ b/src/decide/quantile.rs
@@ -0,0 +1,42 @@
+//! A running estimate of one quantile in constant space.
+
+/// Share of the estimate that one sample may move it by.
+const STEP: f32 = 0.05;
+
+/// Moves up by `p` steps for a larger sample and down by `1 - p` for a smaller one, so that it
+/// rests where a share `p` of the samples is smaller.
+#[derive(Clone, Debug)]
+pub struct Quantile {
+    /// Within 0 and 1.
+    p: f32,
+    /// 0 before the first sample.
+    value: f32,
+}
+
+impl Quantile {
+    /// An estimate without samples.
+    #[must_use]
+    pub const fn new(p: f32) -> Self {
+        Self { p, value: 0.0 }
+    }
+
+    /// Takes a sample into account.
+    pub fn record(&mut self, sample: f32) {
+        if self.value == 0.0 {
+            self.value = sample;
+            return;
+        }
+        let step = STEP * self.value.max(1.0);
+        if sample > self.value {
+            self.value += step * self.p;
+        } else {
+            self.value -= step * (1.0 - self.p);
+        }
+    }
+
+    /// The estimate, in the unit of the samples.
+    #[must_use]
+    pub const fn value(&self) -> f32 {
+        self.value
+    }
+}
--- /dev/null
+++ b/src/decide/slot_pool.rs
@@ -0,0 +1,111 @@
+//! The slots that one instance hands out for one service.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use super::Finish;
+use super::HEDGE_SHARE;
+use super::Quantile;
+use super::RETRY_SHARE;
+use super::RatioBudget;
+use super::Reach;
+use super::ServerLoad;
+use super::choose;
+
+const MEDIAN: f32 = 0.5;
+const HIGH_QUANTILE: f32 = 0.96;
+
+/// Load, limits and budgets of one service; no I/O, no clock of its own, no allocation while
+/// requests start and finish.
+#[derive(Clone, Debug)]
+pub struct SlotPool {
+    loads: Vec<ServerLoad>,
+    median: Quantile,
+    high: Quantile,
+    pub retries: RatioBudget,
+    pub hedges: RatioBudget,
+    rng: Pcg64Mcg,
+}
+
+impl SlotPool {
+    /// A pool over `loads`; `seed` decides ties.
+    #[must_use]
+    pub fn new(loads: Vec<ServerLoad>, seed: u64) -> Self {
+        Self {
+            loads,
+            median: Quantile::new(MEDIAN),
+            high: Quantile::new(HIGH_QUANTILE),
+            retries: RatioBudget::new(RETRY_SHARE),
+            hedges: RatioBudget::new(HEDGE_SHARE),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+        }
+    }
+
+    /// The rows, in the order of the backend servers.
+    #[must_use]
+    pub fn loads(&self) -> &[ServerLoad] {
+        &self.loads
+    }
+
+    /// The rows, for reports and marks.
+    pub fn loads_mut(&mut self) -> &mut Vec<ServerLoad> {
+        &mut self.loads
+    }
+
+    /// Median service time in microseconds; 0 before the first answer.
+    #[must_use]
+    pub const fn typical_us(&self) -> f32 {
+        self.median.value()
+    }
+
+    /// The quantile after which a hedge is worth its cost, in microseconds.
+    #[must_use]
+    pub const fn high_us(&self) -> f32 {
+        self.high.value()
+    }
+
+    /// Takes a slot of the best free server that is not in `avoid`.
+    pub fn take(&mut self, reach: Reach, avoid: &[usize], now_us: u64) -> Option<usize> {
+        let start = self.rng.random_range(0..self.loads.len().max(1));
+        let index = choose(&self.loads, reach, avoid, self.typical_us(), start, now_us)?;
+        self.loads[index].start(now_us);
+        Some(index)
+    }
+
+    /// Gives the slot of a finished attempt back.
+    pub fn finish(&mut self, index: usize, finish: Finish, now_us: u64) {
+        let may_eject = self.may_eject(now_us);
+        if let Finish::Answered { latency_us } = finish {
+            #[expect(clippy::cast_precision_loss, reason = "an estimate of a quantile")]
+            let sample = latency_us as f32;
+            self.median.record(sample);
+            self.high.record(sample);
+        }
+        if let Some(load) = self.loads.get_mut(index) {
+            load.finish(finish, may_eject, now_us);
+        }
+    }
+
+    /// Ejection stops at half of the servers: when most fail, the fault is hardly theirs, and
+    /// sending everything to the few left would bring those down too.
+    fn may_eject(&self, now_us: u64) -> bool {
+        let ejected = self.loads.iter().filter(|load| load.ejected(now_us)).count();
+        (ejected + 1) * 2 <= self.loads.len()
+    }
+
+    /// Slots of the servers this instance may use now, free or not.
+    #[must_use]
+    pub fn slots(&self, reach: Reach, now_us: u64) -> u32 {
+        let reached = self.loads.iter().filter(|load| load.reached(reach));
+        let usable = reached.filter(|load| load.usable(now_us));
+        usable.map(|load| load.limit_now(now_us)).sum()
+    }
+
+    /// Slots free now.
+    #[must_use]
+    pub fn free(&self, now_us: u64) -> u32 {
+        let free = self.loads.iter().filter(|load| load.free(Reach::Kept, now_us));
+        free.map(|load| load.limit_now(now_us) - load.load(now_us)).sum()
+    }
+}
--- /dev/null
+++ b/src/errors/code.rs
@@ -0,0 +1,81 @@
+//! The one table of result codes; `docs/CODES.md` is checked against it by a test.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+macro_rules! codes {
+    ($($name:ident = $number:literal, $meaning:literal, $remedy:literal;)*) => {
+        /// A result code that callers, operators and peers meet; the number never changes meaning.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        pub enum Code {
+            $(#[doc = $meaning] $name = $number,)*
+        }
+
+        /// Every code with its meaning and its remedy, in the order of the numbers.
+        pub const TABLE: &[(Code, &str, &str)] = &[$((Code::$name, $meaning, $remedy),)*];
+
+        impl Code {
+            /// The name as written in answers and logs.
+            #[must_use]
+            pub const fn name(self) -> &'static str {
+                match self { $(Self::$name => stringify!($name),)* }
+            }
+        }
+    };
+}
+
+codes! {
+    Ok = 0, "The request was answered.", "None.";
+    SettingsUnreadable = 1001, "The settings file cannot be read.", "Check the path and its permissions.";
+    SettingsSyntax = 1002, "The settings are not JSON with comments, or a field is unknown or of the wrong type.", "Correct the line that the message names.";
+    SettingsValue = 1003, "A setting is outside what is allowed.", "Use a value in the range that the message names.";
+    ListenFailed = 1004, "A listening address cannot be bound.", "Free the port or change the address in the settings.";
+    BadRequest = 2001, "A header that sorrelwick reads is malformed.", "Correct the header that the message names.";
+    UnknownService = 2002, "No service of this name is in force.", "Check the service header; create the service.";
+    BodyTooLarge = 2003, "The request body exceeds `requests.body_limit_bytes`.", "Send a smaller body or raise the limit.";
+    KeyMalformed = 2004, "The idempotency key is empty, too long or not printable.", "Send 1 to 200 printable ASCII characters.";
+    KeyRequired = 2005, "This kind of request must carry an idempotency key.", "Send the idempotency-key header.";
+    KeyExpired = 2006, "The key is older than the window in which its outcome is kept.", "Ask the backing system whether the request ran; use a new key for new work.";
+    AnswerNotKept = 2007, "The request ran, but its answer was too large to keep for a repeat.", "Do not repeat; look the result up.";
+    KeyOwnerUnreachable = 2008, "The instance that owns the key cannot be reached, so the outcome is not known.", "Repeat later with the same key.";
+    KeyInProgress = 2009, "The request with this key still runs.", "Repeat later with the same key.";
+    OutcomesFull = 2010, "The table of outcomes is full.", "Come back after the time given; raise `outcomes.rows_max`.";
+    ClaimUnavailable = 2011, "The platform's store cannot say who owns a key without prefix.", "Repeat with the same key, or use a key prefix from the address answer.";
+    TooManyHops = 2012, "The request was passed between instances too often.", "Report it: instances disagree on the homes of a service.";
+    BodyIncomplete = 2013, "The caller closed before its request was whole.", "Send the whole body.";
+    QueueFull = 2101, "The queue of this service is full.", "Come back after the time given.";
+    DeadlineInQueue = 2102, "No slot would be free before the deadline.", "Come back after the time given, or allow more time.";
+    NoServer = 2103, "No backend server of this service may take work.", "Check drains and health of the backend servers.";
+    Refused = 2104, "The backend server refused with an answer that the operator declared a refusal.", "Come back after the time given.";
+    ConnectFailed = 2105, "No connection to a backend server could be opened.", "Check the backend server; come back after the time given.";
+    Stopping = 2106, "This instance is stopping and takes no new request.", "Use another address.";
+    AnswerLost = 2201, "The connection was lost after the request was handed over; it may have run.", "Repeat with the same key if there is one; else ask the backing system.";
+    AnswerTruncated = 2202, "The answer was cut short by the backend server.", "As for AnswerLost.";
+    DeadlineAfterDispatch = 2203, "The deadline passed while the backend server worked; it may have run.", "Repeat with the same key, or allow more time.";
+    PeerLost = 2204, "The instance that the request was passed to was lost before it answered.", "As for AnswerLost.";
+    ServiceInvalid = 3001, "The service declaration is outside what is allowed.", "Correct the field that the message names.";
+    Conflict = 3002, "Another change came first; the current revision is not the expected one.", "Read the current value and decide again.";
+    NotFound = 3003, "There is no service or backend server of this name.", "Check the name with `sorrelwick service list`.";
+    StoreUnreachable = 3004, "The platform's store cannot be reached; the change was not made.", "Try again when the store answers.";
+    CommitUnknown = 3005, "The store stopped answering during the change; it may have been made.", "Send the same change again with the same change id.";
+    Unauthenticated = 3006, "The operator's token is missing or wrong.", "Set the token.";
+    DeclarationInvalid = 3007, "A declaration file cannot be read.", "Correct the file and line that the message names.";
+    DoorUnreachable = 3008, "The operator's door of the instance cannot be reached.", "Check --door.";
+    PeerUnauthenticated = 4001, "A peer did not prove that it knows the shared secret.", "Give all instances the same `peers.secret`.";
+    PeerFrame = 4002, "A peer sent a frame that cannot be decoded.", "Check that all instances run compatible versions.";
+    PeerFrameTooLarge = 4003, "A peer sent a frame over the limit.", "As for PeerFrame.";
+}
+
+impl Code {
+    /// The number written in the `sorrelwick-code` header and in the docs.
+    #[must_use]
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+impl std::fmt::Display for Code {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} {}", self.number(), self.name())
+    }
+}
--- /dev/null
+++ b/src/errors/mod.rs
@@ -0,0 +1,8 @@
+//! Numbered result codes and the error type that carries them.
+
+mod code;
+mod coded;
+
+pub use code::Code;
+pub use code::TABLE;
+pub use coded::Coded;
--- /dev/null
+++ b/src/measure/prober.rs
@@ -0,0 +1,175 @@
+//! Probes of the backend servers that this instance keeps, where they change a decision.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use super::Purse;
+use super::Seat;
+use super::purse::tokens_of_seat;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::board::EventKind;
+use crate::clock::now_ms;
+use crate::member::MemberRow;
+use crate::peer::GrantRequest;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::route::CloseReason;
+use crate::route::Router;
+use crate::route::ServiceState;
+
+const TURN: Duration = Duration::from_millis(50);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+const GRANT_TIMEOUT: Duration = Duration::from_millis(500);
+const ANSWER_MAX_BYTES: usize = 64 << 10;
+/// What an answer told within this time needs no probe.
+const FRESH_US: u64 = 1_000_000;
+
+/// The server whose state is least known: one that may be back comes first, then the stalest.
+fn most_useful(state: &ServiceState) -> Option<(String, Arc<crate::route::Upstream>)> {
+    let servers = state.core.binder.servers();
+    let kept = servers.into_iter().filter(|server| server.kept);
+    let useful = kept.filter(|s| s.told || (s.usable && s.silent_us > FRESH_US));
+    let best = useful.max_by_key(|server| (server.told, server.silent_us))?;
+    Some((best.upstream.id.clone(), best.upstream))
+}
+
+async fn ask(path: &str, upstream: &Arc<crate::route::Upstream>) -> Option<(StatusCode, bool)> {
+    let mut conn = upstream.checkout().await?;
+    let request = Request::get(path)
+        .header("host", upstream.address.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let response = conn.sender.send_request(request).await.ok()?;
+    let state = response.headers().get("x-backend-state").and_then(|value| value.to_str().ok());
+    let leaving = state == Some("draining");
+    let status = response.status();
+    Limited::new(response.into_body(), ANSWER_MAX_BYTES).collect().await.ok()?;
+    conn.give_back();
+    Some((status, leaving))
+}
+
+/// Health answers mislead, so one may close a server, and open only one that closed itself.
+async fn probe(
+    router: &Router,
+    state: &ServiceState,
+    id: &str,
+    upstream: &Arc<crate::route::Upstream>,
+) {
+    router.board.counters.add(Counter::Probes);
+    let asked = ask(&state.spec.health_path, upstream);
+    let Ok(Some((status, leaving))) = tokio::time::timeout(PROBE_TIMEOUT, asked).await else {
+        return;
+    };
+    let binder = &state.core.binder;
+    let closed = leaving || !status.is_success();
+    if binder.close(id, CloseReason::Told, closed) {
+        let (service, server) = (state.spec.name.clone(), id.to_owned());
+        let kind = if closed {
+            EventKind::ServerLeaving { service, server }
+        } else {
+            EventKind::ServerBack { service, server }
+        };
+        router.board.note(kind);
+        router.tell_co_homes(state, id, closed);
+    }
+}
+
+async fn probe_due(router: Router, state: Arc<ServiceState>, purse: Purse, seat: Seat) {
+    let service = &state.spec.name;
+    let Some((id, upstream)) = most_useful(&state) else {
+        return;
+    };
+    // Tokens of the own seat end with its lease; those of others with their grants.
+    if seat.current(now_ms()).is_none() {
+        purse.drop_own(service, router.board.incarnation);
+    }
+    let Some(spent) = purse.spend(service, now_ms()) else {
+        return;
+    };
+    probe(&router, &state, &id, &upstream).await;
+    spent.done(now_ms());
+}
+
+fn put_own(board: &Blackboard, state: &ServiceState, purse: &Purse, seat: &Seat) {
+    let now = now_ms();
+    let service = &state.spec.name;
+    if purse.granted(service, now) {
+        return;
+    }
+    if let Some(number) = seat.current(now) {
+        let seats = board.settings.measuring.seats;
+        let count = tokens_of_seat(state.spec.measuring_budget_per_s, number, seats);
+        purse.put(service, board.incarnation, count, seat.until_ms(), now);
+    }
+}
+
+/// Asks another instance for its tokens of the services that this one is a home of.
+async fn ask_grant(router: &Router, services: &[String], giver: &MemberRow, purse: &Purse) {
+    let asked_ms = now_ms();
+    let from = router.board.incarnation;
+    let request = PeerRequest::Grant(GrantRequest { from, services: services.to_vec() });
+    let reply = router.links.call(giver.peer, &request, GRANT_TIMEOUT).await;
+    let Ok(PeerReply::Granted(counts)) = reply else {
+        return;
+    };
+    let until_ms = asked_ms + router.board.settings.measuring.grant_ms;
+    for (service, count) in services.iter().zip(counts) {
+        if count > 0 {
+            purse.put(service, giver.incarnation, count, until_ms, now_ms());
+        }
+    }
+}
+
+async fn ask_grants(router: &Router, purse: &Purse) {
+    let board = &router.board;
+    let services = board.services();
+    let homed =
+        services.values().filter(|state| state.am_home && state.spec.measuring_budget_per_s > 0);
+    let names: Vec<String> = homed.map(|state| state.spec.name.clone()).collect();
+    drop(services);
+    if names.is_empty() {
+        return;
+    }
+    let view = board.members_view();
+    let others = view
+        .rows
+        .iter()
+        .filter(|row| row.incarnation != board.incarnation && row.state.takes_work());
+    for giver in others {
+        ask_grant(router, &names, giver, purse).await;
+    }
+}
+
+/// Collects grants for the services this instance is a home of.
+async fn run_grants(router: Router, purse: Purse) {
+    let grant_ms = router.board.settings.measuring.grant_ms;
+    loop {
+        ask_grants(&router, &purse).await;
+        tokio::time::sleep(Duration::from_millis(grant_ms)).await;
+    }
+}
+
+/// Spends the tokens of this instance on the servers that it keeps.
+pub async fn run_prober(router: Router, purse: Purse, seat: Seat) {
+    tokio::spawn(run_grants(router.clone(), purse.clone()));
+    loop {
+        tokio::time::sleep(TURN).await;
+        let services = router.board.services().clone();
+        for state in services.values() {
+            if !state.am_home || state.spec.measuring_budget_per_s == 0 {
+                continue;
+            }
+            put_own(&router.board, state, &purse, &seat);
+            let work = probe_due(router.clone(), Arc::clone(state), purse.clone(), seat.clone());
+            tokio::spawn(work);
+        }
+    }
+}
--- /dev/null
+++ b/src/measure/purse.rs
@@ -0,0 +1,136 @@
+//! The tokens that an instance may spend on probes.
+//!
+//! A budget of B probes a second is B tokens, each good for one probe in any second. Token `t`
+//! belongs to seat `t mod seats`, whole: a fraction of a probe a second on each of 19 instances
+//! would let all of them probe in the same second. A seat grants its tokens to a home for a
+//! time; the home counts that time from before it asked, the seat from when it granted, so the
+//! home always stops first.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+/// Time between two probes of one token. Above one second, so that probes sent apart do not
+/// arrive within the same second by differences of the way.
+const TOKEN_INTERVAL_MS: u64 = 1_250;
+
+/// How many of the `budget` tokens belong to `seat`.
+#[must_use]
+pub const fn tokens_of_seat(budget: u32, seat: u32, seats: u32) -> u32 {
+    let whole = budget / seats;
+    if seat < budget % seats { whole + 1 } else { whole }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Token {
+    /// The right to spend ends then.
+    until_ms: u64,
+    /// Not before then; set anew by each probe.
+    ready_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Account {
+    /// By giver; a giver's new grant takes the place of its old one.
+    tokens: HashMap<u64, Vec<Token>>,
+    /// Own tokens were granted away until then.
+    granted_until_ms: u64,
+}
+
+/// All tokens of one instance, by service; clones share.
+#[derive(Clone, Debug, Default)]
+pub struct Purse {
+    accounts: Arc<Mutex<HashMap<String, Account>>>,
+}
+
+/// A token that was taken out; it is ready again an interval after [`Spent::done`], or after it
+/// was taken, whichever is later: a pause between the two cannot bring two probes together.
+#[derive(Debug)]
+pub struct Spent {
+    purse: Purse,
+    service: String,
+    giver: u64,
+    at: usize,
+}
+
+impl Spent {
+    /// Takes note that the probe was sent, now.
+    pub fn done(self, now_ms: u64) {
+        let mut accounts = self.purse.accounts.lock();
+        let account = accounts.get_mut(&self.service);
+        let tokens = account.and_then(|account| account.tokens.get_mut(&self.giver));
+        if let Some(token) = tokens.and_then(|tokens| tokens.get_mut(self.at)) {
+            token.ready_ms = token.ready_ms.max(now_ms + TOKEN_INTERVAL_MS);
+        }
+    }
+}
+
+impl Purse {
+    /// Puts `count` tokens of `giver` in, good until `until_ms`. Tokens that were there keep
+    /// their pace, and fresh ones wait an interval: who had them before may just have spent them.
+    pub fn put(&self, service: &str, giver: u64, count: u32, until_ms: u64, now_ms: u64) {
+        let mut accounts = self.accounts.lock();
+        let account = accounts.entry(service.to_owned()).or_default();
+        let tokens = account.tokens.entry(giver).or_default();
+        let held_on = tokens.iter().all(|token| now_ms < token.until_ms);
+        if !held_on {
+            tokens.clear();
+        }
+        tokens.resize(count as usize, Token { until_ms, ready_ms: now_ms + TOKEN_INTERVAL_MS });
+        for token in tokens {
+            token.until_ms = until_ms;
+        }
+    }
+
+    /// Grants the own tokens away until `until_ms`, if no other grant of them stands and they
+    /// have not just been spent; tells whether they were granted.
+    #[must_use]
+    pub fn grant_own(&self, service: &str, own: u64, until_ms: u64, now_ms: u64) -> bool {
+        let mut accounts = self.accounts.lock();
+        let account = accounts.entry(service.to_owned()).or_default();
+        if now_ms < account.granted_until_ms {
+            return false;
+        }
+        account.granted_until_ms = until_ms;
+        account.tokens.remove(&own);
+        true
+    }
+
+    /// Whether the own tokens are granted away.
+    #[must_use]
+    pub fn granted(&self, service: &str, now_ms: u64) -> bool {
+        let accounts = self.accounts.lock();
+        accounts.get(service).is_some_and(|account| now_ms < account.granted_until_ms)
+    }
+
+    /// Takes a token out for one probe.
+    #[must_use]
+    pub fn spend(&self, service: &str, now_ms: u64) -> Option<Spent> {
+        let mut accounts = self.accounts.lock();
+        let account = accounts.get_mut(service)?;
+        for (giver, tokens) in &mut account.tokens {
+            let ready = |token: &Token| token.ready_ms <= now_ms && now_ms < token.until_ms;
+            if let Some(at) = tokens.iter().position(ready) {
+                tokens[at].ready_ms = now_ms + TOKEN_INTERVAL_MS;
+                let (service, giver) = (service.to_owned(), *giver);
+                return Some(Spent { purse: self.clone(), service, giver, at });
+            }
+        }
+        None
+    }
+
+    /// Takes the own tokens out: the seat that they came with is lost.
+    pub fn drop_own(&self, service: &str, own: u64) {
+        if let Some(account) = self.accounts.lock().get_mut(service) {
+            account.tokens.remove(&own);
+        }
+    }
+
+    /// Takes all tokens out: the seat that they came with is lost. Grants given stand.
+    pub fn clear(&self) {
+        for account in self.accounts.lock().values_mut() {
+            account.tokens.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/member/joiner.rs
@@ -0,0 +1,71 @@
+//! Finding the other instances: seeds from the settings and the platform's list.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+
+use crate::board::Blackboard;
+use crate::clock::now_ms;
+use crate::peer::Links;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::store::Roster;
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval while no other instance is known, and once some are.
+const ALONE_MS: u64 = 300;
+const JOINED_MS: u64 = 5_000;
+/// Addresses asked in one turn.
+const ASKED_MAX: usize = 3;
+
+fn known_addresses(board: &Blackboard) -> BTreeSet<SocketAddr> {
+    let view = board.members_view();
+    let answering = view.rows.iter().filter(|row| row.state.may_answer());
+    answering.map(|row| row.peer).collect()
+}
+
+/// Addresses of instances that may be there and are not known, in random order.
+async fn unknown_addresses<R: Roster>(board: &Blackboard, roster: &R) -> Vec<SocketAddr> {
+    let mut found: BTreeSet<SocketAddr> = board.settings.peers.seeds.iter().copied().collect();
+    let listed = roster.instances().await;
+    board.note_store(listed.as_ref().err().map(ToString::to_string));
+    found.extend(listed.unwrap_or_default().iter().map(|row| row.address));
+    let known = known_addresses(board);
+    let mut unknown: Vec<SocketAddr> = found.difference(&known).copied().collect();
+    for at in (1..unknown.len()).rev() {
+        unknown.swap(at, rand::rng().random_range(0..=at));
+    }
+    unknown
+}
+
+async fn join_by(board: &Blackboard, links: &Links, address: SocketAddr) {
+    let own = board.members.lock().own_row(now_ms());
+    let reply = links.call(address, &PeerRequest::Join(own), CALL_TIMEOUT).await;
+    let Ok(PeerReply::Members(rows)) = reply else {
+        return;
+    };
+    let mut changed = false;
+    for row in &rows {
+        changed |= board.members.lock().merge(row, now_ms());
+    }
+    if changed {
+        board.publish_members();
+    }
+}
+
+/// Joins, and goes on looking: two groups that formed while parted find each other again.
+pub async fn run_joiner<R: Roster>(board: Arc<Blackboard>, roster: R, links: Links) {
+    loop {
+        let unknown = unknown_addresses(&board, &roster).await;
+        for address in unknown.into_iter().take(ASKED_MAX) {
+            join_by(&board, &links, address).await;
+        }
+        let alone = board.members_view().serving() <= 1;
+        let pause_ms = if alone { ALONE_MS } else { JOINED_MS };
+        let jitter_ms = rand::rng().random_range(0..=pause_ms / 2);
+        tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
+    }
+}
--- /dev/null
+++ b/src/member/row.rs
@@ -0,0 +1,73 @@
+//! What instances tell each other about an instance.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How an instance is believed to be; later ones override earlier ones of the same generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum MemberState {
+    Alive,
+    /// Stopping as planned: serves, but is named in no new answer.
+    Leaving,
+    /// Did not answer a direct and two indirect pings.
+    Suspect,
+    Dead,
+    /// Stopped as planned.
+    Left,
+}
+
+impl MemberState {
+    /// Whether new work may be sent there.
+    #[must_use]
+    pub const fn takes_work(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect)
+    }
+
+    /// Whether it is worth a call at all.
+    #[must_use]
+    pub const fn may_answer(self) -> bool {
+        matches!(self, Self::Alive | Self::Suspect | Self::Leaving)
+    }
+
+    /// The name that operators read.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Leaving => "leaving",
+            Self::Suspect => "suspect",
+            Self::Dead => "dead",
+            Self::Left => "left",
+        }
+    }
+}
+
+/// One instance; an instance that restarts is another member with another incarnation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// Random per start of the process.
+    pub incarnation: u64,
+    /// Raised only by the member itself, to contradict what others say of it.
+    pub generation: u32,
+    pub state: MemberState,
+    pub name: String,
+    pub zone: String,
+    pub caller: SocketAddr,
+    pub operator: SocketAddr,
+    pub peer: SocketAddr,
+    /// Age of the member when the row was sent; never more than its true age.
+    pub uptime_ms: u64,
+    /// Who answers for its idempotency keys after it left.
+    pub successor: Option<u64>,
+}
+
+impl MemberRow {
+    /// Whether this row is news against `other` on the same member.
+    #[must_use]
+    pub fn overrides(&self, other: &Self) -> bool {
+        (self.generation, self.state) > (other.generation, other.state)
+    }
+}
--- /dev/null
+++ b/src/model/backend_server.rs
@@ -0,0 +1,23 @@
+//! One upstream of a service.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A backend server as its operator declares it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendServer {
+    /// Unique within the service.
+    pub id: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    /// Requests that it works on at the same time; at least 1.
+    pub slots: u32,
+    /// Connections that it accepts from all instances together; at least `slots`.
+    pub connections_max: u32,
+    /// The operator's drain mark: no new work while it stands.
+    #[serde(default)]
+    pub drained: bool,
+}
--- /dev/null
+++ b/src/model/check.rs
@@ -0,0 +1,96 @@
+//! Validation of a declared service.
+
+use std::collections::HashSet;
+
+use super::RequestKind;
+use super::Service;
+use crate::errors::Code;
+use crate::errors::Coded;
+
+/// Most backend servers that one service may have.
+pub const BACKEND_SERVERS_MAX: usize = 2_000;
+const KINDS_MAX: usize = 64;
+const NAME_MAX: usize = 100;
+const SLOTS_MAX: u32 = 10_000;
+const BUDGET_MAX: u32 = 10_000;
+const TIMEOUT_MAX_MS: u32 = 600_000;
+
+fn invalid(field: &str, allowed: &str) -> Coded {
+    Coded::new(Code::ServiceInvalid, format!("{field}: {allowed}"))
+}
+
+fn check_name(field: &str, name: &str) -> Result<(), Coded> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
+    if name.is_empty() || name.len() > NAME_MAX || !name.chars().all(allowed) {
+        let text = format!("'{name}' must be 1 to {NAME_MAX} of a-z, A-Z, 0-9, '-', '_', '.'");
+        return Err(invalid(field, &text));
+    }
+    Ok(())
+}
+
+fn check_kind(kind: &RequestKind) -> Result<(), Coded> {
+    check_name("kinds.name", &kind.name)?;
+    if !kind.path_prefix.starts_with('/') {
+        return Err(invalid("kinds.path_prefix", "must start with '/'"));
+    }
+    if kind.method.chars().any(|c| !c.is_ascii_uppercase()) {
+        return Err(invalid("kinds.method", "must be upper-case letters or empty"));
+    }
+    if kind.idempotent && kind.key_required {
+        return Err(invalid("kinds.key_required", "must be false for an idempotent kind"));
+    }
+    Ok(())
+}
+
+fn check_servers(service: &Service) -> Result<(), Coded> {
+    if service.backend_servers.len() > BACKEND_SERVERS_MAX {
+        let text = format!("at most {BACKEND_SERVERS_MAX} are allowed");
+        return Err(invalid("backend_servers", &text));
+    }
+    let mut ids = HashSet::new();
+    let mut addresses = HashSet::new();
+    for server in &service.backend_servers {
+        check_name("backend_servers.id", &server.id)?;
+        check_name("backend_servers.zone", &server.zone)?;
+        if !ids.insert(&server.id) {
+            return Err(invalid("backend_servers.id", &format!("'{}' stands twice", server.id)));
+        }
+        if !addresses.insert(server.address) {
+            let text = format!("'{}' stands twice", server.address);
+            return Err(invalid("backend_servers.address", &text));
+        }
+        if !(1..=SLOTS_MAX).contains(&server.slots) {
+            return Err(invalid("backend_servers.slots", &format!("1 to {SLOTS_MAX}")));
+        }
+        if server.connections_max < server.slots {
+            return Err(invalid("backend_servers.connections_max", "at least the slots"));
+        }
+    }
+    Ok(())
+}
+
+/// Checks a declaration.
+///
+/// # Errors
+/// `ServiceInvalid` with the field and what is allowed.
+pub fn check_service(service: &Service) -> Result<(), Coded> {
+    check_name("name", &service.name)?;
+    if service.kinds.len() > KINDS_MAX {
+        return Err(invalid("kinds", &format!("at most {KINDS_MAX} are allowed")));
+    }
+    service.kinds.iter().try_for_each(check_kind)?;
+    check_servers(service)?;
+    if service.measuring_budget_per_s > BUDGET_MAX {
+        return Err(invalid("measuring_budget_per_s", &format!("at most {BUDGET_MAX}")));
+    }
+    if !(1..=TIMEOUT_MAX_MS).contains(&service.timeout_ms) {
+        return Err(invalid("timeout_ms", &format!("1 to {TIMEOUT_MAX_MS}")));
+    }
+    if service.refusal_statuses.iter().any(|status| !(400..=599).contains(status)) {
+        return Err(invalid("refusal_statuses", "each must be 400 to 599"));
+    }
+    if !service.health_path.starts_with('/') {
+        return Err(invalid("health_path", "must start with '/'"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/operator/door.rs
@@ -0,0 +1,74 @@
+//! The listener of the operators' door.
+
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+use tonic::Request;
+use tonic::Status;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+
+use super::answers::Answers;
+use super::convert::status_of;
+use crate::board::Counter;
+use crate::errors::Code;
+use crate::errors::Coded;
+use crate::r#gen::operator_server::OperatorServer;
+use crate::route::Router;
+
+/// Metadata field of the operator's token.
+pub const TOKEN_FIELD: &str = "authorization";
+const REQUESTS_MAX: u32 = 64;
+
+/// The operators' door, open until it is dropped.
+#[derive(Debug)]
+pub struct OperatorDoor {
+    task: JoinHandle<()>,
+}
+
+impl Drop for OperatorDoor {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Compares in a time that does not depend on where the texts differ.
+fn same(expected: &str, given: &str) -> bool {
+    use subtle::ConstantTimeEq;
+    expected.as_bytes().ct_eq(given.as_bytes()).into()
+}
+
+fn admit(router: &Router, request: Request<()>) -> Result<Request<()>, Status> {
+    let token = &router.board.settings.operators.token;
+    if token.is_empty() {
+        return Ok(request);
+    }
+    let given = request.metadata().get(TOKEN_FIELD).and_then(|value| value.to_str().ok());
+    if given.is_some_and(|given| same(&format!("Bearer {token}"), given)) {
+        return Ok(request);
+    }
+    router.board.counters.add(Counter::OperatorsRefused);
+    Err(status_of(&Coded::new(Code::Unauthenticated, "the operator's token is missing or wrong")))
+}
+
+impl OperatorDoor {
+    /// Serves operators on `listener`.
+    #[must_use]
+    pub fn spawn(listener: TcpListener, router: Router) -> Self {
+        let guard = router.clone();
+        let service = OperatorServer::with_interceptor(Answers::new(router), move |request| {
+            admit(&guard, request)
+        });
+        let incoming = TcpIncoming::from(listener);
+        let serving = Server::builder()
+            .max_concurrent_streams(REQUESTS_MAX)
+            .add_service(service)
+            .serve_with_incoming(incoming);
+        let task = tokio::spawn(async move {
+            // Ends only when the listener does; the daemon itself goes on serving callers.
+            if let Err(err) = serving.await {
+                log::error!("operators' door: {err}");
+            }
+        });
+        Self { task }
+    }
+}
--- /dev/null
+++ b/src/outcome/kept.rs
@@ -0,0 +1,45 @@
+//! What is kept of a finished request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::errors::Code;
+
+/// An answer kept for repeats, byte for byte.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WholeAnswer {
+    pub status: u16,
+    pub headers: Vec<(String, Vec<u8>)>,
+    pub body: Bytes,
+}
+
+impl WholeAnswer {
+    /// Approximate memory that it takes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        self.body.len() + headers.sum::<usize>()
+    }
+}
+
+/// What became of a keyed request that may have run; one that did not run leaves no row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kept {
+    Answer(Arc<WholeAnswer>),
+    /// It ran; its answer was too large to keep.
+    AnswerNotKept,
+    /// It may have run, and will not run again.
+    Unknown(Code),
+}
+
+/// One finished row, as it is handed over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptRow {
+    /// Service and key.
+    pub key: (String, String),
+    pub epoch: u64,
+    pub kept: Kept,
+}
--- /dev/null
+++ b/src/outcome/key.rs
@@ -0,0 +1,66 @@
+//! Idempotency keys, and the prefix that binds a key to one instance.
+
+use crate::errors::Code;
+use crate::errors::Coded;
+
+/// Longest key that callers may send.
+pub const KEY_MAX_BYTES: usize = 200;
+const INCARNATION_DIGITS: usize = 16;
+const EPOCH_DIGITS_MAX: usize = 10;
+
+/// Names the only process that ever runs the key, and when the key was given out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyPrefix {
+    pub incarnation: u64,
+    /// Epochs since the start of that process; never later than the true one.
+    pub epoch: u64,
+}
+
+impl std::fmt::Display for KeyPrefix {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}-{:x}", self.incarnation, self.epoch)
+    }
+}
+
+impl KeyPrefix {
+    /// Reads a prefix at the start of `text`, and what follows behind its dash.
+    #[must_use]
+    pub fn parse(text: &str) -> Option<(Self, &str)> {
+        let (incarnation, rest) = text.split_once('-')?;
+        let (epoch, rest) = rest.split_once('-')?;
+        let is_hex = |part: &str| part.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
+        let sized = incarnation.len() == INCARNATION_DIGITS
+            && (1..=EPOCH_DIGITS_MAX).contains(&epoch.len());
+        if !sized || !is_hex(incarnation) || !is_hex(epoch) || rest.is_empty() {
+            return None;
+        }
+        let incarnation = u64::from_str_radix(incarnation, 16).ok()?;
+        let epoch = u64::from_str_radix(epoch, 16).ok()?;
+        Some((Self { incarnation, epoch }, rest))
+    }
+}
+
+/// An idempotency key as a caller sent it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// `None` for a plain key, whose owner the platform's store tells.
+    pub prefix: Option<KeyPrefix>,
+    /// The whole key, prefix included.
+    pub text: String,
+}
+
+impl Key {
+    /// Reads a key from its header.
+    ///
+    /// # Errors
+    /// `KeyMalformed` for an empty, overlong or unprintable key.
+    pub fn parse(text: &str) -> Result<Self, Coded> {
+        let printable = text.bytes().all(|byte| byte.is_ascii_graphic());
+        if text.is_empty() || text.len() > KEY_MAX_BYTES || !printable {
+            let detail = format!("a key is 1 to {KEY_MAX_BYTES} printable ASCII characters");
+            return Err(Coded::new(Code::KeyMalformed, detail));
+        }
+        let prefix = KeyPrefix::parse(text).map(|(prefix, _)| prefix);
+        Ok(Self { prefix, text: text.into() })
+    }
+}
--- /dev/null
+++ b/src/peer/auth.rs
@@ -0,0 +1,85 @@
+//! Proof on both sides that a connection's ends know the shared secret.
+//!
+//! Each end proves it by a keyed hash over both ends' fresh nonces, so that a recorded proof is
+//! worth nothing. What follows on the connection is neither encrypted nor signed: this keeps
+//! strangers out, not somebody who can change packets on the way.
+
+use hmac::Hmac;
+use hmac::Mac;
+use rand::RngExt;
+use sha2::Sha256;
+use subtle::ConstantTimeEq;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::errors::Code;
+use crate::errors::Coded;
+
+/// Begins every connection: a name and the version of the messages.
+const MAGIC: [u8; 4] = *b"sw\0\x01";
+const NONCE_BYTES: usize = 32;
+const PROOF_BYTES: usize = 32;
+
+type Nonce = [u8; NONCE_BYTES];
+type Proof = [u8; PROOF_BYTES];
+
+fn fresh_nonce() -> Nonce {
+    let mut nonce = [0; NONCE_BYTES];
+    rand::rng().fill(&mut nonce);
+    nonce
+}
+
+fn proof(secret: &str, role: &str, first: &Nonce, second: &Nonce) -> Proof {
+    let mut mac = Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("any length is a key");
+    mac.update(role.as_bytes());
+    mac.update(first);
+    mac.update(second);
+    mac.finalize().into_bytes().into()
+}
+
+fn refused(why: impl std::fmt::Display) -> Coded {
+    Coded::new(Code::PeerUnauthenticated, why.to_string())
+}
+
+fn check(expected: &Proof, given: &Proof) -> Result<(), Coded> {
+    if bool::from(expected.ct_eq(given)) { Ok(()) } else { Err(refused("wrong secret")) }
+}
+
+/// The accepting end.
+///
+/// # Errors
+/// `PeerUnauthenticated`; the connection is then closed without another byte.
+pub async fn accept(stream: &mut TcpStream, secret: &str) -> Result<(), Coded> {
+    let own = fresh_nonce();
+    stream.write_all(&own).await.map_err(refused)?;
+    let mut magic = [0; MAGIC.len()];
+    stream.read_exact(&mut magic).await.map_err(refused)?;
+    if magic != MAGIC {
+        return Err(refused("another protocol or version"));
+    }
+    let mut theirs = [0; NONCE_BYTES];
+    stream.read_exact(&mut theirs).await.map_err(refused)?;
+    let mut given = [0; PROOF_BYTES];
+    stream.read_exact(&mut given).await.map_err(refused)?;
+    check(&proof(secret, "connect", &own, &theirs), &given)?;
+    stream.write_all(&proof(secret, "accept", &theirs, &own)).await.map_err(refused)
+}
+
+/// The connecting end.
+///
+/// # Errors
+/// `PeerUnauthenticated` when either end does not know the secret.
+pub async fn connect(stream: &mut TcpStream, secret: &str) -> Result<(), Coded> {
+    let mut theirs = [0; NONCE_BYTES];
+    stream.read_exact(&mut theirs).await.map_err(refused)?;
+    let own = fresh_nonce();
+    let mut hello = Vec::with_capacity(MAGIC.len() + NONCE_BYTES + PROOF_BYTES);
+    hello.extend_from_slice(&MAGIC);
+    hello.extend_from_slice(&own);
+    hello.extend_from_slice(&proof(secret, "connect", &theirs, &own));
+    stream.write_all(&hello).await.map_err(refused)?;
+    let mut given = [0; PROOF_BYTES];
+    stream.read_exact(&mut given).await.map_err(refused)?;
+    check(&proof(secret, "accept", &own, &theirs), &given)
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,187 @@
+//! One connection to a peer, opened when first needed.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use h2::RecvStream;
+use h2::client::SendRequest;
+use http::Request;
+use http::StatusCode;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+
+use super::PassHead;
+use super::PassReply;
+use super::PeerReply;
+use super::PeerRequest;
+use super::ReplyHead;
+use super::auth;
+use super::decode;
+use super::encode;
+use super::frame::FRAME_MAX_BYTES;
+use crate::errors::Code;
+
+/// Length prefix of a message that is followed by a body.
+const PREFIX_BYTES: usize = 4;
+const WINDOW_BYTES: u32 = 1 << 20;
+
+/// Why a peer's answer is missing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerError {
+    /// No byte of the message left this instance.
+    NotSent,
+    /// The message was handed over, its answer did not come.
+    Lost,
+    /// The peer answered that it does not serve this message.
+    Refused(u16),
+}
+
+/// A link to one peer address.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    sender: Mutex<Option<SendRequest<Bytes>>>,
+}
+
+async fn open(address: SocketAddr, secret: &str) -> Option<SendRequest<Bytes>> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let _ = stream.set_nodelay(true);
+    auth::connect(&mut stream, secret).await.ok()?;
+    let mut builder = h2::client::Builder::new();
+    builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(4 * WINDOW_BYTES);
+    let (sender, connection) = builder.handshake(stream).await.ok()?;
+    tokio::spawn(async move {
+        // An error here shows as a lost answer on each stream.
+        let _ = connection.await;
+    });
+    Some(sender)
+}
+
+impl Link {
+    pub(super) const fn new(address: SocketAddr) -> Self {
+        Self { address, sender: Mutex::const_new(None) }
+    }
+
+    async fn sender(&self, secret: &str) -> Result<SendRequest<Bytes>, PeerError> {
+        let mut held = self.sender.lock().await;
+        if let Some(sender) = held.take()
+            && let Ok(ready) = sender.ready().await
+        {
+            *held = Some(ready.clone());
+            return Ok(ready);
+        }
+        let sender = open(self.address, secret).await.ok_or(PeerError::NotSent)?;
+        let ready = sender.ready().await.map_err(|_| PeerError::NotSent)?;
+        *held = Some(ready.clone());
+        Ok(ready)
+    }
+
+    /// Sends bytes on a new stream and returns the answer's body once its head is there.
+    async fn exchange(
+        &self,
+        secret: &str,
+        path: &str,
+        body: Bytes,
+        open_within: Duration,
+    ) -> Result<RecvStream, PeerError> {
+        let opened = tokio::time::timeout(open_within, self.sender(secret)).await;
+        let mut sender = opened.map_err(|_| PeerError::NotSent)??;
+        let request = Request::post(format!("http://peer{path}")).body(());
+        let request = request.map_err(|_| PeerError::NotSent)?;
+        let sent = sender.send_request(request, false);
+        let (response, mut stream) = sent.map_err(|_| PeerError::NotSent)?;
+        stream.send_data(body, true).map_err(|_| PeerError::Lost)?;
+        let response = response.await.map_err(|_| PeerError::Lost)?;
+        if response.status() != StatusCode::OK {
+            return Err(PeerError::Refused(Code::PeerFrame.number()));
+        }
+        Ok(response.into_body())
+    }
+
+    pub(super) async fn call(
+        &self,
+        secret: &str,
+        request: &PeerRequest,
+        within: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let exchange = async {
+            let body = Bytes::from(encode(request));
+            let mut answer = self.exchange(secret, "/control", body, within).await?;
+            let bytes = read_all(&mut answer).await.ok_or(PeerError::Lost)?;
+            decode::<PeerReply>(&bytes).map_err(|_| PeerError::Lost)
+        };
+        match tokio::time::timeout(within, exchange).await {
+            Ok(Ok(PeerReply::Failed(code))) => Err(PeerError::Refused(code)),
+            Ok(done) => done,
+            Err(_) => Err(PeerError::Lost),
+        }
+    }
+
+    pub(super) async fn pass(
+        &self,
+        secret: &str,
+        head: &PassHead,
+        body: &Bytes,
+        open_within: Duration,
+    ) -> Result<PassReply, PeerError> {
+        let encoded = encode(head);
+        let mut frame = BytesMut::with_capacity(PREFIX_BYTES + encoded.len() + body.len());
+        frame.extend_from_slice(&prefix(encoded.len()));
+        frame.extend_from_slice(&encoded);
+        frame.extend_from_slice(body);
+        let mut rest = self.exchange(secret, "/pass", frame.freeze(), open_within).await?;
+        let (head, first) = read_head::<ReplyHead>(&mut rest).await.ok_or(PeerError::Lost)?;
+        Ok(PassReply { head, first, rest })
+    }
+}
+
+/// The length prefix of a message of `len` bytes.
+#[expect(clippy::cast_possible_truncation, reason = "messages are at most 4 MiB")]
+pub(super) const fn prefix(len: usize) -> [u8; PREFIX_BYTES] {
+    (len as u32).to_be_bytes()
+}
+
+/// The next chunk of a stream, its flow-control capacity given back.
+pub(crate) async fn read_chunk(stream: &mut RecvStream) -> Option<Result<Bytes, h2::Error>> {
+    let chunk = stream.data().await?;
+    if let Ok(bytes) = &chunk {
+        let _ = stream.flow_control().release_capacity(bytes.len());
+    }
+    Some(chunk)
+}
+
+/// A whole control message; `None` when it is cut short or too large.
+pub(super) async fn read_all(stream: &mut RecvStream) -> Option<Bytes> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = read_chunk(stream).await {
+        bytes.extend_from_slice(&chunk.ok()?);
+        if bytes.len() > FRAME_MAX_BYTES {
+            return None;
+        }
+    }
+    Some(bytes.freeze())
+}
+
+/// A length-prefixed message and the bytes that came behind it.
+pub(super) async fn read_head<T: serde::de::DeserializeOwned>(
+    stream: &mut RecvStream,
+) -> Option<(T, Bytes)> {
+    let mut bytes = BytesMut::new();
+    loop {
+        if let Some(len) = bytes.first_chunk::<PREFIX_BYTES>() {
+            let len = u32::from_be_bytes(*len) as usize;
+            if len > FRAME_MAX_BYTES {
+                return None;
+            }
+            if bytes.len() >= PREFIX_BYTES + len {
+                bytes.advance(PREFIX_BYTES);
+                let head = bytes.split_to(len);
+                return Some((decode(&head).ok()?, bytes.freeze()));
+            }
+        }
+        bytes.extend_from_slice(&read_chunk(stream).await?.ok()?);
+    }
+}
--- /dev/null
+++ b/src/peer/links.rs
@@ -0,0 +1,90 @@
+//! All links of one instance.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use parking_lot::Mutex;
+
+use super::PassHead;
+use super::PassReply;
+use super::PeerError;
+use super::PeerReply;
+use super::PeerRequest;
+use super::encode;
+use super::link::Link;
+
+/// A peer that cannot be connected within this counts as unreachable.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+const SECRET_ALONE: &str = "alone";
+
+/// Opens links on demand and shares them; clones share.
+#[derive(Clone, Debug)]
+pub struct Links {
+    secret: Arc<str>,
+    by_address: Arc<Mutex<HashMap<SocketAddr, Arc<Link>>>>,
+    /// Bytes of control messages sent, for the budget of control traffic.
+    control_bytes: Arc<AtomicU64>,
+}
+
+impl Links {
+    /// Links that prove themselves by `secret`.
+    #[must_use]
+    pub fn new(secret: &str) -> Self {
+        let secret = if secret.is_empty() { SECRET_ALONE } else { secret };
+        Self { secret: secret.into(), by_address: Arc::default(), control_bytes: Arc::default() }
+    }
+
+    /// The secret that peers must know.
+    #[must_use]
+    pub fn secret(&self) -> &str {
+        &self.secret
+    }
+
+    /// Bytes of control messages sent so far.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        self.control_bytes.load(Ordering::Relaxed)
+    }
+
+    fn link(&self, address: SocketAddr) -> Arc<Link> {
+        let mut links = self.by_address.lock();
+        Arc::clone(links.entry(address).or_insert_with(|| Arc::new(Link::new(address))))
+    }
+
+    /// Drops the link to a peer that is gone.
+    pub fn forget(&self, address: SocketAddr) {
+        self.by_address.lock().remove(&address);
+    }
+
+    /// Sends a control message and waits for its answer.
+    ///
+    /// # Errors
+    /// Tells whether the message may have arrived.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        within: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        self.control_bytes.fetch_add(encode(request).len() as u64, Ordering::Relaxed);
+        self.link(address).call(&self.secret, request, within).await
+    }
+
+    /// Passes a request on; the deadline is the caller's to watch.
+    ///
+    /// # Errors
+    /// Tells whether the request may have arrived.
+    pub async fn pass(
+        &self,
+        address: SocketAddr,
+        head: &PassHead,
+        body: &Bytes,
+    ) -> Result<PassReply, PeerError> {
+        self.link(address).pass(&self.secret, head, body, OPEN_TIMEOUT).await
+    }
+}
--- /dev/null
+++ b/src/peer/listener.rs
@@ -0,0 +1,217 @@
+//! The accepting end of links.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use h2::RecvStream;
+use h2::SendStream;
+use h2::server::SendResponse;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+use super::PassHead;
+use super::PeerReply;
+use super::PeerRequest;
+use super::ReplyHead;
+use super::auth;
+use super::decode;
+use super::encode;
+use super::link::prefix;
+use super::link::read_all;
+use super::link::read_chunk;
+use super::link::read_head;
+use crate::route::AnswerBody;
+
+const CONNECTIONS_MAX: usize = 4_096;
+/// A connection that has not proved itself within this is closed.
+const AUTH_TIMEOUT: Duration = Duration::from_secs(2);
+const WINDOW_BYTES: u32 = 1 << 20;
+
+/// What serves the messages of peers.
+pub trait PeerService: Clone + Send + Sync + 'static {
+    /// Answers a control message.
+    fn control(&self, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
+
+    /// Runs a passed request.
+    fn pass(
+        &self,
+        head: PassHead,
+        body: Bytes,
+    ) -> impl Future<Output = (ReplyHead, AnswerBody)> + Send;
+
+    /// Most bytes that the body of a passed request may have.
+    fn body_limit_bytes(&self) -> usize;
+
+    /// Takes note of a connection that was refused.
+    fn refused(&self, from: SocketAddr, why: &str);
+}
+
+/// A listener that runs until it is dropped; connections accepted go on.
+#[derive(Debug)]
+pub struct PeerListener {
+    task: JoinHandle<()>,
+}
+
+impl Drop for PeerListener {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl PeerListener {
+    /// Accepts links on `listener`, each end proving `secret`.
+    pub fn spawn<S: PeerService>(listener: TcpListener, secret: Arc<str>, service: S) -> Self {
+        let task = tokio::spawn(accept_all(listener, secret, service));
+        Self { task }
+    }
+}
+
+async fn accept_all<S: PeerService>(listener: TcpListener, secret: Arc<str>, service: S) {
+    let permits = Arc::new(Semaphore::new(CONNECTIONS_MAX));
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+            service.refused(from, "too many connections");
+            continue;
+        };
+        let secret = Arc::clone(&secret);
+        let service = service.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, from, &secret, service).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<S: PeerService>(
+    mut stream: TcpStream,
+    from: SocketAddr,
+    secret: &str,
+    service: S,
+) {
+    let _ = stream.set_nodelay(true);
+    let proved = tokio::time::timeout(AUTH_TIMEOUT, auth::accept(&mut stream, secret)).await;
+    match proved {
+        Ok(Ok(())) => {}
+        Ok(Err(err)) => return service.refused(from, &err.to_string()),
+        Err(_) => return service.refused(from, "no proof in time"),
+    }
+    let mut builder = h2::server::Builder::new();
+    builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(4 * WINDOW_BYTES);
+    let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
+        return;
+    };
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        let service = service.clone();
+        tokio::spawn(serve_stream(request, respond, service));
+    }
+}
+
+async fn serve_stream<S: PeerService>(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    service: S,
+) {
+    let path = request.uri().path().to_owned();
+    let mut body = request.into_body();
+    let served = match path.as_str() {
+        "/control" => serve_control(&mut body, &mut respond, &service).await,
+        "/pass" => serve_pass(body, &mut respond, &service).await,
+        _ => None,
+    };
+    if served.is_none() {
+        let refusal = Response::builder().status(StatusCode::BAD_REQUEST).body(());
+        if let Ok(refusal) = refusal {
+            let _ = respond.send_response(refusal, true);
+        }
+    }
+}
+
+fn send_ok(respond: &mut SendResponse<Bytes>) -> Option<SendStream<Bytes>> {
+    respond.send_response(Response::new(()), false).ok()
+}
+
+async fn serve_control<S: PeerService>(
+    body: &mut RecvStream,
+    respond: &mut SendResponse<Bytes>,
+    service: &S,
+) -> Option<()> {
+    let bytes = read_all(body).await?;
+    let request: PeerRequest = decode(&bytes).ok()?;
+    let reply = service.control(request).await;
+    let mut stream = send_ok(respond)?;
+    stream.send_data(Bytes::from(encode(&reply)), true).ok()
+}
+
+async fn serve_pass<S: PeerService>(
+    mut body: RecvStream,
+    respond: &mut SendResponse<Bytes>,
+    service: &S,
+) -> Option<()> {
+    let (head, first): (PassHead, Bytes) = read_head(&mut body).await?;
+    let mut whole = BytesMut::from(first);
+    while let Some(chunk) = read_chunk(&mut body).await {
+        whole.extend_from_slice(&chunk.ok()?);
+        if whole.len() > service.body_limit_bytes() {
+            return None;
+        }
+    }
+    // When the passing instance resets the stream, its caller has left or another attempt
+    // answered first; dropping the work frees the slot.
+    let work = service.pass(head, whole.freeze());
+    let (head, body) = tokio::select! {
+        done = work => done,
+        _ = std::future::poll_fn(|cx| respond.poll_reset(cx)) => return Some(()),
+    };
+    let mut stream = send_ok(respond)?;
+    let encoded = encode(&head);
+    let mut frame = BytesMut::with_capacity(4 + encoded.len());
+    frame.extend_from_slice(&prefix(encoded.len()));
+    frame.extend_from_slice(&encoded);
+    stream.send_data(frame.freeze(), false).ok()?;
+    send_body(&mut stream, body).await;
+    Some(())
+}
+
+/// Sends a body; one that is cut short ends with a reset, never as if it were whole.
+async fn send_body(stream: &mut SendStream<Bytes>, mut body: AnswerBody) {
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            stream.send_reset(h2::Reason::INTERNAL_ERROR);
+            return;
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        if send_chunk(stream, bytes).await.is_none() {
+            return;
+        }
+    }
+    let _ = stream.send_data(Bytes::new(), true);
+}
+
+async fn send_chunk(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Option<()> {
+    while !bytes.is_empty() {
+        stream.reserve_capacity(bytes.len());
+        // `poll_capacity` tells of new capacity only; what is there already must be asked first.
+        let mut granted = stream.capacity();
+        if granted == 0 {
+            granted = std::future::poll_fn(|cx| stream.poll_capacity(cx)).await?.ok()?;
+        }
+        let part = bytes.split_to(granted.min(bytes.len()));
+        stream.send_data(part, false).ok()?;
+    }
+    Some(())
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,25 @@
+//! Links between instances: authenticated connections that carry `h2` streams of `bincode`.
+
+mod auth;
+mod frame;
+mod link;
+mod links;
+mod listener;
+mod message;
+mod pass;
+
+pub use frame::FRAME_MAX_BYTES;
+pub use frame::decode;
+pub use frame::encode;
+pub use link::PeerError;
+pub use links::Links;
+pub use listener::PeerListener;
+pub use listener::PeerService;
+pub use message::GrantRequest;
+pub use message::LoadNote;
+pub use message::PeerReply;
+pub use message::PeerRequest;
+pub use pass::PassHead;
+pub use pass::PassReply;
+pub use pass::ReplyHead;
+pub use pass::Stage;
--- /dev/null
+++ b/src/route/answer.rs
@@ -0,0 +1,289 @@
+//! The final answer to a request, and its body on the way.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use h2::RecvStream;
+use http::HeaderMap;
+use http::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Conn;
+use super::Slot;
+use super::fields;
+use crate::decide::Finish;
+use crate::errors::Code;
+use crate::outcome::Kept;
+use crate::outcome::WholeAnswer;
+use crate::peer::PassReply;
+use crate::peer::ReplyHead;
+
+/// What a request came to; the caller reads it in `sorrelwick-outcome`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// A backend server's answer is passed on.
+    Ran,
+    /// No byte of the request reached a backend server that may have run it.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The value of the header field.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A body that was cut short.
+#[derive(Debug)]
+pub enum BodyError {
+    Upstream(hyper::Error),
+    Peer(h2::Error),
+}
+
+impl std::fmt::Display for BodyError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Upstream(err) => write!(f, "backend server: {err}"),
+            Self::Peer(err) => write!(f, "peer: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// A body that still comes from a backend server. Its slot is taken until the last byte, and
+/// its connection is used again only after a whole answer.
+#[derive(Debug)]
+pub struct UpstreamBody {
+    incoming: Incoming,
+    held: Option<(Slot, Conn)>,
+}
+
+impl UpstreamBody {
+    pub(super) const fn new(incoming: Incoming, slot: Slot, conn: Conn) -> Self {
+        Self { incoming, held: Some((slot, conn)) }
+    }
+
+    fn ended(&mut self, whole: bool) {
+        let Some((slot, conn)) = self.held.take() else {
+            return;
+        };
+        if whole {
+            conn.give_back();
+            let latency_us = slot.age_us();
+            slot.finish(Finish::Answered { latency_us });
+        } else {
+            slot.finish(Finish::Failed);
+        }
+    }
+}
+
+/// The body of an answer; one that is cut short ends with an error, never as if it were whole.
+#[derive(Debug)]
+pub enum AnswerBody {
+    Whole(Bytes),
+    Upstream(Box<UpstreamBody>),
+    Peer { first: Bytes, rest: RecvStream },
+}
+
+impl AnswerBody {
+    fn poll_peer(
+        rest: &mut RecvStream,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let polled = rest.poll_data(cx);
+        if let Poll::Ready(Some(Ok(bytes))) = &polled {
+            let _ = rest.flow_control().release_capacity(bytes.len());
+        }
+        polled.map_err(BodyError::Peer)
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Upstream(body) => {
+                let polled = Pin::new(&mut body.incoming).poll_frame(cx);
+                match &polled {
+                    Poll::Ready(None) => body.ended(true),
+                    Poll::Ready(Some(Err(_))) => body.ended(false),
+                    _ => {}
+                }
+                polled.map_err(BodyError::Upstream)
+            }
+            Self::Peer { first, .. } if !first.is_empty() => {
+                Poll::Ready(Some(Ok(Frame::data(std::mem::take(first)))))
+            }
+            Self::Peer { rest, .. } => {
+                Self::poll_peer(rest, cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.is_empty(),
+            // Only the poll that sees the end frees the slot.
+            Self::Upstream(_) => false,
+            Self::Peer { first, rest } => first.is_empty() && rest.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Upstream(body) => body.incoming.size_hint(),
+            Self::Peer { .. } => SizeHint::default(),
+        }
+    }
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub outcome: Outcome,
+    pub code: Code,
+    /// 0 where coming back brings nothing.
+    pub retry_after_ms: u64,
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: AnswerBody,
+}
+
+const fn status_of(code: Code, outcome: Outcome) -> StatusCode {
+    match code {
+        Code::BadRequest | Code::KeyMalformed | Code::KeyRequired | Code::BodyIncomplete => {
+            StatusCode::BAD_REQUEST
+        }
+        Code::UnknownService => StatusCode::NOT_FOUND,
+        Code::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        Code::KeyExpired | Code::KeyInProgress | Code::AnswerNotKept => StatusCode::CONFLICT,
+        _ => match outcome {
+            Outcome::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::Ran | Outcome::Unknown => StatusCode::BAD_GATEWAY,
+        },
+    }
+}
+
+impl Answer {
+    /// An answer of sorrelwick's own: no backend server's answer is passed on.
+    #[must_use]
+    pub fn own(outcome: Outcome, code: Code, retry_after_ms: u64) -> Self {
+        let text = format!(
+            "{{\"outcome\":\"{}\",\"code\":{},\"name\":\"{}\"}}\n",
+            outcome.name(),
+            code.number(),
+            code.name()
+        );
+        let mut headers = HeaderMap::new();
+        headers.insert("content-type", http::HeaderValue::from_static("application/json"));
+        Self {
+            outcome,
+            code,
+            retry_after_ms,
+            status: status_of(code, outcome),
+            headers,
+            body: AnswerBody::Whole(text.into()),
+        }
+    }
+
+    /// The request did not run.
+    #[must_use]
+    pub fn not_run(code: Code, retry_after_ms: u64) -> Self {
+        Self::own(Outcome::NotRun, code, retry_after_ms)
+    }
+
+    /// The request may have run.
+    #[must_use]
+    pub fn unknown(code: Code) -> Self {
+        Self::own(Outcome::Unknown, code, 0)
+    }
+
+    /// A backend server's answer.
+    #[must_use]
+    pub const fn ran(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Self {
+        Self { outcome: Outcome::Ran, code: Code::Ok, retry_after_ms: 0, status, headers, body }
+    }
+
+    /// What is to be kept for repeats; `None` for a request that did not run.
+    #[must_use]
+    pub fn kept(&self) -> Option<Kept> {
+        match (self.outcome, &self.body) {
+            (Outcome::NotRun, _) => None,
+            (Outcome::Unknown, _) => Some(Kept::Unknown(self.code)),
+            (Outcome::Ran, AnswerBody::Whole(body)) => {
+                let headers = fields::travelling(&self.headers);
+                let status = self.status.as_u16();
+                let whole = WholeAnswer { status, headers, body: body.clone() };
+                Some(Kept::Answer(Arc::new(whole)))
+            }
+            (Outcome::Ran, _) => Some(Kept::AnswerNotKept),
+        }
+    }
+
+    /// The answer to a repeat.
+    #[must_use]
+    pub fn replay(kept: &Kept) -> Self {
+        match kept {
+            Kept::Answer(whole) => {
+                let status = StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY);
+                let headers = fields::header_map(&whole.headers);
+                Self::ran(status, headers, AnswerBody::Whole(whole.body.clone()))
+            }
+            Kept::AnswerNotKept => Self::own(Outcome::Ran, Code::AnswerNotKept, 0),
+            Kept::Unknown(code) => Self::unknown(*code),
+        }
+    }
+
+    /// The head of this answer as told to the instance that passed the request.
+    #[must_use]
+    pub fn reply_head(&self, free: u32) -> ReplyHead {
+        ReplyHead {
+            outcome: self.outcome,
+            code: self.code.number(),
+            retry_after_ms: self.retry_after_ms,
+            status: self.status.as_u16(),
+            headers: fields::travelling(&self.headers),
+            free,
+        }
+    }
+
+    /// An answer that another instance gave.
+    #[must_use]
+    pub fn passed(reply: PassReply) -> Self {
+        let head = reply.head;
+        let known = crate::errors::TABLE.iter().find(|row| row.0.number() == head.code);
+        Self {
+            outcome: head.outcome,
+            code: known.map_or(Code::PeerFrame, |row| row.0),
+            retry_after_ms: head.retry_after_ms,
+            status: StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY),
+            headers: fields::header_map(&head.headers),
+            body: AnswerBody::Peer { first: reply.first, rest: reply.rest },
+        }
+    }
+}
--- /dev/null
+++ b/src/route/attempt.rs
@@ -0,0 +1,198 @@
+//! One attempt on one backend server.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Incoming;
+
+use super::Answer;
+use super::AnswerBody;
+use super::Conn;
+use super::Slot;
+use super::Ticket;
+use super::answer::UpstreamBody;
+use super::fields;
+use crate::decide::Finish;
+use crate::errors::Code;
+use crate::model::Service;
+
+/// What came of an attempt, and what its answer said of the backend server.
+#[derive(Debug)]
+pub struct Attempted {
+    pub answer: Answer,
+    /// The server said that it is leaving.
+    pub leaving: bool,
+}
+
+impl From<Answer> for Attempted {
+    fn from(answer: Answer) -> Self {
+        Self { answer, leaving: false }
+    }
+}
+
+/// Whether a status means that the server failed rather than answered.
+#[must_use]
+pub fn failure(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::INTERNAL_SERVER_ERROR
+            | StatusCode::BAD_GATEWAY
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+fn build(ticket: &Ticket) -> Option<Request<Full<Bytes>>> {
+    let mut builder = Request::builder().method(ticket.method.as_str()).uri(ticket.target.as_str());
+    let headers = builder.headers_mut()?;
+    *headers = fields::header_map(&ticket.headers);
+    headers.insert(fields::TIMEOUT_MS, (ticket.left_us() / 1000).into());
+    builder.body(Full::new(ticket.body.clone())).ok()
+}
+
+/// Whether the end of the body can be told from a connection that breaks.
+fn end_is_marked(response: &Response<Incoming>, method: &str) -> bool {
+    let bodiless = method == "HEAD"
+        || response.status() == StatusCode::NO_CONTENT
+        || response.status() == StatusCode::NOT_MODIFIED;
+    bodiless
+        || response.headers().contains_key("content-length")
+        || response.headers().contains_key("transfer-encoding")
+}
+
+/// Sends the request over the slot's server and takes its answer.
+///
+/// Until the request is handed to a connection every fault is `not-run`; from then on it is
+/// `unknown`, because the server may have got the request whole.
+pub async fn attempt(
+    ticket: &Ticket,
+    spec: &Service,
+    slot: Slot,
+    buffer_bytes: usize,
+) -> Attempted {
+    let Some(request) = build(ticket) else {
+        return Answer::not_run(Code::BadRequest, 0).into();
+    };
+    let left = Duration::from_micros(ticket.left_us());
+    let upstream = Arc::clone(&slot.upstream);
+    let conn = match tokio::time::timeout(left, upstream.checkout()).await {
+        Ok(Some(conn)) => conn,
+        Ok(None) => {
+            slot.finish(Finish::Failed);
+            return Answer::not_run(Code::ConnectFailed, 1_000).into();
+        }
+        Err(_) => return Answer::not_run(Code::DeadlineInQueue, 100).into(),
+    };
+    exchange(ticket, spec, slot, conn, request, buffer_bytes).await
+}
+
+async fn exchange(
+    ticket: &Ticket,
+    spec: &Service,
+    slot: Slot,
+    mut conn: Conn,
+    request: Request<Full<Bytes>>,
+    buffer_bytes: usize,
+) -> Attempted {
+    let left = Duration::from_micros(ticket.left_us());
+    if left.is_zero() {
+        return Answer::not_run(Code::DeadlineInQueue, 100).into();
+    }
+    let response = match tokio::time::timeout(left, conn.sender.try_send_request(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(mut err)) => {
+            slot.finish(Finish::Failed);
+            // hyper gives the message back only if none of it was written.
+            let untouched = err.take_message().is_some();
+            return if untouched {
+                Answer::not_run(Code::ConnectFailed, 100).into()
+            } else {
+                Answer::unknown(Code::AnswerLost).into()
+            };
+        }
+        Err(_) => return Answer::unknown(Code::DeadlineAfterDispatch).into(),
+    };
+    let told = Told::read(response.headers());
+    told.note(&slot);
+    let leaving = told.leaving;
+    if spec.refusal_statuses.contains(&response.status().as_u16()) {
+        let answer = refused(response, slot, conn).await;
+        return Attempted { answer, leaving };
+    }
+    if !end_is_marked(&response, &ticket.method) {
+        slot.finish(Finish::Failed);
+        return Attempted { answer: Answer::unknown(Code::AnswerTruncated), leaving };
+    }
+    let answer = take(ticket, response, slot, conn, buffer_bytes).await;
+    Attempted { answer, leaving }
+}
+
+/// What an answer told of its server, at no cost.
+struct Told {
+    leaving: bool,
+    in_flight: Option<u32>,
+}
+
+impl Told {
+    fn read(headers: &HeaderMap) -> Self {
+        let leaving = fields::text(headers, fields::BACKEND_STATE) == Some(fields::DRAINING);
+        let load = fields::text(headers, fields::BACKEND_LOAD);
+        Self { leaving, in_flight: load.and_then(|text| text.parse().ok()) }
+    }
+
+    fn note(&self, slot: &Slot) {
+        if let Some(in_flight) = self.in_flight {
+            slot.report(in_flight);
+        }
+    }
+}
+
+/// The server declared by its status that it did not run the request.
+async fn refused(response: Response<Incoming>, slot: Slot, conn: Conn) -> Answer {
+    let after_s = fields::text(response.headers(), "retry-after");
+    let after_s: Option<u64> = after_s.and_then(|text| text.parse().ok());
+    // The rest of a refusal is of no use, but the connection is only once it is read.
+    let rest = http_body_util::Limited::new(response.into_body(), 64 << 10);
+    if rest.collect().await.is_ok() {
+        conn.give_back();
+    }
+    slot.finish(Finish::Refused);
+    Answer::not_run(Code::Refused, after_s.map_or(100, |s| s.saturating_mul(1000)))
+}
+
+async fn take(
+    ticket: &Ticket,
+    response: Response<Incoming>,
+    slot: Slot,
+    conn: Conn,
+    buffer_bytes: usize,
+) -> Answer {
+    let (parts, incoming) = response.into_parts();
+    let headers = fields::header_map(&fields::travelling(&parts.headers));
+    let size = incoming.size_hint().exact();
+    if size.is_none_or(|size| size > buffer_bytes as u64) {
+        let body = UpstreamBody::new(incoming, slot, conn);
+        return Answer::ran(parts.status, headers, AnswerBody::Upstream(Box::new(body)));
+    }
+    let left = Duration::from_micros(ticket.left_us());
+    let Ok(collected) = tokio::time::timeout(left, incoming.collect()).await else {
+        return Answer::unknown(Code::DeadlineAfterDispatch);
+    };
+    let Ok(collected) = collected else {
+        slot.finish(Finish::Failed);
+        return Answer::unknown(Code::AnswerTruncated);
+    };
+    conn.give_back();
+    let latency_us = slot.age_us();
+    let failed = failure(parts.status);
+    slot.finish(if failed { Finish::Failed } else { Finish::Answered { latency_us } });
+    Answer::ran(parts.status, headers, AnswerBody::Whole(collected.to_bytes()))
+}
--- /dev/null
+++ b/src/route/binder.rs
@@ -0,0 +1,402 @@
+//! Binds requests to slots, late: a request waits here, not in a backend server's queue.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
+use smallvec::SmallVec;
+use tokio::sync::oneshot;
+
+use super::Upstream;
+use crate::clock::now_us;
+use crate::decide::Admission;
+use crate::decide::Finish;
+use crate::decide::QueueView;
+use crate::decide::Reach;
+use crate::decide::ServerLoad;
+use crate::decide::SlotPool;
+use crate::decide::admit;
+use crate::decide::hedge_delay_us;
+use crate::model::BackendServer;
+use crate::model::Preference;
+use crate::model::Service;
+
+/// Waiting requests that are offered a free slot before it is left free.
+const OFFERS_MAX: usize = 4;
+
+/// Why a backend server takes no new work; each reason is set and lifted on its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The operator's drain mark.
+    Drained,
+    /// The server said so itself, or a peer heard it say so.
+    Told,
+    /// The platform's list says so.
+    Listed,
+    /// It is not declared any more.
+    Removed,
+}
+
+impl CloseReason {
+    const fn bit(self) -> u8 {
+        1 << (self as u8)
+    }
+}
+
+#[derive(Debug)]
+struct Server {
+    upstream: Arc<Upstream>,
+    /// Set of [`CloseReason`]s.
+    closed: u8,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    reach: Reach,
+    avoid: SmallVec<[usize; 4]>,
+    sender: oneshot::Sender<Slot>,
+}
+
+#[derive(Debug)]
+struct Desk {
+    pool: SlotPool,
+    /// In the order of the pool's rows; a row keeps its position while requests are in flight.
+    servers: Vec<Server>,
+    waiting: VecDeque<Waiter>,
+    waiting_max: usize,
+    preference: Preference,
+}
+
+/// Hands out the slots of one service on one instance; clones share.
+#[derive(Clone, Debug)]
+pub struct Binder {
+    desk: Arc<Mutex<Desk>>,
+}
+
+/// A slot of a backend server that one attempt holds; dropped, it is given back.
+#[derive(Debug)]
+pub struct Slot {
+    binder: Binder,
+    pub index: usize,
+    pub upstream: Arc<Upstream>,
+    started_us: u64,
+    finished: bool,
+}
+
+impl Slot {
+    /// Time since the slot was taken.
+    #[must_use]
+    pub fn age_us(&self) -> u64 {
+        now_us().saturating_sub(self.started_us)
+    }
+
+    /// Takes note of the load that the server told.
+    pub fn report(&self, in_flight: u32) {
+        self.binder.report(self.index, in_flight);
+    }
+
+    /// Gives the slot back with what was learned.
+    pub fn finish(mut self, finish: Finish) {
+        self.finished = true;
+        self.binder.finish(self.index, finish);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.binder.finish(self.index, Finish::Cancelled);
+        }
+    }
+}
+
+/// A place in the queue, or the reason why there is none.
+#[derive(Debug)]
+pub enum Wait {
+    Queued { slot: oneshot::Receiver<Slot>, at_most: Duration },
+    Refused(Admission),
+}
+
+/// What the binder knows of one server, for probes and operators.
+#[derive(Clone, Debug)]
+pub struct ServerView {
+    pub upstream: Arc<Upstream>,
+    pub kept: bool,
+    /// Marked as leaving by its own word.
+    pub told: bool,
+    pub usable: bool,
+    pub silent_us: u64,
+}
+
+impl Binder {
+    /// A binder without servers.
+    #[must_use]
+    pub fn new(waiting_max: usize, seed: u64) -> Self {
+        let desk = Desk {
+            pool: SlotPool::new(Vec::new(), seed),
+            servers: Vec::new(),
+            waiting: VecDeque::new(),
+            waiting_max,
+            preference: Preference::default(),
+        };
+        Self { desk: Arc::new(Mutex::new(desk)) }
+    }
+
+    /// Puts a declaration in force. `kept[i]` tells whether this instance is the keeper of
+    /// `service.backend_servers[i]`; `share` divides the connections that a server accepts.
+    pub fn apply(&self, service: &Service, kept: &[bool], share: u32) {
+        let now = now_us();
+        let mut desk = self.desk.lock();
+        desk.preference = service.preference;
+        for at in 0..desk.servers.len() {
+            let upstream = &desk.servers[at].upstream;
+            let declared = service
+                .backend_servers
+                .iter()
+                .any(|server| server.id == upstream.id && server.address == upstream.address);
+            desk.mark(at, CloseReason::Removed, !declared);
+        }
+        let initial = desk.servers.is_empty();
+        for (server, kept) in service.backend_servers.iter().zip(kept) {
+            let at = desk.place(server, initial, now);
+            let open_max = (server.connections_max / share.max(1)).max(1);
+            desk.servers[at].upstream.set_open_max(open_max);
+            desk.pool.loads_mut()[at].slots = server.slots;
+            desk.pool.loads_mut()[at].kept = *kept;
+            desk.mark(at, CloseReason::Drained, server.drained);
+        }
+        self.hand_out_from(desk);
+    }
+
+    /// Counts a request, from which the budgets of extra work grow.
+    pub fn earn(&self) {
+        let mut desk = self.desk.lock();
+        desk.pool.retries.earn();
+        desk.pool.hedges.earn();
+    }
+
+    /// Takes a slot if one is free and nobody waits for it.
+    #[must_use]
+    pub fn try_take(&self, reach: Reach, avoid: &[usize]) -> Option<Slot> {
+        let now = now_us();
+        let mut desk = self.desk.lock();
+        if desk.waiting.iter().any(|waiter| !waiter.sender.is_closed()) {
+            return None;
+        }
+        let index = desk.pool.take(reach, avoid, now)?;
+        Some(self.slot(&desk, index, now))
+    }
+
+    /// Takes a slot for a second attempt beside the one on `first`, inside the hedge budget.
+    #[must_use]
+    pub fn try_hedge(&self, reach: Reach, first: usize) -> Option<Slot> {
+        let now = now_us();
+        let mut desk = self.desk.lock();
+        if !desk.pool.hedges.left() || desk.waiting.iter().any(|w| !w.sender.is_closed()) {
+            return None;
+        }
+        let index = desk.pool.take(reach, &[first], now)?;
+        desk.pool.hedges.spend();
+        Some(self.slot(&desk, index, now))
+    }
+
+    /// Queues a request for a slot, or tells why it gets none.
+    #[must_use]
+    pub fn wait(&self, reach: Reach, avoid: &[usize], left_us: u64) -> Wait {
+        let mut desk = self.desk.lock();
+        desk.waiting.retain(|waiter| !waiter.sender.is_closed());
+        let view = QueueView {
+            waiting: desk.waiting.len(),
+            waiting_max: desk.waiting_max,
+            slots: desk.pool.slots(reach, now_us()),
+            typical_us: desk.pool.typical_us(),
+            left_us,
+        };
+        let at_most = match admit(&view) {
+            Admission::Wait { at_most_us } => Duration::from_micros(at_most_us),
+            refusal => return Wait::Refused(refusal),
+        };
+        let (sender, slot) = oneshot::channel();
+        desk.waiting.push_back(Waiter { reach, avoid: avoid.into(), sender });
+        // A slot may have come free between the caller's try and now.
+        self.hand_out_from(desk);
+        Wait::Queued { slot, at_most }
+    }
+
+    /// Whether a retry is within the budget; takes it out.
+    #[must_use]
+    pub fn spend_retry(&self) -> bool {
+        self.desk.lock().pool.retries.spend()
+    }
+
+    /// Whether the retry budget has a token.
+    #[must_use]
+    pub fn retry_left(&self) -> bool {
+        self.desk.lock().pool.retries.left()
+    }
+
+    /// When an idempotent attempt is joined by a second one.
+    #[must_use]
+    pub fn hedge_delay(&self, idempotent: bool) -> Option<Duration> {
+        let desk = self.desk.lock();
+        let delay_us = hedge_delay_us(
+            desk.preference,
+            idempotent,
+            desk.pool.typical_us(),
+            desk.pool.high_us(),
+        );
+        delay_us.map(Duration::from_micros)
+    }
+
+    /// Median service time in microseconds; 0 before the first answer.
+    #[must_use]
+    pub fn typical_us(&self) -> f32 {
+        self.desk.lock().pool.typical_us()
+    }
+
+    /// Slots free now, and requests that wait.
+    #[must_use]
+    pub fn free_and_waiting(&self) -> (u32, usize) {
+        let desk = self.desk.lock();
+        let waiting = desk.waiting.iter().filter(|waiter| !waiter.sender.is_closed()).count();
+        (desk.pool.free(now_us()), waiting)
+    }
+
+    /// Offers slots that came free by time alone: an ejection that ended, a ramp that rose.
+    pub fn tick(&self) {
+        let desk = self.desk.lock();
+        if !desk.waiting.is_empty() {
+            self.hand_out_from(desk);
+        }
+    }
+
+    /// Sets or lifts one reason for a server; tells whether that was news.
+    #[must_use]
+    pub fn close(&self, server_id: &str, reason: CloseReason, closed: bool) -> bool {
+        let mut desk = self.desk.lock();
+        let found = desk.servers.iter().position(|server| server.upstream.id == server_id);
+        let news = found.is_some_and(|at| desk.mark(at, reason, closed));
+        self.hand_out_from(desk);
+        news
+    }
+
+    /// Takes note of the load that a server told.
+    pub fn report(&self, index: usize, in_flight: u32) {
+        let mut desk = self.desk.lock();
+        if let Some(load) = desk.pool.loads_mut().get_mut(index) {
+            load.report(in_flight, now_us());
+        }
+    }
+
+    /// The declared servers, for probes.
+    #[must_use]
+    pub fn servers(&self) -> Vec<ServerView> {
+        let now = now_us();
+        let desk = self.desk.lock();
+        let rows = desk.servers.iter().zip(desk.pool.loads());
+        let declared = rows.filter(|(server, _)| server.closed & CloseReason::Removed.bit() == 0);
+        let views = declared.map(|(server, load)| ServerView {
+            upstream: Arc::clone(&server.upstream),
+            kept: load.kept,
+            told: server.closed & CloseReason::Told.bit() != 0,
+            usable: load.usable(now),
+            silent_us: load.silent_us(now),
+        });
+        views.collect()
+    }
+
+    fn slot(&self, desk: &Desk, index: usize, now_us: u64) -> Slot {
+        Slot {
+            binder: self.clone(),
+            index,
+            upstream: Arc::clone(&desk.servers[index].upstream),
+            started_us: now_us,
+            finished: false,
+        }
+    }
+
+    fn finish(&self, index: usize, finish: Finish) {
+        let mut desk = self.desk.lock();
+        desk.pool.finish(index, finish, now_us());
+        self.hand_out_from(desk);
+    }
+
+    /// Gives free slots to those who wait longest.
+    ///
+    /// The slots are sent after the lock is let go: a receiver that is gone drops its slot at
+    /// once, and the slot's drop takes the lock.
+    fn hand_out_from(&self, mut desk: MutexGuard<'_, Desk>) {
+        if desk.waiting.is_empty() {
+            return;
+        }
+        let now = now_us();
+        let mut ready: SmallVec<[(oneshot::Sender<Slot>, Slot); 4]> = SmallVec::new();
+        let mut at = 0;
+        while at < desk.waiting.len().min(OFFERS_MAX) {
+            if desk.waiting[at].sender.is_closed() {
+                desk.waiting.remove(at);
+                continue;
+            }
+            let Desk { pool, waiting, .. } = &mut *desk;
+            let Some(index) = pool.take(waiting[at].reach, &waiting[at].avoid, now) else {
+                at += 1;
+                continue;
+            };
+            let slot = self.slot(&desk, index, now);
+            if let Some(waiter) = desk.waiting.remove(at) {
+                ready.push((waiter.sender, slot));
+            }
+        }
+        drop(desk);
+        for (sender, slot) in ready {
+            // A receiver that is gone gives the slot back by dropping it.
+            let _ = sender.send(slot);
+        }
+    }
+}
+
+impl Desk {
+    /// The row of a declared server: its own, a new one, or one that nobody uses any more.
+    fn place(&mut self, server: &BackendServer, initial: bool, now_us: u64) -> usize {
+        let same =
+            |row: &Server| row.upstream.id == server.id && row.upstream.address == server.address;
+        if let Some(at) = self.servers.iter().position(same) {
+            return at;
+        }
+        let upstream = Arc::new(Upstream::new(&server.id, server.address, 1));
+        let row = Server { upstream, closed: 0 };
+        // With the whole service new there is no older server to spare the new ones.
+        let load = if initial {
+            ServerLoad::warm(server.slots)
+        } else {
+            ServerLoad::cold(server.slots, now_us)
+        };
+        let removed = CloseReason::Removed.bit();
+        let unused = (0..self.servers.len()).find(|&at| {
+            self.servers[at].closed & removed != 0 && self.pool.loads()[at].in_flight == 0
+        });
+        if let Some(at) = unused {
+            self.servers[at] = row;
+            self.pool.loads_mut()[at] = load;
+            return at;
+        }
+        self.servers.push(row);
+        self.pool.loads_mut().push(load);
+        self.servers.len() - 1
+    }
+
+    /// A server that takes work again starts with a ramp.
+    fn mark(&mut self, at: usize, reason: CloseReason, closed: bool) -> bool {
+        let before = self.servers[at].closed;
+        let after = if closed { before | reason.bit() } else { before & !reason.bit() };
+        self.servers[at].closed = after;
+        let load = &mut self.pool.loads_mut()[at];
+        if before != 0 && after == 0 {
+            load.restart(now_us());
+        }
+        load.closed = after != 0;
+        before != after
+    }
+}
--- /dev/null
+++ b/src/route/door.rs
@@ -0,0 +1,282 @@
+//! The callers' listener: requests, and the answer to "which address".
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use super::Answer;
+use super::AnswerBody;
+use super::Outcome;
+use super::Placement;
+use super::Router;
+use super::Ticket;
+use super::fields;
+use crate::board::Counter;
+use crate::clock::now_ms;
+use crate::clock::now_us;
+use crate::errors::Code;
+use crate::errors::Coded;
+use crate::member::MemberRow;
+use crate::outcome::Key;
+use crate::outcome::KeyPrefix;
+use crate::peer::Stage;
+
+/// A caller that has not sent its header fields within this is cut off.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Addresses named in an answer; a caller never depends on a single one while there are others.
+const ADDRESSES_MAX: usize = 4;
+const HEADER_BYTES_MAX: usize = 64 << 10;
+
+/// The callers' listener, running until it is stopped.
+#[derive(Debug)]
+pub struct Door {
+    accepting: JoinHandle<()>,
+    stop: watch::Sender<bool>,
+    permits: Arc<Semaphore>,
+    permits_max: usize,
+}
+
+/// One address of an address answer.
+#[derive(Debug, Serialize)]
+struct NamedAddress {
+    address: String,
+    zone: String,
+    /// Begins every idempotency key that is sent to this address.
+    key_prefix: String,
+}
+
+/// The answer to "which address".
+#[derive(Debug, Serialize)]
+struct AddressAnswer {
+    service: String,
+    keep_ms: u64,
+    addresses: Vec<NamedAddress>,
+}
+
+impl Door {
+    /// Serves callers on `listener`.
+    #[must_use]
+    pub fn spawn(listener: TcpListener, router: Router) -> Self {
+        let permits_max = router.board.settings.requests.connections_max;
+        let permits = Arc::new(Semaphore::new(permits_max));
+        let (stop, stopped) = watch::channel(false);
+        let accepting = tokio::spawn(accept_all(listener, router, Arc::clone(&permits), stopped));
+        Self { accepting, stop, permits, permits_max }
+    }
+
+    /// Accepts no further connection, lets each open one finish the request it is in, and
+    /// returns when all are closed.
+    pub async fn stop(self) {
+        self.accepting.abort();
+        let _ = self.accepting.await;
+        self.stop.send_replace(true);
+        let all = u32::try_from(self.permits_max).unwrap_or(u32::MAX);
+        // Fails only for a closed semaphore, and this one is never closed.
+        let _ = self.permits.acquire_many(all).await;
+    }
+}
+
+async fn accept_all(
+    listener: TcpListener,
+    router: Router,
+    permits: Arc<Semaphore>,
+    stopped: watch::Receiver<bool>,
+) {
+    loop {
+        // A connection over the limit waits in the kernel's queue instead of being cut off.
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let router = router.clone();
+        let stopped = stopped.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, router, stopped).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(stream: TcpStream, router: Router, mut stopped: watch::Receiver<bool>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let router = router.clone();
+        async move { Ok::<_, Infallible>(serve(&router, request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    builder.header_read_timeout(HEADER_TIMEOUT);
+    builder.max_buf_size(HEADER_BYTES_MAX);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A fault here is the caller's connection breaking; nobody is left to tell.
+        _ = &mut connection => return,
+        _ = stopped.wait_for(|stopped| *stopped) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn serve(router: &Router, request: Request<Incoming>) -> Response<AnswerBody> {
+    router.board.counters.add(Counter::Requests);
+    if request.uri().path() == ADDRESSES {
+        return name_addresses(router, &request);
+    }
+    let in_flight = router.board.in_flight();
+    let answer = match read(router, request).await {
+        Ok(ticket) => router.handle(ticket).await,
+        Err(answer) => answer,
+    };
+    drop(in_flight);
+    respond(router, answer)
+}
+
+const ADDRESSES: &str = fields::ADDRESSES_PATH;
+
+fn respond(router: &Router, answer: Answer) -> Response<AnswerBody> {
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    let headers = response.headers_mut();
+    let outcome = http::HeaderValue::from_static(answer.outcome.name());
+    headers.insert(fields::OUTCOME, outcome);
+    headers.insert(fields::CODE, answer.code.number().into());
+    if let Ok(name) = router.board.settings.instance.name.parse() {
+        headers.insert(fields::INSTANCE, name);
+    }
+    if answer.retry_after_ms > 0 && answer.outcome != Outcome::Ran {
+        headers.insert("retry-after", answer.retry_after_ms.div_ceil(1000).into());
+        headers.insert(fields::RETRY_AFTER_MS, answer.retry_after_ms.into());
+    }
+    response
+}
+
+/// Reads a request whole, or tells why not; nothing of it has been sent on then.
+async fn read(router: &Router, request: Request<Incoming>) -> Result<Ticket, Answer> {
+    let settings = &router.board.settings.requests;
+    let refuse = |err: &Coded| Answer::not_run(err.code, 0);
+    let (parts, incoming) = request.into_parts();
+    let headers = &parts.headers;
+    let service = service_name(&parts).ok_or_else(|| Answer::not_run(Code::BadRequest, 0))?;
+    let key = match headers.get(fields::IDEMPOTENCY_KEY) {
+        Some(value) => {
+            let text = value.to_str().unwrap_or("");
+            Some(Key::parse(text).map_err(|err| refuse(&err))?)
+        }
+        None => None,
+    };
+    let default_ms = router.board.services().get(&service).map_or(0, |s| s.spec.timeout_ms.into());
+    let timeout_ms = match headers.get(fields::TIMEOUT_MS) {
+        Some(value) => {
+            let parsed = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+            parsed.ok_or_else(|| Answer::not_run(Code::BadRequest, 0))?
+        }
+        None => default_ms,
+    };
+    let deadline_us = now_us() + timeout_ms.min(settings.timeout_max_ms) * 1000;
+    let body = match Limited::new(incoming, settings.body_limit_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(err) if err.is::<http_body_util::LengthLimitError>() => {
+            return Err(Answer::not_run(Code::BodyTooLarge, 0));
+        }
+        Err(_) => return Err(Answer::not_run(Code::BodyIncomplete, 0)),
+    };
+    let target = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+    Ok(Ticket {
+        service,
+        method: parts.method.as_str().to_owned(),
+        target: target.to_owned(),
+        headers: fields::travelling(headers),
+        body,
+        key,
+        idempotent: true,
+        stage: Stage::Entry,
+        deadline_us,
+    })
+}
+
+/// The service header, or else the host without its port.
+fn service_name(parts: &http::request::Parts) -> Option<String> {
+    let named = match parts.headers.get(fields::SERVICE) {
+        Some(value) => value.to_str().ok()?,
+        None => fields::text(&parts.headers, "host")?.split(':').next()?,
+    };
+    (!named.is_empty()).then(|| named.to_owned())
+}
+
+fn query<'a>(request: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
+    let pairs = request.uri().query()?.split('&');
+    let named = pairs.filter_map(|pair| pair.split_once('='));
+    named.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
+fn name_addresses(router: &Router, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.method() != Method::GET {
+        return respond(router, Answer::not_run(Code::BadRequest, 0));
+    }
+    let board = &router.board;
+    let zone = query(request, "zone").unwrap_or(&board.settings.instance.zone);
+    let service = query(request, "service").unwrap_or("");
+    let addresses = addresses_for(router, service, zone);
+    let keep_ms = board.settings.requests.address_keep_ms;
+    let answer = AddressAnswer { service: service.into(), keep_ms, addresses };
+    let text = serde_json::to_vec(&answer).unwrap_or_default();
+    let mut response = Response::new(AnswerBody::Whole(text.into()));
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert("content-type", json);
+    response
+}
+
+/// The homes of the service, those of the zone first, then other instances of the zone.
+fn addresses_for(router: &Router, service: &str, zone: &str) -> Vec<NamedAddress> {
+    let board = &router.board;
+    let view = board.members_view();
+    let mut named: Vec<Arc<MemberRow>> = Vec::new();
+    if let Some(state) = board.services().get(service) {
+        let placement = Placement::decide(&state.spec, &view.rows, board.incarnation, zone);
+        named.extend(placement.homes);
+    }
+    let others = view.rows.iter().filter(|row| row.state.takes_work());
+    let mut others: Vec<&Arc<MemberRow>> = others.collect();
+    others.sort_by_key(|row| (row.zone != zone, row.incarnation ^ board.incarnation));
+    for row in others {
+        if !named.iter().any(|known| known.incarnation == row.incarnation) {
+            named.push(Arc::clone(row));
+        }
+    }
+    named.truncate(ADDRESSES_MAX);
+    named.iter().map(|row| named_address(router, row)).collect()
+}
+
+fn named_address(router: &Router, row: &MemberRow) -> NamedAddress {
+    let board = &router.board;
+    let born_ms = board.members.lock().born_ms(row.incarnation).unwrap_or_else(now_ms);
+    let epoch = board.outcomes.epoch_at(born_ms, now_ms());
+    let prefix = KeyPrefix { incarnation: row.incarnation, epoch };
+    NamedAddress {
+        address: row.caller.to_string(),
+        zone: row.zone.clone(),
+        key_prefix: prefix.to_string(),
+    }
+}
--- /dev/null
+++ b/src/route/keyed.rs
@@ -0,0 +1,139 @@
+//! Requests that must not run twice and carry an idempotency key.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use super::Answer;
+use super::Router;
+use super::ServiceState;
+use super::Ticket;
+use crate::board::Counter;
+use crate::errors::Code;
+use crate::outcome::Begin;
+use crate::outcome::Kept;
+use crate::outcome::Key;
+use crate::outcome::KeyPrefix;
+use crate::outcome::RunGuard;
+use crate::outcome::claim;
+use crate::peer::Stage;
+
+const FULL_RETRY_MS: u64 = 1_000;
+const OWNER_RETRY_MS: u64 = 1_000;
+
+fn unreachable_owner() -> Answer {
+    Answer { retry_after_ms: OWNER_RETRY_MS, ..Answer::unknown(Code::KeyOwnerUnreachable) }
+}
+
+impl Router {
+    /// Finds the owner of the key and lets it decide; only the owner ever runs the request.
+    pub(super) async fn run_keyed(
+        &self,
+        state: &Arc<ServiceState>,
+        ticket: Ticket,
+        key: Key,
+    ) -> Answer {
+        let prefix = match key.prefix {
+            Some(prefix) => Some(prefix),
+            None => self.claim(&ticket, &key).await,
+        };
+        let Some(prefix) = prefix else {
+            // The key may have run before, so this is not told to be not-run.
+            let answer = Answer::unknown(Code::ClaimUnavailable);
+            return Answer { retry_after_ms: OWNER_RETRY_MS, ..answer };
+        };
+        if self.board.outcomes.owns(prefix.incarnation) {
+            return self.run_owned(state, ticket, &key, prefix).await;
+        }
+        self.pass_to_owner(&ticket, prefix.incarnation).await
+    }
+
+    async fn claim(&self, ticket: &Ticket, key: &Key) -> Option<KeyPrefix> {
+        let incarnation = self.board.incarnation;
+        let epoch = self.board.outcomes.epoch_of(incarnation)?;
+        let own = KeyPrefix { incarnation, epoch };
+        let within = Duration::from_micros(ticket.left_us());
+        let claimed = claim(&self.store, &ticket.service, &key.text, own);
+        tokio::time::timeout(within, claimed).await.ok().flatten()
+    }
+
+    async fn pass_to_owner(&self, ticket: &Ticket, incarnation: u64) -> Answer {
+        if ticket.stage >= Stage::Owner {
+            // Whoever passed it held this instance to be the owner or its successor.
+            return unreachable_owner();
+        }
+        let view = self.board.members_view();
+        let Some(owner) = view.answering_for(incarnation) else {
+            self.board.counters.add(Counter::OwnerUnreachable);
+            return unreachable_owner();
+        };
+        if let Ok(answer) = self.pass(&owner, ticket, Stage::Owner).await {
+            answer
+        } else {
+            self.board.counters.add(Counter::OwnerUnreachable);
+            unreachable_owner()
+        }
+    }
+
+    async fn run_owned(
+        &self,
+        state: &Arc<ServiceState>,
+        ticket: Ticket,
+        key: &Key,
+        prefix: KeyPrefix,
+    ) -> Answer {
+        let outcomes = &self.board.outcomes;
+        match outcomes.begin(prefix.incarnation, prefix.epoch, &ticket.service, &key.text) {
+            Begin::Run(guard) => self.run_guarded(state, ticket, guard).await,
+            Begin::Follow(result) => self.follow(&ticket, result).await,
+            Begin::Replay(kept) => {
+                self.board.counters.add(Counter::Replayed);
+                Answer::replay(&kept)
+            }
+            Begin::Expired => Answer::unknown(Code::KeyExpired),
+            Begin::Full => Answer::not_run(Code::OutcomesFull, FULL_RETRY_MS),
+            Begin::Closed | Begin::NotOwner => {
+                self.pass_to_owner(&ticket, prefix.incarnation).await
+            }
+        }
+    }
+
+    /// Runs in a task of its own: a caller that leaves must not cut the work short, since then
+    /// its outcome would be unknown to the repeat that the caller is about to send.
+    async fn run_guarded(
+        &self,
+        state: &Arc<ServiceState>,
+        ticket: Ticket,
+        guard: RunGuard,
+    ) -> Answer {
+        let router = self.clone();
+        let state = Arc::clone(state);
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            let answer = router.run(&state, &ticket).await;
+            match answer.kept() {
+                Some(kept) => guard.finish(kept),
+                None => guard.not_run(),
+            }
+            // The caller may have left; the outcome is kept all the same.
+            let _ = sender.send(answer);
+        });
+        receiver.await.unwrap_or_else(|_| Answer::unknown(Code::AnswerLost))
+    }
+
+    async fn follow(&self, ticket: &Ticket, mut result: watch::Receiver<Option<Kept>>) -> Answer {
+        self.board.counters.add(Counter::Followed);
+        let within = Duration::from_micros(ticket.left_us());
+        let ended = tokio::time::timeout(within, result.wait_for(Option::is_some)).await;
+        match ended {
+            Ok(Ok(kept)) => {
+                kept.as_ref().map_or_else(|| Answer::unknown(Code::KeyInProgress), Answer::replay)
+            }
+            // The channel closed without a result: the first request did not run.
+            Ok(Err(_)) => Answer::not_run(Code::Refused, 100),
+            Err(_) => Answer::unknown(Code::KeyInProgress),
+        }
+    }
+}
--- /dev/null
+++ b/src/route/places.rs
@@ -0,0 +1,104 @@
+//! The controller that puts configuration and membership in force on the request path.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use super::ServiceState;
+use super::service_state::ServiceCore;
+use crate::board::Blackboard;
+use crate::board::MembersView;
+use crate::board::ServiceMap;
+use crate::decide::Candidate;
+use crate::decide::homes_of;
+use crate::decide::homes_wanted;
+use crate::decide::keepers_of;
+use crate::member::MemberRow;
+use crate::model::Service;
+
+/// Homes and keepers of one service.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Those of the asking zone first.
+    pub homes: SmallVec<[Arc<MemberRow>; 4]>,
+    /// For each backend server, whether this instance keeps it.
+    pub kept: Vec<bool>,
+}
+
+impl Placement {
+    /// Decides the homes of `service` among `members`, as seen by the instance `own` in `zone`.
+    #[must_use]
+    pub fn decide(service: &Service, members: &[Arc<MemberRow>], own: u64, zone: &str) -> Self {
+        let takers: Vec<&Arc<MemberRow>> =
+            members.iter().filter(|row| row.state.takes_work()).collect();
+        let candidates: Vec<Candidate<'_>> = takers
+            .iter()
+            .map(|row| Candidate { incarnation: row.incarnation, zone: &row.zone })
+            .collect();
+        let wanted = homes_wanted(service.slots(), candidates.len());
+        let picked = homes_of(&service.name, &candidates, wanted);
+        let home_candidates: SmallVec<[Candidate<'_>; 8]> =
+            picked.iter().map(|&at| candidates[at]).collect();
+        let servers: Vec<(&str, &str)> = service
+            .backend_servers
+            .iter()
+            .map(|server| (server.id.as_str(), server.zone.as_str()))
+            .collect();
+        let keepers = keepers_of(&servers, &home_candidates);
+        let keeps = |keeper: &usize| home_candidates[*keeper].incarnation == own;
+        let mut kept: Vec<bool> = keepers.iter().map(keeps).collect();
+        kept.resize(service.backend_servers.len(), false);
+        let mut homes: SmallVec<[Arc<MemberRow>; 4]> =
+            picked.iter().map(|&at| Arc::clone(takers[at])).collect();
+        homes.sort_by_key(|home| home.zone != zone);
+        Self { homes, kept }
+    }
+}
+
+/// Builds the snapshot of all services anew, keeping what lasts of those it had.
+pub fn refresh(board: &Blackboard) {
+    let members = board.members_view();
+    let before = board.services();
+    let rows = board.catalog.lock().live();
+    let mut services: ServiceMap = HashMap::with_capacity(rows.len());
+    for (name, versioned) in rows {
+        let Some(spec) = versioned.service else {
+            continue;
+        };
+        let state = state_of(board, &members, before.get(&name), versioned.revision, spec);
+        services.insert(name, Arc::new(state));
+    }
+    board.set_services(services);
+}
+
+fn state_of(
+    board: &Blackboard,
+    members: &MembersView,
+    before: Option<&Arc<ServiceState>>,
+    revision: u64,
+    spec: Service,
+) -> ServiceState {
+    let zone = &board.settings.instance.zone;
+    let placement = Placement::decide(&spec, &members.rows, board.incarnation, zone);
+    let core = before.map_or_else(
+        || ServiceCore::new(board.settings.requests.queue_max, board.incarnation),
+        |state| state.core.clone(),
+    );
+    let share = u32::try_from(members.serving()).unwrap_or(u32::MAX);
+    core.binder.apply(&spec, &placement.kept, share);
+    let am_home = placement.homes.iter().any(|home| home.incarnation == board.incarnation);
+    ServiceState { revision, spec: Arc::new(spec), homes: placement.homes, am_home, core }
+}
+
+/// Keeps the request path up to date with configuration and membership.
+pub async fn run_placement(board: Arc<Blackboard>) {
+    let mut changes = board.changes();
+    loop {
+        changes.mark_unchanged();
+        refresh(&board);
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/route/router.rs
@@ -0,0 +1,60 @@
+//! Decides which way a request goes.
+
+use std::sync::Arc;
+
+use super::Answer;
+use super::ServiceState;
+use super::Ticket;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::errors::Code;
+use crate::peer::Links;
+use crate::store::AnyStore;
+
+/// The request path of one instance; clones share.
+#[derive(Clone, Debug)]
+pub struct Router {
+    pub board: Arc<Blackboard>,
+    pub links: Links,
+    pub store: AnyStore,
+}
+
+impl Router {
+    /// Gives a request its final answer.
+    pub async fn handle(&self, mut ticket: Ticket) -> Answer {
+        let Some(state) = self.board.services().get(&ticket.service).cloned() else {
+            return Answer::not_run(Code::UnknownService, 0);
+        };
+        let kind = state.spec.kind_of(&ticket.method, ticket.path());
+        // Two instances may have different revisions in force for a moment: a request is
+        // repeated only if every instance on its way holds it to be idempotent.
+        ticket.idempotent &= kind.is_some_and(|kind| kind.idempotent);
+        if !ticket.idempotent && ticket.key.is_none() && kind.is_some_and(|kind| kind.key_required)
+        {
+            return Answer::not_run(Code::KeyRequired, 0);
+        }
+        let answer = self.dispatch(&state, ticket).await;
+        self.board.counters.add(Counter::of_outcome(answer.outcome));
+        answer
+    }
+
+    async fn dispatch(&self, state: &Arc<ServiceState>, ticket: Ticket) -> Answer {
+        if ticket.idempotent {
+            return self.run(state, &ticket).await;
+        }
+        // From a home on the key has been settled by its owner.
+        let settled = ticket.stage >= crate::peer::Stage::Home;
+        match ticket.key.clone() {
+            Some(key) if !settled => self.run_keyed(state, ticket, key).await,
+            _ => self.run_detached(state, ticket).await,
+        }
+    }
+
+    /// Runs to the end even if the caller leaves: work that must not repeat is not cut short.
+    async fn run_detached(&self, state: &Arc<ServiceState>, ticket: Ticket) -> Answer {
+        let router = self.clone();
+        let state = Arc::clone(state);
+        let work = tokio::spawn(async move { router.run(&state, &ticket).await });
+        work.await.unwrap_or_else(|_| Answer::unknown(Code::AnswerLost))
+    }
+}
--- /dev/null
+++ b/src/route/runner.rs
@@ -0,0 +1,233 @@
+//! Runs a request: at a home, by a slot of its own or of a co-home; elsewhere, by a home.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::Answer;
+use super::Outcome;
+use super::Router;
+use super::ServiceState;
+use super::Slot;
+use super::Ticket;
+use super::attempt::Attempted;
+use super::attempt::attempt;
+use super::attempt::failure;
+use super::binder::Wait;
+use crate::board::Counter;
+use crate::board::EventKind;
+use crate::decide::Admission;
+use crate::decide::Reach;
+use crate::decide::RetryView;
+use crate::decide::may_retry;
+use crate::errors::Code;
+use crate::member::MemberRow;
+use crate::peer::PeerError;
+use crate::peer::PeerRequest;
+use crate::peer::Stage;
+
+/// Added to the deadline of a passed request, so that the final answer of the other instance is
+/// heard rather than replaced by our own guess.
+const PASS_GRACE: Duration = Duration::from_millis(20);
+const TELL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Where the next attempt is made.
+enum Place {
+    Here(Slot),
+    CoHome(Arc<MemberRow>),
+    Nowhere(Answer),
+}
+
+/// Whether another attempt would be of use after this answer.
+fn wanting(answer: &Answer) -> bool {
+    answer.outcome != Outcome::Ran || failure(answer.status)
+}
+
+fn refusal(admission: Admission) -> Answer {
+    match admission {
+        Admission::NoServer { retry_after_ms } => Answer::not_run(Code::NoServer, retry_after_ms),
+        Admission::QueueFull { retry_after_ms } => Answer::not_run(Code::QueueFull, retry_after_ms),
+        Admission::TooLate { retry_after_ms } => {
+            Answer::not_run(Code::DeadlineInQueue, retry_after_ms)
+        }
+        Admission::Wait { .. } => Answer::not_run(Code::DeadlineInQueue, 100),
+    }
+}
+
+fn may_try_again(state: &ServiceState, ticket: &Ticket, answer: &Answer, attempts: u32) -> bool {
+    let view = RetryView {
+        idempotent: ticket.idempotent,
+        not_run: answer.outcome == Outcome::NotRun,
+        attempts,
+        left_us: ticket.left_us(),
+        typical_us: state.core.binder.typical_us(),
+        budget_left: state.core.binder.retry_left(),
+    };
+    may_retry(&view) && state.core.binder.spend_retry()
+}
+
+impl Router {
+    /// Runs a request once, or, where that does no harm, more often; gives its final answer.
+    pub(super) async fn run(&self, state: &ServiceState, ticket: &Ticket) -> Answer {
+        if state.am_home || ticket.stage >= Stage::Home {
+            return self.run_here(state, ticket).await;
+        }
+        self.run_at_home(state, ticket).await
+    }
+
+    /// Passes the request to a home. With none in reach this instance serves it alone, from all
+    /// servers: it knows less of their load, but the caller gets an answer.
+    async fn run_at_home(&self, state: &ServiceState, ticket: &Ticket) -> Answer {
+        for home in &state.homes {
+            match self.pass(home, ticket, Stage::Home).await {
+                Ok(answer) => return answer,
+                Err(PeerError::Lost) if !ticket.idempotent => {
+                    self.board.counters.add(Counter::PeerLost);
+                    return Answer::unknown(Code::PeerLost);
+                }
+                Err(_) => self.board.counters.add(Counter::HomeUnreachable),
+            }
+        }
+        self.run_here(state, ticket).await
+    }
+
+    /// Passes a request on and waits for its answer until the deadline.
+    pub(super) async fn pass(
+        &self,
+        to: &MemberRow,
+        ticket: &Ticket,
+        stage: Stage,
+    ) -> Result<Answer, PeerError> {
+        let head = ticket.pass_head(stage);
+        let within = Duration::from_micros(ticket.left_us()) + PASS_GRACE;
+        let passed = self.links.pass(to.peer, &head, &ticket.body);
+        let reply = tokio::time::timeout(within, passed).await.map_err(|_| PeerError::Lost)??;
+        self.board.counters.add(Counter::Passed);
+        if let Some(state) = self.board.services().get(&ticket.service) {
+            state.core.note_free(to.incarnation, reply.head.free);
+        }
+        Ok(Answer::passed(reply))
+    }
+
+    async fn run_here(&self, state: &ServiceState, ticket: &Ticket) -> Answer {
+        let mut avoid: SmallVec<[usize; 4]> = SmallVec::new();
+        let mut attempts = 0;
+        state.core.binder.earn();
+        loop {
+            attempts += 1;
+            let answer = match self.place(state, ticket, &avoid).await {
+                Place::Nowhere(answer) => return answer,
+                Place::CoHome(home) => match self.pass(&home, ticket, Stage::Spill).await {
+                    Ok(answer) => answer,
+                    Err(PeerError::Lost) => Answer::unknown(Code::PeerLost),
+                    Err(_) => Answer::not_run(Code::PeerLost, 100),
+                },
+                Place::Here(slot) => {
+                    avoid.push(slot.index);
+                    self.attempt_hedged(state, ticket, slot).await
+                }
+            };
+            if !wanting(&answer) || !may_try_again(state, ticket, &answer, attempts) {
+                return answer;
+            }
+            self.board.counters.add(Counter::Retries);
+        }
+    }
+
+    /// The keepers' slots first, then a co-home that has slots free, then the queue.
+    async fn place(&self, state: &ServiceState, ticket: &Ticket, avoid: &[usize]) -> Place {
+        let binder = &state.core.binder;
+        let reach = if state.am_home { Reach::Kept } else { Reach::All };
+        if let Some(slot) = binder.try_take(reach, avoid) {
+            return Place::Here(slot);
+        }
+        if ticket.stage < Stage::Spill
+            && let Some(home) = self.co_home_with_slots(state)
+        {
+            self.board.counters.add(Counter::Spilled);
+            return Place::CoHome(home);
+        }
+        match binder.wait(reach, avoid, ticket.left_us()) {
+            Wait::Queued { slot, at_most } => {
+                self.board.counters.add(Counter::Queued);
+                match tokio::time::timeout(at_most, slot).await {
+                    Ok(Ok(slot)) => Place::Here(slot),
+                    _ => Place::Nowhere(Answer::not_run(Code::DeadlineInQueue, 100)),
+                }
+            }
+            Wait::Refused(admission) => Place::Nowhere(refusal(admission)),
+        }
+    }
+
+    fn co_home_with_slots(&self, state: &ServiceState) -> Option<Arc<MemberRow>> {
+        let others = state.homes.iter().filter(|home| home.incarnation != self.board.incarnation);
+        let mut free = others.filter(|home| state.core.take_free(home.incarnation));
+        free.next().cloned()
+    }
+
+    /// One attempt, joined by a second when it takes too long and the hedge budget allows it.
+    /// The first whole answer counts; the other attempt is dropped, which closes its connection.
+    async fn attempt_hedged(&self, state: &ServiceState, ticket: &Ticket, slot: Slot) -> Answer {
+        let binder = &state.core.binder;
+        let index = slot.index;
+        let first = self.attempt_once(state, ticket, slot);
+        let Some(delay) = binder.hedge_delay(ticket.idempotent) else {
+            return first.await;
+        };
+        tokio::pin!(first);
+        tokio::select! {
+            answer = &mut first => return answer,
+            () = tokio::time::sleep(delay) => {}
+        }
+        let reach = if state.am_home { Reach::Kept } else { Reach::All };
+        let Some(slot) = binder.try_hedge(reach, index) else {
+            return first.await;
+        };
+        self.board.counters.add(Counter::Hedges);
+        let second = self.attempt_once(state, ticket, slot);
+        tokio::pin!(second);
+        tokio::select! {
+            answer = &mut first => if wanting(&answer) { second.await } else { answer },
+            answer = &mut second => if wanting(&answer) { first.await } else { answer },
+        }
+    }
+
+    async fn attempt_once(&self, state: &ServiceState, ticket: &Ticket, slot: Slot) -> Answer {
+        self.board.counters.add(Counter::Attempts);
+        let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
+        let server = slot.upstream.id.clone();
+        let Attempted { answer, leaving } = attempt(ticket, &state.spec, slot, buffer_bytes).await;
+        if leaving {
+            self.server_leaves(state, &server);
+        }
+        answer
+    }
+
+    /// A server said that it leaves: no new work from here, and the co-homes hear of it.
+    fn server_leaves(&self, state: &ServiceState, server: &str) {
+        let reason = super::CloseReason::Told;
+        if !state.core.binder.close(server, reason, true) {
+            return;
+        }
+        let service = state.spec.name.clone();
+        self.board
+            .note(EventKind::ServerLeaving { service: service.clone(), server: server.into() });
+        self.tell_co_homes(state, server, true);
+    }
+
+    /// Tells the other homes that a server leaves or is back.
+    pub fn tell_co_homes(&self, state: &ServiceState, server: &str, leaving: bool) {
+        let service = state.spec.name.clone();
+        let request = PeerRequest::Leaving { service, server: server.into(), leaving };
+        for home in state.homes.iter().filter(|home| home.incarnation != self.board.incarnation) {
+            let links = self.links.clone();
+            let address = home.peer;
+            let request = request.clone();
+            tokio::spawn(async move {
+                // A co-home that misses this hears it from the server itself.
+                let _ = links.call(address, &request, TELL_TIMEOUT).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/route/service_state.rs
@@ -0,0 +1,66 @@
+//! One service as it is in force on this instance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use smallvec::SmallVec;
+
+use super::Binder;
+use crate::clock::now_ms;
+use crate::member::MemberRow;
+use crate::model::Service;
+
+/// What a co-home told of its free slots is worth nothing after this long.
+const CO_LOAD_AGE_MAX_MS: u64 = 300;
+
+#[derive(Clone, Copy, Debug)]
+struct CoLoad {
+    free: u32,
+    at_ms: u64,
+}
+
+/// What lasts while revisions and homes change; clones share.
+#[derive(Clone, Debug)]
+pub struct ServiceCore {
+    pub binder: Binder,
+    co_loads: Arc<Mutex<HashMap<u64, CoLoad>>>,
+}
+
+impl ServiceCore {
+    pub(super) fn new(waiting_max: usize, seed: u64) -> Self {
+        Self { binder: Binder::new(waiting_max, seed), co_loads: Arc::default() }
+    }
+
+    /// Takes note of the slots that a co-home has free.
+    pub fn note_free(&self, incarnation: u64, free: u32) {
+        let load = CoLoad { free, at_ms: now_ms() };
+        self.co_loads.lock().insert(incarnation, load);
+    }
+
+    /// Counts one of the slots that a co-home was believed to have free as taken.
+    pub fn take_free(&self, incarnation: u64) -> bool {
+        let mut loads = self.co_loads.lock();
+        let Some(load) = loads.get_mut(&incarnation) else {
+            return false;
+        };
+        let fresh = now_ms().saturating_sub(load.at_ms) <= CO_LOAD_AGE_MAX_MS;
+        if !fresh || load.free == 0 {
+            return false;
+        }
+        load.free -= 1;
+        true
+    }
+}
+
+/// A snapshot that the request path reads.
+#[derive(Clone, Debug)]
+pub struct ServiceState {
+    pub revision: u64,
+    pub spec: Arc<Service>,
+    /// Those of this instance's zone first.
+    pub homes: SmallVec<[Arc<MemberRow>; 4]>,
+    /// Whether this instance is one of the homes.
+    pub am_home: bool,
+    pub core: ServiceCore,
+}
--- /dev/null
+++ b/src/route/ticket.rs
@@ -0,0 +1,72 @@
+//! One request on its way through an instance.
+
+use bytes::Bytes;
+
+use crate::clock::now_us;
+use crate::outcome::Key;
+use crate::peer::PassHead;
+use crate::peer::Stage;
+
+/// A request whose body is whole.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    pub service: String,
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Without fields that do not travel on.
+    pub headers: Vec<(String, Vec<u8>)>,
+    pub body: Bytes,
+    pub key: Option<Key>,
+    /// Whether every instance so far held it to be idempotent.
+    pub idempotent: bool,
+    pub stage: Stage,
+    /// On this process's monotonic clock.
+    pub deadline_us: u64,
+}
+
+impl Ticket {
+    /// Time until the deadline.
+    #[must_use]
+    pub fn left_us(&self) -> u64 {
+        self.deadline_us.saturating_sub(now_us())
+    }
+
+    /// The path without its query.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or("")
+    }
+
+    /// This request as passed to another instance.
+    #[must_use]
+    pub fn pass_head(&self, stage: Stage) -> PassHead {
+        PassHead {
+            service: self.service.clone(),
+            method: self.method.clone(),
+            target: self.target.clone(),
+            headers: self.headers.clone(),
+            key: self.key.as_ref().map(|key| key.text.clone()),
+            idempotent: self.idempotent,
+            stage,
+            left_us: self.left_us(),
+        }
+    }
+
+    /// A request that another instance passed here.
+    #[must_use]
+    pub fn passed(head: PassHead, body: Bytes) -> Self {
+        let key = head.key.as_deref().and_then(|text| Key::parse(text).ok());
+        Self {
+            service: head.service,
+            method: head.method,
+            target: head.target,
+            headers: head.headers,
+            body,
+            key,
+            idempotent: head.idempotent,
+            stage: head.stage,
+            deadline_us: now_us().saturating_add(head.left_us),
+        }
+    }
+}
--- /dev/null
+++ b/src/route/upstream.rs
@@ -0,0 +1,143 @@
+//! Connections to one backend server.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+
+use crate::clock::now_ms;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Older idle connections are closed here, before a backend server's own limit closes them just
+/// as a request is written, which would leave its outcome unknown.
+const IDLE_MAX_MS: u64 = 4_000;
+
+/// A backend server with its idle connections.
+#[derive(Debug)]
+pub struct Upstream {
+    pub id: String,
+    pub address: SocketAddr,
+    idle: Mutex<Vec<Idle>>,
+    open: Arc<AtomicU32>,
+    opened: AtomicU32,
+    /// Connections that this instance may have open; at least 1.
+    open_max: AtomicU32,
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    since_ms: u64,
+}
+
+/// A connection that one attempt holds; dropped, it is closed, which tells the backend server
+/// that the answer is not wanted any more.
+#[derive(Debug)]
+pub struct Conn {
+    pub sender: SendRequest<Full<Bytes>>,
+    upstream: Arc<Upstream>,
+}
+
+impl Conn {
+    /// Keeps the connection for the next request.
+    pub fn give_back(self) {
+        let idle = Idle { sender: self.sender, since_ms: now_ms() };
+        self.upstream.idle.lock().push(idle);
+    }
+}
+
+/// Counts an open connection until it is closed.
+struct OpenCount(Arc<AtomicU32>);
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Upstream {
+    /// No connection is opened before the first request.
+    #[must_use]
+    pub fn new(id: &str, address: SocketAddr, open_max: u32) -> Self {
+        Self {
+            id: id.to_owned(),
+            address,
+            idle: Mutex::default(),
+            open: Arc::default(),
+            opened: AtomicU32::new(0),
+            open_max: AtomicU32::new(open_max.max(1)),
+        }
+    }
+
+    /// Connections opened since the start.
+    #[must_use]
+    pub fn opened(&self) -> u32 {
+        self.opened.load(Ordering::Relaxed)
+    }
+
+    /// Sets how many connections this instance may have open.
+    pub fn set_open_max(&self, open_max: u32) {
+        self.open_max.store(open_max.max(1), Ordering::Release);
+    }
+
+    fn pop_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let oldest_ms = now_ms().saturating_sub(IDLE_MAX_MS);
+        let mut idle = self.idle.lock();
+        while let Some(last) = idle.pop() {
+            if last.since_ms >= oldest_ms && !last.sender.is_closed() {
+                return Some(last.sender);
+            }
+        }
+        None
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_idle(&self) {
+        let oldest_ms = now_ms().saturating_sub(IDLE_MAX_MS);
+        self.idle.lock().retain(|idle| idle.since_ms >= oldest_ms && !idle.sender.is_closed());
+    }
+
+    /// A connection that is ready for a request: the last used one, or a new one.
+    ///
+    /// `None` when none can be opened; no byte of any request was sent then.
+    pub async fn checkout(self: &Arc<Self>) -> Option<Conn> {
+        while let Some(mut sender) = self.pop_idle() {
+            if sender.ready().await.is_ok() {
+                return Some(Conn { sender, upstream: Arc::clone(self) });
+            }
+        }
+        let sender = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await.ok()??;
+        Some(Conn { sender, upstream: Arc::clone(self) })
+    }
+
+    async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
+        let count = self.reserve()?;
+        let stream = TcpStream::connect(self.address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        self.opened.fetch_add(1, Ordering::Relaxed);
+        tokio::spawn(async move {
+            // An error here shows as an error of the attempt that uses the connection.
+            let _ = connection.await;
+            drop(count);
+        });
+        Some(sender)
+    }
+
+    /// Keeps the connections of this instance within its share of what the server accepts.
+    fn reserve(&self) -> Option<OpenCount> {
+        let max = self.open_max.load(Ordering::Acquire);
+        let next = |open: u32| (open < max).then_some(open + 1);
+        let reserved = self.open.fetch_update(Ordering::AcqRel, Ordering::Acquire, next);
+        reserved.ok().map(|_| OpenCount(Arc::clone(&self.open)))
+    }
+}
--- /dev/null
+++ b/src/status/metrics.rs
@@ -0,0 +1,65 @@
+//! The counters as `opentelemetry` instruments, written out for scraping.
+
+use std::sync::Arc;
+
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::board::Blackboard;
+use crate::board::Counter;
+
+/// The metrics of one instance.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+}
+
+impl Metrics {
+    /// Registers all counters and gauges of the blackboard.
+    ///
+    /// # Panics
+    /// Never: a registry that is new has no names that could clash.
+    #[must_use]
+    pub fn open(board: &Arc<Blackboard>) -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = exporter.expect("a new registry takes an exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("sorrelwick");
+        for (counter, name, help) in Counter::ALL {
+            let board = Arc::clone(board);
+            let counter = *counter;
+            meter
+                .u64_observable_counter(format!("sorrelwick_{name}"))
+                .with_description(*help)
+                .with_callback(move |seen| seen.observe(board.counters.get(counter), &[]))
+                .build();
+        }
+        let observed = Arc::clone(board);
+        meter
+            .u64_observable_gauge("sorrelwick_outcome_rows")
+            .with_description("Rows in the record of keyed requests.")
+            .with_callback(move |seen| seen.observe(observed.outcomes.len() as u64, &[]))
+            .build();
+        let observed = Arc::clone(board);
+        meter
+            .u64_observable_gauge("sorrelwick_requests_in_flight")
+            .with_description("Callers' requests without answer yet.")
+            .with_callback(move |seen| seen.observe(observed.requests_in_flight() as u64, &[]))
+            .build();
+        Self { registry, _provider: provider }
+    }
+
+    /// The text that scrapers read.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        encoded.map_or_else(|_| String::new(), |()| String::from_utf8(bytes).unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/src/status/mod.rs
@@ -0,0 +1,7 @@
+//! Health, readiness and metrics for whoever watches the instance.
+
+mod metrics;
+mod page;
+
+pub use metrics::Metrics;
+pub use page::StatusPage;
