--- /dev/null
+++ b/src/store/consul_store.rs
@@ -0,0 +1,280 @@
+//! The platform's store over Consul's HTTP interface.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+
+use super::Entry;
+use super::Lease;
+use super::Listed;
+use super::Listing;
+use super::Roster;
+use super::Store;
+use super::StoreError;
+use crate::conf::PlatformSettings;
+
+const ANSWER_MAX_BYTES: usize = 64 << 20;
+const IDLE_MAX: usize = 4;
+const INDEX_HEADER: &str = "x-consul-index";
+/// Names in the platform's list of machines.
+const INSTANCES: &str = "sorrelwick";
+const BACKEND_SERVERS: &str = "backend-servers";
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// A [`Store`] and [`Roster`] over HTTP; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct ConsulStore {
+    address: SocketAddr,
+    call_timeout: Duration,
+    idle: Arc<Mutex<Vec<Sender>>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct KvRow {
+    key: String,
+    value: Option<String>,
+    modify_index: u64,
+}
+
+#[derive(Deserialize)]
+struct CatalogRow {
+    #[serde(rename = "ServiceID")]
+    id: String,
+    #[serde(rename = "ServiceAddress")]
+    address: String,
+    #[serde(rename = "ServicePort")]
+    port: u16,
+    #[serde(rename = "ServiceMeta", default)]
+    meta: CatalogMeta,
+}
+
+#[derive(Default, Deserialize)]
+struct CatalogMeta {
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    state: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct SessionRow {
+    #[serde(rename = "ID")]
+    id: String,
+}
+
+struct Reply {
+    status: StatusCode,
+    index: u64,
+    body: Bytes,
+}
+
+fn lost(why: impl std::fmt::Display) -> StoreError {
+    StoreError::AnswerLost(why.to_string())
+}
+
+fn parse<T: serde::de::DeserializeOwned>(reply: &Reply) -> Result<T, StoreError> {
+    serde_json::from_slice(&reply.body).map_err(lost)
+}
+
+fn expect_ok(reply: Reply) -> Result<Reply, StoreError> {
+    if reply.status.is_success() {
+        return Ok(reply);
+    }
+    let text = String::from_utf8_lossy(&reply.body).into_owned();
+    // A gateway in between may fail after the store has written; only a refusal that the store
+    // itself worded by a 4xx tells that nothing changed.
+    if reply.status.is_client_error() {
+        return Err(StoreError::Refused(format!("{}: {text}", reply.status)));
+    }
+    Err(StoreError::AnswerLost(format!("{}: {text}", reply.status)))
+}
+
+impl ConsulStore {
+    /// A client of the service at the platform's address; connects with the first call.
+    #[must_use]
+    pub fn open(platform: &PlatformSettings) -> Self {
+        Self {
+            address: platform.address,
+            call_timeout: Duration::from_millis(platform.call_timeout_ms),
+            idle: Arc::default(),
+        }
+    }
+
+    async fn connect(&self) -> Result<Sender, StoreError> {
+        let unreachable = |why: String| StoreError::Unreachable(why);
+        let stream =
+            TcpStream::connect(self.address).await.map_err(|e| unreachable(e.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|e| unreachable(e.to_string()))?;
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    async fn sender(&self) -> Result<Sender, StoreError> {
+        loop {
+            let idle = self.idle.lock().pop();
+            let Some(mut sender) = idle else {
+                break;
+            };
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        tokio::time::timeout(self.call_timeout, self.connect())
+            .await
+            .unwrap_or_else(|_| Err(StoreError::Unreachable("connect timed out".into())))
+    }
+
+    async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        extra_wait: Duration,
+    ) -> Result<Reply, StoreError> {
+        let mut sender = self.sender().await?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .body(Full::new(Bytes::copy_from_slice(body)))
+            .map_err(|err| StoreError::Refused(err.to_string()))?;
+        let exchange = async {
+            let response = match sender.try_send_request(request).await {
+                Ok(response) => response,
+                // The message comes back only if none of it was written.
+                Err(mut err) => {
+                    let untouched = err.take_message().is_some();
+                    let why = err.into_error().to_string();
+                    return Err(if untouched { StoreError::Unreachable(why) } else { lost(why) });
+                }
+            };
+            let status = response.status();
+            let index = response.headers().get(INDEX_HEADER).and_then(|v| v.to_str().ok());
+            let index = index.and_then(|text| text.parse().ok()).unwrap_or(0);
+            let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+            let body = limited.collect().await.map_err(lost)?.to_bytes();
+            Ok(Reply { status, index, body })
+        };
+        let reply = tokio::time::timeout(self.call_timeout + extra_wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err(lost("timed out")))?;
+        let mut idle = self.idle.lock();
+        if idle.len() < IDLE_MAX {
+            idle.push(sender);
+        }
+        Ok(reply)
+    }
+
+    async fn put_flag(&self, path: &str, value: &[u8]) -> Result<bool, StoreError> {
+        let reply = self.call("PUT", path, value, Duration::ZERO).await?;
+        Ok(expect_ok(reply)?.body.trim_ascii() == b"true")
+    }
+
+    async fn list(&self, name: &str) -> Result<Vec<Listed>, StoreError> {
+        let path = format!("/v1/catalog/service/{name}");
+        let reply = expect_ok(self.call("GET", &path, &[], Duration::ZERO).await?)?;
+        let rows: Vec<CatalogRow> = parse(&reply)?;
+        let listed = rows.into_iter().filter_map(|row| {
+            let ip = row.address.parse().ok()?;
+            Some(Listed {
+                id: row.id,
+                address: SocketAddr::new(ip, row.port),
+                zone: row.meta.zone,
+                leaving: row.meta.state == "leaving",
+            })
+        });
+        Ok(listed.collect())
+    }
+}
+
+fn entries(reply: &Reply) -> Result<Vec<Entry>, StoreError> {
+    if reply.status == StatusCode::NOT_FOUND {
+        return Ok(Vec::new());
+    }
+    let rows: Vec<KvRow> = parse(reply)?;
+    let decode = |row: KvRow| {
+        let text = row.value.unwrap_or_default();
+        let value = STANDARD.decode(text).map_err(lost)?;
+        Ok(Entry { key: row.key, value, index: row.modify_index })
+    };
+    rows.into_iter().map(decode).collect()
+}
+
+fn or_missing(reply: Reply) -> Result<Reply, StoreError> {
+    if reply.status == StatusCode::NOT_FOUND { Ok(reply) } else { expect_ok(reply) }
+}
+
+impl Store for ConsulStore {
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        let path = format!("/v1/kv/{key}?consistent");
+        let reply = or_missing(self.call("GET", &path, &[], Duration::ZERO).await?)?;
+        Ok(entries(&reply)?.into_iter().next())
+    }
+
+    async fn watch(&self, prefix: &str, index: u64, wait: Duration) -> Result<Listing, StoreError> {
+        let path = format!("/v1/kv/{prefix}?recurse&index={index}&wait={}ms", wait.as_millis());
+        let reply = or_missing(self.call("GET", &path, &[], wait).await?)?;
+        Ok(Listing { index: reply.index, entries: entries(&reply)? })
+    }
+
+    async fn put_if(&self, key: &str, value: &[u8], index: u64) -> Result<bool, StoreError> {
+        self.put_flag(&format!("/v1/kv/{key}?cas={index}"), value).await
+    }
+
+    async fn lease_open(&self, ttl: Duration) -> Result<Lease, StoreError> {
+        let ttl_s = ttl.as_millis().div_ceil(1000);
+        let body = serde_json::json!({
+            "TTL": format!("{ttl_s}s"),
+            "Behavior": "delete",
+            "LockDelay": "0s",
+        });
+        let body = body.to_string();
+        let reply = self.call("PUT", "/v1/session/create", body.as_bytes(), Duration::ZERO).await?;
+        let row: SessionRow = parse(&expect_ok(reply)?)?;
+        Ok(Lease(row.id))
+    }
+
+    async fn lease_renew(&self, lease: &Lease) -> Result<bool, StoreError> {
+        let path = format!("/v1/session/renew/{}", lease.0);
+        let reply = or_missing(self.call("PUT", &path, &[], Duration::ZERO).await?)?;
+        Ok(reply.status != StatusCode::NOT_FOUND)
+    }
+
+    async fn lease_close(&self, lease: &Lease) -> Result<(), StoreError> {
+        let path = format!("/v1/session/destroy/{}", lease.0);
+        self.put_flag(&path, &[]).await.map(|_| ())
+    }
+
+    async fn acquire(&self, key: &str, value: &[u8], lease: &Lease) -> Result<bool, StoreError> {
+        self.put_flag(&format!("/v1/kv/{key}?acquire={}", lease.0), value).await
+    }
+}
+
+impl Roster for ConsulStore {
+    async fn instances(&self) -> Result<Vec<Listed>, StoreError> {
+        self.list(INSTANCES).await
+    }
+
+    async fn backend_servers(&self) -> Result<Vec<Listed>, StoreError> {
+        self.list(BACKEND_SERVERS).await
+    }
+}
--- /dev/null
+++ b/standins/src/backend/behaviour.rs
@@ -0,0 +1,28 @@
+//! Switches that change how a backend server behaves while it runs.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+
+/// All faults of one backend server; off at the start.
+#[derive(Debug, Default)]
+pub struct Behaviour {
+    /// Says so in each answer, and goes on working.
+    pub draining: AtomicBool,
+    /// Answers work with 500 at once.
+    pub failing: AtomicBool,
+    /// Answers work with 503 instead of queueing it.
+    pub shedding: AtomicBool,
+    /// Multiplies the time of work; 0 and 1 change nothing.
+    pub slow_factor: AtomicU32,
+    /// Health says 200 whatever else is true.
+    pub lying_health: AtomicBool,
+    /// Takes requests in and never answers.
+    pub frozen: AtomicBool,
+    /// Reported load is this much per cent of the true one; 0 stands for 100.
+    pub report_percent: AtomicU32,
+    /// So many next answers are cut in the middle of the body.
+    pub cut_bodies: AtomicU64,
+    /// So many next requests are run, and the connection is closed without an answer.
+    pub lose_answers: AtomicU64,
+}
--- /dev/null
+++ b/standins/src/backend/record.rs
@@ -0,0 +1,58 @@
+//! What a backend server saw, to compare with what callers were told.
+
+use std::collections::HashMap;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+/// One request that was run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub request_id: String,
+    pub at: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    runs: Vec<Run>,
+    measuring: Vec<Instant>,
+}
+
+/// The log of one backend server.
+#[derive(Debug, Default)]
+pub struct Record {
+    rows: Mutex<Rows>,
+}
+
+impl Record {
+    pub(super) fn ran(&self, request_id: &str) {
+        let run = Run { request_id: request_id.into(), at: Instant::now() };
+        self.rows.lock().runs.push(run);
+    }
+
+    pub(super) fn measured(&self) {
+        self.rows.lock().measuring.push(Instant::now());
+    }
+
+    /// All runs, in the order they began.
+    #[must_use]
+    pub fn runs(&self) -> Vec<Run> {
+        self.rows.lock().runs.clone()
+    }
+
+    /// How often each request id ran.
+    #[must_use]
+    pub fn counts(&self) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        for run in &self.rows.lock().runs {
+            *counts.entry(run.request_id.clone()).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// When calls arrived that were made only to measure.
+    #[must_use]
+    pub fn measuring(&self) -> Vec<Instant> {
+        self.rows.lock().measuring.clone()
+    }
+}
--- /dev/null
+++ b/standins/src/backend/server.rs
@@ -0,0 +1,322 @@
+//! The HTTP server of the backend stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Either;
+use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::body::SizeHint;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::task::JoinHandle;
+
+use super::Behaviour;
+use super::Record;
+use super::body_for;
+use super::work::WorkTimes;
+
+/// How a backend server is set up.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BackendSettings {
+    pub id: String,
+    pub listen: SocketAddr,
+    pub slots: usize,
+    pub connections_max: usize,
+    /// Mean time of a piece of work.
+    pub work_us: u64,
+    pub body_bytes: usize,
+    /// For so long after the start, work takes `cold_factor` times as long.
+    pub cold_ms: u64,
+    pub cold_factor: u32,
+    /// Added before a new connection is served.
+    pub connect_us: u64,
+    pub seed: u64,
+}
+
+impl Default for BackendSettings {
+    fn default() -> Self {
+        Self {
+            id: "b1".into(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            slots: 4,
+            connections_max: 250,
+            work_us: 1_000,
+            body_bytes: 200,
+            cold_ms: 0,
+            cold_factor: 1,
+            connect_us: 1_000,
+            seed: 1,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: BackendSettings,
+    behaviour: Arc<Behaviour>,
+    record: Arc<Record>,
+    slots: Semaphore,
+    in_flight: AtomicU32,
+    connections: AtomicU32,
+    connections_most: AtomicU32,
+    times: Mutex<WorkTimes>,
+    started: tokio::time::Instant,
+}
+
+/// A running backend server; dropped, it dies at once, with all its connections.
+#[derive(Debug)]
+pub struct Backend {
+    address: SocketAddr,
+    pub behaviour: Arc<Behaviour>,
+    pub record: Arc<Record>,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Backend {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Backend {
+    /// Serves on the address of the settings.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(settings: BackendSettings) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(settings.listen).await?;
+        let address = listener.local_addr()?;
+        let behaviour = Arc::new(Behaviour::default());
+        let record = Arc::new(Record::default());
+        let shared = Arc::new(Shared {
+            slots: Semaphore::new(settings.slots),
+            times: Mutex::new(WorkTimes::new(settings.work_us, settings.seed)),
+            behaviour: Arc::clone(&behaviour),
+            record: Arc::clone(&record),
+            in_flight: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            connections_most: AtomicU32::new(0),
+            started: tokio::time::Instant::now(),
+            settings,
+        });
+        let task = tokio::spawn(accept_all(listener, Arc::clone(&shared)));
+        Ok(Self { address, behaviour, record, shared, task })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        &self.shared.settings.id
+    }
+
+    /// The most connections that were open at once.
+    #[must_use]
+    pub fn connections_most(&self) -> u32 {
+        self.shared.connections_most.load(Ordering::Relaxed)
+    }
+
+    /// Serves until the process ends.
+    pub async fn run(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+struct Count<'a>(&'a AtomicU32);
+
+impl<'a> Count<'a> {
+    fn of(counter: &'a AtomicU32) -> (Self, u32) {
+        let now = counter.fetch_add(1, Ordering::AcqRel) + 1;
+        (Self(counter), now)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+async fn accept_all(listener: TcpListener, shared: Arc<Shared>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        connections.spawn(serve_connection(stream, Arc::clone(&shared)));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
+    let (_count, open) = Count::of(&shared.connections);
+    shared.connections_most.fetch_max(open, Ordering::AcqRel);
+    if open as usize > shared.settings.connections_max {
+        return;
+    }
+    tokio::time::sleep(Duration::from_micros(shared.settings.connect_us)).await;
+    let _ = stream.set_nodelay(true);
+    let inner = Arc::clone(&shared);
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&inner);
+        async move { serve(&shared, request).await }
+    });
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// A body that says how long it is and ends with an error halfway.
+#[derive(Debug)]
+pub struct CutBody {
+    first: Option<Bytes>,
+    len: u64,
+}
+
+/// The fault that ends a connection on purpose.
+#[derive(Debug)]
+pub struct Cut;
+
+impl std::fmt::Display for Cut {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("cut on purpose")
+    }
+}
+
+impl std::error::Error for Cut {}
+
+impl Body for CutBody {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        _: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let next = self.first.take().map_or(Err(Cut), |bytes| Ok(Frame::data(bytes)));
+        std::task::Poll::Ready(Some(next))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.len)
+    }
+}
+
+type Answer = Response<Either<Full<Bytes>, CutBody>>;
+
+fn whole(status: StatusCode, body: Bytes) -> Answer {
+    let mut response = Response::new(Either::Left(Full::new(body)));
+    *response.status_mut() = status;
+    response
+}
+
+fn take_one(left: &std::sync::atomic::AtomicU64) -> bool {
+    let next = |left: u64| left.checked_sub(1);
+    left.fetch_update(Ordering::AcqRel, Ordering::Acquire, next).is_ok()
+}
+
+/// What `in_flight` looks like in reports.
+fn reported(shared: &Shared) -> u32 {
+    let percent = match shared.behaviour.report_percent.load(Ordering::Relaxed) {
+        0 => 100,
+        percent => percent,
+    };
+    shared.in_flight.load(Ordering::Acquire) * percent / 100
+}
+
+fn tell_state(shared: &Shared, answer: &mut Answer) {
+    answer.headers_mut().insert("x-backend-load", reported(shared).into());
+    if shared.behaviour.draining.load(Ordering::Acquire) {
+        let draining = http::HeaderValue::from_static("draining");
+        answer.headers_mut().insert("x-backend-state", draining);
+    }
+}
+
+async fn serve(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let path = request.uri().path();
+    if path == "/health" || path == "/load" {
+        shared.record.measured();
+        let lying = shared.behaviour.lying_health.load(Ordering::Relaxed);
+        let failing = shared.behaviour.failing.load(Ordering::Relaxed);
+        let ok = lying || !failing;
+        let status = if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        let mut answer = whole(status, Bytes::from(reported(shared).to_string()));
+        if !lying {
+            tell_state(shared, &mut answer);
+        }
+        return Ok(answer);
+    }
+    let mut answer = work(shared, request).await?;
+    tell_state(shared, &mut answer);
+    Ok(answer)
+}
+
+fn query_number(request: &Request<Incoming>, name: &str) -> Option<u64> {
+    let pairs = request.uri().query()?.split('&');
+    let mut named = pairs.filter_map(|pair| pair.split_once('='));
+    named.find(|(key, _)| *key == name)?.1.parse().ok()
+}
+
+fn slowness(shared: &Shared) -> u32 {
+    let cold = shared.started.elapsed() < Duration::from_millis(shared.settings.cold_ms);
+    let cold_factor = if cold { shared.settings.cold_factor.max(1) } else { 1 };
+    shared.behaviour.slow_factor.load(Ordering::Relaxed).max(1) * cold_factor
+}
+
+async fn work(shared: &Arc<Shared>, request: Request<Incoming>) -> Result<Answer, Cut> {
+    let behaviour = &shared.behaviour;
+    if behaviour.failing.load(Ordering::Acquire) {
+        return Ok(whole(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()));
+    }
+    let busy = shared.slots.available_permits() == 0;
+    if busy && behaviour.shedding.load(Ordering::Acquire) {
+        return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
+    }
+    let work_us = query_number(&request, "work_us");
+    let len = query_number(&request, "bytes").and_then(|len| usize::try_from(len).ok());
+    let id = request.headers().get("x-request-id").and_then(|value| value.to_str().ok());
+    let id = id.unwrap_or("").to_owned();
+    if request.into_body().collect().await.is_err() {
+        return Err(Cut);
+    }
+    let (_count, _) = Count::of(&shared.in_flight);
+    let _slot = shared.slots.acquire().await.map_err(|_| Cut)?;
+    shared.record.ran(&id);
+    if behaviour.frozen.load(Ordering::Acquire) {
+        std::future::pending::<()>().await;
+    }
+    let time = work_us.map_or_else(|| shared.times.lock().next_time(), Duration::from_micros);
+    tokio::time::sleep(time * slowness(shared)).await;
+    if take_one(&behaviour.lose_answers) {
+        return Err(Cut);
+    }
+    let body = body_for(&id, len.unwrap_or(shared.settings.body_bytes));
+    if take_one(&behaviour.cut_bodies) {
+        let len = body.len() as u64;
+        let cut = CutBody { first: Some(body.slice(..body.len() / 2)), len };
+        return Ok(Response::new(Either::Right(cut)));
+    }
+    Ok(whole(StatusCode::OK, body))
+}
--- /dev/null
+++ b/standins/src/bed/bed.rs
@@ -0,0 +1,252 @@
+//! Starts, changes and stops the parts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sorrelwick::app::Daemon;
+use sorrelwick::board::Blackboard;
+use sorrelwick::command::DoorClient;
+use sorrelwick::errors::Coded;
+use sorrelwick::model::BackendServer;
+use sorrelwick::model::Preference;
+use sorrelwick::model::RequestKind;
+use sorrelwick::model::Service;
+use sorrelwick::operator::service_to_wire;
+
+use super::BedPlan;
+use super::settings_for;
+use super::until;
+use crate::backend::Backend;
+use crate::backend::BackendSettings;
+use crate::caller::Caller;
+use crate::platform::ListedMachine;
+use crate::platform::Platform;
+use crate::platform::PlatformState;
+
+/// A running system. Parts that are taken out and dropped end as if killed.
+#[derive(Debug)]
+pub struct Bed {
+    pub plan: BedPlan,
+    pub platform: Option<Platform>,
+    pub state: PlatformState,
+    platform_address: SocketAddr,
+    pub backends: Vec<Backend>,
+    pub daemons: Vec<Option<Daemon>>,
+}
+
+impl Bed {
+    /// Starts all parts, and waits until every instance knows every other.
+    ///
+    /// # Panics
+    /// When a part does not start.
+    pub async fn start(plan: BedPlan) -> Self {
+        let state = PlatformState::default();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::bind(any, state.clone()).await.expect("platform starts");
+        let platform_address = platform.address();
+        let platform = Some(platform);
+        let mut bed = Self {
+            plan,
+            platform,
+            state,
+            platform_address,
+            backends: Vec::new(),
+            daemons: Vec::new(),
+        };
+        for at in 0..bed.plan.backends {
+            bed.add_backend(at).await;
+        }
+        for _ in 0..bed.plan.instances {
+            bed.add_daemon().await;
+        }
+        bed.until_joined().await;
+        bed
+    }
+
+    async fn add_backend(&mut self, at: usize) {
+        let settings = BackendSettings {
+            id: format!("b{at}"),
+            seed: self.plan.backend.seed + at as u64,
+            ..self.plan.backend.clone()
+        };
+        self.backends.push(Backend::bind(settings).await.expect("backend starts"));
+    }
+
+    /// Starts one more instance and puts it on the platform's list.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub async fn add_daemon(&mut self) -> usize {
+        let at = self.daemons.len();
+        let settings = settings_for(&self.plan, at, self.platform_address);
+        let daemon = Daemon::spawn(settings).await.expect("daemon starts");
+        self.daemons.push(Some(daemon));
+        self.list_daemons();
+        at
+    }
+
+    fn list_daemons(&self) {
+        let machine = |board: &Arc<Blackboard>| ListedMachine {
+            id: board.settings.instance.name.clone(),
+            ip: "127.0.0.1".into(),
+            port: board.settings.listen.peer.port(),
+            zone: board.settings.instance.zone.clone(),
+            leaving: false,
+        };
+        let running = self.daemons.iter().flatten();
+        let machines = running.map(|daemon| machine(daemon.board())).collect();
+        self.state.set_list("sorrelwick", machines);
+    }
+
+    /// Waits until every running instance knows all the others.
+    pub async fn until_joined(&self) {
+        let running = self.daemons.iter().flatten().count();
+        until("all instances joined", async || {
+            self.boards().iter().all(|board| {
+                let view = board.members_view();
+                let alive = view.rows.iter().filter(|row| row.state.takes_work());
+                alive.count() == running
+            })
+        })
+        .await;
+    }
+
+    /// Ends an instance at once, as a kill would.
+    pub fn kill(&mut self, at: usize) {
+        drop(self.daemons[at].take());
+    }
+
+    /// The shared states of the running instances.
+    #[must_use]
+    pub fn boards(&self) -> Vec<Arc<Blackboard>> {
+        self.daemons.iter().flatten().map(|daemon| Arc::clone(daemon.board())).collect()
+    }
+
+    /// A running instance.
+    ///
+    /// # Panics
+    /// When it was killed.
+    #[must_use]
+    pub fn daemon(&self, at: usize) -> &Daemon {
+        self.daemons[at].as_ref().expect("the instance runs")
+    }
+
+    /// Takes the platform down; its state stays.
+    pub fn stop_platform(&mut self) {
+        self.platform = None;
+    }
+
+    /// Brings the platform back on its address.
+    pub async fn start_platform(&mut self) {
+        until("the platform's port is free", async || {
+            let bound = Platform::bind(self.platform_address, self.state.clone()).await;
+            self.platform = bound.ok();
+            self.platform.is_some()
+        })
+        .await;
+    }
+
+    /// The platform.
+    ///
+    /// # Panics
+    /// When it is stopped.
+    #[must_use]
+    pub fn platform(&self) -> &Platform {
+        self.platform.as_ref().expect("the platform runs")
+    }
+
+    /// A declaration over all backend servers: GET is idempotent, POST must not repeat.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Service {
+        let servers = self.backends.iter().enumerate().map(|(at, backend)| BackendServer {
+            id: backend.id().to_owned(),
+            address: backend.address(),
+            zone: self.plan.zone(at).to_owned(),
+            slots: u32::try_from(self.plan.backend.slots).unwrap_or(1),
+            connections_max: 250,
+            drained: false,
+        });
+        let kind = |name: &str, method: &str, idempotent| RequestKind {
+            name: name.into(),
+            method: method.into(),
+            path_prefix: "/".into(),
+            idempotent,
+            key_required: false,
+        };
+        Service {
+            name: name.into(),
+            kinds: vec![kind("lookup", "GET", true), kind("order", "POST", false)],
+            backend_servers: servers.collect(),
+            measuring_budget_per_s: 0,
+            preference: Preference::Tail,
+            refusal_statuses: vec![503],
+            timeout_ms: 5_000,
+            health_path: "/health".into(),
+        }
+    }
+
+    /// The operators' door of a running instance.
+    ///
+    /// # Panics
+    /// When it was killed.
+    #[must_use]
+    pub fn door(&self, at: usize) -> DoorClient {
+        let address = self.daemon(at).board().settings.listen.operator;
+        DoorClient::open(&address.to_string(), "").expect("an address")
+    }
+
+    /// Commits a service by an operator's call.
+    ///
+    /// # Errors
+    /// What the door told.
+    pub async fn put(&self, at: usize, service: &Service, expected: u64) -> Result<u64, Coded> {
+        let row = self.door(at).put(&service_to_wire(service), expected).await?;
+        Ok(row.revision)
+    }
+
+    /// Waits until a revision or a later one is in force on all running instances.
+    pub async fn until_in_force(&self, service: &str, revision: u64) -> std::time::Duration {
+        until("the revision is in force everywhere", async || {
+            self.boards().iter().all(|board| {
+                let services = board.services();
+                services.get(service).is_some_and(|state| state.revision >= revision)
+            })
+        })
+        .await
+    }
+
+    /// Creates a service over all backend servers and waits until it is in force.
+    ///
+    /// # Panics
+    /// When the door refuses it.
+    pub async fn create(&self, name: &str) -> Service {
+        let service = self.service(name);
+        let revision = self.put(0, &service, 0).await.expect("the service is accepted");
+        self.until_in_force(name, revision).await;
+        service
+    }
+
+    /// Caller addresses of the running instances.
+    #[must_use]
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        self.boards().iter().map(|board| board.settings.listen.caller).collect()
+    }
+
+    /// A caller of `service` in the `at`-th zone.
+    #[must_use]
+    pub fn caller(&self, service: &str, at: usize) -> Caller {
+        Caller::new(service, self.plan.zone(at), &self.caller_addresses())
+    }
+
+    /// How often each request id ran, over all backend servers.
+    #[must_use]
+    pub fn run_counts(&self) -> std::collections::HashMap<String, usize> {
+        let mut all = std::collections::HashMap::new();
+        for backend in &self.backends {
+            for (id, count) in backend.record.counts() {
+                *all.entry(id).or_insert(0) += count;
+            }
+        }
+        all
+    }
+}
--- /dev/null
+++ b/standins/src/bed/mod.rs
@@ -0,0 +1,12 @@
+//! A whole system on loopback: platform, backend servers and instances, for tests and examples.
+
+mod bed;
+mod plan;
+mod process;
+mod wait;
+
+pub use bed::Bed;
+pub use plan::BedPlan;
+pub use plan::settings_for;
+pub use process::DaemonProcess;
+pub use wait::until;
--- /dev/null
+++ b/standins/src/bed/process.rs
@@ -0,0 +1,83 @@
+//! A daemon as a process of its own, to be killed, frozen and stopped by signals.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use sorrelwick::conf::Settings;
+
+/// A daemon process; killed when dropped.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    child: Child,
+    pub settings: Settings,
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A port that was free a moment ago.
+fn free_port() -> std::io::Result<SocketAddr> {
+    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl DaemonProcess {
+    /// Starts `program` with these settings, on ports of its own, its settings file in `dir`.
+    ///
+    /// # Errors
+    /// When the file cannot be written or the program not be started.
+    pub fn spawn(program: &Path, dir: &Path, mut settings: Settings) -> std::io::Result<Self> {
+        settings.listen.caller = free_port()?;
+        settings.listen.operator = free_port()?;
+        settings.listen.peer = free_port()?;
+        settings.listen.status = free_port()?;
+        let file = dir.join(format!("{}.json", settings.instance.name));
+        std::fs::write(&file, serde_json::to_vec_pretty(&settings)?)?;
+        let child = Command::new(program)
+            .arg("--settings")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Self { child, settings })
+    }
+
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").arg(name).arg(id).status();
+        debug_assert!(sent.is_ok(), "kill can be run");
+    }
+
+    /// Stops the process where it is.
+    pub fn freeze(&self) {
+        self.signal("-STOP");
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Asks for a planned stop.
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Kills it at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// The exit code, once it has ended; `None` while it runs.
+    pub fn exited(&mut self) -> Option<i32> {
+        self.child.try_wait().ok().flatten().map(|status| status.code().unwrap_or(-1))
+    }
+}
--- /dev/null
+++ b/standins/src/caller/client.rs
@@ -0,0 +1,223 @@
+//! The caller's connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::Named;
+use super::Told;
+use super::told::AddressAnswer;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// One request to send.
+#[derive(Clone, Debug, Default)]
+pub struct Call {
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Sent as `x-request-id`.
+    pub id: String,
+    pub key: Option<String>,
+    pub timeout_ms: Option<u64>,
+    pub body: Bytes,
+}
+
+impl Call {
+    /// A GET without key.
+    #[must_use]
+    pub fn get(target: &str, id: &str) -> Self {
+        Self { method: "GET".into(), target: target.into(), id: id.into(), ..Self::default() }
+    }
+
+    /// A POST without key.
+    #[must_use]
+    pub fn post(target: &str, id: &str) -> Self {
+        Self { method: "POST".into(), ..Self::get(target, id) }
+    }
+
+    /// The same with an idempotency key.
+    #[must_use]
+    pub fn with_key(mut self, key: &str) -> Self {
+        self.key = Some(key.into());
+        self
+    }
+
+    /// The same with a deadline.
+    #[must_use]
+    pub const fn within_ms(mut self, timeout_ms: u64) -> Self {
+        self.timeout_ms = Some(timeout_ms);
+        self
+    }
+}
+
+#[derive(Debug)]
+struct Kept {
+    until: Instant,
+    addresses: Vec<Named>,
+}
+
+/// A caller in one zone, of one service; clones share connections and the kept answer.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    service: Arc<str>,
+    zone: Arc<str>,
+    /// Instances to ask first, from the caller's own settings.
+    known: Arc<[SocketAddr]>,
+    kept: Arc<Mutex<Option<Kept>>>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+}
+
+impl Caller {
+    /// A caller that knows these instances.
+    #[must_use]
+    pub fn new(service: &str, zone: &str, known: &[SocketAddr]) -> Self {
+        Self {
+            service: service.into(),
+            zone: zone.into(),
+            known: known.into(),
+            kept: Arc::default(),
+            idle: Arc::default(),
+        }
+    }
+
+    /// The addresses to use, best first; asks anew once the kept answer is over.
+    pub async fn addresses(&self) -> Vec<Named> {
+        if let Some(kept) = &*self.kept.lock()
+            && Instant::now() < kept.until
+        {
+            return kept.addresses.clone();
+        }
+        let mut asked: Vec<SocketAddr> = Vec::new();
+        if let Some(kept) = &*self.kept.lock() {
+            asked.extend(kept.addresses.iter().map(|named| named.address));
+        }
+        asked.extend(self.known.iter());
+        for address in asked {
+            if let Some(answer) = self.ask(address).await {
+                let until = Instant::now() + Duration::from_millis(answer.keep_ms);
+                let addresses = answer.addresses.clone();
+                *self.kept.lock() = Some(Kept { until, addresses: answer.addresses });
+                return addresses;
+            }
+        }
+        Vec::new()
+    }
+
+    async fn ask(&self, address: SocketAddr) -> Option<AddressAnswer> {
+        let (service, zone) = (&self.service, &self.zone);
+        let target = format!("/.sorrelwick/v1/addresses?service={service}&zone={zone}");
+        let told = self.call_at(address, &Call::get(&target, "")).await;
+        let answer: AddressAnswer = serde_json::from_slice(told.body()).ok()?;
+        (!answer.addresses.is_empty()).then_some(answer)
+    }
+
+    /// Sends a call to the best address; tries the next only when nothing was sent.
+    pub async fn call(&self, call: &Call) -> Told {
+        for named in self.addresses().await {
+            let told = self.call_at(named.address, call).await;
+            if told != Told::NotSent {
+                return told;
+            }
+        }
+        Told::NotSent
+    }
+
+    /// Sends a call with a fresh key that is bound to the best address, and returns the key.
+    pub async fn call_keyed(&self, call: &Call) -> (Option<String>, Told) {
+        let Some(named) = self.addresses().await.into_iter().next() else {
+            return (None, Told::NotSent);
+        };
+        let key = format!("{}-{}", named.key_prefix, call.id);
+        let told = self.call_at(named.address, &call.clone().with_key(&key)).await;
+        (Some(key), told)
+    }
+
+    async fn sender(&self, address: SocketAddr) -> Option<Sender> {
+        loop {
+            let idle = self.idle.lock().get_mut(&address).and_then(Vec::pop);
+            let Some(mut sender) = idle else {
+                break;
+            };
+            if sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+        let stream = TcpStream::connect(address).await.ok()?;
+        let _ = stream.set_nodelay(true);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        Some(sender)
+    }
+
+    fn request(&self, address: SocketAddr, call: &Call) -> Option<Request<Full<Bytes>>> {
+        let mut builder = Request::builder()
+            .method(call.method.as_str())
+            .uri(call.target.as_str())
+            .header("host", address.to_string())
+            .header("sorrelwick-service", &*self.service)
+            .header("x-request-id", call.id.as_str());
+        if let Some(key) = &call.key {
+            builder = builder.header("idempotency-key", key.as_str());
+        }
+        if let Some(timeout_ms) = call.timeout_ms {
+            builder = builder.header("sorrelwick-timeout-ms", timeout_ms);
+        }
+        builder.body(Full::new(call.body.clone())).ok()
+    }
+
+    /// Sends a call to one address.
+    ///
+    /// A connection that was closed while idle is found so before anything is written on it,
+    /// and the call goes over a new one.
+    pub async fn call_at(&self, address: SocketAddr, call: &Call) -> Told {
+        for _ in 0..3 {
+            let (Some(mut sender), Some(request)) =
+                (self.sender(address).await, self.request(address, call))
+            else {
+                return Told::NotSent;
+            };
+            let response = match sender.try_send_request(request).await {
+                Ok(response) => response,
+                Err(mut err) => match err.take_message() {
+                    Some(_) => continue,
+                    None => return Told::Broken,
+                },
+            };
+            let status = response.status().as_u16();
+            let headers = response.headers().clone();
+            let Ok(body) = response.into_body().collect().await else {
+                return Told::Broken;
+            };
+            self.idle.lock().entry(address).or_default().push(sender);
+            return answered(status, &headers, body.to_bytes());
+        }
+        Told::NotSent
+    }
+}
+
+fn answered(status: u16, headers: &HeaderMap, body: Bytes) -> Told {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    Told::Answered {
+        status,
+        outcome: text("sorrelwick-outcome").unwrap_or("").to_owned(),
+        code: text("sorrelwick-code").and_then(|text| text.parse().ok()).unwrap_or(0),
+        retry_after_ms: text("sorrelwick-retry-after-ms")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0),
+        body,
+    }
+}
--- /dev/null
+++ b/standins/src/caller/told.rs
@@ -0,0 +1,67 @@
+//! What a caller was told.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use serde::Deserialize;
+
+/// One address of an address answer.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Named {
+    pub address: SocketAddr,
+    pub zone: String,
+    pub key_prefix: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub(super) struct AddressAnswer {
+    pub keep_ms: u64,
+    pub addresses: Vec<Named>,
+}
+
+/// The end of one call, as the caller sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// A whole answer.
+    Answered {
+        status: u16,
+        /// `ran`, `not-run` or `unknown`.
+        outcome: String,
+        code: u16,
+        retry_after_ms: u64,
+        body: Bytes,
+    },
+    /// No connection: nothing was sent.
+    NotSent,
+    /// The connection broke before the answer was whole.
+    Broken,
+}
+
+impl Told {
+    /// The outcome that sorrelwick told; empty when it told none.
+    #[must_use]
+    pub fn outcome(&self) -> &str {
+        match self {
+            Self::Answered { outcome, .. } => outcome,
+            Self::NotSent | Self::Broken => "",
+        }
+    }
+
+    /// The result code; 0 when none was told.
+    #[must_use]
+    pub const fn code(&self) -> u16 {
+        match self {
+            Self::Answered { code, .. } => *code,
+            Self::NotSent | Self::Broken => 0,
+        }
+    }
+
+    /// The body of a whole answer.
+    #[must_use]
+    pub fn body(&self) -> &[u8] {
+        match self {
+            Self::Answered { body, .. } => body,
+            Self::NotSent | Self::Broken => &[],
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/load/runner.rs
@@ -0,0 +1,87 @@
+//! Sends the load.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::Summary;
+use crate::backend::body_for;
+use crate::caller::Call;
+use crate::caller::Caller;
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct LoadPlan {
+    /// Requests a second, with exponential gaps.
+    pub rate_per_s: f64,
+    pub requests: u64,
+    /// Path without query.
+    pub path: String,
+    pub method: String,
+    /// Begins every request id, so that runs do not mix.
+    pub name: String,
+    /// Answers have 1 to this many bytes, different for each request.
+    pub body_max_bytes: usize,
+    /// Time of work asked of the backend server; `None` leaves it to the server.
+    pub work_us: Option<u64>,
+    pub timeout_ms: u64,
+    pub seed: u64,
+}
+
+impl Default for LoadPlan {
+    fn default() -> Self {
+        Self {
+            rate_per_s: 500.0,
+            requests: 1_000,
+            path: "/lookup".into(),
+            method: "GET".into(),
+            name: "load".into(),
+            body_max_bytes: 2_000,
+            work_us: None,
+            timeout_ms: 2_000,
+            seed: 1,
+        }
+    }
+}
+
+fn call_of(plan: &LoadPlan, number: u64, len: usize) -> Call {
+    let id = format!("{}-{number}", plan.name);
+    let work = plan.work_us.map(|us| format!("&work_us={us}")).unwrap_or_default();
+    let target = format!("{}?bytes={len}{work}", plan.path);
+    Call { method: plan.method.clone(), target, id, ..Call::default() }.within_ms(plan.timeout_ms)
+}
+
+/// Sends the plan's requests, spread over the callers in turn, and waits for every answer.
+pub async fn run_load(plan: &LoadPlan, callers: &[Caller]) -> Summary {
+    let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
+    let mut work: JoinSet<Summary> = JoinSet::new();
+    let mut due = Instant::now();
+    let mut total = Summary::default();
+    for number in 0..plan.requests {
+        let uniform: f64 = rng.random();
+        due += Duration::from_secs_f64(-(1.0 - uniform).ln() / plan.rate_per_s);
+        let len = rng.random_range(1..=plan.body_max_bytes);
+        let call = call_of(plan, number, len);
+        let at = usize::try_from(number).unwrap_or(0) % callers.len();
+        let caller = callers[at].clone();
+        tokio::time::sleep_until(due).await;
+        work.spawn(async move {
+            let told = caller.call(&call).await;
+            let us = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+            let mut one = Summary::default();
+            one.count(&told, &body_for(&call.id, len), us);
+            one
+        });
+        while let Some(Ok(one)) = work.try_join_next() {
+            total.add(&one);
+        }
+    }
+    while let Some(Ok(one)) = work.join_next().await {
+        total.add(&one);
+    }
+    total
+}
--- /dev/null
+++ b/standins/src/load/summary.rs
@@ -0,0 +1,127 @@
+//! What a load run came to.
+
+use hdrhistogram::Histogram;
+
+use crate::caller::Told;
+
+const MAX_US: u64 = 120_000_000;
+const DIGITS: u8 = 3;
+
+/// Counts and latencies of one run; latencies count from when a request was due.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    /// Of whole, right answers, in microseconds.
+    pub latency_us: Histogram<u64>,
+    /// Of refusals, in microseconds.
+    pub refusal_us: Histogram<u64>,
+    pub right: u64,
+    /// Whole answers that were not the request's own.
+    pub wrong: u64,
+    pub not_run: u64,
+    pub unknown: u64,
+    pub failed: u64,
+    pub broken: u64,
+    pub not_sent: u64,
+}
+
+impl Default for Summary {
+    /// # Panics
+    /// Never: the bounds are valid.
+    fn default() -> Self {
+        let histogram = || Histogram::new_with_max(MAX_US, DIGITS).expect("valid bounds");
+        Self {
+            latency_us: histogram(),
+            refusal_us: histogram(),
+            right: 0,
+            wrong: 0,
+            not_run: 0,
+            unknown: 0,
+            failed: 0,
+            broken: 0,
+            not_sent: 0,
+        }
+    }
+}
+
+impl Summary {
+    /// Counts one call that took `us` from when it was due.
+    pub fn count(&mut self, told: &Told, expected: &[u8], us: u64) {
+        match told {
+            Told::NotSent => self.not_sent += 1,
+            Told::Broken => self.broken += 1,
+            Told::Answered { status, outcome, body, .. } => match (outcome.as_str(), *status) {
+                ("not-run", _) => {
+                    self.not_run += 1;
+                    self.refusal_us.saturating_record(us);
+                }
+                ("unknown", _) => self.unknown += 1,
+                (_, 500..) => self.failed += 1,
+                _ if body == expected => {
+                    self.right += 1;
+                    self.latency_us.saturating_record(us);
+                }
+                _ => self.wrong += 1,
+            },
+        }
+    }
+
+    /// Adds another run's counts.
+    pub fn add(&mut self, other: &Self) {
+        // Both have the same bounds, so that adding cannot fail.
+        let _ = self.latency_us.add(&other.latency_us);
+        let _ = self.refusal_us.add(&other.refusal_us);
+        self.right += other.right;
+        self.wrong += other.wrong;
+        self.not_run += other.not_run;
+        self.unknown += other.unknown;
+        self.failed += other.failed;
+        self.broken += other.broken;
+        self.not_sent += other.not_sent;
+    }
+
+    /// All calls.
+    #[must_use]
+    pub const fn calls(&self) -> u64 {
+        self.right
+            + self.wrong
+            + self.not_run
+            + self.unknown
+            + self.failed
+            + self.broken
+            + self.not_sent
+    }
+
+    /// The latency that this share of right answers stayed within, in milliseconds.
+    #[must_use]
+    pub fn quantile_ms(&self, quantile: f64) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "microseconds to print")]
+        let us = self.latency_us.value_at_quantile(quantile) as f64;
+        us / 1000.0
+    }
+
+    /// One line of a table.
+    #[must_use]
+    pub fn line(&self, name: &str) -> String {
+        format!(
+            "{name:<28} {:>8} {:>8.2} {:>8.2} {:>8.2} {:>6} {:>6} {:>6} {:>6} {:>6}",
+            self.right,
+            self.quantile_ms(0.5),
+            self.quantile_ms(0.99),
+            self.quantile_ms(0.999),
+            self.not_run,
+            self.unknown,
+            self.failed,
+            self.broken + self.not_sent,
+            self.wrong,
+        )
+    }
+
+    /// The heading above lines.
+    #[must_use]
+    pub fn heading() -> String {
+        format!(
+            "{:<28} {:>8} {:>8} {:>8} {:>8} {:>6} {:>6} {:>6} {:>6} {:>6}",
+            "run", "right", "p50 ms", "p99 ms", "p99.9", "notrun", "unkn", "5xx", "broken", "wrong"
+        )
+    }
+}
--- /dev/null
+++ b/standins/src/platform/server.rs
@@ -0,0 +1,305 @@
+//! The HTTP server of the platform stand-in.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use super::ListedMachine;
+use super::PlatformState;
+
+const WAIT_DEFAULT: Duration = Duration::from_mins(5);
+const TTL_DEFAULT: Duration = Duration::from_secs(10);
+
+/// Faults that a test switches on and off, and what it counts.
+#[derive(Debug, Default)]
+pub struct Switches {
+    /// Every connection is closed without an answer, before anything takes effect.
+    pub down: AtomicBool,
+    /// Added to each call.
+    pub slow_ms: AtomicU64,
+    /// So many next writes take effect, and their answers are lost.
+    pub lose_answers: AtomicU64,
+    pub reads: AtomicU64,
+    pub writes: AtomicU64,
+    pub watches: AtomicU64,
+}
+
+impl Switches {
+    fn lose_one(&self) -> bool {
+        let next = |left: u64| left.checked_sub(1);
+        self.lose_answers.fetch_update(Ordering::AcqRel, Ordering::Acquire, next).is_ok()
+    }
+
+    /// All calls so far, by the platform's count.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        let counts = [&self.reads, &self.writes, &self.watches];
+        counts.iter().map(|count| count.load(Ordering::Relaxed)).sum()
+    }
+}
+
+/// A running platform; dropped, it is down until it is bound again with the same state.
+#[derive(Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    pub switches: Arc<Switches>,
+    pub state: PlatformState,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Shared {
+    switches: Arc<Switches>,
+    state: PlatformState,
+}
+
+/// An answer, or the connection's end without one.
+type Answered = Result<Response<Full<Bytes>>, Lost>;
+
+#[derive(Debug)]
+struct Lost;
+
+impl std::fmt::Display for Lost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("answer lost on purpose")
+    }
+}
+
+impl std::error::Error for Lost {}
+
+impl Platform {
+    /// Serves `state` on `address`.
+    ///
+    /// # Errors
+    /// When the address cannot be bound.
+    pub async fn bind(address: SocketAddr, state: PlatformState) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let switches = Arc::new(Switches::default());
+        let shared = Shared { switches: Arc::clone(&switches), state: state.clone() };
+        let task = tokio::spawn(accept_all(listener, shared));
+        Ok(Self { address, switches, state, task })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves until the process ends.
+    pub async fn run(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+async fn accept_all(listener: TcpListener, shared: Shared) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        connections.spawn(serve_connection(stream, shared.clone()));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve_connection(stream: TcpStream, shared: Shared) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let shared = shared.clone();
+        async move { serve(&shared, request).await }
+    });
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+fn reply(status: u16, index: u64, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    response.headers_mut().insert("x-consul-index", index.into());
+    response
+}
+
+fn query(request: &Request<Incoming>, name: &str) -> Option<String> {
+    let pairs = request.uri().query()?.split('&');
+    let mut named = pairs.map(|pair| pair.split_once('=').unwrap_or((pair, "")));
+    named.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
+}
+
+fn duration(text: &str) -> Option<Duration> {
+    if let Some(ms) = text.strip_suffix("ms") {
+        return ms.parse().ok().map(Duration::from_millis);
+    }
+    text.strip_suffix('s')?.parse().ok().map(Duration::from_secs)
+}
+
+async fn serve(shared: &Shared, request: Request<Incoming>) -> Answered {
+    let switches = &shared.switches;
+    let path = request.uri().path().to_owned();
+    if let Some(rest) = path.strip_prefix("/admin/") {
+        return Ok(admin(shared, rest, request).await);
+    }
+    if switches.down.load(Ordering::Acquire) {
+        return Err(Lost);
+    }
+    let slow_ms = switches.slow_ms.load(Ordering::Acquire);
+    tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    let is_write = request.method() == http::Method::PUT;
+    let answer = match path.strip_prefix("/v1/kv/") {
+        Some(key) if is_write => write(shared, key, request).await,
+        Some(key) => read(shared, key, &request).await,
+        None if path.starts_with("/v1/session/") => session(shared, &path, request).await,
+        None => list(shared, &path),
+    };
+    if is_write && switches.lose_one() {
+        return Err(Lost);
+    }
+    // A store that went down while a watch waited gives no answer either.
+    if switches.down.load(Ordering::Acquire) {
+        return Err(Lost);
+    }
+    Ok(answer)
+}
+
+async fn read(shared: &Shared, key: &str, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let index = query(request, "index").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let recurse = query(request, "recurse").is_some();
+    if index > 0 {
+        shared.switches.watches.fetch_add(1, Ordering::Relaxed);
+        let wait = query(request, "wait").and_then(|text| duration(&text));
+        shared.state.wait(key, index, wait.unwrap_or(WAIT_DEFAULT)).await;
+    } else {
+        shared.switches.reads.fetch_add(1, Ordering::Relaxed);
+    }
+    let (index, rows) = shared.state.below(key);
+    let rows: Vec<Value> = rows
+        .into_iter()
+        .filter(|(name, _)| recurse || name == key)
+        .map(|(name, row)| {
+            json!({
+                "Key": name,
+                "Value": STANDARD.encode(&row.value),
+                "CreateIndex": row.create_index,
+                "ModifyIndex": row.modify_index,
+                "Session": row.session,
+            })
+        })
+        .collect();
+    let status = if rows.is_empty() { 404 } else { 200 };
+    reply(status, index, Value::from(rows).to_string())
+}
+
+async fn write(shared: &Shared, key: &str, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    shared.switches.writes.fetch_add(1, Ordering::Relaxed);
+    let cas = query(&request, "cas").and_then(|text| text.parse().ok());
+    let session = query(&request, "acquire");
+    let Ok(body) = request.into_body().collect().await else {
+        return reply(400, 0, "body".into());
+    };
+    let body = body.to_bytes();
+    let written = match session {
+        Some(session) => shared.state.acquire(key, &body, &session),
+        None => shared.state.put_cas(key, &body, cas),
+    };
+    reply(200, 0, written.to_string())
+}
+
+async fn session(shared: &Shared, path: &str, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    shared.switches.writes.fetch_add(1, Ordering::Relaxed);
+    if let Some(id) = path.strip_prefix("/v1/session/renew/") {
+        let status = if shared.state.renew(id) { 200 } else { 404 };
+        return reply(status, 0, "[]".into());
+    }
+    if let Some(id) = path.strip_prefix("/v1/session/destroy/") {
+        shared.state.close_session(id);
+        return reply(200, 0, "true".into());
+    }
+    let body = request
+        .into_body()
+        .collect()
+        .await
+        .map(http_body_util::Collected::to_bytes)
+        .unwrap_or_default();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let ttl = body["TTL"].as_str().and_then(duration).unwrap_or(TTL_DEFAULT);
+    let id = shared.state.open_session(ttl);
+    reply(200, 0, json!({ "ID": id }).to_string())
+}
+
+fn list(shared: &Shared, path: &str) -> Response<Full<Bytes>> {
+    shared.switches.reads.fetch_add(1, Ordering::Relaxed);
+    let Some(name) = path.strip_prefix("/v1/catalog/service/") else {
+        return reply(404, 0, String::new());
+    };
+    let rows: Vec<Value> = shared
+        .state
+        .list(name)
+        .into_iter()
+        .map(|machine| {
+            json!({
+                "ServiceID": machine.id,
+                "ServiceAddress": machine.ip,
+                "ServicePort": machine.port,
+                "ServiceMeta": {
+                    "zone": machine.zone,
+                    "state": if machine.leaving { "leaving" } else { "live" },
+                },
+            })
+        })
+        .collect();
+    reply(200, 1, Value::from(rows).to_string())
+}
+
+/// Switches from outside the process: `/admin/down?on=true`, `/admin/slow?ms=N`,
+/// `/admin/lose?answers=N`, `/admin/calls`, and `PUT /admin/list/NAME` with a list as body.
+async fn admin(shared: &Shared, path: &str, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let switches = &shared.switches;
+    let number = |name| query(&request, name).and_then(|text| text.parse::<u64>().ok());
+    match path {
+        "down" => {
+            let on = query(&request, "on").as_deref() == Some("true");
+            switches.down.store(on, Ordering::Release);
+        }
+        "slow" => switches.slow_ms.store(number("ms").unwrap_or(0), Ordering::Release),
+        "lose" => switches.lose_answers.store(number("answers").unwrap_or(0), Ordering::Release),
+        "calls" => return reply(200, 0, switches.calls().to_string()),
+        _ => {
+            let Some(name) = path.strip_prefix("list/") else {
+                return reply(404, 0, "no such switch".into());
+            };
+            let body = request.into_body().collect().await;
+            let body = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+            let Ok(machines) = serde_json::from_slice::<Vec<ListedMachine>>(&body) else {
+                return reply(400, 0, "not a list of machines".into());
+            };
+            shared.state.set_list(name, machines);
+        }
+    }
+    reply(200, 0, "ok".into())
+}
--- /dev/null
+++ b/standins/src/platform/state.rs
@@ -0,0 +1,180 @@
+//! What the platform keeps; it outlives a restart of the server.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// A machine in the platform's lists.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedMachine {
+    pub id: String,
+    pub ip: String,
+    pub port: u16,
+    pub zone: String,
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Row {
+    pub value: Vec<u8>,
+    pub create_index: u64,
+    pub modify_index: u64,
+    pub session: Option<String>,
+}
+
+#[derive(Debug)]
+struct Session {
+    ttl: Duration,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    index: u64,
+    kv: BTreeMap<String, Row>,
+    sessions: BTreeMap<String, Session>,
+    lists: BTreeMap<String, Vec<ListedMachine>>,
+}
+
+/// Keys, sessions and lists; clones share.
+#[derive(Clone, Debug)]
+pub struct PlatformState {
+    rows: Arc<Mutex<Rows>>,
+    changed: watch::Sender<u64>,
+}
+
+impl Default for PlatformState {
+    fn default() -> Self {
+        Self { rows: Arc::default(), changed: watch::Sender::new(0) }
+    }
+}
+
+impl Rows {
+    fn write(&mut self, key: &str, value: &[u8], session: Option<String>) {
+        self.index += 1;
+        let index = self.index;
+        let create_index = self.kv.get(key).map_or(index, |row| row.create_index);
+        let row = Row { value: value.into(), create_index, modify_index: index, session };
+        self.kv.insert(key.into(), row);
+    }
+
+    /// Ends sessions whose time is over, and deletes the keys they held.
+    fn lapse(&mut self) {
+        let now = Instant::now();
+        let over = self.sessions.iter().filter(|(_, session)| session.until <= now);
+        let over: Vec<String> = over.map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.end_session(&id);
+        }
+    }
+
+    fn end_session(&mut self, id: &str) {
+        self.sessions.remove(id);
+        let before = self.kv.len();
+        self.kv.retain(|_, row| row.session.as_deref() != Some(id));
+        if self.kv.len() < before {
+            self.index += 1;
+        }
+    }
+}
+
+impl PlatformState {
+    /// Sets one of the lists of machines.
+    pub fn set_list(&self, name: &str, machines: Vec<ListedMachine>) {
+        self.rows.lock().lists.insert(name.into(), machines);
+    }
+
+    pub(super) fn list(&self, name: &str) -> Vec<ListedMachine> {
+        self.rows.lock().lists.get(name).cloned().unwrap_or_default()
+    }
+
+    pub(super) fn below(&self, prefix: &str) -> (u64, Vec<(String, Row)>) {
+        let mut rows = self.rows.lock();
+        rows.lapse();
+        let below = rows.kv.range(prefix.to_owned()..);
+        let below = below.take_while(|(key, _)| key.starts_with(prefix));
+        let found = below.map(|(key, row)| (key.clone(), row.clone())).collect();
+        (rows.index.max(1), found)
+    }
+
+    /// Waits until the index below `prefix` passes `index`.
+    pub(super) async fn wait(&self, prefix: &str, index: u64, wait: Duration) {
+        let mut changed = self.changed.subscribe();
+        let passed = async {
+            loop {
+                let (_, rows) = self.below(prefix);
+                if rows.iter().any(|(_, row)| row.modify_index > index) {
+                    return;
+                }
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = tokio::time::timeout(wait, passed).await;
+    }
+
+    fn tell(&self) {
+        self.changed.send_modify(|turn| *turn += 1);
+    }
+
+    /// Writes if the key has this index; 0 for a key that must not exist.
+    pub(super) fn put_cas(&self, key: &str, value: &[u8], cas: Option<u64>) -> bool {
+        let mut rows = self.rows.lock();
+        rows.lapse();
+        let current = rows.kv.get(key).map_or(0, |row| row.modify_index);
+        if cas.is_some_and(|cas| cas != current) {
+            return false;
+        }
+        rows.write(key, value, None);
+        drop(rows);
+        self.tell();
+        true
+    }
+
+    pub(super) fn acquire(&self, key: &str, value: &[u8], session: &str) -> bool {
+        let mut rows = self.rows.lock();
+        rows.lapse();
+        if !rows.sessions.contains_key(session) {
+            return false;
+        }
+        let holder = rows.kv.get(key).and_then(|row| row.session.clone());
+        if holder.is_some_and(|holder| holder != session) {
+            return false;
+        }
+        rows.write(key, value, Some(session.into()));
+        drop(rows);
+        self.tell();
+        true
+    }
+
+    pub(super) fn open_session(&self, ttl: Duration) -> String {
+        let mut rows = self.rows.lock();
+        rows.index += 1;
+        let id = format!("session-{}", rows.index);
+        let session = Session { ttl, until: Instant::now() + ttl };
+        rows.sessions.insert(id.clone(), session);
+        id
+    }
+
+    pub(super) fn renew(&self, id: &str) -> bool {
+        let mut rows = self.rows.lock();
+        rows.lapse();
+        let Some(session) = rows.sessions.get_mut(id) else {
+            return false;
+        };
+        session.until = Instant::now() + session.ttl;
+        true
+    }
+
+    pub(super) fn close_session(&self, id: &str) {
+        self.rows.lock().end_session(id);
+        self.tell();
+    }
+}
