--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -256,6 +256,12 @@
         self.desk.lock().pool.typical_us()
     }
 
+    /// Whether any server within reach may be used at all now.
+    #[must_use]
+    pub fn usable(&self, reach: Reach) -> bool {
+        self.desk.lock().pool.slots(reach, now_us()) > 0
+    }
+
     /// Slots free now, and requests that wait.
     #[must_use]
     pub fn free_and_waiting(&self) -> (u32, usize) {
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -143,11 +143,13 @@
             return Place::Here(slot);
         }
         if ticket.stage < Stage::Spill
-            && let Some(home) = self.co_home_with_slots(state)
+            && let Some(home) = self.co_home_for(state, binder.usable(reach))
         {
             self.board.counters.add(Counter::Spilled);
             return Place::CoHome(home);
         }
+        // A home whose own servers are all gone, and which no co-home could help, uses any.
+        let reach = if binder.usable(reach) { reach } else { Reach::All };
         match binder.wait(reach, avoid, ticket.left_us()) {
             Wait::Queued { slot, at_most } => {
                 self.board.counters.add(Counter::Queued);
@@ -160,10 +162,14 @@
         }
     }
 
-    fn co_home_with_slots(&self, state: &ServiceState) -> Option<Arc<MemberRow>> {
-        let others = state.homes.iter().filter(|home| home.incarnation != self.board.incarnation);
-        let mut free = others.filter(|home| state.core.take_free(home.incarnation));
-        free.next().cloned()
+    /// A co-home that has slots free; or any, when this home has no server that it may use: the
+    /// request then waits there, with those that keep the servers.
+    fn co_home_for(&self, state: &ServiceState, own_usable: bool) -> Option<Arc<MemberRow>> {
+        let others = || state.homes.iter().filter(|h| h.incarnation != self.board.incarnation);
+        if !own_usable && state.am_home {
+            return others().next().cloned();
+        }
+        others().find(|home| state.core.take_free(home.incarnation)).cloned()
     }
 
     /// One attempt, joined by a second when it takes too long and the hedge budget allows it.
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -188,11 +188,15 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
+/// Time between the first half and the cut, so that the half is on its way.
+const CUT_AFTER: Duration = Duration::from_millis(5);
+
 /// A body that says how long it is and ends with an error halfway.
 #[derive(Debug)]
 pub struct CutBody {
     first: Option<Bytes>,
     len: u64,
+    pause: std::pin::Pin<Box<tokio::time::Sleep>>,
 }
 
 /// The fault that ends a connection on purpose.
@@ -213,10 +217,12 @@
 
     fn poll_frame(
         mut self: std::pin::Pin<&mut Self>,
-        _: &mut std::task::Context<'_>,
+        cx: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        let next = self.first.take().map_or(Err(Cut), |bytes| Ok(Frame::data(bytes)));
-        std::task::Poll::Ready(Some(next))
+        if let Some(bytes) = self.first.take() {
+            return std::task::Poll::Ready(Some(Ok(Frame::data(bytes))));
+        }
+        self.pause.as_mut().poll(cx).map(|()| Some(Err(Cut)))
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -315,7 +321,11 @@
     let body = body_for(&id, len.unwrap_or(shared.settings.body_bytes));
     if take_one(&behaviour.cut_bodies) {
         let len = body.len() as u64;
-        let cut = CutBody { first: Some(body.slice(..body.len() / 2)), len };
+        let cut = CutBody {
+            first: Some(body.slice(..body.len() / 2)),
+            len,
+            pause: Box::pin(tokio::time::sleep(CUT_AFTER)),
+        };
         return Ok(Response::new(Either::Right(cut)));
     }
     Ok(whole(StatusCode::OK, body))
--- /dev/null
+++ b/tests/at_most_once.rs
@@ -0,0 +1,242 @@
+//! Promise: a certification, order, benchmark submission or filing package runs at most once.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use standins::backend::BackendSettings;
+use standins::backend::body_for;
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use standins::bed::until;
+use standins::caller::Call;
+use standins::caller::Caller;
+use standins::caller::Told;
+use tokio::task::JoinSet;
+
+const BYTES: usize = 200;
+
+fn order(id: &str) -> Call {
+    Call::post(&format!("/orders?bytes={BYTES}"), id)
+}
+
+/// No id ran twice, and none that ran was told `not-run`.
+fn check(bed: &Bed, told: &HashMap<String, Vec<Told>>) {
+    let counts = bed.run_counts();
+    for (id, answers) in told {
+        let runs = counts.get(id).copied().unwrap_or(0);
+        assert!(runs <= 1, "{id} ran {runs} times: {answers:?}");
+        let last = answers.last();
+        let denied = last.is_some_and(|told| told.outcome() == "not-run");
+        assert!(runs == 0 || !denied, "{id} ran, and its last answer is not-run: {answers:?}");
+        for answer in answers.iter().filter(|told| told.outcome() == "ran" && told.code() == 0) {
+            assert_eq!(answer.body(), &body_for(id, BYTES)[..], "{id}");
+        }
+    }
+}
+
+/// Story: a shop's till sends an order, hears nothing, and sends it again to another address, at
+/// once and later. Every copy must get the one answer; one pallet arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_at_any_instance_get_the_first_answer() {
+    let bed = Bed::start(BedPlan { instances: 4, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    let addresses = bed.caller_addresses();
+    let mut told: HashMap<String, Vec<Told>> = HashMap::new();
+    for number in 0..40 {
+        let id = format!("o-{number}");
+        let caller = bed.caller("orders", number);
+        let named = caller.addresses().await;
+        let key = format!("{}-{id}", named[0].key_prefix);
+        let mut work = JoinSet::new();
+        for address in addresses.iter().copied() {
+            let (caller, call) = (caller.clone(), order(&id).with_key(&key));
+            work.spawn(async move { caller.call_at(address, &call).await });
+        }
+        let mut answers = work.join_all().await;
+        answers.push(caller.call_at(addresses[number % 4], &order(&id).with_key(&key)).await);
+        assert!(answers.iter().all(|told| told.outcome() == "ran"), "{answers:?}");
+        told.insert(id, answers);
+    }
+    check(&bed, &told);
+    assert_eq!(bed.run_counts().len(), 40);
+}
+
+/// Story: the same with keys of the shop's own making, which name no instance: the platform's
+/// store decides who runs them, also when its answers are lost after they took effect.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_keys_run_once_through_lost_answers_of_the_store() {
+    let bed = Bed::start(BedPlan::default()).await;
+    bed.create("orders").await;
+    let addresses = bed.caller_addresses();
+    let mut told: HashMap<String, Vec<Told>> = HashMap::new();
+    for number in 0..30 {
+        let id = format!("p-{number}");
+        let caller = bed.caller("orders", number);
+        if number % 3 == 0 {
+            bed.platform().switches.lose_answers.store(1, Ordering::Release);
+        }
+        let mut work = JoinSet::new();
+        for address in addresses.iter().copied() {
+            let (caller, call) = (caller.clone(), order(&id).with_key(&format!("shop-7-{id}")));
+            work.spawn(async move { caller.call_at(address, &call).await });
+        }
+        told.insert(id, work.join_all().await);
+    }
+    check(&bed, &told);
+    let ran = told.values().flatten().filter(|told| told.outcome() == "ran").count();
+    assert!(ran >= 60, "most must run in spite of lost answers: {ran}");
+}
+
+/// Story: the store is down. An order with a plain key ran before; its repeat must not be told
+/// not-run, because it did run; nor may it run again. A new order cannot be claimed and does not
+/// run either. Orders with a prefix need no store.
+#[tokio::test(flavor = "multi_thread")]
+async fn with_the_store_down_plain_keys_are_unknown_and_bound_keys_run() {
+    let mut bed = Bed::start(BedPlan::default()).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let addresses = bed.caller_addresses();
+    let first = caller.call_at(addresses[0], &order("ran").with_key("plain-ran")).await;
+    assert_eq!(first.outcome(), "ran");
+    bed.stop_platform();
+    let mut told: HashMap<String, Vec<Told>> = HashMap::new();
+    for address in &addresses {
+        for id in ["ran", "new"] {
+            let call = order(id).with_key(&format!("plain-{id}")).within_ms(2_000);
+            let answer = caller.call_at(*address, &call).await;
+            assert_eq!(answer.outcome(), "unknown", "{id}: {answer:?}");
+            told.entry(id.into()).or_default().push(answer);
+        }
+    }
+    let (_, bound) = caller.call_keyed(&order("bound")).await;
+    assert_eq!(bound.outcome(), "ran");
+    bed.start_platform().await;
+    let again = caller.call_at(addresses[1], &order("ran").with_key("plain-ran")).await;
+    assert_eq!(again, first, "the first answer, once the store tells its owner again");
+    check(&bed, &told);
+}
+
+/// Story: an instance is killed while it runs filings, some not yet sent on, some on their way,
+/// some answered. Advisers repeat each at another instance, with its key. No filing may run
+/// twice, and none that ran may be told not-run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_never_lets_a_key_run_elsewhere() {
+    let mut plan = BedPlan { instances: 4, backends: 4, ..BedPlan::default() };
+    plan.backend = BackendSettings { work_us: 15_000, ..plan.backend };
+    let mut bed = Bed::start(plan).await;
+    bed.create("filings").await;
+    let addresses = bed.caller_addresses();
+    let caller = Caller::new("filings", "burnaby", &addresses);
+    let named = caller.addresses().await;
+    let victim = named[0].address;
+    let victim_at = addresses.iter().position(|a| *a == victim).expect("a known address");
+    let mut work = JoinSet::new();
+    for number in 0..60 {
+        let id = format!("f-{number}");
+        let key = format!("{}-{id}", named[0].key_prefix);
+        let caller = caller.clone();
+        let call = order(&id).with_key(&key).within_ms(3_000);
+        work.spawn(async move {
+            tokio::time::sleep(Duration::from_micros(500 * number)).await;
+            let first = caller.call_at(victim, &call).await;
+            (id, call, first)
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    bed.kill(victim_at);
+    let mut told: HashMap<String, Vec<Told>> = HashMap::new();
+    for (id, call, first) in work.join_all().await {
+        let mut answers = vec![first];
+        for address in addresses.iter().filter(|address| **address != victim) {
+            answers.push(caller.call_at(*address, &call).await);
+        }
+        told.insert(id, answers);
+    }
+    check(&bed, &told);
+    let broken =
+        told.values().filter(|answers| !matches!(answers[0], Told::Answered { .. })).count();
+    assert!(broken > 0, "the kill must hit requests, or it shows nothing");
+}
+
+/// Story: an instance stops as planned, with a hand-over. Shops that hold its address and repeat
+/// their orders afterwards, elsewhere, must get the answers that it gave.
+#[tokio::test(flavor = "multi_thread")]
+async fn outcomes_survive_a_planned_stop() {
+    let mut bed = Bed::start(BedPlan { instances: 4, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    let addresses = bed.caller_addresses();
+    let caller = Caller::new("orders", "burnaby", &addresses);
+    let named = caller.addresses().await;
+    let owner = named[0].address;
+    let at = addresses.iter().position(|address| *address == owner).expect("known");
+    let mut told: HashMap<String, Vec<Told>> = HashMap::new();
+    let mut calls = Vec::new();
+    for number in 0..30 {
+        let id = format!("s-{number}");
+        let call = order(&id).with_key(&format!("{}-{id}", named[0].key_prefix));
+        told.insert(id.clone(), vec![caller.call_at(owner, &call).await]);
+        calls.push((id, call));
+    }
+    bed.daemons[at].take().expect("runs").stop().await;
+    for (id, call) in &calls {
+        for address in addresses.iter().filter(|address| **address != owner) {
+            let again = caller.call_at(*address, call).await;
+            let answers = told.get_mut(id).expect("was sent");
+            assert_eq!(again, answers[0], "{id} repeated after the hand-over");
+            answers.push(again);
+        }
+    }
+    // A key that the stopped instance never saw runs at its successor, once.
+    let fresh = order("fresh").with_key(&format!("{}-fresh", named[0].key_prefix));
+    let others: Vec<_> = addresses.iter().filter(|address| **address != owner).collect();
+    let mut answers = Vec::new();
+    for address in others {
+        answers.push(caller.call_at(*address, &fresh).await);
+    }
+    assert!(answers.iter().all(|told| told.outcome() == "ran"), "{answers:?}");
+    told.insert("fresh".into(), answers);
+    check(&bed, &told);
+}
+
+/// Story: a till that was switched off repeats an order long after. The record of it is gone, so
+/// the order must neither run again nor be told not-run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_key_older_than_its_record_is_unknown() {
+    let mut plan = BedPlan::default();
+    plan.outcomes.epoch_ms = 100;
+    plan.outcomes.window_epochs = 6;
+    let bed = Bed::start(plan).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let (key, first) = caller.call_keyed(&order("old")).await;
+    assert_eq!(first.outcome(), "ran");
+    let call = order("old").with_key(&key.expect("a key"));
+    until("the record is gone", async || bed.boards().iter().all(|b| b.outcomes.is_empty())).await;
+    let late = caller.call(&call).await;
+    assert_eq!((late.outcome(), late.code()), ("unknown", 2006));
+    check(&bed, &HashMap::from([("old".to_owned(), vec![late])]));
+}
+
+/// Story: a shop hangs up in the middle of its order and asks again with the same key. The first
+/// run goes on, and the repeat gets its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_finds_its_answer_again() {
+    let mut plan = BedPlan::default();
+    plan.backend = BackendSettings { work_us: 30_000, ..plan.backend };
+    let bed = Bed::start(plan).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let named = caller.addresses().await;
+    let mut told: HashMap<String, Vec<Told>> = HashMap::new();
+    for number in 0..20 {
+        let id = format!("l-{number}");
+        let call = order(&id).with_key(&format!("{}-{id}", named[0].key_prefix));
+        let first = caller.call_at(named[0].address, &call);
+        let _ = tokio::time::timeout(Duration::from_millis(number), first).await;
+        let again = caller.call_at(named[1].address, &call).await;
+        assert_eq!(again.outcome(), "ran", "{again:?}");
+        told.insert(id, vec![again]);
+    }
+    check(&bed, &told);
+}
--- /dev/null
+++ b/tests/not_run.rs
@@ -0,0 +1,154 @@
+//! Promise: what is told `not-run` truly was not run.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use standins::backend::BackendSettings;
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use standins::caller::Call;
+use standins::caller::Caller;
+use standins::caller::Told;
+use tokio::task::JoinSet;
+
+/// Every request told `not-run` is absent from the record of every backend server.
+fn check_not_run(bed: &Bed, told: &[(String, Told)]) -> usize {
+    let counts = bed.run_counts();
+    let not_run = told.iter().filter(|(_, told)| told.outcome() == "not-run");
+    let mut checked = 0;
+    for (id, told) in not_run {
+        assert!(!counts.contains_key(id), "{id} ran, and was told not-run: {told:?}");
+        checked += 1;
+    }
+    checked
+}
+
+async fn burst(callers: &[Caller], calls: Vec<Call>) -> Vec<(String, Told)> {
+    let mut work = JoinSet::new();
+    for (at, call) in calls.into_iter().enumerate() {
+        let caller = callers[at % callers.len()].clone();
+        work.spawn(async move { (call.id.clone(), caller.call(&call).await) });
+    }
+    work.join_all().await
+}
+
+fn orders(name: &str, count: usize, timeout_ms: u64) -> Vec<Call> {
+    let order = |number| Call::post("/orders", &format!("{name}-{number}")).within_ms(timeout_ms);
+    (0..count).map(order).collect()
+}
+
+/// Story: a supplier's recall sends hundreds of orders at once to a small service. Some wait,
+/// some are refused at once, some run out of time while they wait. The border is the deadline
+/// against the first byte: an order told not-run must not be on any server's record.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_and_late_requests_were_not_run() {
+    let mut plan = BedPlan { backends: 2, ..BedPlan::default() };
+    plan.backend = BackendSettings { work_us: 20_000, ..plan.backend };
+    plan.requests.queue_max = 20;
+    let bed = Bed::start(plan).await;
+    bed.create("orders").await;
+    let callers: Vec<Caller> = (0..3).map(|zone| bed.caller("orders", zone)).collect();
+    let mut told = Vec::new();
+    for (turn, timeout_ms) in [5, 20, 40, 80, 3_000].into_iter().enumerate() {
+        told.extend(burst(&callers, orders(&format!("t{turn}"), 200, timeout_ms)).await);
+    }
+    let not_run = check_not_run(&bed, &told);
+    assert!(not_run > 100, "the scene must refuse, or it shows nothing: {not_run}");
+    for (id, told) in &told {
+        assert!(matches!(told, Told::Answered { .. }), "{id} got no final answer: {told:?}");
+        if let Told::Answered { outcome, retry_after_ms, .. } = told
+            && outcome == "not-run"
+        {
+            assert!(*retry_after_ms > 0, "{id} is not told when to come back");
+        }
+    }
+}
+
+/// Story: a backend server is down. Orders must be told not-run, and none may be lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn with_no_server_to_connect_to_nothing_runs() {
+    let mut bed = Bed::start(BedPlan { backends: 2, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let kept = bed.backends.split_off(0);
+    let records: Vec<_> = kept.iter().map(|b| std::sync::Arc::clone(&b.record)).collect();
+    drop(kept);
+    let told = burst(&[caller], orders("down", 20, 2_000)).await;
+    assert!(records.iter().all(|record| record.runs().is_empty()));
+    for (id, told) in told {
+        assert_eq!(told.outcome(), "not-run", "{id}: {told:?}");
+    }
+}
+
+/// Story: the operator declared 503 to be a refusal. A shedding server's 503 is told not-run,
+/// and the order may then run elsewhere, once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_declared_refusal_is_tried_elsewhere_and_told_truly() {
+    let mut plan = BedPlan { backends: 3, instances: 1, ..BedPlan::default() };
+    plan.backend = BackendSettings { slots: 1, work_us: 5_000, ..plan.backend };
+    let bed = Bed::start(plan).await;
+    let mut service = bed.service("orders");
+    for server in &mut service.backend_servers {
+        // The declaration promises more than there is, so that the servers shed.
+        server.slots = 3;
+    }
+    let revision = bed.put(0, &service, 0).await.expect("accepted");
+    bed.until_in_force("orders", revision).await;
+    for backend in &bed.backends {
+        backend.behaviour.shedding.store(true, Ordering::Release);
+    }
+    let told = burst(&[bed.caller("orders", 0)], orders("shed", 60, 5_000)).await;
+    let not_run = check_not_run(&bed, &told);
+    assert!(not_run > 0, "the scene must shed, or it shows nothing");
+    let counts = bed.run_counts();
+    for (id, told) in told.iter().filter(|(_, told)| told.outcome() == "ran") {
+        assert_eq!(counts.get(id), Some(&1), "{id}: {told:?}");
+    }
+}
+
+/// Story: a server takes an order, runs it, and its answer is lost on the way. The shop must be
+/// told that this is not known, never that it was not run; and nothing repeats the order.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_unknown_and_not_repeated() {
+    let bed = Bed::start(BedPlan { backends: 3, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    for backend in &bed.backends {
+        backend.behaviour.lose_answers.store(100, Ordering::Release);
+    }
+    let callers: Vec<Caller> = (0..3).map(|zone| bed.caller("orders", zone)).collect();
+    let told = burst(&callers, orders("lost", 30, 5_000)).await;
+    let counts = bed.run_counts();
+    let unknown = told.iter().filter(|(_, told)| told.outcome() == "unknown").count();
+    assert!(unknown >= 10, "the scene must lose answers, or it shows nothing: {unknown}");
+    check_not_run(&bed, &told);
+    for (id, _) in told {
+        assert!(counts.get(&id).copied().unwrap_or(0) <= 1, "{id} ran twice");
+    }
+}
+
+/// Story: a shop cancels an order just as it is sent on, again and again at different moments.
+/// Whatever becomes of it, it runs at most once, and no slot is lost by it.
+#[tokio::test(flavor = "multi_thread")]
+async fn cancelling_around_dispatch_neither_doubles_nor_leaks() {
+    let mut plan = BedPlan { backends: 1, instances: 1, ..BedPlan::default() };
+    plan.backend = BackendSettings { slots: 2, work_us: 3_000, ..plan.backend };
+    let bed = Bed::start(plan).await;
+    bed.create("orders").await;
+    for turn in 0..40 {
+        let caller = bed.caller("orders", 0);
+        let call = Call {
+            method: if turn % 2 == 0 { "GET" } else { "POST" }.into(),
+            ..Call::get("/x", &format!("c-{turn}"))
+        };
+        let _ = tokio::time::timeout(Duration::from_micros(300 * turn), caller.call(&call)).await;
+    }
+    let told = bed.caller("orders", 0).call(&Call::get("/after", "after")).await;
+    assert_eq!(told.outcome(), "ran");
+    let board = &bed.boards()[0];
+    let state = board.services().get("orders").cloned().expect("in force");
+    standins::bed::until("all slots are back", async || {
+        state.core.binder.free_and_waiting() == (2, 0)
+    })
+    .await;
+    assert!(bed.run_counts().values().all(|count| *count == 1));
+}
