Seeded trials of the decisions; tests with processes, doors and the tool

Cause: nothing measured the decisions. standin-trial runs the daemon's own slot pool, admission, hedging and keepers against modelled servers in virtual time.

--- a/standins/src/bed/process.rs
+++ b/standins/src/bed/process.rs
@@ -71,9 +71,8 @@
     }
 
     /// Kills it at once.
-    pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+    pub fn kill_now(&self) {
+        self.signal("-KILL");
     }
 
     /// The exit code, once it has ended; `None` while it runs.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod caller;
 pub mod load;
 pub mod platform;
+pub mod trial;
--- /dev/null
+++ b/standins/src/trial/model.rs
@@ -0,0 +1,605 @@
+//! The event loop of a trial.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use sorrelwick::decide::Admission;
+use sorrelwick::decide::Candidate;
+use sorrelwick::decide::Finish;
+use sorrelwick::decide::QueueView;
+use sorrelwick::decide::Reach;
+use sorrelwick::decide::ServerLoad;
+use sorrelwick::decide::SlotPool;
+use sorrelwick::decide::admit;
+use sorrelwick::decide::hedge_delay_us;
+use sorrelwick::decide::keepers_of;
+use sorrelwick::decide::naive;
+use sorrelwick::model::Preference;
+
+use super::Policy;
+use super::Scene;
+use super::TrialOutcome;
+use super::server::AttemptId;
+use super::server::Server;
+
+const ZONES: usize = 3;
+const INSTANCES: usize = 19;
+const QUEUE_MAX: usize = 1_000;
+const LOCAL_US: u64 = 100;
+const FAIL_US: f64 = 100.0;
+const WARM_UP_US: u64 = 2_000_000;
+const START_US: u64 = 1_000_000_000;
+const SECOND_US: u64 = 1_000_000;
+const SLOW_US: u64 = 200_000;
+/// What a home told of its free slots is not used after this long.
+const TOLD_MAX_US: u64 = 300_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    /// A request is at a home; `true` when another home passed it.
+    AtHome {
+        home: usize,
+        request: usize,
+        passed: bool,
+    },
+    AtServer {
+        attempt: AttemptId,
+    },
+    Done {
+        attempt: AttemptId,
+    },
+    /// The answer is back at the home.
+    Back {
+        attempt: AttemptId,
+    },
+    Cancel {
+        attempt: AttemptId,
+    },
+    Hedge {
+        request: usize,
+    },
+    GiveUp {
+        request: usize,
+        home: usize,
+    },
+    Tell {
+        home: usize,
+    },
+    Told {
+        to: usize,
+        from: usize,
+        free: u32,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Request {
+    zone: usize,
+    due_us: u64,
+    open: bool,
+    waiting: bool,
+    tries: u32,
+    attempts: Vec<AttemptId>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    request: usize,
+    home: usize,
+    server: usize,
+    work_us: f64,
+    began_us: u64,
+    open: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Home {
+    zone: usize,
+    pool: SlotPool,
+    in_flight: Vec<u32>,
+    queue: VecDeque<usize>,
+    told: Vec<(u32, u64)>,
+    turn: u64,
+}
+
+struct Model<'a> {
+    scene: &'a Scene,
+    policy: Policy,
+    now_us: u64,
+    ends_us: u64,
+    between_us: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    rng: Pcg64Mcg,
+    servers: Vec<Server>,
+    homes: Vec<Home>,
+    requests: Vec<Request>,
+    attempts: Vec<Attempt>,
+    outcome: TrialOutcome,
+}
+
+/// Runs one trial.
+#[must_use]
+pub fn run_trial(scene: &Scene, policy: Policy) -> TrialOutcome {
+    let mut model = Model::new(scene, policy);
+    model.run();
+    model.outcome
+}
+
+fn servers_of(scene: &Scene, rng: &mut Pcg64Mcg) -> Vec<Server> {
+    let (count, slots, _) = scene.size.shape();
+    let mut servers: Vec<Server> = (0..count)
+        .map(|at| Server {
+            zone: at % ZONES,
+            slots: slots as usize,
+            fails: scene.failing_server && at == 0,
+            slow: Vec::new(),
+            working: Vec::new(),
+            queue: VecDeque::new(),
+        })
+        .collect();
+    for second in 0..scene.seconds + 2 {
+        if !scene.slow_third {
+            break;
+        }
+        let from = START_US + second * SECOND_US + 300_000;
+        let mut order: Vec<usize> = (0..count).collect();
+        for at in (1..count).rev() {
+            order.swap(at, rng.random_range(0..=at));
+        }
+        for at in &order[..count / 3] {
+            servers[*at].slow.push((from, from + SLOW_US));
+        }
+    }
+    servers
+}
+
+fn homes_for(scene: &Scene, policy: Policy, servers: &[Server]) -> Vec<Home> {
+    let count = match policy {
+        _ if policy.sprays() => INSTANCES,
+        _ if policy.single() => 1,
+        _ => scene.homes,
+    };
+    let names: Vec<String> = (0..servers.len()).map(|at| format!("b{at}")).collect();
+    let zone_names = ["a", "b", "c"];
+    let candidates: Vec<Candidate<'_>> = (0..count)
+        .map(|at| Candidate { incarnation: at as u64 + 1, zone: zone_names[at % ZONES] })
+        .collect();
+    let named: Vec<(&str, &str)> =
+        names.iter().zip(servers).map(|(id, s)| (id.as_str(), zone_names[s.zone])).collect();
+    let keepers = keepers_of(&named, &candidates);
+    (0..count)
+        .map(|at| {
+            let loads = servers.iter().zip(&keepers).map(|(server, keeper)| {
+                let slots = u32::try_from(server.slots).unwrap_or(1);
+                let mut load = ServerLoad::warm(slots);
+                load.kept = *keeper == at;
+                load
+            });
+            Home {
+                zone: at % ZONES,
+                pool: SlotPool::new(loads.collect(), scene.seed + at as u64),
+                in_flight: vec![0; servers.len()],
+                queue: VecDeque::new(),
+                told: vec![(0, 0); count],
+                turn: at as u64,
+            }
+        })
+        .collect()
+}
+
+impl<'a> Model<'a> {
+    fn new(scene: &'a Scene, policy: Policy) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(scene.seed);
+        let servers = servers_of(scene, &mut rng);
+        let homes = homes_for(scene, policy, &servers);
+        Self {
+            scene,
+            policy,
+            now_us: START_US,
+            ends_us: START_US + scene.seconds * SECOND_US,
+            between_us: scene.size.shape().2,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            rng,
+            servers,
+            homes,
+            requests: Vec::new(),
+            attempts: Vec::new(),
+            outcome: TrialOutcome::default(),
+        }
+    }
+
+    fn at(&mut self, us: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((us, self.sequence, event)));
+    }
+
+    fn way_us(&self, from: usize, to: usize) -> u64 {
+        // The oracle decides at no cost of its own.
+        let free = self.policy == Policy::Oracle;
+        if from == to || free { LOCAL_US } else { self.between_us }
+    }
+
+    fn run(&mut self) {
+        self.at(START_US, Event::Arrive);
+        if self.policy.spills() {
+            for home in 0..self.homes.len() {
+                self.at(START_US + 1 + home as u64, Event::Tell { home });
+            }
+        }
+        while let Some(Reverse((us, _, event))) = self.events.pop() {
+            self.now_us = us;
+            match event {
+                Event::Arrive => self.arrive(),
+                Event::AtHome { home, request, passed } => self.at_home(home, request, passed),
+                Event::AtServer { attempt } => self.at_server(attempt),
+                Event::Done { attempt } => self.done(attempt),
+                Event::Back { attempt } => self.back(attempt),
+                Event::Cancel { attempt } => self.cancel(attempt),
+                Event::Hedge { request } => self.hedge(request),
+                Event::GiveUp { request, home } => self.give_up(request, home),
+                Event::Tell { home } => self.tell(home),
+                Event::Told { to, from, free } => self.told(to, from, free),
+            }
+        }
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.rng.random();
+        -(1.0 - uniform).ln() * mean
+    }
+
+    fn load_now(&self) -> f64 {
+        let second = (self.now_us - START_US) / SECOND_US;
+        match self.scene.overload_s {
+            Some((from, to, load)) if (from..to).contains(&second) => load,
+            _ => self.scene.load,
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now_us >= self.ends_us {
+            return;
+        }
+        let pick: f64 = self.rng.random();
+        let zones = self.scene.zones;
+        let zone = usize::from(pick >= zones[0]) + usize::from(pick >= zones[0] + zones[1]);
+        let request = self.requests.len();
+        self.requests.push(Request {
+            zone,
+            due_us: self.now_us,
+            open: true,
+            waiting: false,
+            tries: 0,
+            attempts: Vec::new(),
+        });
+        if self.now_us >= START_US + WARM_UP_US {
+            self.outcome.requests += 1;
+        }
+        let home = self.home_for(zone);
+        let way = self.way_us(zone, self.homes[home].zone);
+        self.at(self.now_us + way, Event::AtHome { home, request, passed: false });
+        let slots: usize = self.servers.iter().map(|server| server.slots).sum();
+        #[expect(clippy::cast_precision_loss, reason = "a rate")]
+        let gap = self.scene.mean_work_us / (slots as f64 * self.load_now());
+        let gap = self.exponential(gap);
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "a gap")]
+        let gap = gap as u64;
+        self.at(self.now_us + gap, Event::Arrive);
+    }
+
+    fn home_for(&mut self, zone: usize) -> usize {
+        let in_zone: Vec<usize> =
+            (0..self.homes.len()).filter(|at| self.homes[*at].zone == zone).collect();
+        if in_zone.is_empty() {
+            return self.rng.random_range(0..self.homes.len());
+        }
+        in_zone[self.rng.random_range(0..in_zone.len())]
+    }
+
+    fn at_home(&mut self, home: usize, request: usize, passed: bool) {
+        if !passed {
+            self.homes[home].pool.hedges.earn();
+            self.homes[home].pool.retries.earn();
+        }
+        if !self.policy.binds_late() {
+            let server = self.pick_now(home);
+            return self.begin(home, request, server);
+        }
+        if self.homes[home].queue.is_empty()
+            && let Some(server) = self.take(home, &[])
+        {
+            return self.begin(home, request, server);
+        }
+        if self.policy.spills() && !passed && self.pass_on(home, request) {
+            return;
+        }
+        self.enqueue(home, request);
+    }
+
+    /// The oracle looks at the servers themselves.
+    fn take(&mut self, home: usize, avoid: &[usize]) -> Option<usize> {
+        if self.policy != Policy::Oracle {
+            return self.homes[home].pool.take(Reach::Kept, avoid, self.now_us);
+        }
+        let now = self.now_us;
+        let in_flight = &self.homes[home].in_flight;
+        let free = (0..self.servers.len()).filter(|at| {
+            (in_flight[*at] as usize) < self.servers[*at].slots && !self.servers[*at].fails
+        });
+        free.min_by_key(|at| (self.servers[*at].slow_at(now), in_flight[*at]))
+    }
+
+    fn pick_now(&mut self, home: usize) -> usize {
+        let count = self.servers.len();
+        let home = &mut self.homes[home];
+        home.turn += 1;
+        match self.policy {
+            Policy::SprayRoundRobin => naive::round_robin(home.turn, count).unwrap_or(0),
+            Policy::SprayTwoChoices => {
+                let (a, b) = (self.rng.random_range(0..count), self.rng.random_range(0..count));
+                if home.in_flight[b] < home.in_flight[a] { b } else { a }
+            }
+            _ => {
+                let start = self.rng.random_range(0..count);
+                let order = (start..count).chain(0..start);
+                order.min_by_key(|at| home.in_flight[*at]).unwrap_or(0)
+            }
+        }
+    }
+
+    fn pass_on(&mut self, home: usize, request: usize) -> bool {
+        let now = self.now_us;
+        let told = &mut self.homes[home].told;
+        let fresh = (0..told.len())
+            .find(|at| *at != home && told[*at].0 > 0 && now - told[*at].1 < TOLD_MAX_US);
+        let Some(to) = fresh else {
+            return false;
+        };
+        told[to].0 -= 1;
+        self.outcome.passed += 1;
+        let way = self.way_us(self.homes[home].zone, self.homes[to].zone);
+        self.at(now + way, Event::AtHome { home: to, request, passed: true });
+        true
+    }
+
+    fn enqueue(&mut self, home: usize, request: usize) {
+        let waited = self.now_us - self.requests[request].due_us;
+        let view = QueueView {
+            waiting: self.homes[home].queue.len(),
+            waiting_max: QUEUE_MAX,
+            slots: self.homes[home].pool.slots(Reach::Kept, self.now_us),
+            typical_us: self.homes[home].pool.typical_us(),
+            left_us: self.scene.deadline_us.saturating_sub(waited),
+        };
+        match admit(&view) {
+            Admission::Wait { at_most_us } => {
+                self.count_misplaced();
+                self.requests[request].waiting = true;
+                self.homes[home].queue.push_back(request);
+                self.at(self.now_us + at_most_us, Event::GiveUp { request, home });
+            }
+            _ => self.refuse(request),
+        }
+    }
+
+    fn count_misplaced(&mut self) {
+        let free = self.servers.iter().any(|s| !s.fails && s.working.len() < s.slots);
+        self.outcome.misplaced += u64::from(free);
+    }
+
+    fn refuse(&mut self, request: usize) {
+        self.requests[request].open = false;
+        self.outcome.refused += u64::from(self.counted(request));
+    }
+
+    fn counted(&self, request: usize) -> bool {
+        self.requests[request].due_us >= START_US + WARM_UP_US
+    }
+
+    fn give_up(&mut self, request: usize, home: usize) {
+        if !self.requests[request].waiting {
+            return;
+        }
+        let before = self.homes[home].queue.len();
+        self.homes[home].queue.retain(|queued| *queued != request);
+        if self.homes[home].queue.len() < before {
+            self.requests[request].waiting = false;
+            self.refuse(request);
+        }
+    }
+
+    fn begin(&mut self, home: usize, request: usize, server: usize) {
+        let mean = self.scene.mean_work_us;
+        let work_us = if self.servers[server].fails { FAIL_US } else { self.exponential(mean) };
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request,
+            home,
+            server,
+            work_us,
+            began_us: self.now_us,
+            open: true,
+        });
+        self.homes[home].in_flight[server] += 1;
+        self.outcome.attempts += 1;
+        let first = self.requests[request].attempts.is_empty();
+        self.requests[request].attempts.push(attempt);
+        let way = self.way_us(self.homes[home].zone, self.servers[server].zone);
+        self.at(self.now_us + way, Event::AtServer { attempt });
+        if first && self.policy.hedges() {
+            let pool = &self.homes[home].pool;
+            let delay = hedge_delay_us(Preference::Tail, true, pool.typical_us(), pool.high_us());
+            if let Some(delay) = delay {
+                self.at(self.now_us + delay, Event::Hedge { request });
+            }
+        }
+    }
+
+    fn at_server(&mut self, attempt: AttemptId) {
+        let Attempt { server, work_us, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        let begun = self.servers[server].arrive(attempt, work_us, self.now_us);
+        match begun {
+            Some(working) => self.at(working.ends_us, Event::Done { attempt }),
+            None => self.count_misplaced(),
+        }
+    }
+
+    fn leave_server(&mut self, attempt: AttemptId) {
+        let server = self.attempts[attempt].server;
+        if let Some(next) = self.servers[server].leave(attempt, self.now_us) {
+            self.at(next.ends_us, Event::Done { attempt: next.attempt });
+        }
+    }
+
+    fn done(&mut self, attempt: AttemptId) {
+        let Attempt { server, home, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        self.leave_server(attempt);
+        let way = self.way_us(self.servers[server].zone, self.homes[home].zone);
+        self.at(self.now_us + way, Event::Back { attempt });
+    }
+
+    fn cancel(&mut self, attempt: AttemptId) {
+        self.leave_server(attempt);
+    }
+
+    fn back(&mut self, attempt: AttemptId) {
+        let Attempt { request, home, server, began_us, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        self.attempts[attempt].open = false;
+        let failed = self.servers[server].fails;
+        let latency_us = self.now_us - began_us;
+        let finish = if failed { Finish::Failed } else { Finish::Answered { latency_us } };
+        self.free_slot(home, server, finish);
+        if self.requests[request].open {
+            if failed && self.retry(home, request, server) {
+                return self.drain(home);
+            }
+            self.answer(request, home, failed);
+        }
+        self.drain(home);
+    }
+
+    fn free_slot(&mut self, home: usize, server: usize, finish: Finish) {
+        self.homes[home].in_flight[server] -= 1;
+        if self.policy.binds_late() && self.policy != Policy::Oracle {
+            self.homes[home].pool.finish(server, finish, self.now_us);
+        }
+    }
+
+    fn retry(&mut self, home: usize, request: usize, server: usize) -> bool {
+        if !self.policy.binds_late() || self.requests[request].tries >= 2 {
+            return false;
+        }
+        if !self.homes[home].pool.retries.spend() {
+            return false;
+        }
+        self.requests[request].tries += 1;
+        self.outcome.retries += 1;
+        match self.take(home, &[server]) {
+            Some(next) => self.begin(home, request, next),
+            None => self.enqueue(home, request),
+        }
+        true
+    }
+
+    fn answer(&mut self, request: usize, home: usize, failed: bool) {
+        let way = self.way_us(self.homes[home].zone, self.requests[request].zone);
+        self.requests[request].open = false;
+        let us = self.now_us + way - self.requests[request].due_us;
+        if self.counted(request) {
+            self.outcome.failed += u64::from(failed);
+            self.outcome.answered += u64::from(!failed);
+            if !failed {
+                self.outcome.latency_us.saturating_record(us);
+            }
+        }
+        for other in self.requests[request].attempts.clone() {
+            let Attempt { home, server, open, .. } = self.attempts[other];
+            if !open {
+                continue;
+            }
+            self.attempts[other].open = false;
+            self.free_slot(home, server, Finish::Cancelled);
+            let way = self.way_us(self.homes[home].zone, self.servers[server].zone);
+            self.at(self.now_us + way, Event::Cancel { attempt: other });
+            self.drain(home);
+        }
+    }
+
+    fn drain(&mut self, home: usize) {
+        while let Some(request) = self.homes[home].queue.front().copied() {
+            let Some(server) = self.take(home, &[]) else {
+                return;
+            };
+            self.homes[home].queue.pop_front();
+            self.requests[request].waiting = false;
+            self.begin(home, request, server);
+        }
+        if let Some((_, to, _)) = self.scene.overload_s {
+            let after = START_US + to * SECOND_US;
+            let settled = self.homes.iter().all(|home| home.queue.is_empty());
+            if self.now_us > after && self.outcome.recovery_ms == 0 && settled {
+                self.outcome.recovery_ms = (self.now_us - after) / 1000 + 1;
+            }
+        }
+    }
+
+    fn hedge(&mut self, request: usize) {
+        let first = self.requests[request].attempts[0];
+        let Attempt { home, server, open, .. } = self.attempts[first];
+        if !open || !self.requests[request].open || !self.homes[home].queue.is_empty() {
+            return;
+        }
+        if !self.homes[home].pool.hedges.left() {
+            return;
+        }
+        let Some(second) = self.take(home, &[server]) else {
+            return;
+        };
+        self.homes[home].pool.hedges.spend();
+        self.outcome.hedges += 1;
+        self.begin(home, request, second);
+    }
+
+    fn tell(&mut self, home: usize) {
+        if self.now_us >= self.ends_us {
+            return;
+        }
+        let waiting = u32::try_from(self.homes[home].queue.len()).unwrap_or(u32::MAX);
+        let free = self.homes[home].pool.free(self.now_us).saturating_sub(waiting);
+        for to in (0..self.homes.len()).filter(|to| *to != home) {
+            let way = self.way_us(self.homes[home].zone, self.homes[to].zone);
+            self.at(self.now_us + way, Event::Told { to, from: home, free });
+        }
+        self.at(self.now_us + self.scene.tell_us, Event::Tell { home });
+    }
+
+    fn told(&mut self, to: usize, from: usize, free: u32) {
+        self.homes[to].told[from] = (free, self.now_us);
+        if !self.policy.pulls() {
+            return;
+        }
+        while let Some(request) = self.homes[to].queue.front().copied() {
+            if !self.pass_on(to, request) {
+                return;
+            }
+            self.homes[to].queue.pop_front();
+            self.requests[request].waiting = false;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/trial/outcome.rs
@@ -0,0 +1,96 @@
+//! What a trial came to.
+
+use hdrhistogram::Histogram;
+
+/// Counts and latencies of one trial.
+#[derive(Clone, Debug)]
+pub struct TrialOutcome {
+    pub latency_us: Histogram<u64>,
+    pub requests: u64,
+    pub answered: u64,
+    pub refused: u64,
+    /// Failed answers that reached a caller.
+    pub failed: u64,
+    pub attempts: u64,
+    pub retries: u64,
+    pub hedges: u64,
+    pub passed: u64,
+    /// Attempts bound to a server whose slots were all taken, or that waited while another
+    /// server had one free.
+    pub misplaced: u64,
+    /// Seconds from the end of an overload until nobody waits any more.
+    pub recovery_ms: u64,
+}
+
+impl Default for TrialOutcome {
+    /// # Panics
+    /// Never: the bounds are valid.
+    fn default() -> Self {
+        Self {
+            latency_us: Histogram::new_with_max(60_000_000, 3).expect("valid bounds"),
+            requests: 0,
+            answered: 0,
+            refused: 0,
+            failed: 0,
+            attempts: 0,
+            retries: 0,
+            hedges: 0,
+            passed: 0,
+            misplaced: 0,
+            recovery_ms: 0,
+        }
+    }
+}
+
+impl TrialOutcome {
+    /// A latency quantile in milliseconds.
+    #[must_use]
+    pub fn ms(&self, quantile: f64) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "microseconds to print")]
+        let us = self.latency_us.value_at_quantile(quantile) as f64;
+        us / 1000.0
+    }
+
+    /// A count per thousand requests.
+    #[must_use]
+    pub fn per_thousand(&self, count: u64) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "counts to print")]
+        let share = count as f64 / self.requests.max(1) as f64;
+        share * 1000.0
+    }
+
+    /// The heading above lines.
+    #[must_use]
+    pub fn heading() -> String {
+        format!(
+            "{:<20} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+            "policy",
+            "p50 ms",
+            "p99 ms",
+            "p99.9",
+            "answered",
+            "refused",
+            "retry/k",
+            "hedge/k",
+            "pass/k",
+            "mispl/k"
+        )
+    }
+
+    /// One line of a table.
+    #[must_use]
+    pub fn line(&self, name: &str) -> String {
+        format!(
+            "{name:<20} {:>8.1} {:>8.1} {:>8.1} {:>8} {:>8} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
+            self.ms(0.5),
+            self.ms(0.99),
+            self.ms(0.999),
+            self.answered,
+            self.refused,
+            self.per_thousand(self.retries),
+            self.per_thousand(self.hedges),
+            self.per_thousand(self.passed),
+            self.per_thousand(self.misplaced),
+        )
+    }
+}
--- /dev/null
+++ b/tests/doors.rs
@@ -0,0 +1,149 @@
+//! Bad input at every door gets a numbered answer, and a stranger gets nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sorrelwick::command::DoorClient;
+use sorrelwick::errors::Code;
+use sorrelwick::peer::Links;
+use sorrelwick::peer::PeerError;
+use sorrelwick::peer::PeerRequest;
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+async fn raw(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("connected");
+    stream.write_all(text.as_bytes()).await.expect("sent");
+    let mut seen = Vec::new();
+    let _ = tokio::time::timeout(Duration::from_secs(5), stream.read_to_end(&mut seen)).await;
+    String::from_utf8_lossy(&seen).into_owned()
+}
+
+fn get(fields: &str) -> String {
+    format!("GET /x HTTP/1.1\r\nhost: orders\r\nconnection: close\r\n{fields}\r\n")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_callers_door_answers_bad_requests_with_codes() {
+    let mut plan = BedPlan { instances: 1, ..BedPlan::default() };
+    plan.requests.body_limit_bytes = 1_000;
+    let bed = Bed::start(plan).await;
+    let mut service = bed.service("orders");
+    service.kinds[1].key_required = true;
+    let revision = bed.put(0, &service, 0).await.expect("accepted");
+    bed.until_in_force("orders", revision).await;
+    let address = bed.caller_addresses()[0];
+    let long = "k".repeat(201);
+    let post = |fields: &str| get(fields).replacen("GET", "POST", 1);
+    let cases = [
+        (get("sorrelwick-timeout-ms: soon\r\n"), "2001"),
+        (get("sorrelwick-service: nothing-here\r\n"), "2002"),
+        (post(&format!("idempotency-key: {long}\r\ncontent-length: 0\r\n")), "2004"),
+        (post("content-length: 0\r\n"), "2005"),
+        (post(&format!("content-length: 2000\r\n\r\n{}", "b".repeat(2_000))), "2003"),
+    ];
+    for (request, code) in cases {
+        let answer = raw(address, &request).await;
+        assert!(answer.contains(&format!("sorrelwick-code: {code}")), "{code}: {answer}");
+        assert!(answer.contains("sorrelwick-outcome: not-run"), "{answer}");
+    }
+    let garbage = raw(address, "\x16\x03\x01 this is no HTTP\r\n\r\n").await;
+    assert!(garbage.is_empty() || garbage.starts_with("HTTP/1.1 400"), "{garbage}");
+    assert_eq!(bed.run_counts().len(), 0);
+    let good = raw(address, &get("x-request-id: good\r\n")).await;
+    assert!(good.contains("sorrelwick-outcome: ran"), "{good}");
+}
+
+/// A backend server cannot pass off its answer as one of ours, and fields for one hop stay.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_fields_of_others_do_not_travel() {
+    let bed = Bed::start(BedPlan { instances: 1, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    let request = get("sorrelwick-outcome: not-run\r\nsorrelwick-code: 1\r\nx-request-id: a\r\n");
+    let answer = raw(bed.caller_addresses()[0], &request).await;
+    assert!(answer.contains("sorrelwick-outcome: ran\r\n"), "{answer}");
+    assert!(answer.contains("sorrelwick-code: 0\r\n"), "{answer}");
+}
+
+/// Story: a stranger on the network speaks to the peer port, without the secret, with a wrong
+/// one, or with plain nonsense. It gets no answer and changes nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_get_nothing_at_the_peer_port() {
+    let bed = Bed::start(BedPlan { instances: 2, ..BedPlan::default() }).await;
+    let board = &bed.boards()[0];
+    let address = board.settings.listen.peer;
+    let stranger = Links::new("another secret of enough characters");
+    let asked = PeerRequest::Fetch(vec!["orders".into()]);
+    let told = stranger.call(address, &asked, Duration::from_secs(3)).await;
+    assert_eq!(told, Err(PeerError::NotSent));
+    let seen = raw(
+        address,
+        "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\nand much more that is no proof at all, and then some",
+    )
+    .await;
+    assert!(seen.chars().count() <= 32, "a nonce at most: {seen:?}");
+    let refused = sorrelwick::board::Counter::PeersRefused;
+    standins::bed::until("both are counted", async || board.counters.get(refused) >= 2).await;
+    let peer = Links::new(&board.settings.peers.secret);
+    assert!(peer.call(address, &asked, Duration::from_secs(3)).await.is_ok());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_operators_door_wants_its_token_and_checks_declarations() {
+    let mut bed = Bed::start(BedPlan { instances: 0, ..BedPlan::default() }).await;
+    let at = bed.add_daemon_with(|s| s.operators.token = "a token of sixteen or more".into()).await;
+    let address = bed.daemon(at).board().settings.listen.operator.to_string();
+    for token in ["", "a wrong token of some length"] {
+        let mut stranger = DoorClient::open(&address, token).expect("an address");
+        assert_eq!(stranger.list().await.expect_err("refused").code, Code::Unauthenticated);
+    }
+    let mut operator =
+        DoorClient::open(&address, "a token of sixteen or more").expect("an address");
+    assert!(operator.list().await.is_ok());
+    let wire = |change: &dyn Fn(&mut sorrelwick::model::Service)| {
+        let mut service = bed.service("orders");
+        change(&mut service);
+        sorrelwick::operator::service_to_wire(&service)
+    };
+    let bad = [
+        wire(&|s| s.name = "no spaces here".into()),
+        wire(&|s| s.backend_servers[0].slots = 0),
+        wire(&|s| s.backend_servers[1].id = "b0".into()),
+        wire(&|s| s.kinds[0].path_prefix = "no-slash".into()),
+        wire(&|s| s.timeout_ms = 0),
+        wire(&|s| s.refusal_statuses = vec![200]),
+    ];
+    for service in bad {
+        let told = operator.put(&service, 0).await.expect_err("refused");
+        assert_eq!(told.code, Code::ServiceInvalid, "{told}");
+    }
+    let told = operator.set_drain("orders", "b0", true).await.expect_err("refused");
+    assert_eq!(told.code, Code::NotFound);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_tells_health_readiness_and_metrics() {
+    let mut bed = Bed::start(BedPlan { instances: 1, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    let board = bed.boards()[0].clone();
+    raw(bed.caller_addresses()[0], &get("x-request-id: m\r\n")).await;
+    let page = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n");
+    let status = board.settings.listen.status;
+    assert!(raw(status, &page("/health")).await.contains("200 OK"));
+    assert!(raw(status, &page("/ready")).await.contains("200 OK"));
+    let metrics = raw(status, &page("/metrics")).await;
+    assert!(
+        metrics.contains("sorrelwick_outcome_ran_total") && metrics.contains(" 1\n"),
+        "{metrics}"
+    );
+    let stopping = tokio::spawn(bed.daemons[0].take().expect("runs").stop());
+    standins::bed::until("it says that it leaves", async || {
+        raw(status, &page("/ready")).await.contains("503")
+    })
+    .await;
+    assert!(raw(status, &page("/health")).await.contains("200 OK"));
+    stopping.await.expect("stopped");
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,246 @@
+//! Separate daemon processes under signals: a kill that is a kill, a freeze that is a freeze.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use sorrelwick::command::DoorClient;
+use sorrelwick::operator::service_to_wire;
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use standins::bed::DaemonProcess;
+use standins::bed::settings_for;
+use standins::bed::until;
+use standins::caller::Call;
+use standins::caller::Caller;
+use standins::caller::Told;
+use standins::platform::ListedMachine;
+use tokio::task::JoinSet;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_sorrelwickd");
+const BYTES: usize = 100;
+
+/// Stand-ins in this process, daemons in processes of their own.
+struct Fleet {
+    bed: Bed,
+    daemons: Vec<DaemonProcess>,
+    _dir: tempfile::TempDir,
+}
+
+impl Fleet {
+    async fn start(plan: BedPlan, daemons: usize) -> Self {
+        let bed = Bed::start(BedPlan { instances: 0, ..plan }).await;
+        let dir = tempfile::tempdir().expect("a directory");
+        let mut started = Vec::new();
+        for at in 0..daemons {
+            let settings = settings_for(&bed.plan, at, bed.platform().address());
+            let daemon = DaemonProcess::spawn(Path::new(PROGRAM), dir.path(), settings);
+            started.push(daemon.expect("the daemon starts"));
+        }
+        let fleet = Self { bed, daemons: started, _dir: dir };
+        let listed = fleet.daemons.iter().map(|daemon| ListedMachine {
+            id: daemon.settings.instance.name.clone(),
+            ip: "127.0.0.1".into(),
+            port: daemon.settings.listen.peer.port(),
+            zone: daemon.settings.instance.zone.clone(),
+            leaving: false,
+        });
+        fleet.bed.state.set_list("sorrelwick", listed.collect());
+        until("all processes joined", async || {
+            for at in 0..daemons {
+                if fleet.alive_seen_by(at).await != daemons {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        fleet
+    }
+
+    fn door(&self, at: usize) -> DoorClient {
+        let address = self.daemons[at].settings.listen.operator;
+        DoorClient::open(&address.to_string(), "").expect("an address")
+    }
+
+    async fn alive_seen_by(&self, at: usize) -> usize {
+        let Ok(status) = self.door(at).status().await else {
+            return 0;
+        };
+        status.instances.iter().filter(|row| row.state == "alive").count()
+    }
+
+    async fn create(&self, name: &str) {
+        let service = self.bed.service(name);
+        self.door(0).put(&service_to_wire(&service), 0).await.expect("accepted");
+        until("in force on all processes", async || {
+            for at in 0..self.daemons.len() {
+                if self.door(at).get(name).await.is_err() {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.settings.listen.caller).collect()
+    }
+}
+
+fn check(bed: &Bed, told: &HashMap<String, Vec<Told>>) {
+    let counts = bed.run_counts();
+    for (id, answers) in told {
+        let runs = counts.get(id).copied().unwrap_or(0);
+        assert!(runs <= 1, "{id} ran {runs} times: {answers:?}");
+        let denied = answers.last().is_some_and(|told| told.outcome() == "not-run");
+        assert!(runs == 0 || !denied, "{id} ran and was told not-run: {answers:?}");
+    }
+}
+
+/// Sends orders bound to the instance at `at`, and repeats each at all other instances.
+async fn orders(fleet: &Fleet, at: usize, name: &str, count: usize) -> HashMap<String, Vec<Told>> {
+    let addresses = fleet.callers();
+    let caller = Caller::new("orders", "burnaby", &addresses);
+    let named = caller.addresses().await;
+    let target = addresses[at];
+    let prefix = named.iter().find(|n| n.address == target).map(|n| n.key_prefix.clone());
+    let prefix = prefix.expect("the instance is named");
+    let mut work = JoinSet::new();
+    for number in 0..count {
+        let id = format!("{name}-{number}");
+        let call = Call::post(&format!("/o?bytes={BYTES}&work_us=20000"), &id)
+            .with_key(&format!("{prefix}-{id}"))
+            .within_ms(2_000);
+        let (caller, addresses) = (caller.clone(), addresses.clone());
+        work.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(2 * number as u64)).await;
+            let first = tokio::time::timeout(Duration::from_secs(4), caller.call_at(target, &call));
+            let mut answers = vec![first.await.unwrap_or(Told::Broken)];
+            for address in addresses.into_iter().filter(|address| *address != target) {
+                answers.push(caller.call_at(address, &call).await);
+            }
+            (id, answers)
+        });
+    }
+    work.join_all().await.into_iter().collect()
+}
+
+/// Story: the process that owns some orders is killed by the system while they run, and the store
+/// goes down at the same moment. Shops repeat their orders at the others: no order runs twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_in_the_middle_of_orders_with_the_store_down() {
+    let mut fleet = Fleet::start(BedPlan::default(), 4).await;
+    fleet.create("orders").await;
+    let told = {
+        let sending = orders(&fleet, 1, "k", 60);
+        tokio::pin!(sending);
+        let early = tokio::time::timeout(Duration::from_millis(60), &mut sending).await;
+        assert!(early.is_err(), "the kill must come in the middle");
+        fleet.daemons[1].kill_now();
+        fleet.bed.platform().switches.down.store(true, Ordering::Release);
+        sending.await
+    };
+    check(&fleet.bed, &told);
+    let cut = told.values().filter(|answers| answers[0].outcome() != "ran").count();
+    assert!(cut > 0, "the kill must hit orders, or it shows nothing");
+    until("the others notice", async || fleet.alive_seen_by(0).await == 3).await;
+    assert!(fleet.daemons[1].exited().is_some());
+}
+
+/// Story: a process is stopped by a noisy neighbour for longer than the others wait, and wakes.
+/// Meanwhile its orders were repeated at the others, which must not run them; after waking it
+/// goes on with its own, and is believed to be alive again.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_until_given_up_and_woken() {
+    let fleet = Fleet::start(BedPlan::default(), 4).await;
+    fleet.create("orders").await;
+    let sending = orders(&fleet, 2, "z", 40);
+    tokio::pin!(sending);
+    let early = tokio::time::timeout(Duration::from_millis(40), &mut sending).await;
+    assert!(early.is_err(), "the freeze must come in the middle");
+    fleet.daemons[2].freeze();
+    until("the others give it up", async || fleet.alive_seen_by(0).await == 3).await;
+    fleet.daemons[2].thaw();
+    let told = sending.await;
+    check(&fleet.bed, &told);
+    until("it is believed to be alive again", async || {
+        fleet.alive_seen_by(0).await == 4 && fleet.alive_seen_by(2).await == 4
+    })
+    .await;
+    let told = orders(&fleet, 2, "after", 10).await;
+    check(&fleet.bed, &told);
+    let ran = told.values().filter(|answers| answers[0].outcome() == "ran").count();
+    assert_eq!(ran, 10, "{told:?}");
+}
+
+/// Story: a process gets the signal of a planned stop, and then another by an impatient hand,
+/// under steady load. It ends with code 0, and no request is cut off.
+#[tokio::test(flavor = "multi_thread")]
+async fn two_signals_to_stop_cut_off_nothing() {
+    let mut fleet = Fleet::start(BedPlan::default(), 4).await;
+    fleet.create("orders").await;
+    let callers: Vec<Caller> = ["burnaby", "surrey", "richmond"]
+        .iter()
+        .map(|zone| Caller::new("orders", zone, &fleet.callers()))
+        .collect();
+    let load = tokio::spawn(async move {
+        let mut work = JoinSet::new();
+        for number in 0..800 {
+            let caller = callers[number % 3].clone();
+            let call = Call::post("/o?bytes=50&work_us=10000", &format!("t-{number}"));
+            work.spawn(async move { caller.call(&call).await });
+            tokio::time::sleep(Duration::from_millis(3)).await;
+        }
+        work.join_all().await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.daemons[0].terminate();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    fleet.daemons[0].terminate();
+    until("it has ended", async || fleet.daemons[0].exited().is_some()).await;
+    assert_eq!(fleet.daemons[0].exited(), Some(0));
+    let told = load.await.expect("the load ran");
+    let faults: Vec<&Told> = told.iter().filter(|told| told.outcome() != "ran").collect();
+    assert!(faults.is_empty(), "{} of {}: {:?}", faults.len(), told.len(), faults[0]);
+    assert!(fleet.bed.run_counts().values().all(|count| *count == 1));
+}
+
+/// Story: a process is frozen for ten seconds with a budget to spend. On waking it must not make
+/// up for the probes that it missed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_process_does_not_burst_probes_on_waking() {
+    const BUDGET: u32 = 8;
+    let mut plan = BedPlan::default();
+    plan.measuring.seats = 4;
+    let fleet = Fleet::start(plan, 3).await;
+    let mut service = fleet.bed.service("orders");
+    service.measuring_budget_per_s = BUDGET;
+    fleet.door(0).put(&service_to_wire(&service), 0).await.expect("accepted");
+    let seen = || {
+        let backends = fleet.bed.backends.iter();
+        backends.flat_map(|backend| backend.record.measuring()).collect::<Vec<_>>()
+    };
+    until("probes are sent", async || seen().len() > 10).await;
+    for daemon in &fleet.daemons {
+        daemon.freeze();
+    }
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let before = seen().len();
+    for daemon in &fleet.daemons {
+        daemon.thaw();
+    }
+    until("probes go on", async || seen().len() > before + 16).await;
+    let mut at = seen();
+    at.sort_unstable();
+    let second = Duration::from_secs(1);
+    let most = (0..at.len())
+        .map(|from| at[from..].iter().take_while(|t| **t - at[from] < second).count())
+        .max()
+        .unwrap_or(0);
+    println!("budget {BUDGET}, most in a second {most}, in all {}", at.len());
+    assert!(most <= BUDGET as usize, "{most} measuring calls in a second");
+}
--- /dev/null
+++ b/tests/tool.rs
@@ -0,0 +1,132 @@
+//! The operators' tool and the daemon's command line, as processes.
+
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use standins::bed::until;
+
+const TOOL: &str = env!("CARGO_BIN_EXE_sorrelwick");
+const DAEMON: &str = env!("CARGO_BIN_EXE_sorrelwickd");
+
+async fn run(program: &str, args: &[&str]) -> Output {
+    let mut command = Command::new(program);
+    command.args(args).env_remove("SORRELWICK_DOOR").env_remove("SORRELWICK_TOKEN");
+    tokio::task::spawn_blocking(move || command.output()).await.expect("no panic").expect("it runs")
+}
+
+fn out(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
+fn err(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+fn declare(dir: &Path, name: &str, timeout_ms: u32) {
+    let text = format!(
+        "{{\n  // kept in version control\n  name: \"{name}\",\n  timeout_ms: {timeout_ms},\n  \
+         kinds: [{{ name: \"lookup\", method: \"GET\", path_prefix: \"/\", idempotent: true }}],\n}}\n"
+    );
+    std::fs::write(dir.join(format!("{name}.json5")), text).expect("written");
+}
+
+/// From an empty directory to two services and back, with a conflict on the way.
+#[tokio::test(flavor = "multi_thread")]
+async fn declarations_are_planned_applied_and_conflicts_told_apart() {
+    let bed = Bed::start(BedPlan::default()).await;
+    let door = bed.daemon(0).board().settings.listen.operator.to_string();
+    let dir = tempfile::tempdir().expect("a directory");
+    let path = dir.path().to_str().expect("a path");
+    declare(dir.path(), "catalogue", 100);
+    declare(dir.path(), "orders", 200);
+    let planned = run(TOOL, &["--door", &door, "plan", path]).await;
+    assert!(out(&planned).contains("create orders (revision 0)"), "{}", out(&planned));
+    assert!(out(&planned).contains("+ timeout_ms: 200"));
+    let applied = run(TOOL, &["--door", &door, "apply", path]).await;
+    assert!(out(&applied).contains("committed orders at revision 1"), "{}", err(&applied));
+    let again = run(TOOL, &["--door", &door, "plan", path]).await;
+    assert_eq!(out(&again), "nothing to change\n");
+    declare(dir.path(), "orders", 300);
+    let changed = run(TOOL, &["--door", &door, "--json", "plan", path]).await;
+    let changes: serde_json::Value = serde_json::from_str(&out(&changed)).expect("JSON");
+    assert_eq!(changes[0]["lines"][0], "~ timeout_ms: 200 -> 300");
+    assert_eq!(changes[0]["expected_revision"], 1);
+    let file = dir.path().join("orders.json5");
+    let file = file.to_str().expect("a path");
+    let stale =
+        run(TOOL, &["--door", &door, "service", "update", file, "--expected-revision", "7"]).await;
+    assert_eq!(stale.status.code(), Some(3), "a conflict has its own exit code");
+    assert!(err(&stale).contains("error 3002 Conflict"), "{}", err(&stale));
+    std::fs::remove_file(dir.path().join("orders.json5")).expect("removed");
+    let pruned = run(TOOL, &["--door", &door, "apply", "--prune", path]).await;
+    assert!(out(&pruned).contains("delete orders (revision 1)"), "{}", err(&pruned));
+    let listed = run(TOOL, &["--door", &door, "service", "list"]).await;
+    assert!(out(&listed).contains("catalogue") && !out(&listed).contains("orders"));
+}
+
+/// `status` and `timeline` ask every instance, and one that is gone is shown as such.
+#[tokio::test(flavor = "multi_thread")]
+async fn status_and_timeline_cover_all_instances() {
+    let mut bed = Bed::start(BedPlan::default()).await;
+    bed.create("orders").await;
+    let door = bed.daemon(0).board().settings.listen.operator.to_string();
+    let status = run(TOOL, &["--door", &door, "status"]).await;
+    let text = out(&status);
+    assert_eq!(text.matches("orders@1").count(), 3, "{text}");
+    assert!(text.contains("i2") && text.contains("richmond"));
+    bed.door(0).set_drain("orders", "b0", true).await.expect("drained");
+    bed.until_in_force("orders", 2).await;
+    bed.kill(2);
+    until("the death is on the time line", async || {
+        let events = run(TOOL, &["--door", &door, "timeline"]).await;
+        out(&events).lines().any(|line| line.contains("i2") && line.ends_with("dead"))
+    })
+    .await;
+    let events = run(TOOL, &["--door", &door, "--json", "timeline"]).await;
+    let events: serde_json::Value = serde_json::from_str(&out(&events)).expect("JSON");
+    let rows = events.as_array().expect("a list");
+    let stamps: Vec<u64> = rows.iter().filter_map(|row| row["stamp"].as_u64()).collect();
+    assert!(stamps.is_sorted());
+    let in_force = rows.iter().filter(|row| row["detail"] == "orders revision 2").count();
+    assert_eq!(in_force, 2, "one for each instance that still runs");
+}
+
+#[tokio::test]
+async fn faults_have_numbers_and_exit_codes() {
+    let unreachable = run(TOOL, &["--door", "127.0.0.1:1", "service", "list"]).await;
+    assert_eq!(unreachable.status.code(), Some(1));
+    assert!(err(&unreachable).starts_with("error 3008 DoorUnreachable"), "{}", err(&unreachable));
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = dir.path().join("bad.json5");
+    std::fs::write(&file, "{\n  name: \"x\",\n  nmae: 1,\n}").expect("written");
+    let path = dir.path().to_str().expect("a path");
+    let bad = run(TOOL, &["--door", "127.0.0.1:1", "plan", path]).await;
+    assert!(
+        err(&bad).contains("3007 DeclarationInvalid") && err(&bad).contains("line 3"),
+        "{}",
+        err(&bad)
+    );
+    let completions = run(TOOL, &["completions", "bash"]).await;
+    assert!(out(&completions).contains("sorrelwick"));
+}
+
+#[tokio::test]
+async fn the_daemon_checks_settings_and_prints_defaults() {
+    let defaults = run(DAEMON, &["--print-defaults"]).await;
+    let dir = tempfile::tempdir().expect("a directory");
+    let file = dir.path().join("settings.json5");
+    std::fs::write(&file, &defaults.stdout).expect("written");
+    let path = file.to_str().expect("a path");
+    let good = run(DAEMON, &["--settings", path, "--check"]).await;
+    assert_eq!(good.status.code(), Some(0), "{}", err(&good));
+    let broken = out(&defaults).replace("queue_max: 1000", "queue_max: 99999999");
+    std::fs::write(&file, broken).expect("written");
+    let bad = run(DAEMON, &["--settings", path, "--check"]).await;
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(err(&bad).contains("requests.queue_max"), "{}", err(&bad));
+    let missing = run(DAEMON, &["--settings", "/nowhere/at/all", "--check"]).await;
+    assert!(err(&missing).starts_with("1001 SettingsUnreadable"));
+}
