One home in each zone of the servers; homes tell of free slots where it helps; overdue first

Change: homes follow the zones of the servers; a home with a queue tells the others, which answer with their free slots, within an allowance of 40 words a second; a hedge goes before the queue.

--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -30,6 +30,7 @@
 use crate::route::Door;
 use crate::route::Router;
 use crate::route::run_placement;
+use crate::route::run_tell;
 use crate::status::StatusPage;
 use crate::store::AnyStore;
 
@@ -116,6 +117,7 @@
         tasks.spawn(run_seat(Arc::clone(&board), store.clone(), seat.clone(), purse.clone()));
         tasks.spawn(run_prober(router.clone(), purse, seat));
         tasks.spawn(run_roster(Arc::clone(&board), store));
+        tasks.spawn(run_tell(router.clone()));
         tasks.spawn(tick(Arc::clone(&board)));
         tasks.spawn(tidy(Arc::clone(&board)));
         board.note(EventKind::Started);
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -27,6 +27,7 @@
 use crate::route::CloseReason;
 use crate::route::Router;
 use crate::route::Ticket;
+use crate::route::hear;
 
 /// Serves the peer listener; clones share.
 #[derive(Clone, Debug)]
@@ -65,10 +66,8 @@
     }
 
     fn load(&self, note: &LoadNote) -> PeerReply {
-        if let Some(state) = self.router.board.services().get(&note.service) {
-            state.core.note_free(note.from, note.free);
-        }
-        PeerReply::Done
+        let services = self.router.board.services();
+        PeerReply::Free(services.get(&note.service).map_or(0, |state| hear(state, note)))
     }
 
     fn leaving(&self, service: &str, server: &str, leaving: bool) -> PeerReply {
--- a/src/decide/homes.rs
+++ b/src/decide/homes.rs
@@ -3,7 +3,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// One more home for each so many slots; below, a small service keeps its few homes.
+/// One more home in a zone for each so many slots there.
 const SLOTS_PER_HOME: u32 = 64;
 const HOMES_MIN: usize = 2;
 
@@ -18,35 +18,39 @@
     xxh3_64_with_seed(name.as_bytes(), incarnation)
 }
 
-/// How many homes a service of this size has.
+/// How many homes each zone has that holds backend servers, from its slots.
 ///
-/// Two at least, so that one may fail; more only where slots need them, since each further home
-/// splits what is known of the servers.
-#[must_use]
-pub fn homes_wanted(slots: u32, candidates: usize) -> usize {
-    let by_size = slots.div_ceil(SLOTS_PER_HOME) as usize;
-    by_size.max(HOMES_MIN).min(candidates)
+/// One home per zone keeps its servers without a way between zones, on which slots would idle
+/// while answers travel; fewer homes lose to that, more split what is known of the servers
+/// (docs/MEASUREMENTS.md, "How many homes").
+fn wanted_in(slots: u32) -> usize {
+    (slots.div_ceil(SLOTS_PER_HOME) as usize).max(1)
 }
 
-/// The homes of a service by rendezvous hashing, each in another zone as long as there are
-/// zones without one. All instances that see the same members name the same homes, and a
-/// member that comes or goes moves only the homes it gains or loses.
+/// The homes of a service by rendezvous hashing, for `zone_slots`: its slots in each zone.
+///
+/// All instances that see the same members name the same homes, and a member that comes or goes
+/// moves only the homes that it gains or loses. There are two at least, so that one may fail.
 #[must_use]
 pub fn homes_of(
     service: &str,
     candidates: &[Candidate<'_>],
-    wanted: usize,
+    zone_slots: &[(&str, u32)],
 ) -> SmallVec<[usize; 8]> {
     let mut ranked: Vec<usize> = (0..candidates.len()).collect();
-    ranked.sort_by_key(|&at| std::cmp::Reverse(weight(service, candidates[at].incarnation)));
+    ranked.sort_by_cached_key(|&at| std::cmp::Reverse(weight(service, candidates[at].incarnation)));
     let mut homes: SmallVec<[usize; 8]> = SmallVec::new();
-    while homes.len() < wanted.min(ranked.len()) {
-        let used = |zone: &str| homes.iter().filter(|&&at| candidates[at].zone == zone).count();
-        let free = ranked.iter().filter(|at| !homes.contains(at));
-        let Some(&next) = free.min_by_key(|&&at| used(candidates[at].zone)) else {
+    for (zone, slots) in zone_slots {
+        let in_zone = ranked.iter().filter(|&&at| candidates[at].zone == *zone);
+        homes.extend(in_zone.take(wanted_in(*slots)).copied());
+    }
+    for at in ranked {
+        if homes.len() >= HOMES_MIN {
             break;
-        };
-        homes.push(next);
+        }
+        if !homes.contains(&at) {
+            homes.push(at);
+        }
     }
     homes
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -20,7 +20,6 @@
 pub use hedge::hedge_delay_us;
 pub use homes::Candidate;
 pub use homes::homes_of;
-pub use homes::homes_wanted;
 pub use homes::keepers_of;
 pub use quantile::Quantile;
 pub use retry::RETRY_SHARE;
--- a/src/model/service.rs
+++ b/src/model/service.rs
@@ -1,5 +1,7 @@
 //! A service and the rules for its requests.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -62,9 +64,13 @@
             .max_by_key(|kind| (kind.path_prefix.len(), kind.method.len()))
     }
 
-    /// Slots of all backend servers together.
+    /// Slots in each zone that holds backend servers, in the order of the zones' names.
     #[must_use]
-    pub fn slots(&self) -> u32 {
-        self.backend_servers.iter().map(|server| server.slots).sum()
+    pub fn zone_slots(&self) -> Vec<(&str, u32)> {
+        let mut slots: BTreeMap<&str, u32> = BTreeMap::new();
+        for server in &self.backend_servers {
+            *slots.entry(&server.zone).or_insert(0) += server.slots;
+        }
+        slots.into_iter().collect()
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -79,6 +79,8 @@
     Changes(Vec<(String, Versioned)>),
     /// Probes a second granted for each service asked, for the asker's `grant_ms` from asking.
     Granted(Vec<u32>),
+    /// Slots that the answering home has free.
+    Free(u32),
     /// The request was not served; a result code.
     Failed(u16),
 }
--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -52,11 +52,28 @@
     closed: u8,
 }
 
+/// What a waiting request gets.
+#[derive(Debug)]
+pub enum Offer {
+    Slot(Slot),
+    /// Another home told of free slots: try there.
+    Move,
+}
+
+/// Where a request stands in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Behind those that wait already.
+    Last,
+    /// Before them: it waited here before, or has been running too long elsewhere.
+    First,
+}
+
 #[derive(Debug)]
 struct Waiter {
     reach: Reach,
     avoid: SmallVec<[usize; 4]>,
-    sender: oneshot::Sender<Slot>,
+    sender: oneshot::Sender<Offer>,
 }
 
 #[derive(Debug)]
@@ -115,7 +132,7 @@
 /// A place in the queue, or the reason why there is none.
 #[derive(Debug)]
 pub enum Wait {
-    Queued { slot: oneshot::Receiver<Slot>, at_most: Duration },
+    Queued { offer: oneshot::Receiver<Offer>, at_most: Duration },
     Refused(Admission),
 }
 
@@ -189,22 +206,43 @@
         Some(self.slot(&desk, index, now))
     }
 
-    /// Takes a slot for a second attempt beside the one on `first`, inside the hedge budget.
-    #[must_use]
-    pub fn try_hedge(&self, reach: Reach, first: usize) -> Option<Slot> {
-        let now = now_us();
+    /// A place for a second attempt beside the one on `first`, inside the hedge budget. It comes
+    /// before those that wait: a request that has been running too long is nearer to its
+    /// caller's patience than they are, and the budget bounds how many overtake them.
+    pub fn hedge(&self, reach: Reach, first: usize) -> Option<oneshot::Receiver<Offer>> {
         let mut desk = self.desk.lock();
-        if !desk.pool.hedges.left() || desk.waiting.iter().any(|w| !w.sender.is_closed()) {
+        if !desk.pool.hedges.spend() {
             return None;
         }
-        let index = desk.pool.take(reach, &[first], now)?;
-        desk.pool.hedges.spend();
-        Some(self.slot(&desk, index, now))
+        let (sender, offer) = oneshot::channel();
+        let avoid = SmallVec::from_slice(&[first]);
+        desk.waiting.push_front(Waiter { reach, avoid, sender });
+        self.hand_out_from(desk);
+        Some(offer)
+    }
+
+    /// Tells up to `count` waiting requests that another home has slots free; the longest
+    /// waiting first.
+    pub fn offer_moves(&self, count: u32) {
+        let mut movers: SmallVec<[Waiter; 8]> = SmallVec::new();
+        let mut desk = self.desk.lock();
+        while movers.len() < count as usize {
+            let Some(waiter) = desk.waiting.pop_front() else {
+                break;
+            };
+            if !waiter.sender.is_closed() {
+                movers.push(waiter);
+            }
+        }
+        drop(desk);
+        for waiter in movers {
+            let _ = waiter.sender.send(Offer::Move);
+        }
     }
 
     /// Queues a request for a slot, or tells why it gets none.
     #[must_use]
-    pub fn wait(&self, reach: Reach, avoid: &[usize], left_us: u64) -> Wait {
+    pub fn wait(&self, reach: Reach, avoid: &[usize], order: Order, left_us: u64) -> Wait {
         let mut desk = self.desk.lock();
         desk.waiting.retain(|waiter| !waiter.sender.is_closed());
         let view = QueueView {
@@ -218,11 +256,15 @@
             Admission::Wait { at_most_us } => Duration::from_micros(at_most_us),
             refusal => return Wait::Refused(refusal),
         };
-        let (sender, slot) = oneshot::channel();
-        desk.waiting.push_back(Waiter { reach, avoid: avoid.into(), sender });
+        let (sender, offer) = oneshot::channel();
+        let waiter = Waiter { reach, avoid: avoid.into(), sender };
+        match order {
+            Order::Last => desk.waiting.push_back(waiter),
+            Order::First => desk.waiting.push_front(waiter),
+        }
         // A slot may have come free between the caller's try and now.
         self.hand_out_from(desk);
-        Wait::Queued { slot, at_most }
+        Wait::Queued { offer, at_most }
     }
 
     /// Whether a retry is within the budget; takes it out.
@@ -338,7 +380,7 @@
             return;
         }
         let now = now_us();
-        let mut ready: SmallVec<[(oneshot::Sender<Slot>, Slot); 4]> = SmallVec::new();
+        let mut ready: SmallVec<[(oneshot::Sender<Offer>, Slot); 4]> = SmallVec::new();
         let mut at = 0;
         while at < desk.waiting.len().min(OFFERS_MAX) {
             if desk.waiting[at].sender.is_closed() {
@@ -358,7 +400,7 @@
         drop(desk);
         for (sender, slot) in ready {
             // A receiver that is gone gives the slot back by dropping it.
-            let _ = sender.send(slot);
+            let _ = sender.send(Offer::Slot(slot));
         }
     }
 }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -10,6 +10,7 @@
 mod router;
 mod runner;
 mod service_state;
+mod tell;
 mod ticket;
 mod upstream;
 
@@ -26,6 +27,8 @@
 pub use places::run_placement;
 pub use router::Router;
 pub use service_state::ServiceState;
+pub use tell::hear;
+pub use tell::run_tell;
 pub use ticket::Ticket;
 pub use upstream::Conn;
 pub use upstream::Upstream;
--- a/src/route/places.rs
+++ b/src/route/places.rs
@@ -12,7 +12,6 @@
 use crate::board::ServiceMap;
 use crate::decide::Candidate;
 use crate::decide::homes_of;
-use crate::decide::homes_wanted;
 use crate::decide::keepers_of;
 use crate::member::MemberRow;
 use crate::model::Service;
@@ -36,8 +35,7 @@
             .iter()
             .map(|row| Candidate { incarnation: row.incarnation, zone: &row.zone })
             .collect();
-        let wanted = homes_wanted(service.slots(), candidates.len());
-        let picked = homes_of(&service.name, &candidates, wanted);
+        let picked = homes_of(&service.name, &candidates, &service.zone_slots());
         let home_candidates: SmallVec<[Candidate<'_>; 8]> =
             picked.iter().map(|&at| candidates[at]).collect();
         let servers: Vec<(&str, &str)> = service
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -14,6 +14,8 @@
 use super::attempt::Attempted;
 use super::attempt::attempt;
 use super::attempt::failure;
+use super::binder::Offer;
+use super::binder::Order;
 use super::binder::Wait;
 use crate::board::Counter;
 use crate::board::EventKind;
@@ -106,6 +108,7 @@
             let reply = self.links.pass(to.peer, &head, &ticket.body).await?;
             if let Some(state) = self.board.services().get(&ticket.service) {
                 state.core.note_free(to.incarnation, reply.head.free);
+                state.core.binder.offer_moves(reply.head.free);
             }
             Answer::passed(reply, buffer_bytes).await
         };
@@ -146,34 +149,65 @@
         if let Some(slot) = binder.try_take(reach, avoid) {
             return Place::Here(slot);
         }
-        if ticket.stage < Stage::Spill
-            && let Some(home) = self.co_home_for(state, binder.usable(reach))
-        {
-            self.board.counters.add(Counter::Spilled);
+        if let Some(home) = self.co_home_for(state, ticket, binder.usable(reach)) {
             return Place::CoHome(home);
         }
         // A home whose own servers are all gone, and which no co-home could help, uses any.
         let reach = if binder.usable(reach) { reach } else { Reach::All };
-        match binder.wait(reach, avoid, ticket.left_us()) {
-            Wait::Queued { slot, at_most } => {
-                self.board.counters.add(Counter::Queued);
-                match tokio::time::timeout(at_most, slot).await {
-                    Ok(Ok(slot)) => Place::Here(slot),
-                    _ => Place::Nowhere(Answer::not_run(Code::DeadlineInQueue, 100)),
+        self.board.counters.add(Counter::Queued);
+        self.wait_for_place(state, ticket, avoid, reach).await
+    }
+
+    /// Waits for a slot here, or for word that another home has one.
+    async fn wait_for_place(
+        &self,
+        state: &ServiceState,
+        ticket: &Ticket,
+        avoid: &[usize],
+        reach: Reach,
+    ) -> Place {
+        let mut order = Order::Last;
+        loop {
+            let (offer, at_most) =
+                match state.core.binder.wait(reach, avoid, order, ticket.left_us()) {
+                    Wait::Queued { offer, at_most } => (offer, at_most),
+                    Wait::Refused(admission) => return Place::Nowhere(refusal(admission)),
+                };
+            match tokio::time::timeout(at_most, offer).await {
+                Ok(Ok(Offer::Slot(slot))) => return Place::Here(slot),
+                Ok(Ok(Offer::Move)) => {
+                    if let Some(home) = self.co_home_for(state, ticket, true) {
+                        return Place::CoHome(home);
+                    }
+                    order = Order::First;
                 }
+                _ => return Place::Nowhere(Answer::not_run(Code::DeadlineInQueue, 100)),
             }
-            Wait::Refused(admission) => Place::Nowhere(refusal(admission)),
         }
     }
 
     /// A co-home that has slots free; or any, when this home has no server that it may use: the
-    /// request then waits there, with those that keep the servers.
-    fn co_home_for(&self, state: &ServiceState, own_usable: bool) -> Option<Arc<MemberRow>> {
-        let others = || state.homes.iter().filter(|h| h.incarnation != self.board.incarnation);
-        if !own_usable && state.am_home {
-            return others().next().cloned();
+    /// request then waits there, with those that keep the servers. A request that was passed
+    /// between homes already stays, so that none travels in circles.
+    fn co_home_for(
+        &self,
+        state: &ServiceState,
+        ticket: &Ticket,
+        own_usable: bool,
+    ) -> Option<Arc<MemberRow>> {
+        if ticket.stage >= Stage::Spill {
+            return None;
         }
-        others().find(|home| state.core.take_free(home.incarnation)).cloned()
+        let mut others = state.homes.iter().filter(|h| h.incarnation != self.board.incarnation);
+        let home = if !own_usable && state.am_home {
+            others.next()
+        } else {
+            others.find(|home| state.core.take_free(home.incarnation))
+        };
+        if home.is_some() {
+            self.board.counters.add(Counter::Spilled);
+        }
+        home.cloned()
     }
 
     /// One attempt, joined by a second when it takes too long and the hedge budget allows it.
@@ -191,7 +225,14 @@
             () = tokio::time::sleep(delay) => {}
         }
         let reach = if state.am_home { Reach::Kept } else { Reach::All };
-        let Some(slot) = binder.try_hedge(reach, index) else {
+        let Some(offer) = binder.hedge(reach, index) else {
+            return first.await;
+        };
+        let slot = tokio::select! {
+            answer = &mut first => return answer,
+            offer = offer => offer,
+        };
+        let Ok(Offer::Slot(slot)) = slot else {
             return first.await;
         };
         self.board.counters.add(Counter::Hedges);
--- a/src/route/service_state.rs
+++ b/src/route/service_state.rs
@@ -14,10 +14,18 @@
 /// What a co-home told of its free slots is worth nothing after this long.
 const CO_LOAD_AGE_MAX_MS: u64 = 300;
 
-#[derive(Clone, Copy, Debug)]
+/// A co-home that told of waiting requests is told of free slots for so long.
+const WAITING_AGE_MAX_MS: u64 = 50;
+const TELL_INTERVAL_MS: u64 = 10;
+
+#[derive(Clone, Copy, Debug, Default)]
 struct CoLoad {
     free: u32,
     at_ms: u64,
+    /// It told that requests wait there, at this time.
+    waiting_at_ms: u64,
+    /// When it was last told of this instance's load.
+    told_ms: u64,
 }
 
 /// What lasts while revisions and homes change; clones share.
@@ -34,8 +42,30 @@
 
     /// Takes note of the slots that a co-home has free.
     pub fn note_free(&self, incarnation: u64, free: u32) {
-        let load = CoLoad { free, at_ms: now_ms() };
-        self.co_loads.lock().insert(incarnation, load);
+        let mut loads = self.co_loads.lock();
+        let load = loads.entry(incarnation).or_default();
+        load.free = free;
+        load.at_ms = now_ms();
+    }
+
+    /// Takes note that requests wait at a co-home.
+    pub fn note_waiting(&self, incarnation: u64) {
+        self.co_loads.lock().entry(incarnation).or_default().waiting_at_ms = now_ms();
+    }
+
+    /// Whether word of this instance's load would help a co-home now: requests wait here or
+    /// there, and it was not told a moment ago. Counts it as told.
+    pub fn should_tell(&self, incarnation: u64, waiting_here: bool) -> bool {
+        let now = now_ms();
+        let mut loads = self.co_loads.lock();
+        let load = loads.entry(incarnation).or_default();
+        let waiting_there = now.saturating_sub(load.waiting_at_ms) <= WAITING_AGE_MAX_MS;
+        let due = now.saturating_sub(load.told_ms) >= TELL_INTERVAL_MS;
+        let tell = due && (waiting_here || waiting_there);
+        if tell {
+            load.told_ms = now;
+        }
+        tell
     }
 
     /// Counts one of the slots that a co-home was believed to have free as taken.
--- /dev/null
+++ b/src/route/tell.rs
@@ -0,0 +1,100 @@
+//! Word between the homes of a service about free slots, where it changes a decision.
+//!
+//! Homes say nothing while none of them has a queue. One that has asks the others; those tell of
+//! free slots until it has none any more. All words of an instance share one allowance, which
+//! keeps them within the control traffic that a node may send.
+
+use std::time::Duration;
+
+use super::Router;
+use super::ServiceState;
+use crate::clock::now_ms;
+use crate::member::MemberRow;
+use crate::peer::LoadNote;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+
+const TURN: Duration = Duration::from_millis(5);
+const TELL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Words a second, over all services: at about 90 bytes each, 3.6 KB of the 5 KB a second.
+const WORDS_PER_S: f64 = 40.0;
+/// Words that an instance may have saved.
+const WORDS_SAVED_MAX: f64 = 40.0;
+
+/// Words left to this instance.
+struct Allowance {
+    left: f64,
+    at_ms: u64,
+}
+
+impl Allowance {
+    fn take(&mut self) -> bool {
+        let now = now_ms();
+        #[expect(clippy::cast_precision_loss, reason = "milliseconds since the last turn")]
+        let earned = (now - self.at_ms) as f64 / 1000.0 * WORDS_PER_S;
+        self.left = (self.left + earned).min(WORDS_SAVED_MAX);
+        self.at_ms = now;
+        let has = self.left >= 1.0;
+        if has {
+            self.left -= 1.0;
+        }
+        has
+    }
+}
+
+async fn tell(router: Router, name: String, home: MemberRow, free: u32, waiting: u32) {
+    let from = router.board.incarnation;
+    let note = PeerRequest::Load(LoadNote { service: name.clone(), from, free, waiting });
+    let told = router.links.call(home.peer, &note, TELL_TIMEOUT).await;
+    if let Ok(PeerReply::Free(free)) = told
+        && let Some(state) = router.board.services().get(&name)
+    {
+        state.core.note_free(home.incarnation, free);
+        state.core.binder.offer_moves(free);
+    }
+}
+
+fn tell_others(router: &Router, state: &ServiceState, allowance: &mut Allowance) {
+    let (free, waiting) = state.core.binder.free_and_waiting();
+    if free == 0 && waiting == 0 {
+        return;
+    }
+    for home in &state.homes {
+        if home.incarnation == router.board.incarnation
+            || !state.core.should_tell(home.incarnation, waiting > 0)
+            || !allowance.take()
+        {
+            continue;
+        }
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let name = state.spec.name.clone();
+        tokio::spawn(tell(router.clone(), name, MemberRow::clone(home), free, waiting));
+    }
+}
+
+/// Takes another home's word in, and answers with the own free slots.
+pub fn hear(state: &ServiceState, note: &LoadNote) -> u32 {
+    let (free, waiting) = state.core.binder.free_and_waiting();
+    if note.waiting > 0 {
+        state.core.note_waiting(note.from);
+    }
+    state.core.note_free(note.from, note.free);
+    if waiting > 0 {
+        state.core.binder.offer_moves(note.free);
+    }
+    free
+}
+
+/// Tells the other homes of this instance's services what would help them.
+pub async fn run_tell(router: Router) {
+    let mut allowance = Allowance { left: WORDS_SAVED_MAX, at_ms: now_ms() };
+    loop {
+        tokio::time::sleep(TURN).await;
+        let services = router.board.services().clone();
+        for state in services.values() {
+            if state.am_home && state.homes.len() > 1 {
+                tell_others(&router, state, &mut allowance);
+            }
+        }
+    }
+}
