Keyed requests are never denied by who cannot know; records pass on through rolling restarts

Causes, found by reading the path of a keyed request as its caller would: - an instance that does not know the service told 'not-run' of a key that ran elsewhere; - a successor that left handed on its own record only, so after two planned stops in a row the outcome of a key was lost (unknown); - rows were cut into messages by number, so that large answers or declarations could exceed the frame limit and never arrive; - a server that stops in the middle of a large answer held its slot and its caller for ever; - every instance polled the platform's list, so that its reads grew with the fleet. Change: keyed refusals that do not know say 'unknown'; all books are handed on, each with its own window; parts by encoded size; the deadline holds for streamed bodies; only watchers poll, and tell their zone.

--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -116,7 +116,7 @@
         tasks.spawn(run_repair(Arc::clone(&board), links.clone()));
         tasks.spawn(run_seat(Arc::clone(&board), store.clone(), seat.clone(), purse.clone()));
         tasks.spawn(run_prober(router.clone(), purse, seat));
-        tasks.spawn(run_roster(Arc::clone(&board), store));
+        tasks.spawn(run_roster(Arc::clone(&board), store, links.clone()));
         tasks.spawn(run_tell(router.clone()));
         tasks.spawn(tick(Arc::clone(&board)));
         tasks.spawn(tidy(Arc::clone(&board)));
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -14,15 +14,17 @@
 use crate::measure::Purse;
 use crate::measure::Seat;
 use crate::measure::grant;
+use crate::measure::mark_listed;
 use crate::member::MemberRow;
 use crate::member::answer_ping;
-use crate::outcome::KeptRow;
+use crate::outcome::ClosedBook;
 use crate::peer::LoadNote;
 use crate::peer::PassHead;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::peer::PeerService;
 use crate::peer::ReplyHead;
+use crate::peer::parts;
 use crate::route::AnswerBody;
 use crate::route::CloseReason;
 use crate::route::Router;
@@ -86,15 +88,16 @@
         PeerReply::Done
     }
 
-    fn adopt(&self, from: u64, uptime_ms: u64, rows: Vec<KeptRow>, last: bool) -> PeerReply {
+    fn adopt(&self, part: ClosedBook, last: bool) -> PeerReply {
         let board = &self.router.board;
-        let told_born_ms = now_ms().saturating_sub(uptime_ms);
+        let from = part.incarnation;
+        let told_born_ms = now_ms().saturating_sub(part.uptime_ms);
         // The earlier of both is nearer to the truth: this message may have waited.
         let heard_born_ms = board.members.lock().born_ms(from).unwrap_or(told_born_ms);
-        let count = rows.len();
-        board.outcomes.adopt(from, told_born_ms.min(heard_born_ms), rows, last);
+        let rows = part.rows.len();
+        board.outcomes.adopt(part, told_born_ms.min(heard_born_ms), last);
         if last {
-            board.note(EventKind::Adopted { rows: count, from });
+            board.note(EventKind::Adopted { rows, from });
         }
         PeerReply::Done
     }
@@ -112,17 +115,23 @@
                 merge_rows(board, rows);
                 PeerReply::Done
             }
-            PeerRequest::Fetch(names) => PeerReply::Changes(board.catalog.lock().pick(&names)),
+            // What does not fit this answer is asked for again by the next repair.
+            PeerRequest::Fetch(names) => {
+                let rows = board.catalog.lock().pick(&names);
+                PeerReply::Changes(parts(&rows).into_iter().next().unwrap_or_default())
+            }
             PeerRequest::Load(note) => self.load(&note),
             PeerRequest::Leaving { service, server, leaving } => {
                 self.leaving(&service, &server, leaving)
             }
+            PeerRequest::Listed(leaving) => {
+                mark_listed(board, &leaving.into_iter().collect());
+                PeerReply::Done
+            }
             PeerRequest::Grant(asked) => {
                 PeerReply::Granted(grant(board, &self.seat, &self.purse, &asked))
             }
-            PeerRequest::HandOver { incarnation, uptime_ms, rows, last } => {
-                self.adopt(incarnation, uptime_ms, rows, last)
-            }
+            PeerRequest::HandOver { part, last } => self.adopt(part, last),
         }
     }
 
--- a/src/app/stop.rs
+++ b/src/app/stop.rs
@@ -1,5 +1,6 @@
 //! The planned stop of an instance, which cuts off no request.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::board::Blackboard;
@@ -8,13 +9,14 @@
 use crate::clock::now_ms;
 use crate::member::MemberState;
 use crate::member::announce;
+use crate::outcome::ClosedBook;
 use crate::outcome::KeptRow;
 use crate::peer::Links;
 use crate::peer::PeerRequest;
+use crate::peer::parts;
 use crate::route::Door;
 
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
-const ROWS_PER_MESSAGE: usize = 200;
 const TURN: Duration = Duration::from_millis(10);
 /// Added to the time that callers may keep an answer, for answers on their way.
 const KEEP_MARGIN_MS: u64 = 200;
@@ -51,31 +53,27 @@
         .iter()
         .filter(|row| row.incarnation != board.incarnation && row.state == MemberState::Alive);
     let successor = takers.max_by_key(|row| (row.zone == *own_zone, row.uptime_ms))?;
-    let rows = board.outcomes.close(board.incarnation);
-    let count = rows.len();
-    if !send_rows(board, links, successor.peer, rows).await {
-        return None;
+    let mut count = 0;
+    for book in board.outcomes.close() {
+        count += book.rows.len();
+        if !send_book(links, successor.peer, &book).await {
+            return None;
+        }
     }
     board.note(EventKind::HandedOver { rows: count, to: successor.incarnation });
     Some(successor.incarnation)
 }
 
-async fn send_rows(
-    board: &Blackboard,
-    links: &Links,
-    to: std::net::SocketAddr,
-    rows: Vec<KeptRow>,
-) -> bool {
-    let parts: Vec<&[KeptRow]> = rows.chunks(ROWS_PER_MESSAGE).collect();
-    let last_at = parts.len();
-    for (at, part) in parts.into_iter().chain([&[][..]]).enumerate() {
-        let uptime_ms = board.members.lock().own_row(now_ms()).uptime_ms;
-        let request = PeerRequest::HandOver {
-            incarnation: board.incarnation,
-            uptime_ms,
-            rows: part.to_vec(),
-            last: at == last_at,
-        };
+/// Sends a book in parts; the last, empty part tells that all rows were sent.
+async fn send_book(links: &Links, to: SocketAddr, book: &ClosedBook) -> bool {
+    let closed_ms = now_ms();
+    // A row whose answer fits no message goes without it: what counts is that the key ran.
+    let rows: Vec<KeptRow> = book.rows.iter().map(KeptRow::bounded).collect();
+    let parts = parts(&rows).into_iter().map(|rows| (rows, false));
+    for (rows, last) in parts.chain([(Vec::new(), true)]) {
+        let uptime_ms = book.uptime_ms + now_ms().saturating_sub(closed_ms);
+        let part = ClosedBook { uptime_ms, rows, ..*book };
+        let request = PeerRequest::HandOver { part, last };
         if links.call(to, &request, HAND_OVER_TIMEOUT).await.is_err() {
             return false;
         }
--- a/src/board/members_view.rs
+++ b/src/board/members_view.rs
@@ -5,6 +5,9 @@
 use crate::member::MemberRow;
 use crate::member::MemberState;
 
+/// Steps from an instance to who answers for it now; bounds what a faulty row can cost.
+const SUCCESSORS_MAX: usize = 16;
+
 /// The members as this instance believed them to be at one moment.
 #[derive(Clone, Debug, Default)]
 pub struct MembersView {
@@ -13,17 +16,20 @@
 }
 
 impl MembersView {
-    /// Who answers for the keys of `incarnation`: itself while it may answer, then its successor.
+    /// Who answers for the keys of `incarnation`: itself while it may answer, then its successor,
+    /// and so on: a successor that left handed on what it had taken over.
     #[must_use]
     pub fn answering_for(&self, incarnation: u64) -> Option<Arc<MemberRow>> {
-        let row = self.rows.iter().find(|row| row.incarnation == incarnation)?;
-        let successor = row.successor.filter(|_| row.state == MemberState::Left);
-        match successor {
-            // One step only: a successor that left as well took the rows with it, or handed on
-            // its own rows alone.
-            Some(next) => self.rows.iter().find(|row| row.incarnation == next).cloned(),
-            None => Some(Arc::clone(row)),
+        let find = |wanted| self.rows.iter().find(|row| row.incarnation == wanted);
+        let mut row = find(incarnation)?;
+        for _ in 0..SUCCESSORS_MAX {
+            let successor = row.successor.filter(|_| row.state == MemberState::Left);
+            match successor.and_then(find) {
+                Some(next) => row = next,
+                None => break,
+            }
         }
+        Some(Arc::clone(row))
     }
 
     /// Members that run, leaving ones included.
--- a/src/catalog/mod.rs
+++ b/src/catalog/mod.rs
@@ -16,3 +16,4 @@
 pub use watcher::SERVICES_PREFIX;
 pub use watcher::decode_entry;
 pub use watcher::run_watcher;
+pub use watcher::watches;
--- a/src/catalog/spread.rs
+++ b/src/catalog/spread.rs
@@ -13,10 +13,11 @@
 use crate::peer::Links;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::peer::parts;
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Rows in one message; keeps messages far below the limit of frames.
-const ROWS_PER_MESSAGE: usize = 64;
+/// Names in one message.
+const NAMES_PER_MESSAGE: usize = 64;
 /// Time between two repairs; with a push lost, this bounds how long an instance lags.
 const REPAIR_INTERVAL_MS: u64 = 1_500;
 
@@ -57,6 +58,7 @@
     if rows.is_empty() {
         return;
     }
+    let parts = parts(rows);
     let own_zone = &board.settings.instance.zone;
     let mut told_zones: Vec<String> = Vec::new();
     for row in others(board) {
@@ -66,8 +68,8 @@
             }
             told_zones.push(row.zone.clone());
         }
-        for part in rows.chunks(ROWS_PER_MESSAGE) {
-            let request = PeerRequest::Changes(part.to_vec());
+        for part in &parts {
+            let request = PeerRequest::Changes(part.clone());
             let links = links.clone();
             let address = row.peer;
             tokio::spawn(async move {
@@ -88,14 +90,14 @@
         let catalog = board.catalog.lock();
         (catalog.older_than(&summary), catalog.newer_than(&summary))
     };
-    for names in missing.chunks(ROWS_PER_MESSAGE) {
+    for names in missing.chunks(NAMES_PER_MESSAGE) {
         let request = PeerRequest::Fetch(names.to_vec());
         if let Ok(PeerReply::Changes(rows)) = links.call(peer.peer, &request, CALL_TIMEOUT).await {
             merge_rows(board, rows);
         }
     }
-    for rows in newer.chunks(ROWS_PER_MESSAGE) {
-        let request = PeerRequest::Changes(rows.to_vec());
+    for part in parts(&newer) {
+        let request = PeerRequest::Changes(part);
         let _ = links.call(peer.peer, &request, CALL_TIMEOUT).await;
     }
 }
--- a/src/catalog/watcher.rs
+++ b/src/catalog/watcher.rs
@@ -34,7 +34,8 @@
 ///
 /// Each counts the live members of its zone for itself. Where two disagree, one more or one
 /// fewer watches for a while, and the repair by digests covers what a zone misses meanwhile.
-fn watches(board: &Blackboard) -> bool {
+#[must_use]
+pub fn watches(board: &Blackboard) -> bool {
     let Some(platform) = &board.settings.platform else {
         return true;
     };
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -41,14 +41,12 @@
     KeyInProgress = 2009, "The request with this key still runs.", "Repeat later with the same key.";
     OutcomesFull = 2010, "The table of outcomes is full.", "Come back after the time given; raise `outcomes.rows_max`.";
     ClaimUnavailable = 2011, "The platform's store cannot say who owns a key without prefix.", "Repeat with the same key, or use a key prefix from the address answer.";
-    TooManyHops = 2012, "The request was passed between instances too often.", "Report it: instances disagree on the homes of a service.";
     BodyIncomplete = 2013, "The caller closed before its request was whole.", "Send the whole body.";
     QueueFull = 2101, "The queue of this service is full.", "Come back after the time given.";
     DeadlineInQueue = 2102, "No slot would be free before the deadline.", "Come back after the time given, or allow more time.";
     NoServer = 2103, "No backend server of this service may take work.", "Check drains and health of the backend servers.";
     Refused = 2104, "The backend server refused with an answer that the operator declared a refusal.", "Come back after the time given.";
     ConnectFailed = 2105, "No connection to a backend server could be opened.", "Check the backend server; come back after the time given.";
-    Stopping = 2106, "This instance is stopping and takes no new request.", "Use another address.";
     AnswerLost = 2201, "The connection was lost after the request was handed over; it may have run.", "Repeat with the same key if there is one; else ask the backing system.";
     AnswerTruncated = 2202, "The answer was cut short by the backend server.", "As for AnswerLost.";
     DeadlineAfterDispatch = 2203, "The deadline passed while the backend server worked; it may have run.", "Repeat with the same key, or allow more time.";
--- a/src/outcome/kept.rs
+++ b/src/outcome/kept.rs
@@ -43,3 +43,32 @@
     pub epoch: u64,
     pub kept: Kept,
 }
+
+/// Largest answer that is handed over.
+const HANDED_MAX_BYTES: usize = 512 << 10;
+
+impl KeptRow {
+    /// The row, without its answer if that is too large to be handed over.
+    #[must_use]
+    pub fn bounded(&self) -> Self {
+        let mut row = self.clone();
+        if let Kept::Answer(answer) = &row.kept
+            && answer.size_bytes() > HANDED_MAX_BYTES
+        {
+            row.kept = Kept::AnswerNotKept;
+        }
+        row
+    }
+}
+
+/// The record of one process's keys, or a part of it, on its way to a successor.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClosedBook {
+    /// Whose keys these are.
+    pub incarnation: u64,
+    /// Age of that process when this was sent.
+    pub uptime_ms: u64,
+    /// Epochs after which the sender refused a key.
+    pub window_epochs: u64,
+    pub rows: Vec<KeptRow>,
+}
--- a/src/outcome/mod.rs
+++ b/src/outcome/mod.rs
@@ -6,6 +6,7 @@
 mod table;
 
 pub use claims::claim;
+pub use kept::ClosedBook;
 pub use kept::Kept;
 pub use kept::KeptRow;
 pub use kept::WholeAnswer;
--- a/src/outcome/table.rs
+++ b/src/outcome/table.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
+use super::ClosedBook;
 use super::Kept;
 use super::KeptRow;
 use crate::clock::now_ms;
@@ -180,41 +181,39 @@
         });
     }
 
-    /// Closes the book of `own` and gives its rows out, for its successor. To be called when no
-    /// request is in flight any more.
+    /// Closes all books and gives them out, for a successor. To be called when no request is in
+    /// flight any more.
     #[must_use]
-    pub fn close(&self, own: u64) -> Vec<KeptRow> {
+    pub fn close(&self) -> Vec<ClosedBook> {
+        let now = now_ms();
         let mut books = self.books.lock();
-        let Some(book) = books.get_mut(&own) else {
-            return Vec::new();
-        };
-        book.closed = true;
-        let rows = book.rows.iter().map(|(key, tracked)| {
-            let kept = match &tracked.row {
-                // Its end will not be known to the successor, which must not run it.
-                Row::Running(_) => Kept::Unknown(Code::PeerLost),
-                Row::Done(kept) => kept.clone(),
-            };
-            KeptRow { key: key.clone(), epoch: tracked.epoch, kept }
+        let closed = books.iter_mut().map(|(incarnation, book)| {
+            book.closed = true;
+            ClosedBook {
+                incarnation: *incarnation,
+                uptime_ms: now.saturating_sub(book.born_ms),
+                window_epochs: book.window_epochs,
+                rows: book.rows.iter().map(|(key, tracked)| tracked.given_out(key)).collect(),
+            }
         });
-        rows.collect()
+        closed.collect()
     }
 
     /// Takes rows of a stopping instance in. Its keys run here only after the `last` rows are
     /// in: before that a key without row may be one whose row is still to come.
     ///
-    /// The window is one epoch shorter than the owner's, because `born_ms` may be later than
-    /// the true start by the time the message took.
-    pub fn adopt(&self, incarnation: u64, born_ms: u64, rows: Vec<KeptRow>, last: bool) {
+    /// The window is one epoch shorter than it was, because `born_ms` may be later than the true
+    /// start by the time the message took.
+    pub fn adopt(&self, part: ClosedBook, born_ms: u64, last: bool) {
         let mut books = self.books.lock();
-        let window_epochs = self.settings.window_epochs - 1;
-        let book = books.entry(incarnation).or_insert_with(|| {
+        let window_epochs = part.window_epochs.saturating_sub(1);
+        let book = books.entry(part.incarnation).or_insert_with(|| {
             let mut book = Book::new(born_ms, window_epochs);
             book.closed = true;
             book
         });
         book.born_ms = book.born_ms.min(born_ms);
-        for KeptRow { key, epoch, kept } in rows {
+        for KeptRow { key, epoch, kept } in part.rows {
             let kept = book.bounded(kept, self.settings.answers_max_bytes);
             book.rows.insert(key, Tracked { row: Row::Done(kept), epoch });
         }
@@ -224,6 +223,17 @@
     }
 }
 
+impl Tracked {
+    fn given_out(&self, key: &RowKey) -> KeptRow {
+        let kept = match &self.row {
+            // Its end will not be known to the successor, which must not run it.
+            Row::Running(_) => Kept::Unknown(Code::PeerLost),
+            Row::Done(kept) => kept.clone(),
+        };
+        KeptRow { key: key.clone(), epoch: self.epoch, kept }
+    }
+}
+
 impl Book {
     fn new(born_ms: u64, window_epochs: u64) -> Self {
         Self { rows: HashMap::new(), answers_bytes: 0, born_ms, window_epochs, closed: false }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -37,3 +37,29 @@
     }
     Ok(message)
 }
+
+/// Bytes of rows in one message; far below the limit, which the rest of a message needs too.
+const PART_MAX_BYTES: usize = 1 << 20;
+
+/// Splits rows so that each part fits a message. A row that fits none is in no part; the caller
+/// keeps rows below that size.
+#[must_use]
+pub fn parts<T: Serialize + Clone>(rows: &[T]) -> Vec<Vec<T>> {
+    let mut parts: Vec<Vec<T>> = Vec::new();
+    let mut room = 0;
+    for row in rows {
+        let size = encode(row).len();
+        if size > PART_MAX_BYTES {
+            continue;
+        }
+        if size > room {
+            parts.push(Vec::new());
+            room = PART_MAX_BYTES;
+        }
+        room -= size;
+        if let Some(part) = parts.last_mut() {
+            part.push(row.clone());
+        }
+    }
+    parts
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,7 +7,7 @@
 
 use crate::member::MemberRow;
 use crate::model::Versioned;
-use crate::outcome::KeptRow;
+use crate::outcome::ClosedBook;
 
 /// Slots that a home of a service has free, told to its other homes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -54,12 +54,12 @@
         server: String,
         leaving: bool,
     },
+    /// Backend servers that the platform lists as leaving, all of them.
+    Listed(Vec<SocketAddr>),
     Grant(GrantRequest),
     /// Outcomes of an instance that stops; the receiver answers for its keys from now on.
     HandOver {
-        incarnation: u64,
-        uptime_ms: u64,
-        rows: Vec<KeptRow>,
+        part: ClosedBook,
         last: bool,
     },
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,6 +11,7 @@
 pub use frame::FRAME_MAX_BYTES;
 pub use frame::decode;
 pub use frame::encode;
+pub use frame::parts;
 pub use link::PeerError;
 pub use links::Links;
 pub use listener::PeerListener;
--- a/src/route/answer.rs
+++ b/src/route/answer.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::RecvStream;
@@ -16,6 +17,7 @@
 use hyper::body::SizeHint;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::time::Sleep;
 
 use super::Conn;
 use super::Slot;
@@ -56,6 +58,8 @@
 pub enum BodyError {
     Upstream(hyper::Error),
     Peer(h2::Error),
+    /// It was not whole by the request's deadline.
+    Deadline,
 }
 
 impl std::fmt::Display for BodyError {
@@ -63,6 +67,7 @@
         match self {
             Self::Upstream(err) => write!(f, "backend server: {err}"),
             Self::Peer(err) => write!(f, "peer: {err}"),
+            Self::Deadline => f.write_str("deadline passed"),
         }
     }
 }
@@ -75,11 +80,15 @@
 pub struct UpstreamBody {
     incoming: Incoming,
     held: Option<(Slot, Conn)>,
+    /// The request's deadline holds for its whole answer: without it a server that stops in the
+    /// middle would keep its slot and its caller for ever.
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl UpstreamBody {
-    pub(super) const fn new(incoming: Incoming, slot: Slot, conn: Conn) -> Self {
-        Self { incoming, held: Some((slot, conn)) }
+    pub(super) fn new(incoming: Incoming, slot: Slot, conn: Conn, left: Duration) -> Self {
+        let deadline = Box::pin(tokio::time::sleep(left));
+        Self { incoming, held: Some((slot, conn)), deadline }
     }
 
     fn ended(&mut self, whole: bool) {
@@ -129,6 +138,10 @@
             Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
             Self::Upstream(body) => {
+                if body.deadline.as_mut().poll(cx).is_ready() {
+                    body.ended(false);
+                    return Poll::Ready(Some(Err(BodyError::Deadline)));
+                }
                 let polled = Pin::new(&mut body.incoming).poll_frame(cx);
                 match &polled {
                     Poll::Ready(None) => body.ended(true),
@@ -219,6 +232,13 @@
         Self::own(Outcome::NotRun, code, retry_after_ms)
     }
 
+    /// A request that goes no further from here. With a key it may be the repeat of one that ran
+    /// elsewhere, and `not-run` would be false of that.
+    #[must_use]
+    pub fn refused(code: Code, keyed: bool) -> Self {
+        if keyed { Self::unknown(code) } else { Self::not_run(code, 0) }
+    }
+
     /// The request may have run.
     #[must_use]
     pub fn unknown(code: Code) -> Self {
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -178,11 +178,11 @@
     let (parts, incoming) = response.into_parts();
     let headers = fields::header_map(&fields::travelling(&parts.headers));
     let size = incoming.size_hint().exact();
+    let left = Duration::from_micros(ticket.left_us());
     if size.is_none_or(|size| size > buffer_bytes as u64) {
-        let body = UpstreamBody::new(incoming, slot, conn);
+        let body = UpstreamBody::new(incoming, slot, conn, left);
         return Answer::ran(parts.status, headers, AnswerBody::Upstream(Box::new(body)));
     }
-    let left = Duration::from_micros(ticket.left_us());
     let Ok(collected) = tokio::time::timeout(left, incoming.collect()).await else {
         return Answer::unknown(Code::DeadlineAfterDispatch);
     };
--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -182,7 +182,11 @@
             desk.servers[at].upstream.set_open_max(open_max);
             desk.pool.loads_mut()[at].slots = server.slots;
             desk.pool.loads_mut()[at].kept = *kept;
-            desk.mark(at, CloseReason::Drained, server.drained);
+            let changed = desk.mark(at, CloseReason::Drained, server.drained);
+            if changed && !server.drained {
+                // The operator's word outweighs what the server said before.
+                desk.mark(at, CloseReason::Told, false);
+            }
         }
         self.hand_out_from(desk);
     }
--- a/src/route/door.rs
+++ b/src/route/door.rs
@@ -186,11 +186,12 @@
         }
         None => None,
     };
+    let keyed = key.is_some();
     let default_ms = router.board.services().get(&service).map_or(0, |s| s.spec.timeout_ms.into());
     let timeout_ms = match headers.get(fields::TIMEOUT_MS) {
         Some(value) => {
             let parsed = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
-            parsed.ok_or_else(|| Answer::not_run(Code::BadRequest, 0))?
+            parsed.ok_or_else(|| Answer::refused(Code::BadRequest, keyed))?
         }
         None => default_ms,
     };
@@ -198,9 +199,9 @@
     let body = match Limited::new(incoming, settings.body_limit_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(err) if err.is::<http_body_util::LengthLimitError>() => {
-            return Err(Answer::not_run(Code::BodyTooLarge, 0));
+            return Err(Answer::refused(Code::BodyTooLarge, keyed));
         }
-        Err(_) => return Err(Answer::not_run(Code::BodyIncomplete, 0)),
+        Err(_) => return Err(Answer::refused(Code::BodyIncomplete, keyed)),
     };
     let target = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
     Ok(Ticket {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -23,7 +23,7 @@
     /// Gives a request its final answer.
     pub async fn handle(&self, mut ticket: Ticket) -> Answer {
         let Some(state) = self.board.services().get(&ticket.service).cloned() else {
-            return Answer::not_run(Code::UnknownService, 0);
+            return Answer::refused(Code::UnknownService, ticket.key.is_some());
         };
         let kind = state.spec.kind_of(&ticket.method, ticket.path());
         // Two instances may have different revisions in force for a moment: a request is
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -216,6 +216,52 @@
     check(&bed, &told);
 }
 
+/// Story: instances are replaced one after the other in a rolling restart, each handing its
+/// record to the next. A shop repeats an order after two of them, and still gets its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn outcomes_survive_two_planned_stops_in_a_row() {
+    let mut bed = Bed::start(BedPlan { instances: 5, ..BedPlan::default() }).await;
+    bed.create("orders").await;
+    let addresses = bed.caller_addresses();
+    let caller = Caller::new("orders", "burnaby", &addresses);
+    let named = caller.addresses().await;
+    let call = order("rolled").with_key(&format!("{}-rolled", named[0].key_prefix));
+    let first = caller.call_at(named[0].address, &call).await;
+    assert_eq!(first.outcome(), "ran");
+    let mut owner = addresses.iter().position(|a| *a == named[0].address).expect("known");
+    for _ in 0..2 {
+        let own = bed.daemon(owner).board().incarnation;
+        bed.daemons[owner].take().expect("runs").stop().await;
+        let boards = bed.boards();
+        let taker = boards.iter().find(|board| board.outcomes.owns(own)).expect("a successor");
+        let at = bed.daemons.iter().position(|daemon| {
+            daemon.as_ref().is_some_and(|d| d.board().incarnation == taker.incarnation)
+        });
+        owner = at.expect("it runs");
+    }
+    for address in bed.caller_addresses() {
+        assert_eq!(caller.call_at(address, &call).await, first);
+    }
+    check(&bed, &HashMap::from([("rolled".to_owned(), vec![first])]));
+}
+
+/// Story: an instance that has not heard of the service yet (or not any more) is asked with a key
+/// whose order ran elsewhere. It must not tell "not run", which it does not know.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_does_not_know_the_service_denies_no_keyed_request() {
+    let bed = Bed::start(BedPlan::default()).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let (key, first) = caller.call_keyed(&order("known")).await;
+    assert_eq!(first.outcome(), "ran");
+    bed.door(0).delete("orders", 1).await.expect("deleted");
+    until("it is gone", async || bed.boards().iter().all(|b| b.services().is_empty())).await;
+    let again = caller.call(&order("known").with_key(&key.expect("a key"))).await;
+    assert_eq!((again.outcome(), again.code()), ("unknown", 2002));
+    let plain = caller.call(&order("never")).await;
+    assert_eq!((plain.outcome(), plain.code()), ("not-run", 2002));
+}
+
 /// Story: a till that was switched off repeats an order long after. The record of it is gone, so
 /// the order must neither run again nor be told not-run.
 #[tokio::test(flavor = "multi_thread")]
