--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,41 @@
+//! Times of the decisions; not part of CI's verdict.
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use sorrelwick::decide::Finish;
+use sorrelwick::decide::QueueView;
+use sorrelwick::decide::Reach;
+use sorrelwick::decide::ServerLoad;
+use sorrelwick::decide::SlotPool;
+use sorrelwick::decide::admit;
+
+fn decide(c: &mut Criterion) {
+    let mut group = c.benchmark_group("take and give back");
+    for servers in [6, 30, 100, 1_000] {
+        group.bench_function(BenchmarkId::from_parameter(servers), |b| {
+            let mut pool = SlotPool::new(vec![ServerLoad::warm(4); servers], 1);
+            let mut now_us = 1_000_000;
+            b.iter(|| {
+                now_us += 1;
+                let index = pool.take(Reach::Kept, &[], now_us).unwrap_or(0);
+                pool.finish(index, Finish::Answered { latency_us: 900 }, now_us);
+            });
+        });
+    }
+    group.finish();
+    c.bench_function("admit", |b| {
+        let view = QueueView {
+            waiting: 10,
+            waiting_max: 1_000,
+            slots: 120,
+            typical_us: 900.0,
+            left_us: 1_000_000,
+        };
+        b.iter(|| admit(std::hint::black_box(&view)));
+    });
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -24,6 +24,7 @@
 pub use door::Door;
 pub use fields::ADDRESSES_PATH;
 pub use places::Placement;
+pub use places::refresh;
 pub use places::run_placement;
 pub use router::Router;
 pub use service_state::ServiceState;
--- a/standins/src/backend/behaviour.rs
+++ b/standins/src/backend/behaviour.rs
@@ -23,6 +23,8 @@
     pub report_percent: AtomicU32,
     /// So many next answers are cut in the middle of the body.
     pub cut_bodies: AtomicU64,
+    /// Those answers are sent in chunks, without telling their length beforehand.
+    pub cut_chunked: AtomicBool,
     /// So many next requests are run, and the connection is closed without an answer.
     pub lose_answers: AtomicU64,
 }
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -195,7 +195,8 @@
 #[derive(Debug)]
 pub struct CutBody {
     first: Option<Bytes>,
-    len: u64,
+    /// Told beforehand; `None` for chunks.
+    len: Option<u64>,
     pause: std::pin::Pin<Box<tokio::time::Sleep>>,
 }
 
@@ -226,7 +227,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.len)
+        self.len.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
 
@@ -320,7 +321,8 @@
     }
     let body = body_for(&id, len.unwrap_or(shared.settings.body_bytes));
     if take_one(&behaviour.cut_bodies) {
-        let len = body.len() as u64;
+        let chunked = behaviour.cut_chunked.load(Ordering::Acquire);
+        let len = (!chunked).then_some(body.len() as u64);
         let cut = CutBody {
             first: Some(body.slice(..body.len() / 2)),
             len,
--- /dev/null
+++ b/standins/src/bed/fleet.rs
@@ -0,0 +1,105 @@
+//! Daemons in processes of their own, stand-ins in this one.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use sorrelwick::command::DoorClient;
+use sorrelwick::model::Service;
+use sorrelwick::operator::service_to_wire;
+use tempfile::TempDir;
+
+use super::Bed;
+use super::BedPlan;
+use super::DaemonProcess;
+use super::settings_for;
+use super::until;
+use crate::platform::ListedMachine;
+
+/// A running system whose instances are processes.
+#[derive(Debug)]
+pub struct Fleet {
+    pub bed: Bed,
+    pub daemons: Vec<DaemonProcess>,
+    _dir: TempDir,
+}
+
+impl Fleet {
+    /// Starts `daemons` processes of `program`, and waits until each knows all others.
+    ///
+    /// # Panics
+    /// When a part does not start.
+    pub async fn start(program: &Path, plan: BedPlan, daemons: usize) -> Self {
+        let bed = Bed::start(BedPlan { instances: 0, ..plan }).await;
+        let dir = tempfile::tempdir().expect("a directory");
+        let mut started = Vec::new();
+        for at in 0..daemons {
+            let settings = settings_for(&bed.plan, at, bed.platform().address());
+            let daemon = DaemonProcess::spawn(program, dir.path(), settings);
+            started.push(daemon.expect("the daemon starts"));
+        }
+        let fleet = Self { bed, daemons: started, _dir: dir };
+        fleet.list_daemons();
+        until("all processes joined", async || {
+            for at in 0..daemons {
+                if fleet.alive_seen_by(at).await != daemons {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+        fleet
+    }
+
+    fn list_daemons(&self) {
+        let listed = self.daemons.iter().map(|daemon| ListedMachine {
+            id: daemon.settings.instance.name.clone(),
+            ip: "127.0.0.1".into(),
+            port: daemon.settings.listen.peer.port(),
+            zone: daemon.settings.instance.zone.clone(),
+            leaving: false,
+        });
+        self.bed.state.set_list("sorrelwick", listed.collect());
+    }
+
+    /// The operators' door of one process.
+    ///
+    /// # Panics
+    /// Never: the address is one.
+    #[must_use]
+    pub fn door(&self, at: usize) -> DoorClient {
+        let address = self.daemons[at].settings.listen.operator;
+        DoorClient::open(&address.to_string(), "").expect("an address")
+    }
+
+    /// How many instances one process believes to be alive.
+    pub async fn alive_seen_by(&self, at: usize) -> usize {
+        let Ok(status) = self.door(at).status().await else {
+            return 0;
+        };
+        status.instances.iter().filter(|row| row.state == "alive").count()
+    }
+
+    /// Creates a service and waits until it is in force on all processes.
+    ///
+    /// # Panics
+    /// When the door refuses it.
+    pub async fn create(&self, service: &Service) {
+        self.door(0).put(&service_to_wire(service), 0).await.expect("accepted");
+        until("in force on all processes", async || {
+            for at in 0..self.daemons.len() {
+                if self.door(at).get(&service.name).await.is_err() {
+                    return false;
+                }
+            }
+            true
+        })
+        .await;
+    }
+
+    /// Caller addresses of all processes.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.settings.listen.caller).collect()
+    }
+}
--- a/standins/src/bed/process.rs
+++ b/standins/src/bed/process.rs
@@ -8,6 +8,19 @@
 
 use sorrelwick::conf::Settings;
 
+/// Positions in /proc/PID/stat behind the command's name.
+const USER_TICKS_AT: usize = 11;
+const SYSTEM_TICKS_AT: usize = 12;
+const MS_PER_TICK: u64 = 10;
+const KB_PER_PAGE: u64 = 4;
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    pub cpu_ms: u64,
+    pub resident_kb: u64,
+}
+
 /// A daemon process; killed when dropped.
 #[derive(Debug)]
 pub struct DaemonProcess {
@@ -49,6 +62,24 @@
         Ok(Self { child, settings })
     }
 
+    /// Processor time and memory so far; zeros once it is gone.
+    #[must_use]
+    pub fn usage(&self) -> Usage {
+        let read = |file: &str| {
+            let path = format!("/proc/{}/{file}", self.child.id());
+            std::fs::read_to_string(path).unwrap_or_default()
+        };
+        let stat = read("stat");
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+        let statm = read("statm");
+        let pages = statm.split_whitespace().nth(1).and_then(|f| f.parse::<u64>().ok());
+        Usage {
+            cpu_ms: (ticks(USER_TICKS_AT) + ticks(SYSTEM_TICKS_AT)) * MS_PER_TICK,
+            resident_kb: pages.unwrap_or(0) * KB_PER_PAGE,
+        }
+    }
+
     fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").arg(name).arg(id).status();
--- /dev/null
+++ b/tests/decisions.rs
@@ -0,0 +1,263 @@
+//! The decisions: against naive versions where they must agree, against the oracle and bounds of
+//! counts where they must win, and without allocation where requests pass.
+
+use sorrelwick::decide::Admission;
+use sorrelwick::decide::Finish;
+use sorrelwick::decide::QueueView;
+use sorrelwick::decide::RatioBudget;
+use sorrelwick::decide::Reach;
+use sorrelwick::decide::RetryView;
+use sorrelwick::decide::ServerLoad;
+use sorrelwick::decide::SlotPool;
+use sorrelwick::decide::admit;
+use sorrelwick::decide::choose;
+use sorrelwick::decide::may_retry;
+use sorrelwick::decide::naive;
+use standins::trial::Policy;
+use standins::trial::Scene;
+use standins::trial::ServiceSize;
+use standins::trial::TrialOutcome;
+use standins::trial::run_trial;
+
+mod common;
+
+use common::property;
+
+const NOW_US: u64 = 1_000_000_000;
+
+/// With nothing known but own requests in flight, and room everywhere, the choice is the naive
+/// least-in-flight one.
+#[test]
+fn choosing_agrees_with_least_in_flight_when_nothing_else_is_known() {
+    property(500, |u| {
+        let count = u.int_in_range(1..=40)?;
+        let mut loads = Vec::new();
+        for _ in 0..count {
+            let mut load = ServerLoad::warm(8);
+            load.in_flight = u.int_in_range(0..=7)?;
+            loads.push(load);
+        }
+        let in_flight: Vec<u32> = loads.iter().map(|load| load.in_flight).collect();
+        let ours = choose(&loads, Reach::Kept, &[], 0.0, u.choose_index(count)?, NOW_US);
+        let naive = naive::least_in_flight(&in_flight).expect("a server");
+        assert_eq!(in_flight[ours.expect("room everywhere")], in_flight[naive]);
+        Ok(())
+    });
+}
+
+/// No sequence of starts and ends gives out more slots than there are, or chooses a server that
+/// is closed, avoided or not kept.
+#[test]
+fn no_slot_is_given_out_twice_and_no_closed_server_is_chosen() {
+    property(300, |u| {
+        let mut loads = Vec::new();
+        for _ in 0..u.int_in_range(1..=8)? {
+            let mut load = ServerLoad::warm(u.int_in_range(1..=3)?);
+            load.closed = u.ratio(1, 5)?;
+            load.kept = !u.ratio(1, 5)?;
+            loads.push(load);
+        }
+        let mut pool = SlotPool::new(loads, 7);
+        let mut held = Vec::new();
+        let mut now_us = NOW_US;
+        for _ in 0..200 {
+            now_us += u.int_in_range(0..=3_000)?;
+            if u.ratio(1, 2)? {
+                let avoid = [u.int_in_range(0..=8)?];
+                if let Some(index) = pool.take(Reach::Kept, &avoid, now_us) {
+                    let load = &pool.loads()[index];
+                    assert!(load.kept && !load.closed && index != avoid[0]);
+                    assert!(load.in_flight <= load.slots);
+                    held.push(index);
+                }
+            } else if !held.is_empty() {
+                let index = held.swap_remove(u.choose_index(held.len())?);
+                let latency_us = u.int_in_range(1..=50_000)?;
+                let ends = [
+                    Finish::Answered { latency_us },
+                    Finish::Failed,
+                    Finish::Refused,
+                    Finish::Cancelled,
+                ];
+                pool.finish(index, *u.choose(&ends)?, now_us);
+            }
+            let in_flight: u32 = pool.loads().iter().map(|load| load.in_flight).sum();
+            assert_eq!(in_flight as usize, held.len());
+        }
+        Ok(())
+    });
+}
+
+/// Story: one of six servers fails each request at once and so always looks idle. It must not
+/// attract the traffic of all; and when all fail, not all may be ejected.
+#[test]
+fn a_server_that_fails_instantly_is_ejected_but_never_all() {
+    let mut pool = SlotPool::new(vec![ServerLoad::warm(4); 6], 1);
+    let mut to_failing = 0;
+    for turn in 0..2_000_u64 {
+        let now_us = NOW_US + turn * 200;
+        let index = pool.take(Reach::Kept, &[], now_us).expect("room");
+        to_failing += u64::from(index == 0);
+        let finish = if index == 0 { Finish::Failed } else { Finish::Answered { latency_us: 150 } };
+        pool.finish(index, finish, now_us + 150);
+    }
+    assert!(to_failing <= 10, "{to_failing} of 2,000 went to the failing server");
+    let mut pool = SlotPool::new(vec![ServerLoad::warm(4); 6], 1);
+    for turn in 0..500_u64 {
+        let now_us = NOW_US + turn * 200;
+        let index = pool.take(Reach::Kept, &[], now_us).expect("some server is always left");
+        pool.finish(index, Finish::Failed, now_us + 150);
+    }
+}
+
+/// Extra work is bounded by its share of the requests, whatever fails.
+#[test]
+fn extra_work_is_a_share_of_the_requests() {
+    property(200, |u| {
+        let mut budget = RatioBudget::new(0.02);
+        let requests = u.int_in_range(1..=5_000)?;
+        let mut spent = 0;
+        for _ in 0..requests {
+            budget.earn();
+            spent += u32::from(budget.spend());
+        }
+        assert!(f64::from(spent) <= 11.0 + 0.02 * f64::from(requests), "{spent} of {requests}");
+        Ok(())
+    });
+}
+
+/// What must not repeat is tried again only when it was not run.
+#[test]
+fn only_idempotent_or_not_run_is_tried_again() {
+    property(500, |u| {
+        let view = RetryView {
+            idempotent: u.arbitrary()?,
+            not_run: u.arbitrary()?,
+            attempts: u.int_in_range(0..=5)?,
+            left_us: u.arbitrary()?,
+            typical_us: 10.0,
+            budget_left: u.arbitrary()?,
+        };
+        if may_retry(&view) {
+            assert!(view.idempotent || view.not_run);
+            assert!(view.budget_left && view.attempts < 3);
+        }
+        Ok(())
+    });
+}
+
+/// Whoever is admitted to wait can run before the deadline as far as is known; whoever is not
+/// is told when to come back.
+#[test]
+fn nobody_waits_in_vain_and_everybody_refused_is_told_when() {
+    property(500, |u| {
+        let view = QueueView {
+            waiting: u.int_in_range(0..=2_000)?,
+            waiting_max: 1_000,
+            slots: u.int_in_range(0..=100)?,
+            typical_us: f32::from(u.arbitrary::<u16>()?),
+            left_us: u.int_in_range(0..=2_000_000)?,
+        };
+        match admit(&view) {
+            Admission::Wait { at_most_us } => {
+                assert!(view.slots > 0 && view.waiting < view.waiting_max);
+                assert!(at_most_us > 0 && at_most_us <= view.left_us);
+            }
+            Admission::QueueFull { retry_after_ms }
+            | Admission::TooLate { retry_after_ms }
+            | Admission::NoServer { retry_after_ms } => assert!(retry_after_ms > 0),
+        }
+        Ok(())
+    });
+}
+
+/// Taking and giving back a slot allocates nothing.
+#[test]
+fn choosing_allocates_nothing() {
+    let mut pool = SlotPool::new(vec![ServerLoad::warm(4); 1_000], 1);
+    let seen = allocation_counter::measure(|| {
+        for turn in 0..1_000 {
+            let now_us = NOW_US + turn * 100;
+            let index = pool.take(Reach::Kept, &[3], now_us).expect("room");
+            pool.finish(index, Finish::Answered { latency_us: 90 }, now_us + 90);
+        }
+    });
+    assert_eq!(seen.count_total, 0);
+}
+
+fn pair(scene: &Scene, policy: Policy) -> (TrialOutcome, TrialOutcome) {
+    (run_trial(scene, policy), run_trial(scene, Policy::Oracle))
+}
+
+fn scene(size: ServiceSize) -> Scene {
+    Scene { size, seconds: 20, ..Scene::default() }
+}
+
+/// Bounds for regressions, on seeded counts: the same on every run. The figures that they are
+/// drawn from are in docs/MEASUREMENTS.md.
+#[test]
+fn steady_load_stays_within_a_twentieth_of_the_oracle() {
+    for size in
+        [ServiceSize::Catalogue, ServiceSize::Portal, ServiceSize::Orders, ServiceSize::Filings]
+    {
+        for load in [0.5, 0.8] {
+            let scene = Scene { load, ..scene(size) };
+            let (ours, oracle) = pair(&scene, Policy::KeepersPullHedge);
+            assert!(ours.ms(0.99) <= 1.05 * oracle.ms(0.99), "{size:?} {load}: {}", ours.line(""));
+            assert_eq!(ours.refused, 0);
+            assert!(ours.per_thousand(ours.hedges + ours.retries) <= 50.0);
+        }
+    }
+}
+
+#[test]
+fn shifting_load_beats_the_naive_version_and_stays_near_the_oracle() {
+    for (size, of_naive, of_oracle) in [
+        (ServiceSize::Catalogue, 0.45, 1.4),
+        (ServiceSize::Portal, 0.45, 1.4),
+        (ServiceSize::Orders, 0.60, 1.65),
+        (ServiceSize::Filings, 0.60, 1.65),
+    ] {
+        let scene = Scene { slow_third: true, ..scene(size) };
+        let (ours, oracle) = pair(&scene, Policy::KeepersPullHedge);
+        let naive = run_trial(&scene, Policy::SprayRoundRobin);
+        let line = format!("{size:?}: {}", ours.line(""));
+        assert!(ours.ms(0.99) <= of_naive * naive.ms(0.99), "{line}");
+        assert!(ours.ms(0.99) <= of_oracle * oracle.ms(0.99), "{line}");
+        assert!(ours.ms(0.999) <= 2.5 * oracle.ms(0.999), "{line}");
+        assert!(ours.per_thousand(ours.hedges + ours.retries) <= 50.0, "{line}");
+    }
+}
+
+#[test]
+fn uneven_callers_cost_at_most_a_tenth_more() {
+    for size in [ServiceSize::Catalogue, ServiceSize::Portal] {
+        let even = run_trial(&scene(size), Policy::KeepersPullHedge);
+        let zones = [0.60, 0.25, 0.15];
+        let uneven = run_trial(&Scene { zones, ..scene(size) }, Policy::KeepersPullHedge);
+        assert!(uneven.ms(0.99) <= 1.1 * even.ms(0.99), "{size:?}: {}", uneven.line(""));
+    }
+}
+
+/// Story: for ten seconds half as much again arrives as the servers can do. They stay busy with
+/// work that counts, the rest is refused at once, and when it is over nobody waits for long.
+#[test]
+fn overload_is_refused_and_over_when_it_is_over() {
+    let scene = Scene { overload_s: Some((5, 15, 1.5)), ..scene(ServiceSize::Catalogue) };
+    let ours = run_trial(&scene, Policy::KeepersPullHedge);
+    assert!(ours.refused > 0);
+    assert!(ours.recovery_ms > 0 && ours.recovery_ms < 3_000, "{} ms", ours.recovery_ms);
+    // 120 slots of 10 ms: 12,000 a second for 10 s, and 80% of that for the other 8 counted.
+    let capacity = 12_000.0 * (10.0 + 0.8 * 8.0);
+    let goodput = f64::from(u32::try_from(ours.answered).unwrap_or(u32::MAX)) / capacity;
+    assert!(goodput >= 0.95, "goodput {goodput}");
+}
+
+#[test]
+fn one_failing_server_costs_almost_no_answer() {
+    let scene = Scene { failing_server: true, load: 0.5, ..scene(ServiceSize::Orders) };
+    let ours = run_trial(&scene, Policy::KeepersPullHedge);
+    let naive = run_trial(&scene, Policy::SprayRoundRobin);
+    assert!(ours.per_thousand(ours.failed) < 2.0, "{} failed", ours.failed);
+    assert!(naive.per_thousand(naive.failed) > 100.0, "the scene must hurt the naive version");
+}
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,96 +1,23 @@
 //! Separate daemon processes under signals: a kill that is a kill, a freeze that is a freeze.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use sorrelwick::command::DoorClient;
 use sorrelwick::operator::service_to_wire;
 use standins::bed::Bed;
 use standins::bed::BedPlan;
-use standins::bed::DaemonProcess;
-use standins::bed::settings_for;
+use standins::bed::Fleet;
 use standins::bed::until;
 use standins::caller::Call;
 use standins::caller::Caller;
 use standins::caller::Told;
-use standins::platform::ListedMachine;
 use tokio::task::JoinSet;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_sorrelwickd");
 const BYTES: usize = 100;
 
-/// Stand-ins in this process, daemons in processes of their own.
-struct Fleet {
-    bed: Bed,
-    daemons: Vec<DaemonProcess>,
-    _dir: tempfile::TempDir,
-}
-
-impl Fleet {
-    async fn start(plan: BedPlan, daemons: usize) -> Self {
-        let bed = Bed::start(BedPlan { instances: 0, ..plan }).await;
-        let dir = tempfile::tempdir().expect("a directory");
-        let mut started = Vec::new();
-        for at in 0..daemons {
-            let settings = settings_for(&bed.plan, at, bed.platform().address());
-            let daemon = DaemonProcess::spawn(Path::new(PROGRAM), dir.path(), settings);
-            started.push(daemon.expect("the daemon starts"));
-        }
-        let fleet = Self { bed, daemons: started, _dir: dir };
-        let listed = fleet.daemons.iter().map(|daemon| ListedMachine {
-            id: daemon.settings.instance.name.clone(),
-            ip: "127.0.0.1".into(),
-            port: daemon.settings.listen.peer.port(),
-            zone: daemon.settings.instance.zone.clone(),
-            leaving: false,
-        });
-        fleet.bed.state.set_list("sorrelwick", listed.collect());
-        until("all processes joined", async || {
-            for at in 0..daemons {
-                if fleet.alive_seen_by(at).await != daemons {
-                    return false;
-                }
-            }
-            true
-        })
-        .await;
-        fleet
-    }
-
-    fn door(&self, at: usize) -> DoorClient {
-        let address = self.daemons[at].settings.listen.operator;
-        DoorClient::open(&address.to_string(), "").expect("an address")
-    }
-
-    async fn alive_seen_by(&self, at: usize) -> usize {
-        let Ok(status) = self.door(at).status().await else {
-            return 0;
-        };
-        status.instances.iter().filter(|row| row.state == "alive").count()
-    }
-
-    async fn create(&self, name: &str) {
-        let service = self.bed.service(name);
-        self.door(0).put(&service_to_wire(&service), 0).await.expect("accepted");
-        until("in force on all processes", async || {
-            for at in 0..self.daemons.len() {
-                if self.door(at).get(name).await.is_err() {
-                    return false;
-                }
-            }
-            true
-        })
-        .await;
-    }
-
-    fn callers(&self) -> Vec<SocketAddr> {
-        self.daemons.iter().map(|daemon| daemon.settings.listen.caller).collect()
-    }
-}
-
 fn check(bed: &Bed, told: &HashMap<String, Vec<Told>>) {
     let counts = bed.run_counts();
     for (id, answers) in told {
@@ -133,8 +60,8 @@
 /// goes down at the same moment. Shops repeat their orders at the others: no order runs twice.
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_in_the_middle_of_orders_with_the_store_down() {
-    let mut fleet = Fleet::start(BedPlan::default(), 4).await;
-    fleet.create("orders").await;
+    let mut fleet = Fleet::start(Path::new(PROGRAM), BedPlan::default(), 4).await;
+    fleet.create(&fleet.bed.service("orders")).await;
     let told = {
         let sending = orders(&fleet, 1, "k", 60);
         tokio::pin!(sending);
@@ -156,8 +83,8 @@
 /// goes on with its own, and is believed to be alive again.
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_until_given_up_and_woken() {
-    let fleet = Fleet::start(BedPlan::default(), 4).await;
-    fleet.create("orders").await;
+    let fleet = Fleet::start(Path::new(PROGRAM), BedPlan::default(), 4).await;
+    fleet.create(&fleet.bed.service("orders")).await;
     let sending = orders(&fleet, 2, "z", 40);
     tokio::pin!(sending);
     let early = tokio::time::timeout(Duration::from_millis(40), &mut sending).await;
@@ -181,8 +108,8 @@
 /// under steady load. It ends with code 0, and no request is cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_signals_to_stop_cut_off_nothing() {
-    let mut fleet = Fleet::start(BedPlan::default(), 4).await;
-    fleet.create("orders").await;
+    let mut fleet = Fleet::start(Path::new(PROGRAM), BedPlan::default(), 4).await;
+    fleet.create(&fleet.bed.service("orders")).await;
     let callers: Vec<Caller> = ["burnaby", "surrey", "richmond"]
         .iter()
         .map(|zone| Caller::new("orders", zone, &fleet.callers()))
@@ -216,7 +143,7 @@
     const BUDGET: u32 = 8;
     let mut plan = BedPlan::default();
     plan.measuring.seats = 4;
-    let fleet = Fleet::start(plan, 3).await;
+    let fleet = Fleet::start(Path::new(PROGRAM), plan, 3).await;
     let mut service = fleet.bed.service("orders");
     service.measuring_budget_per_s = BUDGET;
     fleet.door(0).put(&service_to_wire(&service), 0).await.expect("accepted");
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -47,7 +47,8 @@
     let bed = Bed::start(BedPlan { backends: 1, ..BedPlan::default() }).await;
     bed.create("portal").await;
     let target = format!("/list?bytes={LARGE_BYTES}&work_us=100");
-    for at in 0..3 {
+    for (at, chunked) in [(0, false), (1, false), (2, false), (0, true), (1, true), (2, true)] {
+        bed.backends[0].behaviour.cut_chunked.store(chunked, Ordering::Release);
         let caller = bed.caller("portal", at);
         let whole = caller.call(&Call::get(&target, "whole")).await;
         assert_eq!(whole.body(), &body_for("whole", LARGE_BYTES)[..]);
@@ -121,3 +122,33 @@
         bed.caller("odd", 0).call(&Call { body: Bytes::from("x"), ..Call::post("/", "p") }).await;
     assert_eq!((told.outcome(), told.code()), ("unknown", 2202));
 }
+
+/// Story: a server sends the first half of a large list and then nothing, for ever. The caller
+/// must not wait for ever, nor take the half for the whole, and the slot must come back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_that_stops_in_the_middle_ends_with_its_deadline() {
+    use tokio::io::AsyncReadExt;
+    use tokio::io::AsyncWriteExt;
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let mut held = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut seen = [0; 4096];
+            let _ = stream.read(&mut seen).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BYTES}\r\n\r\nhalf");
+            let _ = stream.write_all(head.as_bytes()).await;
+            held.push(stream);
+        }
+    });
+    let bed = Bed::start(BedPlan { backends: 1, instances: 1, ..BedPlan::default() }).await;
+    let mut service = bed.service("odd");
+    service.backend_servers[0].address = address;
+    let revision = bed.put(0, &service, 0).await.expect("accepted");
+    bed.until_in_force("odd", revision).await;
+    let told = bed.caller("odd", 0).call(&Call::post("/", "s").within_ms(300)).await;
+    assert_eq!(told, Told::Broken);
+    let state = bed.boards()[0].services().get("odd").cloned().expect("in force");
+    standins::bed::until("the slot is back", async || state.core.binder.free_and_waiting().0 == 4)
+        .await;
+}
