--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -302,10 +302,11 @@
             }
             passed
         };
+        #[expect(clippy::cast_precision_loss, reason = "a ratio to print")]
+        let us_a_request = (after - before) as f64 * 1e3 / requests as f64;
         println!(
-            "  {rate:>6}/s: {:>6.1} us a request, {} of {requests} right, {passed} passed between \
+            "  {rate:>6}/s: {us_a_request:>6.1} us a request, {} of {requests} right, {passed} passed between \
              instances, p99 {:.2} ms",
-            (after - before) as f64 * 1e3 / requests as f64,
             summary.right,
             summary.quantile_ms(0.99),
         );
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod route;
 pub mod status;
 pub mod store;
+pub mod task;
--- a/src/operator/door.rs
+++ b/src/operator/door.rs
@@ -1,7 +1,6 @@
 //! The listener of the operators' door.
 
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 use tonic::Request;
 use tonic::Status;
 use tonic::transport::Server;
@@ -14,6 +13,7 @@
 use crate::errors::Coded;
 use crate::r#gen::operator_server::OperatorServer;
 use crate::route::Router;
+use crate::task::TaskGuard;
 
 /// Metadata field of the operator's token.
 pub const TOKEN_FIELD: &str = "authorization";
@@ -22,13 +22,7 @@
 /// The operators' door, open until it is dropped.
 #[derive(Debug)]
 pub struct OperatorDoor {
-    task: JoinHandle<()>,
-}
-
-impl Drop for OperatorDoor {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    _task: TaskGuard,
 }
 
 /// Compares in a time that does not depend on where the texts differ.
@@ -63,12 +57,12 @@
             .max_concurrent_streams(REQUESTS_MAX)
             .add_service(service)
             .serve_with_incoming(incoming);
-        let task = tokio::spawn(async move {
+        let task = TaskGuard::spawn(async move {
             // Ends only when the listener does; the daemon itself goes on serving callers.
             if let Err(err) = serving.await {
                 log::error!("operators' door: {err}");
             }
         });
-        Self { task }
+        Self { _task: task }
     }
 }
--- a/src/peer/listener.rs
+++ b/src/peer/listener.rs
@@ -16,7 +16,6 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
-use tokio::task::JoinHandle;
 
 use super::PassHead;
 use super::PeerReply;
@@ -30,6 +29,7 @@
 use super::link::read_chunk;
 use super::link::read_head;
 use crate::route::AnswerBody;
+use crate::task::TaskGuard;
 
 const CONNECTIONS_MAX: usize = 4_096;
 /// A connection that has not proved itself within this is closed.
@@ -58,20 +58,14 @@
 /// A listener that runs until it is dropped; connections accepted go on.
 #[derive(Debug)]
 pub struct PeerListener {
-    task: JoinHandle<()>,
-}
-
-impl Drop for PeerListener {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    _task: TaskGuard,
 }
 
 impl PeerListener {
     /// Accepts links on `listener`, each end proving `secret`.
     pub fn spawn<S: PeerService>(listener: TcpListener, secret: Arc<str>, service: S) -> Self {
-        let task = tokio::spawn(accept_all(listener, secret, service));
-        Self { task }
+        let task = TaskGuard::spawn(accept_all(listener, secret, service));
+        Self { _task: task }
     }
 }
 
--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -213,6 +213,7 @@
     /// A place for a second attempt beside the one on `first`, inside the hedge budget. It comes
     /// before those that wait: a request that has been running too long is nearer to its
     /// caller's patience than they are, and the budget bounds how many overtake them.
+    #[must_use]
     pub fn hedge(&self, reach: Reach, first: usize) -> Option<oneshot::Receiver<Offer>> {
         let mut desk = self.desk.lock();
         if !desk.pool.hedges.spend() {
--- a/src/route/door.rs
+++ b/src/route/door.rs
@@ -19,7 +19,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 
 use super::Answer;
 use super::AnswerBody;
@@ -37,6 +36,7 @@
 use crate::outcome::Key;
 use crate::outcome::KeyPrefix;
 use crate::peer::Stage;
+use crate::task::TaskGuard;
 
 /// A caller that has not sent its header fields within this is cut off.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -47,7 +47,7 @@
 /// The callers' listener, running until it is stopped.
 #[derive(Debug)]
 pub struct Door {
-    accepting: JoinHandle<()>,
+    accepting: TaskGuard,
     stop: watch::Sender<bool>,
     permits: Arc<Semaphore>,
     permits_max: usize,
@@ -77,15 +77,15 @@
         let permits_max = router.board.settings.requests.connections_max;
         let permits = Arc::new(Semaphore::new(permits_max));
         let (stop, stopped) = watch::channel(false);
-        let accepting = tokio::spawn(accept_all(listener, router, Arc::clone(&permits), stopped));
+        let accepting =
+            TaskGuard::spawn(accept_all(listener, router, Arc::clone(&permits), stopped));
         Self { accepting, stop, permits, permits_max }
     }
 
     /// Accepts no further connection, lets each open one finish the request it is in, and
     /// returns when all are closed.
     pub async fn stop(self) {
-        self.accepting.abort();
-        let _ = self.accepting.await;
+        self.accepting.end().await;
         self.stop.send_replace(true);
         let all = u32::try_from(self.permits_max).unwrap_or(u32::MAX);
         // Fails only for a closed semaphore, and this one is never closed.
--- a/src/route/service_state.rs
+++ b/src/route/service_state.rs
@@ -55,13 +55,13 @@
 
     /// Whether word of this instance's load would help a co-home now: requests wait here or
     /// there, and it was not told a moment ago. Counts it as told.
-    pub fn should_tell(&self, incarnation: u64, waiting_here: bool) -> bool {
+    pub fn should_tell(&self, incarnation: u64, waits_here: bool) -> bool {
         let now = now_ms();
         let mut loads = self.co_loads.lock();
         let load = loads.entry(incarnation).or_default();
-        let waiting_there = now.saturating_sub(load.waiting_at_ms) <= WAITING_AGE_MAX_MS;
+        let co_home_waits = now.saturating_sub(load.waiting_at_ms) <= WAITING_AGE_MAX_MS;
         let due = now.saturating_sub(load.told_ms) >= TELL_INTERVAL_MS;
-        let tell = due && (waiting_here || waiting_there);
+        let tell = due && (waits_here || co_home_waits);
         if tell {
             load.told_ms = now;
         }
--- a/src/route/tell.rs
+++ b/src/route/tell.rs
@@ -73,6 +73,7 @@
 }
 
 /// Takes another home's word in, and answers with the own free slots.
+#[must_use]
 pub fn hear(state: &ServiceState, note: &LoadNote) -> u32 {
     let (free, waiting) = state.core.binder.free_and_waiting();
     if note.waiting > 0 {
--- a/src/status/page.rs
+++ b/src/status/page.rs
@@ -12,22 +12,16 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use tokio::net::TcpListener;
-use tokio::task::JoinHandle;
 
 use super::Metrics;
 use crate::board::Blackboard;
 use crate::board::Phase;
+use crate::task::TaskGuard;
 
 /// The status listener, open until it is dropped.
 #[derive(Debug)]
 pub struct StatusPage {
-    task: JoinHandle<()>,
-}
-
-impl Drop for StatusPage {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
+    _task: TaskGuard,
 }
 
 /// Answers 200 while the process runs at all.
@@ -73,12 +67,12 @@
             .push(Router::with_path("health").get(Health))
             .push(Router::with_path("ready").get(Readiness(board)))
             .push(Router::with_path("metrics").get(MetricsText(metrics)));
-        let task = tokio::spawn(async move {
+        let task = TaskGuard::spawn(async move {
             let Ok(acceptor) = TcpAcceptor::try_from(listener) else {
                 return;
             };
             Server::new(acceptor).serve(router).await;
         });
-        Self { task }
+        Self { _task: task }
     }
 }
--- a/standins/src/trial/model.rs
+++ b/standins/src/trial/model.rs
@@ -172,9 +172,9 @@
     let candidates: Vec<Candidate<'_>> = (0..count)
         .map(|at| Candidate { incarnation: at as u64 + 1, zone: zone_names[at % ZONES] })
         .collect();
-    let named: Vec<(&str, &str)> =
+    let placed: Vec<(&str, &str)> =
         names.iter().zip(servers).map(|(id, s)| (id.as_str(), zone_names[s.zone])).collect();
-    let keepers = keepers_of(&named, &candidates);
+    let keepers = keepers_of(&placed, &candidates);
     (0..count)
         .map(|at| {
             let loads = servers.iter().zip(&keepers).map(|(server, keeper)| {
--- a/tests/doors.rs
+++ b/tests/doors.rs
@@ -153,7 +153,7 @@
 async fn status_tells_health_readiness_and_metrics() {
     let mut bed = Bed::start(BedPlan { instances: 1, ..BedPlan::default() }).await;
     bed.create("orders").await;
-    let board = bed.boards()[0].clone();
+    let board = std::sync::Arc::clone(&bed.boards()[0]);
     raw(bed.caller_addresses()[0], &get("x-request-id: m\r\n")).await;
     let page = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: s\r\nconnection: close\r\n\r\n");
     let status = board.settings.listen.status;
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -51,9 +51,9 @@
     assert_eq!(out(&again), "nothing to change\n");
     declare(dir.path(), "orders", 300);
     let changed = run(TOOL, &["--door", &door, "--json", "plan", path]).await;
-    let changes: serde_json::Value = serde_json::from_str(&out(&changed)).expect("JSON");
-    assert_eq!(changes[0]["lines"][0], "~ timeout_ms: 200 -> 300");
-    assert_eq!(changes[0]["expected_revision"], 1);
+    let rows: serde_json::Value = serde_json::from_str(&out(&changed)).expect("JSON");
+    assert_eq!(rows[0]["lines"][0], "~ timeout_ms: 200 -> 300");
+    assert_eq!(rows[0]["expected_revision"], 1);
     let file = dir.path().join("orders.json5");
     let file = file.to_str().expect("a path");
     let stale =
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -136,8 +136,8 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut seen = [0; 4096];
             let _ = stream.read(&mut seen).await;
-            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BYTES}\r\n\r\nhalf");
-            let _ = stream.write_all(head.as_bytes()).await;
+            let start = format!("HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BYTES}\r\n\r\nhalf");
+            let _ = stream.write_all(start.as_bytes()).await;
             held.push(stream);
         }
     });
