--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -1,5 +1,5 @@
 //! What the path adds: the same calls straight to the backend server and through an instance in
-//! the same zone, in turn, in the same run. The instance is a process of its own.
+//! the same zone, and through a relay that only copies bytes, in turn, in the same run. The instance is a process of its own.
 
 use std::net::SocketAddr;
 use std::path::Path;
@@ -15,8 +15,6 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
-const WORK_US: u64 = 2_000;
-
 /// Compares direct calls with calls through sorrelwick.
 #[derive(Debug, Parser)]
 struct Args {
@@ -28,11 +26,17 @@
     rate: u64,
     #[arg(long, default_value_t = 6_000)]
     requests: u64,
+    /// Time of work at the backend server. It sleeps on a timer of one millisecond, whose steps
+    /// blur the difference; without work it answers at once.
+    #[arg(long, default_value_t = 0)]
+    work_us: u64,
 }
 
-async fn timed(caller: Caller, address: SocketAddr, call: Call, due: Instant) -> Option<u64> {
+async fn timed(caller: Caller, address: SocketAddr, call: Call) -> Option<u64> {
+    // From when it is sent: both ways share the lateness of this process's own timer.
+    let start = Instant::now();
     let told = caller.call_at(address, &call).await;
-    let us = u64::try_from(due.elapsed().as_micros()).ok()?;
+    let us = u64::try_from(start.elapsed().as_micros()).ok()?;
     (told.body().len() == 200).then_some(us)
 }
 
@@ -57,6 +61,28 @@
     );
 }
 
+/// The least that a hop can do, to tell the path's own cost from the machine's: it copies bytes,
+/// on a runtime of its own.
+fn spawn_relay(to: SocketAddr) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    listener.set_nonblocking(true).expect("a socket");
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+            while let Ok((mut from, _)) = listener.accept().await {
+                tokio::spawn(async move {
+                    let mut to = tokio::net::TcpStream::connect(to).await.ok()?;
+                    let _ = (from.set_nodelay(true), to.set_nodelay(true));
+                    tokio::io::copy_bidirectional(&mut from, &mut to).await.ok()
+                });
+            }
+        });
+    });
+    address
+}
+
 #[tokio::main]
 async fn main() {
     let args = Args::parse();
@@ -67,21 +93,29 @@
     let direct_address = fleet.bed.backends[0].address();
     let through_address = fleet.callers()[0];
     let caller = Caller::new("orders", "burnaby", &[through_address]);
-    let target = format!("/x?bytes=200&work_us={WORK_US}");
-    let (mut direct, mut through) = (JoinSet::new(), JoinSet::new());
-    let gap = Duration::from_micros(500_000 / args.rate);
+    let target = format!("/x?bytes=200&work_us={}", args.work_us);
+    let relay_address = spawn_relay(direct_address);
+    let (mut direct, mut relay, mut through) = (JoinSet::new(), JoinSet::new(), JoinSet::new());
+    let gap = Duration::from_nanos(1_000_000_000 / 3 / args.rate);
     let mut due = Instant::now() + gap;
     for number in 0..args.requests {
-        for (work, address) in [(&mut direct, direct_address), (&mut through, through_address)] {
+        let ways = [
+            (&mut direct, direct_address),
+            (&mut relay, relay_address),
+            (&mut through, through_address),
+        ];
+        for (work, address) in ways {
             tokio::time::sleep_until(due).await;
             let call = Call::get(&target, &format!("r-{number}"));
-            work.spawn(timed(caller.clone(), address, call, due));
+            work.spawn(timed(caller.clone(), address, call));
             due += gap;
         }
     }
     let (direct, direct_failed) = collect(direct).await;
+    let (relay, relay_failed) = collect(relay).await;
     let (through, through_failed) = collect(through).await;
     print("direct", &direct, direct_failed);
+    print("relay", &relay, relay_failed);
     print("through", &through, through_failed);
     let added = |quantile| {
         let (a, b) = (through.value_at_quantile(quantile), direct.value_at_quantile(quantile));
--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -30,12 +30,10 @@
 use crate::route::Door;
 use crate::route::Router;
 use crate::route::run_placement;
-use crate::route::run_tell;
+use crate::route::run_queues;
 use crate::status::StatusPage;
 use crate::store::AnyStore;
 
-/// How often slots that came free by time alone are offered to those who wait.
-const TICK: Duration = Duration::from_millis(10);
 const TIDY: Duration = Duration::from_secs(1);
 
 /// A running instance; dropped, it ends at once, as a kill would end it.
@@ -61,22 +59,14 @@
     }
 }
 
-async fn tick(board: Arc<Blackboard>) {
-    loop {
-        tokio::time::sleep(TICK).await;
-        for state in board.services().values() {
-            state.core.binder.tick();
-        }
-    }
-}
-
 async fn tidy(board: Arc<Blackboard>) {
     loop {
         tokio::time::sleep(TIDY).await;
         board.outcomes.expire(board.incarnation);
         for state in board.services().values() {
-            for server in state.core.binder.servers() {
-                server.upstream.close_idle();
+            let servers = state.core.binder.servers().into_iter();
+            for server in servers.filter(|server| server.upstream.has_idle_or_use()) {
+                tokio::spawn(async move { server.upstream.tidy().await });
             }
         }
     }
@@ -117,8 +107,7 @@
         tasks.spawn(run_seat(Arc::clone(&board), store.clone(), seat.clone(), purse.clone()));
         tasks.spawn(run_prober(router.clone(), purse, seat));
         tasks.spawn(run_roster(Arc::clone(&board), store, links.clone()));
-        tasks.spawn(run_tell(router.clone()));
-        tasks.spawn(tick(Arc::clone(&board)));
+        tasks.spawn(run_queues(router.clone()));
         tasks.spawn(tidy(Arc::clone(&board)));
         board.note(EventKind::Started);
         Ok(Self {
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -69,7 +69,9 @@
 
     fn load(&self, note: &LoadNote) -> PeerReply {
         let services = self.router.board.services();
-        PeerReply::Free(services.get(&note.service).map_or(0, |state| hear(state, note)))
+        PeerReply::Free(
+            services.get(&note.service).map_or(0, |state| hear(&self.router.board, state, note)),
+        )
     }
 
     fn leaving(&self, service: &str, server: &str, leaving: bool) -> PeerReply {
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -10,6 +10,7 @@
 use arc_swap::ArcSwap;
 use log::info;
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use super::Counters;
@@ -50,6 +51,8 @@
     pub outcomes: OutcomeTable,
     pub counters: Counters,
     pub events: EventRing,
+    /// Told when a request begins to wait for a slot, here or at a co-home.
+    pub queue_formed: Notify,
     view: ArcSwap<MembersView>,
     services: ArcSwap<ServiceMap>,
     changed: watch::Sender<u64>,
@@ -97,6 +100,7 @@
             outcomes,
             counters: Counters::default(),
             events: EventRing::default(),
+            queue_formed: Notify::new(),
             view: ArcSwap::default(),
             services: ArcSwap::default(),
             changed: watch::Sender::new(0),
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -33,10 +33,13 @@
     excess * (1.0 - age).max(0.0)
 }
 
+/// Servers compared with each other; bounds the time of a decision for large services.
+const COMPARED_MAX: usize = 64;
+
 /// The free server with the lowest score, or `None` when no slot is free.
 ///
-/// All servers are compared: with 1,000 of them this stays within microseconds, and two random
-/// choices lose to it (docs/MEASUREMENTS.md). `start` rotates the scan so that ties are spread.
+/// Up to 64 servers from `start` on, which is random, are compared; further ones only until the
+/// first free one. A service of today's sizes is compared whole.
 #[must_use]
 pub fn choose(
     loads: &[ServerLoad],
@@ -50,7 +53,10 @@
     let mut best = None;
     let mut best_score = f32::INFINITY;
     let offset = if count == 0 { 0 } else { start % count };
-    for index in (offset..count).chain(0..offset) {
+    for (seen, index) in (offset..count).chain(0..offset).enumerate() {
+        if seen >= COMPARED_MAX && best.is_some() {
+            break;
+        }
         let load = &loads[index];
         if !load.free(reach, now_us) || avoid.contains(&index) {
             continue;
--- a/src/measure/prober.rs
+++ b/src/measure/prober.rs
@@ -22,6 +22,7 @@
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::route::CloseReason;
+use crate::route::Need;
 use crate::route::Router;
 use crate::route::ServiceState;
 
@@ -42,7 +43,7 @@
 }
 
 async fn ask(path: &str, upstream: &Arc<crate::route::Upstream>) -> Option<(StatusCode, bool)> {
-    let mut conn = upstream.checkout().await?;
+    let mut conn = upstream.checkout(Need::Any).await?;
     let request = Request::get(path)
         .header("host", upstream.address.to_string())
         .body(Full::new(Bytes::new()))
--- a/src/measure/seat.rs
+++ b/src/measure/seat.rs
@@ -120,6 +120,7 @@
 /// that came with it are still granted to others.
 pub async fn run_seat<S: Store>(board: Arc<Blackboard>, store: S, seat: Seat, purse: Purse) {
     let ttl_ms = board.settings.platform.as_ref().map_or(10_000, |p| p.lease_ttl_ms);
+    let mut pause_ms = TURN_PAUSE_MS;
     loop {
         if let Some(lease) = sit(&board, &store, &seat, ttl_ms).await {
             keep(&board, &store, &seat, &lease, ttl_ms).await;
@@ -128,8 +129,11 @@
             }
             purse.clear();
             let _ = store.lease_close(&lease).await;
+            pause_ms = TURN_PAUSE_MS;
         }
-        let jitter_ms = rand::rng().random_range(0..TURN_PAUSE_MS);
-        tokio::time::sleep(Duration::from_millis(TURN_PAUSE_MS + jitter_ms)).await;
+        let jitter_ms = rand::rng().random_range(0..pause_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
+        // With more instances than seats, those that stand must not wear the store out.
+        pause_ms = (pause_ms * 2).min(ttl_ms.max(TURN_PAUSE_MS));
     }
 }
--- a/src/operator/door.rs
+++ b/src/operator/door.rs
@@ -52,7 +52,8 @@
         let service = OperatorServer::with_interceptor(Answers::new(router), move |request| {
             admit(&guard, request)
         });
-        let incoming = TcpIncoming::from(listener);
+        // Without it each answer waits some 40 ms for a delayed acknowledgement.
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
         let serving = Server::builder()
             .max_concurrent_streams(REQUESTS_MAX)
             .add_service(service)
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -16,6 +16,7 @@
 use super::Answer;
 use super::AnswerBody;
 use super::Conn;
+use super::Need;
 use super::Slot;
 use super::Ticket;
 use super::answer::UpstreamBody;
@@ -82,8 +83,9 @@
         return Answer::not_run(Code::BadRequest, 0).into();
     };
     let left = Duration::from_micros(ticket.left_us());
+    let need = if ticket.idempotent { Need::Any } else { Need::Fresh };
     let upstream = Arc::clone(&slot.upstream);
-    let conn = match tokio::time::timeout(left, upstream.checkout()).await {
+    let conn = match tokio::time::timeout(left, upstream.checkout(need)).await {
         Ok(Some(conn)) => conn,
         Ok(None) => {
             slot.finish(Finish::Failed);
--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -318,11 +318,15 @@
     }
 
     /// Offers slots that came free by time alone: an ejection that ended, a ramp that rose.
-    pub fn tick(&self) {
+    /// Tells whether anybody waited.
+    #[must_use]
+    pub fn tick(&self) -> bool {
         let desk = self.desk.lock();
-        if !desk.waiting.is_empty() {
+        let waits = desk.waiting.iter().any(|waiter| !waiter.sender.is_closed());
+        if waits {
             self.hand_out_from(desk);
         }
+        waits
     }
 
     /// Sets or lifts one reason for a server; tells whether that was news.
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -155,6 +155,7 @@
         // A home whose own servers are all gone, and which no co-home could help, uses any.
         let reach = if binder.usable(reach) { reach } else { Reach::All };
         self.board.counters.add(Counter::Queued);
+        self.board.queue_formed.notify_one();
         self.wait_for_place(state, ticket, avoid, reach).await
     }
 
--- a/src/route/service_state.rs
+++ b/src/route/service_state.rs
@@ -53,6 +53,13 @@
         self.co_loads.lock().entry(incarnation).or_default().waiting_at_ms = now_ms();
     }
 
+    /// Whether a co-home told of waiting requests a moment ago.
+    #[must_use]
+    pub fn co_home_waits(&self) -> bool {
+        let oldest_ms = now_ms().saturating_sub(WAITING_AGE_MAX_MS);
+        self.co_loads.lock().values().any(|load| load.waiting_at_ms >= oldest_ms)
+    }
+
     /// Whether word of this instance's load would help a co-home now: requests wait here or
     /// there, and it was not told a moment ago. Counts it as told.
     pub fn should_tell(&self, incarnation: u64, waits_here: bool) -> bool {
--- a/src/route/tell.rs
+++ b/src/route/tell.rs
@@ -8,6 +8,7 @@
 
 use super::Router;
 use super::ServiceState;
+use crate::board::Blackboard;
 use crate::clock::now_ms;
 use crate::member::MemberRow;
 use crate::peer::LoadNote;
@@ -74,10 +75,11 @@
 
 /// Takes another home's word in, and answers with the own free slots.
 #[must_use]
-pub fn hear(state: &ServiceState, note: &LoadNote) -> u32 {
+pub fn hear(board: &Blackboard, state: &ServiceState, note: &LoadNote) -> u32 {
     let (free, waiting) = state.core.binder.free_and_waiting();
     if note.waiting > 0 {
         state.core.note_waiting(note.from);
+        board.queue_formed.notify_one();
     }
     state.core.note_free(note.from, note.free);
     if waiting > 0 {
@@ -86,16 +88,32 @@
     free
 }
 
-/// Tells the other homes of this instance's services what would help them.
-pub async fn run_tell(router: Router) {
+/// One turn over all services; tells whether requests wait for any of them, here or elsewhere.
+fn serve_queues(router: &Router, allowance: &mut Allowance) -> bool {
+    let mut waiting = false;
+    let services = router.board.services().clone();
+    for state in services.values() {
+        let queued_here = state.core.binder.tick();
+        let co_home_waits = state.am_home && state.core.co_home_waits();
+        if !queued_here && !co_home_waits {
+            continue;
+        }
+        waiting = true;
+        if state.am_home && state.homes.len() > 1 {
+            tell_others(router, state, allowance);
+        }
+    }
+    waiting
+}
+
+/// Serves the queues of this instance while there are any: slots that came free by time alone are
+/// offered, and the other homes are told what would help. Without queues it sleeps.
+pub async fn run_queues(router: Router) {
     let mut allowance = Allowance { left: WORDS_SAVED_MAX, at_ms: now_ms() };
     loop {
-        tokio::time::sleep(TURN).await;
-        let services = router.board.services().clone();
-        for state in services.values() {
-            if state.am_home && state.homes.len() > 1 {
-                tell_others(&router, state, &mut allowance);
-            }
+        router.board.queue_formed.notified().await;
+        while serve_queues(&router, &mut allowance) {
+            tokio::time::sleep(TURN).await;
         }
     }
 }
--- a/src/route/upstream.rs
+++ b/src/route/upstream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -17,9 +18,31 @@
 use crate::clock::now_ms;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Older idle connections are closed here, before a backend server's own limit closes them just
-/// as a request is written, which would leave its outcome unknown.
-const IDLE_MAX_MS: u64 = 4_000;
+/// A connection idle for longer is not used for what must not repeat: a backend server's own
+/// limit may close it just as the request is written, which would leave its outcome unknown.
+const FRESH_MAX_MS: u64 = 4_000;
+/// Older idle connections are closed.
+const IDLE_MAX_MS: u64 = 60_000;
+/// A server that was used within this keeps a spare connection.
+const SPARE_FOR_MS: u64 = 10_000;
+
+/// What a connection is wanted for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// Must not be closed under the request, as far as that can be helped.
+    Fresh,
+    /// Any will do: a request that meets a closed connection is tried again.
+    Any,
+}
+
+impl Need {
+    const fn idle_max_ms(self) -> u64 {
+        match self {
+            Self::Fresh => FRESH_MAX_MS,
+            Self::Any => IDLE_MAX_MS,
+        }
+    }
+}
 
 /// A backend server with its idle connections.
 #[derive(Debug)]
@@ -31,6 +54,7 @@
     opened: AtomicU32,
     /// Connections that this instance may have open; at least 1.
     open_max: AtomicU32,
+    used_ms: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -75,6 +99,7 @@
             open: Arc::default(),
             opened: AtomicU32::new(0),
             open_max: AtomicU32::new(open_max.max(1)),
+            used_ms: AtomicU64::new(0),
         }
     }
 
@@ -89,28 +114,57 @@
         self.open_max.store(open_max.max(1), Ordering::Release);
     }
 
-    fn pop_idle(&self) -> Option<SendRequest<Full<Bytes>>> {
-        let oldest_ms = now_ms().saturating_sub(IDLE_MAX_MS);
+    /// The connection that was used last, if it is not too old; older ones are below it.
+    fn pop_idle(&self, need: Need) -> Option<SendRequest<Full<Bytes>>> {
+        let oldest_ms = now_ms().saturating_sub(need.idle_max_ms());
         let mut idle = self.idle.lock();
         while let Some(last) = idle.pop() {
-            if last.since_ms >= oldest_ms && !last.sender.is_closed() {
+            if last.sender.is_closed() {
+                continue;
+            }
+            if last.since_ms >= oldest_ms {
                 return Some(last.sender);
             }
+            idle.push(last);
+            break;
         }
         None
     }
 
-    /// Closes connections that were idle for too long.
-    pub fn close_idle(&self) {
-        let oldest_ms = now_ms().saturating_sub(IDLE_MAX_MS);
-        self.idle.lock().retain(|idle| idle.since_ms >= oldest_ms && !idle.sender.is_closed());
+    /// Whether [`Self::tidy`] may have something to do.
+    #[must_use]
+    pub fn has_idle_or_use(&self) -> bool {
+        self.in_use() || !self.idle.lock().is_empty()
+    }
+
+    fn in_use(&self) -> bool {
+        now_ms().saturating_sub(self.used_ms.load(Ordering::Relaxed)) <= SPARE_FOR_MS
+    }
+
+    /// Closes connections that were idle for too long, and opens a spare one where the server is
+    /// in use and has none: a request that comes beside others then need not wait for it.
+    pub async fn tidy(self: &Arc<Self>) {
+        let now = now_ms();
+        let fresh = {
+            let mut idle = self.idle.lock();
+            idle.retain(|one| now - one.since_ms <= IDLE_MAX_MS && !one.sender.is_closed());
+            idle.iter().any(|one| now - one.since_ms <= FRESH_MAX_MS)
+        };
+        if fresh || !self.in_use() {
+            return;
+        }
+        if let Ok(Some(sender)) = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await {
+            // Beneath the ones in use, so that it stays a spare.
+            self.idle.lock().insert(0, Idle { sender, since_ms: now_ms() });
+        }
     }
 
     /// A connection that is ready for a request: the last used one, or a new one.
     ///
     /// `None` when none can be opened; no byte of any request was sent then.
-    pub async fn checkout(self: &Arc<Self>) -> Option<Conn> {
-        while let Some(mut sender) = self.pop_idle() {
+    pub async fn checkout(self: &Arc<Self>, need: Need) -> Option<Conn> {
+        self.used_ms.store(now_ms(), Ordering::Relaxed);
+        while let Some(mut sender) = self.pop_idle(need) {
             if sender.ready().await.is_ok() {
                 return Some(Conn { sender, upstream: Arc::clone(self) });
             }
--- a/src/store/consul_store.rs
+++ b/src/store/consul_store.rs
@@ -233,6 +233,10 @@
     async fn watch(&self, prefix: &str, index: u64, wait: Duration) -> Result<Listing, StoreError> {
         let path = format!("/v1/kv/{prefix}?recurse&index={index}&wait={}ms", wait.as_millis());
         let reply = or_missing(self.call("GET", &path, &[], wait).await?)?;
+        if index > 0 && reply.index == index {
+            // The wait is over without a change; reading all entries again would bring nothing.
+            return Ok(Listing { index, entries: Vec::new() });
+        }
         Ok(Listing { index: reply.index, entries: entries(&reply)? })
     }
 
--- a/src/store/platform.rs
+++ b/src/store/platform.rs
@@ -61,8 +61,8 @@
     /// The entry of `key`, as of now.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Entry>, StoreError>> + Send;
 
-    /// All entries below `prefix`, once the store has passed `index` or `wait` is over;
-    /// index 0 answers at once.
+    /// All entries below `prefix`, once the store has passed `index`; none when `wait` is over
+    /// without a change. Index 0 answers at once.
     fn watch(
         &self,
         prefix: &str,
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -178,7 +178,9 @@
     if open as usize > shared.settings.connections_max {
         return;
     }
-    tokio::time::sleep(Duration::from_micros(shared.settings.connect_us)).await;
+    if shared.settings.connect_us > 0 {
+        tokio::time::sleep(Duration::from_micros(shared.settings.connect_us)).await;
+    }
     let _ = stream.set_nodelay(true);
     let inner = Arc::clone(&shared);
     let service = service_fn(move |request| {
@@ -315,7 +317,9 @@
         std::future::pending::<()>().await;
     }
     let time = work_us.map_or_else(|| shared.times.lock().next_time(), Duration::from_micros);
-    tokio::time::sleep(time * slowness(shared)).await;
+    if !time.is_zero() {
+        tokio::time::sleep(time * slowness(shared)).await;
+    }
     if take_one(&behaviour.lose_answers) {
         return Err(Cut);
     }
--- a/standins/src/bed/process.rs
+++ b/standins/src/bed/process.rs
@@ -5,6 +5,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 
 use sorrelwick::conf::Settings;
 
@@ -35,9 +37,28 @@
     }
 }
 
-/// A port that was free a moment ago.
+/// Below the range from which the system takes ports for outgoing connections: a port from
+/// there could be taken between this check and the daemon's start.
+const PORT_FIRST: u16 = 12_000;
+const PORTS: u16 = 20_000;
+
+static PORT_NEXT: AtomicU16 = AtomicU16::new(0);
+
+/// A port that nobody listens on; each is given out once by this process.
 fn free_port() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()
+    // Processes that run at the same time begin at different places.
+    let own = u16::try_from(std::process::id() % 97).unwrap_or(0) * 200;
+    loop {
+        let next = PORT_NEXT.fetch_add(1, Ordering::Relaxed);
+        if next >= PORTS {
+            return Err(std::io::ErrorKind::AddrInUse.into());
+        }
+        let port = PORT_FIRST + (own + next) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
 }
 
 impl DaemonProcess {
--- a/standins/src/caller/client.rs
+++ b/standins/src/caller/client.rs
@@ -23,6 +23,8 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+const FOR_EVER: Duration = Duration::from_secs(86_400);
+
 /// One request to send.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
@@ -94,6 +96,16 @@
         }
     }
 
+    /// A caller that always uses one address, whatever is there; for comparison.
+    #[must_use]
+    pub fn fixed(service: &str, address: SocketAddr) -> Self {
+        let caller = Self::new(service, "", &[]);
+        let named = Named { address, zone: String::new(), key_prefix: String::new() };
+        let until = Instant::now() + FOR_EVER;
+        *caller.kept.lock() = Some(Kept { until, addresses: vec![named] });
+        caller
+    }
+
     /// The addresses to use, best first; asks anew once the kept answer is over.
     pub async fn addresses(&self) -> Vec<Named> {
         if let Some(kept) = &*self.kept.lock()
--- a/standins/src/platform/state.rs
+++ b/standins/src/platform/state.rs
@@ -99,8 +99,10 @@
         rows.lapse();
         let below = rows.kv.range(prefix.to_owned()..);
         let below = below.take_while(|(key, _)| key.starts_with(prefix));
-        let found = below.map(|(key, row)| (key.clone(), row.clone())).collect();
-        (rows.index.max(1), found)
+        let found: Vec<(String, Row)> =
+            below.map(|(key, row)| (key.clone(), row.clone())).collect();
+        let index = found.iter().map(|(_, row)| row.modify_index).max();
+        (index.unwrap_or(rows.index).max(1), found)
     }
 
     /// Waits until the index below `prefix` passes `index`.
