--- a/examples/scenes.rs
+++ b/examples/scenes.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use sorrelwick::model::Preference;
+use standins::backend::Backend;
 use standins::backend::BackendSettings;
 use standins::backend::Behaviour;
 use standins::bed::BedPlan;
@@ -60,9 +61,13 @@
             tokio::time::sleep(Duration::from_millis(800)).await;
             let slow: Vec<&Arc<Behaviour>> =
                 behaviours.iter().filter(|_| rng.random_bool(1.0 / 3.0)).collect();
-            slow.iter().for_each(|b| b.slow_factor.store(SLOW_FACTOR, Ordering::Relaxed));
+            for behaviour in &slow {
+                behaviour.slow_factor.store(SLOW_FACTOR, Ordering::Relaxed);
+            }
             tokio::time::sleep(Duration::from_millis(200)).await;
-            slow.iter().for_each(|b| b.slow_factor.store(1, Ordering::Relaxed));
+            for behaviour in &slow {
+                behaviour.slow_factor.store(1, Ordering::Relaxed);
+            }
         }
     })
 }
@@ -82,7 +87,7 @@
     let behaviours: Vec<Arc<Behaviour>> =
         fleet.bed.backends.iter().map(|backend| Arc::clone(&backend.behaviour)).collect();
     let callers: Vec<Caller> = if naive {
-        let servers = fleet.bed.backends.iter().map(|backend| backend.address());
+        let servers = fleet.bed.backends.iter().map(Backend::address);
         servers.map(|address| Caller::fixed("catalogue", address)).collect()
     } else {
         let zones = ["burnaby", "surrey", "richmond"];
--- a/standins/src/caller/client.rs
+++ b/standins/src/caller/client.rs
@@ -23,7 +23,7 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
-const FOR_EVER: Duration = Duration::from_secs(86_400);
+const FOR_EVER: Duration = Duration::from_hours(24);
 
 /// One request to send.
 #[derive(Clone, Debug, Default)]
