--- a/examples/scenes.rs
+++ b/examples/scenes.rs
@@ -38,6 +38,9 @@
     instances: usize,
     #[arg(long, default_value_t = 8.0)]
     seconds: f64,
+    /// Run only the scenes whose name contains this.
+    #[arg(long, default_value = "")]
+    only: String,
     /// Write a plot of the latency quantiles, as SVG.
     #[arg(long)]
     plot: Option<PathBuf>,
@@ -50,7 +53,8 @@
     SlowThird,
     OneFails,
     StoreDown,
-    InstanceKilled,
+    /// A home of the service.
+    HomeKilled,
 }
 
 /// A third of the servers, chosen anew each second, is slow for 200 ms.
@@ -109,8 +113,11 @@
     let running = run_load(&plan, &callers);
     let kill = async {
         tokio::time::sleep(Duration::from_secs_f64(args.seconds / 2.0)).await;
-        if trouble == Trouble::InstanceKilled {
-            fleet.daemons[0].kill_now();
+        if trouble == Trouble::HomeKilled {
+            let named = callers[0].addresses().await;
+            let home = named.first().map(|named| named.address);
+            let at = fleet.callers().iter().position(|address| Some(*address) == home);
+            fleet.daemons[at.unwrap_or(0)].kill_now();
         }
     };
     let (summary, ()) = tokio::join!(running, kill);
@@ -131,14 +138,14 @@
         ("slow third 70%", 0.7, Trouble::SlowThird),
         ("one fails 50%", 0.5, Trouble::OneFails),
         ("store down 80%", 0.8, Trouble::StoreDown),
-        ("instance killed 50%", 0.5, Trouble::InstanceKilled),
+        ("home killed 50%", 0.5, Trouble::HomeKilled),
         ("overload 150%", 1.5, Trouble::None),
     ];
     let mut runs = Vec::new();
-    for (name, load, trouble) in scenes {
+    for (name, load, trouble) in scenes.into_iter().filter(|s| s.0.contains(&args.only)) {
         let ours = scene(&args, load, trouble, false).await;
         println!("{}", ours.line(name));
-        if !matches!(trouble, Trouble::StoreDown | Trouble::InstanceKilled) {
+        if !matches!(trouble, Trouble::StoreDown | Trouble::HomeKilled) {
             let naive = scene(&args, load, trouble, true).await;
             println!("{}", naive.line(&format!("  naive, {name}")));
         }
