A planned stop waits for work whose caller has left

Cause, found by reading: requests in flight were counted in the caller's connection, so that the work of a caller that left was cut off by a stop and its outcome handed on as unknown. Red first: work_whose_caller_left_is_finished_before_the_stop ('unknown', 2204). Change: the work counts itself. Also: followers of a key hear a result also when its record is gone meanwhile.

--- a/src/outcome/table.rs
+++ b/src/outcome/table.rs
@@ -291,11 +291,13 @@
         self.end(None);
     }
 
+    /// Followers hear a result exactly when the request may have run: a channel that closes
+    /// without one tells them that it did not.
     fn end(&mut self, kept: Option<Kept>) {
         self.ended = true;
-        let kept = self.table.finish(self.incarnation, &self.key, kept);
+        let stored = self.table.finish(self.incarnation, &self.key, kept.clone());
         if kept.is_some() {
-            self.sender.send_replace(kept);
+            self.sender.send_replace(stored.or(kept));
         }
     }
 }
--- a/src/route/keyed.rs
+++ b/src/route/keyed.rs
@@ -111,12 +111,15 @@
         let router = self.clone();
         let state = Arc::clone(state);
         let (sender, receiver) = oneshot::channel();
+        // Counted by itself: a planned stop waits for it also when its caller has left.
+        let in_flight = self.board.in_flight();
         tokio::spawn(async move {
             let answer = router.run(&state, &ticket).await;
             match answer.kept() {
                 Some(kept) => guard.finish(kept),
                 None => guard.not_run(),
             }
+            drop(in_flight);
             // The caller may have left; the outcome is kept all the same.
             let _ = sender.send(answer);
         });
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -54,7 +54,13 @@
     async fn run_detached(&self, state: &Arc<ServiceState>, ticket: Ticket) -> Answer {
         let router = self.clone();
         let state = Arc::clone(state);
-        let work = tokio::spawn(async move { router.run(&state, &ticket).await });
+        // Counted by itself: a planned stop waits for it also when its caller has left.
+        let in_flight = self.board.in_flight();
+        let work = tokio::spawn(async move {
+            let answer = router.run(&state, &ticket).await;
+            drop(in_flight);
+            answer
+        });
         work.await.unwrap_or_else(|_| Answer::unknown(Code::AnswerLost))
     }
 }
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -112,3 +112,24 @@
         assert_eq!(told.outcome(), "ran", "{method}: {told:?}");
     }
 }
+
+/// Story: a shop's connection breaks while its order runs, and the instance is stopped. The order
+/// must not be cut off in the middle, and its outcome must be handed on: the shop asks again.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_whose_caller_left_is_finished_before_the_stop() {
+    let mut bed = Bed::start(plan(4)).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let named = caller.addresses().await;
+    let owner = named[0].address;
+    let at = bed.caller_addresses().iter().position(|address| *address == owner).expect("known");
+    let key = format!("{}-left", named[0].key_prefix);
+    let call = Call::post("/x?bytes=300&work_us=1500000", "left").with_key(&key);
+    let leaving = tokio::time::timeout(Duration::from_millis(300), caller.call_at(owner, &call));
+    assert!(leaving.await.is_err(), "the caller must leave in the middle");
+    bed.daemons[at].take().expect("runs").stop().await;
+    let again = bed.caller("orders", 1).call(&call).await;
+    assert_eq!(again.outcome(), "ran", "{again:?}");
+    assert_eq!(again.code(), 0);
+    assert_eq!(bed.run_counts().get("left"), Some(&1));
+}
