--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -10,56 +10,25 @@
 use tokio::sync::oneshot;
 
 use super::Upstream;
+use super::desk::CloseReason;
+use super::desk::Desk;
+use super::desk::Waiter;
+use super::slot::Offer;
+use super::slot::Slot;
 use crate::clock::now_us;
 use crate::decide::Admission;
 use crate::decide::Finish;
 use crate::decide::QueueView;
 use crate::decide::Reach;
-use crate::decide::ServerLoad;
 use crate::decide::SlotPool;
 use crate::decide::admit;
 use crate::decide::hedge_delay_us;
-use crate::model::BackendServer;
 use crate::model::Preference;
 use crate::model::Service;
 
 /// Waiting requests that are offered a free slot before it is left free.
 const OFFERS_MAX: usize = 4;
 
-/// Why a backend server takes no new work; each reason is set and lifted on its own.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CloseReason {
-    /// The operator's drain mark.
-    Drained,
-    /// The server said so itself, or a peer heard it say so.
-    Told,
-    /// The platform's list says so.
-    Listed,
-    /// It is not declared any more.
-    Removed,
-}
-
-impl CloseReason {
-    const fn bit(self) -> u8 {
-        1 << (self as u8)
-    }
-}
-
-#[derive(Debug)]
-struct Server {
-    upstream: Arc<Upstream>,
-    /// Set of [`CloseReason`]s.
-    closed: u8,
-}
-
-/// What a waiting request gets.
-#[derive(Debug)]
-pub enum Offer {
-    Slot(Slot),
-    /// Another home told of free slots: try there.
-    Move,
-}
-
 /// Where a request stands in the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -69,66 +38,12 @@
     First,
 }
 
-#[derive(Debug)]
-struct Waiter {
-    reach: Reach,
-    avoid: SmallVec<[usize; 4]>,
-    sender: oneshot::Sender<Offer>,
-}
-
-#[derive(Debug)]
-struct Desk {
-    pool: SlotPool,
-    /// In the order of the pool's rows; a row keeps its position while requests are in flight.
-    servers: Vec<Server>,
-    waiting: VecDeque<Waiter>,
-    waiting_max: usize,
-    preference: Preference,
-}
-
 /// Hands out the slots of one service on one instance; clones share.
 #[derive(Clone, Debug)]
 pub struct Binder {
     desk: Arc<Mutex<Desk>>,
 }
 
-/// A slot of a backend server that one attempt holds; dropped, it is given back.
-#[derive(Debug)]
-pub struct Slot {
-    binder: Binder,
-    pub index: usize,
-    pub upstream: Arc<Upstream>,
-    started_us: u64,
-    finished: bool,
-}
-
-impl Slot {
-    /// Time since the slot was taken.
-    #[must_use]
-    pub fn age_us(&self) -> u64 {
-        now_us().saturating_sub(self.started_us)
-    }
-
-    /// Takes note of the load that the server told.
-    pub fn report(&self, in_flight: u32) {
-        self.binder.report(self.index, in_flight);
-    }
-
-    /// Gives the slot back with what was learned.
-    pub fn finish(mut self, finish: Finish) {
-        self.finished = true;
-        self.binder.finish(self.index, finish);
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        if !self.finished {
-            self.binder.finish(self.index, Finish::Cancelled);
-        }
-    }
-}
-
 /// A place in the queue, or the reason why there is none.
 #[derive(Debug)]
 pub enum Wait {
@@ -374,7 +289,7 @@
         }
     }
 
-    fn finish(&self, index: usize, finish: Finish) {
+    pub(super) fn finish(&self, index: usize, finish: Finish) {
         let mut desk = self.desk.lock();
         desk.pool.finish(index, finish, now_us());
         self.hand_out_from(desk);
@@ -413,47 +328,3 @@
         }
     }
 }
-
-impl Desk {
-    /// The row of a declared server: its own, a new one, or one that nobody uses any more.
-    fn place(&mut self, server: &BackendServer, initial: bool, now_us: u64) -> usize {
-        let same =
-            |row: &Server| row.upstream.id == server.id && row.upstream.address == server.address;
-        if let Some(at) = self.servers.iter().position(same) {
-            return at;
-        }
-        let upstream = Arc::new(Upstream::new(&server.id, server.address, 1));
-        let row = Server { upstream, closed: 0 };
-        // With the whole service new there is no older server to spare the new ones.
-        let load = if initial {
-            ServerLoad::warm(server.slots)
-        } else {
-            ServerLoad::cold(server.slots, now_us)
-        };
-        let removed = CloseReason::Removed.bit();
-        let unused = (0..self.servers.len()).find(|&at| {
-            self.servers[at].closed & removed != 0 && self.pool.loads()[at].in_flight == 0
-        });
-        if let Some(at) = unused {
-            self.servers[at] = row;
-            self.pool.loads_mut()[at] = load;
-            return at;
-        }
-        self.servers.push(row);
-        self.pool.loads_mut().push(load);
-        self.servers.len() - 1
-    }
-
-    /// A server that takes work again starts with a ramp.
-    fn mark(&mut self, at: usize, reason: CloseReason, closed: bool) -> bool {
-        let before = self.servers[at].closed;
-        let after = if closed { before | reason.bit() } else { before & !reason.bit() };
-        self.servers[at].closed = after;
-        let load = &mut self.pool.loads_mut()[at];
-        if before != 0 && after == 0 {
-            load.restart(now_us());
-        }
-        load.closed = after != 0;
-        before != after
-    }
-}
--- a/standins/src/trial/mod.rs
+++ b/standins/src/trial/mod.rs
@@ -6,6 +6,7 @@
 mod policy;
 mod scene;
 mod server;
+mod world;
 
 pub use model::run_trial;
 pub use outcome::TrialOutcome;
--- a/standins/src/trial/model.rs
+++ b/standins/src/trial/model.rs
@@ -2,21 +2,16 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::collections::VecDeque;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use sorrelwick::decide::Admission;
-use sorrelwick::decide::Candidate;
 use sorrelwick::decide::Finish;
 use sorrelwick::decide::QueueView;
 use sorrelwick::decide::Reach;
-use sorrelwick::decide::ServerLoad;
-use sorrelwick::decide::SlotPool;
 use sorrelwick::decide::admit;
 use sorrelwick::decide::hedge_delay_us;
-use sorrelwick::decide::keepers_of;
 use sorrelwick::decide::naive;
 use sorrelwick::model::Preference;
 
@@ -25,16 +20,18 @@
 use super::TrialOutcome;
 use super::server::AttemptId;
 use super::server::Server;
+use super::world::Attempt;
+use super::world::Home;
+use super::world::Request;
+use super::world::SECOND_US;
+use super::world::START_US;
+use super::world::homes_for;
+use super::world::servers_of;
 
-const ZONES: usize = 3;
-const INSTANCES: usize = 19;
 const QUEUE_MAX: usize = 1_000;
 const LOCAL_US: u64 = 100;
 const FAIL_US: f64 = 100.0;
 const WARM_UP_US: u64 = 2_000_000;
-const START_US: u64 = 1_000_000_000;
-const SECOND_US: u64 = 1_000_000;
-const SLOW_US: u64 = 200_000;
 /// What a home told of its free slots is not used after this long.
 const TOLD_MAX_US: u64 = 300_000;
 
@@ -77,38 +74,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct Request {
-    zone: usize,
-    due_us: u64,
-    open: bool,
-    waiting: bool,
-    tries: u32,
-    attempts: Vec<AttemptId>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Attempt {
-    request: usize,
-    home: usize,
-    server: usize,
-    work_us: f64,
-    began_us: u64,
-    open: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Home {
-    zone: usize,
-    pool: SlotPool,
-    in_flight: Vec<u32>,
-    queue: VecDeque<usize>,
-    /// Requests whose first attempt takes too long; served before the queue.
-    overdue: VecDeque<usize>,
-    told: Vec<(u32, u64)>,
-    turn: u64,
-}
-
 struct Model<'a> {
     scene: &'a Scene,
     policy: Policy,
@@ -133,69 +98,6 @@
     model.outcome
 }
 
-fn servers_of(scene: &Scene, rng: &mut Pcg64Mcg) -> Vec<Server> {
-    let (count, slots, _) = scene.size.shape();
-    let mut servers: Vec<Server> = (0..count)
-        .map(|at| Server {
-            zone: at % ZONES,
-            slots: slots as usize,
-            fails: scene.failing_server && at == 0,
-            slow: Vec::new(),
-            working: Vec::new(),
-            queue: VecDeque::new(),
-        })
-        .collect();
-    for second in 0..scene.seconds + 2 {
-        if !scene.slow_third {
-            break;
-        }
-        let from = START_US + second * SECOND_US + 300_000;
-        let mut order: Vec<usize> = (0..count).collect();
-        for at in (1..count).rev() {
-            order.swap(at, rng.random_range(0..=at));
-        }
-        for at in &order[..count / 3] {
-            servers[*at].slow.push((from, from + SLOW_US));
-        }
-    }
-    servers
-}
-
-fn homes_for(scene: &Scene, policy: Policy, servers: &[Server]) -> Vec<Home> {
-    let count = match policy {
-        _ if policy.sprays() => INSTANCES,
-        _ if policy.single() => 1,
-        _ => scene.homes,
-    };
-    let names: Vec<String> = (0..servers.len()).map(|at| format!("b{at}")).collect();
-    let zone_names = ["a", "b", "c"];
-    let candidates: Vec<Candidate<'_>> = (0..count)
-        .map(|at| Candidate { incarnation: at as u64 + 1, zone: zone_names[at % ZONES] })
-        .collect();
-    let placed: Vec<(&str, &str)> =
-        names.iter().zip(servers).map(|(id, s)| (id.as_str(), zone_names[s.zone])).collect();
-    let keepers = keepers_of(&placed, &candidates);
-    (0..count)
-        .map(|at| {
-            let loads = servers.iter().zip(&keepers).map(|(server, keeper)| {
-                let slots = u32::try_from(server.slots).unwrap_or(1);
-                let mut load = ServerLoad::warm(slots);
-                load.kept = *keeper == at;
-                load
-            });
-            Home {
-                zone: at % ZONES,
-                pool: SlotPool::new(loads.collect(), scene.seed + at as u64),
-                in_flight: vec![0; servers.len()],
-                queue: VecDeque::new(),
-                overdue: VecDeque::new(),
-                told: vec![(0, 0); count],
-                turn: at as u64,
-            }
-        })
-        .collect()
-}
-
 impl<'a> Model<'a> {
     fn new(scene: &'a Scene, policy: Policy) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(scene.seed);
