--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -259,10 +259,10 @@
     println!("services: one idle daemon of three, by services (7 servers each)");
     for services in [10, 100, 400, 1_200] {
         let fleet = Fleet::start(program, plan(), 3).await;
-        let mut door = fleet.door(0);
+        let mut operator = fleet.operator(0);
         for number in 0..services {
             let wire = sorrelwick::operator::service_to_wire(&service(number));
-            door.put(&wire, 0).await.expect("accepted");
+            operator.put(&wire, 0).await.expect("accepted");
         }
         let (cpu_ms, resident_kb, calls) = idle_for(&fleet, 5).await;
         println!(
@@ -296,7 +296,7 @@
         let passed: u64 = {
             let mut passed = 0;
             for at in 0..3 {
-                let status = fleet.door(at).status().await.expect("status");
+                let status = fleet.operator(at).status().await.expect("status");
                 let named = status.counters.iter().find(|counter| counter.name == "passed");
                 passed += named.map_or(0, |counter| counter.value);
             }
@@ -325,11 +325,12 @@
             declared.timeout_ms = 1_000 + turn;
             let wire = sorrelwick::operator::service_to_wire(&declared);
             let at = turn as usize % instances;
-            let revision = fleet.door(at).put(&wire, turn.into()).await.expect("accepted").revision;
+            let revision =
+                fleet.operator(at).put(&wire, turn.into()).await.expect("accepted").revision;
             let start = Instant::now();
             for at in 0..instances {
-                let mut door = fleet.door(at);
-                while door.get("orders").await.map_or(0, |row| row.revision) < revision {
+                let mut operator = fleet.operator(at);
+                while operator.get("orders").await.map_or(0, |row| row.revision) < revision {
                     tokio::time::sleep(Duration::from_millis(1)).await;
                 }
             }
--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -17,17 +17,17 @@
 use crate::conf::Settings;
 use crate::errors::Code;
 use crate::errors::Coded;
-use crate::measure::Purse;
-use crate::measure::Seat;
+use crate::measure::Shard;
+use crate::measure::TokenBuckets;
 use crate::measure::run_prober;
 use crate::measure::run_roster;
-use crate::measure::run_seat;
+use crate::measure::run_shard;
 use crate::member::run_joiner;
 use crate::member::run_swim;
-use crate::operator::OperatorDoor;
+use crate::operator::OperatorListener;
 use crate::peer::Links;
 use crate::peer::PeerListener;
-use crate::route::Door;
+use crate::route::CallerListener;
 use crate::route::Router;
 use crate::route::run_placement;
 use crate::route::run_queues;
@@ -40,10 +40,10 @@
 #[derive(Debug)]
 pub struct Daemon {
     pub router: Router,
-    door: Door,
+    listener: CallerListener,
     tasks: JoinSet<()>,
     _peers: PeerListener,
-    _operators: OperatorDoor,
+    _operators: OperatorListener,
     _status: StatusPage,
 }
 
@@ -93,10 +93,10 @@
         let board = Arc::new(Blackboard::new(settings, incarnation));
         let router =
             Router { board: Arc::clone(&board), links: links.clone(), store: store.clone() };
-        let seat = Seat::default();
-        let purse = Purse::default();
+        let shard = Shard::default();
+        let buckets = TokenBuckets::default();
         let answers =
-            PeerAnswers { router: router.clone(), seat: seat.clone(), purse: purse.clone() };
+            PeerAnswers { router: router.clone(), shard: shard.clone(), buckets: buckets.clone() };
         let secret: Arc<str> = links.secret().into();
         let mut tasks = JoinSet::new();
         tasks.spawn(run_placement(Arc::clone(&board)));
@@ -104,17 +104,17 @@
         tasks.spawn(run_joiner(Arc::clone(&board), store.clone(), links.clone()));
         tasks.spawn(run_watcher(Arc::clone(&board), store.clone(), links.clone()));
         tasks.spawn(run_repair(Arc::clone(&board), links.clone()));
-        tasks.spawn(run_seat(Arc::clone(&board), store.clone(), seat.clone(), purse.clone()));
-        tasks.spawn(run_prober(router.clone(), purse, seat));
+        tasks.spawn(run_shard(Arc::clone(&board), store.clone(), shard.clone(), buckets.clone()));
+        tasks.spawn(run_prober(router.clone(), buckets, shard));
         tasks.spawn(run_roster(Arc::clone(&board), store, links.clone()));
         tasks.spawn(run_queues(router.clone()));
         tasks.spawn(tidy(Arc::clone(&board)));
         board.note(EventKind::Started);
         Ok(Self {
             _peers: PeerListener::spawn(peers, secret, answers),
-            _operators: OperatorDoor::spawn(operators, router.clone()),
+            _operators: OperatorListener::spawn(operators, router.clone()),
             _status: StatusPage::spawn(status, Arc::clone(&board)),
-            door: Door::spawn(callers, router.clone()),
+            listener: CallerListener::spawn(callers, router.clone()),
             router,
             tasks,
         })
@@ -128,7 +128,7 @@
 
     /// Stops as planned; returns when nothing is in flight any more.
     pub async fn stop(mut self) {
-        stop(&self.router.board, &self.router.links, self.door).await;
+        stop(&self.router.board, &self.router.links, self.listener).await;
         self.tasks.shutdown().await;
     }
 }
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -11,13 +11,13 @@
 use crate::catalog::merge_rows;
 use crate::clock::now_ms;
 use crate::errors::Code;
-use crate::measure::Purse;
-use crate::measure::Seat;
+use crate::measure::Shard;
+use crate::measure::TokenBuckets;
 use crate::measure::grant;
 use crate::measure::mark_listed;
 use crate::member::MemberRow;
 use crate::member::answer_ping;
-use crate::outcome::ClosedBook;
+use crate::outcome::OwnerSnapshot;
 use crate::peer::LoadNote;
 use crate::peer::PassHead;
 use crate::peer::PeerReply;
@@ -27,16 +27,16 @@
 use crate::peer::parts;
 use crate::route::AnswerBody;
 use crate::route::CloseReason;
+use crate::route::ProxyRequest;
 use crate::route::Router;
-use crate::route::Ticket;
 use crate::route::hear;
 
 /// Serves the peer listener; clones share.
 #[derive(Clone, Debug)]
 pub struct PeerAnswers {
     pub router: Router,
-    pub seat: Seat,
-    pub purse: Purse,
+    pub shard: Shard,
+    pub buckets: TokenBuckets,
 }
 
 impl PeerAnswers {
@@ -90,7 +90,7 @@
         PeerReply::Done
     }
 
-    fn adopt(&self, part: ClosedBook, last: bool) -> PeerReply {
+    fn adopt(&self, part: OwnerSnapshot, last: bool) -> PeerReply {
         let board = &self.router.board;
         let from = part.incarnation;
         let told_born_ms = now_ms().saturating_sub(part.uptime_ms);
@@ -131,7 +131,7 @@
                 PeerReply::Done
             }
             PeerRequest::Grant(asked) => {
-                PeerReply::Granted(grant(board, &self.seat, &self.purse, &asked))
+                PeerReply::Granted(grant(board, &self.shard, &self.buckets, &asked))
             }
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
         }
@@ -141,7 +141,7 @@
         let board = &self.router.board;
         let service = head.service.clone();
         let in_flight = board.in_flight();
-        let answer = self.router.handle(Ticket::passed(head, body)).await;
+        let answer = self.router.handle(ProxyRequest::passed(head, body)).await;
         drop(in_flight);
         let services = board.services();
         let free = services.get(&service).map_or(0, |state| state.core.binder.free_and_waiting().0);
--- a/src/app/stop.rs
+++ b/src/app/stop.rs
@@ -9,12 +9,12 @@
 use crate::clock::now_ms;
 use crate::member::MemberState;
 use crate::member::announce;
-use crate::outcome::ClosedBook;
 use crate::outcome::KeptRow;
+use crate::outcome::OwnerSnapshot;
 use crate::peer::Links;
 use crate::peer::PeerRequest;
 use crate::peer::parts;
-use crate::route::Door;
+use crate::route::CallerListener;
 
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(5);
 const TURN: Duration = Duration::from_millis(10);
@@ -23,7 +23,7 @@
 
 /// Stops in order: named in no new answer; served on until no caller holds an old answer any
 /// more; connections closed once idle; passed work done; outcomes handed over; gone.
-pub async fn stop(board: &Blackboard, links: &Links, door: Door) {
+pub async fn stop(board: &Blackboard, links: &Links, listener: CallerListener) {
     board.set_phase(Phase::Leaving);
     board.note(EventKind::Stopping);
     board.members.lock().set_own(MemberState::Leaving, None, now_ms());
@@ -31,7 +31,7 @@
     announce(board, links).await;
     let keep_ms = board.settings.requests.address_keep_ms + KEEP_MARGIN_MS;
     tokio::time::sleep(Duration::from_millis(keep_ms)).await;
-    door.stop().await;
+    listener.stop().await;
     while board.requests_in_flight() > 0 {
         tokio::time::sleep(TURN).await;
     }
@@ -54,9 +54,9 @@
         .filter(|row| row.incarnation != board.incarnation && row.state == MemberState::Alive);
     let successor = takers.max_by_key(|row| (row.zone == *own_zone, row.uptime_ms))?;
     let mut count = 0;
-    for book in board.outcomes.close() {
-        count += book.rows.len();
-        if !send_book(links, successor.peer, &book).await {
+    for record in board.outcomes.close() {
+        count += record.rows.len();
+        if !send_snapshot(links, successor.peer, &record).await {
             return None;
         }
     }
@@ -64,15 +64,15 @@
     Some(successor.incarnation)
 }
 
-/// Sends a book in parts; the last, empty part tells that all rows were sent.
-async fn send_book(links: &Links, to: SocketAddr, book: &ClosedBook) -> bool {
+/// Sends a record in parts; the last, empty part tells that all rows were sent.
+async fn send_snapshot(links: &Links, to: SocketAddr, record: &OwnerSnapshot) -> bool {
     let closed_ms = now_ms();
     // A row whose answer fits no message goes without it: what counts is that the key ran.
-    let rows: Vec<KeptRow> = book.rows.iter().map(KeptRow::bounded).collect();
+    let rows: Vec<KeptRow> = record.rows.iter().map(KeptRow::bounded).collect();
     let parts = parts(&rows).into_iter().map(|rows| (rows, false));
     for (rows, last) in parts.chain([(Vec::new(), true)]) {
-        let uptime_ms = book.uptime_ms + now_ms().saturating_sub(closed_ms);
-        let part = ClosedBook { uptime_ms, rows, ..*book };
+        let uptime_ms = record.uptime_ms + now_ms().saturating_sub(closed_ms);
+        let part = OwnerSnapshot { uptime_ms, rows, ..*record };
         let request = PeerRequest::HandOver { part, last };
         if links.call(to, &request, HAND_OVER_TIMEOUT).await.is_err() {
             return false;
--- a/src/board/events.rs
+++ b/src/board/events.rs
@@ -19,8 +19,8 @@
     ConfigInForce { service: String, revision: u64 },
     ServerLeaving { service: String, server: String },
     ServerBack { service: String, server: String },
-    SeatTaken { seat: u32 },
-    SeatLost { seat: u32 },
+    ShardTaken { shard: u32 },
+    ShardLost { shard: u32 },
     StoreLost { why: String },
     StoreBack,
 }
@@ -44,8 +44,8 @@
                 ("server-leaving", format!("{service} {server}"))
             }
             Self::ServerBack { service, server } => ("server-back", format!("{service} {server}")),
-            Self::SeatTaken { seat } => ("seat-taken", seat.to_string()),
-            Self::SeatLost { seat } => ("seat-lost", seat.to_string()),
+            Self::ShardTaken { shard } => ("shard-taken", shard.to_string()),
+            Self::ShardLost { shard } => ("shard-lost", shard.to_string()),
             Self::StoreLost { why } => ("store-lost", why.clone()),
             Self::StoreBack => ("store-back", String::new()),
         }
--- a/src/cli/run_tool.rs
+++ b/src/cli/run_tool.rs
@@ -9,7 +9,7 @@
 use super::ToolArgs;
 use super::ToolCommand;
 use crate::command;
-use crate::command::DoorClient;
+use crate::command::ToolClient;
 use crate::errors::Code;
 use crate::errors::Coded;
 
@@ -42,7 +42,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let done = match runtime {
         Ok(runtime) => runtime.block_on(execute(args)),
-        Err(err) => Err(Coded::new(Code::DoorUnreachable, err.to_string())),
+        Err(err) => Err(Coded::new(Code::OperatorUnreachable, err.to_string())),
     };
     match done {
         Ok(text) => {
@@ -57,45 +57,45 @@
 }
 
 async fn execute(args: ToolArgs) -> Result<String, Coded> {
-    let mut door = DoorClient::open(&args.door, &args.token)?;
+    let mut client = ToolClient::open(&args.address, &args.token)?;
     let json = args.json;
     match args.command {
-        ToolCommand::Service(service) => execute_service(&mut door, service, json).await,
+        ToolCommand::Service(service) => execute_service(&mut client, service, json).await,
         ToolCommand::Drain { service, backend_server } => {
-            command::set_drain(&mut door, &service, &backend_server, true, json).await
+            command::set_drain(&mut client, &service, &backend_server, true, json).await
         }
         ToolCommand::Undrain { service, backend_server } => {
-            command::set_drain(&mut door, &service, &backend_server, false, json).await
+            command::set_drain(&mut client, &service, &backend_server, false, json).await
         }
         ToolCommand::Budget { service, per_s } => {
-            command::set_budget(&mut door, &service, per_s, json).await
+            command::set_budget(&mut client, &service, per_s, json).await
         }
         ToolCommand::Plan { directory, prune } => {
-            command::plan(&mut door, &directory, prune, json).await
+            command::plan(&mut client, &directory, prune, json).await
         }
         ToolCommand::Apply { directory, prune } => {
-            command::apply(&mut door, &directory, prune, json).await
+            command::apply(&mut client, &directory, prune, json).await
         }
-        ToolCommand::Status => command::status(&mut door, &args.token, json).await,
-        ToolCommand::Timeline => command::timeline(&mut door, &args.token, json).await,
+        ToolCommand::Status => command::status(&mut client, &args.token, json).await,
+        ToolCommand::Timeline => command::timeline(&mut client, &args.token, json).await,
         ToolCommand::Completions { .. } => Ok(String::new()),
     }
 }
 
 async fn execute_service(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     service: ServiceCommand,
     json: bool,
 ) -> Result<String, Coded> {
     match service {
-        ServiceCommand::Create { file } => command::put_file(door, &file, 0, json).await,
+        ServiceCommand::Create { file } => command::put_file(client, &file, 0, json).await,
         ServiceCommand::Update { file, expected_revision } => {
-            command::put_file(door, &file, expected_revision, json).await
+            command::put_file(client, &file, expected_revision, json).await
         }
-        ServiceCommand::Get { name } => command::get(door, &name, json).await,
-        ServiceCommand::List => command::list(door, json).await,
+        ServiceCommand::Get { name } => command::get(client, &name, json).await,
+        ServiceCommand::List => command::list(client, json).await,
         ServiceCommand::Delete { name, expected_revision } => {
-            command::delete(door, &name, expected_revision, json).await
+            command::delete(client, &name, expected_revision, json).await
         }
     }
 }
--- a/src/cli/tool_args.rs
+++ b/src/cli/tool_args.rs
@@ -6,13 +6,13 @@
 use clap::Subcommand;
 use clap_complete::Shell;
 
-/// Operates sorrelwick through the door of any of its instances.
+/// Operates sorrelwick through any of its instances.
 #[derive(Clone, Debug, Parser)]
 #[command(name = "sorrelwick", version)]
 pub struct ToolArgs {
     /// Operator address of any instance.
-    #[arg(long, global = true, default_value = "127.0.0.1:7001", env = "SORRELWICK_DOOR")]
-    pub door: String,
+    #[arg(long, global = true, default_value = "127.0.0.1:7001", env = "SORRELWICK_ADDRESS")]
+    pub address: String,
     /// The operator's token.
     #[arg(
         long,
--- a/src/command/fleet.rs
+++ b/src/command/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 
-use super::DoorClient;
+use super::ToolClient;
 use crate::errors::Coded;
 use crate::r#gen as wire;
 
@@ -18,11 +18,11 @@
     reply: Result<T, Coded>,
 }
 
-/// The instances that the first one knows, each with a connection to its own door.
-async fn fleet(door: &mut DoorClient, token: &str) -> Result<Vec<Told<DoorClient>>, Coded> {
-    let first = door.status().await?;
+/// The instances that the first one knows, each with a connection to its own listener.
+async fn fleet(client: &mut ToolClient, token: &str) -> Result<Vec<Told<ToolClient>>, Coded> {
+    let first = client.status().await?;
     let told = first.instances.into_iter().map(|row| Told {
-        reply: DoorClient::open(&row.operator_address, token),
+        reply: ToolClient::open(&row.operator_address, token),
         name: row.name,
         zone: row.zone,
         state: row.state,
@@ -82,10 +82,10 @@
 /// Instances, zones, and the revisions in force on each, asked of each instance itself.
 ///
 /// # Errors
-/// What the first door told; an instance that does not answer is shown as such.
-pub async fn status(door: &mut DoorClient, token: &str, json: bool) -> Result<String, Coded> {
+/// What the first instance told; an instance that does not answer is shown as such.
+pub async fn status(client: &mut ToolClient, token: &str, json: bool) -> Result<String, Coded> {
     let mut all = Vec::new();
-    for told in fleet(door, token).await?.into_iter().filter(asked) {
+    for told in fleet(client, token).await?.into_iter().filter(asked) {
         let reply = match told.reply {
             Ok(mut client) => client.status().await,
             Err(err) => Err(err),
@@ -106,10 +106,10 @@
 /// The events of all instances, in the order of their hybrid clocks (times are UTC).
 ///
 /// # Errors
-/// What the first door told; an instance that does not answer is left out and named.
-pub async fn timeline(door: &mut DoorClient, token: &str, json: bool) -> Result<String, Coded> {
+/// What the first instance told; an instance that does not answer is left out and named.
+pub async fn timeline(client: &mut ToolClient, token: &str, json: bool) -> Result<String, Coded> {
     let mut events = Vec::new();
-    for told in fleet(door, token).await?.into_iter().filter(asked) {
+    for told in fleet(client, token).await?.into_iter().filter(asked) {
         let Ok(mut client) = told.reply else {
             continue;
         };
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -2,16 +2,15 @@
 
 mod changes;
 mod declaration;
-mod door_client;
 mod fleet;
 mod plan;
 mod service;
+mod tool_client;
 
 pub use changes::Change;
 pub use changes::changes_between;
 pub use declaration::read_declaration;
 pub use declaration::read_directory;
-pub use door_client::DoorClient;
 pub use fleet::status;
 pub use fleet::timeline;
 pub use plan::apply;
@@ -22,3 +21,4 @@
 pub use service::put_file;
 pub use service::set_budget;
 pub use service::set_drain;
+pub use tool_client::ToolClient;
--- a/src/command/plan.rs
+++ b/src/command/plan.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 use super::Change;
-use super::DoorClient;
+use super::ToolClient;
 use super::changes_between;
 use super::read_directory;
 use crate::errors::Code;
@@ -14,13 +14,13 @@
 use crate::operator::service_to_wire;
 
 async fn find_changes(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     directory: &Path,
     prune: bool,
 ) -> Result<Vec<Change>, Coded> {
     let declared = read_directory(directory)?;
     let mut current: Vec<(u64, Service)> = Vec::new();
-    for row in door.list().await? {
+    for row in client.list().await? {
         if let Some(service) = row.service {
             current.push((row.revision, service_from_wire(service)?));
         }
@@ -50,21 +50,21 @@
 /// Shows what `apply` would change.
 ///
 /// # Errors
-/// A faulty declaration, or what the door told.
+/// A faulty declaration, or what the instance told.
 pub async fn plan(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     directory: &Path,
     prune: bool,
     json: bool,
 ) -> Result<String, Coded> {
-    let changes = find_changes(door, directory, prune).await?;
+    let changes = find_changes(client, directory, prune).await?;
     Ok(render(&changes, json))
 }
 
-async fn commit(door: &mut DoorClient, change: &Change) -> Result<u64, Coded> {
+async fn commit(client: &mut ToolClient, change: &Change) -> Result<u64, Coded> {
     let committed = match &change.declared {
-        Some(service) => door.put(&service_to_wire(service), change.expected_revision).await?,
-        None => door.delete(&change.service, change.expected_revision).await?,
+        Some(service) => client.put(&service_to_wire(service), change.expected_revision).await?,
+        None => client.delete(&change.service, change.expected_revision).await?,
     };
     Ok(committed.revision)
 }
@@ -74,18 +74,18 @@
 /// # Errors
 /// The first failure, a conflict told apart from the rest, after all were tried.
 pub async fn apply(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     directory: &Path,
     prune: bool,
     json: bool,
 ) -> Result<String, Coded> {
-    let changes = find_changes(door, directory, prune).await?;
+    let changes = find_changes(client, directory, prune).await?;
     // The changes are shown before the first is made, also when a later one fails.
     print!("{}", render(&changes, json));
     let mut text = String::new();
     let mut failures: Vec<Coded> = Vec::new();
     for change in &changes {
-        match commit(door, change).await {
+        match commit(client, change).await {
             Ok(revision) => {
                 let _ = writeln!(text, "committed {} at revision {revision}", change.service);
             }
--- a/src/command/service.rs
+++ b/src/command/service.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::path::Path;
 
-use super::DoorClient;
+use super::ToolClient;
 use super::read_declaration;
 use crate::errors::Coded;
 use crate::r#gen as wire;
@@ -20,24 +20,24 @@
 /// Commits the declaration in `file`.
 ///
 /// # Errors
-/// A faulty declaration, or what the door told.
+/// A faulty declaration, or what the instance told.
 pub async fn put_file(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     file: &Path,
     expected_revision: u64,
     json: bool,
 ) -> Result<String, Coded> {
     let service = read_declaration(file)?;
-    let row = door.put(&service_to_wire(&service), expected_revision).await?;
+    let row = client.put(&service_to_wire(&service), expected_revision).await?;
     Ok(committed(&row, &service.name, json))
 }
 
 /// Prints one service as a declaration.
 ///
 /// # Errors
-/// What the door told.
-pub async fn get(door: &mut DoorClient, name: &str, json: bool) -> Result<String, Coded> {
-    let row = door.get(name).await?;
+/// what the instance told.
+pub async fn get(client: &mut ToolClient, name: &str, json: bool) -> Result<String, Coded> {
+    let row = client.get(name).await?;
     let service = service_from_wire(row.service.unwrap_or_default())?;
     let text = serde_json::to_string_pretty(&service).unwrap_or_default();
     if json {
@@ -49,9 +49,9 @@
 /// Lists the services.
 ///
 /// # Errors
-/// What the door told.
-pub async fn list(door: &mut DoorClient, json: bool) -> Result<String, Coded> {
-    let rows = door.list().await?;
+/// what the instance told.
+pub async fn list(client: &mut ToolClient, json: bool) -> Result<String, Coded> {
+    let rows = client.list().await?;
     let named = rows.iter().filter_map(|row| Some((row.revision, row.service.as_ref()?)));
     if json {
         let items: Vec<serde_json::Value> = named
@@ -79,42 +79,42 @@
 /// Deletes a service.
 ///
 /// # Errors
-/// What the door told.
+/// what the instance told.
 pub async fn delete(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     name: &str,
     expected_revision: u64,
     json: bool,
 ) -> Result<String, Coded> {
-    let row = door.delete(name, expected_revision).await?;
+    let row = client.delete(name, expected_revision).await?;
     Ok(committed(&row, name, json))
 }
 
 /// Sets or lifts the drain mark of a backend server.
 ///
 /// # Errors
-/// What the door told.
+/// what the instance told.
 pub async fn set_drain(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     service: &str,
     backend_server: &str,
     drained: bool,
     json: bool,
 ) -> Result<String, Coded> {
-    let row = door.set_drain(service, backend_server, drained).await?;
+    let row = client.set_drain(service, backend_server, drained).await?;
     Ok(committed(&row, service, json))
 }
 
 /// Sets the measuring budget of a service.
 ///
 /// # Errors
-/// What the door told.
+/// what the instance told.
 pub async fn set_budget(
-    door: &mut DoorClient,
+    client: &mut ToolClient,
     service: &str,
     per_s: u32,
     json: bool,
 ) -> Result<String, Coded> {
-    let row = door.set_budget(service, per_s).await?;
+    let row = client.set_budget(service, per_s).await?;
     Ok(committed(&row, service, json))
 }
--- a/src/command/door_client.rs
+++ b/src/command/tool_client.rs
@@ -1,4 +1,4 @@
-//! The tool's end of the operators' door.
+//! The tool's end of the operators' listener.
 
 use std::time::Duration;
 
@@ -21,28 +21,28 @@
 /// Times that a change whose commit is unknown is sent again, with the same change id.
 const REPEATS: u32 = 3;
 
-/// A connection to one instance's operators' door.
+/// A connection to one instance's operators' listener.
 #[derive(Clone, Debug)]
-pub struct DoorClient {
+pub struct ToolClient {
     client: OperatorClient<Channel>,
     token: String,
 }
 
-/// The coded error in a status of the door.
+/// The coded error in a status of an instance.
 fn coded(status: &Status) -> Coded {
     let code = code_of_status(status);
     let detail = status.message().trim_start_matches(&format!("{code}: ")).to_owned();
     Coded::new(code, detail)
 }
 
-impl DoorClient {
+impl ToolClient {
     /// Prepares a connection, which opens with the first call.
     ///
     /// # Errors
-    /// `DoorUnreachable` for an address that is none.
-    pub fn open(door: &str, token: &str) -> Result<Self, Coded> {
-        let endpoint = Endpoint::from_shared(format!("http://{door}"))
-            .map_err(|err| Coded::new(Code::DoorUnreachable, format!("{door}: {err}")))?;
+    /// `OperatorUnreachable` for an address that is none.
+    pub fn open(client: &str, token: &str) -> Result<Self, Coded> {
+        let endpoint = Endpoint::from_shared(format!("http://{client}"))
+            .map_err(|err| Coded::new(Code::OperatorUnreachable, format!("{client}: {err}")))?;
         let channel =
             endpoint.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_TIMEOUT).connect_lazy();
         Ok(Self { client: OperatorClient::new(channel), token: token.to_owned() })
@@ -60,7 +60,7 @@
     /// Commits a service; while the outcome is unknown the same change is sent again.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn put(
         &mut self,
         service: &wire::Service,
@@ -88,7 +88,7 @@
     /// Deletes a service.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn delete(
         &mut self,
         name: &str,
@@ -106,7 +106,7 @@
     /// Sets or lifts a drain mark.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn set_drain(
         &mut self,
         service: &str,
@@ -126,7 +126,7 @@
     /// Sets a measuring budget.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn set_budget(
         &mut self,
         service: &str,
@@ -144,7 +144,7 @@
     /// One service.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn get(&mut self, name: &str) -> Result<wire::Versioned, Coded> {
         let request = self.request(wire::GetServiceRequest { name: name.into() });
         let reply = self.client.get_service(request).await.map_err(|err| coded(&err))?;
@@ -154,7 +154,7 @@
     /// All services.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn list(&mut self) -> Result<Vec<wire::Versioned>, Coded> {
         let request = self.request(wire::ListServicesRequest {});
         let reply = self.client.list_services(request).await.map_err(|err| coded(&err))?;
@@ -164,7 +164,7 @@
     /// The instance's view of the fleet.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn status(&mut self) -> Result<wire::StatusResponse, Coded> {
         let request = self.request(wire::StatusRequest {});
         let reply = self.client.status(request).await.map_err(|err| coded(&err))?;
@@ -174,7 +174,7 @@
     /// The events that the instance still holds.
     ///
     /// # Errors
-    /// As the door told it.
+    /// As the instance told it.
     pub async fn timeline(&mut self) -> Result<Vec<wire::Event>, Coded> {
         let request = self.request(wire::TimelineRequest { after_stamp: 0 });
         let reply = self.client.timeline(request).await.map_err(|err| coded(&err))?;
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -9,7 +9,7 @@
 const NAME_MAX: usize = 100;
 /// Fewest characters of a shared secret or token.
 const SECRET_MIN: usize = 16;
-const SEATS_MAX: u32 = 10_000;
+const SHARDS_MAX: u32 = 10_000;
 const MS_MAX: u64 = 3_600_000;
 const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 
@@ -96,7 +96,7 @@
     }
     check_requests(&mut faults, &settings.requests);
     check_outcomes(&mut faults, &settings.outcomes, settings.requests.address_keep_ms);
-    faults.range(settings.measuring.seats.into(), 1, SEATS_MAX.into(), "measuring.seats");
+    faults.range(settings.measuring.shards.into(), 1, SHARDS_MAX.into(), "measuring.shards");
     faults.range(settings.measuring.grant_ms, 500, MS_MAX, "measuring.grant_ms");
     let level_holds = LEVELS.contains(&settings.log.level.as_str());
     faults.need(level_holds, "log.level", format!("one of {}", LEVELS.join(", ")));
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -91,7 +91,7 @@
     /// How long one watch waits for a change.
     #[serde(default = "watch_wait_default")]
     pub watch_wait_ms: u64,
-    /// Time to live of this instance's lease on its measuring seat.
+    /// Time to live of this instance's lease on its measuring shard.
     #[serde(default = "lease_ttl_default")]
     pub lease_ttl_ms: u64,
     /// Instances in a zone that watch the store; the others learn from them.
@@ -115,11 +115,11 @@
     2
 }
 
-/// The operators' door.
+/// The operators' listener.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct OperatorSettings {
-    /// Asked of every operator's call; empty only where the door listens on loopback.
+    /// Asked of every operator's call; empty only on loopback.
     pub token: String,
 }
 
@@ -174,15 +174,15 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct MeasuringSettings {
-    /// Seats among which each budget is divided; at least the number of instances.
-    pub seats: u32,
-    /// How long a seat's share is granted to a home.
+    /// Shards among which each budget is divided; at least the number of instances.
+    pub shards: u32,
+    /// How long a shard's share is granted to a home.
     pub grant_ms: u64,
 }
 
 impl Default for MeasuringSettings {
     fn default() -> Self {
-        Self { seats: 32, grant_ms: 5_000 }
+        Self { shards: 32, grant_ms: 5_000 }
     }
 }
 
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -58,7 +58,7 @@
     CommitUnknown = 3005, "The store stopped answering during the change; it may have been made.", "Send the same change again with the same change id.";
     Unauthenticated = 3006, "The operator's token is missing or wrong.", "Set the token.";
     DeclarationInvalid = 3007, "A declaration file cannot be read.", "Correct the file and line that the message names.";
-    DoorUnreachable = 3008, "The operator's door of the instance cannot be reached.", "Check --door.";
+    OperatorUnreachable = 3008, "The operators' listener of the instance cannot be reached.", "Check --address.";
     PeerUnauthenticated = 4001, "A peer did not prove that it knows the shared secret.", "Give all instances the same `peers.secret`.";
     PeerFrame = 4002, "A peer sent a frame that cannot be decoded.", "Check that all instances run compatible versions.";
     PeerFrameTooLarge = 4003, "A peer sent a frame over the limit.", "As for PeerFrame.";
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -1,16 +1,16 @@
-//! Measuring within the operators' budgets: seats, shares and probes.
+//! Measuring within the operators' budgets: shards, shares and probes.
 
 mod grants;
 mod prober;
-mod purse;
 mod roster;
-mod seat;
+mod shard;
+mod token_buckets;
 
 pub use grants::grant;
 pub use prober::run_prober;
-pub use purse::Purse;
-pub use purse::tokens_of_seat;
 pub use roster::mark_listed;
 pub use roster::run_roster;
-pub use seat::Seat;
-pub use seat::run_seat;
+pub use shard::Shard;
+pub use shard::run_shard;
+pub use token_buckets::TokenBuckets;
+pub use token_buckets::tokens_of_shard;
--- a/src/measure/prober.rs
+++ b/src/measure/prober.rs
@@ -10,9 +10,9 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 
-use super::Purse;
-use super::Seat;
-use super::purse::tokens_of_seat;
+use super::Shard;
+use super::TokenBuckets;
+use super::token_buckets::tokens_of_shard;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::board::EventKind;
@@ -21,7 +21,9 @@
 use crate::peer::GrantRequest;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::route::BACKEND_STATE;
 use crate::route::CloseReason;
+use crate::route::DRAINING;
 use crate::route::Need;
 use crate::route::Router;
 use crate::route::ServiceState;
@@ -49,8 +51,8 @@
         .body(Full::new(Bytes::new()))
         .ok()?;
     let response = conn.sender.send_request(request).await.ok()?;
-    let state = response.headers().get("x-backend-state").and_then(|value| value.to_str().ok());
-    let leaving = state == Some("draining");
+    let state = response.headers().get(BACKEND_STATE).and_then(|value| value.to_str().ok());
+    let leaving = state == Some(DRAINING);
     let status = response.status();
     Limited::new(response.into_body(), ANSWER_MAX_BYTES).collect().await.ok()?;
     conn.give_back();
@@ -83,37 +85,42 @@
     }
 }
 
-async fn probe_due(router: Router, state: Arc<ServiceState>, purse: Purse, seat: Seat) {
+async fn probe_due(router: Router, state: Arc<ServiceState>, buckets: TokenBuckets, shard: Shard) {
     let service = &state.spec.name;
     let Some((id, upstream)) = most_useful(&state) else {
         return;
     };
-    // Tokens of the own seat end with its lease; those of others with their grants.
-    if seat.current(now_ms()).is_none() {
-        purse.drop_own(service, router.board.incarnation);
+    // Tokens of the own shard end with its lease; those of others with their grants.
+    if shard.current(now_ms()).is_none() {
+        buckets.drop_own(service, router.board.incarnation);
     }
-    let Some(spent) = purse.spend(service, now_ms()) else {
+    let Some(spent) = buckets.spend(service, now_ms()) else {
         return;
     };
     probe(&router, &state, &id, &upstream).await;
     spent.done(now_ms());
 }
 
-fn put_own(board: &Blackboard, state: &ServiceState, purse: &Purse, seat: &Seat) {
+fn put_own(board: &Blackboard, state: &ServiceState, buckets: &TokenBuckets, shard: &Shard) {
     let now = now_ms();
     let service = &state.spec.name;
-    if purse.granted(service, now) {
+    if buckets.granted(service, now) {
         return;
     }
-    if let Some(number) = seat.current(now) {
-        let seats = board.settings.measuring.seats;
-        let count = tokens_of_seat(state.spec.measuring_budget_per_s, number, seats);
-        purse.put(service, board.incarnation, count, seat.until_ms(), now);
+    if let Some(number) = shard.current(now) {
+        let shards = board.settings.measuring.shards;
+        let count = tokens_of_shard(state.spec.measuring_budget_per_s, number, shards);
+        buckets.put(service, board.incarnation, count, shard.until_ms(), now);
     }
 }
 
 /// Asks another instance for its tokens of the services that this one is a home of.
-async fn ask_grant(router: &Router, services: &[String], giver: &MemberRow, purse: &Purse) {
+async fn ask_grant(
+    router: &Router,
+    services: &[String],
+    giver: &MemberRow,
+    buckets: &TokenBuckets,
+) {
     let asked_ms = now_ms();
     let from = router.board.incarnation;
     let request = PeerRequest::Grant(GrantRequest { from, services: services.to_vec() });
@@ -124,12 +131,12 @@
     let until_ms = asked_ms + router.board.settings.measuring.grant_ms;
     for (service, count) in services.iter().zip(counts) {
         if count > 0 {
-            purse.put(service, giver.incarnation, count, until_ms, now_ms());
+            buckets.put(service, giver.incarnation, count, until_ms, now_ms());
         }
     }
 }
 
-async fn ask_grants(router: &Router, purse: &Purse) {
+async fn ask_grants(router: &Router, buckets: &TokenBuckets) {
     let board = &router.board;
     let services = board.services();
     let homed =
@@ -145,22 +152,22 @@
         .iter()
         .filter(|row| row.incarnation != board.incarnation && row.state.takes_work());
     for giver in others {
-        ask_grant(router, &names, giver, purse).await;
+        ask_grant(router, &names, giver, buckets).await;
     }
 }
 
 /// Collects grants for the services this instance is a home of.
-async fn run_grants(router: Router, purse: Purse) {
+async fn run_grants(router: Router, buckets: TokenBuckets) {
     let grant_ms = router.board.settings.measuring.grant_ms;
     loop {
-        ask_grants(&router, &purse).await;
+        ask_grants(&router, &buckets).await;
         tokio::time::sleep(Duration::from_millis(grant_ms)).await;
     }
 }
 
 /// Spends the tokens of this instance on the servers that it keeps.
-pub async fn run_prober(router: Router, purse: Purse, seat: Seat) {
-    tokio::spawn(run_grants(router.clone(), purse.clone()));
+pub async fn run_prober(router: Router, buckets: TokenBuckets, shard: Shard) {
+    tokio::spawn(run_grants(router.clone(), buckets.clone()));
     loop {
         tokio::time::sleep(TURN).await;
         let services = router.board.services().clone();
@@ -168,8 +175,8 @@
             if !state.am_home || state.spec.measuring_budget_per_s == 0 {
                 continue;
             }
-            put_own(&router.board, state, &purse, &seat);
-            let work = probe_due(router.clone(), Arc::clone(state), purse.clone(), seat.clone());
+            put_own(&router.board, state, &buckets, &shard);
+            let work = probe_due(router.clone(), Arc::clone(state), buckets.clone(), shard.clone());
             tokio::spawn(work);
         }
     }
--- a/src/measure/seat.rs
+++ b/src/measure/shard.rs
@@ -1,9 +1,9 @@
-//! The seat of an instance: by it budgets are divided, so that no two spend the same share.
+//! The shard of an instance: by it budgets are divided, so that no two spend the same share.
 //!
-//! Each seat is a key in the platform's store that one lease holds. The holder stops using it
+//! Each shard is a key in the platform's store that one lease holds. The holder stops using it
 //! by its own monotonic clock, counted from before it asked for the renewal, and so before the
 //! store may give it to another: whatever instances believe of one another, shares stay apart.
-//! With the store down seats run out, and only measuring stops.
+//! With the store down shards run out, and only measuring stops.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,15 +11,15 @@
 use parking_lot::Mutex;
 use rand::RngExt;
 
-use super::Purse;
+use super::TokenBuckets;
 use crate::board::Blackboard;
 use crate::board::EventKind;
 use crate::clock::now_ms;
 use crate::store::Lease;
 use crate::store::Store;
 
-const ROOT: &str = "sorrelwick/seats";
-/// Seats tried in one turn before the next pause.
+const ROOT: &str = "sorrelwick/shards";
+/// Shards tried in one turn before the next pause.
 const TRIES_MAX: u32 = 4;
 const TURN_PAUSE_MS: u64 = 300;
 /// The lease is renewed after this part of its time.
@@ -29,23 +29,23 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Held {
-    seat: u32,
+    shard: u32,
     /// On our clock; before the store may let go of the lease.
     until_ms: u64,
 }
 
-/// The seat that this instance holds, if any; clones share.
+/// The shard that this instance holds, if any; clones share.
 #[derive(Clone, Debug, Default)]
-pub struct Seat {
+pub struct Shard {
     held: Arc<Mutex<Option<Held>>>,
 }
 
-impl Seat {
-    /// The seat, while its lease surely stands.
+impl Shard {
+    /// The shard, while its lease surely stands.
     #[must_use]
     pub fn current(&self, now_ms: u64) -> Option<u32> {
         let held = *self.held.lock();
-        held.filter(|held| now_ms < held.until_ms).map(|held| held.seat)
+        held.filter(|held| now_ms < held.until_ms).map(|held| held.shard)
     }
 
     /// How long the lease surely stands.
@@ -54,13 +54,13 @@
         self.held.lock().map_or(0, |held| held.until_ms)
     }
 
-    /// Takes note of a seat held until `until_ms`.
-    pub fn hold(&self, seat: u32, until_ms: u64) {
-        *self.held.lock() = Some(Held { seat, until_ms });
+    /// Takes note of a shard held until `until_ms`.
+    pub fn hold(&self, shard: u32, until_ms: u64) {
+        *self.held.lock() = Some(Held { shard, until_ms });
     }
 
     fn drop_it(&self) -> Option<u32> {
-        self.held.lock().take().map(|held| held.seat)
+        self.held.lock().take().map(|held| held.shard)
     }
 }
 
@@ -68,28 +68,33 @@
     ttl_ms - ttl_ms / MARGIN_DIVISOR
 }
 
-/// Takes a free seat; `None` when none was free among those tried.
-async fn sit<S: Store>(board: &Blackboard, store: &S, seat: &Seat, ttl_ms: u64) -> Option<Lease> {
+/// Takes a free shard; `None` when none was free among those tried.
+async fn acquire_shard<S: Store>(
+    board: &Blackboard,
+    store: &S,
+    shard: &Shard,
+    ttl_ms: u64,
+) -> Option<Lease> {
     let opened_ms = now_ms();
     let lease = store.lease_open(Duration::from_millis(ttl_ms)).await;
     board.note_store(lease.as_ref().err().map(ToString::to_string));
     let lease = lease.ok()?;
-    let seats = board.settings.measuring.seats;
-    let first = rand::rng().random_range(0..seats);
+    let shards = board.settings.measuring.shards;
+    let first = rand::rng().random_range(0..shards);
     let value = format!("{:016x}", board.incarnation);
-    for turn in 0..TRIES_MAX.min(seats) {
-        let number = (first + turn) % seats;
+    for turn in 0..TRIES_MAX.min(shards) {
+        let number = (first + turn) % shards;
         let path = format!("{ROOT}/{number}");
         let taken = store.acquire(&path, value.as_bytes(), &lease).await;
         board.note_store(taken.as_ref().err().map(ToString::to_string));
         match taken {
             Ok(true) => {
-                seat.hold(number, opened_ms + safe_ms(ttl_ms));
-                board.note(EventKind::SeatTaken { seat: number });
+                shard.hold(number, opened_ms + safe_ms(ttl_ms));
+                board.note(EventKind::ShardTaken { shard: number });
                 return Some(lease);
             }
             Ok(false) => {}
-            // It may have taken effect: the lease is closed, and the seat is free again.
+            // It may have taken effect: the lease is closed, and the shard is free again.
             Err(_) => break,
         }
     }
@@ -98,15 +103,15 @@
 }
 
 /// Renews until the lease is lost.
-async fn keep<S: Store>(board: &Blackboard, store: &S, seat: &Seat, lease: &Lease, ttl_ms: u64) {
+async fn keep<S: Store>(board: &Blackboard, store: &S, shard: &Shard, lease: &Lease, ttl_ms: u64) {
     loop {
         tokio::time::sleep(Duration::from_millis(ttl_ms / RENEW_DIVISOR)).await;
         let asked_ms = now_ms();
         let renewed = store.lease_renew(lease).await;
         board.note_store(renewed.as_ref().err().map(ToString::to_string));
-        let number = seat.current(asked_ms);
+        let number = shard.current(asked_ms);
         match (renewed, number) {
-            (Ok(true), Some(number)) => seat.hold(number, asked_ms + safe_ms(ttl_ms)),
+            (Ok(true), Some(number)) => shard.hold(number, asked_ms + safe_ms(ttl_ms)),
             (Err(_), Some(_)) => {}
             // Lapsed by the store's word, or by our clock.
             _ => return,
@@ -114,26 +119,31 @@
     }
 }
 
-/// Holds a seat as long as the store lets it.
+/// Holds a shard as long as the store lets it.
 ///
-/// A process that stops leaves its lease to lapse: closed, the seat would be free while tokens
+/// A process that stops leaves its lease to lapse: closed, the shard would be free while tokens
 /// that came with it are still granted to others.
-pub async fn run_seat<S: Store>(board: Arc<Blackboard>, store: S, seat: Seat, purse: Purse) {
+pub async fn run_shard<S: Store>(
+    board: Arc<Blackboard>,
+    store: S,
+    shard: Shard,
+    buckets: TokenBuckets,
+) {
     let ttl_ms = board.settings.platform.as_ref().map_or(10_000, |p| p.lease_ttl_ms);
     let mut pause_ms = TURN_PAUSE_MS;
     loop {
-        if let Some(lease) = sit(&board, &store, &seat, ttl_ms).await {
-            keep(&board, &store, &seat, &lease, ttl_ms).await;
-            if let Some(number) = seat.drop_it() {
-                board.note(EventKind::SeatLost { seat: number });
+        if let Some(lease) = acquire_shard(&board, &store, &shard, ttl_ms).await {
+            keep(&board, &store, &shard, &lease, ttl_ms).await;
+            if let Some(number) = shard.drop_it() {
+                board.note(EventKind::ShardLost { shard: number });
             }
-            purse.clear();
+            buckets.clear();
             let _ = store.lease_close(&lease).await;
             pause_ms = TURN_PAUSE_MS;
         }
         let jitter_ms = rand::rng().random_range(0..pause_ms);
         tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
-        // With more instances than seats, those that stand must not wear the store out.
+        // With more instances than shards, those that stand must not wear the store out.
         pause_ms = (pause_ms * 2).min(ttl_ms.max(TURN_PAUSE_MS));
     }
 }
--- a/src/measure/purse.rs
+++ b/src/measure/token_buckets.rs
@@ -1,9 +1,9 @@
 //! The tokens that an instance may spend on probes.
 //!
 //! A budget of B probes a second is B tokens, each good for one probe in any second. Token `t`
-//! belongs to seat `t mod seats`, whole: a fraction of a probe a second on each of 19 instances
-//! would let all of them probe in the same second. A seat grants its tokens to a home for a
-//! time; the home counts that time from before it asked, the seat from when it granted, so the
+//! belongs to shard `t mod shards`, whole: a fraction of a probe a second on each of 19 instances
+//! would let all of them probe in the same second. A shard grants its tokens to a home for a
+//! time; the home counts that time from before it asked, the shard from when it granted, so the
 //! home always stops first.
 
 use std::collections::HashMap;
@@ -15,11 +15,11 @@
 /// arrive within the same second by differences of the way.
 const TOKEN_INTERVAL_MS: u64 = 1_250;
 
-/// How many of the `budget` tokens belong to `seat`.
+/// How many of the `budget` tokens belong to `shard`.
 #[must_use]
-pub const fn tokens_of_seat(budget: u32, seat: u32, seats: u32) -> u32 {
-    let whole = budget / seats;
-    if seat < budget % seats { whole + 1 } else { whole }
+pub const fn tokens_of_shard(budget: u32, shard: u32, shards: u32) -> u32 {
+    let whole = budget / shards;
+    if shard < budget % shards { whole + 1 } else { whole }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -40,24 +40,24 @@
 
 /// All tokens of one instance, by service; clones share.
 #[derive(Clone, Debug, Default)]
-pub struct Purse {
+pub struct TokenBuckets {
     accounts: Arc<Mutex<HashMap<String, Account>>>,
 }
 
-/// A token that was taken out; it is ready again an interval after [`Spent::done`], or after it
+/// A token that was taken out; it is ready again an interval after [`TakenToken::done`], or after it
 /// was taken, whichever is later: a pause between the two cannot bring two probes together.
 #[derive(Debug)]
-pub struct Spent {
-    purse: Purse,
+pub struct TakenToken {
+    buckets: TokenBuckets,
     service: String,
     giver: u64,
     at: usize,
 }
 
-impl Spent {
+impl TakenToken {
     /// Takes note that the probe was sent, now.
     pub fn done(self, now_ms: u64) {
-        let mut accounts = self.purse.accounts.lock();
+        let mut accounts = self.buckets.accounts.lock();
         let account = accounts.get_mut(&self.service);
         let tokens = account.and_then(|account| account.tokens.get_mut(&self.giver));
         if let Some(token) = tokens.and_then(|tokens| tokens.get_mut(self.at)) {
@@ -66,7 +66,7 @@
     }
 }
 
-impl Purse {
+impl TokenBuckets {
     /// Puts `count` tokens of `giver` in, good until `until_ms`. Tokens that were there keep
     /// their pace, and fresh ones wait an interval: who had them before may just have spent them.
     pub fn put(&self, service: &str, giver: u64, count: u32, until_ms: u64, now_ms: u64) {
@@ -106,7 +106,7 @@
 
     /// Takes a token out for one probe.
     #[must_use]
-    pub fn spend(&self, service: &str, now_ms: u64) -> Option<Spent> {
+    pub fn spend(&self, service: &str, now_ms: u64) -> Option<TakenToken> {
         let mut accounts = self.accounts.lock();
         let account = accounts.get_mut(service)?;
         for (giver, tokens) in &mut account.tokens {
@@ -114,20 +114,20 @@
             if let Some(at) = tokens.iter().position(ready) {
                 tokens[at].ready_ms = now_ms + TOKEN_INTERVAL_MS;
                 let (service, giver) = (service.to_owned(), *giver);
-                return Some(Spent { purse: self.clone(), service, giver, at });
+                return Some(TakenToken { buckets: self.clone(), service, giver, at });
             }
         }
         None
     }
 
-    /// Takes the own tokens out: the seat that they came with is lost.
+    /// Takes the own tokens out: the shard that they came with is lost.
     pub fn drop_own(&self, service: &str, own: u64) {
         if let Some(account) = self.accounts.lock().get_mut(service) {
             account.tokens.remove(&own);
         }
     }
 
-    /// Takes all tokens out: the seat that they came with is lost. Grants given stand.
+    /// Takes all tokens out: the shard that they came with is lost. Grants given stand.
     pub fn clear(&self) {
         for account in self.accounts.lock().values_mut() {
             account.tokens.clear();
--- a/src/member/row.rs
+++ b/src/member/row.rs
@@ -50,7 +50,7 @@
 pub struct MemberRow {
     /// Random per start of the process.
     pub incarnation: u64,
-    /// Raised only by the member itself, to contradict what others say of it.
+    /// Raised only by the member itself, to refute what others say of it.
     pub generation: u32,
     pub state: MemberState,
     pub name: String,
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -77,7 +77,7 @@
     /// Takes a row in; tells whether it changed what is believed.
     pub fn merge(&mut self, row: &MemberRow, now_ms: u64) -> bool {
         if row.incarnation == self.own {
-            return self.contradict(row, now_ms);
+            return self.refute(row, now_ms);
         }
         let born_ms = now_ms.saturating_sub(row.uptime_ms);
         let tells = self.tells();
@@ -92,7 +92,7 @@
         if self.known.len() >= MEMBERS_MAX {
             return false;
         }
-        self.bury_predecessor(row, now_ms);
+        self.supersede_predecessor(row, now_ms);
         let known = Known { row: row.clone(), born_ms, since_ms: now_ms, tells };
         self.known.insert(row.incarnation, known);
         // Placed by its number, so that instances do not all ping the newcomer first.
@@ -103,7 +103,7 @@
 
     /// A process that was paused, or cut off, hears that it is believed gone: it is not, and a
     /// row of a higher generation says so to everyone.
-    fn contradict(&mut self, row: &MemberRow, now_ms: u64) -> bool {
+    fn refute(&mut self, row: &MemberRow, now_ms: u64) -> bool {
         let tells = self.tells();
         let Some(own) = self.known.get_mut(&self.own) else {
             return false;
@@ -118,7 +118,7 @@
     }
 
     /// A new process on a peer address means that the one before it is gone.
-    fn bury_predecessor(&mut self, row: &MemberRow, now_ms: u64) {
+    fn supersede_predecessor(&mut self, row: &MemberRow, now_ms: u64) {
         if !row.state.may_answer() {
             return;
         }
--- a/src/operator/answers.rs
+++ b/src/operator/answers.rs
@@ -1,4 +1,4 @@
-//! The calls of the operators' door.
+//! The calls of the operators' listener.
 
 use tonic::Request;
 use tonic::Response;
--- a/src/operator/convert.rs
+++ b/src/operator/convert.rs
@@ -137,11 +137,11 @@
     status_of(&err.coded)
 }
 
-/// The result code that an error of the door carries.
+/// The result code that an error of an instance carries.
 #[must_use]
 pub fn code_of_status(status: &Status) -> Code {
     let number = status.metadata().get(CODE_FIELD).and_then(|value| value.to_str().ok());
     let number: Option<u16> = number.and_then(|text| text.parse().ok());
     let row = TABLE.iter().find(|row| Some(row.0.number()) == number);
-    row.map_or(Code::DoorUnreachable, |row| row.0)
+    row.map_or(Code::OperatorUnreachable, |row| row.0)
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -1,11 +1,11 @@
-//! The operators' door: remote procedure calls as declared in `proto/`.
+//! The operators' listener: remote procedure calls as declared in `proto/`.
 
 mod answers;
 mod convert;
-mod door;
+mod operator_listener;
 
 pub use convert::code_of_status;
 pub use convert::service_from_wire;
 pub use convert::service_to_wire;
-pub use door::OperatorDoor;
-pub use door::TOKEN_FIELD;
+pub use operator_listener::OperatorListener;
+pub use operator_listener::TOKEN_FIELD;
--- a/src/operator/door.rs
+++ b/src/operator/operator_listener.rs
@@ -1,4 +1,4 @@
-//! The listener of the operators' door.
+//! The listener of the operators' listener.
 
 use tokio::net::TcpListener;
 use tonic::Request;
@@ -19,9 +19,9 @@
 pub const TOKEN_FIELD: &str = "authorization";
 const REQUESTS_MAX: u32 = 64;
 
-/// The operators' door, open until it is dropped.
+/// The operators' listener, open until it is dropped.
 #[derive(Debug)]
-pub struct OperatorDoor {
+pub struct OperatorListener {
     _task: TaskGuard,
 }
 
@@ -44,7 +44,7 @@
     Err(status_of(&Coded::new(Code::Unauthenticated, "the operator's token is missing or wrong")))
 }
 
-impl OperatorDoor {
+impl OperatorListener {
     /// Serves operators on `listener`.
     #[must_use]
     pub fn spawn(listener: TcpListener, router: Router) -> Self {
@@ -61,7 +61,7 @@
         let task = TaskGuard::spawn(async move {
             // Ends only when the listener does; the daemon itself goes on serving callers.
             if let Err(err) = serving.await {
-                log::error!("operators' door: {err}");
+                log::error!("operators' listener: {err}");
             }
         });
         Self { _task: task }
--- a/src/outcome/kept.rs
+++ b/src/outcome/kept.rs
@@ -63,7 +63,7 @@
 
 /// The record of one process's keys, or a part of it, on its way to a successor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClosedBook {
+pub struct OwnerSnapshot {
     /// Whose keys these are.
     pub incarnation: u64,
     /// Age of that process when this was sent.
--- a/src/outcome/mod.rs
+++ b/src/outcome/mod.rs
@@ -6,9 +6,9 @@
 mod table;
 
 pub use claims::claim;
-pub use kept::ClosedBook;
 pub use kept::Kept;
 pub use kept::KeptRow;
+pub use kept::OwnerSnapshot;
 pub use kept::WholeAnswer;
 pub use key::KEY_MAX_BYTES;
 pub use key::Key;
--- a/src/outcome/table.rs
+++ b/src/outcome/table.rs
@@ -10,9 +10,9 @@
 use parking_lot::Mutex;
 use tokio::sync::watch;
 
-use super::ClosedBook;
 use super::Kept;
 use super::KeptRow;
+use super::OwnerSnapshot;
 use crate::clock::now_ms;
 use crate::conf::OutcomeSettings;
 use crate::errors::Code;
@@ -35,7 +35,7 @@
 }
 
 #[derive(Debug)]
-struct Book {
+struct OwnerRecord {
     rows: HashMap<RowKey, Tracked>,
     /// Bytes of kept answers; at most `answers_max_bytes`.
     answers_bytes: usize,
@@ -70,16 +70,16 @@
 #[derive(Clone, Debug)]
 pub struct OutcomeTable {
     settings: OutcomeSettings,
-    books: Arc<Mutex<HashMap<u64, Book>>>,
+    records: Arc<Mutex<HashMap<u64, OwnerRecord>>>,
 }
 
 impl OutcomeTable {
     /// An empty table for the keys of `own`.
     #[must_use]
     pub fn new(own: u64, settings: &OutcomeSettings) -> Self {
-        let book = Book::new(now_ms(), settings.window_epochs);
-        let books = HashMap::from([(own, book)]);
-        Self { settings: settings.clone(), books: Arc::new(Mutex::new(books)) }
+        let record = OwnerRecord::new(now_ms(), settings.window_epochs);
+        let records = HashMap::from([(own, record)]);
+        Self { settings: settings.clone(), records: Arc::new(Mutex::new(records)) }
     }
 
     /// The epoch of a process that started at `born_ms`.
@@ -91,21 +91,21 @@
     /// The epoch of `incarnation`, if its keys are answered for here.
     #[must_use]
     pub fn epoch_of(&self, incarnation: u64) -> Option<u64> {
-        let books = self.books.lock();
-        let book = books.get(&incarnation)?;
-        Some(self.epoch_at(book.born_ms, now_ms()))
+        let records = self.records.lock();
+        let record = records.get(&incarnation)?;
+        Some(self.epoch_at(record.born_ms, now_ms()))
     }
 
     /// Whether keys of `incarnation` may run here.
     #[must_use]
     pub fn owns(&self, incarnation: u64) -> bool {
-        self.books.lock().get(&incarnation).is_some_and(|book| !book.closed)
+        self.records.lock().get(&incarnation).is_some_and(|record| !record.closed)
     }
 
-    /// Rows held, over all books.
+    /// Rows held, over all records.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.books.lock().values().map(|book| book.rows.len()).sum()
+        self.records.lock().values().map(|record| record.rows.len()).sum()
     }
 
     /// Whether no row is held.
@@ -117,32 +117,32 @@
     /// Decides on a keyed request.
     #[must_use]
     pub fn begin(&self, incarnation: u64, epoch: u64, service: &str, key: &str) -> Begin {
-        let mut books = self.books.lock();
-        let held: usize = books.values().map(|book| book.rows.len()).sum();
-        let Some(book) = books.get_mut(&incarnation) else {
+        let mut records = self.records.lock();
+        let held: usize = records.values().map(|record| record.rows.len()).sum();
+        let Some(record) = records.get_mut(&incarnation) else {
             return Begin::NotOwner;
         };
         let row_key = (service.to_owned(), key.to_owned());
-        if let Some(tracked) = book.rows.get(&row_key) {
+        if let Some(tracked) = record.rows.get(&row_key) {
             return match &tracked.row {
                 Row::Running(result) => Begin::Follow(result.clone()),
                 Row::Done(kept) => Begin::Replay(kept.clone()),
             };
         }
-        if book.closed {
+        if record.closed {
             return Begin::Closed;
         }
-        let now_epoch = self.epoch_at(book.born_ms, now_ms());
+        let now_epoch = self.epoch_at(record.born_ms, now_ms());
         // An epoch of the future was never given out, and its row would outlive the window.
-        if epoch + book.window_epochs < now_epoch || epoch > now_epoch + 1 {
+        if epoch + record.window_epochs < now_epoch || epoch > now_epoch + 1 {
             return Begin::Expired;
         }
         if held >= self.settings.rows_max {
             return Begin::Full;
         }
         let (sender, receiver) = watch::channel(None);
-        book.rows.insert(row_key.clone(), Tracked { row: Row::Running(receiver), epoch });
-        drop(books);
+        record.rows.insert(row_key.clone(), Tracked { row: Row::Running(receiver), epoch });
+        drop(records);
         Begin::Run(RunGuard {
             table: self.clone(),
             incarnation,
@@ -153,47 +153,47 @@
     }
 
     fn finish(&self, incarnation: u64, key: &RowKey, kept: Option<Kept>) -> Option<Kept> {
-        let mut books = self.books.lock();
-        let book = books.get_mut(&incarnation)?;
+        let mut records = self.records.lock();
+        let record = records.get_mut(&incarnation)?;
         let Some(kept) = kept else {
-            book.rows.remove(key);
+            record.rows.remove(key);
             return None;
         };
-        let kept = book.bounded(kept, self.settings.answers_max_bytes);
-        if let Some(tracked) = book.rows.get_mut(key) {
+        let kept = record.bounded(kept, self.settings.answers_max_bytes);
+        if let Some(tracked) = record.rows.get_mut(key) {
             tracked.row = Row::Done(kept.clone());
         }
         Some(kept)
     }
 
-    /// Drops rows whose keys are refused by now, and whole books without any use.
+    /// Drops rows whose keys are refused by now, and whole records without any use.
     pub fn expire(&self, own: u64) {
         let now = now_ms();
-        let mut books = self.books.lock();
-        for book in books.values_mut() {
-            let now_epoch = self.epoch_at(book.born_ms, now);
-            book.expire(now_epoch);
+        let mut records = self.records.lock();
+        for record in records.values_mut() {
+            let now_epoch = self.epoch_at(record.born_ms, now);
+            record.expire(now_epoch);
         }
         let window_ms = self.settings.epoch_ms * (self.settings.window_epochs + 2);
-        books.retain(|incarnation, book| {
-            let idle = book.rows.is_empty() && now.saturating_sub(book.born_ms) > window_ms;
-            *incarnation == own || !book.closed || !idle
+        records.retain(|incarnation, record| {
+            let idle = record.rows.is_empty() && now.saturating_sub(record.born_ms) > window_ms;
+            *incarnation == own || !record.closed || !idle
         });
     }
 
-    /// Closes all books and gives them out, for a successor. To be called when no request is in
+    /// Closes all records and gives them out, for a successor. To be called when no request is in
     /// flight any more.
     #[must_use]
-    pub fn close(&self) -> Vec<ClosedBook> {
+    pub fn close(&self) -> Vec<OwnerSnapshot> {
         let now = now_ms();
-        let mut books = self.books.lock();
-        let closed = books.iter_mut().map(|(incarnation, book)| {
-            book.closed = true;
-            ClosedBook {
+        let mut records = self.records.lock();
+        let closed = records.iter_mut().map(|(incarnation, record)| {
+            record.closed = true;
+            OwnerSnapshot {
                 incarnation: *incarnation,
-                uptime_ms: now.saturating_sub(book.born_ms),
-                window_epochs: book.window_epochs,
-                rows: book.rows.iter().map(|(key, tracked)| tracked.given_out(key)).collect(),
+                uptime_ms: now.saturating_sub(record.born_ms),
+                window_epochs: record.window_epochs,
+                rows: record.rows.iter().map(|(key, tracked)| tracked.given_out(key)).collect(),
             }
         });
         closed.collect()
@@ -204,21 +204,21 @@
     ///
     /// The window is one epoch shorter than it was, because `born_ms` may be later than the true
     /// start by the time the message took.
-    pub fn adopt(&self, part: ClosedBook, born_ms: u64, last: bool) {
-        let mut books = self.books.lock();
+    pub fn adopt(&self, part: OwnerSnapshot, born_ms: u64, last: bool) {
+        let mut records = self.records.lock();
         let window_epochs = part.window_epochs.saturating_sub(1);
-        let book = books.entry(part.incarnation).or_insert_with(|| {
-            let mut book = Book::new(born_ms, window_epochs);
-            book.closed = true;
-            book
+        let record = records.entry(part.incarnation).or_insert_with(|| {
+            let mut record = OwnerRecord::new(born_ms, window_epochs);
+            record.closed = true;
+            record
         });
-        book.born_ms = book.born_ms.min(born_ms);
+        record.born_ms = record.born_ms.min(born_ms);
         for KeptRow { key, epoch, kept } in part.rows {
-            let kept = book.bounded(kept, self.settings.answers_max_bytes);
-            book.rows.insert(key, Tracked { row: Row::Done(kept), epoch });
+            let kept = record.bounded(kept, self.settings.answers_max_bytes);
+            record.rows.insert(key, Tracked { row: Row::Done(kept), epoch });
         }
         if last {
-            book.closed = false;
+            record.closed = false;
         }
     }
 }
@@ -234,7 +234,7 @@
     }
 }
 
-impl Book {
+impl OwnerRecord {
     fn new(born_ms: u64, window_epochs: u64) -> Self {
         Self { rows: HashMap::new(), answers_bytes: 0, born_ms, window_epochs, closed: false }
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -7,7 +7,7 @@
 
 use crate::member::MemberRow;
 use crate::model::Versioned;
-use crate::outcome::ClosedBook;
+use crate::outcome::OwnerSnapshot;
 
 /// Slots that a home of a service has free, told to its other homes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,7 +59,7 @@
     Grant(GrantRequest),
     /// Outcomes of an instance that stops; the receiver answers for its keys from now on.
     HandOver {
-        part: ClosedBook,
+        part: OwnerSnapshot,
         last: bool,
     },
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -17,8 +17,8 @@
 use super::AnswerBody;
 use super::Conn;
 use super::Need;
+use super::ProxyRequest;
 use super::Slot;
-use super::Ticket;
 use super::answer::UpstreamBody;
 use super::fields;
 use crate::decide::Finish;
@@ -58,12 +58,13 @@
     )
 }
 
-fn build(ticket: &Ticket) -> Option<Request<Full<Bytes>>> {
-    let mut builder = Request::builder().method(ticket.method.as_str()).uri(ticket.target.as_str());
+fn build(proxy_request: &ProxyRequest) -> Option<Request<Full<Bytes>>> {
+    let mut builder =
+        Request::builder().method(proxy_request.method.as_str()).uri(proxy_request.target.as_str());
     let headers = builder.headers_mut()?;
-    *headers = fields::header_map(&ticket.headers);
-    headers.insert(fields::TIMEOUT_MS, (ticket.left_us() / 1000).into());
-    builder.body(Full::new(ticket.body.clone())).ok()
+    *headers = fields::header_map(&proxy_request.headers);
+    headers.insert(fields::TIMEOUT_MS, (proxy_request.left_us() / 1000).into());
+    builder.body(Full::new(proxy_request.body.clone())).ok()
 }
 
 /// Whether the end of the body can be told from a connection that breaks.
@@ -81,16 +82,16 @@
 /// Until the request is handed to a connection every fault is `not-run`; from then on it is
 /// `unknown`, because the server may have got the request whole.
 pub async fn attempt(
-    ticket: &Ticket,
+    proxy_request: &ProxyRequest,
     spec: &Service,
     slot: Slot,
     buffer_bytes: usize,
 ) -> Attempted {
-    let Some(request) = build(ticket) else {
+    let Some(request) = build(proxy_request) else {
         return Answer::not_run(Code::BadRequest, 0).into();
     };
-    let left = Duration::from_micros(ticket.left_us());
-    let need = if ticket.idempotent { Need::Any } else { Need::Fresh };
+    let left = Duration::from_micros(proxy_request.left_us());
+    let need = if proxy_request.idempotent { Need::Any } else { Need::Fresh };
     let upstream = Arc::clone(&slot.upstream);
     let conn = match tokio::time::timeout(left, upstream.checkout(need)).await {
         Ok(Some(conn)) => conn,
@@ -100,18 +101,18 @@
         }
         Err(_) => return Answer::not_run(Code::DeadlineInQueue, RETRY_SOON_MS).into(),
     };
-    exchange(ticket, spec, slot, conn, request, buffer_bytes).await
+    exchange(proxy_request, spec, slot, conn, request, buffer_bytes).await
 }
 
 async fn exchange(
-    ticket: &Ticket,
+    proxy_request: &ProxyRequest,
     spec: &Service,
     slot: Slot,
     mut conn: Conn,
     request: Request<Full<Bytes>>,
     buffer_bytes: usize,
 ) -> Attempted {
-    let left = Duration::from_micros(ticket.left_us());
+    let left = Duration::from_micros(proxy_request.left_us());
     if left.is_zero() {
         return Answer::not_run(Code::DeadlineInQueue, RETRY_SOON_MS).into();
     }
@@ -136,11 +137,11 @@
         let answer = refused(response, slot, conn).await;
         return Attempted { answer, leaving };
     }
-    if !end_is_marked(&response, &ticket.method) {
+    if !end_is_marked(&response, &proxy_request.method) {
         slot.finish(Finish::Failed);
         return Attempted { answer: Answer::unknown(Code::AnswerTruncated), leaving };
     }
-    let answer = take(ticket, response, slot, conn, buffer_bytes).await;
+    let answer = take(proxy_request, response, slot, conn, buffer_bytes).await;
     Attempted { answer, leaving }
 }
 
@@ -178,7 +179,7 @@
 }
 
 async fn take(
-    ticket: &Ticket,
+    proxy_request: &ProxyRequest,
     response: Response<Incoming>,
     slot: Slot,
     conn: Conn,
@@ -187,7 +188,7 @@
     let (parts, incoming) = response.into_parts();
     let headers = fields::header_map(&fields::travelling(&parts.headers));
     let size = incoming.size_hint().exact();
-    let left = Duration::from_micros(ticket.left_us());
+    let left = Duration::from_micros(proxy_request.left_us());
     if size.is_none_or(|size| size > buffer_bytes as u64) {
         let body = UpstreamBody::new(incoming, slot, conn, left);
         return Answer::ran(parts.status, headers, AnswerBody::Upstream(Box::new(body)));
--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -10,9 +10,9 @@
 use tokio::sync::oneshot;
 
 use super::Upstream;
-use super::desk::CloseReason;
-use super::desk::Desk;
-use super::desk::Waiter;
+use super::binder_state::BinderState;
+use super::binder_state::CloseReason;
+use super::binder_state::Waiter;
 use super::slot::Offer;
 use super::slot::Slot;
 use crate::clock::now_us;
@@ -41,7 +41,7 @@
 /// Hands out the slots of one service on one instance; clones share.
 #[derive(Clone, Debug)]
 pub struct Binder {
-    desk: Arc<Mutex<Desk>>,
+    binder_state: Arc<Mutex<BinderState>>,
 }
 
 /// A place in the queue, or the reason why there is none.
@@ -66,63 +66,63 @@
     /// A binder without servers.
     #[must_use]
     pub fn new(waiting_max: usize, seed: u64) -> Self {
-        let desk = Desk {
+        let binder_state = BinderState {
             pool: SlotPool::new(Vec::new(), seed),
             servers: Vec::new(),
             waiting: VecDeque::new(),
             waiting_max,
             preference: Preference::default(),
         };
-        Self { desk: Arc::new(Mutex::new(desk)) }
+        Self { binder_state: Arc::new(Mutex::new(binder_state)) }
     }
 
     /// Puts a declaration in force. `kept[i]` tells whether this instance is the keeper of
     /// `service.backend_servers[i]`; `share` divides the connections that a server accepts.
     pub fn apply(&self, service: &Service, kept: &[bool], share: u32) {
         let now = now_us();
-        let mut desk = self.desk.lock();
-        desk.preference = service.preference;
-        for at in 0..desk.servers.len() {
-            let upstream = &desk.servers[at].upstream;
+        let mut binder_state = self.binder_state.lock();
+        binder_state.preference = service.preference;
+        for at in 0..binder_state.servers.len() {
+            let upstream = &binder_state.servers[at].upstream;
             let declared = service
                 .backend_servers
                 .iter()
                 .any(|server| server.id == upstream.id && server.address == upstream.address);
-            desk.mark(at, CloseReason::Removed, !declared);
+            binder_state.mark(at, CloseReason::Removed, !declared);
         }
-        let initial = desk.servers.is_empty();
+        let initial = binder_state.servers.is_empty();
         for (server, kept) in service.backend_servers.iter().zip(kept) {
-            let at = desk.place(server, initial, now);
+            let at = binder_state.place(server, initial, now);
             let open_max = (server.connections_max / share.max(1)).max(1);
-            desk.servers[at].upstream.set_open_max(open_max);
-            desk.pool.loads_mut()[at].slots = server.slots;
-            desk.pool.loads_mut()[at].kept = *kept;
-            let changed = desk.mark(at, CloseReason::Drained, server.drained);
+            binder_state.servers[at].upstream.set_open_max(open_max);
+            binder_state.pool.loads_mut()[at].slots = server.slots;
+            binder_state.pool.loads_mut()[at].kept = *kept;
+            let changed = binder_state.mark(at, CloseReason::Drained, server.drained);
             if changed && !server.drained {
                 // The operator's word outweighs what the server said before.
-                desk.mark(at, CloseReason::Told, false);
+                binder_state.mark(at, CloseReason::Told, false);
             }
         }
-        self.hand_out_from(desk);
+        self.hand_out_from(binder_state);
     }
 
     /// Counts a request, from which the budgets of extra work grow.
     pub fn earn(&self) {
-        let mut desk = self.desk.lock();
-        desk.pool.retries.earn();
-        desk.pool.hedges.earn();
+        let mut binder_state = self.binder_state.lock();
+        binder_state.pool.retries.earn();
+        binder_state.pool.hedges.earn();
     }
 
     /// Takes a slot if one is free and nobody waits for it.
     #[must_use]
     pub fn try_take(&self, reach: Reach, avoid: &[usize]) -> Option<Slot> {
         let now = now_us();
-        let mut desk = self.desk.lock();
-        if desk.waiting.iter().any(|waiter| !waiter.sender.is_closed()) {
+        let mut binder_state = self.binder_state.lock();
+        if binder_state.waiting.iter().any(|waiter| !waiter.sender.is_closed()) {
             return None;
         }
-        let index = desk.pool.take(reach, avoid, now)?;
-        Some(self.slot(&desk, index, now))
+        let index = binder_state.pool.take(reach, avoid, now)?;
+        Some(self.slot(&binder_state, index, now))
     }
 
     /// A place for a second attempt beside the one on `first`, inside the hedge budget. It comes
@@ -130,14 +130,14 @@
     /// caller's patience than they are, and the budget bounds how many overtake them.
     #[must_use]
     pub fn hedge(&self, reach: Reach, first: usize) -> Option<oneshot::Receiver<Offer>> {
-        let mut desk = self.desk.lock();
-        if !desk.pool.hedges.spend() {
+        let mut binder_state = self.binder_state.lock();
+        if !binder_state.pool.hedges.spend() {
             return None;
         }
         let (sender, offer) = oneshot::channel();
         let avoid = SmallVec::from_slice(&[first]);
-        desk.waiting.push_front(Waiter { reach, avoid, sender });
-        self.hand_out_from(desk);
+        binder_state.waiting.push_front(Waiter { reach, avoid, sender });
+        self.hand_out_from(binder_state);
         Some(offer)
     }
 
@@ -145,16 +145,16 @@
     /// waiting first.
     pub fn offer_moves(&self, count: u32) {
         let mut movers: SmallVec<[Waiter; 8]> = SmallVec::new();
-        let mut desk = self.desk.lock();
+        let mut binder_state = self.binder_state.lock();
         while movers.len() < count as usize {
-            let Some(waiter) = desk.waiting.pop_front() else {
+            let Some(waiter) = binder_state.waiting.pop_front() else {
                 break;
             };
             if !waiter.sender.is_closed() {
                 movers.push(waiter);
             }
         }
-        drop(desk);
+        drop(binder_state);
         for waiter in movers {
             let _ = waiter.sender.send(Offer::Move);
         }
@@ -163,13 +163,13 @@
     /// Queues a request for a slot, or tells why it gets none.
     #[must_use]
     pub fn wait(&self, reach: Reach, avoid: &[usize], order: Order, left_us: u64) -> Wait {
-        let mut desk = self.desk.lock();
-        desk.waiting.retain(|waiter| !waiter.sender.is_closed());
+        let mut binder_state = self.binder_state.lock();
+        binder_state.waiting.retain(|waiter| !waiter.sender.is_closed());
         let view = QueueView {
-            waiting: desk.waiting.len(),
-            waiting_max: desk.waiting_max,
-            slots: desk.pool.slots(reach, now_us()),
-            typical_us: desk.pool.typical_us(),
+            waiting: binder_state.waiting.len(),
+            waiting_max: binder_state.waiting_max,
+            slots: binder_state.pool.slots(reach, now_us()),
+            typical_us: binder_state.pool.typical_us(),
             left_us,
         };
         let at_most = match admit(&view) {
@@ -179,35 +179,35 @@
         let (sender, offer) = oneshot::channel();
         let waiter = Waiter { reach, avoid: avoid.into(), sender };
         match order {
-            Order::Last => desk.waiting.push_back(waiter),
-            Order::First => desk.waiting.push_front(waiter),
+            Order::Last => binder_state.waiting.push_back(waiter),
+            Order::First => binder_state.waiting.push_front(waiter),
         }
         // A slot may have come free between the caller's try and now.
-        self.hand_out_from(desk);
+        self.hand_out_from(binder_state);
         Wait::Queued { offer, at_most }
     }
 
     /// Whether a retry is within the budget; takes it out.
     #[must_use]
     pub fn spend_retry(&self) -> bool {
-        self.desk.lock().pool.retries.spend()
+        self.binder_state.lock().pool.retries.spend()
     }
 
     /// Whether the retry budget has a token.
     #[must_use]
     pub fn retry_left(&self) -> bool {
-        self.desk.lock().pool.retries.left()
+        self.binder_state.lock().pool.retries.left()
     }
 
     /// When an idempotent attempt is joined by a second one.
     #[must_use]
     pub fn hedge_delay(&self, idempotent: bool) -> Option<Duration> {
-        let desk = self.desk.lock();
+        let binder_state = self.binder_state.lock();
         let delay_us = hedge_delay_us(
-            desk.preference,
+            binder_state.preference,
             idempotent,
-            desk.pool.typical_us(),
-            desk.pool.high_us(),
+            binder_state.pool.typical_us(),
+            binder_state.pool.high_us(),
         );
         delay_us.map(Duration::from_micros)
     }
@@ -215,31 +215,32 @@
     /// Median service time in microseconds; 0 before the first answer.
     #[must_use]
     pub fn typical_us(&self) -> f32 {
-        self.desk.lock().pool.typical_us()
+        self.binder_state.lock().pool.typical_us()
     }
 
     /// Whether any server within reach may be used at all now.
     #[must_use]
     pub fn usable(&self, reach: Reach) -> bool {
-        self.desk.lock().pool.slots(reach, now_us()) > 0
+        self.binder_state.lock().pool.slots(reach, now_us()) > 0
     }
 
     /// Slots free now, and requests that wait.
     #[must_use]
     pub fn free_and_waiting(&self) -> (u32, usize) {
-        let desk = self.desk.lock();
-        let waiting = desk.waiting.iter().filter(|waiter| !waiter.sender.is_closed()).count();
-        (desk.pool.free(now_us()), waiting)
+        let binder_state = self.binder_state.lock();
+        let waiting =
+            binder_state.waiting.iter().filter(|waiter| !waiter.sender.is_closed()).count();
+        (binder_state.pool.free(now_us()), waiting)
     }
 
     /// Offers slots that came free by time alone: an ejection that ended, a ramp that rose.
     /// Tells whether anybody waited.
     #[must_use]
     pub fn tick(&self) -> bool {
-        let desk = self.desk.lock();
-        let waits = desk.waiting.iter().any(|waiter| !waiter.sender.is_closed());
+        let binder_state = self.binder_state.lock();
+        let waits = binder_state.waiting.iter().any(|waiter| !waiter.sender.is_closed());
         if waits {
-            self.hand_out_from(desk);
+            self.hand_out_from(binder_state);
         }
         waits
     }
@@ -247,17 +248,17 @@
     /// Sets or lifts one reason for a server; tells whether that was news.
     #[must_use]
     pub fn close(&self, server_id: &str, reason: CloseReason, closed: bool) -> bool {
-        let mut desk = self.desk.lock();
-        let found = desk.servers.iter().position(|server| server.upstream.id == server_id);
-        let news = found.is_some_and(|at| desk.mark(at, reason, closed));
-        self.hand_out_from(desk);
+        let mut binder_state = self.binder_state.lock();
+        let found = binder_state.servers.iter().position(|server| server.upstream.id == server_id);
+        let news = found.is_some_and(|at| binder_state.mark(at, reason, closed));
+        self.hand_out_from(binder_state);
         news
     }
 
     /// Takes note of the load that a server told.
     pub fn report(&self, index: usize, in_flight: u32) {
-        let mut desk = self.desk.lock();
-        if let Some(load) = desk.pool.loads_mut().get_mut(index) {
+        let mut binder_state = self.binder_state.lock();
+        if let Some(load) = binder_state.pool.loads_mut().get_mut(index) {
             load.report(in_flight, now_us());
         }
     }
@@ -266,8 +267,8 @@
     #[must_use]
     pub fn servers(&self) -> Vec<ServerView> {
         let now = now_us();
-        let desk = self.desk.lock();
-        let rows = desk.servers.iter().zip(desk.pool.loads());
+        let binder_state = self.binder_state.lock();
+        let rows = binder_state.servers.iter().zip(binder_state.pool.loads());
         let declared = rows.filter(|(server, _)| server.closed & CloseReason::Removed.bit() == 0);
         let views = declared.map(|(server, load)| ServerView {
             upstream: Arc::clone(&server.upstream),
@@ -279,49 +280,49 @@
         views.collect()
     }
 
-    fn slot(&self, desk: &Desk, index: usize, now_us: u64) -> Slot {
+    fn slot(&self, binder_state: &BinderState, index: usize, now_us: u64) -> Slot {
         Slot {
             binder: self.clone(),
             index,
-            upstream: Arc::clone(&desk.servers[index].upstream),
+            upstream: Arc::clone(&binder_state.servers[index].upstream),
             started_us: now_us,
             finished: false,
         }
     }
 
     pub(super) fn finish(&self, index: usize, finish: Finish) {
-        let mut desk = self.desk.lock();
-        desk.pool.finish(index, finish, now_us());
-        self.hand_out_from(desk);
+        let mut binder_state = self.binder_state.lock();
+        binder_state.pool.finish(index, finish, now_us());
+        self.hand_out_from(binder_state);
     }
 
     /// Gives free slots to those who wait longest.
     ///
     /// The slots are sent after the lock is let go: a receiver that is gone drops its slot at
     /// once, and the slot's drop takes the lock.
-    fn hand_out_from(&self, mut desk: MutexGuard<'_, Desk>) {
-        if desk.waiting.is_empty() {
+    fn hand_out_from(&self, mut binder_state: MutexGuard<'_, BinderState>) {
+        if binder_state.waiting.is_empty() {
             return;
         }
         let now = now_us();
         let mut ready: SmallVec<[(oneshot::Sender<Offer>, Slot); 4]> = SmallVec::new();
         let mut at = 0;
-        while at < desk.waiting.len().min(OFFERS_MAX) {
-            if desk.waiting[at].sender.is_closed() {
-                desk.waiting.remove(at);
+        while at < binder_state.waiting.len().min(OFFERS_MAX) {
+            if binder_state.waiting[at].sender.is_closed() {
+                binder_state.waiting.remove(at);
                 continue;
             }
-            let Desk { pool, waiting, .. } = &mut *desk;
+            let BinderState { pool, waiting, .. } = &mut *binder_state;
             let Some(index) = pool.take(waiting[at].reach, &waiting[at].avoid, now) else {
                 at += 1;
                 continue;
             };
-            let slot = self.slot(&desk, index, now);
-            if let Some(waiter) = desk.waiting.remove(at) {
+            let slot = self.slot(&binder_state, index, now);
+            if let Some(waiter) = binder_state.waiting.remove(at) {
                 ready.push((waiter.sender, slot));
             }
         }
-        drop(desk);
+        drop(binder_state);
         for (sender, slot) in ready {
             // A receiver that is gone gives the slot back by dropping it.
             let _ = sender.send(Offer::Slot(slot));
--- a/src/route/desk.rs
+++ b/src/route/binder_state.rs
@@ -52,7 +52,7 @@
 
 /// Everything that one lock covers.
 #[derive(Debug)]
-pub(super) struct Desk {
+pub(super) struct BinderState {
     pub pool: SlotPool,
     /// In the order of the pool's rows; a row keeps its position while requests are in flight.
     pub servers: Vec<Server>,
@@ -61,7 +61,7 @@
     pub preference: Preference,
 }
 
-impl Desk {
+impl BinderState {
     /// The row of a declared server: its own, a new one, or one that nobody uses any more.
     pub fn place(&mut self, server: &BackendServer, initial: bool, now_us: u64) -> usize {
         let same =
--- a/src/route/door.rs
+++ b/src/route/caller_listener.rs
@@ -24,8 +24,8 @@
 use super::AnswerBody;
 use super::Outcome;
 use super::Placement;
+use super::ProxyRequest;
 use super::Router;
-use super::Ticket;
 use super::fields;
 use crate::board::Counter;
 use crate::clock::now_ms;
@@ -46,7 +46,7 @@
 
 /// The callers' listener, running until it is stopped.
 #[derive(Debug)]
-pub struct Door {
+pub struct CallerListener {
     accepting: TaskGuard,
     stop: watch::Sender<bool>,
     permits: Arc<Semaphore>,
@@ -70,7 +70,7 @@
     addresses: Vec<NamedAddress>,
 }
 
-impl Door {
+impl CallerListener {
     /// Serves callers on `listener`.
     #[must_use]
     pub fn spawn(listener: TcpListener, router: Router) -> Self {
@@ -140,20 +140,18 @@
 
 async fn serve(router: &Router, request: Request<Incoming>) -> Response<AnswerBody> {
     router.board.counters.add(Counter::Requests);
-    if request.uri().path() == ADDRESSES {
+    if request.uri().path() == fields::ADDRESSES_PATH {
         return name_addresses(router, &request);
     }
     let in_flight = router.board.in_flight();
     let answer = match read(router, request).await {
-        Ok(ticket) => router.handle(ticket).await,
+        Ok(proxy_request) => router.handle(proxy_request).await,
         Err(answer) => answer,
     };
     drop(in_flight);
     respond(router, answer)
 }
 
-const ADDRESSES: &str = fields::ADDRESSES_PATH;
-
 fn respond(router: &Router, answer: Answer) -> Response<AnswerBody> {
     let mut response = Response::new(answer.body);
     *response.status_mut() = answer.status;
@@ -173,7 +171,7 @@
 }
 
 /// Reads a request whole, or tells why not; nothing of it has been sent on then.
-async fn read(router: &Router, request: Request<Incoming>) -> Result<Ticket, Answer> {
+async fn read(router: &Router, request: Request<Incoming>) -> Result<ProxyRequest, Answer> {
     let settings = &router.board.settings.requests;
     let refuse = |err: &Coded| Answer::not_run(err.code, 0);
     let (parts, incoming) = request.into_parts();
@@ -204,7 +202,7 @@
         Err(_) => return Err(Answer::refused(Code::BodyIncomplete, keyed)),
     };
     let target = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-    Ok(Ticket {
+    Ok(ProxyRequest {
         service,
         method: parts.method.as_str().to_owned(),
         target: target.to_owned(),
--- a/src/route/keyed.rs
+++ b/src/route/keyed.rs
@@ -7,9 +7,9 @@
 use tokio::sync::watch;
 
 use super::Answer;
+use super::ProxyRequest;
 use super::Router;
 use super::ServiceState;
-use super::Ticket;
 use crate::board::Counter;
 use crate::errors::Code;
 use crate::outcome::Begin;
@@ -32,12 +32,12 @@
     pub(super) async fn run_keyed(
         &self,
         state: &Arc<ServiceState>,
-        ticket: Ticket,
+        proxy_request: ProxyRequest,
         key: Key,
     ) -> Answer {
         let prefix = match key.prefix {
             Some(prefix) => Some(prefix),
-            None => self.claim(&ticket, &key).await,
+            None => self.claim(&proxy_request, &key).await,
         };
         let Some(prefix) = prefix else {
             // The key may have run before, so this is not told to be not-run.
@@ -45,22 +45,22 @@
             return Answer { retry_after_ms: OWNER_RETRY_MS, ..answer };
         };
         if self.board.outcomes.owns(prefix.incarnation) {
-            return self.run_owned(state, ticket, &key, prefix).await;
+            return self.run_owned(state, proxy_request, &key, prefix).await;
         }
-        self.pass_to_owner(&ticket, prefix.incarnation).await
+        self.pass_to_owner(&proxy_request, prefix.incarnation).await
     }
 
-    async fn claim(&self, ticket: &Ticket, key: &Key) -> Option<KeyPrefix> {
+    async fn claim(&self, proxy_request: &ProxyRequest, key: &Key) -> Option<KeyPrefix> {
         let incarnation = self.board.incarnation;
         let epoch = self.board.outcomes.epoch_of(incarnation)?;
         let own = KeyPrefix { incarnation, epoch };
-        let within = Duration::from_micros(ticket.left_us());
-        let claimed = claim(&self.store, &ticket.service, &key.text, own);
+        let within = Duration::from_micros(proxy_request.left_us());
+        let claimed = claim(&self.store, &proxy_request.service, &key.text, own);
         tokio::time::timeout(within, claimed).await.ok().flatten()
     }
 
-    async fn pass_to_owner(&self, ticket: &Ticket, incarnation: u64) -> Answer {
-        if ticket.stage >= Stage::Owner {
+    async fn pass_to_owner(&self, proxy_request: &ProxyRequest, incarnation: u64) -> Answer {
+        if proxy_request.stage >= Stage::Owner {
             // Whoever passed it held this instance to be the owner or its successor.
             return unreachable_owner();
         }
@@ -69,7 +69,7 @@
             self.board.counters.add(Counter::OwnerUnreachable);
             return unreachable_owner();
         };
-        if let Ok(answer) = self.pass(&owner, ticket, Stage::Owner).await {
+        if let Ok(answer) = self.pass(&owner, proxy_request, Stage::Owner).await {
             answer
         } else {
             self.board.counters.add(Counter::OwnerUnreachable);
@@ -80,14 +80,14 @@
     async fn run_owned(
         &self,
         state: &Arc<ServiceState>,
-        ticket: Ticket,
+        proxy_request: ProxyRequest,
         key: &Key,
         prefix: KeyPrefix,
     ) -> Answer {
         let outcomes = &self.board.outcomes;
-        match outcomes.begin(prefix.incarnation, prefix.epoch, &ticket.service, &key.text) {
-            Begin::Run(guard) => self.run_guarded(state, ticket, guard).await,
-            Begin::Follow(result) => self.follow(&ticket, result).await,
+        match outcomes.begin(prefix.incarnation, prefix.epoch, &proxy_request.service, &key.text) {
+            Begin::Run(guard) => self.run_guarded(state, proxy_request, guard).await,
+            Begin::Follow(result) => self.follow(&proxy_request, result).await,
             Begin::Replay(kept) => {
                 self.board.counters.add(Counter::Replayed);
                 Answer::replay(&kept)
@@ -95,7 +95,7 @@
             Begin::Expired => Answer::unknown(Code::KeyExpired),
             Begin::Full => Answer::not_run(Code::OutcomesFull, FULL_RETRY_MS),
             Begin::Closed | Begin::NotOwner => {
-                self.pass_to_owner(&ticket, prefix.incarnation).await
+                self.pass_to_owner(&proxy_request, prefix.incarnation).await
             }
         }
     }
@@ -105,7 +105,7 @@
     async fn run_guarded(
         &self,
         state: &Arc<ServiceState>,
-        ticket: Ticket,
+        proxy_request: ProxyRequest,
         guard: RunGuard,
     ) -> Answer {
         let router = self.clone();
@@ -114,7 +114,7 @@
         // Counted by itself: a planned stop waits for it also when its caller has left.
         let in_flight = self.board.in_flight();
         tokio::spawn(async move {
-            let answer = router.run(&state, &ticket).await;
+            let answer = router.run(&state, &proxy_request).await;
             match answer.kept() {
                 Some(kept) => guard.finish(kept),
                 None => guard.not_run(),
@@ -126,9 +126,13 @@
         receiver.await.unwrap_or_else(|_| Answer::unknown(Code::AnswerLost))
     }
 
-    async fn follow(&self, ticket: &Ticket, mut result: watch::Receiver<Option<Kept>>) -> Answer {
+    async fn follow(
+        &self,
+        proxy_request: &ProxyRequest,
+        mut result: watch::Receiver<Option<Kept>>,
+    ) -> Answer {
         self.board.counters.add(Counter::Followed);
-        let within = Duration::from_micros(ticket.left_us());
+        let within = Duration::from_micros(proxy_request.left_us());
         let ended = tokio::time::timeout(within, result.wait_for(Option::is_some)).await;
         match ended {
             Ok(Ok(kept)) => {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,19 +1,19 @@
-//! The way of a request: door, key, home, slot, backend server.
+//! The way of a request: listener, key, home, slot, backend server.
 
 mod answer;
 mod attempt;
 mod binder;
-mod desk;
-mod door;
+mod binder_state;
+mod caller_listener;
 mod fields;
 mod keyed;
-mod places;
+mod placement;
+mod proxy_request;
+mod queues;
 mod router;
 mod runner;
 mod service_state;
 mod slot;
-mod tell;
-mod ticket;
 mod upstream;
 
 pub use answer::Answer;
@@ -21,18 +21,20 @@
 pub use answer::BodyError;
 pub use answer::Outcome;
 pub use binder::Binder;
-pub use desk::CloseReason;
-pub use door::Door;
+pub use binder_state::CloseReason;
+pub use caller_listener::CallerListener;
 pub use fields::ADDRESSES_PATH;
-pub use places::Placement;
-pub use places::refresh;
-pub use places::run_placement;
+pub use fields::BACKEND_STATE;
+pub use fields::DRAINING;
+pub use placement::Placement;
+pub use placement::refresh;
+pub use placement::run_placement;
+pub use proxy_request::ProxyRequest;
+pub use queues::hear;
+pub use queues::run_queues;
 pub use router::Router;
 pub use service_state::ServiceState;
 pub use slot::Slot;
-pub use tell::hear;
-pub use tell::run_queues;
-pub use ticket::Ticket;
 pub use upstream::Conn;
 pub use upstream::Need;
 pub use upstream::Upstream;
--- a/src/route/ticket.rs
+++ b/src/route/proxy_request.rs
@@ -9,7 +9,7 @@
 
 /// A request whose body is whole.
 #[derive(Clone, Debug)]
-pub struct Ticket {
+pub struct ProxyRequest {
     pub service: String,
     pub method: String,
     /// Path and query.
@@ -25,7 +25,7 @@
     pub deadline_us: u64,
 }
 
-impl Ticket {
+impl ProxyRequest {
     /// Time until the deadline.
     #[must_use]
     pub fn left_us(&self) -> u64 {
--- a/src/route/tell.rs
+++ b/src/route/queues.rs
@@ -18,22 +18,22 @@
 const TURN: Duration = Duration::from_millis(5);
 const TELL_TIMEOUT: Duration = Duration::from_millis(200);
 /// Words a second, over all services: at about 90 bytes each, 3.6 KB of the 5 KB a second.
-const WORDS_PER_S: f64 = 40.0;
+const MESSAGES_PER_S: f64 = 40.0;
 /// Words that an instance may have saved.
-const WORDS_SAVED_MAX: f64 = 40.0;
+const MESSAGES_SAVED_MAX: f64 = 40.0;
 
 /// Words left to this instance.
-struct Allowance {
+struct TokenBucket {
     left: f64,
     at_ms: u64,
 }
 
-impl Allowance {
+impl TokenBucket {
     fn take(&mut self) -> bool {
         let now = now_ms();
         #[expect(clippy::cast_precision_loss, reason = "milliseconds since the last turn")]
-        let earned = (now - self.at_ms) as f64 / 1000.0 * WORDS_PER_S;
-        self.left = (self.left + earned).min(WORDS_SAVED_MAX);
+        let earned = (now - self.at_ms) as f64 / 1000.0 * MESSAGES_PER_S;
+        self.left = (self.left + earned).min(MESSAGES_SAVED_MAX);
         self.at_ms = now;
         let has = self.left >= 1.0;
         if has {
@@ -55,7 +55,7 @@
     }
 }
 
-fn tell_others(router: &Router, state: &ServiceState, allowance: &mut Allowance) {
+fn tell_others(router: &Router, state: &ServiceState, allowance: &mut TokenBucket) {
     let (free, waiting) = state.core.binder.free_and_waiting();
     if free == 0 && waiting == 0 {
         return;
@@ -89,7 +89,7 @@
 }
 
 /// One turn over all services; tells whether requests wait for any of them, here or elsewhere.
-fn serve_queues(router: &Router, allowance: &mut Allowance) -> bool {
+fn serve_queues(router: &Router, allowance: &mut TokenBucket) -> bool {
     let mut waiting = false;
     let services = router.board.services().clone();
     for state in services.values() {
@@ -109,7 +109,7 @@
 /// Serves the queues of this instance while there are any: slots that came free by time alone are
 /// offered, and the other homes are told what would help. Without queues it sleeps.
 pub async fn run_queues(router: Router) {
-    let mut allowance = Allowance { left: WORDS_SAVED_MAX, at_ms: now_ms() };
+    let mut allowance = TokenBucket { left: MESSAGES_SAVED_MAX, at_ms: now_ms() };
     loop {
         router.board.queue_formed.notified().await;
         while serve_queues(&router, &mut allowance) {
--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use super::Answer;
+use super::ProxyRequest;
 use super::ServiceState;
-use super::Ticket;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::errors::Code;
@@ -21,43 +21,45 @@
 
 impl Router {
     /// Gives a request its final answer.
-    pub async fn handle(&self, mut ticket: Ticket) -> Answer {
-        let Some(state) = self.board.services().get(&ticket.service).cloned() else {
-            return Answer::refused(Code::UnknownService, ticket.key.is_some());
+    pub async fn handle(&self, mut proxy_request: ProxyRequest) -> Answer {
+        let Some(state) = self.board.services().get(&proxy_request.service).cloned() else {
+            return Answer::refused(Code::UnknownService, proxy_request.key.is_some());
         };
-        let kind = state.spec.kind_of(&ticket.method, ticket.path());
+        let kind = state.spec.kind_of(&proxy_request.method, proxy_request.path());
         // Two instances may have different revisions in force for a moment: a request is
         // repeated only if every instance on its way holds it to be idempotent.
-        ticket.idempotent &= kind.is_some_and(|kind| kind.idempotent);
-        if !ticket.idempotent && ticket.key.is_none() && kind.is_some_and(|kind| kind.key_required)
+        proxy_request.idempotent &= kind.is_some_and(|kind| kind.idempotent);
+        if !proxy_request.idempotent
+            && proxy_request.key.is_none()
+            && kind.is_some_and(|kind| kind.key_required)
         {
             return Answer::not_run(Code::KeyRequired, 0);
         }
-        let answer = self.dispatch(&state, ticket).await;
+        let answer = self.dispatch(&state, proxy_request).await;
         self.board.counters.add(Counter::of_outcome(answer.outcome));
         answer
     }
 
-    async fn dispatch(&self, state: &Arc<ServiceState>, ticket: Ticket) -> Answer {
-        if ticket.idempotent {
-            return self.run(state, &ticket).await;
+    async fn dispatch(&self, state: &Arc<ServiceState>, proxy_request: ProxyRequest) -> Answer {
+        if proxy_request.idempotent {
+            return self.run(state, &proxy_request).await;
         }
         // From a home on the key has been settled by its owner.
-        let settled = ticket.stage >= crate::peer::Stage::Home;
-        match ticket.key.clone() {
-            Some(key) if !settled => self.run_keyed(state, ticket, key).await,
-            _ => self.run_detached(state, ticket).await,
+        let settled = proxy_request.stage >= crate::peer::Stage::Home;
+        match proxy_request.key.clone() {
+            Some(key) if !settled => self.run_keyed(state, proxy_request, key).await,
+            _ => self.run_detached(state, proxy_request).await,
         }
     }
 
     /// Runs to the end even if the caller leaves: work that must not repeat is not cut short.
-    async fn run_detached(&self, state: &Arc<ServiceState>, ticket: Ticket) -> Answer {
+    async fn run_detached(&self, state: &Arc<ServiceState>, proxy_request: ProxyRequest) -> Answer {
         let router = self.clone();
         let state = Arc::clone(state);
         // Counted by itself: a planned stop waits for it also when its caller has left.
         let in_flight = self.board.in_flight();
         let work = tokio::spawn(async move {
-            let answer = router.run(&state, &ticket).await;
+            let answer = router.run(&state, &proxy_request).await;
             drop(in_flight);
             answer
         });
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -7,10 +7,10 @@
 
 use super::Answer;
 use super::Outcome;
+use super::ProxyRequest;
 use super::Router;
 use super::ServiceState;
 use super::Slot;
-use super::Ticket;
 use super::attempt::Attempted;
 use super::attempt::attempt;
 use super::attempt::failure;
@@ -68,12 +68,17 @@
     other.await.after(may_have_run)
 }
 
-fn may_try_again(state: &ServiceState, ticket: &Ticket, answer: &Answer, attempts: u32) -> bool {
+fn may_try_again(
+    state: &ServiceState,
+    proxy_request: &ProxyRequest,
+    answer: &Answer,
+    attempts: u32,
+) -> bool {
     let view = RetryView {
-        idempotent: ticket.idempotent,
+        idempotent: proxy_request.idempotent,
         not_run: answer.outcome == Outcome::NotRun,
         attempts,
-        left_us: ticket.left_us(),
+        left_us: proxy_request.left_us(),
         typical_us: state.core.binder.typical_us(),
         budget_left: state.core.binder.retry_left(),
     };
@@ -82,25 +87,25 @@
 
 impl Router {
     /// Runs a request once, or, where that does no harm, more often; gives its final answer.
-    pub(super) async fn run(&self, state: &ServiceState, ticket: &Ticket) -> Answer {
-        if state.am_home || ticket.stage >= Stage::Home {
-            return self.run_here(state, ticket).await;
+    pub(super) async fn run(&self, state: &ServiceState, proxy_request: &ProxyRequest) -> Answer {
+        if state.am_home || proxy_request.stage >= Stage::Home {
+            return self.run_here(state, proxy_request).await;
         }
-        self.run_at_home(state, ticket).await
+        self.run_at_home(state, proxy_request).await
     }
 
     /// Passes the request to a home. With none in reach this instance serves it alone, from all
     /// servers: it knows less of their load, but the caller gets an answer.
-    async fn run_at_home(&self, state: &ServiceState, ticket: &Ticket) -> Answer {
+    async fn run_at_home(&self, state: &ServiceState, proxy_request: &ProxyRequest) -> Answer {
         let mut may_have_run = false;
         for home in &state.homes {
-            match self.pass(home, ticket, Stage::Home).await {
+            match self.pass(home, proxy_request, Stage::Home).await {
                 // It has not heard of the service yet; another home may have.
                 Ok(answer) if answer.code == Code::UnknownService => {}
                 Ok(answer) => return answer.after(may_have_run),
                 Err(PeerError::Lost) => {
                     self.board.counters.add(Counter::PeerLost);
-                    if !ticket.idempotent {
+                    if !proxy_request.idempotent {
                         return Answer::unknown(Code::PeerLost);
                     }
                     may_have_run = true;
@@ -108,22 +113,22 @@
                 Err(_) => self.board.counters.add(Counter::HomeUnreachable),
             }
         }
-        self.run_here(state, ticket).await.after(may_have_run)
+        self.run_here(state, proxy_request).await.after(may_have_run)
     }
 
     /// Passes a request on and waits for its answer until the deadline.
     pub(super) async fn pass(
         &self,
         to: &MemberRow,
-        ticket: &Ticket,
+        proxy_request: &ProxyRequest,
         stage: Stage,
     ) -> Result<Answer, PeerError> {
-        let head = ticket.pass_head(stage);
-        let within = Duration::from_micros(ticket.left_us()) + PASS_GRACE;
+        let head = proxy_request.pass_head(stage);
+        let within = Duration::from_micros(proxy_request.left_us()) + PASS_GRACE;
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
         let passed = async {
-            let reply = self.links.pass(to.peer, &head, &ticket.body).await?;
-            if let Some(state) = self.board.services().get(&ticket.service) {
+            let reply = self.links.pass(to.peer, &head, &proxy_request.body).await?;
+            if let Some(state) = self.board.services().get(&proxy_request.service) {
                 state.core.note_free(to.incarnation, reply.head.free);
                 state.core.binder.offer_moves(reply.head.free);
             }
@@ -134,26 +139,26 @@
         Ok(answer)
     }
 
-    async fn run_here(&self, state: &ServiceState, ticket: &Ticket) -> Answer {
+    async fn run_here(&self, state: &ServiceState, proxy_request: &ProxyRequest) -> Answer {
         let mut avoid: SmallVec<[usize; 4]> = SmallVec::new();
         let mut attempts = 0;
         let mut may_have_run = false;
         state.core.binder.earn();
         loop {
             attempts += 1;
-            let answer = match self.place(state, ticket, &avoid).await {
+            let answer = match self.place(state, proxy_request, &avoid).await {
                 Place::Nowhere(answer) => return answer.after(may_have_run),
-                Place::CoHome(home) => match self.pass(&home, ticket, Stage::Spill).await {
+                Place::CoHome(home) => match self.pass(&home, proxy_request, Stage::Spill).await {
                     Ok(answer) => answer,
                     Err(PeerError::Lost) => Answer::unknown(Code::PeerLost),
                     Err(_) => Answer::not_run(Code::PeerLost, RETRY_SOON_MS),
                 },
                 Place::Here(slot) => {
                     avoid.push(slot.index);
-                    self.attempt_hedged(state, ticket, slot).await
+                    self.attempt_hedged(state, proxy_request, slot).await
                 }
             };
-            if !wanting(&answer) || !may_try_again(state, ticket, &answer, attempts) {
+            if !wanting(&answer) || !may_try_again(state, proxy_request, &answer, attempts) {
                 return answer.after(may_have_run);
             }
             may_have_run |= answer.outcome != Outcome::NotRun;
@@ -162,41 +167,46 @@
     }
 
     /// The keepers' slots first, then a co-home that has slots free, then the queue.
-    async fn place(&self, state: &ServiceState, ticket: &Ticket, avoid: &[usize]) -> Place {
+    async fn place(
+        &self,
+        state: &ServiceState,
+        proxy_request: &ProxyRequest,
+        avoid: &[usize],
+    ) -> Place {
         let binder = &state.core.binder;
         let reach = if state.am_home { Reach::Kept } else { Reach::All };
         if let Some(slot) = binder.try_take(reach, avoid) {
             return Place::Here(slot);
         }
-        if let Some(home) = self.co_home_for(state, ticket, binder.usable(reach)) {
+        if let Some(home) = self.co_home_for(state, proxy_request, binder.usable(reach)) {
             return Place::CoHome(home);
         }
         // A home whose own servers are all gone, and which no co-home could help, uses any.
         let reach = if binder.usable(reach) { reach } else { Reach::All };
         self.board.counters.add(Counter::Queued);
         self.board.queue_formed.notify_one();
-        self.wait_for_place(state, ticket, avoid, reach).await
+        self.wait_for_place(state, proxy_request, avoid, reach).await
     }
 
     /// Waits for a slot here, or for word that another home has one.
     async fn wait_for_place(
         &self,
         state: &ServiceState,
-        ticket: &Ticket,
+        proxy_request: &ProxyRequest,
         avoid: &[usize],
         reach: Reach,
     ) -> Place {
         let mut order = Order::Last;
         loop {
             let (offer, at_most) =
-                match state.core.binder.wait(reach, avoid, order, ticket.left_us()) {
+                match state.core.binder.wait(reach, avoid, order, proxy_request.left_us()) {
                     Wait::Queued { offer, at_most } => (offer, at_most),
                     Wait::Refused(admission) => return Place::Nowhere(refusal(admission)),
                 };
             match tokio::time::timeout(at_most, offer).await {
                 Ok(Ok(Offer::Slot(slot))) => return Place::Here(slot),
                 Ok(Ok(Offer::Move)) => {
-                    if let Some(home) = self.co_home_for(state, ticket, true) {
+                    if let Some(home) = self.co_home_for(state, proxy_request, true) {
                         return Place::CoHome(home);
                     }
                     order = Order::First;
@@ -212,10 +222,10 @@
     fn co_home_for(
         &self,
         state: &ServiceState,
-        ticket: &Ticket,
+        proxy_request: &ProxyRequest,
         own_usable: bool,
     ) -> Option<Arc<MemberRow>> {
-        if ticket.stage >= Stage::Spill {
+        if proxy_request.stage >= Stage::Spill {
             return None;
         }
         let mut others = state.homes.iter().filter(|h| h.incarnation != self.board.incarnation);
@@ -232,11 +242,16 @@
 
     /// One attempt, joined by a second when it takes too long and the hedge budget allows it.
     /// The first whole answer counts; the other attempt is dropped, which closes its connection.
-    async fn attempt_hedged(&self, state: &ServiceState, ticket: &Ticket, slot: Slot) -> Answer {
+    async fn attempt_hedged(
+        &self,
+        state: &ServiceState,
+        proxy_request: &ProxyRequest,
+        slot: Slot,
+    ) -> Answer {
         let binder = &state.core.binder;
         let index = slot.index;
-        let first = self.attempt_once(state, ticket, slot);
-        let Some(delay) = binder.hedge_delay(ticket.idempotent) else {
+        let first = self.attempt_once(state, proxy_request, slot);
+        let Some(delay) = binder.hedge_delay(proxy_request.idempotent) else {
             return first.await;
         };
         tokio::pin!(first);
@@ -256,7 +271,7 @@
             return first.await;
         };
         self.board.counters.add(Counter::Hedges);
-        let second = self.attempt_once(state, ticket, slot);
+        let second = self.attempt_once(state, proxy_request, slot);
         tokio::pin!(second);
         tokio::select! {
             answer = &mut first => better(answer, second).await,
@@ -264,11 +279,17 @@
         }
     }
 
-    async fn attempt_once(&self, state: &ServiceState, ticket: &Ticket, slot: Slot) -> Answer {
+    async fn attempt_once(
+        &self,
+        state: &ServiceState,
+        proxy_request: &ProxyRequest,
+        slot: Slot,
+    ) -> Answer {
         self.board.counters.add(Counter::Attempts);
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
         let server = slot.upstream.id.clone();
-        let Attempted { answer, leaving } = attempt(ticket, &state.spec, slot, buffer_bytes).await;
+        let Attempted { answer, leaving } =
+            attempt(proxy_request, &state.spec, slot, buffer_bytes).await;
         if leaving {
             self.server_leaves(state, &server);
         }
--- a/standins/src/bed/bed.rs
+++ b/standins/src/bed/bed.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use sorrelwick::board::Blackboard;
-use sorrelwick::command::DoorClient;
+use sorrelwick::command::ToolClient;
 use sorrelwick::conf::Settings;
 use sorrelwick::errors::Coded;
 use sorrelwick::model::BackendServer;
@@ -194,22 +194,22 @@
         }
     }
 
-    /// The operators' door of a running instance.
+    /// The operators' listener of a running instance.
     ///
     /// # Panics
     /// When it was killed.
     #[must_use]
-    pub fn door(&self, at: usize) -> DoorClient {
+    pub fn operator(&self, at: usize) -> ToolClient {
         let address = self.daemon(at).board().settings.listen.operator;
-        DoorClient::open(&address.to_string(), "").expect("an address")
+        ToolClient::open(&address.to_string(), "").expect("an address")
     }
 
     /// Commits a service by an operator's call.
     ///
     /// # Errors
-    /// What the door told.
+    /// What the operator told.
     pub async fn put(&self, at: usize, service: &Service, expected: u64) -> Result<u64, Coded> {
-        let row = self.door(at).put(&service_to_wire(service), expected).await?;
+        let row = self.operator(at).put(&service_to_wire(service), expected).await?;
         Ok(row.revision)
     }
 
@@ -227,7 +227,7 @@
     /// Creates a service over all backend servers and waits until it is in force.
     ///
     /// # Panics
-    /// When the door refuses it.
+    /// When the operator refuses it.
     pub async fn create(&self, name: &str) -> Service {
         let service = self.service(name);
         let revision = self.put(0, &service, 0).await.expect("the service is accepted");
--- a/standins/src/bed/fleet.rs
+++ b/standins/src/bed/fleet.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use sorrelwick::command::DoorClient;
+use sorrelwick::command::ToolClient;
 use sorrelwick::model::Service;
 use sorrelwick::operator::service_to_wire;
 use tempfile::TempDir;
@@ -62,19 +62,19 @@
         self.bed.state.set_list("sorrelwick", listed.collect());
     }
 
-    /// The operators' door of one process.
+    /// The operators' listener of one process.
     ///
     /// # Panics
     /// Never: the address is one.
     #[must_use]
-    pub fn door(&self, at: usize) -> DoorClient {
+    pub fn operator(&self, at: usize) -> ToolClient {
         let address = self.daemons[at].settings.listen.operator;
-        DoorClient::open(&address.to_string(), "").expect("an address")
+        ToolClient::open(&address.to_string(), "").expect("an address")
     }
 
     /// How many instances one process believes to be alive.
     pub async fn alive_seen_by(&self, at: usize) -> usize {
-        let Ok(status) = self.door(at).status().await else {
+        let Ok(status) = self.operator(at).status().await else {
             return 0;
         };
         status.instances.iter().filter(|row| row.state == "alive").count()
@@ -83,12 +83,12 @@
     /// Creates a service and waits until it is in force on all processes.
     ///
     /// # Panics
-    /// When the door refuses it.
+    /// When the operator refuses it.
     pub async fn create(&self, service: &Service) {
-        self.door(0).put(&service_to_wire(service), 0).await.expect("accepted");
+        self.operator(0).put(&service_to_wire(service), 0).await.expect("accepted");
         until("in force on all processes", async || {
             for at in 0..self.daemons.len() {
-                if self.door(at).get(&service.name).await.is_err() {
+                if self.operator(at).get(&service.name).await.is_err() {
                     return false;
                 }
             }
--- a/standins/src/bed/plan.rs
+++ b/standins/src/bed/plan.rs
@@ -42,7 +42,7 @@
             backend: BackendSettings::default(),
             requests: RequestSettings { address_keep_ms: 500, ..RequestSettings::default() },
             outcomes: OutcomeSettings::default(),
-            measuring: MeasuringSettings { seats: 32, grant_ms: 1_000 },
+            measuring: MeasuringSettings { shards: 32, grant_ms: 1_000 },
             lease_ttl_ms: 3_000,
             watch_wait_ms: 1_000,
         }
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -254,7 +254,7 @@
     let caller = bed.caller("orders", 0);
     let (key, first) = caller.call_keyed(&order("known")).await;
     assert_eq!(first.outcome(), "ran");
-    bed.door(0).delete("orders", 1).await.expect("deleted");
+    bed.operator(0).delete("orders", 1).await.expect("deleted");
     until("it is gone", async || bed.boards().iter().all(|b| b.services().is_empty())).await;
     let again = caller.call(&order("known").with_key(&key.expect("a key"))).await;
     assert_eq!((again.outcome(), again.code()), ("unknown", 2002));
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -110,7 +110,7 @@
     let committer = Committer::new(AnyStore::open(settings.platform.as_ref()));
     for expected in 0..5 {
         let service = bed.service("resolved");
-        // The other writes of this bed are its seat's; so each turn loses a few.
+        // The other writes of this bed are its shard's; so each turn loses a few.
         bed.platform().switches.lose_answers.store(1, Ordering::Release);
         let edit = Edit::Put { service, expected };
         let row = committer.commit("resolved", &edit, Uuid::new_v4()).await.expect("resolved");
@@ -208,7 +208,7 @@
     let bed = Bed::start(BedPlan::default()).await;
     let mut service = bed.create("orders").await;
     let old = bed.boards()[0].catalog.lock().get("orders").cloned().expect("in force");
-    let gone = bed.door(1).delete("orders", 1).await.expect("deleted");
+    let gone = bed.operator(1).delete("orders", 1).await.expect("deleted");
     assert_eq!(gone.revision, 2);
     until("it is gone everywhere", async || {
         bed.boards().iter().all(|board| !board.services().contains_key("orders"))
--- a/tests/leaving_server.rs
+++ b/tests/leaving_server.rs
@@ -65,11 +65,11 @@
     let load = steady(&bed, "catalogue");
     until("it works", async || !bed.backends[0].record.runs().is_empty()).await;
     let since = tokio::time::Instant::now();
-    bed.door(2).set_drain("catalogue", "b0", true).await.expect("drained");
+    bed.operator(2).set_drain("catalogue", "b0", true).await.expect("drained");
     let took = last_work(&bed, &bed.backends[0], since).await;
     assert!(took < FEW_SECONDS, "{took:?}");
     println!("drained by call: last new work after {took:?}");
-    bed.door(1).set_drain("catalogue", "b0", false).await.expect("undrained");
+    bed.operator(1).set_drain("catalogue", "b0", false).await.expect("undrained");
     let before = bed.backends[0].record.runs().len();
     until("it gets work again", async || bed.backends[0].record.runs().len() > before).await;
     drop(load);
--- a/tests/doors.rs
+++ b/tests/listeners.rs
@@ -1,9 +1,9 @@
-//! Bad input at every door gets a numbered answer, and a stranger gets nothing.
+//! Bad input at every operator gets a numbered answer, and a stranger gets nothing.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use sorrelwick::command::DoorClient;
+use sorrelwick::command::ToolClient;
 use sorrelwick::errors::Code;
 use sorrelwick::peer::Links;
 use sorrelwick::peer::PeerError;
@@ -122,11 +122,11 @@
     let at = bed.add_daemon_with(|s| s.operators.token = "a token of sixteen or more".into()).await;
     let address = bed.daemon(at).board().settings.listen.operator.to_string();
     for token in ["", "a wrong token of some length"] {
-        let mut stranger = DoorClient::open(&address, token).expect("an address");
+        let mut stranger = ToolClient::open(&address, token).expect("an address");
         assert_eq!(stranger.list().await.expect_err("refused").code, Code::Unauthenticated);
     }
     let mut operator =
-        DoorClient::open(&address, "a token of sixteen or more").expect("an address");
+        ToolClient::open(&address, "a token of sixteen or more").expect("an address");
     assert!(operator.list().await.is_ok());
     let wire = |change: &dyn Fn(&mut sorrelwick::model::Service)| {
         let mut service = bed.service("orders");
--- a/tests/measuring_budget.rs
+++ b/tests/measuring_budget.rs
@@ -4,8 +4,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use sorrelwick::measure::Purse;
-use sorrelwick::measure::tokens_of_seat;
+use sorrelwick::measure::TokenBuckets;
+use sorrelwick::measure::tokens_of_shard;
 use sorrelwick::model::Preference;
 use standins::bed::Bed;
 use standins::bed::BedPlan;
@@ -25,19 +25,19 @@
     (0..at_ms.len()).map(window).max().unwrap_or(0)
 }
 
-/// The tokens of all seats are the budget, whatever the numbers.
+/// The tokens of all shards are the budget, whatever the numbers.
 #[test]
 fn tokens_of_all_seats_are_the_budget() {
     property(300, |u| {
         let budget = u.int_in_range(0..=500)?;
-        let seats = u.int_in_range(1..=100)?;
-        let total: u32 = (0..seats).map(|seat| tokens_of_seat(budget, seat, seats)).sum();
+        let shards = u.int_in_range(1..=100)?;
+        let total: u32 = (0..shards).map(|shard| tokens_of_shard(budget, shard, shards)).sum();
         assert_eq!(total, budget);
         Ok(())
     });
 }
 
-/// Story: a few instances, each with a seat, ask each other for grants at any time; messages are
+/// Story: a few instances, each with a shard, ask each other for grants at any time; messages are
 /// late or lost, instances freeze between taking a token and sending the probe, and two of them
 /// each believe that they are the only home. However it goes, no second sees more probes than
 /// the budget. Each instance's clock is its own, and only differences count.
@@ -46,35 +46,37 @@
     const SERVICE: &str = "orders";
     const GRANT_MS: u64 = 2_000;
     property(400, |u| {
-        let seats: u32 = u.int_in_range(2..=4)?;
+        let shards: u32 = u.int_in_range(2..=4)?;
         let budget: u32 = u.int_in_range(0..=9)?;
-        let purses: Vec<Purse> = (0..seats).map(|_| Purse::default()).collect();
-        let own = |seat: u32| u64::from(seat);
+        let holders: Vec<TokenBuckets> = (0..shards).map(|_| TokenBuckets::default()).collect();
+        let own = |shard: u32| u64::from(shard);
         let mut now_ms = 10_000;
         let mut probes = Vec::new();
         for _ in 0..400 {
             now_ms += u.int_in_range(0..=120)?;
-            let seat = u.int_in_range(0..=seats - 1)?;
-            let purse = &purses[seat as usize];
-            let count = tokens_of_seat(budget, seat, seats);
+            let shard = u.int_in_range(0..=shards - 1)?;
+            let buckets = &holders[shard as usize];
+            let count = tokens_of_shard(budget, shard, shards);
             if u.ratio(1, 6)? {
-                // A home asks this seat; the answer comes late, or not at all.
-                let home = u.int_in_range(0..=seats - 1)?;
+                // A home asks this shard; the answer comes late, or not at all.
+                let home = u.int_in_range(0..=shards - 1)?;
                 let asked_ms = now_ms;
                 now_ms += u.int_in_range(0..=300)?;
-                if home != seat && purse.grant_own(SERVICE, own(seat), now_ms + GRANT_MS, now_ms) {
+                if home != shard
+                    && buckets.grant_own(SERVICE, own(shard), now_ms + GRANT_MS, now_ms)
+                {
                     now_ms += u.int_in_range(0..=300)?;
                     if !u.ratio(1, 4)? {
                         let until_ms = asked_ms + GRANT_MS;
-                        purses[home as usize].put(SERVICE, own(seat), count, until_ms, now_ms);
+                        holders[home as usize].put(SERVICE, own(shard), count, until_ms, now_ms);
                     }
                 }
                 continue;
             }
-            if !purse.granted(SERVICE, now_ms) {
-                purse.put(SERVICE, own(seat), count, now_ms + 9_000, now_ms);
+            if !buckets.granted(SERVICE, now_ms) {
+                buckets.put(SERVICE, own(shard), count, now_ms + 9_000, now_ms);
             }
-            if let Some(spent) = purse.spend(SERVICE, now_ms) {
+            if let Some(spent) = buckets.spend(SERVICE, now_ms) {
                 probes.push(now_ms);
                 spent.done(now_ms);
             }
@@ -89,18 +91,18 @@
 /// seconds. On waking it must not send the next probe of that token right behind it.
 #[test]
 fn a_freeze_between_taking_and_sending_brings_no_burst() {
-    let purse = Purse::default();
-    purse.put("orders", 1, 1, 100_000, 0);
-    let spent = purse.spend("orders", 2_000).expect("a token");
+    let buckets = TokenBuckets::default();
+    buckets.put("orders", 1, 1, 100_000, 0);
+    let spent = buckets.spend("orders", 2_000).expect("a token");
     // Frozen from 2,000 to 12,000; the probe leaves on waking.
-    assert!(purse.spend("orders", 12_000).is_some(), "a probe is due by the clock alone");
-    let purse = Purse::default();
-    purse.put("orders", 1, 1, 100_000, 0);
-    let spent_now = purse.spend("orders", 2_000).expect("a token");
+    assert!(buckets.spend("orders", 12_000).is_some(), "a probe is due by the clock alone");
+    let buckets = TokenBuckets::default();
+    buckets.put("orders", 1, 1, 100_000, 0);
+    let spent_now = buckets.spend("orders", 2_000).expect("a token");
     spent_now.done(12_000);
     spent.done(12_000);
-    assert!(purse.spend("orders", 12_900).is_none(), "too soon after the one before");
-    assert!(purse.spend("orders", 13_300).is_some());
+    assert!(buckets.spend("orders", 12_900).is_none(), "too soon after the one before");
+    assert!(buckets.spend("orders", 13_300).is_some());
 }
 
 fn measuring_ms(bed: &Bed, start: tokio::time::Instant) -> Vec<u64> {
@@ -110,7 +112,7 @@
 
 async fn bed_with_budget(budget: u32) -> Bed {
     let mut plan = BedPlan { instances: 5, ..BedPlan::default() };
-    plan.measuring.seats = 8;
+    plan.measuring.shards = 8;
     let bed = Bed::start(plan).await;
     let mut service = bed.service("orders");
     service.measuring_budget_per_s = budget;
@@ -133,7 +135,7 @@
     let seen = measuring_ms(&bed, start).len();
     until("probes go on", async || measuring_ms(&bed, start).len() > seen + 8).await;
     bed.stop_platform();
-    // Seats end with their leases, and with them the probes.
+    // Shards end with their leases, and with them the probes.
     tokio::time::sleep(Duration::from_secs(4)).await;
     let seen = measuring_ms(&bed, start).len();
     bed.start_platform().await;
--- a/tests/outcome_schedules.rs
+++ b/tests/outcome_schedules.rs
@@ -11,9 +11,9 @@
 use sorrelwick::conf::OutcomeSettings;
 use sorrelwick::errors::Code;
 use sorrelwick::outcome::Begin;
-use sorrelwick::outcome::ClosedBook;
 use sorrelwick::outcome::Kept;
 use sorrelwick::outcome::OutcomeTable;
+use sorrelwick::outcome::OwnerSnapshot;
 use sorrelwick::outcome::RunGuard;
 
 mod common;
@@ -30,7 +30,7 @@
     successor: OutcomeTable,
     owner_born_ms: u64,
     /// Parts on their way, with the moment they were sent.
-    on_the_way: Vec<(ClosedBook, bool, u64)>,
+    on_the_way: Vec<(OwnerSnapshot, bool, u64)>,
     running: Vec<(String, RunGuard)>,
     /// Runs that were begun and not told to be not-run.
     runs: HashMap<String, u32>,
@@ -89,10 +89,10 @@
             return;
         }
         self.closed = true;
-        for book in self.owner.close() {
-            let half = book.rows.len() / 2;
-            let first = ClosedBook { rows: book.rows[..half].to_vec(), ..book.clone() };
-            let second = ClosedBook { rows: book.rows[half..].to_vec(), ..book };
+        for record in self.owner.close() {
+            let half = record.rows.len() / 2;
+            let first = OwnerSnapshot { rows: record.rows[..half].to_vec(), ..record.clone() };
+            let second = OwnerSnapshot { rows: record.rows[half..].to_vec(), ..record };
             self.on_the_way.push((first, false, now_ms()));
             self.on_the_way.push((second, true, now_ms()));
         }
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -61,7 +61,7 @@
     bed.create("orders").await;
     let load = steady(&bed, "orders", 800);
     tokio::time::sleep(Duration::from_millis(300)).await;
-    bed.door(1).set_drain("orders", "b0", true).await.expect("drained");
+    bed.operator(1).set_drain("orders", "b0", true).await.expect("drained");
     bed.until_in_force("orders", 2).await;
     let record = std::sync::Arc::clone(&bed.backends[0].record);
     // Its longest work is far below this; only then may it be shut down.
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -142,11 +142,11 @@
 async fn a_frozen_process_does_not_burst_probes_on_waking() {
     const BUDGET: u32 = 8;
     let mut plan = BedPlan::default();
-    plan.measuring.seats = 4;
+    plan.measuring.shards = 4;
     let fleet = Fleet::start(Path::new(PROGRAM), plan, 3).await;
     let mut service = fleet.bed.service("orders");
     service.measuring_budget_per_s = BUDGET;
-    fleet.door(0).put(&service_to_wire(&service), 0).await.expect("accepted");
+    fleet.operator(0).put(&service_to_wire(&service), 0).await.expect("accepted");
     let seen = || {
         let backends = fleet.bed.backends.iter();
         backends.flat_map(|backend| backend.record.measuring()).collect::<Vec<_>>()
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -13,7 +13,7 @@
 
 async fn run(program: &str, args: &[&str]) -> Output {
     let mut command = Command::new(program);
-    command.args(args).env_remove("SORRELWICK_DOOR").env_remove("SORRELWICK_TOKEN");
+    command.args(args).env_remove("SORRELWICK_ADDRESS").env_remove("SORRELWICK_TOKEN");
     tokio::task::spawn_blocking(move || command.output()).await.expect("no panic").expect("it runs")
 }
 
@@ -37,33 +37,34 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn declarations_are_planned_applied_and_conflicts_told_apart() {
     let bed = Bed::start(BedPlan::default()).await;
-    let door = bed.daemon(0).board().settings.listen.operator.to_string();
+    let operator = bed.daemon(0).board().settings.listen.operator.to_string();
     let dir = tempfile::tempdir().expect("a directory");
     let path = dir.path().to_str().expect("a path");
     declare(dir.path(), "catalogue", 100);
     declare(dir.path(), "orders", 200);
-    let planned = run(TOOL, &["--door", &door, "plan", path]).await;
+    let planned = run(TOOL, &["--address", &operator, "plan", path]).await;
     assert!(out(&planned).contains("create orders (revision 0)"), "{}", out(&planned));
     assert!(out(&planned).contains("+ timeout_ms: 200"));
-    let applied = run(TOOL, &["--door", &door, "apply", path]).await;
+    let applied = run(TOOL, &["--address", &operator, "apply", path]).await;
     assert!(out(&applied).contains("committed orders at revision 1"), "{}", err(&applied));
-    let again = run(TOOL, &["--door", &door, "plan", path]).await;
+    let again = run(TOOL, &["--address", &operator, "plan", path]).await;
     assert_eq!(out(&again), "nothing to change\n");
     declare(dir.path(), "orders", 300);
-    let changed = run(TOOL, &["--door", &door, "--json", "plan", path]).await;
+    let changed = run(TOOL, &["--address", &operator, "--json", "plan", path]).await;
     let rows: serde_json::Value = serde_json::from_str(&out(&changed)).expect("JSON");
     assert_eq!(rows[0]["lines"][0], "~ timeout_ms: 200 -> 300");
     assert_eq!(rows[0]["expected_revision"], 1);
     let file = dir.path().join("orders.json5");
     let file = file.to_str().expect("a path");
     let stale =
-        run(TOOL, &["--door", &door, "service", "update", file, "--expected-revision", "7"]).await;
+        run(TOOL, &["--address", &operator, "service", "update", file, "--expected-revision", "7"])
+            .await;
     assert_eq!(stale.status.code(), Some(3), "a conflict has its own exit code");
     assert!(err(&stale).contains("error 3002 Conflict"), "{}", err(&stale));
     std::fs::remove_file(dir.path().join("orders.json5")).expect("removed");
-    let pruned = run(TOOL, &["--door", &door, "apply", "--prune", path]).await;
+    let pruned = run(TOOL, &["--address", &operator, "apply", "--prune", path]).await;
     assert!(out(&pruned).contains("delete orders (revision 1)"), "{}", err(&pruned));
-    let listed = run(TOOL, &["--door", &door, "service", "list"]).await;
+    let listed = run(TOOL, &["--address", &operator, "service", "list"]).await;
     assert!(out(&listed).contains("catalogue") && !out(&listed).contains("orders"));
 }
 
@@ -72,20 +73,20 @@
 async fn status_and_timeline_cover_all_instances() {
     let mut bed = Bed::start(BedPlan::default()).await;
     bed.create("orders").await;
-    let door = bed.daemon(0).board().settings.listen.operator.to_string();
-    let status = run(TOOL, &["--door", &door, "status"]).await;
+    let operator = bed.daemon(0).board().settings.listen.operator.to_string();
+    let status = run(TOOL, &["--address", &operator, "status"]).await;
     let text = out(&status);
     assert_eq!(text.matches("orders@1").count(), 3, "{text}");
     assert!(text.contains("i2") && text.contains("richmond"));
-    bed.door(0).set_drain("orders", "b0", true).await.expect("drained");
+    bed.operator(0).set_drain("orders", "b0", true).await.expect("drained");
     bed.until_in_force("orders", 2).await;
     bed.kill(2);
     until("the death is on the time line", async || {
-        let events = run(TOOL, &["--door", &door, "timeline"]).await;
+        let events = run(TOOL, &["--address", &operator, "timeline"]).await;
         out(&events).lines().any(|line| line.contains("i2") && line.ends_with("dead"))
     })
     .await;
-    let events = run(TOOL, &["--door", &door, "--json", "timeline"]).await;
+    let events = run(TOOL, &["--address", &operator, "--json", "timeline"]).await;
     let events: serde_json::Value = serde_json::from_str(&out(&events)).expect("JSON");
     let rows = events.as_array().expect("a list");
     let stamps: Vec<u64> = rows.iter().filter_map(|row| row["stamp"].as_u64()).collect();
@@ -96,14 +97,18 @@
 
 #[tokio::test]
 async fn faults_have_numbers_and_exit_codes() {
-    let unreachable = run(TOOL, &["--door", "127.0.0.1:1", "service", "list"]).await;
+    let unreachable = run(TOOL, &["--address", "127.0.0.1:1", "service", "list"]).await;
     assert_eq!(unreachable.status.code(), Some(1));
-    assert!(err(&unreachable).starts_with("error 3008 DoorUnreachable"), "{}", err(&unreachable));
+    assert!(
+        err(&unreachable).starts_with("error 3008 OperatorUnreachable"),
+        "{}",
+        err(&unreachable)
+    );
     let dir = tempfile::tempdir().expect("a directory");
     let file = dir.path().join("bad.json5");
     std::fs::write(&file, "{\n  name: \"x\",\n  nmae: 1,\n}").expect("written");
     let path = dir.path().to_str().expect("a path");
-    let bad = run(TOOL, &["--door", "127.0.0.1:1", "plan", path]).await;
+    let bad = run(TOOL, &["--address", "127.0.0.1:1", "plan", path]).await;
     assert!(
         err(&bad).contains("3007 DeclarationInvalid") && err(&bad).contains("line 3"),
         "{}",
