Instances that disagree on a kind do not run a key twice

Cause, found by reading: an instance on an older revision that held a request to be idempotent passed it to a home without asking the owner of its key; the home, on the newer revision, ran it as settled, and a repeat at the owner ran it again. Change: a key counts as settled only if the sender, too, held the request not to be idempotent.

--- a/src/route/router.rs
+++ b/src/route/router.rs
@@ -9,6 +9,7 @@
 use crate::board::Counter;
 use crate::errors::Code;
 use crate::peer::Links;
+use crate::peer::Stage;
 use crate::store::AnyStore;
 
 /// The request path of one instance; clones share.
@@ -28,6 +29,7 @@
         let kind = state.spec.kind_of(&proxy_request.method, proxy_request.path());
         // Two instances may have different revisions in force for a moment: a request is
         // repeated only if every instance on its way holds it to be idempotent.
+        let passed_as_idempotent = proxy_request.idempotent;
         proxy_request.idempotent &= kind.is_some_and(|kind| kind.idempotent);
         if !proxy_request.idempotent
             && proxy_request.key.is_none()
@@ -35,17 +37,24 @@
         {
             return Answer::not_run(Code::KeyRequired, 0);
         }
-        let answer = self.dispatch(&state, proxy_request).await;
+        let answer = self.dispatch(&state, proxy_request, passed_as_idempotent).await;
         self.board.counters.add(Counter::of_outcome(answer.outcome));
         answer
     }
 
-    async fn dispatch(&self, state: &Arc<ServiceState>, proxy_request: ProxyRequest) -> Answer {
+    async fn dispatch(
+        &self,
+        state: &Arc<ServiceState>,
+        proxy_request: ProxyRequest,
+        passed_as_idempotent: bool,
+    ) -> Answer {
         if proxy_request.idempotent {
             return self.run(state, &proxy_request).await;
         }
-        // From a home on the key has been settled by its owner.
-        let settled = proxy_request.stage >= crate::peer::Stage::Home;
+        // At a home the key has been settled by its owner, unless the sender, on an older
+        // revision, held the request to be idempotent and so went past the owner: run here, it
+        // could run once more there.
+        let settled = proxy_request.stage >= Stage::Home && !passed_as_idempotent;
         match proxy_request.key.clone() {
             Some(key) if !settled => self.run_keyed(state, proxy_request, key).await,
             _ => self.run_detached(state, proxy_request).await,
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -262,6 +262,39 @@
     assert_eq!((plain.outcome(), plain.code()), ("not-run", 2002));
 }
 
+/// Story: an operator declares that orders are not idempotent after all. An instance that has not
+/// heard of it yet passes an order on to a home as if it were, past the owner of its key; the home
+/// has heard of it. The shop then repeats the order at the owner. It must not run in both places.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_that_disagree_on_idempotent_do_not_run_a_key_twice() {
+    use sorrelwick::peer::Links;
+    use sorrelwick::peer::PassHead;
+    use sorrelwick::peer::Stage;
+    let bed = Bed::start(BedPlan::default()).await;
+    bed.create("orders").await;
+    let caller = bed.caller("orders", 0);
+    let named = caller.addresses().await;
+    let links = Links::new(&bed.boards()[0].settings.peers.secret);
+    for (at, board) in bed.boards().iter().enumerate() {
+        let id = format!("d-{at}");
+        let key = format!("{}-{id}", named[0].key_prefix);
+        let head = PassHead {
+            service: "orders".into(),
+            method: "POST".into(),
+            target: format!("/orders?bytes={BYTES}"),
+            headers: vec![("x-request-id".into(), id.clone().into_bytes())],
+            key: Some(key.clone()),
+            idempotent: true,
+            stage: Stage::Home,
+            left_us: 2_000_000,
+        };
+        let passed = links.pass(board.settings.listen.peer, &head, &bytes::Bytes::new()).await;
+        assert!(passed.is_ok());
+        let again = caller.call(&order(&id).with_key(&key)).await;
+        check(&bed, &HashMap::from([(id, vec![again])]));
+    }
+}
+
 /// Story: a till that was switched off repeats an order long after. The record of it is gone, so
 /// the order must neither run again nor be told not-run.
 #[tokio::test(flavor = "multi_thread")]
