Members heard of at once are all published

Ruled out: ports (their range), a daemon that did not start (all four ran and stopped as planned). Red first: members_heard_of_at_once_are_all_published (6 of 9).

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -54,6 +54,9 @@
     /// Told when a request begins to wait for a slot, here or at a co-home.
     pub queue_formed: Notify,
     view: ArcSwap<MembersView>,
+    /// Held while a snapshot of the members is made and stored: of two made at once the older
+    /// could otherwise be stored last, and hide a member until the next change.
+    publishing: Mutex<()>,
     services: ArcSwap<ServiceMap>,
     changed: watch::Sender<u64>,
     store_up: AtomicBool,
@@ -102,6 +105,7 @@
             events: EventRing::default(),
             queue_formed: Notify::new(),
             view: ArcSwap::default(),
+            publishing: Mutex::default(),
             services: ArcSwap::default(),
             changed: watch::Sender::new(0),
             store_up: AtomicBool::new(true),
@@ -127,6 +131,7 @@
 
     /// Makes the member table visible to the request path, and notes what changed.
     pub fn publish_members(&self) {
+        let publishing = self.publishing.lock();
         let rows = self.members.lock().rows(now_ms());
         let before = self.view.load_full();
         let state_of = |view: &MembersView, incarnation: u64| {
@@ -144,6 +149,7 @@
             self.note(EventKind::Member { name, incarnation, state: row.state.name() });
         }
         self.view.store(Arc::new(MembersView { rows: rows.into_iter().map(Arc::new).collect() }));
+        drop(publishing);
         self.touch();
     }
 
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -131,6 +131,32 @@
     });
 }
 
+/// Story: an instance hears of several others in the same moment, on several connections. The
+/// snapshot that requests go by must contain them all. Cause: of two tasks that publish at once,
+/// the one with the older rows stored its snapshot last, and nothing corrected it until the next
+/// change.
+#[test]
+fn members_heard_of_at_once_are_all_published() {
+    use sorrelwick::board::Blackboard;
+    let settings =
+        sorrelwick::conf::parse_settings("d", sorrelwick::conf::DEFAULTS).expect("valid");
+    for _ in 0..300 {
+        let board = Blackboard::new(settings.clone(), 1);
+        std::thread::scope(|scope| {
+            for incarnation in 2..=9 {
+                let board = &board;
+                scope.spawn(move || {
+                    let changed =
+                        board.members.lock().merge(&row(incarnation, 0, MemberState::Alive), 10);
+                    assert!(changed);
+                    board.publish_members();
+                });
+            }
+        });
+        assert_eq!(board.members_view().rows.len(), 9);
+    }
+}
+
 /// Story: of nineteen instances one is killed and two start. All others notice, and nobody else
 /// is lost on the way.
 #[tokio::test(flavor = "multi_thread")]
