One place names the event of a server seen leaving or back

Cause: reading the whole change once more; the choice between the two events stood twice (peer answers, prober), and so did the test of whether a co-home waits. No behaviour changed. The whole suite was not run again after this commit.

--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -80,12 +80,7 @@
             return PeerReply::Done;
         };
         if state.core.binder.close(server, CloseReason::Told, leaving) {
-            let (service, server) = (service.to_owned(), server.to_owned());
-            board.note(if leaving {
-                EventKind::ServerLeaving { service, server }
-            } else {
-                EventKind::ServerBack { service, server }
-            });
+            board.note(EventKind::server_seen(service, server, leaving));
         }
         PeerReply::Done
     }
--- a/src/board/events.rs
+++ b/src/board/events.rs
@@ -26,6 +26,17 @@
 }
 
 impl EventKind {
+    /// A backend server was seen leaving, or seen back.
+    #[must_use]
+    pub fn server_seen(service: &str, server: &str, leaving: bool) -> Self {
+        let (service, server) = (service.to_owned(), server.to_owned());
+        if leaving {
+            Self::ServerLeaving { service, server }
+        } else {
+            Self::ServerBack { service, server }
+        }
+    }
+
     /// The kind's name and its detail, as operators read them.
     #[must_use]
     pub fn text(&self) -> (&'static str, String) {
--- a/src/measure/prober.rs
+++ b/src/measure/prober.rs
@@ -74,13 +74,7 @@
     let binder = &state.core.binder;
     let closed = leaving || !status.is_success();
     if binder.close(id, CloseReason::Told, closed) {
-        let (service, server) = (state.spec.name.clone(), id.to_owned());
-        let kind = if closed {
-            EventKind::ServerLeaving { service, server }
-        } else {
-            EventKind::ServerBack { service, server }
-        };
-        router.board.note(kind);
+        router.board.note(EventKind::server_seen(&state.spec.name, id, closed));
         router.tell_co_homes(state, id, closed);
     }
 }
--- a/src/route/service_state.rs
+++ b/src/route/service_state.rs
@@ -28,6 +28,13 @@
     told_ms: u64,
 }
 
+impl CoLoad {
+    /// Whether it told of waiting requests a moment ago.
+    const fn waits(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.waiting_at_ms) <= WAITING_AGE_MAX_MS
+    }
+}
+
 /// What lasts while revisions and homes change; clones share.
 #[derive(Clone, Debug)]
 pub struct ServiceCore {
@@ -56,8 +63,8 @@
     /// Whether a co-home told of waiting requests a moment ago.
     #[must_use]
     pub fn co_home_waits(&self) -> bool {
-        let oldest_ms = now_ms().saturating_sub(WAITING_AGE_MAX_MS);
-        self.co_loads.lock().values().any(|load| load.waiting_at_ms >= oldest_ms)
+        let now = now_ms();
+        self.co_loads.lock().values().any(|load| load.waits(now))
     }
 
     /// Whether word of this instance's load would help a co-home now: requests wait here or
@@ -66,9 +73,8 @@
         let now = now_ms();
         let mut loads = self.co_loads.lock();
         let load = loads.entry(incarnation).or_default();
-        let co_home_waits = now.saturating_sub(load.waiting_at_ms) <= WAITING_AGE_MAX_MS;
         let due = now.saturating_sub(load.told_ms) >= TELL_INTERVAL_MS;
-        let tell = due && (waits_here || co_home_waits);
+        let tell = due && (waits_here || load.waits(now));
         if tell {
             load.told_ms = now;
         }
