--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -47,7 +47,7 @@
     _status: StatusPage,
 }
 
-async fn listen(address: SocketAddr, what: &str) -> Result<TcpListener, Coded> {
+pub(super) async fn listen(address: SocketAddr, what: &str) -> Result<TcpListener, Coded> {
     TcpListener::bind(address)
         .await
         .map_err(|err| Coded::new(Code::ListenFailed, format!("listen.{what} {address}: {err}")))
--- /dev/null
+++ b/src/app/gateway.rs
@@ -0,0 +1,203 @@
+//! One instance that serves requests by routes on a platform, running.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use rand::RngExt;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+use super::daemon::listen;
+use super::gateway_peers::GatewayPeers;
+use crate::balance::RepeatAllowance;
+use crate::board::Blackboard;
+use crate::board::EventKind;
+use crate::board::Phase;
+use crate::clock::now_ms;
+use crate::conf::GatewaySettings;
+use crate::conf::Settings;
+use crate::errors::Code;
+use crate::errors::Coded;
+use crate::gateway::AddressHandler;
+use crate::gateway::BodyRoom;
+use crate::gateway::CallerHandler;
+use crate::gateway::ConfigSink;
+use crate::gateway::Dialect;
+use crate::gateway::Dispatcher;
+use crate::gateway::Follower;
+use crate::gateway::Forwarder;
+use crate::gateway::HttpListener;
+use crate::gateway::Prober;
+use crate::gateway::ReadinessHandler;
+use crate::gateway::Registry;
+use crate::gateway::ServerSink;
+use crate::gateway::TableInForce;
+use crate::member::MemberState;
+use crate::member::announce;
+use crate::member::run_joiner;
+use crate::member::run_swim;
+use crate::peer::Links;
+use crate::peer::PeerListener;
+use crate::status::StatusPage;
+use crate::store::EventStore;
+
+/// Connections for the platform's own questions: one a second from a few places, and one for
+/// each caller that asks for addresses.
+const SMALL_CONNECTIONS_MAX: u32 = 1_000;
+/// Part of the memory that the bodies of requests may take.
+const BODY_MEMORY_SHARE: usize = 4;
+/// Part of the repeat budget that is used: instances count by their own clocks, and a request
+/// counted in one window may be repeated in the next.
+const REPEAT_SHARE: f64 = 0.75;
+/// Instances that the slack of the repeat budget is divided among, where more take requests than
+/// the homes: callers keep old answers for a while.
+const SLACK_PARTS: f64 = 12.0;
+/// Callers that keep an old address answer are served for this long after the signal to stop, in
+/// percent of the grace.
+const SERVE_ON_PERCENT: u64 = 55;
+/// Kept back from the grace for the end of the process itself.
+const GRACE_MARGIN_MS: u64 = 400;
+const STOP_TURN: Duration = Duration::from_millis(20);
+
+/// A running instance; dropped, it ends at once, as a kill would end it.
+#[derive(Debug)]
+pub struct Gateway {
+    board: Arc<Blackboard>,
+    links: Links,
+    callers: HttpListener,
+    tasks: JoinSet<()>,
+    grace_ms: u64,
+    _readiness: HttpListener,
+    _addresses: HttpListener,
+    _peers: PeerListener,
+    _status: StatusPage,
+}
+
+/// The listening sockets of an instance.
+struct Sockets {
+    callers: TcpListener,
+    peers: TcpListener,
+    status: TcpListener,
+    readiness: TcpListener,
+    addresses: TcpListener,
+}
+
+impl Sockets {
+    async fn bind(settings: &Settings, gateway: &GatewaySettings) -> Result<Self, Coded> {
+        Ok(Self {
+            callers: listen(settings.listen.caller, "caller").await?,
+            peers: listen(settings.listen.peer, "peer").await?,
+            status: listen(settings.listen.status, "status").await?,
+            readiness: listen(gateway.readiness, "readiness").await?,
+            addresses: listen(gateway.addresses, "addresses").await?,
+        })
+    }
+}
+
+fn allowance(gateway: &GatewaySettings) -> RepeatAllowance {
+    RepeatAllowance {
+        ratio: gateway.repeat_ratio * REPEAT_SHARE,
+        window_us: gateway.repeat_window_ms * 1000,
+        slack: gateway.repeat_slack * REPEAT_SHARE / SLACK_PARTS,
+    }
+}
+
+impl Gateway {
+    /// Binds all listeners and starts the controllers.
+    ///
+    /// # Errors
+    /// `SettingsValue` without a `gateway` section; `ListenFailed` names the listener that cannot
+    /// be bound.
+    pub async fn spawn<D: Dialect, S: EventStore>(
+        settings: Settings,
+        dialect: D,
+        store: S,
+    ) -> Result<Self, Coded> {
+        let Some(gateway) = settings.gateway.clone() else {
+            return Err(Coded::new(Code::SettingsValue, "gateway: the section is missing"));
+        };
+        let sockets = Sockets::bind(&settings, &gateway).await?;
+        let zone = settings.instance.zone.clone();
+        let connections_max = u32::try_from(settings.requests.connections_max).unwrap_or(u32::MAX);
+        let links = Links::new(&settings.peers.secret);
+        let board = Arc::new(Blackboard::new(settings, rand::rng().random::<u64>()));
+        let table: TableInForce = Arc::new(ArcSwapOption::empty());
+        let dispatcher = Dispatcher::new(&zone, allowance(&gateway));
+
+        let mut tasks = JoinSet::new();
+        let keys = dialect.keys();
+        let config_sink = ConfigSink {
+            dialect: dialect.clone(),
+            table: Arc::clone(&table),
+            board: Arc::clone(&board),
+        };
+        let config = Follower::new(store.clone(), keys.config, config_sink, Arc::clone(&board));
+        tasks.spawn(config.run());
+        let server_sink = ServerSink { dialect: dialect.clone(), dispatcher: dispatcher.clone() };
+        let prefix = keys.servers_prefix;
+        let servers = Follower::new(store.clone(), prefix, server_sink, Arc::clone(&board));
+        tasks.spawn(servers.run());
+        let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
+        tasks.spawn(registry.clone().run());
+        tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
+        tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
+        tasks.spawn(dispatcher.clone().run());
+        let grace_ms = gateway.grace_ms;
+        let memory_bytes = gateway.memory_bytes_max;
+        let prober = Prober {
+            dialect: dialect.clone(),
+            board: Arc::clone(&board),
+            dispatcher: dispatcher.clone(),
+            table: Arc::clone(&table),
+            settings: gateway,
+        };
+        tasks.spawn(prober.run());
+
+        let forwarder =
+            Forwarder { dialect: dialect.clone(), board: Arc::clone(&board), dispatcher };
+        let room = Arc::new(BodyRoom::new(memory_bytes / BODY_MEMORY_SHARE));
+        let callers = CallerHandler { forwarder, table: Arc::clone(&table), room };
+        let readiness =
+            ReadinessHandler { dialect: dialect.clone(), board: Arc::clone(&board), table };
+        let addresses = AddressHandler { dialect, board: Arc::clone(&board) };
+        let peers = GatewayPeers { board: Arc::clone(&board), links: links.clone() };
+        let secret: Arc<str> = links.secret().into();
+        board.note(EventKind::Started);
+        Ok(Self {
+            callers: HttpListener::spawn(sockets.callers, callers, connections_max),
+            tasks,
+            grace_ms,
+            _readiness: HttpListener::spawn(sockets.readiness, readiness, SMALL_CONNECTIONS_MAX),
+            _addresses: HttpListener::spawn(sockets.addresses, addresses, SMALL_CONNECTIONS_MAX),
+            _peers: PeerListener::spawn(sockets.peers, secret, peers),
+            _status: StatusPage::spawn(sockets.status, Arc::clone(&board)),
+            board,
+            links,
+        })
+    }
+
+    /// Stops as planned, within the grace: not ready and named in no new answer at once; serves
+    /// on for callers that keep an old answer; then closes connections as they become idle.
+    pub async fn stop(mut self) {
+        self.board.set_phase(Phase::Leaving);
+        self.board.note(EventKind::Stopping);
+        self.board.members.lock().set_own(MemberState::Leaving, None, now_ms());
+        self.board.publish_members();
+        let serve_on = Duration::from_millis(self.grace_ms * SERVE_ON_PERCENT / 100);
+        let started = tokio::time::Instant::now();
+        let end = started + Duration::from_millis(self.grace_ms.saturating_sub(GRACE_MARGIN_MS));
+        announce(&self.board, &self.links).await;
+        tokio::time::sleep_until(started + serve_on).await;
+        let left = end.saturating_duration_since(tokio::time::Instant::now());
+        self.callers.stop(left).await;
+        while self.board.requests_in_flight() > 0 && tokio::time::Instant::now() < end {
+            tokio::time::sleep(STOP_TURN).await;
+        }
+        self.board.members.lock().set_own(MemberState::Left, None, now_ms());
+        self.board.publish_members();
+        announce(&self.board, &self.links).await;
+        self.board.set_phase(Phase::Stopped);
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/src/app/gateway_peers.rs
@@ -0,0 +1,57 @@
+//! What an instance that serves by routes answers its peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use log::warn;
+
+use super::membership_answers::join;
+use super::membership_answers::ping_for;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::errors::Code;
+use crate::member::answer_ping;
+use crate::peer::Links;
+use crate::peer::PassHead;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+use crate::peer::PeerService;
+use crate::peer::ReplyHead;
+use crate::route::Answer;
+use crate::route::AnswerBody;
+
+/// Serves the peer listener; clones share.
+#[derive(Clone, Debug)]
+pub struct GatewayPeers {
+    pub board: Arc<Blackboard>,
+    pub links: Links,
+}
+
+impl PeerService for GatewayPeers {
+    async fn control(&self, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Join(row) => join(&self.board, &row),
+            PeerRequest::Ping { from, stamp, rumours } => {
+                answer_ping(&self.board, &from, stamp, rumours)
+            }
+            PeerRequest::PingFor { target } => ping_for(&self.board, &self.links, target).await,
+            _ => PeerReply::Failed(Code::PeerFrame.number()),
+        }
+    }
+
+    /// Requests by routes are never passed between instances.
+    async fn pass(&self, _: PassHead, _: Bytes) -> (ReplyHead, AnswerBody) {
+        let answer = Answer::not_run(Code::PeerFrame, 0);
+        (answer.reply_head(0), answer.body)
+    }
+
+    fn body_limit_bytes(&self) -> usize {
+        0
+    }
+
+    fn refused(&self, from: SocketAddr, why: &str) {
+        self.board.counters.add(Counter::PeersRefused);
+        warn!("{} from {from}: {why}", Code::PeerUnauthenticated);
+    }
+}
--- a/src/app/mod.rs
+++ b/src/app/mod.rs
@@ -1,7 +1,11 @@
 //! The daemon: its tasks, its answers to peers, and its planned stop.
 
 mod daemon;
+mod gateway;
+mod gateway_peers;
+mod membership_answers;
 mod peer_answers;
 mod stop;
 
 pub use daemon::Daemon;
+pub use gateway::Gateway;
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -1,11 +1,12 @@
 //! What this instance answers its peers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use log::warn;
 
+use super::membership_answers::join;
+use super::membership_answers::ping_for;
 use crate::board::Counter;
 use crate::board::EventKind;
 use crate::catalog::merge_rows;
@@ -15,7 +16,6 @@
 use crate::measure::TokenBuckets;
 use crate::measure::grant;
 use crate::measure::mark_listed;
-use crate::member::MemberRow;
 use crate::member::answer_ping;
 use crate::outcome::OwnerSnapshot;
 use crate::peer::LoadNote;
@@ -40,25 +40,6 @@
 }
 
 impl PeerAnswers {
-    fn join(&self, row: &MemberRow) -> PeerReply {
-        let board = &self.router.board;
-        let changed = board.members.lock().merge(row, now_ms());
-        if changed {
-            board.publish_members();
-        }
-        PeerReply::Members(board.members.lock().rows(now_ms()))
-    }
-
-    async fn ping_for(&self, target: SocketAddr) -> PeerReply {
-        let board = &self.router.board;
-        let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
-        let own = board.members.lock().own_row(now_ms());
-        let stamp = board.events.clock.stamp();
-        let request = PeerRequest::Ping { from: own, stamp, rumours: Vec::new() };
-        let reached = self.router.links.call(target, &request, within).await.is_ok();
-        PeerReply::Reached(reached)
-    }
-
     fn digest(&self, digest: u64) -> PeerReply {
         let catalog = self.router.board.catalog.lock();
         if catalog.digest() == digest {
@@ -104,9 +85,9 @@
     async fn control(&self, request: PeerRequest) -> PeerReply {
         let board = &self.router.board;
         match request {
-            PeerRequest::Join(row) => self.join(&row),
+            PeerRequest::Join(row) => join(board, &row),
             PeerRequest::Ping { from, stamp, rumours } => answer_ping(board, &from, stamp, rumours),
-            PeerRequest::PingFor { target } => self.ping_for(target).await,
+            PeerRequest::PingFor { target } => ping_for(board, &self.router.links, target).await,
             PeerRequest::Digest { digest } => self.digest(digest),
             PeerRequest::Changes(rows) => {
                 merge_rows(board, rows);
--- /dev/null
+++ b/src/balance/server_track.rs
@@ -0,0 +1,268 @@
+//! What this instance believes of one backend server.
+
+use smallvec::SmallVec;
+
+use crate::gateway::LoadReport;
+use crate::gateway::ServerRow;
+use crate::gateway::ServerState;
+
+/// A report on others' requests fades to nothing over this time, about one request's work.
+const FOREIGN_LIFE_US: u64 = 300_000;
+/// A report on the pace of the machine is worth a third after this: the neighbours' load that
+/// causes it shifts within 100 to 200 ms.
+const PACE_LIFE_US: f64 = 150_000.0;
+/// How much slower a server works until it has warmed up.
+const COLD_FACTOR: f64 = 2.0;
+/// Weight of one end in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.3;
+/// The share of failures halves in this time without an end, so that a server is tried again.
+const FAILURE_HALF_LIFE_US: f64 = 1_000_000.0;
+/// A server that fails all that it gets looks this many times slower, and one more.
+const FAILURE_FACTOR: f64 = 5.0;
+/// Work that takes this many times as long as usual counts as overdue.
+const OVERDUE_FACTOR: f64 = 4.0;
+/// Without any word, also to probes, for this many times the usual work, a server in use counts
+/// as silent.
+const SILENT_FACTOR: f64 = 2.0;
+/// First pause after a connection could not be opened or broke; doubles with each in a row.
+const PAUSE_US: u64 = 150_000;
+const PAUSE_DOUBLINGS_MAX: u32 = 4;
+/// Health checks without answer in a row before a server counts as gone, and for how long; one
+/// alone is lost by a busy network.
+const MISSES_MAX: u32 = 2;
+const MISSED_PAUSE_US: u64 = 300_000;
+/// Broken connections in a row before the pause: a single reset says little of the server.
+const RESETS_MAX: u32 = 3;
+
+/// A request that this instance has at the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sent {
+    pub ticket: u64,
+    pub at_us: u64,
+    /// Requests that ran there when it began, itself included, as far as known.
+    pub running: u32,
+}
+
+/// How a send ended, as far as the server is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendEnd {
+    /// A whole answer that is no failure.
+    Answered,
+    /// A whole answer that tells of a failure, or a refusal.
+    Failed,
+    /// The connection was refused or could not be opened in time.
+    Unreachable,
+    /// The connection broke, or brought bytes that are no answer.
+    Broken,
+    /// No answer in the time that the request had.
+    TimedOut,
+    /// The caller left or another send was faster.
+    Cancelled,
+}
+
+/// One backend server as this instance sees it.
+#[derive(Clone, Debug)]
+pub struct ServerTrack {
+    pub row: ServerRow,
+    sent: SmallVec<[Sent; 8]>,
+    /// Requests of others, when they were last told of.
+    foreign: f64,
+    foreign_at_us: u64,
+    /// How much longer work takes there than usual; 1 is the usual.
+    pace: f64,
+    pace_at_us: u64,
+    warm_at_us: u64,
+    /// Share of ends that were failures, as of `failures_at_us`.
+    failures: f64,
+    failures_at_us: u64,
+    breaks: u32,
+    paused_until_us: u64,
+    heard_us: u64,
+    /// Health checks without answer in a row.
+    misses: u32,
+    /// Its health check says that it is not well.
+    unwell: bool,
+    /// The platform no longer lists it: not to be used from this time on.
+    unlisted_at_us: Option<u64>,
+}
+
+impl ServerTrack {
+    /// A server that was just listed.
+    #[must_use]
+    pub fn new(row: ServerRow, now_us: u64) -> Self {
+        let warm_at_us = now_us + row.warmup_ms * 1000;
+        Self {
+            row,
+            sent: SmallVec::new(),
+            foreign: 0.0,
+            foreign_at_us: 0,
+            pace: 1.0,
+            pace_at_us: 0,
+            warm_at_us,
+            failures: 0.0,
+            failures_at_us: now_us,
+            breaks: 0,
+            paused_until_us: 0,
+            heard_us: now_us,
+            misses: 0,
+            unwell: false,
+            unlisted_at_us: None,
+        }
+    }
+
+    /// Takes over what the platform lists now.
+    pub fn relist(&mut self, row: ServerRow, now_us: u64) {
+        self.warm_at_us = now_us + row.warmup_ms * 1000;
+        self.row = row;
+        self.unlisted_at_us = None;
+    }
+
+    /// The platform no longer lists it; it may be used until `until_us`.
+    pub fn unlist(&mut self, until_us: u64) {
+        self.unlisted_at_us = Some(self.unlisted_at_us.unwrap_or(u64::MAX).min(until_us));
+    }
+
+    /// Whether it is listed, or was so until a moment ago.
+    #[must_use]
+    pub fn listed(&self, now_us: u64) -> bool {
+        self.unlisted_at_us.is_none_or(|until_us| now_us < until_us)
+    }
+
+    /// Whether it may be given new work.
+    #[must_use]
+    pub fn usable(&self, now_us: u64) -> bool {
+        self.row.state == ServerState::Ready
+            && self.listed(now_us)
+            && now_us >= self.paused_until_us
+    }
+
+    /// Whether nothing of this instance runs there.
+    #[must_use]
+    pub fn idle(&self) -> bool {
+        self.sent.is_empty()
+    }
+
+    /// Requests that run or wait there, own and others', as far as known.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a few requests, never below zero"
+    )]
+    pub fn occupancy(&self, now_us: u64) -> u32 {
+        let age_us = now_us.saturating_sub(self.foreign_at_us).min(FOREIGN_LIFE_US);
+        let fresh = 1.0 - age_us as f64 / FOREIGN_LIFE_US as f64;
+        (self.sent.len() as f64 + self.foreign * fresh).round() as u32
+    }
+
+    /// Takes note of a request that is sent there.
+    pub fn start(&mut self, ticket: u64, now_us: u64) {
+        let running = self.occupancy(now_us) + 1;
+        self.sent.push(Sent { ticket, at_us: now_us, running });
+    }
+
+    /// Takes note of a request's end; returns how it began.
+    pub fn finish(&mut self, ticket: u64, end: SendEnd, now_us: u64) -> Option<Sent> {
+        let at = self.sent.iter().position(|sent| sent.ticket == ticket)?;
+        let sent = self.sent.swap_remove(at);
+        match end {
+            SendEnd::Cancelled => return Some(sent),
+            SendEnd::Answered => {
+                self.breaks = 0;
+                self.heard_us = now_us;
+            }
+            SendEnd::Failed => self.heard_us = now_us,
+            SendEnd::Unreachable => self.pause(now_us),
+            SendEnd::Broken => {
+                self.breaks += 1;
+                if self.breaks >= RESETS_MAX {
+                    self.pause(now_us);
+                }
+            }
+            SendEnd::TimedOut => {}
+        }
+        let failures = self.failures(now_us);
+        let sample = if end == SendEnd::Answered { 0.0 } else { 1.0 };
+        self.failures = failures + FAILURE_WEIGHT * (sample - failures);
+        self.failures_at_us = now_us;
+        Some(sent)
+    }
+
+    fn pause(&mut self, now_us: u64) {
+        let doublings = self.breaks.min(PAUSE_DOUBLINGS_MAX);
+        self.breaks += 1;
+        self.paused_until_us = now_us + (PAUSE_US << doublings);
+    }
+
+    /// Share of failures, fading while nothing ends there: a server that fails at once must not
+    /// look idle and so attract everything.
+    #[expect(clippy::cast_precision_loss, reason = "an age in microseconds")]
+    fn failures(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.failures_at_us) as f64;
+        self.failures * (-age_us / FAILURE_HALF_LIFE_US).exp2()
+    }
+
+    /// Takes in the load that the server told with an answer.
+    pub fn report(&mut self, load: LoadReport, now_us: u64) {
+        let total = f64::from(load.running + load.waiting);
+        #[expect(clippy::cast_precision_loss, reason = "a few requests")]
+        let own = self.sent.len() as f64;
+        self.foreign = (total - own).max(0.0);
+        self.foreign_at_us = now_us;
+        self.pace = f64::from(load.pace_percent) / 100.0;
+        self.pace_at_us = now_us;
+        self.heard_us = now_us;
+    }
+
+    /// Takes in the answer to a health check.
+    pub fn checked(&mut self, well: bool, now_us: u64) {
+        self.unwell = !well;
+        self.misses = 0;
+        self.heard_us = now_us;
+    }
+
+    /// Takes note that a health check got no answer.
+    pub fn unheard(&mut self, now_us: u64) {
+        self.misses += 1;
+        if self.misses >= MISSES_MAX {
+            self.paused_until_us = self.paused_until_us.max(now_us + MISSED_PAUSE_US);
+        }
+    }
+
+    /// Whether its last health check was answered and bad.
+    #[must_use]
+    pub const fn unwell(&self) -> bool {
+        self.unwell
+    }
+
+    /// Expected time until a request sent there now is answered, from what work usually takes.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
+    pub fn expected_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
+        let pace_age_us = now_us.saturating_sub(self.pace_at_us) as f64;
+        let pace = 1.0 + (self.pace - 1.0) * (-pace_age_us / PACE_LIFE_US).exp();
+        let cold = if now_us < self.warm_at_us { COLD_FACTOR } else { 1.0 };
+        let mut expected_ms = typical_ms * pace * cold;
+        expected_ms *= 1.0 + FAILURE_FACTOR * self.failures(now_us);
+        if self.unwell {
+            expected_ms *= 2.0;
+        }
+        let overdue_us = (OVERDUE_FACTOR * typical_ms * 1000.0) as u64;
+        let overdue =
+            self.sent.iter().filter(|sent| now_us.saturating_sub(sent.at_us) > overdue_us);
+        expected_ms += overdue.count() as f64 * typical_ms;
+        expected_ms + self.silence_ms(typical_ms, now_us)
+    }
+
+    /// How long a server in use has been silent beyond what is usual; tells one that vanished
+    /// without closing its connections.
+    #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
+    fn silence_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
+        let Some(oldest_us) = self.sent.iter().map(|sent| sent.at_us).min() else {
+            return 0.0;
+        };
+        let silent_ms = now_us.saturating_sub(oldest_us.max(self.heard_us)) as f64 / 1000.0;
+        if silent_ms > SILENT_FACTOR * typical_ms { silent_ms } else { 0.0 }
+    }
+}
--- /dev/null
+++ b/src/balance/service_pool.rs
@@ -0,0 +1,272 @@
+//! The backend servers of one service, and the requests that wait for them.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use super::ConcurrencyLimit;
+use super::RepeatBudget;
+use super::SendEnd;
+use super::ServerTrack;
+use super::ServiceTimes;
+use crate::gateway::ServerRow;
+
+/// What an answer from another zone costs beyond its own time. Its bytes cost money there, and
+/// its way is longer; 40 ms is some sixth of the usual work.
+const OTHER_ZONE_MS: f64 = 40.0;
+/// How much longer work is expected on a server whose slots are all in use, against an idle one:
+/// evens the load out between servers that look alike.
+const CROWDED_FACTOR: f64 = 0.3;
+/// Expected times closer than this share of the usual one are told apart by chance, so that
+/// instances that know the same do not all choose the same server.
+const JITTER_SHARE: f64 = 0.05;
+/// When to come back while a service has no server at all.
+const NO_SERVER_RETRY_MS: u64 = 500;
+/// Bounds of the time told to refused callers.
+const RETRY_MIN_MS: u64 = 50;
+const RETRY_MAX_MS: u64 = 2_000;
+
+/// What a request needs of a server.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub route: Arc<str>,
+    /// 0 is served first.
+    pub priority: u32,
+    pub aim_ms: f64,
+    /// When it arrived here.
+    pub arrived_us: u64,
+    /// Nobody waits for the answer after this.
+    pub deadline_us: u64,
+    /// Servers that it was sent to already.
+    pub avoid: SmallVec<[Arc<str>; 4]>,
+}
+
+/// A request that waits for a server.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    pub ticket: u64,
+    pub ask: Ask,
+    /// Started later, it is not expected to be answered in time.
+    pub start_by_us: u64,
+}
+
+/// A request is not served; when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// No server of the service may be used, as against none has room.
+    pub no_server: bool,
+    pub retry_after_ms: u64,
+}
+
+/// Servers, queue and measures of one service.
+#[derive(Debug, Default)]
+pub struct ServicePool {
+    pub servers: Vec<ServerTrack>,
+    pub budget: RepeatBudget,
+    waiting: Vec<Waiting>,
+    limit: ConcurrencyLimit,
+    times: ServiceTimes,
+    /// Mean time of all requests; 0 before the first.
+    mean_ms: f64,
+}
+
+impl ServicePool {
+    /// The server of this id.
+    #[must_use]
+    pub fn server(&mut self, id: &str) -> Option<&mut ServerTrack> {
+        self.servers.iter_mut().find(|server| &*server.row.id == id)
+    }
+
+    /// Lists a server.
+    pub fn list(&mut self, row: ServerRow, now_us: u64) {
+        match self.server(&row.id) {
+            Some(server) => server.relist(row, now_us),
+            None => self.servers.push(ServerTrack::new(row, now_us)),
+        }
+    }
+
+    /// Forgets servers that are neither listed nor in use.
+    pub fn forget_unlisted(&mut self, now_us: u64) {
+        self.servers.retain(|server| server.listed(now_us) || !server.idle());
+    }
+
+    fn typical_ms(&self, ask: &Ask) -> f64 {
+        self.times.typical_ms(&ask.route, ask.aim_ms)
+    }
+
+    /// The server with room that is expected to answer first.
+    fn choose(
+        &self,
+        ask: &Ask,
+        zone: &str,
+        now_us: u64,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<usize> {
+        let typical_ms = self.typical_ms(ask);
+        let trial = random();
+        let mut best: Option<(f64, usize)> = None;
+        for (index, server) in self.servers.iter().enumerate() {
+            let allowed = self.limit.allowed(server.row.slots, trial);
+            let occupancy = server.occupancy(now_us);
+            let tried = ask.avoid.iter().any(|id| *id == server.row.id);
+            if tried || occupancy >= allowed || !server.usable(now_us) {
+                continue;
+            }
+            let crowded = f64::from(occupancy) / f64::from(server.row.slots);
+            let mut cost_ms = server.expected_ms(typical_ms, now_us);
+            cost_ms += typical_ms * (CROWDED_FACTOR * crowded + JITTER_SHARE * random());
+            if *server.row.zone != *zone {
+                cost_ms += OTHER_ZONE_MS;
+            }
+            if best.is_none_or(|(least, _)| cost_ms < least) {
+                best = Some((cost_ms, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// Takes a slot of the best server with room; returns the server's id.
+    pub fn take(
+        &mut self,
+        ticket: u64,
+        ask: &Ask,
+        zone: &str,
+        now_us: u64,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<Arc<str>> {
+        let index = self.choose(ask, zone, now_us, random)?;
+        let server = &mut self.servers[index];
+        server.start(ticket, now_us);
+        Some(Arc::clone(&server.row.id))
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets a request wait, or tells that it would wait in vain.
+    ///
+    /// # Errors
+    /// When the queue before it needs longer than its aim leaves, or no server may be used.
+    pub fn enqueue(&mut self, ticket: u64, ask: Ask, now_us: u64) -> Result<(), Refusal> {
+        let slots: u32 = self.usable(now_us).map(|server| server.row.slots).sum();
+        if slots == 0 && self.servers.iter().all(|server| !server.listed(now_us)) {
+            return Err(Refusal { no_server: true, retry_after_ms: NO_SERVER_RETRY_MS });
+        }
+        let start_by_us = self.start_by_us(&ask);
+        let wait_us = self.expected_wait_us(ask.priority, slots);
+        if now_us + wait_us > start_by_us {
+            return Err(self.refusal(now_us));
+        }
+        self.waiting.push(Waiting { ticket, ask, start_by_us });
+        Ok(())
+    }
+
+    fn usable(&self, now_us: u64) -> impl Iterator<Item = &ServerTrack> {
+        self.servers.iter().filter(move |server| server.usable(now_us))
+    }
+
+    /// Started later, a request is expected to miss its aim.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "milliseconds of a deadline, never below zero"
+    )]
+    fn start_by_us(&self, ask: &Ask) -> u64 {
+        let typical_us = (self.typical_ms(ask) * 1000.0) as u64;
+        let aim_us = (ask.aim_ms * 1000.0) as u64;
+        let for_aim_us = (ask.arrived_us + aim_us).saturating_sub(typical_us);
+        for_aim_us.min(ask.deadline_us.saturating_sub(typical_us))
+    }
+
+    /// Time until a newcomer of this priority gets a slot: those before it, at the rate at which
+    /// all slots together come free.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a queue's length and time"
+    )]
+    fn expected_wait_us(&self, priority: u32, slots: u32) -> u64 {
+        let ahead = self.waiting.iter().filter(|other| other.ask.priority <= priority).count() + 1;
+        let per_slot_us = self.mean_ms * 1000.0 / f64::from(slots.max(1));
+        (ahead as f64 * per_slot_us) as u64
+    }
+
+    /// When to come back: once those that wait now are served.
+    #[must_use]
+    pub fn refusal(&self, now_us: u64) -> Refusal {
+        let slots: u32 = self.usable(now_us).map(|server| server.row.slots).sum();
+        let wait_ms = self.expected_wait_us(u32::MAX, slots) / 1000;
+        Refusal { no_server: false, retry_after_ms: wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) }
+    }
+
+    /// Gives a free slot to the most urgent request that can use one; returns it with the
+    /// server's id.
+    pub fn serve_waiting(
+        &mut self,
+        zone: &str,
+        now_us: u64,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<(Waiting, Arc<str>)> {
+        self.waiting.sort_by_key(|waiting| (waiting.ask.priority, waiting.ask.arrived_us));
+        let found = self.waiting.iter().enumerate().find_map(|(at, waiting)| {
+            self.choose(&waiting.ask, zone, now_us, random).map(|index| (at, index))
+        });
+        let (at, index) = found?;
+        let waiting = self.waiting.remove(at);
+        let server = &mut self.servers[index];
+        server.start(waiting.ticket, now_us);
+        let id = Arc::clone(&server.row.id);
+        Some((waiting, id))
+    }
+
+    /// Takes out the requests that would be late now.
+    pub fn expire(&mut self, now_us: u64) -> SmallVec<[u64; 4]> {
+        let late = |waiting: &Waiting| now_us > waiting.start_by_us;
+        let expired = self.waiting.iter().filter(|waiting| late(waiting));
+        let tickets = expired.map(|waiting| waiting.ticket).collect();
+        self.waiting.retain(|waiting| !late(waiting));
+        tickets
+    }
+
+    /// Takes out a request that waits no more.
+    pub fn cancel(&mut self, ticket: u64) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Takes note of the end of a send.
+    pub fn finish(&mut self, id: &str, ticket: u64, ask: &Ask, end: SendEnd, now_us: u64) {
+        let Some(server) = self.server(id) else {
+            return;
+        };
+        let slots = server.row.slots;
+        let Some(sent) = server.finish(ticket, end, now_us) else {
+            return;
+        };
+        if end != SendEnd::Answered {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a time of some milliseconds")]
+        let took_ms = now_us.saturating_sub(sent.at_us) as f64 / 1000.0;
+        let typical_ms = self.typical_ms(ask);
+        self.limit.record(sent.running, slots, took_ms / typical_ms.max(1.0));
+        self.times.record(&ask.route, ask.aim_ms, took_ms);
+        let mean_ms = if self.mean_ms == 0.0 { took_ms } else { self.mean_ms };
+        self.mean_ms = mean_ms + 0.05 * (took_ms - mean_ms);
+    }
+
+    /// Whether a repeat is worth a slot now: nobody waits for one.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// The usual time of a request of this kind.
+    #[must_use]
+    pub fn usual_ms(&self, ask: &Ask) -> f64 {
+        self.typical_ms(ask)
+    }
+}
--- /dev/null
+++ b/src/balance/service_times.rs
@@ -0,0 +1,34 @@
+//! How long the requests of each route usually take at a backend server.
+
+use std::collections::HashMap;
+
+/// Weight of one sample in the moving average: the last some twenty requests count.
+const SAMPLE_WEIGHT: f64 = 0.05;
+/// Share of a route's aim taken as its service time before the first sample.
+const AIM_SHARE: f64 = 0.4;
+
+/// Moving averages by route, in milliseconds.
+#[derive(Debug, Default)]
+pub struct ServiceTimes {
+    by_route: HashMap<String, f64>,
+}
+
+impl ServiceTimes {
+    /// The usual time of a route; guessed from its aim before the first sample.
+    #[must_use]
+    pub fn typical_ms(&self, route: &str, aim_ms: f64) -> f64 {
+        self.by_route.get(route).copied().unwrap_or(aim_ms * AIM_SHARE)
+    }
+
+    /// Takes a sample.
+    pub fn record(&mut self, route: &str, aim_ms: f64, took_ms: f64) {
+        let before = self.typical_ms(route, aim_ms);
+        let after = before + SAMPLE_WEIGHT * (took_ms - before);
+        match self.by_route.get_mut(route) {
+            Some(known) => *known = after,
+            None => {
+                self.by_route.insert(route.to_owned(), after);
+            }
+        }
+    }
+}
--- a/src/cli/daemon_args.rs
+++ b/src/cli/daemon_args.rs
@@ -9,7 +9,7 @@
 #[command(name = "sorrelwickd", version)]
 pub struct DaemonArgs {
     /// Settings file, JSON with comments.
-    #[arg(long, value_name = "FILE", required_unless_present = "print_defaults")]
+    #[arg(long, value_name = "FILE")]
     pub settings: Option<PathBuf>,
     /// Check the settings, print each fault, and exit.
     #[arg(long)]
--- a/src/cli/logging.rs
+++ b/src/cli/logging.rs
@@ -1,13 +1,15 @@
-//! Starts the log on standard error.
+//! Starts the log.
 
 use flexi_logger::FlexiLoggerError;
 use flexi_logger::Logger;
 use flexi_logger::LoggerHandle;
 
+use super::stdout_lines::StdoutLines;
 use crate::conf::LogFormat;
 use crate::conf::LogSettings;
 
-/// Starts logging; the level may be changed by the returned handle.
+/// Starts logging: structured lines on standard output, or lines for people on standard error.
+/// The level may be changed by the returned handle.
 ///
 /// # Errors
 /// When the level cannot be read or another logger is in place.
@@ -20,7 +22,7 @@
     let logger = Logger::try_with_str(spec)?;
     let logger = match settings.format {
         LogFormat::Human => logger.format(flexi_logger::detailed_format),
-        LogFormat::Json => logger.format(flexi_logger::json_format),
+        LogFormat::Json => logger.log_to_writer(Box::new(StdoutLines::default())),
     };
     logger.start()
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,11 +4,13 @@
 mod logging;
 mod run_daemon;
 mod run_tool;
+mod stdout_lines;
 mod tool_args;
 
 pub use daemon_args::DaemonArgs;
 pub use logging::start_logging;
 pub use run_daemon::run_daemon;
+pub use run_daemon::run_gateway;
 pub use run_tool::run_tool;
 pub use tool_args::ServiceCommand;
 pub use tool_args::ToolArgs;
--- a/src/cli/run_daemon.rs
+++ b/src/cli/run_daemon.rs
@@ -1,25 +1,58 @@
 //! The daemon's life from command line to exit code.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use flexi_logger::LoggerHandle;
 use log::error;
 use log::info;
+use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
 use super::DaemonArgs;
 use super::start_logging;
 use crate::app::Daemon;
+use crate::app::Gateway;
 use crate::conf::DEFAULTS;
 use crate::conf::Settings;
 use crate::conf::load_settings;
 use crate::errors::Coded;
+use crate::gateway::Dialect;
+use crate::store::EventStore;
 
 /// Exit code for settings that are refused.
 const EXIT_SETTINGS: u8 = 2;
+/// How often the settings file is looked at, as it may change without a signal.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// A running instance that can be stopped as planned.
+trait Running {
+    /// Returns when nothing is in flight any more.
+    fn stop(self) -> impl Future<Output = ()>;
+}
+
+impl Running for Daemon {
+    async fn stop(self) {
+        Self::stop(self).await;
+    }
+}
+
+impl Running for Gateway {
+    async fn stop(self) {
+        Self::stop(self).await;
+    }
+}
+
+/// What the command line asked for.
+struct Start {
+    settings: Settings,
+    path: PathBuf,
+    logger: LoggerHandle,
+}
 
 fn tell(faults: &[Coded]) -> ExitCode {
     for fault in faults {
@@ -28,43 +61,88 @@
     ExitCode::from(EXIT_SETTINGS)
 }
 
-/// Runs the daemon until it is stopped by a signal.
-#[must_use]
-pub fn run_daemon() -> ExitCode {
+fn fail(what: &str, err: impl std::fmt::Display) -> ExitCode {
+    eprintln!("{what}: {err}");
+    ExitCode::FAILURE
+}
+
+/// Reads command line and settings and starts the log; an exit code where that is all to do.
+/// Without `--settings`, the environment variable `variable` names the file.
+fn prepare(variable: Option<&str>) -> Result<Start, ExitCode> {
     let args = DaemonArgs::parse();
     if args.print_defaults {
         print!("{DEFAULTS}");
-        return ExitCode::SUCCESS;
+        return Err(ExitCode::SUCCESS);
     }
-    let Some(path) = args.settings else {
-        return ExitCode::from(EXIT_SETTINGS);
-    };
-    let settings = match load_settings(&path) {
-        Ok(settings) => settings,
-        Err(faults) => return tell(&faults),
+    let from_variable = || variable.and_then(std::env::var_os).map(PathBuf::from);
+    let Some(path) = args.settings.or_else(from_variable) else {
+        eprintln!("--settings FILE is missing");
+        return Err(ExitCode::from(EXIT_SETTINGS));
     };
+    let settings = load_settings(&path).map_err(|faults| tell(&faults))?;
     if args.check {
         println!("{}: settings are valid", path.display());
-        return ExitCode::SUCCESS;
+        return Err(ExitCode::SUCCESS);
     }
-    let logger = match start_logging(&settings.log) {
-        Ok(logger) => logger,
-        Err(err) => {
-            eprintln!("log: {err}");
-            return ExitCode::FAILURE;
-        }
+    let logger = start_logging(&settings.log).map_err(|err| fail("log", err))?;
+    Ok(Start { settings, path, logger })
+}
+
+/// Runs the daemon until it is stopped by a signal.
+#[must_use]
+pub fn run_daemon() -> ExitCode {
+    let start = match prepare(None) {
+        Ok(start) => start,
+        Err(code) => return code,
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread().enable_all().build() {
-        Ok(runtime) => runtime,
+    match Builder::new_multi_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(async {
+            let daemon = Daemon::spawn(start.settings).await;
+            serve(daemon, &start.path, &start.logger).await
+        }),
+        Err(err) => fail("runtime", err),
+    }
+}
+
+/// Runs an instance on a platform until it is stopped by a signal. The environment variable
+/// `variable` names the settings file; `open_store` opens the platform's store.
+///
+/// One thread serves all: an instance has a fraction of a core.
+#[must_use]
+pub fn run_gateway<D: Dialect, S: EventStore>(
+    dialect: D,
+    variable: &str,
+    open_store: impl FnOnce(std::net::SocketAddr, Duration) -> S,
+) -> ExitCode {
+    let start = match prepare(Some(variable)) {
+        Ok(start) => start,
+        Err(code) => return code,
+    };
+    let Some(gateway) = &start.settings.gateway else {
+        return fail("gateway", "the section is missing in the settings");
+    };
+    let store = open_store(gateway.store, Duration::from_millis(gateway.store_call_timeout_ms));
+    match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime.block_on(async {
+            let gateway = Gateway::spawn(start.settings, dialect, store).await;
+            serve(gateway, &start.path, &start.logger).await
+        }),
+        Err(err) => fail("runtime", err),
+    }
+}
+
+async fn serve(
+    spawned: Result<impl Running, Coded>,
+    path: &Path,
+    logger: &LoggerHandle,
+) -> ExitCode {
+    let instance = match spawned {
+        Ok(instance) => instance,
         Err(err) => {
-            eprintln!("runtime: {err}");
+            error!("{err}");
             return ExitCode::FAILURE;
         }
     };
-    runtime.block_on(serve(settings, &path, logger))
-}
-
-async fn serve(settings: Settings, path: &Path, logger: LoggerHandle) -> ExitCode {
     let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
@@ -74,32 +152,40 @@
         error!("signal handlers cannot be set");
         return ExitCode::FAILURE;
     };
-    let daemon = match Daemon::spawn(settings).await {
-        Ok(daemon) => daemon,
-        Err(err) => {
-            error!("{err}");
-            return ExitCode::FAILURE;
-        }
-    };
+    let mut modified = modified_at(path);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(path, &logger),
+            _ = hangup.recv() => reload(path, logger),
+            () = tokio::time::sleep(RELOAD_INTERVAL) => {
+                let now = modified_at(path);
+                if now != modified {
+                    modified = now;
+                    reload(path, logger);
+                }
+            }
         }
     }
     // Further signals are received and ignored: a second one must not cut off requests.
-    daemon.stop().await;
-    info!("stopped");
+    instance.stop().await;
+    info!(event = "stopped"; "stopped");
     ExitCode::SUCCESS
 }
 
+fn modified_at(path: &Path) -> Option<std::time::SystemTime> {
+    std::fs::metadata(path).and_then(|meta| meta.modified()).ok()
+}
+
 /// Takes over what can change while running: the log level. Everything else needs a restart,
 /// since peers and callers hold what was told at the start.
 fn reload(path: &Path, logger: &LoggerHandle) {
     match load_settings(path) {
         Ok(settings) => match logger.parse_new_spec(&settings.log.level) {
-            Ok(()) => info!("log level is {}; other settings need a restart", settings.log.level),
+            Ok(()) => info!(
+                event = "settings-reloaded", level = settings.log.level.as_str();
+                "other settings than the log level need a restart"
+            ),
             Err(err) => error!("log level: {err}"),
         },
         Err(faults) => faults.iter().for_each(|fault| error!("settings not taken over: {fault}")),
--- /dev/null
+++ b/src/cli/stdout_lines.rs
@@ -0,0 +1,119 @@
+//! Structured log lines on standard output that never block the process.
+
+use std::io::Write;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use flexi_logger::DeferredNow;
+use flexi_logger::writers::LogWriter;
+use log::LevelFilter;
+use log::Record;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use parking_lot::Mutex;
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+use rustix::event::poll;
+use serde_json::Map;
+
+/// A pipe takes a write of up to this whole or not at all, so a line that is written when the
+/// pipe has room does not block.
+const LINE_MAX_BYTES: usize = 4_096;
+/// Lines a second that are written at most; a request makes some three. Ten times what an
+/// instance writes on a busy day, so that only a storm is cut.
+const LINES_PER_S: u64 = 1_000;
+const SECOND_MS: u64 = 1_000;
+
+/// Writes each record as one line of JSON, or drops and counts it.
+#[derive(Debug, Default)]
+pub struct StdoutLines {
+    second: Mutex<Second>,
+    dropped: AtomicU64,
+}
+
+/// Lines of the current second.
+#[derive(Debug, Default)]
+struct Second {
+    started_ms: u64,
+    lines: u64,
+}
+
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        let json = if let Some(number) = value.to_u64() {
+            number.into()
+        } else if let Some(flag) = value.to_bool() {
+            flag.into()
+        } else {
+            value.to_string().into()
+        };
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
+
+impl StdoutLines {
+    fn may_write(&self) -> bool {
+        let now_ms = crate::clock::now_ms();
+        let mut second = self.second.lock();
+        if now_ms.saturating_sub(second.started_ms) >= SECOND_MS {
+            *second = Second { started_ms: now_ms, lines: 0 };
+        }
+        second.lines += 1;
+        second.lines <= LINES_PER_S && has_room()
+    }
+}
+
+/// Whether standard output takes a line without blocking.
+fn has_room() -> bool {
+    let stdout = rustix::stdio::stdout();
+    let mut wanted = [PollFd::new(&stdout, PollFlags::OUT)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    poll(&mut wanted, Some(&at_once)).is_ok_and(|ready| ready > 0)
+        && wanted[0].revents().contains(PollFlags::OUT)
+}
+
+fn line(now: &mut DeferredNow, record: &Record<'_>, dropped: u64) -> Vec<u8> {
+    let mut fields = Map::new();
+    fields.insert("time".into(), now.now().to_rfc3339().into());
+    fields.insert("level".into(), record.level().as_str().into());
+    let text = record.args().to_string();
+    if !text.is_empty() {
+        fields.insert("message".into(), text.into());
+    }
+    if dropped > 0 {
+        fields.insert("lines_dropped_before".into(), dropped.into());
+    }
+    // A value that cannot be written leaves its field out; the line still tells the rest.
+    let _ = record.key_values().visit(&mut Fields(&mut fields));
+    let mut line = serde_json::to_vec(&fields).unwrap_or_default();
+    line.truncate(LINE_MAX_BYTES - 1);
+    line.push(b'\n');
+    line
+}
+
+impl LogWriter for StdoutLines {
+    fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
+        if !self.may_write() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let line = line(now, record, dropped);
+        let mut stdout = std::io::stdout().lock();
+        stdout.write_all(&line)?;
+        stdout.flush()
+    }
+
+    fn flush(&self) -> std::io::Result<()> {
+        Ok(())
+    }
+
+    fn max_log_level(&self) -> LevelFilter {
+        LevelFilter::Trace
+    }
+}
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -1,5 +1,6 @@
 //! The ranges of settings.
 
+use super::GatewaySettings;
 use super::OutcomeSettings;
 use super::PeerSettings;
 use super::PlatformSettings;
@@ -43,6 +44,7 @@
     faults.range(peers.ping_interval_ms, 10, MS_MAX, "peers.ping_interval_ms");
     faults.range(peers.ping_timeout_ms, 5, peers.ping_interval_ms, "peers.ping_timeout_ms");
     faults.range(peers.suspect_timeout_ms, 50, MS_MAX, "peers.suspect_timeout_ms");
+    faults.range(peers.list_interval_ms, 100, MS_MAX, "peers.list_interval_ms");
 }
 
 fn check_platform(faults: &mut Faults, platform: &PlatformSettings) {
@@ -73,6 +75,22 @@
     );
 }
 
+fn check_gateway(faults: &mut Faults, gateway: &GatewaySettings) {
+    faults.range(gateway.store_call_timeout_ms, 10, 60_000, "gateway.store_call_timeout_ms");
+    faults.range(gateway.grace_ms, 500, MS_MAX, "gateway.grace_ms");
+    faults.range(gateway.drain_ms, 100, MS_MAX, "gateway.drain_ms");
+    faults.range(gateway.config_apply_ms, 100, MS_MAX, "gateway.config_apply_ms");
+    faults.range(gateway.address_keep_max_ms, 10, MS_MAX, "gateway.address_keep_max_ms");
+    let ratio_holds = (0.0..=10.0).contains(&gateway.repeat_ratio);
+    faults.need(ratio_holds, "gateway.repeat_ratio", "0 to 10");
+    faults.range(gateway.repeat_window_ms, 100, MS_MAX, "gateway.repeat_window_ms");
+    let slack_holds = (0.0..=1e6).contains(&gateway.repeat_slack);
+    faults.need(slack_holds, "gateway.repeat_slack", "0 to 1000000");
+    faults.range(gateway.probes_per_s_max.into(), 0, 10_000, "gateway.probes_per_s_max");
+    faults.range(gateway.memory_bytes_max as u64, 16 << 20, 1 << 40, "gateway.memory_bytes_max");
+    faults.range(gateway.homes_per_zone as u64, 1, 1_000, "gateway.homes_per_zone");
+}
+
 fn check_instance(faults: &mut Faults, settings: &Settings) {
     let name_holds = |name: &str| !name.is_empty() && name.len() <= NAME_MAX;
     let allowed = format!("1 to {NAME_MAX} characters");
@@ -94,6 +112,9 @@
     if let Some(platform) = &settings.platform {
         check_platform(&mut faults, platform);
     }
+    if let Some(gateway) = &settings.gateway {
+        check_gateway(&mut faults, gateway);
+    }
     check_requests(&mut faults, &settings.requests);
     check_outcomes(&mut faults, &settings.outcomes, settings.requests.address_keep_ms);
     faults.range(settings.measuring.shards.into(), 1, SHARDS_MAX.into(), "measuring.shards");
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -8,6 +8,7 @@
 pub use load::DEFAULTS;
 pub use load::load_settings;
 pub use load::parse_settings;
+pub use settings::GatewaySettings;
 pub use settings::InstanceSettings;
 pub use settings::ListenSettings;
 pub use settings::LogFormat;
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 /// All settings; each section has defaults but `instance`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     pub instance: InstanceSettings,
@@ -27,6 +27,9 @@
     pub measuring: MeasuringSettings,
     #[serde(default)]
     pub log: LogSettings,
+    /// Only for an instance that serves requests by routes of a platform.
+    #[serde(default)]
+    pub gateway: Option<GatewaySettings>,
 }
 
 /// Who this instance is.
@@ -67,6 +70,8 @@
     pub ping_timeout_ms: u64,
     /// How long a suspect may answer before it counts as dead.
     pub suspect_timeout_ms: u64,
+    /// How often the platform's list is read for instances that are not known, once some are.
+    pub list_interval_ms: u64,
 }
 
 impl Default for PeerSettings {
@@ -77,6 +82,7 @@
             ping_interval_ms: 500,
             ping_timeout_ms: 250,
             suspect_timeout_ms: 2_000,
+            list_interval_ms: 5_000,
         }
     }
 }
@@ -208,3 +214,44 @@
         Self { level: "info".into(), format: LogFormat::Human }
     }
 }
+
+/// Requests by routes: where a platform calls, and the bounds it sets.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Where the platform asks whether this instance is ready.
+    pub readiness: SocketAddr,
+    /// Where callers ask which addresses to use.
+    pub addresses: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    #[serde(default = "store_call_timeout_default")]
+    pub store_call_timeout_ms: u64,
+    /// Time between the signal to stop and the forced end.
+    pub grace_ms: u64,
+    /// A server that leaves takes work for so long after it was acknowledged.
+    pub drain_ms: u64,
+    /// A configuration is in force everywhere within this.
+    pub config_apply_ms: u64,
+    /// Most time that callers keep an address answer.
+    pub address_keep_max_ms: u64,
+    /// Repeats allowed per request over all instances, in any window, and beyond that.
+    pub repeat_ratio: f64,
+    pub repeat_window_ms: u64,
+    pub repeat_slack: f64,
+    /// Health checks a second that a server may get from all instances together.
+    pub probes_per_s_max: u32,
+    /// Memory that the process may use; a quarter of it is for the bodies of requests.
+    pub memory_bytes_max: usize,
+    /// Instances of a zone that its callers are told of.
+    #[serde(default = "homes_default")]
+    pub homes_per_zone: usize,
+}
+
+const fn store_call_timeout_default() -> u64 {
+    500
+}
+
+const fn homes_default() -> usize {
+    2
+}
--- /dev/null
+++ b/src/gateway/caller_handler.rs
@@ -0,0 +1,242 @@
+//! Requests of callers: read, routed, forwarded, answered.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use log::info;
+use rand::RngExt;
+
+use super::CallerLimits;
+use super::Dialect;
+use super::Route;
+use super::RouteTable;
+use super::forward_request::ForwardRequest;
+use super::forwarder::Forwarder;
+use super::http_listener::ConnLimits;
+use super::http_listener::Handler;
+use super::reply::Reply;
+use super::reply::ReplyBody;
+use crate::board::Counter;
+use crate::board::Phase;
+use crate::clock::now_us;
+use crate::errors::Code;
+
+/// When to come back while no configuration is known: the first one is there within a second.
+const NO_CONFIG_RETRY_MS: u64 = 300;
+/// When to come back while bodies fill the memory set aside for them.
+const BODY_ROOM_RETRY_MS: u64 = 500;
+
+/// The configuration in force; `None` until the first is known.
+pub type TableInForce = Arc<ArcSwapOption<RouteTable>>;
+
+/// Memory for the bodies of requests, shared by all connections.
+#[derive(Debug)]
+pub struct BodyRoom {
+    used: AtomicUsize,
+    max_bytes: usize,
+}
+
+/// Part of the room, given back when dropped.
+#[derive(Debug)]
+struct BodyPart<'a> {
+    room: &'a BodyRoom,
+    bytes: usize,
+}
+
+impl Drop for BodyPart<'_> {
+    fn drop(&mut self) {
+        self.room.used.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
+impl BodyRoom {
+    /// Room for `max_bytes`.
+    #[must_use]
+    pub const fn new(max_bytes: usize) -> Self {
+        Self { used: AtomicUsize::new(0), max_bytes }
+    }
+}
+
+impl BodyPart<'_> {
+    fn grow(&mut self, bytes: usize) -> bool {
+        let before = self.room.used.fetch_add(bytes, Ordering::AcqRel);
+        self.bytes += bytes;
+        before + bytes <= self.room.max_bytes
+    }
+}
+
+/// Serves callers; clones share.
+#[derive(Clone, Debug)]
+pub struct CallerHandler<D> {
+    pub forwarder: Forwarder<D>,
+    pub table: TableInForce,
+    pub room: Arc<BodyRoom>,
+}
+
+impl<D: Dialect> CallerHandler<D> {
+    fn limits_in_force(&self) -> CallerLimits {
+        self.table.load().as_ref().map_or_else(CallerLimits::default, |table| table.limits)
+    }
+
+    /// The route of a request, or the answer that there is none.
+    fn route(&self, parts: &http::request::Parts) -> Result<Arc<Route>, Reply> {
+        let table = self.table.load();
+        let Some(table) = table.as_ref() else {
+            return Err(Reply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
+        };
+        let named = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let host = parts.uri.host().or(named).unwrap_or("");
+        let found = table.find(host, parts.uri.path()).cloned();
+        found.ok_or_else(|| Reply::rejected(StatusCode::NOT_FOUND, Code::NoRoute))
+    }
+
+    /// The caller's request, whole.
+    async fn read(
+        &self,
+        request: Request<Incoming>,
+        arrived_us: u64,
+        part: &mut BodyPart<'_>,
+    ) -> Result<ForwardRequest, Reply> {
+        let (parts, incoming) = request.into_parts();
+        let route = self.route(&parts)?;
+        let fields = self.forwarder.dialect.fields();
+        let told = parts.headers.get(&fields.timeout_ms).and_then(|value| value.to_str().ok());
+        let told_ms = told.and_then(|text| text.trim().parse::<u64>().ok());
+        let timeout_ms = told_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let deadline_us = arrived_us + timeout_ms * 1000;
+        let left = Duration::from_micros(deadline_us.saturating_sub(now_us()));
+        let body_bytes_max = self.limits_in_force().body_bytes_max;
+        let body = tokio::time::timeout(left, read_body(incoming, body_bytes_max, part)).await;
+        let body = body.unwrap_or_else(|_| {
+            Err(Reply::rejected(StatusCode::REQUEST_TIMEOUT, Code::BodyIncomplete))
+        })?;
+        let random = rand::rng().random_range(0.0..1.0);
+        let Some(service) = route.pick_service(random).cloned() else {
+            return Err(Reply::not_run(Code::NoServer, NO_CONFIG_RETRY_MS));
+        };
+        Ok(ForwardRequest {
+            id: parts.headers.get(&fields.request_id).cloned(),
+            method: parts.method,
+            target: parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
+            headers: parts.headers,
+            body,
+            route,
+            service,
+            arrived_us,
+            deadline_us,
+        })
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Reply {
+        let arrived_us = now_us();
+        let fields = self.forwarder.dialect.fields();
+        let id = request.headers().get(&fields.request_id).cloned();
+        let mut part = BodyPart { room: &self.room, bytes: 0 };
+        let mut reply = match self.read(request, arrived_us, &mut part).await {
+            Ok(request) => {
+                let reply = self.forwarder.forward(&request).await;
+                self.log(&request, &reply);
+                reply
+            }
+            Err(reply) => {
+                let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
+                info!(
+                    event = "request-rejected", id = id, code = reply.code.number(),
+                    status = reply.status.as_u16(), version = self.version();
+                    "not forwarded"
+                );
+                reply
+            }
+        };
+        if reply.code != Code::Ok
+            && let Some(id) = id
+        {
+            reply.headers.insert(fields.request_id.clone(), id);
+        }
+        reply
+    }
+
+    fn version(&self) -> u64 {
+        self.table.load().as_ref().map_or(0, |table| table.version)
+    }
+
+    fn log(&self, request: &ForwardRequest, reply: &Reply) {
+        info!(
+            event = "request", id = request.id_text(), route = request.route.name.as_str(),
+            service = &*request.service, version = self.version(),
+            status = reply.status.as_u16(), code = reply.code.number(),
+            took_ms = now_us().saturating_sub(request.arrived_us) / 1000;
+            "answered"
+        );
+    }
+}
+
+/// Reads a body within the limits.
+async fn read_body(
+    mut incoming: Incoming,
+    bytes_max: usize,
+    part: &mut BodyPart<'_>,
+) -> Result<Bytes, Reply> {
+    let too_large = || Reply::rejected(StatusCode::PAYLOAD_TOO_LARGE, Code::BodyTooLarge);
+    let told = incoming.size_hint().exact().unwrap_or(0);
+    if told > bytes_max as u64 {
+        return Err(too_large());
+    }
+    let mut body = BytesMut::new();
+    while let Some(frame) = incoming.frame().await {
+        let cut = |_| Reply::rejected(StatusCode::BAD_REQUEST, Code::BodyIncomplete);
+        let Ok(bytes) = frame.map_err(cut)?.into_data() else {
+            continue;
+        };
+        if body.len() + bytes.len() > bytes_max {
+            return Err(too_large());
+        }
+        if !part.grow(bytes.len()) {
+            return Err(Reply::not_run(Code::BodyRoomFull, BODY_ROOM_RETRY_MS));
+        }
+        body.extend_from_slice(&bytes);
+    }
+    Ok(body.freeze())
+}
+
+impl<D: Dialect> Handler for CallerHandler<D> {
+    type Body = ReplyBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<ReplyBody> {
+        let board = &self.forwarder.board;
+        board.counters.add(Counter::Requests);
+        let in_flight = board.in_flight();
+        let reply = self.answer(request).await;
+        drop(in_flight);
+        board.counters.add(match reply.code {
+            Code::Ok => Counter::Ran,
+            _ if reply.status == StatusCode::SERVICE_UNAVAILABLE => Counter::NotRun,
+            _ => Counter::Unknown,
+        });
+        let mut response = reply.into_response();
+        if board.phase() != Phase::Running {
+            let close = http::HeaderValue::from_static("close");
+            response.headers_mut().insert(http::header::CONNECTION, close);
+        }
+        response
+    }
+
+    fn limits(&self) -> ConnLimits {
+        let limits = self.limits_in_force();
+        ConnLimits {
+            header_bytes_max: limits.header_bytes_max,
+            head_timeout: Duration::from_millis(limits.idle_timeout_ms),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/dialect.rs
@@ -0,0 +1,77 @@
+//! What a platform calls the things that a gateway says and hears; implemented by its adapter.
+
+use std::net::SocketAddr;
+
+use http::HeaderName;
+
+use super::LoadReport;
+use super::RouteTable;
+use super::ServerRow;
+
+/// Header fields between callers, gateway and backend servers.
+#[derive(Clone, Debug)]
+pub struct FieldNames {
+    /// Identifies one attempt of a caller; echoed by backend servers.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender still waits.
+    pub timeout_ms: HeaderName,
+    /// Names the backend server that a request is meant for; others refuse it.
+    pub expected_server: HeaderName,
+    /// Present on answers made by a backend server's own work.
+    pub signature: HeaderName,
+    /// Load of a backend server, read by [`Dialect::parse_load`].
+    pub load: HeaderName,
+    /// Present when the backend server did not run the request.
+    pub not_run: HeaderName,
+    /// Id of the backend server, on health answers.
+    pub server_id: HeaderName,
+}
+
+/// Where the platform's store keeps what the gateway reads and writes.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreKeys {
+    pub config: &'static str,
+    /// Keys of backend servers begin so; their id follows.
+    pub servers_prefix: &'static str,
+    /// Keys of instances begin so; written by the instances themselves.
+    pub instances_prefix: &'static str,
+}
+
+/// Paths that the platform calls on an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Paths {
+    pub addresses: &'static str,
+    pub readiness: &'static str,
+    /// Field of the query of `addresses` that names the caller's zone.
+    pub zone_query: &'static str,
+}
+
+/// One platform's names and formats. It translates and decides nothing.
+pub trait Dialect: Clone + Send + Sync + 'static {
+    /// Names of header fields.
+    fn fields(&self) -> &FieldNames;
+
+    /// Keys of the store.
+    fn keys(&self) -> StoreKeys;
+
+    /// Paths of an instance.
+    fn paths(&self) -> Paths;
+
+    /// A version of the operators' configuration.
+    ///
+    /// # Errors
+    /// Says what cannot be read.
+    fn decode_config(&self, value: &[u8]) -> Result<RouteTable, String>;
+
+    /// A listed backend server.
+    ///
+    /// # Errors
+    /// Says what cannot be read.
+    fn decode_server(&self, id: &str, value: &[u8]) -> Result<ServerRow, String>;
+
+    /// The load that a backend server tells.
+    fn parse_load(&self, text: &str) -> Option<LoadReport>;
+
+    /// The answer to callers that ask which addresses to use, and how long to keep it.
+    fn encode_addresses(&self, addresses: &[SocketAddr], keep_ms: u64) -> Vec<u8>;
+}
--- /dev/null
+++ b/src/gateway/dispatcher.rs
@@ -0,0 +1,332 @@
+//! Gives requests their backend servers, over all services.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::RngExt;
+use tokio::sync::oneshot;
+
+use super::LoadReport;
+use super::ServerRow;
+use super::server_conns::ServerConns;
+use crate::balance::Ask;
+use crate::balance::Refusal;
+use crate::balance::RepeatAllowance;
+use crate::balance::SendEnd;
+use crate::balance::ServicePool;
+use crate::clock::now_us;
+
+/// How often queues are looked at for requests that became late and servers that came back.
+const TURN: Duration = Duration::from_millis(10);
+/// Turns between two clean-ups of servers that are gone.
+const TIDY_TURNS: u32 = 50;
+
+/// A backend server with its connections.
+#[derive(Debug)]
+pub struct Server {
+    pub id: Arc<str>,
+    pub service: Arc<str>,
+    pub zone: Arc<str>,
+    pub conns: ServerConns,
+}
+
+/// What a waiting request is told.
+type Offer = Result<Grant, Refusal>;
+
+#[derive(Debug, Default)]
+struct State {
+    pools: HashMap<Arc<str>, ServicePool>,
+    servers: HashMap<Arc<str>, Arc<Server>>,
+    waiting: HashMap<u64, oneshot::Sender<Offer>>,
+}
+
+/// Hands out slots; clones share.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    zone: Arc<str>,
+    allowance: RepeatAllowance,
+    tickets: Arc<AtomicU64>,
+    state: Arc<Mutex<State>>,
+}
+
+/// A slot of a backend server, given back when it is dropped.
+#[derive(Debug)]
+pub struct Grant {
+    pub server: Arc<Server>,
+    ticket: u64,
+    ask: Ask,
+    end: SendEnd,
+    dispatcher: Dispatcher,
+}
+
+impl Grant {
+    /// Takes note of how the send ended; dropped without, it counts as cancelled.
+    pub fn end(mut self, end: SendEnd) {
+        self.end = end;
+    }
+
+    /// Takes in a load report that came with the answer.
+    pub fn report(&self, load: LoadReport) {
+        self.dispatcher.report(&self.server, load);
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let dispatcher = self.dispatcher.clone();
+        dispatcher.finish(&self.server, self.ticket, &self.ask, self.end);
+    }
+}
+
+/// Takes a request out of the queue when its caller leaves.
+struct InQueue<'a> {
+    dispatcher: &'a Dispatcher,
+    service: &'a Arc<str>,
+    ticket: u64,
+}
+
+impl Drop for InQueue<'_> {
+    fn drop(&mut self) {
+        let mut state = self.dispatcher.state.lock();
+        if state.waiting.remove(&self.ticket).is_some()
+            && let Some(pool) = state.pools.get_mut(self.service)
+        {
+            pool.cancel(self.ticket);
+        }
+    }
+}
+
+fn random() -> f64 {
+    rand::rng().random_range(0.0..1.0)
+}
+
+impl Dispatcher {
+    /// A dispatcher of an instance in `zone` that knows no server yet.
+    #[must_use]
+    pub fn new(zone: &str, allowance: RepeatAllowance) -> Self {
+        Self { zone: zone.into(), allowance, tickets: Arc::default(), state: Arc::default() }
+    }
+
+    fn ticket(&self) -> u64 {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn grant(&self, state: &State, id: &str, ticket: u64, ask: Ask) -> Option<Grant> {
+        let server = Arc::clone(state.servers.get(id)?);
+        let dispatcher = self.clone();
+        Some(Grant { server, ticket, ask, end: SendEnd::Cancelled, dispatcher })
+    }
+
+    /// Lists a server; one that moved to another service is a new one.
+    pub fn list(&self, row: ServerRow) {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        let known = state.servers.contains_key(&row.id);
+        if !known {
+            let server = Server {
+                id: Arc::clone(&row.id),
+                service: Arc::clone(&row.service),
+                zone: Arc::clone(&row.zone),
+                conns: ServerConns::new(row.address),
+            };
+            state.servers.insert(Arc::clone(&row.id), Arc::new(server));
+        }
+        let service = Arc::clone(&row.service);
+        state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
+        self.serve_waiting(&mut state, &service, &mut undelivered);
+    }
+
+    /// The platform no longer lists a server; it may be used for `grace` more.
+    pub fn unlist(&self, id: &str, grace: Duration) {
+        let mut state = self.state.lock();
+        let Some(server) = state.servers.get(id).cloned() else {
+            return;
+        };
+        let until_us = now_us() + u64::try_from(grace.as_micros()).unwrap_or(u64::MAX);
+        if let Some(pool) = state.pools.get_mut(&server.service)
+            && let Some(track) = pool.server(id)
+        {
+            track.unlist(until_us);
+        }
+    }
+
+    /// All servers known now.
+    #[must_use]
+    pub fn servers(&self) -> Vec<Arc<Server>> {
+        self.state.lock().servers.values().cloned().collect()
+    }
+
+    /// Counts a request of a caller, on which the budget of repeats depends.
+    pub fn count_request(&self, service: &Arc<str>) {
+        let mut state = self.state.lock();
+        let pool = state.pools.entry(Arc::clone(service)).or_default();
+        pool.budget.request(&self.allowance, now_us());
+    }
+
+    /// Takes one repeat out of the budget of the service.
+    #[must_use]
+    pub fn spend_repeat(&self, service: &str) -> bool {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(service);
+        pool.is_some_and(|pool| pool.budget.spend(&self.allowance, now_us()))
+    }
+
+    /// The usual time of such a request, in milliseconds.
+    #[must_use]
+    pub fn usual_ms(&self, service: &str, ask: &Ask) -> f64 {
+        let state = self.state.lock();
+        state.pools.get(service).map_or(ask.aim_ms, |pool| pool.usual_ms(ask))
+    }
+
+    /// A slot for a second send, only if one is free that nobody waits for.
+    #[must_use]
+    pub fn spare(&self, service: &str, ask: &Ask) -> Option<Grant> {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(service)?;
+        if !pool.has_room() {
+            return None;
+        }
+        let ticket = self.ticket();
+        let id = pool.take(ticket, ask, &self.zone, now_us(), &mut random)?;
+        self.grant(&state, &id, ticket, ask.clone())
+    }
+
+    /// A slot for a request, now or after some waiting.
+    ///
+    /// # Errors
+    /// When none would come in time.
+    pub async fn acquire(&self, service: &Arc<str>, ask: Ask) -> Result<Grant, Refusal> {
+        let ticket = self.ticket();
+        let mut undelivered = Vec::new();
+        let offer = {
+            let mut state = self.state.lock();
+            let pool = state.pools.entry(Arc::clone(service)).or_default();
+            if pool.has_room()
+                && let Some(id) = pool.take(ticket, &ask, &self.zone, now_us(), &mut random)
+                && let Some(grant) = self.grant(&state, &id, ticket, ask.clone())
+            {
+                return Ok(grant);
+            }
+            let pool = state.pools.entry(Arc::clone(service)).or_default();
+            pool.enqueue(ticket, ask, now_us())?;
+            let (sender, offer) = oneshot::channel();
+            state.waiting.insert(ticket, sender);
+            self.serve_waiting(&mut state, service, &mut undelivered);
+            offer
+        };
+        let queued = InQueue { dispatcher: self, service, ticket };
+        let offered = offer.await;
+        drop(queued);
+        offered.unwrap_or(Err(Refusal { no_server: true, retry_after_ms: 0 }))
+    }
+
+    fn finish(&self, server: &Server, ticket: u64, ask: &Ask, end: SendEnd) {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        if let Some(pool) = state.pools.get_mut(&server.service) {
+            pool.finish(&server.id, ticket, ask, end, now_us());
+        }
+        self.serve_waiting(&mut state, &server.service, &mut undelivered);
+    }
+
+    /// Takes in the load that a server told.
+    pub fn report(&self, server: &Server, load: LoadReport) {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(&server.service);
+        if let Some(track) = pool.and_then(|pool| pool.server(&server.id)) {
+            track.report(load, now_us());
+        }
+    }
+
+    /// Takes in the answer to a health check.
+    pub fn checked(&self, server: &Server, well: bool) {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(&server.service);
+        if let Some(track) = pool.and_then(|pool| pool.server(&server.id)) {
+            track.checked(well, now_us());
+        }
+    }
+
+    /// Takes note that a server did not answer a health check.
+    pub fn unheard(&self, server: &Server) {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(&server.service);
+        if let Some(track) = pool.and_then(|pool| pool.server(&server.id)) {
+            track.unheard(now_us());
+        }
+    }
+
+    /// Offers free slots to those that wait. Grants that cannot be delivered are left in
+    /// `undelivered`, to be dropped once the lock is released: dropping takes it again.
+    fn serve_waiting(&self, state: &mut State, service: &str, undelivered: &mut Vec<Grant>) {
+        loop {
+            let Some(pool) = state.pools.get_mut(service) else {
+                return;
+            };
+            let Some((waiting, id)) = pool.serve_waiting(&self.zone, now_us(), &mut random) else {
+                return;
+            };
+            let sender = state.waiting.remove(&waiting.ticket);
+            let Some(grant) = self.grant(state, &id, waiting.ticket, waiting.ask) else {
+                continue;
+            };
+            match sender.map(|sender| sender.send(Ok(grant))) {
+                Some(Err(Ok(grant))) => undelivered.push(grant),
+                _ => {}
+            }
+        }
+    }
+
+    fn turn(&self, tidy: bool) {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        let waited_for = state.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
+        let services: Vec<Arc<str>> = waited_for.map(|(service, _)| Arc::clone(service)).collect();
+        for service in services {
+            Self::refuse_late(&mut state, &service);
+            self.serve_waiting(&mut state, &service, &mut undelivered);
+        }
+        if tidy {
+            Self::tidy(&mut state);
+        }
+        drop(state);
+    }
+
+    fn refuse_late(state: &mut State, service: &str) {
+        let Some(pool) = state.pools.get_mut(service) else {
+            return;
+        };
+        let refusal = pool.refusal(now_us());
+        for ticket in pool.expire(now_us()) {
+            if let Some(sender) = state.waiting.remove(&ticket) {
+                // A caller that left meanwhile needs no refusal.
+                let _ = sender.send(Err(refusal));
+            }
+        }
+    }
+
+    fn tidy(state: &mut State) {
+        let State { pools, servers, .. } = state;
+        for pool in pools.values_mut() {
+            pool.forget_unlisted(now_us());
+        }
+        servers.retain(|id, server| {
+            server.conns.tidy();
+            pools.get_mut(&server.service).is_some_and(|pool| pool.server(id).is_some())
+        });
+    }
+
+    /// Serves and refuses waiting requests as time passes, until the process ends.
+    pub async fn run(self) {
+        let mut turns: u32 = 0;
+        loop {
+            tokio::time::sleep(TURN).await;
+            turns = turns.wrapping_add(1);
+            self.turn(turns.is_multiple_of(TIDY_TURNS));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/forward_request.rs
@@ -0,0 +1,108 @@
+//! A caller's request, read whole, on its way to a backend server.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+
+use super::FieldNames;
+use super::Route;
+use crate::balance::Ask;
+use crate::clock::now_us;
+use crate::route::hop_by_hop;
+
+/// Everything that every send of the request needs.
+#[derive(Debug)]
+pub struct ForwardRequest {
+    pub id: Option<HeaderValue>,
+    pub method: Method,
+    /// Path and query, byte for byte.
+    pub target: String,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub route: Arc<Route>,
+    pub service: Arc<str>,
+    pub arrived_us: u64,
+    /// When the caller's own deadline or the route's timeout ends it, whichever is first.
+    pub deadline_us: u64,
+}
+
+impl ForwardRequest {
+    /// Milliseconds until the deadline.
+    #[must_use]
+    pub fn left_ms(&self) -> u64 {
+        self.deadline_us.saturating_sub(now_us()) / 1000
+    }
+
+    /// The id as text, for logs.
+    #[must_use]
+    pub fn id_text(&self) -> &str {
+        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    /// What it needs of a backend server other than those in `tried`.
+    #[must_use]
+    pub fn ask(&self, tried: &[Arc<str>]) -> Ask {
+        #[expect(clippy::cast_precision_loss, reason = "an aim of some seconds")]
+        let aim_ms = self.route.aim_ms as f64;
+        Ask {
+            route: self.route.name.as_str().into(),
+            priority: self.route.priority,
+            aim_ms,
+            arrived_us: self.arrived_us,
+            deadline_us: self.deadline_us,
+            avoid: tried.iter().cloned().collect(),
+        }
+    }
+
+    /// The head as it is sent to the backend server `server_id`, with the time that is left now.
+    #[must_use]
+    pub fn head(&self, fields: &FieldNames, server_id: &str) -> BytesMut {
+        let mut head = BytesMut::with_capacity(512);
+        let mut line = |parts: &[&[u8]]| {
+            for part in parts {
+                head.extend_from_slice(part);
+            }
+            head.extend_from_slice(b"\r\n");
+        };
+        line(&[self.method.as_str().as_bytes(), b" ", self.target.as_bytes(), b" HTTP/1.1"]);
+        let named = named_in_connection(&self.headers);
+        for (name, value) in &self.headers {
+            if !self.set_here(fields, name)
+                && !named.iter().any(|other| name.as_str().eq_ignore_ascii_case(other))
+            {
+                line(&[name.as_str().as_bytes(), b": ", value.as_bytes()]);
+            }
+        }
+        let left = self.left_ms().to_string();
+        line(&[fields.timeout_ms.as_str().as_bytes(), b": ", left.as_bytes()]);
+        line(&[fields.expected_server.as_str().as_bytes(), b": ", server_id.as_bytes()]);
+        let bodyless = self.method == Method::GET || self.method == Method::HEAD;
+        if !self.body.is_empty() || !bodyless {
+            let length = self.body.len().to_string();
+            line(&[b"content-length: ", length.as_bytes()]);
+        }
+        line(&[]);
+        head
+    }
+
+    /// Fields that this instance sets, and those that concern only the caller's connection.
+    fn set_here(&self, fields: &FieldNames, name: &HeaderName) -> bool {
+        *name == fields.timeout_ms
+            || *name == fields.expected_server
+            || *name == http::header::CONTENT_LENGTH
+            || *name == http::header::EXPECT
+            || hop_by_hop(name)
+    }
+}
+
+/// Names that the `connection` field declares to be for one connection only.
+fn named_in_connection(headers: &HeaderMap) -> Vec<&str> {
+    let values = headers.get_all(http::header::CONNECTION).iter();
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts.flat_map(|text| text.split(',')).map(str::trim).collect()
+}
--- /dev/null
+++ b/src/gateway/forwarder.rs
@@ -0,0 +1,264 @@
+//! Sends a request until it has its final answer: attempts, hedges and refusals.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use log::info;
+use smallvec::SmallVec;
+
+use super::Dialect;
+use super::dispatcher::Dispatcher;
+use super::dispatcher::Grant;
+use super::forward_request::ForwardRequest;
+use super::reply::Reply;
+use super::send::SendResult;
+use super::send::ServerAnswer;
+use super::send::send;
+use crate::balance::Refusal;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::clock::now_us;
+use crate::errors::Code;
+
+/// Servers that could not be reached before the request is given up; each costs a connect
+/// timeout.
+const UNREACHABLE_MAX: u32 = 4;
+/// A send that still can answer within this part of the usual time is worth making.
+const WORTH_SENDING: f64 = 0.6;
+/// A second send goes out when the first would miss the aim if it had to start now, less this
+/// part of the usual time for its own way.
+const HEDGE_LEAD: f64 = 1.3;
+/// No second send before this part of the usual time: most answers are there by then.
+const HEDGE_MIN: f64 = 1.5;
+/// When to come back after a refusal by a server: about the time of one request.
+const REFUSED_RETRY_MS: u64 = 150;
+
+/// Forwards requests; clones share.
+#[derive(Clone, Debug)]
+pub struct Forwarder<D> {
+    pub dialect: D,
+    pub board: Arc<Blackboard>,
+    pub dispatcher: Dispatcher,
+}
+
+/// What has been tried for one request.
+#[derive(Debug, Default)]
+struct Tried {
+    servers: SmallVec<[Arc<str>; 4]>,
+    /// Servers that the request was handed to.
+    sends: u32,
+    unreachable: u32,
+    may_have_run: bool,
+}
+
+impl<D: Dialect> Forwarder<D> {
+    /// The final answer to a request.
+    pub async fn forward(&self, request: &ForwardRequest) -> Reply {
+        self.dispatcher.count_request(&request.service);
+        let mut tried = Tried::default();
+        loop {
+            let grant = match self.acquire(request, &tried).await {
+                Ok(grant) => grant,
+                Err(reply) => return reply,
+            };
+            let result = self.send_hedged(request, grant, &mut tried).await;
+            match self.judge(request, result, &mut tried) {
+                Some(reply) => return reply,
+                None => self.board.counters.add(Counter::Retries),
+            }
+        }
+    }
+
+    /// A slot, or the answer that there is none.
+    async fn acquire(&self, request: &ForwardRequest, tried: &Tried) -> Result<Grant, Reply> {
+        let left = Duration::from_millis(request.left_ms());
+        let acquire = self.dispatcher.acquire(&request.service, request.ask(&tried.servers));
+        let refusal = match tokio::time::timeout(left, acquire).await {
+            Ok(Ok(grant)) => return Ok(grant),
+            Ok(Err(refusal)) => refusal,
+            Err(_) => Refusal { no_server: false, retry_after_ms: REFUSED_RETRY_MS },
+        };
+        let code = if refusal.no_server { Code::NoServer } else { Code::QueueFull };
+        info!(
+            event = "no-slot", id = request.id_text(), service = &*request.service,
+            no_server = refusal.no_server, retry_after_ms = refusal.retry_after_ms,
+            sends = tried.sends, may_have_run = tried.may_have_run;
+            "no slot in time"
+        );
+        if tried.may_have_run {
+            return Err(Reply::unknown(Code::AnswerLost));
+        }
+        Err(Reply::not_run(code, refusal.retry_after_ms))
+    }
+
+    /// Whether another send is allowed: attempts, time, and the budget of repeats.
+    fn may_repeat(&self, request: &ForwardRequest, tried: &Tried) -> bool {
+        if tried.sends >= request.route.attempts_max {
+            return false;
+        }
+        let usual_ms = self.dispatcher.usual_ms(&request.service, &request.ask(&tried.servers));
+        #[expect(clippy::cast_precision_loss, reason = "milliseconds of a deadline")]
+        let enough = request.left_ms() as f64 > WORTH_SENDING * usual_ms;
+        enough && self.dispatcher.spend_repeat(&request.service)
+    }
+
+    /// The final answer, or `None` when the request is to be sent again.
+    fn judge(
+        &self,
+        request: &ForwardRequest,
+        result: SendResult,
+        tried: &mut Tried,
+    ) -> Option<Reply> {
+        let idempotent = request.route.idempotent();
+        match result {
+            SendResult::Answered(answer) => {
+                let failed = answer.status.is_server_error();
+                if failed && idempotent && self.may_repeat(request, tried) {
+                    tried.may_have_run = true;
+                    return None;
+                }
+                Some(passed(answer))
+            }
+            SendResult::Refused { status } => {
+                if status != StatusCode::BAD_REQUEST && self.may_repeat(request, tried) {
+                    return None;
+                }
+                Some(tried.not_run(Code::NoRepeatLeft, REFUSED_RETRY_MS))
+            }
+            SendResult::NotSent => {
+                tried.sends -= 1;
+                tried.unreachable += 1;
+                if tried.unreachable < UNREACHABLE_MAX && request.left_ms() > 0 {
+                    return None;
+                }
+                Some(tried.not_run(Code::ConnectFailed, REFUSED_RETRY_MS))
+            }
+            SendResult::TimedOut => Some(Reply::unknown(Code::DeadlineAfterDispatch)),
+            SendResult::Lost(_) | SendResult::Unproved { .. } => {
+                tried.may_have_run = true;
+                if idempotent && self.may_repeat(request, tried) {
+                    return None;
+                }
+                Some(Reply::unknown(lost_code(&result)))
+            }
+        }
+    }
+
+    /// One send, joined by a second when the first is late, the request may run twice, and a slot
+    /// is free that nobody waits for. The first whole answer counts; the other send is dropped.
+    async fn send_hedged(
+        &self,
+        request: &ForwardRequest,
+        grant: Grant,
+        tried: &mut Tried,
+    ) -> SendResult {
+        let hedge_at = self.hedge_after(request, tried);
+        let first = self.send_once(request, grant, tried);
+        let Some(hedge_after) = hedge_at else {
+            return first.await;
+        };
+        tokio::pin!(first);
+        tokio::select! {
+            result = &mut first => return result,
+            () = tokio::time::sleep(hedge_after) => {}
+        }
+        let ask = request.ask(&tried.servers);
+        let Some(spare) = self.dispatcher.spare(&request.service, &ask) else {
+            return first.await;
+        };
+        if !self.may_repeat(request, tried) {
+            return first.await;
+        }
+        self.board.counters.add(Counter::Hedges);
+        // Whatever the second comes to, the first is out.
+        tried.may_have_run = true;
+        let second = self.send_once(request, spare, tried);
+        tokio::pin!(second);
+        tokio::select! {
+            result = &mut first => if conclusive(&result) { result } else { second.await },
+            result = &mut second => if conclusive(&result) { result } else { first.await },
+        }
+    }
+
+    /// How long to wait for the first send before a second one may join it.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "milliseconds, kept above zero"
+    )]
+    fn hedge_after(&self, request: &ForwardRequest, tried: &Tried) -> Option<Duration> {
+        if !request.route.idempotent() || tried.sends + 1 >= request.route.attempts_max {
+            return None;
+        }
+        let usual_ms = self.dispatcher.usual_ms(&request.service, &request.ask(&[]));
+        let spent_ms = now_us().saturating_sub(request.arrived_us) as f64 / 1000.0;
+        let left_for_aim_ms = request.route.aim_ms as f64 - spent_ms;
+        let after_ms = (left_for_aim_ms - HEDGE_LEAD * usual_ms).max(HEDGE_MIN * usual_ms);
+        Some(Duration::from_millis(after_ms as u64))
+    }
+
+    /// Counts a send and starts it.
+    fn send_once<'a>(
+        &'a self,
+        request: &'a ForwardRequest,
+        grant: Grant,
+        tried: &mut Tried,
+    ) -> impl Future<Output = SendResult> + use<'a, D> {
+        let server = Arc::clone(&grant.server.id);
+        tried.servers.push(Arc::clone(&server));
+        tried.sends += 1;
+        let sends = tried.sends;
+        self.board.counters.add(Counter::Attempts);
+        async move {
+            let started_us = now_us();
+            let result = send(&self.dialect, request, grant).await;
+            let took_ms = now_us().saturating_sub(started_us) / 1000;
+            info!(
+                event = "send", id = request.id_text(), service = &*request.service,
+                server = &*server, send = sends, took_ms = took_ms, outcome = result.name();
+                "send ended"
+            );
+            if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
+                // Another server has the address now; nothing more may be sent there.
+                self.dispatcher.unlist(&server, Duration::ZERO);
+            }
+            result
+        }
+    }
+}
+
+impl Tried {
+    /// A refusal, unless an earlier send may have run: that a later one did not run does not undo
+    /// the earlier one.
+    fn not_run(&self, code: Code, retry_after_ms: u64) -> Reply {
+        if self.may_have_run {
+            return Reply::unknown(Code::AnswerLost);
+        }
+        Reply::not_run(code, retry_after_ms)
+    }
+}
+
+/// Whether a result settles the request, so that the other send is not needed.
+fn conclusive(result: &SendResult) -> bool {
+    match result {
+        SendResult::Answered(answer) => !answer.status.is_server_error(),
+        SendResult::TimedOut => true,
+        _ => false,
+    }
+}
+
+fn passed(answer: ServerAnswer) -> Reply {
+    let ServerAnswer { status, headers, body } = answer;
+    Reply { status, headers, body, code: Code::Ok }
+}
+
+const fn lost_code(result: &SendResult) -> Code {
+    match result {
+        SendResult::Lost(super::server_conn::ExchangeError::Truncated) => Code::AnswerTruncated,
+        SendResult::Lost(super::server_conn::ExchangeError::Garbled) => Code::AnswerGarbled,
+        SendResult::Unproved { .. } => Code::FailureUnproved,
+        _ => Code::AnswerLost,
+    }
+}
--- /dev/null
+++ b/src/gateway/homes.rs
@@ -0,0 +1,27 @@
+//! Which instances the callers of a zone are told of.
+
+use std::sync::Arc;
+
+use crate::member::MemberRow;
+use crate::member::MemberState;
+
+/// The homes of a zone: a few of its instances, the same in every instance's view.
+///
+/// Few, so that each knows most of what the zone's callers have at the backend servers and keeps
+/// its connections warm; more than one, so that callers have another address when one fails. A
+/// zone that has too few of its own borrows from the others.
+#[must_use]
+pub fn homes_of_zone(rows: &[Arc<MemberRow>], zone: &str, homes: usize) -> Vec<Arc<MemberRow>> {
+    let takes_work = rows.iter().filter(|row| row.state.takes_work());
+    let mut ranked: Vec<&Arc<MemberRow>> = takes_work.collect();
+    ranked.sort_by_key(|row| {
+        (row.zone != zone, row.state == MemberState::Suspect, &row.name, row.incarnation)
+    });
+    ranked.into_iter().take(homes).cloned().collect()
+}
+
+/// Whether an instance is a home of its own zone.
+#[must_use]
+pub fn is_home(rows: &[Arc<MemberRow>], zone: &str, homes: usize, incarnation: u64) -> bool {
+    homes_of_zone(rows, zone, homes).iter().any(|row| row.incarnation == incarnation)
+}
--- /dev/null
+++ b/src/gateway/http_listener.rs
@@ -0,0 +1,131 @@
+//! A listener for HTTP/1.1 that can be stopped without cutting off a request.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+
+use crate::task::TaskGuard;
+
+/// Pause after a failed accept: the process is out of descriptors, and some come free soon.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Answers requests; one value serves all connections.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// The body of its answers.
+    type Body: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + 'static;
+
+    /// Answers one request. Dropped when the caller leaves.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>> + Send;
+
+    /// What a connection that is opened now allows.
+    fn limits(&self) -> ConnLimits;
+}
+
+/// Limits of a caller's connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnLimits {
+    pub header_bytes_max: usize,
+    /// Time for the next head, idle time before it included.
+    pub head_timeout: Duration,
+}
+
+/// A running listener.
+#[derive(Debug)]
+pub struct HttpListener {
+    accepting: TaskGuard,
+    stop: watch::Sender<bool>,
+    permits: Arc<Semaphore>,
+    connections_max: u32,
+}
+
+impl HttpListener {
+    /// Serves `listener` with at most `connections_max` connections; more wait to be accepted.
+    pub fn spawn<H: Handler>(listener: TcpListener, handler: H, connections_max: u32) -> Self {
+        let permits = Arc::new(Semaphore::new(connections_max as usize));
+        let (stop, stopped) = watch::channel(false);
+        let accepting =
+            TaskGuard::spawn(accept_all(listener, handler, Arc::clone(&permits), stopped));
+        Self { accepting, stop, permits, connections_max }
+    }
+
+    /// Accepts no further connection, closes idle ones, lets each other one finish its request,
+    /// and returns when all are closed or `within` is over.
+    pub async fn stop(self, within: Duration) {
+        self.accepting.end().await;
+        self.stop.send_replace(true);
+        let closed = self.permits.acquire_many(self.connections_max);
+        // Connections that are not closed by then end with the process.
+        let _ = tokio::time::timeout(within, closed).await;
+    }
+}
+
+async fn accept_all<H: Handler>(
+    listener: TcpListener,
+    handler: H,
+    permits: Arc<Semaphore>,
+    stopped: watch::Receiver<bool>,
+) {
+    loop {
+        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let handler = handler.clone();
+        let stopped = stopped.clone();
+        tokio::spawn(async move {
+            serve_connection(stream, handler, stopped).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection<H: Handler>(
+    stream: TcpStream,
+    handler: H,
+    mut stopped: watch::Receiver<bool>,
+) {
+    if stream.set_nodelay(true).is_err() {
+        // The caller has closed it already.
+        return;
+    }
+    let limits = handler.limits();
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.timer(TokioTimer::new());
+    builder.header_read_timeout(limits.head_timeout);
+    builder.max_buf_size(limits.header_bytes_max.max(MIN_BUFFER_BYTES));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A fault here is the caller's connection breaking; nobody is left to tell.
+        _ = &mut connection => return,
+        _ = stopped.wait_for(|stopped| *stopped) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+/// The least that `hyper` takes as a connection's buffer.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
--- /dev/null
+++ b/src/gateway/platform_handlers.rs
@@ -0,0 +1,104 @@
+//! What the platform and callers ask of an instance beside requests: readiness, and which
+//! addresses to use.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use super::Dialect;
+use super::caller_handler::TableInForce;
+use super::homes::homes_of_zone;
+use super::http_listener::ConnLimits;
+use super::http_listener::Handler;
+use crate::board::Blackboard;
+use crate::board::Phase;
+
+/// How long callers keep an address answer. An instance that fails is left out of the next one,
+/// so this bounds how long callers go on trying it; a shorter time buys little, since the failure
+/// itself takes most of a second to be noticed.
+const ADDRESS_KEEP_MS: u64 = 1_000;
+const LIMITS: ConnLimits =
+    ConnLimits { header_bytes_max: 16 << 10, head_timeout: Duration::from_secs(30) };
+
+fn respond(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
+
+/// Says whether the instance is ready for requests.
+#[derive(Clone, Debug)]
+pub struct ReadinessHandler<D> {
+    pub dialect: D,
+    pub board: Arc<Blackboard>,
+    pub table: TableInForce,
+}
+
+impl<D: Dialect> Handler for ReadinessHandler<D> {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        if request.uri().path() != self.dialect.paths().readiness {
+            return respond(StatusCode::NOT_FOUND, Vec::new());
+        }
+        let ready = self.board.phase() == Phase::Running && self.table.load().is_some();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        respond(status, Vec::new())
+    }
+
+    fn limits(&self) -> ConnLimits {
+        LIMITS
+    }
+}
+
+/// Tells callers which addresses to use.
+#[derive(Clone, Debug)]
+pub struct AddressHandler<D> {
+    pub dialect: D,
+    pub board: Arc<Blackboard>,
+}
+
+impl<D: Dialect> AddressHandler<D> {
+    fn addresses(&self, zone: &str) -> (Vec<SocketAddr>, u64) {
+        let settings = self.board.settings.gateway.as_ref();
+        let homes_per_zone = settings.map_or(1, |gateway| gateway.homes_per_zone);
+        let keep_max_ms = settings.map_or(ADDRESS_KEEP_MS, |gateway| gateway.address_keep_max_ms);
+        let view = self.board.members_view();
+        let homes = homes_of_zone(&view.rows, zone, homes_per_zone);
+        (homes.iter().map(|row| row.caller).collect(), ADDRESS_KEEP_MS.min(keep_max_ms))
+    }
+}
+
+impl<D: Dialect> Handler for AddressHandler<D> {
+    type Body = Full<Bytes>;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let paths = self.dialect.paths();
+        if request.uri().path() != paths.addresses {
+            return respond(StatusCode::NOT_FOUND, Vec::new());
+        }
+        let pairs = request.uri().query().unwrap_or("").split('&');
+        let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
+        let zone = pairs.find(|(name, _)| *name == paths.zone_query).map_or("", |(_, zone)| zone);
+        let (addresses, keep_ms) = self.addresses(zone);
+        if addresses.is_empty() {
+            return respond(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+        }
+        let mut response =
+            respond(StatusCode::OK, self.dialect.encode_addresses(&addresses, keep_ms));
+        let json = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+        response
+    }
+
+    fn limits(&self) -> ConnLimits {
+        LIMITS
+    }
+}
--- /dev/null
+++ b/src/gateway/prober.rs
@@ -0,0 +1,118 @@
+//! Health checks, which tell load and pace of the servers of the own zone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Dialect;
+use super::caller_handler::TableInForce;
+use super::dispatcher::Dispatcher;
+use super::dispatcher::Server;
+use super::homes::is_home;
+use super::server_conn::Echo;
+use super::server_conn::ExchangeError;
+use super::server_conn::ServerConn;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::conf::GatewaySettings;
+
+/// Health checks a second to a server by one home, as long as the operators' bound allows them.
+/// The pace of a server shifts within some 150 ms; knowing it 50 ms later changes few choices.
+const PROBES_PER_S: u32 = 10;
+/// A server in the own zone answers a health check within some milliseconds; one that takes
+/// longer than this does not answer at all.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Checks the servers of the own zone while this instance is one of the zone's homes.
+#[derive(Clone, Debug)]
+pub struct Prober<D> {
+    pub dialect: D,
+    pub board: Arc<Blackboard>,
+    pub dispatcher: Dispatcher,
+    pub table: TableInForce,
+    pub settings: GatewaySettings,
+}
+
+impl<D: Dialect> Prober<D> {
+    /// Checks until the process ends.
+    pub async fn run(self) {
+        let homes = u32::try_from(self.settings.homes_per_zone).unwrap_or(u32::MAX);
+        // Instances may disagree for a moment on who is a home: half of the bound is left.
+        let allowed = self.settings.probes_per_s_max / homes.saturating_mul(2).max(1);
+        let rate = PROBES_PER_S.min(allowed);
+        if rate == 0 {
+            return;
+        }
+        let mut turns = tokio::time::interval(Duration::from_secs(1) / rate);
+        turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            turns.tick().await;
+            if self.is_home() {
+                self.probe_all();
+            }
+        }
+    }
+
+    fn is_home(&self) -> bool {
+        let zone = &self.board.settings.instance.zone;
+        let view = self.board.members_view();
+        is_home(&view.rows, zone, self.settings.homes_per_zone, self.board.incarnation)
+    }
+
+    fn probe_all(&self) {
+        let zone = &*self.board.settings.instance.zone;
+        for server in self.dispatcher.servers() {
+            if *server.zone == *zone {
+                tokio::spawn(self.clone().probe(server));
+            }
+        }
+    }
+
+    async fn probe(self, server: Arc<Server>) {
+        let table = self.table.load_full();
+        let rule = table.as_ref().and_then(|table| table.services.get(&server.service));
+        let Some(path) = rule.map(|rule| rule.health_path.as_str()) else {
+            return;
+        };
+        self.board.counters.add(Counter::Probes);
+        let probed = tokio::time::timeout(PROBE_TIMEOUT, self.exchange(&server, path)).await;
+        if !matches!(probed, Ok(Some(()))) {
+            self.dispatcher.unheard(&server);
+        }
+    }
+
+    async fn exchange(&self, server: &Server, path: &str) -> Option<()> {
+        let mut conn = server.conns.take(PROBE_TIMEOUT).await.ok()?;
+        let head = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", server.conns.address());
+        let (well, keep) = self.read_answer(server, &mut conn, head.as_bytes()).await.ok()?;
+        self.dispatcher.checked(server, well);
+        if keep {
+            server.conns.put_back(conn);
+        }
+        Some(())
+    }
+
+    /// Whether the server says that it is well, and whether the connection may be kept.
+    async fn read_answer(
+        &self,
+        server: &Server,
+        conn: &mut ServerConn,
+        head: &[u8],
+    ) -> Result<(bool, bool), ExchangeError> {
+        let fields = self.dialect.fields();
+        let echo = Echo { field: &fields.request_id, id: None, refusal: &fields.not_run };
+        let answer = conn.exchange(head, &[], echo).await?;
+        let mut decoder = answer.decoder();
+        while conn.read_body(&mut decoder).await?.is_some() {}
+        let text = |name| answer.headers.get(name).and_then(|value| value.to_str().ok());
+        if text(&fields.server_id).is_some_and(|id| *id != *server.id) {
+            // The address belongs to another server now.
+            self.dispatcher.unlist(&server.id, Duration::ZERO);
+            return Ok((false, false));
+        }
+        if let Some(load) = text(&fields.load).and_then(|text| self.dialect.parse_load(text)) {
+            self.dispatcher.report(server, load);
+        }
+        let keep = conn.finish(&answer);
+        Ok((answer.status.is_success(), keep))
+    }
+}
--- /dev/null
+++ b/src/gateway/registry.rs
@@ -0,0 +1,82 @@
+//! The list of instances that the instances keep in the platform's store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::warn;
+
+use super::Dialect;
+use crate::board::Blackboard;
+use crate::store::EventStore;
+use crate::store::Listed;
+use crate::store::Roster;
+use crate::store::StoreError;
+
+/// An entry outlives its instance for at most this. It is only read by instances that look for
+/// others, which stand a dead address among living ones.
+const LEASE_TTL: Duration = Duration::from_secs(60);
+const RENEW_INTERVAL: Duration = Duration::from_secs(20);
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The instances' own list; each writes its peer address under a lease.
+#[derive(Clone, Debug)]
+pub struct Registry<D, S> {
+    pub dialect: D,
+    pub store: S,
+    pub board: Arc<Blackboard>,
+}
+
+impl<D: Dialect, S: EventStore> Registry<D, S> {
+    async fn enter(&self) -> Result<u64, StoreError> {
+        let lease = self.store.open_lease(LEASE_TTL).await?;
+        let prefix = self.dialect.keys().instances_prefix;
+        let key = format!("{prefix}{}", self.board.settings.instance.name);
+        let address = self.board.settings.listen.peer.to_string();
+        if self.store.write_leased(&key, address.as_bytes(), lease).await? {
+            return Ok(lease);
+        }
+        Err(StoreError::Refused("the lease ended at once".into()))
+    }
+
+    /// Keeps the own entry until the process ends.
+    pub async fn run(self) {
+        loop {
+            match self.enter().await {
+                Ok(lease) => self.keep(lease).await,
+                Err(error) => {
+                    self.board.note_store(Some(error.to_string()));
+                    tokio::time::sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    /// Renews the lease until the store says that it ended.
+    async fn keep(&self, lease: u64) {
+        loop {
+            tokio::time::sleep(RENEW_INTERVAL).await;
+            match self.store.renew_lease(lease).await {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(error) => warn!(event = "renewal-failed", why = error.to_string().as_str(); ""),
+            }
+        }
+    }
+}
+
+impl<D: Dialect, S: EventStore> Roster for Registry<D, S> {
+    async fn instances(&self) -> Result<Vec<Listed>, StoreError> {
+        let prefix = self.dialect.keys().instances_prefix;
+        let page = self.store.page(prefix, None).await?;
+        let listed = page.items.iter().filter_map(|item| {
+            let address: SocketAddr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+            Some(Listed { id: item.key.clone(), address, zone: String::new(), leaving: false })
+        });
+        Ok(listed.collect())
+    }
+
+    async fn backend_servers(&self) -> Result<Vec<Listed>, StoreError> {
+        Ok(Vec::new())
+    }
+}
--- /dev/null
+++ b/src/gateway/reply.rs
@@ -0,0 +1,130 @@
+//! Answers to callers.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use http_body::Body;
+use http_body::Frame;
+use http_body::SizeHint;
+use tokio::sync::mpsc;
+
+use super::server_conn::ExchangeError;
+use crate::errors::Code;
+use crate::task::TaskGuard;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// Held whole.
+    Whole(Option<Bytes>),
+    /// Too large to be held: passed on as it comes. An error ends the caller's connection, so that
+    /// a body that was cut short never looks whole.
+    Live {
+        chunks: mpsc::Receiver<Result<Bytes, ExchangeError>>,
+        bytes: Option<u64>,
+        /// Reads from the backend server; ends with the body, which cancels the work there.
+        reader: TaskGuard,
+    },
+}
+
+impl std::fmt::Display for ExchangeError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+impl std::error::Error for ExchangeError {}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = ExchangeError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ExchangeError>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Live { chunks, .. } => {
+                chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Live { bytes: Some(bytes), .. } => SizeHint::with_exact(*bytes),
+            Self::Live { bytes: None, .. } => SizeHint::default(),
+        }
+    }
+}
+
+/// A final answer.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: ReplyBody,
+    /// `Ok` for a backend server's answer, else why this instance answers itself.
+    pub code: Code,
+}
+
+/// Statuses by which a gateway promises that the request did not run and will not.
+pub const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+impl Reply {
+    fn own(status: StatusCode, code: Code) -> Self {
+        Self { status, headers: HeaderMap::new(), body: ReplyBody::Whole(None), code }
+    }
+
+    /// The request did not run and will not; when to come back.
+    #[must_use]
+    pub fn not_run(code: Code, retry_after_ms: u64) -> Self {
+        let mut reply = Self::own(StatusCode::SERVICE_UNAVAILABLE, code);
+        let seconds = std::time::Duration::from_millis(retry_after_ms).as_secs_f64();
+        if let Ok(value) = format!("{seconds:.3}").parse() {
+            reply.headers.insert(http::header::RETRY_AFTER, value);
+        }
+        reply
+    }
+
+    /// The request may have run and its answer is missing.
+    #[must_use]
+    pub fn unknown(code: Code) -> Self {
+        let timed_out = code == Code::DeadlineAfterDispatch;
+        let status = if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
+        Self::own(status, code)
+    }
+
+    /// The request is not one that can be served at all.
+    #[must_use]
+    pub fn rejected(status: StatusCode, code: Code) -> Self {
+        Self::own(status, code)
+    }
+
+    /// As an HTTP response.
+    #[must_use]
+    pub fn into_response(self) -> Response<ReplyBody> {
+        let mut response = Response::new(self.body);
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        response
+    }
+}
--- /dev/null
+++ b/src/gateway/routes.rs
@@ -0,0 +1,169 @@
+//! The operators' routes: which service a request goes to, and the care it deserves.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use smallvec::SmallVec;
+
+/// Whether a request may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RouteKind {
+    Idempotent,
+    AtMostOnce,
+}
+
+/// A service that a route sends requests to, with its part of them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    pub service: Arc<str>,
+    /// Part of the requests, relative to the other targets' weights.
+    pub weight: u32,
+}
+
+/// One route: requests of a host below a path prefix.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    pub name: String,
+    pub host: String,
+    /// Begins and ends with a slash.
+    pub prefix: String,
+    pub kind: RouteKind,
+    /// The longest time that a caller is kept waiting.
+    pub timeout_ms: u64,
+    /// Time within which an answer is worth its full value.
+    pub aim_ms: u64,
+    /// Most backend servers that one request is sent to.
+    #[serde(default = "attempts_default")]
+    pub attempts_max: u32,
+    /// 0 is served first.
+    #[serde(default)]
+    pub priority: u32,
+    /// The only service, where requests are not split.
+    #[serde(default)]
+    service: Option<Arc<str>>,
+    /// The services among which requests are split.
+    #[serde(default)]
+    targets: SmallVec<[Target; 2]>,
+}
+
+const fn attempts_default() -> u32 {
+    1
+}
+
+/// What the operators say of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRule {
+    pub name: Arc<str>,
+    pub health_path: String,
+    /// Connections that a backend server of the service takes from everybody together.
+    pub connections_max: u32,
+}
+
+/// What callers may send, and how long they may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct CallerLimits {
+    pub header_bytes_max: usize,
+    pub body_bytes_max: usize,
+    pub header_timeout_ms: u64,
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for CallerLimits {
+    /// In force until the operators' configuration is known.
+    fn default() -> Self {
+        Self {
+            header_bytes_max: 16 << 10,
+            body_bytes_max: 1 << 20,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// A version of the configuration as it is written down.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Declaration {
+    pub version: u64,
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    #[serde(default)]
+    pub services: Vec<ServiceRule>,
+    #[serde(default)]
+    pub limits: CallerLimits,
+}
+
+/// One version of the operators' configuration, ready for lookups.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(from = "Declaration")]
+pub struct RouteTable {
+    pub version: u64,
+    pub services: HashMap<Arc<str>, ServiceRule>,
+    pub limits: CallerLimits,
+    /// By host in lower case; those with longer prefixes come first.
+    routes: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl From<Declaration> for RouteTable {
+    fn from(declaration: Declaration) -> Self {
+        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for route in declaration.routes {
+            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for of_host in by_host.values_mut() {
+            of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = declaration.services.into_iter();
+        Self {
+            version: declaration.version,
+            services: services.map(|rule| (Arc::clone(&rule.name), rule)).collect(),
+            limits: declaration.limits,
+            routes: by_host,
+        }
+    }
+}
+
+impl RouteTable {
+    /// The route of the host with the longest prefix that begins the path.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host);
+        let of_host = match self.routes.get(host) {
+            Some(of_host) => of_host,
+            None => self.routes.get(&host.to_ascii_lowercase())?,
+        };
+        of_host.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    }
+
+    /// Number of routes, for logs.
+    #[must_use]
+    pub fn route_count(&self) -> usize {
+        self.routes.values().map(Vec::len).sum()
+    }
+}
+
+impl Route {
+    /// Whether its requests may run more than once.
+    #[must_use]
+    pub const fn idempotent(&self) -> bool {
+        matches!(self.kind, RouteKind::Idempotent)
+    }
+
+    /// The service for a request, by a random number from 0 to 1 (exclusive); `None` only for a
+    /// route that names no service.
+    #[must_use]
+    pub fn pick_service(&self, random: f64) -> Option<&Arc<str>> {
+        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
+        let mut left = random * f64::from(total);
+        for target in &self.targets {
+            left -= f64::from(target.weight);
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        self.service.as_ref().or_else(|| self.targets.last().map(|target| &target.service))
+    }
+}
--- /dev/null
+++ b/src/gateway/server_conn.rs
@@ -0,0 +1,319 @@
+//! One connection to a backend server.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::StatusCode;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use super::framing::BodyDecoder;
+use super::framing::Framing;
+use crate::clock::now_us;
+
+const READ_BYTES: usize = 16 << 10;
+/// Largest head of an answer.
+const HEAD_MAX_BYTES: usize = 64 << 10;
+const FIELDS_MAX: usize = 64;
+/// Answers of others that are passed over before the connection is given up.
+const STRAYS_MAX: u32 = 3;
+/// A server that does not tell closes idle connections after some seconds at the soonest.
+const KEEP_DEFAULT: Duration = Duration::from_secs(4);
+/// Part of the time told by the server for which an idle connection is used again: the server
+/// counts from its last byte, and a request must not cross its close.
+const KEEP_SHARE_PERCENT: u32 = 75;
+
+/// Why an exchange brought no whole answer. The request may have run in each case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// The connection broke or was closed before an answer.
+    Closed,
+    /// An answer began and did not end as it said.
+    Truncated,
+    /// Bytes that are no answer, or answers to other requests only.
+    Garbled,
+}
+
+impl ExchangeError {
+    /// The name written in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Closed => "connection-closed",
+            Self::Truncated => "answer-truncated",
+            Self::Garbled => "answer-garbled",
+        }
+    }
+}
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub struct AnswerHead {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    framing: Framing,
+    /// The server keeps the connection open after this answer.
+    keeps_open: bool,
+}
+
+/// Tells answers to our request from answers to others.
+#[derive(Clone, Copy, Debug)]
+pub struct Echo<'a> {
+    /// Field that servers copy from the request into the answer.
+    pub field: &'a HeaderName,
+    pub id: Option<&'a HeaderValue>,
+    /// Field of an answer that refuses; such an answer may lack the echo.
+    pub refusal: &'a HeaderName,
+}
+
+impl Echo<'_> {
+    fn matches(&self, head: &AnswerHead) -> bool {
+        match (self.id, head.headers.get(self.field)) {
+            (Some(id), Some(echoed)) => id == echoed,
+            (Some(_), None) => {
+                head.headers.contains_key(self.refusal)
+                    || head.status == StatusCode::MISDIRECTED_REQUEST
+            }
+            (None, _) => true,
+        }
+    }
+}
+
+/// A connection that carries one exchange at a time.
+#[derive(Debug)]
+pub struct ServerConn {
+    stream: TcpStream,
+    input: BytesMut,
+    idle_since_us: u64,
+    keep: Duration,
+}
+
+impl ServerConn {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// When it cannot be opened within `within`; nothing was sent then.
+    pub async fn open(address: SocketAddr, within: Duration) -> std::io::Result<Self> {
+        let timed_out = |_| std::io::ErrorKind::TimedOut.into();
+        let connected = tokio::time::timeout(within, TcpStream::connect(address)).await;
+        let stream = connected.unwrap_or_else(|elapsed| Err(timed_out(elapsed)))?;
+        stream.set_nodelay(true)?;
+        let input = BytesMut::new();
+        Ok(Self { stream, input, idle_since_us: now_us(), keep: KEEP_DEFAULT })
+    }
+
+    /// Whether an idle connection can carry another request.
+    ///
+    /// Bytes that came unasked belong to no request; with them, or after a close, the next answer
+    /// could be taken for the wrong request, or the request be lost.
+    #[must_use]
+    pub fn reusable(&self) -> bool {
+        let idle_us = now_us().saturating_sub(self.idle_since_us);
+        let keep = self.keep * KEEP_SHARE_PERCENT / 100;
+        let fresh = u128::from(idle_us) < keep.as_micros();
+        let mut probe = [0_u8; 1];
+        let quiet = matches!(
+            self.stream.try_read(&mut probe),
+            Err(err) if err.kind() == std::io::ErrorKind::WouldBlock
+        );
+        fresh && quiet && self.input.is_empty()
+    }
+
+    /// Sends a request and reads the head of its answer. The body is sent while the answer is
+    /// awaited: a server may answer before it has read all of it.
+    ///
+    /// # Errors
+    /// Why there is no answer; the request may have run.
+    pub async fn exchange(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+        echo: Echo<'_>,
+    ) -> Result<AnswerHead, ExchangeError> {
+        let (mut reader, mut writer) = self.stream.split();
+        let input = &mut self.input;
+        let write = async {
+            writer.write_all(head).await?;
+            writer.write_all(body).await
+        };
+        let read = read_matching_head(&mut reader, input, echo);
+        tokio::pin!(write, read);
+        let mut answer = tokio::select! {
+            biased;
+            written = &mut write => {
+                // A server that refuses early may close its reading end; its answer still counts.
+                let _ = written;
+                return read.await;
+            }
+            answer = &mut read => answer?,
+        };
+        // The rest of the body was not sent: what the server would read next is not a request.
+        answer.keeps_open = false;
+        Ok(answer)
+    }
+
+    /// Reads more of the body; `None` when it is whole.
+    ///
+    /// # Errors
+    /// When the body ends too soon.
+    pub async fn read_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+    ) -> Result<Option<Bytes>, ExchangeError> {
+        loop {
+            match decoder.decode(&mut self.input) {
+                Ok(Some(bytes)) => return Ok(Some(bytes)),
+                Ok(None) if decoder.done() => return Ok(None),
+                Ok(None) => {}
+                Err(_) => return Err(ExchangeError::Garbled),
+            }
+            self.input.reserve(READ_BYTES);
+            match self.stream.read_buf(&mut self.input).await {
+                Ok(0) if decoder.closed() => return Ok(None),
+                Ok(0) | Err(_) => return Err(ExchangeError::Truncated),
+                Ok(_) => {}
+            }
+        }
+    }
+
+    /// Takes note that the exchange is over; tells whether the connection may be kept.
+    pub fn finish(&mut self, head: &AnswerHead) -> bool {
+        self.idle_since_us = now_us();
+        self.keep = keep_alive(&head.headers).unwrap_or(KEEP_DEFAULT);
+        head.keeps_open && self.reusable()
+    }
+}
+
+impl AnswerHead {
+    /// A decoder of this answer's body.
+    #[must_use]
+    pub const fn decoder(&self) -> BodyDecoder {
+        BodyDecoder::new(self.framing)
+    }
+
+    /// The length of the body, if the head tells it.
+    #[must_use]
+    pub const fn body_bytes(&self) -> Option<u64> {
+        match self.framing {
+            Framing::Length(bytes) => Some(bytes),
+            Framing::Chunked | Framing::Close => None,
+        }
+    }
+}
+
+/// The `timeout` of a `Keep-Alive` field.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let values = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds = values.filter_map(|value| value.parse().ok()).next()?;
+    Some(Duration::from_secs(seconds))
+}
+
+/// Reads heads until one answers our request; passes over the bodies of the others.
+///
+/// A faulty server sends an answer twice, and the second one comes where the next answer is due.
+/// Its echoed id tells it from the right one, which follows.
+async fn read_matching_head(
+    reader: &mut tokio::net::tcp::ReadHalf<'_>,
+    input: &mut BytesMut,
+    echo: Echo<'_>,
+) -> Result<AnswerHead, ExchangeError> {
+    for _ in 0..=STRAYS_MAX {
+        let head = read_head(reader, input).await?;
+        if head.status.is_informational() {
+            continue;
+        }
+        if echo.matches(&head) {
+            return Ok(head);
+        }
+        skip_body(reader, input, &head).await?;
+    }
+    Err(ExchangeError::Garbled)
+}
+
+async fn skip_body(
+    reader: &mut tokio::net::tcp::ReadHalf<'_>,
+    input: &mut BytesMut,
+    head: &AnswerHead,
+) -> Result<(), ExchangeError> {
+    if !head.keeps_open || head.framing == Framing::Close {
+        return Err(ExchangeError::Garbled);
+    }
+    let mut decoder = head.decoder();
+    loop {
+        let decoded = decoder.decode(input).map_err(|_| ExchangeError::Garbled)?;
+        if decoder.done() {
+            return Ok(());
+        }
+        if decoded.is_none() {
+            read_more(reader, input).await?;
+        }
+    }
+}
+
+async fn read_more(
+    reader: &mut tokio::net::tcp::ReadHalf<'_>,
+    input: &mut BytesMut,
+) -> Result<(), ExchangeError> {
+    input.reserve(READ_BYTES);
+    match reader.read_buf(input).await {
+        Ok(0) | Err(_) => Err(ExchangeError::Closed),
+        Ok(_) => Ok(()),
+    }
+}
+
+async fn read_head(
+    reader: &mut tokio::net::tcp::ReadHalf<'_>,
+    input: &mut BytesMut,
+) -> Result<AnswerHead, ExchangeError> {
+    loop {
+        if let Some(head) = parse_head(input)? {
+            return Ok(head);
+        }
+        if input.len() > HEAD_MAX_BYTES {
+            return Err(ExchangeError::Garbled);
+        }
+        let empty = input.is_empty();
+        read_more(reader, input)
+            .await
+            .map_err(|err| if empty { err } else { ExchangeError::Truncated })?;
+    }
+}
+
+/// Takes a whole head out of `input`; `None` when more bytes are needed.
+fn parse_head(input: &mut BytesMut) -> Result<Option<AnswerHead>, ExchangeError> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let used = match parsed.parse(input) {
+        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(ExchangeError::Garbled),
+    };
+    let garbled = || ExchangeError::Garbled;
+    let status = StatusCode::from_u16(parsed.code.unwrap_or(0)).map_err(|_| garbled())?;
+    let mut headers = HeaderMap::with_capacity(parsed.headers.len());
+    for field in parsed.headers.iter() {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|_| garbled())?;
+        let value = HeaderValue::from_bytes(field.value).map_err(|_| garbled())?;
+        headers.append(name, value);
+    }
+    let http_1_1 = parsed.version == Some(1);
+    let framing = if status.is_informational() {
+        Framing::Length(0)
+    } else {
+        Framing::of(status, &headers).map_err(|_| garbled())?
+    };
+    let closes = headers.get_all("connection").iter().any(|value| {
+        let mut words = value.as_bytes().split(|byte| *byte == b',');
+        words.any(|word| word.trim_ascii().eq_ignore_ascii_case(b"close"))
+    });
+    let keeps_open = http_1_1 && !closes && framing != Framing::Close;
+    bytes::Buf::advance(input, used);
+    Ok(Some(AnswerHead { status, headers, framing, keeps_open }))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 //! and [`catalog`]; what must last is in the platform's [`store`].
 
 pub mod app;
+pub mod balance;
 pub mod board;
 pub mod catalog;
 pub mod cli;
@@ -14,6 +15,7 @@
 pub mod conf;
 pub mod decide;
 pub mod errors;
+pub mod gateway;
 pub mod r#gen;
 pub mod measure;
 pub mod member;
--- a/src/member/joiner.rs
+++ b/src/member/joiner.rs
@@ -15,9 +15,8 @@
 use crate::store::Roster;
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Interval while no other instance is known, and once some are.
+/// Interval while no other instance is known.
 const ALONE_MS: u64 = 300;
-const JOINED_MS: u64 = 5_000;
 const SMALL_FLEET: u64 = 20;
 /// Addresses asked in one turn.
 const ASKED_MAX: usize = 3;
@@ -67,7 +66,8 @@
         // The whole fleet together asks the platform about as often as a small one does; it
         // takes one instance to find another group, and both become one.
         let known = board.members_view().serving() as u64;
-        let pause_ms = if known <= 1 { ALONE_MS } else { JOINED_MS * known.div_ceil(SMALL_FLEET) };
+        let joined_ms = board.settings.peers.list_interval_ms * known.div_ceil(SMALL_FLEET);
+        let pause_ms = if known <= 1 { ALONE_MS } else { joined_ms };
         let jitter_ms = rand::rng().random_range(0..=pause_ms / 2);
         tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
     }
--- a/src/route/fields.rs
+++ b/src/route/fields.rs
@@ -35,9 +35,15 @@
     "upgrade",
 ];
 
+/// Whether a field concerns one connection only.
+#[must_use]
+pub fn hop_by_hop(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(&name.as_str())
+}
+
 /// Whether a field is for the next end only, or one of ours that nobody else may set.
 fn stays(name: &HeaderName) -> bool {
-    HOP_BY_HOP.contains(&name.as_str()) || name.as_str().starts_with(OWN_PREFIX)
+    hop_by_hop(name) || name.as_str().starts_with(OWN_PREFIX)
 }
 
 /// The fields that travel on, as pairs for messages between instances.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -26,6 +26,7 @@
 pub use fields::ADDRESSES_PATH;
 pub use fields::BACKEND_STATE;
 pub use fields::DRAINING;
+pub use fields::hop_by_hop;
 pub use placement::Placement;
 pub use placement::refresh;
 pub use placement::run_placement;
--- a/src/store/consul_store.rs
+++ b/src/store/consul_store.rs
@@ -1,24 +1,16 @@
 //! The platform's store over Consul's HTTP interface.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http::Request;
 use http::StatusCode;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
-use parking_lot::Mutex;
 use serde::Deserialize;
-use tokio::net::TcpStream;
 
 use super::Entry;
+use super::HttpClient;
 use super::Lease;
 use super::Listed;
 use super::Listing;
@@ -27,21 +19,15 @@
 use super::StoreError;
 use crate::conf::PlatformSettings;
 
-const ANSWER_MAX_BYTES: usize = 64 << 20;
-const IDLE_MAX: usize = 4;
 const INDEX_HEADER: &str = "x-consul-index";
 /// Names in the platform's list of machines.
 const INSTANCES: &str = "sorrelwick";
 const BACKEND_SERVERS: &str = "backend-servers";
 
-type Sender = http1::SendRequest<Full<Bytes>>;
-
 /// A [`Store`] and [`Roster`] over HTTP; clones share their connections.
 #[derive(Clone, Debug)]
 pub struct ConsulStore {
-    address: SocketAddr,
-    call_timeout: Duration,
-    idle: Arc<Mutex<Vec<Sender>>>,
+    http: HttpClient,
 }
 
 #[derive(Deserialize)]
@@ -110,37 +96,8 @@
     /// A client of the service at the platform's address; connects with the first call.
     #[must_use]
     pub fn open(platform: &PlatformSettings) -> Self {
-        Self {
-            address: platform.address,
-            call_timeout: Duration::from_millis(platform.call_timeout_ms),
-            idle: Arc::default(),
-        }
-    }
-
-    async fn connect(&self) -> Result<Sender, StoreError> {
-        let unreachable = |why: String| StoreError::Unreachable(why);
-        let stream =
-            TcpStream::connect(self.address).await.map_err(|e| unreachable(e.to_string()))?;
-        let _ = stream.set_nodelay(true);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|e| unreachable(e.to_string()))?;
-        tokio::spawn(connection);
-        Ok(sender)
-    }
-
-    async fn sender(&self) -> Result<Sender, StoreError> {
-        loop {
-            let idle = self.idle.lock().pop();
-            let Some(mut sender) = idle else {
-                break;
-            };
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
-            }
-        }
-        tokio::time::timeout(self.call_timeout, self.connect())
-            .await
-            .unwrap_or_else(|_| Err(StoreError::Unreachable("connect timed out".into())))
+        let call_timeout = Duration::from_millis(platform.call_timeout_ms);
+        Self { http: HttpClient::open(platform.address, call_timeout) }
     }
 
     async fn call(
@@ -150,38 +107,10 @@
         body: &[u8],
         extra_wait: Duration,
     ) -> Result<Reply, StoreError> {
-        let mut sender = self.sender().await?;
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", self.address.to_string())
-            .body(Full::new(Bytes::copy_from_slice(body)))
-            .map_err(|err| StoreError::Refused(err.to_string()))?;
-        let exchange = async {
-            let response = match sender.try_send_request(request).await {
-                Ok(response) => response,
-                // The message comes back only if none of it was written.
-                Err(mut err) => {
-                    let untouched = err.take_message().is_some();
-                    let why = err.into_error().to_string();
-                    return Err(if untouched { StoreError::Unreachable(why) } else { lost(why) });
-                }
-            };
-            let status = response.status();
-            let index = response.headers().get(INDEX_HEADER).and_then(|v| v.to_str().ok());
-            let index = index.and_then(|text| text.parse().ok()).unwrap_or(0);
-            let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
-            let body = limited.collect().await.map_err(lost)?.to_bytes();
-            Ok(Reply { status, index, body })
-        };
-        let reply = tokio::time::timeout(self.call_timeout + extra_wait, exchange)
-            .await
-            .unwrap_or_else(|_| Err(lost("timed out")))?;
-        let mut idle = self.idle.lock();
-        if idle.len() < IDLE_MAX {
-            idle.push(sender);
-        }
-        Ok(reply)
+        let reply = self.http.call(method, path, body, extra_wait).await?;
+        let index = reply.headers.get(INDEX_HEADER).and_then(|v| v.to_str().ok());
+        let index = index.and_then(|text| text.parse().ok()).unwrap_or(0);
+        Ok(Reply { status: reply.status, index, body: reply.body })
     }
 
     async fn put_flag(&self, path: &str, value: &[u8]) -> Result<bool, StoreError> {
--- /dev/null
+++ b/src/store/http_client.rs
@@ -0,0 +1,139 @@
+//! Calls to the platform's store over HTTP/1.1, with the connections kept between them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+
+use super::StoreError;
+
+const ANSWER_MAX_BYTES: usize = 64 << 20;
+const IDLE_MAX: usize = 4;
+/// A connection that went silent while a watch waits on it is found by the kernel's probes:
+/// after this time without a byte, and then after so many lost probes at this interval.
+const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_PROBES: u32 = 2;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// A client of one address; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    address: SocketAddr,
+    call_timeout: Duration,
+    idle: Arc<Mutex<Vec<Sender>>>,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct HttpReply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+fn lost(why: impl std::fmt::Display) -> StoreError {
+    StoreError::AnswerLost(why.to_string())
+}
+
+fn unreachable(why: impl std::fmt::Display) -> StoreError {
+    StoreError::Unreachable(why.to_string())
+}
+
+impl HttpClient {
+    /// A client that connects with the first call; each call may take `call_timeout`.
+    #[must_use]
+    pub fn open(address: SocketAddr, call_timeout: Duration) -> Self {
+        Self { address, call_timeout, idle: Arc::default() }
+    }
+
+    async fn connect(&self) -> Result<Sender, StoreError> {
+        let stream = TcpStream::connect(self.address).await.map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_AFTER)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        SockRef::from(&stream).set_tcp_keepalive(&keepalive).map_err(unreachable)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(unreachable)?;
+        // A fault of the connection shows as a lost answer of the call that uses it.
+        tokio::spawn(connection);
+        Ok(sender)
+    }
+
+    async fn sender(&self) -> Result<Sender, StoreError> {
+        loop {
+            let idle = self.idle.lock().pop();
+            let Some(mut sender) = idle else {
+                break;
+            };
+            if sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        tokio::time::timeout(self.call_timeout, self.connect())
+            .await
+            .unwrap_or_else(|_| Err(unreachable("connect timed out")))
+    }
+
+    /// Makes one call; `extra_wait` is the time that the store itself may wait.
+    ///
+    /// # Errors
+    /// Tells whether the call may have taken effect.
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        extra_wait: Duration,
+    ) -> Result<HttpReply, StoreError> {
+        let mut sender = self.sender().await?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::copy_from_slice(body)))
+            .map_err(|err| StoreError::Refused(err.to_string()))?;
+        let exchange = async {
+            let response = match sender.try_send_request(request).await {
+                Ok(response) => response,
+                // The message comes back only if none of it was written.
+                Err(mut err) => {
+                    let untouched = err.take_message().is_some();
+                    let why = err.into_error().to_string();
+                    return Err(if untouched { unreachable(why) } else { lost(why) });
+                }
+            };
+            let status = response.status();
+            let headers = response.headers().clone();
+            let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+            let body = limited.collect().await.map_err(lost)?.to_bytes();
+            Ok(HttpReply { status, headers, body })
+        };
+        // A connection whose answer did not come is not used again: dropping the sender closes it.
+        let reply = tokio::time::timeout(self.call_timeout + extra_wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err(lost("timed out")))?;
+        let mut idle = self.idle.lock();
+        if idle.len() < IDLE_MAX {
+            idle.push(sender);
+        }
+        Ok(reply)
+    }
+}
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -2,11 +2,20 @@
 
 mod any_store;
 mod consul_store;
+mod event_store;
+mod http_client;
 mod memory_store;
 mod platform;
 
 pub use any_store::AnyStore;
 pub use consul_store::ConsulStore;
+pub use event_store::EventStore;
+pub use event_store::Item;
+pub use event_store::ItemEvent;
+pub use event_store::Page;
+pub use event_store::Watched;
+pub use http_client::HttpClient;
+pub use http_client::HttpReply;
 pub use memory_store::MemoryStore;
 pub use platform::Entry;
 pub use platform::Lease;
