--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -28,6 +28,7 @@
 use crate::gateway::Follower;
 use crate::gateway::Forwarder;
 use crate::gateway::HttpListener;
+use crate::gateway::LoadShare;
 use crate::gateway::Prober;
 use crate::gateway::ReadinessHandler;
 use crate::gateway::Registry;
@@ -145,6 +146,7 @@
         tasks.spawn(dispatcher.clone().run());
         let grace_ms = gateway.grace_ms;
         let memory_bytes = gateway.memory_bytes_max;
+        let homes_per_zone = gateway.homes_per_zone;
         let prober = Prober {
             dialect: dialect.clone(),
             board: Arc::clone(&board),
@@ -154,6 +156,18 @@
         };
         tasks.spawn(prober.run());
 
+        let load_share = LoadShare {
+            board: Arc::clone(&board),
+            links: links.clone(),
+            dispatcher: dispatcher.clone(),
+            homes_per_zone,
+        };
+        tasks.spawn(load_share.run());
+        let peers = GatewayPeers {
+            board: Arc::clone(&board),
+            links: links.clone(),
+            dispatcher: dispatcher.clone(),
+        };
         let forwarder =
             Forwarder { dialect: dialect.clone(), board: Arc::clone(&board), dispatcher };
         let room = Arc::new(BodyRoom::new(memory_bytes / BODY_MEMORY_SHARE));
@@ -161,7 +175,6 @@
         let readiness =
             ReadinessHandler { dialect: dialect.clone(), board: Arc::clone(&board), table };
         let addresses = AddressHandler { dialect, board: Arc::clone(&board) };
-        let peers = GatewayPeers { board: Arc::clone(&board), links: links.clone() };
         let secret: Arc<str> = links.secret().into();
         board.note(EventKind::Started);
         Ok(Self {
--- a/src/app/gateway_peers.rs
+++ b/src/app/gateway_peers.rs
@@ -11,6 +11,7 @@
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::errors::Code;
+use crate::gateway::Dispatcher;
 use crate::member::answer_ping;
 use crate::peer::Links;
 use crate::peer::PassHead;
@@ -26,6 +27,7 @@
 pub struct GatewayPeers {
     pub board: Arc<Blackboard>,
     pub links: Links,
+    pub dispatcher: Dispatcher,
 }
 
 impl PeerService for GatewayPeers {
@@ -36,6 +38,10 @@
                 answer_ping(&self.board, &from, stamp, rumours)
             }
             PeerRequest::PingFor { target } => ping_for(&self.board, &self.links, target).await,
+            PeerRequest::ServerLoads(loads) => {
+                self.dispatcher.hear_loads(&loads);
+                PeerReply::Done
+            }
             _ => PeerReply::Failed(Code::PeerFrame.number()),
         }
     }
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -110,6 +110,8 @@
                 PeerReply::Granted(grant(board, &self.shard, &self.buckets, &asked))
             }
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
+            // Only instances that serve by routes tell these.
+            PeerRequest::ServerLoads(_) => PeerReply::Failed(Code::PeerFrame.number()),
         }
     }
 
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -5,9 +5,15 @@
 use crate::gateway::LoadReport;
 use crate::gateway::ServerRow;
 use crate::gateway::ServerState;
+use crate::peer::ServerLoadRow;
 
-/// A report on others' requests fades to nothing over this time, about one request's work.
-const FOREIGN_LIFE_US: u64 = 300_000;
+/// A report on requests that no peer told of fades over this time, about one request's work.
+const STRAYS_LIFE_US: u64 = 300_000;
+/// A peer that was not heard for this long is gone, and its requests with it: four of the
+/// intervals at which an idle peer is heard.
+const PEER_LIFE_US: u64 = 1_000_000;
+/// A pace older than this is not told on: the next health check is due by then.
+const PACE_TOLD_US: u64 = 120_000;
 /// A report on the pace of the machine is worth a third after this: the neighbours' load that
 /// causes it shifts within 100 to 200 ms.
 const PACE_LIFE_US: f64 = 150_000.0;
@@ -60,17 +66,30 @@
     Cancelled,
 }
 
+/// What a peer has at the server.
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    from: u64,
+    in_flight: u16,
+    heard_us: u64,
+}
+
 /// One backend server as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct ServerTrack {
     pub row: ServerRow,
     sent: SmallVec<[Sent; 8]>,
-    /// Requests of others, when they were last told of.
-    foreign: f64,
-    foreign_at_us: u64,
+    /// What other instances told that they have here.
+    peers: SmallVec<[PeerLoad; 4]>,
+    /// Requests of others that no peer told of, when the server last told its load.
+    strays: f64,
+    strays_at_us: u64,
     /// How much longer work takes there than usual; 1 is the usual.
     pace: f64,
     pace_at_us: u64,
+    /// The pace that the server told this instance itself.
+    own_pace_percent: u16,
+    own_pace_at_us: u64,
     warm_at_us: u64,
     /// Share of ends that were failures, as of `failures_at_us`.
     failures: f64,
@@ -94,10 +113,13 @@
         Self {
             row,
             sent: SmallVec::new(),
-            foreign: 0.0,
-            foreign_at_us: 0,
+            peers: SmallVec::new(),
+            strays: 0.0,
+            strays_at_us: 0,
             pace: 1.0,
             pace_at_us: 0,
+            own_pace_percent: 0,
+            own_pace_at_us: 0,
             warm_at_us,
             failures: 0.0,
             failures_at_us: now_us,
@@ -151,9 +173,42 @@
         reason = "a few requests, never below zero"
     )]
     pub fn occupancy(&self, now_us: u64) -> u32 {
-        let age_us = now_us.saturating_sub(self.foreign_at_us).min(FOREIGN_LIFE_US);
-        let fresh = 1.0 - age_us as f64 / FOREIGN_LIFE_US as f64;
-        (self.sent.len() as f64 + self.foreign * fresh).round() as u32
+        let age_us = now_us.saturating_sub(self.strays_at_us).min(STRAYS_LIFE_US);
+        let fresh = 1.0 - age_us as f64 / STRAYS_LIFE_US as f64;
+        (self.sent.len() as f64 + self.of_peers(now_us) + self.strays * fresh).round() as u32
+    }
+
+    /// Requests that peers have here, of those heard lately.
+    fn of_peers(&self, now_us: u64) -> f64 {
+        let heard = |peer: &&PeerLoad| now_us.saturating_sub(peer.heard_us) < PEER_LIFE_US;
+        self.peers.iter().filter(heard).map(|peer| f64::from(peer.in_flight)).sum()
+    }
+
+    /// Takes in what a peer told; without a row nothing changed since it was last heard.
+    pub fn hear_peer(&mut self, from: u64, row: Option<&ServerLoadRow>, now_us: u64) {
+        let known = self.peers.iter().position(|peer| peer.from == from);
+        let at = known.unwrap_or_else(|| {
+            self.peers.retain(|peer| now_us.saturating_sub(peer.heard_us) < PEER_LIFE_US);
+            self.peers.push(PeerLoad { from, in_flight: 0, heard_us: now_us });
+            self.peers.len() - 1
+        });
+        self.peers[at].heard_us = now_us;
+        let Some(row) = row else {
+            return;
+        };
+        self.peers[at].in_flight = row.in_flight;
+        if row.pace_percent > 0 {
+            self.pace = f64::from(row.pace_percent) / 100.0;
+            self.pace_at_us = now_us;
+        }
+    }
+
+    /// What peers are told: own requests, and the pace in percent if the server told it lately.
+    #[must_use]
+    pub fn told(&self, now_us: u64) -> (u16, u16) {
+        let in_flight = u16::try_from(self.sent.len()).unwrap_or(u16::MAX);
+        let fresh = now_us.saturating_sub(self.own_pace_at_us) < PACE_TOLD_US;
+        (in_flight, if fresh { self.own_pace_percent } else { 0 })
     }
 
     /// Takes note of a request that is sent there.
@@ -208,8 +263,10 @@
         let total = f64::from(load.running + load.waiting);
         #[expect(clippy::cast_precision_loss, reason = "a few requests")]
         let own = self.sent.len() as f64;
-        self.foreign = (total - own).max(0.0);
-        self.foreign_at_us = now_us;
+        self.strays = (total - own - self.of_peers(now_us)).max(0.0);
+        self.strays_at_us = now_us;
+        self.own_pace_percent = u16::try_from(load.pace_percent).unwrap_or(u16::MAX);
+        self.own_pace_at_us = now_us;
         self.pace = f64::from(load.pace_percent) / 100.0;
         self.pace_at_us = now_us;
         self.heard_us = now_us;
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -17,8 +17,11 @@
 use crate::balance::Refusal;
 use crate::balance::RepeatAllowance;
 use crate::balance::SendEnd;
+use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
 use crate::clock::now_us;
+use crate::peer::ServerLoadRow;
+use crate::peer::ServerLoads;
 
 /// How often queues are looked at for requests that became late and servers that came back.
 const TURN: Duration = Duration::from_millis(10);
@@ -29,6 +32,8 @@
 #[derive(Debug)]
 pub struct Server {
     pub id: Arc<str>,
+    /// Hash of the id, by which instances name the server to each other.
+    pub key: u32,
     pub service: Arc<str>,
     pub zone: Arc<str>,
     pub conns: ServerConns,
@@ -100,6 +105,11 @@
     }
 }
 
+#[expect(clippy::cast_possible_truncation, reason = "half of the hash is enough")]
+fn server_key(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
+
 fn random() -> f64 {
     rand::rng().random_range(0.0..1.0)
 }
@@ -129,6 +139,7 @@
         if !known {
             let server = Server {
                 id: Arc::clone(&row.id),
+                key: server_key(&row.id),
                 service: Arc::clone(&row.service),
                 zone: Arc::clone(&row.zone),
                 conns: ServerConns::new(row.address),
@@ -260,6 +271,47 @@
         }
     }
 
+    /// What this instance has at each server, and the pace of those it has just heard of.
+    #[must_use]
+    pub fn own_loads(&self) -> Vec<ServerLoadRow> {
+        let mut state = self.state.lock();
+        let State { pools, servers, .. } = &mut *state;
+        let rows = servers.values().filter_map(|server| {
+            let track = pools.get_mut(&server.service)?.server(&server.id)?;
+            let (in_flight, pace_percent) = track.told(now_us());
+            Some(ServerLoadRow { server: server.key, in_flight, pace_percent })
+        });
+        rows.collect()
+    }
+
+    /// Whether nothing of this instance runs anywhere.
+    #[must_use]
+    pub fn idle(&self) -> bool {
+        let state = self.state.lock();
+        state.pools.values().all(|pool| pool.servers.iter().all(ServerTrack::idle))
+    }
+
+    /// Takes in what another instance has at the servers.
+    pub fn hear_loads(&self, loads: &ServerLoads) {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        let now_us = now_us();
+        let rows: HashMap<u32, &ServerLoadRow> =
+            loads.rows.iter().map(|row| (row.server, row)).collect();
+        let State { pools, servers, .. } = &mut *state;
+        for server in servers.values() {
+            let track = pools.get_mut(&server.service).and_then(|pool| pool.server(&server.id));
+            if let Some(track) = track {
+                track.hear_peer(loads.from, rows.get(&server.key).copied(), now_us);
+            }
+        }
+        let waited_for = pools.iter().filter(|(_, pool)| pool.waiting() > 0);
+        let services: Vec<Arc<str>> = waited_for.map(|(service, _)| Arc::clone(service)).collect();
+        for service in services {
+            self.serve_waiting(&mut state, &service, &mut undelivered);
+        }
+    }
+
     /// Offers free slots to those that wait. Grants that cannot be delivered are left in
     /// `undelivered`, to be dropped once the lock is released: dropping takes it again.
     fn serve_waiting(&self, state: &mut State, service: &str, undelivered: &mut Vec<Grant>) {
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -1,5 +1,6 @@
 //! Which instances the callers of a zone are told of.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::member::MemberRow;
@@ -20,6 +21,17 @@
     ranked.into_iter().take(homes).cloned().collect()
 }
 
+/// The homes of all zones.
+#[must_use]
+pub fn all_homes(rows: &[Arc<MemberRow>], homes: usize) -> Vec<Arc<MemberRow>> {
+    let zones: BTreeSet<&str> = rows.iter().map(|row| row.zone.as_str()).collect();
+    let mut all: Vec<Arc<MemberRow>> =
+        zones.into_iter().flat_map(|zone| homes_of_zone(rows, zone, homes)).collect();
+    all.sort_by_key(|row| row.incarnation);
+    all.dedup_by_key(|row| row.incarnation);
+    all
+}
+
 /// Whether an instance is a home of its own zone.
 #[must_use]
 pub fn is_home(rows: &[Arc<MemberRow>], zone: &str, homes: usize, incarnation: u64) -> bool {
--- /dev/null
+++ b/src/gateway/load_share.rs
@@ -0,0 +1,90 @@
+//! Tells the other homes how many requests this one has at each backend server, and how fast the
+//! servers of its zone work.
+//!
+//! Without it two homes give out the same slots in a burst: a server that is sent twice what it
+//! has slots for works slower, and everything there is late.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::MissedTickBehavior;
+
+use super::dispatcher::Dispatcher;
+use super::homes::all_homes;
+use crate::board::Blackboard;
+use crate::peer::Links;
+use crate::peer::PeerRequest;
+use crate::peer::ServerLoadRow;
+use crate::peer::ServerLoads;
+use crate::task::TaskGuard;
+
+/// Time between two words to a peer, if there is something new. Work takes some 200 ms, so
+/// counts this old are wrong by a tenth of a slot.
+const INTERVAL: Duration = Duration::from_millis(25);
+/// Without anything new, a peer is told so after this many intervals, or it would forget.
+const IDLE_INTERVALS: u32 = 10;
+/// A peer that does not answer within this may have missed it; it is told everything again.
+const CALL_TIMEOUT: Duration = Duration::from_millis(200);
+/// How often the set of homes is looked at.
+const HOMES_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Tells loads while this instance is a home.
+#[derive(Clone, Debug)]
+pub struct LoadShare {
+    pub board: Arc<Blackboard>,
+    pub links: Links,
+    pub dispatcher: Dispatcher,
+    pub homes_per_zone: usize,
+}
+
+impl LoadShare {
+    /// Tells loads until the process ends.
+    pub async fn run(self) {
+        let mut told: HashMap<SocketAddr, TaskGuard> = HashMap::new();
+        loop {
+            let peers = self.peers();
+            told.retain(|peer, _| peers.contains(peer));
+            for peer in peers {
+                told.entry(peer).or_insert_with(|| TaskGuard::spawn(self.clone().tell(peer)));
+            }
+            tokio::time::sleep(HOMES_INTERVAL).await;
+        }
+    }
+
+    /// The other homes. An instance that is none still has the requests of callers that keep an
+    /// old answer, so it tells them too.
+    fn peers(&self) -> HashSet<SocketAddr> {
+        let view = self.board.members_view();
+        let homes = all_homes(&view.rows, self.homes_per_zone);
+        let others = homes.iter().filter(|row| row.incarnation != self.board.incarnation);
+        others.map(|row| row.peer).collect()
+    }
+
+    async fn tell(self, peer: SocketAddr) {
+        let mut acknowledged: HashMap<u32, ServerLoadRow> = HashMap::new();
+        let mut idle_intervals = 0;
+        let mut turns = tokio::time::interval(INTERVAL);
+        turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            turns.tick().await;
+            let now = self.dispatcher.own_loads();
+            let changed = now.iter().filter(|row| acknowledged.get(&row.server) != Some(*row));
+            let rows: Vec<ServerLoadRow> = changed.copied().collect();
+            idle_intervals += 1;
+            let quiet = rows.is_empty();
+            if quiet && (idle_intervals < IDLE_INTERVALS || self.dispatcher.idle()) {
+                continue;
+            }
+            idle_intervals = 0;
+            let loads = ServerLoads { from: self.board.incarnation, rows };
+            let request = PeerRequest::ServerLoads(loads);
+            match self.links.call(peer, &request, CALL_TIMEOUT).await {
+                Ok(_) => acknowledged = now.into_iter().map(|row| (row.server, row)).collect(),
+                Err(_) => acknowledged.clear(),
+            }
+        }
+    }
+}
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -25,6 +25,24 @@
     pub services: Vec<String>,
 }
 
+/// Requests that the sender has at one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoadRow {
+    /// Hash of the server's id; two of some thousand servers share one less than once in a
+    /// million, and then only look fuller than they are.
+    pub server: u32,
+    pub in_flight: u16,
+    /// How long work takes there now, 100 as usual; 0 where the sender does not know it.
+    pub pace_percent: u16,
+}
+
+/// What changed in the loads of one instance since it was last heard.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoads {
+    pub from: u64,
+    pub rows: Vec<ServerLoadRow>,
+}
+
 /// What one instance asks another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
@@ -57,6 +75,7 @@
     /// Backend servers that the platform lists as leaving, all of them.
     Listed(Vec<SocketAddr>),
     Grant(GrantRequest),
+    ServerLoads(ServerLoads),
     /// Outcomes of an instance that stops; the receiver answers for its keys from now on.
     HandOver {
         part: OwnerSnapshot,
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -20,6 +20,8 @@
 pub use message::LoadNote;
 pub use message::PeerReply;
 pub use message::PeerRequest;
+pub use message::ServerLoadRow;
+pub use message::ServerLoads;
 pub use pass::PassHead;
 pub use pass::PassReply;
 pub use pass::ReplyHead;
