--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -17,7 +17,7 @@
 
 /// Health checks a second to a server by one home, as long as the operators' bound allows them.
 /// The pace of a server shifts within some 150 ms; knowing it 50 ms later changes few choices.
-const PROBES_PER_S: u32 = 10;
+const PROBES_PER_S: u32 = 30;
 /// A server in the own zone answers a health check within some milliseconds; one that takes
 /// longer than this does not answer at all.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
