--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -119,13 +119,14 @@
         first.first().is_none_or(|row| row.incarnation == self.board.incarnation)
     }
 
-    /// The instances that watch the store, that of the own zone first.
+    /// Some instances that watch the store: that of the own zone, then others by chance.
     fn watchers(&self) -> SmallVec<[SocketAddr; 4]> {
         let zone = &self.board.settings.instance.zone;
         let view = self.board.members_view();
         let mut homes = all_homes(&view.rows, 1);
         homes.retain(|row| row.incarnation != self.board.incarnation);
-        homes.sort_by_key(|row| (row.zone != *zone, row.incarnation));
+        let salt = rand::rng().random::<u64>();
+        homes.sort_by_key(|row| (row.zone != *zone, row.incarnation ^ salt));
         homes.iter().take(ASKED_MAX).map(|row| row.peer).collect()
     }
 
@@ -231,15 +232,18 @@
         }
     }
 
-    /// Asks another watching instance now and then, until the process ends.
+    /// Asks other watching instances now and then, until the process ends.
     ///
     /// A watch whose connection went silent, or that the store turns away, hides changes from a
-    /// whole zone: everyone there relies on this instance.
+    /// whole zone: everyone there relies on this instance. Several are asked, since those that the
+    /// store turns away as well answer too, with what they know.
     pub async fn cross_check(self) {
         loop {
             tokio::time::sleep(CROSS_CHECK_INTERVAL).await;
             if self.watches() && self.mirror.revision().is_some() {
-                self.ask_others(Duration::ZERO).await;
+                for peer in self.watchers() {
+                    self.ask(peer, Duration::ZERO).await;
+                }
             }
         }
     }
