--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -6,6 +6,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::info;
@@ -80,11 +84,11 @@
 #[derive(Debug, Default)]
 struct Progress {
     /// Calls to the store that failed in a row.
-    failures: u32,
+    failures: AtomicU32,
     /// When the last of them began; 0 before the first.
-    failed_us: u64,
+    failed_us: AtomicU64,
     /// The store lost the history, so all keys are to be read.
-    read_all: bool,
+    read_all: AtomicBool,
 }
 
 impl<S: EventStore, K: Sink> Follower<S, K> {
@@ -104,20 +108,40 @@
     }
 
     /// Follows until the process ends.
-    pub async fn run(mut self) {
+    pub async fn run(self) {
         loop {
-            if !self.watches() && self.learn_from_others().await {
-                continue;
+            if self.watches() {
+                self.follow_store().await;
+            } else if !self.learn_from_others().await {
+                tokio::select! {
+                    () = self.follow_store() => {}
+                    () = self.others_certain() => {}
+                }
             }
-            let began_us = now_us();
-            match self.turn_at_store().await {
-                Ok(changed) => {
-                    self.answered();
-                    if changed {
-                        tokio::time::sleep(GATHER).await;
-                    }
+        }
+    }
+
+    /// One turn at the store, and the pause after it.
+    async fn follow_store(&self) {
+        let began_us = now_us();
+        match self.turn_at_store().await {
+            Ok(changed) => {
+                self.answered();
+                if changed {
+                    tokio::time::sleep(GATHER).await;
                 }
-                Err(error) => self.failed(&error, began_us).await,
+            }
+            Err(error) => self.failed(&error, began_us).await,
+        }
+    }
+
+    /// Returns once another instance is certain again: a store that is slow to answer must not
+    /// keep this one from hearing what others know already.
+    async fn others_certain(&self) {
+        loop {
+            tokio::time::sleep(CROSS_CHECK_INTERVAL).await;
+            if self.ask_until_certain(Duration::ZERO).await {
+                return;
             }
         }
     }
@@ -212,29 +236,29 @@
         Duration::from_millis(age_ms) <= AGE_MAX
     }
 
-    fn answered(&mut self) {
+    fn answered(&self) {
         self.mirror.confirm(now_us());
         self.board.note_store(None);
-        if self.progress.failures > 0 {
-            info!(event = "follow-resumed", prefix = self.prefix, failures = self.progress.failures; "");
+        let failures = self.progress.failures.swap(0, Ordering::AcqRel);
+        if failures > 0 {
+            info!(event = "follow-resumed", prefix = self.prefix, failures = failures; "");
         }
-        self.progress.failures = 0;
     }
 
-    async fn failed(&mut self, error: &StoreError, began_us: u64) {
+    async fn failed(&self, error: &StoreError, began_us: u64) {
         self.board.note_store(Some(error.to_string()));
-        if self.progress.failures == 0 {
+        let failures = self.progress.failures.fetch_add(1, Ordering::AcqRel);
+        self.progress.failed_us.store(began_us, Ordering::Release);
+        if failures == 0 {
             let why = error.to_string();
             warn!(event = "follow-failed", prefix = self.prefix, why = why.as_str(); "");
         }
         let pause_ms = match error {
             StoreError::Unreachable(_) => UNREACHABLE_PAUSE_MS,
             StoreError::AnswerLost(_) | StoreError::Refused(_) => {
-                (REFUSED_PAUSE_MS << self.progress.failures.min(6)).min(REFUSED_PAUSE_MAX_MS)
+                (REFUSED_PAUSE_MS << failures.min(6)).min(REFUSED_PAUSE_MAX_MS)
             }
         };
-        self.progress.failures += 1;
-        self.progress.failed_us = began_us;
         let jitter_ms = rand::rng().random_range(0..=pause_ms / 4);
         tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
     }
@@ -243,22 +267,23 @@
     /// was away. It ends by itself some two seconds after the store's return, so that a server
     /// that really left is not used for longer than it serves.
     fn lapse_grace(&self) -> Duration {
-        if self.progress.failed_us == 0 {
+        let failed_us = self.progress.failed_us.load(Ordering::Acquire);
+        if failed_us == 0 {
             return Duration::ZERO;
         }
-        Duration::from_micros((self.progress.failed_us + LAPSE_US).saturating_sub(now_us()))
+        Duration::from_micros((failed_us + LAPSE_US).saturating_sub(now_us()))
     }
 
     /// One turn at the store; tells whether it brought a change.
-    async fn turn_at_store(&mut self) -> Result<bool, StoreError> {
+    async fn turn_at_store(&self) -> Result<bool, StoreError> {
         match self.mirror.revision() {
-            Some(revision) if !self.progress.read_all => self.watch(revision).await,
+            Some(revision) if !self.progress.read_all.load(Ordering::Acquire) => self.watch(revision).await,
             _ => self.read_all().await,
         }
     }
 
     /// Reads all keys. Pages are no snapshot, so the watch goes on from before the first one.
-    async fn read_all(&mut self) -> Result<bool, StoreError> {
+    async fn read_all(&self) -> Result<bool, StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut read_at = None;
         loop {
@@ -269,16 +294,16 @@
             items.extend(page.items);
             if last {
                 self.mirror.replace(&items, at, self.lapse_grace());
-                self.progress.read_all = false;
+                self.progress.read_all.store(false, Ordering::Release);
                 return Ok(false);
             }
         }
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<bool, StoreError> {
+    async fn watch(&self, revision: u64) -> Result<bool, StoreError> {
         match self.store.events(self.prefix, revision, WAIT).await? {
             Watched::HistoryLost => {
-                self.progress.read_all = true;
+                self.progress.read_all.store(true, Ordering::Release);
                 Ok(false)
             }
             Watched::Events { events, revision: upto } => {
