--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -50,12 +50,12 @@
 const SMALL_CONNECTIONS_MAX: u32 = 1_000;
 /// Part of the memory that the bodies of requests may take.
 const BODY_MEMORY_SHARE: usize = 4;
-/// Part of the repeat budget that is used: instances count by their own clocks, and a request
-/// counted in one window may be repeated in the next.
-const REPEAT_SHARE: f64 = 0.75;
-/// Instances that the slack of the repeat budget is divided among, where more take requests than
-/// the homes: callers keep old answers for a while.
-const SLACK_PARTS: f64 = 12.0;
+/// Part of the repeat ratio that is used: a repeat may be counted in another window than its
+/// request.
+const REPEAT_SHARE: f64 = 0.9;
+/// Part of the slack of the repeat budget that the homes divide. The rest is for homes that
+/// changed within a window, each of which may have used its part.
+const SLACK_SHARE: f64 = 0.7;
 /// Callers that keep an old address answer are served for this long after the signal to stop, in
 /// percent of the grace.
 const SERVE_ON_PERCENT: u64 = 55;
@@ -98,11 +98,15 @@
     }
 }
 
+/// What one home may repeat, of the `zones` that have homes. Instances that are none get next to
+/// no requests, and the unused part of the slack covers those.
+#[expect(clippy::cast_precision_loss, reason = "a few homes")]
 fn allowance(gateway: &GatewaySettings) -> RepeatAllowance {
+    let homes = (gateway.homes_per_zone * gateway.zones.len().max(1)) as f64;
     RepeatAllowance {
         ratio: gateway.repeat_ratio * REPEAT_SHARE,
         window_us: gateway.repeat_window_ms * 1000,
-        slack: gateway.repeat_slack * REPEAT_SHARE / SLACK_PARTS,
+        slack: gateway.repeat_slack * SLACK_SHARE / homes,
     }
 }
 
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -88,6 +88,7 @@
     faults.need(slack_holds, "gateway.repeat_slack", "0 to 1000000");
     faults.range(gateway.probes_per_s_max.into(), 0, 10_000, "gateway.probes_per_s_max");
     faults.range(gateway.memory_bytes_max as u64, 16 << 20, 1 << 40, "gateway.memory_bytes_max");
+    faults.range(gateway.zones.len() as u64, 1, 1_000, "gateway.zones");
     faults.range(gateway.homes_per_zone as u64, 1, 1_000, "gateway.homes_per_zone");
 }
 
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -243,6 +243,8 @@
     pub probes_per_s_max: u32,
     /// Memory that the process may use; a quarter of it is for the bodies of requests.
     pub memory_bytes_max: usize,
+    /// Availability zones that the instances run in.
+    pub zones: Vec<String>,
     /// Instances of a zone that its callers are told of.
     #[serde(default = "homes_default")]
     pub homes_per_zone: usize,
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -277,7 +277,9 @@
     /// One turn at the store; tells whether it brought a change.
     async fn turn_at_store(&self) -> Result<bool, StoreError> {
         match self.mirror.revision() {
-            Some(revision) if !self.progress.read_all.load(Ordering::Acquire) => self.watch(revision).await,
+            Some(revision) if !self.progress.read_all.load(Ordering::Acquire) => {
+                self.watch(revision).await
+            }
             _ => self.read_all().await,
         }
     }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -31,8 +31,11 @@
 const HEDGE_LEAD: f64 = 1.3;
 /// No second send before this part of the usual time: most answers are there by then.
 const HEDGE_MIN: f64 = 1.5;
-/// When to come back after a refusal by a server: about the time of one request.
-const REFUSED_RETRY_MS: u64 = 150;
+/// When to come back after a server refused: at once, but for the way. It refused without having
+/// worked, others may have room, and the caller's aim runs on.
+const REFUSED_RETRY_MS: u64 = 20;
+/// When to come back after no slot came free before the deadline.
+const BUSY_RETRY_MS: u64 = 150;
 
 /// Forwards requests; clones share.
 #[derive(Clone, Debug)]
@@ -77,7 +80,7 @@
         let refusal = match tokio::time::timeout(left, acquire).await {
             Ok(Ok(grant)) => return Ok(grant),
             Ok(Err(refusal)) => refusal,
-            Err(_) => Refusal { no_server: false, retry_after_ms: REFUSED_RETRY_MS },
+            Err(_) => Refusal { no_server: false, retry_after_ms: BUSY_RETRY_MS },
         };
         let code = if refusal.no_server { Code::NoServer } else { Code::QueueFull };
         info!(
