--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -30,6 +30,7 @@
 use crate::gateway::HttpListener;
 use crate::gateway::LoadShare;
 use crate::gateway::Mirror;
+use crate::gateway::Patience;
 use crate::gateway::Prober;
 use crate::gateway::ReadinessHandler;
 use crate::gateway::Registry;
@@ -191,7 +192,8 @@
         let forwarder =
             Forwarder { dialect: dialect.clone(), board: Arc::clone(&board), dispatcher };
         let room = Arc::new(BodyRoom::new(memory_bytes / BODY_MEMORY_SHARE));
-        let callers = CallerHandler { forwarder, table: Arc::clone(&table), room };
+        let patience = Arc::new(Patience::default());
+        let callers = CallerHandler { forwarder, table: Arc::clone(&table), room, patience };
         let readiness =
             ReadinessHandler { dialect: dialect.clone(), board: Arc::clone(&board), table };
         let addresses = AddressHandler { dialect, board: Arc::clone(&board) };
--- a/src/balance/concurrency_limit.rs
+++ b/src/balance/concurrency_limit.rs
@@ -6,9 +6,11 @@
 /// Samples with all slots in use before they are believed. With work that varies as much as its
 /// mean, the mean of 24 is within a fifth, which tells a slowdown of 1.7 from none.
 const SAMPLES_MIN: u32 = 24;
-/// Share of the requests that try the last slot although it is not believed to pay, so that the
-/// belief can change. A wrong one costs the slowdown of the last slot on this share.
-const TRIAL_SHARE: f64 = 0.1;
+/// Share of the requests that try the last slot while it is not known whether it pays.
+const UNKNOWN_TRIAL_SHARE: f64 = 0.12;
+/// The same once it is believed not to pay, so that the belief can change. Each such request slows
+/// all others on its server, so it must be rare where a service is short of room.
+const TRIAL_SHARE: f64 = 0.015;
 
 /// Mean of a ratio, quick at first, then moving.
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,6 +65,8 @@
     /// Requests that a server of `slots` may have, by a random number from 0 to 1.
     #[must_use]
     pub fn allowed(&self, slots: u32, random: f64) -> u32 {
-        if self.last_slot_pays(slots) || random < TRIAL_SHARE { slots } else { slots - 1 }
+        let known = self.full.samples >= SAMPLES_MIN && self.below.samples >= SAMPLES_MIN;
+        let trial_share = if known { TRIAL_SHARE } else { UNKNOWN_TRIAL_SHARE };
+        if self.last_slot_pays(slots) || random < trial_share { slots } else { slots - 1 }
     }
 }
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -20,6 +20,11 @@
 /// Expected times closer than this share of the usual one are told apart by chance, so that
 /// instances that know the same do not all choose the same server.
 const JITTER_SHARE: f64 = 0.05;
+/// Time that an answer needs, against the usual: started with just the usual time left, half of
+/// the requests would be late, and their slots lost for others.
+const NEEDED_FACTOR: f64 = 1.25;
+/// A request that will be late waits for spare slots for at most this part of its aim.
+const LATE_WAIT_SHARE: f64 = 0.12;
 /// When to come back while a service has no server at all.
 const NO_SERVER_RETRY_MS: u64 = 500;
 /// Bounds of the time told to refused callers.
@@ -35,6 +40,8 @@
     pub aim_ms: f64,
     /// When it arrived here.
     pub arrived_us: u64,
+    /// Time that its caller spent on it before, at this instance or another.
+    pub spent_us: u64,
     /// Nobody waits for the answer after this.
     pub deadline_us: u64,
     /// Servers that it was sent to already.
@@ -48,6 +55,8 @@
     pub ask: Ask,
     /// Started later, it is not expected to be answered in time.
     pub start_by_us: u64,
+    /// It will miss its aim anyway: it gets only what no other request needs.
+    pub late: bool,
 }
 
 /// A request is not served; when to come back.
@@ -58,6 +67,15 @@
     pub retry_after_ms: u64,
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "part of an aim, never below zero"
+)]
+fn late_wait_us(ask: &Ask) -> u64 {
+    (ask.aim_ms * 1000.0 * LATE_WAIT_SHARE) as u64
+}
+
 /// Servers, queue and measures of one service.
 #[derive(Debug, Default)]
 pub struct ServicePool {
@@ -155,15 +173,25 @@
         if slots == 0 && self.servers.iter().all(|server| !server.listed(now_us)) {
             return Err(Refusal { no_server: true, retry_after_ms: NO_SERVER_RETRY_MS });
         }
-        let start_by_us = self.start_by_us(&ask);
-        let wait_us = self.expected_wait_us(ask.priority, slots);
+        let slots = self.slots_in_use(now_us);
+        let for_aim_us = self.start_by_us(&ask);
+        let late = for_aim_us < now_us;
+        let start_by_us = if late { now_us + late_wait_us(&ask) } else { for_aim_us };
+        let urgency = if late { u32::MAX } else { ask.priority };
+        let wait_us = self.expected_wait_us(urgency, slots);
         if now_us + wait_us > start_by_us {
             return Err(self.refusal(now_us));
         }
-        self.waiting.push(Waiting { ticket, ask, start_by_us });
+        self.waiting.push(Waiting { ticket, ask, start_by_us, late });
         Ok(())
     }
 
+    /// Slots that the limit lets be used now.
+    fn slots_in_use(&self, now_us: u64) -> u32 {
+        let usable = self.usable(now_us);
+        usable.map(|server| self.limit.allowed(server.row.slots, 1.0)).sum()
+    }
+
     fn usable(&self, now_us: u64) -> impl Iterator<Item = &ServerTrack> {
         self.servers.iter().filter(move |server| server.usable(now_us))
     }
@@ -175,10 +203,10 @@
         reason = "milliseconds of a deadline, never below zero"
     )]
     fn start_by_us(&self, ask: &Ask) -> u64 {
-        let typical_us = (self.typical_ms(ask) * 1000.0) as u64;
+        let needed_us = (self.typical_ms(ask) * 1000.0 * NEEDED_FACTOR) as u64;
         let aim_us = (ask.aim_ms * 1000.0) as u64;
-        let for_aim_us = (ask.arrived_us + aim_us).saturating_sub(typical_us);
-        for_aim_us.min(ask.deadline_us.saturating_sub(typical_us))
+        let for_aim_us = (ask.arrived_us + aim_us).saturating_sub(ask.spent_us + needed_us);
+        for_aim_us.min(ask.deadline_us.saturating_sub(needed_us))
     }
 
     /// Time until a newcomer of this priority gets a slot: those before it, at the rate at which
@@ -190,7 +218,8 @@
         reason = "a queue's length and time"
     )]
     fn expected_wait_us(&self, priority: u32, slots: u32) -> u64 {
-        let ahead = self.waiting.iter().filter(|other| other.ask.priority <= priority).count() + 1;
+        let before = |other: &&Waiting| !other.late && other.ask.priority <= priority;
+        let ahead = self.waiting.iter().filter(before).count() + 1;
         let per_slot_us = self.mean_ms * 1000.0 / f64::from(slots.max(1));
         (ahead as f64 * per_slot_us) as u64
     }
@@ -198,7 +227,7 @@
     /// When to come back: once those that wait now are served.
     #[must_use]
     pub fn refusal(&self, now_us: u64) -> Refusal {
-        let slots: u32 = self.usable(now_us).map(|server| server.row.slots).sum();
+        let slots = self.slots_in_use(now_us);
         let wait_ms = self.expected_wait_us(u32::MAX, slots) / 1000;
         Refusal { no_server: false, retry_after_ms: wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) }
     }
@@ -211,7 +240,8 @@
         now_us: u64,
         random: &mut impl FnMut() -> f64,
     ) -> Option<(Waiting, Arc<str>)> {
-        self.waiting.sort_by_key(|waiting| (waiting.ask.priority, waiting.ask.arrived_us));
+        self.waiting
+            .sort_by_key(|waiting| (waiting.late, waiting.ask.priority, waiting.ask.arrived_us));
         let found = self.waiting.iter().enumerate().find_map(|(at, waiting)| {
             self.choose(&waiting.ask, zone, now_us, random).map(|index| (at, index))
         });
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -25,6 +25,7 @@
 use super::forwarder::Forwarder;
 use super::http_listener::ConnLimits;
 use super::http_listener::Handler;
+use super::patience::Patience;
 use super::reply::Reply;
 use super::reply::ReplyBody;
 use crate::board::Counter;
@@ -82,6 +83,7 @@
     pub forwarder: Forwarder<D>,
     pub table: TableInForce,
     pub room: Arc<BodyRoom>,
+    pub patience: Arc<Patience>,
 }
 
 impl<D: Dialect> CallerHandler<D> {
@@ -114,6 +116,8 @@
         let told = parts.headers.get(&fields.timeout_ms).and_then(|value| value.to_str().ok());
         let told_ms = told.and_then(|text| text.trim().parse::<u64>().ok());
         let timeout_ms = told_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let spent_us =
+            told_ms.map_or(0, |told_ms| self.patience.spent_ms(&route.name, told_ms)) * 1000;
         let deadline_us = arrived_us + timeout_ms * 1000;
         let left = Duration::from_micros(deadline_us.saturating_sub(now_us()));
         let body_bytes_max = self.limits_in_force().body_bytes_max;
@@ -134,6 +138,7 @@
             route,
             service,
             arrived_us,
+            spent_us,
             deadline_us,
         })
     }
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -27,6 +27,8 @@
     pub route: Arc<Route>,
     pub service: Arc<str>,
     pub arrived_us: u64,
+    /// Time that its caller spent on it before.
+    pub spent_us: u64,
     /// When the caller's own deadline or the route's timeout ends it, whichever is first.
     pub deadline_us: u64,
 }
@@ -54,6 +56,7 @@
             priority: self.route.priority,
             aim_ms,
             arrived_us: self.arrived_us,
+            spent_us: self.spent_us,
             deadline_us: self.deadline_us,
             avoid: tried.iter().cloned().collect(),
         }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -196,7 +196,8 @@
             return None;
         }
         let usual_ms = self.dispatcher.usual_ms(&request.service, &request.ask(&[]));
-        let spent_ms = now_us().saturating_sub(request.arrived_us) as f64 / 1000.0;
+        let here_us = now_us().saturating_sub(request.arrived_us);
+        let spent_ms = (here_us + request.spent_us) as f64 / 1000.0;
         let left_for_aim_ms = request.route.aim_ms as f64 - spent_ms;
         let after_ms = (left_for_aim_ms - HEDGE_LEAD * usual_ms).max(HEDGE_MIN * usual_ms);
         Some(Duration::from_millis(after_ms as u64))
