--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -36,6 +36,7 @@
 use crate::gateway::Registry;
 use crate::gateway::ServerSink;
 use crate::gateway::TableInForce;
+use crate::gateway::run_store_check;
 use crate::member::MemberState;
 use crate::member::announce;
 use crate::member::run_joiner;
@@ -156,16 +157,18 @@
         tasks.spawn(follow_config().cross_check());
         tasks.spawn(follow_servers().run());
         tasks.spawn(follow_servers().cross_check());
-        tasks.spawn(follow_config().check_alive());
-        tasks.spawn(follow_servers().check_alive());
-        let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
+        let (config_copy, servers_copy) = (Arc::clone(&config), Arc::clone(&servers));
+        let checked = run_store_check(store.clone(), Arc::clone(&board), config_copy, servers_copy);
+        tasks.spawn(checked);
+        let homes_per_zone = gateway.homes_per_zone;
+        let registry =
+            Registry { dialect: dialect.clone(), store, board: Arc::clone(&board), homes_per_zone };
         tasks.spawn(registry.clone().run());
         tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
         tasks.spawn(dispatcher.clone().run());
         let grace_ms = gateway.grace_ms;
         let memory_bytes = gateway.memory_bytes_max;
-        let homes_per_zone = gateway.homes_per_zone;
         let prober = Prober {
             dialect: dialect.clone(),
             board: Arc::clone(&board),
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -291,6 +291,12 @@
         state.pools.values().all(|pool| pool.servers.iter().all(ServerTrack::idle))
     }
 
+    /// Whether requests wait for slots.
+    #[must_use]
+    pub fn contended(&self) -> bool {
+        self.state.lock().pools.values().any(|pool| pool.waiting() > 0)
+    }
+
     /// Takes in what another instance has at the servers.
     pub fn hear_loads(&self, loads: &ServerLoads) {
         let mut undelivered = Vec::new();
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -19,6 +19,7 @@
 
 use super::homes::all_homes;
 use super::homes::homes_of_zone;
+use super::homes::is_home;
 use super::mirror::Mirror;
 use super::mirror::Sink;
 use crate::board::Blackboard;
@@ -54,9 +55,6 @@
 /// What another instance knows is believed when it was certain within this; above it, the store
 /// may have turned that instance away while it serves this one.
 pub const AGE_MAX: Duration = Duration::from_millis(900);
-/// How often a watching instance makes sure that the store still serves it.
-const ALIVE_INTERVAL: Duration = Duration::from_millis(400);
-const ALIVE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Between two instances of a zone that turn to the store because no watching one is certain.
 const RANK_PAUSE_MS: u64 = 60;
 /// Instances of the own zone that are asked beside those that watch: another may have turned to
@@ -148,10 +146,7 @@
 
     /// Whether this instance is the one of its zone that watches the store.
     fn watches(&self) -> bool {
-        let zone = &self.board.settings.instance.zone;
-        let view = self.board.members_view();
-        let first = homes_of_zone(&view.rows, zone, 1);
-        first.first().is_none_or(|row| row.incarnation == self.board.incarnation)
+        is_home(&self.board, 1)
     }
 
     /// Some instances that watch the store: that of the own zone, then others by chance.
@@ -337,20 +332,4 @@
     fn behind(&self) -> bool {
         self.mirror.age() > AGE_MAX
     }
-
-    /// Makes sure now and then that the store still serves this instance while it watches, until
-    /// the process ends: a watch that waits tells nothing of that.
-    pub async fn check_alive(self) {
-        loop {
-            tokio::time::sleep(ALIVE_INTERVAL).await;
-            if !self.watches() || self.mirror.revision().is_none() {
-                continue;
-            }
-            let began_us = now_us();
-            let alive = tokio::time::timeout(ALIVE_TIMEOUT, self.store.alive()).await;
-            if matches!(alive, Ok(Ok(()))) {
-                self.mirror.confirm(began_us);
-            }
-        }
-    }
 }
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use crate::board::Blackboard;
 use crate::member::MemberRow;
 use crate::member::MemberState;
 
@@ -32,8 +33,10 @@
     all
 }
 
-/// Whether an instance is a home of its own zone.
+/// Whether this instance is among the first `homes` of its own zone.
 #[must_use]
-pub fn is_home(rows: &[Arc<MemberRow>], zone: &str, homes: usize, incarnation: u64) -> bool {
-    homes_of_zone(rows, zone, homes).iter().any(|row| row.incarnation == incarnation)
+pub fn is_home(board: &Blackboard, homes: usize) -> bool {
+    let view = board.members_view();
+    let of_zone = homes_of_zone(&view.rows, &board.settings.instance.zone, homes);
+    of_zone.iter().any(|row| row.incarnation == board.incarnation)
 }
--- a/src/gateway/load_share.rs
+++ b/src/gateway/load_share.rs
@@ -24,6 +24,8 @@
 /// Time between two words to a peer, if there is something new. Work takes some 200 ms, so
 /// counts this old are wrong by a tenth of a slot.
 const INTERVAL: Duration = Duration::from_millis(25);
+/// The same, in intervals, while no request waits: choices between free servers need less.
+const CALM_INTERVALS: u32 = 3;
 /// Without anything new, a peer is told so after this many intervals, or it would forget.
 const IDLE_INTERVALS: u32 = 10;
 /// A peer that does not answer within this may have missed it; it is told everything again.
@@ -74,8 +76,11 @@
             let changed = now.iter().filter(|row| acknowledged.get(&row.server) != Some(*row));
             let rows: Vec<ServerLoadRow> = changed.copied().collect();
             idle_intervals += 1;
-            let quiet = rows.is_empty();
-            if quiet && (idle_intervals < IDLE_INTERVALS || self.dispatcher.idle()) {
+            let due = if rows.is_empty() { IDLE_INTERVALS } else { CALM_INTERVALS };
+            if idle_intervals < due && (rows.is_empty() || !self.dispatcher.contended()) {
+                continue;
+            }
+            if rows.is_empty() && self.dispatcher.idle() {
                 continue;
             }
             idle_intervals = 0;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod server_conns;
 mod server_row;
 mod sinks;
+mod store_check;
 
 pub use caller_handler::BodyRoom;
 pub use caller_handler::CallerHandler;
@@ -79,3 +80,4 @@
 pub use server_row::ServerState;
 pub use sinks::ConfigSink;
 pub use sinks::ServerSink;
+pub use store_check::run_store_check;
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -46,18 +46,12 @@
         turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             turns.tick().await;
-            if self.is_home() {
+            if is_home(&self.board, self.settings.homes_per_zone) {
                 self.probe_all();
             }
         }
     }
 
-    fn is_home(&self) -> bool {
-        let zone = &self.board.settings.instance.zone;
-        let view = self.board.members_view();
-        is_home(&view.rows, zone, self.settings.homes_per_zone, self.board.incarnation)
-    }
-
     fn probe_all(&self) {
         let zone = &*self.board.settings.instance.zone;
         for server in self.dispatcher.servers() {
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -7,12 +7,15 @@
 use log::warn;
 
 use super::Dialect;
+use super::homes::is_home;
 use crate::board::Blackboard;
 use crate::store::EventStore;
 use crate::store::Listed;
 use crate::store::Roster;
 use crate::store::StoreError;
 
+/// Homes are settled some time after a start.
+const SETTLE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// An entry outlives its instance for at most this. It is only read by instances that look for
 /// others, which stand a dead address among living ones.
 const LEASE_TTL: Duration = Duration::from_secs(60);
@@ -25,6 +28,7 @@
     pub dialect: D,
     pub store: S,
     pub board: Arc<Blackboard>,
+    pub homes_per_zone: usize,
 }
 
 impl<D: Dialect, S: EventStore> Registry<D, S> {
@@ -39,9 +43,16 @@
         Err(StoreError::Refused("the lease ended at once".into()))
     }
 
-    /// Keeps the own entry until the process ends.
+    /// Keeps the own entry while this instance is a home, until the process ends.
+    ///
+    /// A newcomer needs one address of an instance that lives, and finds the others through it;
+    /// each entry costs calls to the store.
     pub async fn run(self) {
         loop {
+            tokio::time::sleep(SETTLE_INTERVAL).await;
+            if !is_home(&self.board, self.homes_per_zone) {
+                continue;
+            }
             match self.enter().await {
                 Ok(lease) => self.keep(lease).await,
                 Err(error) => {
@@ -67,6 +78,10 @@
 
 impl<D: Dialect, S: EventStore> Roster for Registry<D, S> {
     async fn instances(&self) -> Result<Vec<Listed>, StoreError> {
+        // The addresses in the settings are enough while one of them answers.
+        if self.board.members_view().serving() > 1 {
+            return Ok(Vec::new());
+        }
         let prefix = self.dialect.keys().instances_prefix;
         let page = self.store.page(prefix, None).await?;
         let listed = page.items.iter().filter_map(|item| {
--- /dev/null
+++ b/src/gateway/store_check.rs
@@ -0,0 +1,37 @@
+//! Makes sure that the platform's store still serves an instance that watches it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::homes::is_home;
+use super::mirror::Mirror;
+use super::mirror::Sink;
+use crate::board::Blackboard;
+use crate::clock::now_us;
+use crate::store::EventStore;
+
+/// A watch that waits does not tell that the store turned this instance away; others that rely on
+/// it must learn of that well within the two seconds that a change may take.
+const INTERVAL: Duration = Duration::from_millis(400);
+const TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Checks now and then while this instance watches, until the process ends.
+pub async fn run_store_check<S: EventStore, A: Sink, B: Sink>(
+    store: S,
+    board: Arc<Blackboard>,
+    first: Arc<Mirror<A>>,
+    second: Arc<Mirror<B>>,
+) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if !is_home(&board, 1) {
+            continue;
+        }
+        let began_us = now_us();
+        let alive = tokio::time::timeout(TIMEOUT, store.alive()).await;
+        if matches!(alive, Ok(Ok(()))) {
+            first.confirm(began_us);
+            second.confirm(began_us);
+        }
+    }
+}
--- a/src/member/joiner.rs
+++ b/src/member/joiner.rs
@@ -28,11 +28,18 @@
 }
 
 /// Addresses of instances that may be there and are not known, in random order.
-async fn unknown_addresses<R: Roster>(board: &Blackboard, roster: &R) -> Vec<SocketAddr> {
+async fn unknown_addresses<R: Roster>(
+    board: &Blackboard,
+    roster: &R,
+    turn: u64,
+) -> Vec<SocketAddr> {
     let mut found: BTreeSet<SocketAddr> = board.settings.peers.seeds.iter().copied().collect();
-    let listed = roster.instances().await;
-    board.note_store(listed.as_ref().err().map(ToString::to_string));
-    found.extend(listed.unwrap_or_default().iter().map(|row| row.address));
+    // Each call to the platform has its price; the seeds are tried first.
+    if found.is_empty() || turn > 0 {
+        let listed = roster.instances().await;
+        board.note_store(listed.as_ref().err().map(ToString::to_string));
+        found.extend(listed.unwrap_or_default().iter().map(|row| row.address));
+    }
     let known = known_addresses(board);
     let mut unknown: Vec<SocketAddr> = found.difference(&known).copied().collect();
     for at in (1..unknown.len()).rev() {
@@ -58,8 +65,10 @@
 
 /// Joins, and goes on looking: two groups that formed while parted find each other again.
 pub async fn run_joiner<R: Roster>(board: Arc<Blackboard>, roster: R, links: Links) {
+    let mut turn = 0;
     loop {
-        let unknown = unknown_addresses(&board, &roster).await;
+        let unknown = unknown_addresses(&board, &roster, turn).await;
+        turn += 1;
         for address in unknown.into_iter().take(ASKED_MAX) {
             join_by(&board, &links, address).await;
         }
