--- a/src/balance/concurrency_limit.rs
+++ b/src/balance/concurrency_limit.rs
@@ -4,13 +4,21 @@
 /// Weight of one sample once [`SAMPLES_MIN`] are there.
 const SAMPLE_WEIGHT: f64 = 0.03;
 /// Samples with all slots in use before they are believed. With work that varies as much as its
-/// mean, the mean of 24 is within a fifth, which tells a slowdown of 1.7 from none.
-const SAMPLES_MIN: u32 = 24;
-/// Share of the requests that try the last slot while it is not known whether it pays.
-const UNKNOWN_TRIAL_SHARE: f64 = 0.12;
-/// The same once it is believed not to pay, so that the belief can change. Each such request slows
-/// all others on its server, so it must be rare where a service is short of room.
-const TRIAL_SHARE: f64 = 0.015;
+/// mean, the mean of 36 is within a sixth; fewer are also biased, as short work ends first.
+const SAMPLES_MIN: u32 = 36;
+/// The last slot is believed to pay once the slowdown is less than this part of what it gains.
+const CLEARLY: f64 = 0.6;
+/// Share of the servers that may fill their last slot, for a while each, as long as it is not known
+/// whether it pays; and once it is believed not to, so that the belief can change. Each such server
+/// may work slower for that while.
+const UNKNOWN_TRIAL_SHARE: f64 = 0.1;
+const TRIAL_SHARE: f64 = 0.03;
+/// How long a server is on trial: a few times the usual work, so that whole requests fall into it.
+const TRIAL_US: u64 = 1_000_000;
+/// A request counts as run on a full server when that was so for this part of its time at least,
+/// and as run below when for this part at most. What lies between tells nothing clear.
+const FULL_PART_MIN: f64 = 0.7;
+const FULL_PART_MAX: f64 = 0.1;
 
 /// Mean of a ratio, quick at first, then moving.
 #[derive(Clone, Copy, Debug, Default)]
@@ -36,37 +44,83 @@
 pub struct ConcurrencyLimit {
     full: Mean,
     below: Mean,
+    /// Not believed before it was seen.
+    pays: bool,
 }
 
 impl ConcurrencyLimit {
-    /// Takes a sample: `running` requests of `slots` when it began, itself included, and how much
-    /// longer than usual it took.
-    pub fn record(&mut self, running: u32, slots: u32, took_ratio: f64) {
-        if running >= slots {
+    /// Whether a request had a slot left beside it for nearly all of its time.
+    #[must_use]
+    pub fn unhindered(full_part: f64) -> bool {
+        full_part <= FULL_PART_MAX
+    }
+
+    /// Takes a sample: the part of its time for which all slots of its server were in use, whether
+    /// all but one were when it began, and how much longer than usual it took.
+    ///
+    /// Counting only how many ran when it began would not do: the next request fills the last slot
+    /// and slows those that are there, which then look slow without it.
+    pub fn record(&mut self, slots: u32, full_part: f64, nearly_full: bool, took_ratio: f64) {
+        if full_part >= FULL_PART_MIN {
             self.full.record(took_ratio);
-        } else if running + 1 == slots {
+        } else if Self::unhindered(full_part) && nearly_full {
             self.below.record(took_ratio);
         }
+        self.judge(slots);
     }
 
     /// Whether the last slot is believed to pay.
     #[must_use]
-    pub fn last_slot_pays(&self, slots: u32) -> bool {
-        if slots < 2 {
-            return true;
+    pub const fn last_slot_pays(&self, slots: u32) -> bool {
+        self.pays || slots < 2
+    }
+
+    /// Changes the belief where the means say so clearly. Between the two bounds it stays: near
+    /// them, chance would turn it with each request.
+    fn judge(&mut self, slots: u32) {
+        if slots < 2 || !self.known() {
+            return;
         }
-        if self.full.samples < SAMPLES_MIN || self.below.samples < SAMPLES_MIN {
-            return false;
+        let gain = 1.0 / f64::from(slots - 1);
+        let slowdown = self.full.value / self.below.value.max(f64::MIN_POSITIVE) - 1.0;
+        if slowdown > gain {
+            self.pays = false;
+        } else if slowdown < gain * CLEARLY {
+            self.pays = true;
         }
-        let worth = f64::from(slots) / f64::from(slots - 1);
-        self.full.value < worth * self.below.value
     }
 
-    /// Requests that a server of `slots` may have, by a random number from 0 to 1.
+    const fn known(&self) -> bool {
+        self.full.samples >= SAMPLES_MIN && self.below.samples >= SAMPLES_MIN
+    }
+
+    /// Mean time, against the usual, of requests on full servers and on those with one slot left.
     #[must_use]
-    pub fn allowed(&self, slots: u32, random: f64) -> u32 {
-        let known = self.full.samples >= SAMPLES_MIN && self.below.samples >= SAMPLES_MIN;
-        let trial_share = if known { TRIAL_SHARE } else { UNKNOWN_TRIAL_SHARE };
-        if self.last_slot_pays(slots) || random < trial_share { slots } else { slots - 1 }
+    pub const fn means(&self) -> (f64, f64) {
+        (self.full.value, self.below.value)
+    }
+
+    /// Requests that a server of `slots` may have. `key` tells servers apart, so that at each time
+    /// some are on trial.
+    #[must_use]
+    pub fn allowed(&self, slots: u32, key: u32, now_us: u64) -> u32 {
+        if self.last_slot_pays(slots) || self.on_trial(key, now_us) { slots } else { slots - 1 }
+    }
+
+    /// Requests that servers of `slots` have in the long run.
+    #[must_use]
+    pub fn usual(&self, slots: u32) -> u32 {
+        if self.last_slot_pays(slots) { slots } else { slots - 1 }
+    }
+
+    fn on_trial(&self, key: u32, now_us: u64) -> bool {
+        let share = if self.known() { TRIAL_SHARE } else { UNKNOWN_TRIAL_SHARE };
+        let mut seed = [0; 16];
+        seed[..8].copy_from_slice(&(now_us / TRIAL_US).to_le_bytes());
+        seed[8..12].copy_from_slice(&key.to_le_bytes());
+        let drawn = xxhash_rust::xxh3::xxh3_64(&seed) >> 11;
+        #[expect(clippy::cast_precision_loss, reason = "53 bits fit")]
+        let drawn = drawn as f64 / (1_u64 << 53) as f64;
+        drawn < share
     }
 }
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -47,6 +47,8 @@
     pub at_us: u64,
     /// Requests that ran there when it began, itself included, as far as known.
     pub running: u32,
+    /// Time for which all slots had been in use until it began.
+    full_us: u64,
 }
 
 /// How a send ended, as far as the server is concerned.
@@ -74,10 +76,23 @@
     heard_us: u64,
 }
 
+/// The hash by which instances name a server to each other.
+#[must_use]
+#[expect(clippy::cast_possible_truncation, reason = "half of the hash is enough")]
+pub fn server_key(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
+
 /// One backend server as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct ServerTrack {
     pub row: ServerRow,
+    /// Hash of the id, by which instances name the server to each other.
+    pub key: u32,
+    /// Time for which all slots have been in use, until `full_at_us`.
+    full_us: u64,
+    full_at_us: u64,
+    full: bool,
     sent: SmallVec<[Sent; 8]>,
     /// What other instances told that they have here.
     peers: SmallVec<[PeerLoad; 4]>,
@@ -111,7 +126,11 @@
     pub fn new(row: ServerRow, now_us: u64) -> Self {
         let warm_at_us = now_us + row.warmup_ms * 1000;
         Self {
+            key: server_key(&row.id),
             row,
+            full_us: 0,
+            full_at_us: now_us,
+            full: false,
             sent: SmallVec::new(),
             peers: SmallVec::new(),
             strays: 0.0,
@@ -158,6 +177,12 @@
             && now_us >= self.paused_until_us
     }
 
+    /// Whether it works at its usual speed, as far as its start is concerned.
+    #[must_use]
+    pub const fn warm(&self, now_us: u64) -> bool {
+        now_us >= self.warm_at_us
+    }
+
     /// Whether nothing of this instance runs there.
     #[must_use]
     pub fn idle(&self) -> bool {
@@ -196,7 +221,9 @@
         let Some(row) = row else {
             return;
         };
+        self.note_full(now_us);
         self.peers[at].in_flight = row.in_flight;
+        self.note_full(now_us);
         if row.pace_percent > 0 {
             self.pace = f64::from(row.pace_percent) / 100.0;
             self.pace_at_us = now_us;
@@ -213,14 +240,35 @@
 
     /// Takes note of a request that is sent there.
     pub fn start(&mut self, ticket: u64, now_us: u64) {
+        self.note_full(now_us);
         let running = self.occupancy(now_us) + 1;
-        self.sent.push(Sent { ticket, at_us: now_us, running });
+        self.sent.push(Sent { ticket, at_us: now_us, running, full_us: self.full_us });
+        self.note_full(now_us);
+    }
+
+    /// Adds up the time for which all slots were in use; called before and after each change.
+    fn note_full(&mut self, now_us: u64) {
+        if self.full {
+            self.full_us += now_us.saturating_sub(self.full_at_us);
+        }
+        self.full_at_us = now_us;
+        self.full = self.occupancy(now_us) >= self.row.slots;
+    }
+
+    /// Part of a request's time for which all slots were in use.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "times of one request")]
+    pub fn full_part(&self, sent: &Sent, now_us: u64) -> f64 {
+        let lasted_us = now_us.saturating_sub(sent.at_us).max(1);
+        self.full_us.saturating_sub(sent.full_us) as f64 / lasted_us as f64
     }
 
     /// Takes note of a request's end; returns how it began.
     pub fn finish(&mut self, ticket: u64, end: SendEnd, now_us: u64) -> Option<Sent> {
         let at = self.sent.iter().position(|sent| sent.ticket == ticket)?;
+        self.note_full(now_us);
         let sent = self.sent.swap_remove(at);
+        self.note_full(now_us);
         match end {
             SendEnd::Cancelled => return Some(sent),
             SendEnd::Answered => {
@@ -287,6 +335,12 @@
         }
     }
 
+    /// Age of the last word from the server, or of a peer's word on its pace.
+    #[must_use]
+    pub fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.heard_us.max(self.pace_at_us))
+    }
+
     /// Whether its last health check was answered and bad.
     #[must_use]
     pub const fn unwell(&self) -> bool {
@@ -299,7 +353,7 @@
     pub fn expected_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
         let pace_age_us = now_us.saturating_sub(self.pace_at_us) as f64;
         let pace = 1.0 + (self.pace - 1.0) * (-pace_age_us / PACE_LIFE_US).exp();
-        let cold = if now_us < self.warm_at_us { COLD_FACTOR } else { 1.0 };
+        let cold = if self.warm(now_us) { 1.0 } else { COLD_FACTOR };
         let mut expected_ms = typical_ms * pace * cold;
         expected_ms *= 1.0 + FAILURE_FACTOR * self.failures(now_us);
         if self.unwell {
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -59,6 +59,17 @@
     pub late: bool,
 }
 
+/// The server chosen for a request, and what was believed of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    pub server: Arc<str>,
+    /// Requests there, this one included.
+    pub running: u32,
+    pub expected_ms: f64,
+    /// Age of the last word from the server itself or from a peer about its pace.
+    pub age_ms: u64,
+}
+
 /// A request is not served; when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -84,6 +95,9 @@
     waiting: Vec<Waiting>,
     limit: ConcurrencyLimit,
     times: ServiceTimes,
+    /// Of requests on servers that had a slot left for nearly all of their time. The usual times
+    /// rise with the load, and what slows all requests would not show against them.
+    unhindered: ServiceTimes,
     /// Mean time of all requests; 0 before the first.
     mean_ms: f64,
 }
@@ -121,10 +135,9 @@
         random: &mut impl FnMut() -> f64,
     ) -> Option<usize> {
         let typical_ms = self.typical_ms(ask);
-        let trial = random();
         let mut best: Option<(f64, usize)> = None;
         for (index, server) in self.servers.iter().enumerate() {
-            let allowed = self.limit.allowed(server.row.slots, trial);
+            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
             let occupancy = server.occupancy(now_us);
             let tried = ask.avoid.iter().any(|id| *id == server.row.id);
             if tried || occupancy >= allowed || !server.usable(now_us) {
@@ -143,7 +156,7 @@
         best.map(|(_, index)| index)
     }
 
-    /// Takes a slot of the best server with room; returns the server's id.
+    /// Takes a slot of the best server with room.
     pub fn take(
         &mut self,
         ticket: u64,
@@ -151,11 +164,22 @@
         zone: &str,
         now_us: u64,
         random: &mut impl FnMut() -> f64,
-    ) -> Option<Arc<str>> {
+    ) -> Option<Choice> {
         let index = self.choose(ask, zone, now_us, random)?;
+        Some(self.start(index, ticket, ask, now_us))
+    }
+
+    fn start(&mut self, index: usize, ticket: u64, ask: &Ask, now_us: u64) -> Choice {
+        let typical_ms = self.typical_ms(ask);
         let server = &mut self.servers[index];
+        let expected_ms = server.expected_ms(typical_ms, now_us);
         server.start(ticket, now_us);
-        Some(Arc::clone(&server.row.id))
+        Choice {
+            server: Arc::clone(&server.row.id),
+            running: server.occupancy(now_us),
+            expected_ms,
+            age_ms: server.age_us(now_us) / 1000,
+        }
     }
 
     /// Requests that wait.
@@ -189,7 +213,7 @@
     /// Slots that the limit lets be used now.
     fn slots_in_use(&self, now_us: u64) -> u32 {
         let usable = self.usable(now_us);
-        usable.map(|server| self.limit.allowed(server.row.slots, 1.0)).sum()
+        usable.map(|server| self.limit.usual(server.row.slots)).sum()
     }
 
     fn usable(&self, now_us: u64) -> impl Iterator<Item = &ServerTrack> {
@@ -232,14 +256,13 @@
         Refusal { no_server: false, retry_after_ms: wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) }
     }
 
-    /// Gives a free slot to the most urgent request that can use one; returns it with the
-    /// server's id.
+    /// Gives a free slot to the most urgent request that can use one.
     pub fn serve_waiting(
         &mut self,
         zone: &str,
         now_us: u64,
         random: &mut impl FnMut() -> f64,
-    ) -> Option<(Waiting, Arc<str>)> {
+    ) -> Option<(Waiting, Choice)> {
         self.waiting
             .sort_by_key(|waiting| (waiting.late, waiting.ask.priority, waiting.ask.arrived_us));
         let found = self.waiting.iter().enumerate().find_map(|(at, waiting)| {
@@ -247,10 +270,8 @@
         });
         let (at, index) = found?;
         let waiting = self.waiting.remove(at);
-        let server = &mut self.servers[index];
-        server.start(waiting.ticket, now_us);
-        let id = Arc::clone(&server.row.id);
-        Some((waiting, id))
+        let choice = self.start(index, waiting.ticket, &waiting.ask, now_us);
+        Some((waiting, choice))
     }
 
     /// Takes out the requests that would be late now.
@@ -276,18 +297,47 @@
         let Some(sent) = server.finish(ticket, end, now_us) else {
             return;
         };
+        let full_part = server.full_part(&sent, now_us);
+        // One that is still slow from its start says nothing of its slots.
+        let warm = server.warm(now_us);
+        #[expect(clippy::cast_precision_loss, reason = "a time of some milliseconds")]
+        let took_ms = now_us.saturating_sub(sent.at_us) as f64 / 1000.0;
+        if matches!(end, SendEnd::Answered | SendEnd::TimedOut) {
+            let nearly_full = sent.running + 1 >= slots;
+            if warm {
+                self.learn_limit(ask, slots, full_part, nearly_full, took_ms);
+            }
+        }
         if end != SendEnd::Answered {
             return;
         }
-        #[expect(clippy::cast_precision_loss, reason = "a time of some milliseconds")]
-        let took_ms = now_us.saturating_sub(sent.at_us) as f64 / 1000.0;
-        let typical_ms = self.typical_ms(ask);
-        self.limit.record(sent.running, slots, took_ms / typical_ms.max(1.0));
         self.times.record(&ask.route, ask.aim_ms, took_ms);
         let mean_ms = if self.mean_ms == 0.0 { took_ms } else { self.mean_ms };
         self.mean_ms = mean_ms + 0.05 * (took_ms - mean_ms);
     }
 
+    /// What was learned of the last slot of each server.
+    #[must_use]
+    pub const fn limit(&self) -> &ConcurrencyLimit {
+        &self.limit
+    }
+
+    /// A request that timed out took at least so long; left out, the slowest would not count.
+    fn learn_limit(
+        &mut self,
+        ask: &Ask,
+        slots: u32,
+        full_part: f64,
+        nearly_full: bool,
+        took_ms: f64,
+    ) {
+        let unhindered_ms = self.unhindered.typical_ms(&ask.route, ask.aim_ms);
+        self.limit.record(slots, full_part, nearly_full, took_ms / unhindered_ms.max(1.0));
+        if ConcurrencyLimit::unhindered(full_part) {
+            self.unhindered.record(&ask.route, ask.aim_ms, took_ms);
+        }
+    }
+
     /// Whether a repeat is worth a slot now: nobody waits for one.
     #[must_use]
     pub fn has_room(&self) -> bool {
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use log::info;
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::sync::oneshot;
@@ -14,11 +15,13 @@
 use super::ServerRow;
 use super::server_conns::ServerConns;
 use crate::balance::Ask;
+use crate::balance::Choice;
 use crate::balance::Refusal;
 use crate::balance::RepeatAllowance;
 use crate::balance::SendEnd;
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
+use crate::balance::server_key;
 use crate::clock::now_us;
 use crate::peer::ServerLoadRow;
 use crate::peer::ServerLoads;
@@ -62,6 +65,8 @@
 #[derive(Debug)]
 pub struct Grant {
     pub server: Arc<Server>,
+    /// What was believed of the server when it was chosen.
+    pub choice: Choice,
     ticket: u64,
     ask: Ask,
     end: SendEnd,
@@ -105,11 +110,6 @@
     }
 }
 
-#[expect(clippy::cast_possible_truncation, reason = "half of the hash is enough")]
-fn server_key(id: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
-}
-
 fn random() -> f64 {
     rand::rng().random_range(0.0..1.0)
 }
@@ -125,10 +125,10 @@
         self.tickets.fetch_add(1, Ordering::Relaxed)
     }
 
-    fn grant(&self, state: &State, id: &str, ticket: u64, ask: Ask) -> Option<Grant> {
-        let server = Arc::clone(state.servers.get(id)?);
+    fn grant(&self, state: &State, choice: Choice, ticket: u64, ask: Ask) -> Option<Grant> {
+        let server = Arc::clone(state.servers.get(&choice.server)?);
         let dispatcher = self.clone();
-        Some(Grant { server, ticket, ask, end: SendEnd::Cancelled, dispatcher })
+        Some(Grant { server, choice, ticket, ask, end: SendEnd::Cancelled, dispatcher })
     }
 
     /// Lists a server; one that moved to another service is a new one.
@@ -202,8 +202,8 @@
             return None;
         }
         let ticket = self.ticket();
-        let id = pool.take(ticket, ask, &self.zone, now_us(), &mut random)?;
-        self.grant(&state, &id, ticket, ask.clone())
+        let choice = pool.take(ticket, ask, &self.zone, now_us(), &mut random)?;
+        self.grant(&state, choice, ticket, ask.clone())
     }
 
     /// A slot for a request, now or after some waiting.
@@ -217,8 +217,8 @@
             let mut state = self.state.lock();
             let pool = state.pools.entry(Arc::clone(service)).or_default();
             if pool.has_room()
-                && let Some(id) = pool.take(ticket, &ask, &self.zone, now_us(), &mut random)
-                && let Some(grant) = self.grant(&state, &id, ticket, ask.clone())
+                && let Some(choice) = pool.take(ticket, &ask, &self.zone, now_us(), &mut random)
+                && let Some(grant) = self.grant(&state, choice, ticket, ask.clone())
             {
                 return Ok(grant);
             }
@@ -239,7 +239,18 @@
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
         if let Some(pool) = state.pools.get_mut(&server.service) {
+            let slots = pool.server(&server.id).map_or(1, |track| track.row.slots);
+            let before = pool.limit().last_slot_pays(slots);
             pool.finish(&server.id, ticket, ask, end, now_us());
+            let after = pool.limit().last_slot_pays(slots);
+            if before != after {
+                let (full, below) = pool.limit().means();
+                info!(
+                    event = "limit-changed", service = &*server.service, slots = slots,
+                    last_slot_pays = after, took_when_full = full, took_below = below;
+                    ""
+                );
+            }
         }
         self.serve_waiting(&mut state, &server.service, &mut undelivered);
     }
@@ -325,11 +336,12 @@
             let Some(pool) = state.pools.get_mut(service) else {
                 return;
             };
-            let Some((waiting, id)) = pool.serve_waiting(&self.zone, now_us(), &mut random) else {
+            let Some((waiting, choice)) = pool.serve_waiting(&self.zone, now_us(), &mut random)
+            else {
                 return;
             };
             let sender = state.waiting.remove(&waiting.ticket);
-            let Some(grant) = self.grant(state, &id, waiting.ticket, waiting.ask) else {
+            let Some(grant) = self.grant(state, choice, waiting.ticket, waiting.ask) else {
                 continue;
             };
             match sender.map(|sender| sender.send(Ok(grant))) {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -37,9 +37,9 @@
 /// How long a watch waits in the store; each turn is a call. A connection that went silent hides
 /// changes for as long at most; the other watchers are asked meanwhile.
 const WAIT: Duration = Duration::from_secs(4);
-/// Pause after a change, so that changes that come together are one call: a tenth of the two
+/// Pause after a change, so that changes that come together are one call: a fifth of the two
 /// seconds that a change may take.
-const GATHER: Duration = Duration::from_millis(200);
+const GATHER: Duration = Duration::from_millis(400);
 /// Pause after a call that the store refused or did not answer, doubling up to the second: each
 /// is paid for, and one that is back should be noticed within a second.
 const REFUSED_PAUSE_MS: u64 = 200;
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -217,11 +217,14 @@
         self.board.counters.add(Counter::Attempts);
         async move {
             let started_us = now_us();
+            let choice = grant.choice.clone();
             let result = send(&self.dialect, request, grant).await;
             let took_ms = now_us().saturating_sub(started_us) / 1000;
             info!(
                 event = "send", id = request.id_text(), service = &*request.service,
-                server = &*server, send = sends, took_ms = took_ms, outcome = result.name();
+                server = &*server, send = sends, took_ms = took_ms, outcome = result.name(),
+                running = choice.running, expected_ms = choice.expected_ms.round(),
+                belief_age_ms = choice.age_ms;
                 "send ended"
             );
             if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
