--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -12,8 +12,8 @@
 use crate::gateway::ServerRow;
 
 /// What an answer from another zone costs beyond its own time. Its bytes cost money there, and
-/// its way is longer; 40 ms is some sixth of the usual work.
-const OTHER_ZONE_MS: f64 = 40.0;
+/// its way is longer; 90 ms is some third of the usual work.
+const OTHER_ZONE_MS: f64 = 90.0;
 /// How much longer work is expected on a server whose slots are all in use, against an idle one:
 /// evens the load out between servers that look alike.
 const CROWDED_FACTOR: f64 = 0.3;
