--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -335,10 +335,13 @@
         }
     }
 
-    /// Age of the last word from the server, or of a peer's word on its pace.
+    /// Age of the last word on its pace; `None` for a server that never told it.
     #[must_use]
-    pub fn age_us(&self, now_us: u64) -> u64 {
-        now_us.saturating_sub(self.heard_us.max(self.pace_at_us))
+    pub const fn pace_age_us(&self, now_us: u64) -> Option<u64> {
+        if self.pace_at_us == 0 {
+            return None;
+        }
+        Some(now_us.saturating_sub(self.pace_at_us))
     }
 
     /// Whether its last health check was answered and bad.
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -59,6 +59,25 @@
     pub late: bool,
 }
 
+impl Ask {
+    /// Milliseconds until its aim is missed; below zero once it is.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "times of one request")]
+    pub fn aim_left_ms(&self, now_us: u64) -> f64 {
+        let used_us = now_us.saturating_sub(self.arrived_us) + self.spent_us;
+        self.aim_ms - used_us as f64 / 1000.0
+    }
+}
+
+/// Where a server is looked for.
+#[derive(Clone, Copy, Debug)]
+struct Place<'a> {
+    /// The zone of this instance.
+    zone: &'a str,
+    /// Only servers that are expected to answer within the aim.
+    in_aim: bool,
+}
+
 /// The server chosen for a request, and what was believed of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -66,8 +85,8 @@
     /// Requests there, this one included.
     pub running: u32,
     pub expected_ms: f64,
-    /// Age of the last word from the server itself or from a peer about its pace.
-    pub age_ms: u64,
+    /// Age of the last word on its pace; `None` for a server that never told it.
+    pub pace_age_us: Option<u64>,
 }
 
 /// A request is not served; when to come back.
@@ -126,15 +145,20 @@
         self.times.typical_ms(&ask.route, ask.aim_ms)
     }
 
-    /// The server with room that is expected to answer first.
+    /// The server with room that is expected to answer first; with `in_aim`, only if it is
+    /// expected to answer within the aim.
+    ///
+    /// The pace of a server when work begins holds for all of it, and shifts some times a second:
+    /// waiting for another server is better than beginning on a slow one.
     fn choose(
         &self,
         ask: &Ask,
-        zone: &str,
+        place: Place<'_>,
         now_us: u64,
         random: &mut impl FnMut() -> f64,
     ) -> Option<usize> {
         let typical_ms = self.typical_ms(ask);
+        let left_ms = ask.aim_left_ms(now_us);
         let mut best: Option<(f64, usize)> = None;
         for (index, server) in self.servers.iter().enumerate() {
             let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
@@ -143,10 +167,14 @@
             if tried || occupancy >= allowed || !server.usable(now_us) {
                 continue;
             }
+            let expected_ms = server.expected_ms(typical_ms, now_us);
+            if place.in_aim && expected_ms > left_ms {
+                continue;
+            }
             let crowded = f64::from(occupancy) / f64::from(server.row.slots);
-            let mut cost_ms = server.expected_ms(typical_ms, now_us);
+            let mut cost_ms = expected_ms;
             cost_ms += typical_ms * (CROWDED_FACTOR * crowded + JITTER_SHARE * random());
-            if *server.row.zone != *zone {
+            if *server.row.zone != *place.zone {
                 cost_ms += OTHER_ZONE_MS;
             }
             if best.is_none_or(|(least, _)| cost_ms < least) {
@@ -165,7 +193,8 @@
         now_us: u64,
         random: &mut impl FnMut() -> f64,
     ) -> Option<Choice> {
-        let index = self.choose(ask, zone, now_us, random)?;
+        let place = Place { zone, in_aim: self.can_meet_aim(ask, now_us) };
+        let index = self.choose(ask, place, now_us, random)?;
         Some(self.start(index, ticket, ask, now_us))
     }
 
@@ -178,7 +207,7 @@
             server: Arc::clone(&server.row.id),
             running: server.occupancy(now_us),
             expected_ms,
-            age_ms: server.age_us(now_us) / 1000,
+            pace_age_us: server.pace_age_us(now_us),
         }
     }
 
@@ -266,7 +295,8 @@
         self.waiting
             .sort_by_key(|waiting| (waiting.late, waiting.ask.priority, waiting.ask.arrived_us));
         let found = self.waiting.iter().enumerate().find_map(|(at, waiting)| {
-            self.choose(&waiting.ask, zone, now_us, random).map(|index| (at, index))
+            let place = Place { zone, in_aim: !waiting.late };
+            self.choose(&waiting.ask, place, now_us, random).map(|index| (at, index))
         });
         let (at, index) = found?;
         let waiting = self.waiting.remove(at);
@@ -274,15 +304,39 @@
         Some((waiting, choice))
     }
 
-    /// Takes out the requests that would be late now.
+    /// Whether a request that starts now on a server of usual pace is answered within its aim.
+    fn can_meet_aim(&self, ask: &Ask, now_us: u64) -> bool {
+        self.typical_ms(ask) <= ask.aim_left_ms(now_us)
+    }
+
+    /// Takes out the requests that cannot be in time any more. One that waited only because the
+    /// servers with room are slow becomes late instead, and takes one of those.
     pub fn expire(&mut self, now_us: u64) -> SmallVec<[u64; 4]> {
-        let late = |waiting: &Waiting| now_us > waiting.start_by_us;
-        let expired = self.waiting.iter().filter(|waiting| late(waiting));
-        let tickets = expired.map(|waiting| waiting.ticket).collect();
-        self.waiting.retain(|waiting| !late(waiting));
+        let mut tickets = SmallVec::new();
+        let room = self.has_any_slot(now_us);
+        self.waiting.retain_mut(|waiting| {
+            if now_us <= waiting.start_by_us {
+                return true;
+            }
+            if room && !waiting.late {
+                waiting.late = true;
+                waiting.start_by_us = now_us + late_wait_us(&waiting.ask);
+                return true;
+            }
+            tickets.push(waiting.ticket);
+            false
+        });
         tickets
     }
 
+    /// Whether any server has room, however slow it is.
+    fn has_any_slot(&self, now_us: u64) -> bool {
+        self.usable(now_us).any(|server| {
+            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
+            server.occupancy(now_us) < allowed
+        })
+    }
+
     /// Takes out a request that waits no more.
     pub fn cancel(&mut self, ticket: u64) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -136,6 +136,7 @@
             headers: parts.headers,
             body,
             route,
+            health_path: self.health_path(&service),
             service,
             arrived_us,
             spent_us,
@@ -172,6 +173,12 @@
         reply
     }
 
+    fn health_path(&self, service: &str) -> Option<String> {
+        let table = self.table.load();
+        let rule = table.as_ref()?.services.get(service)?;
+        Some(rule.health_path.clone())
+    }
+
     fn version(&self) -> u64 {
         self.table.load().as_ref().map_or(0, |table| table.version)
     }
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -31,6 +31,10 @@
 /// Turns between two clean-ups of servers that are gone.
 const TIDY_TURNS: u32 = 50;
 
+/// A server that is expected to take longer by this part of the usual time than when it was chosen
+/// is chosen anew.
+const SLOWED_SHARE: f64 = 0.7;
+
 /// A backend server with its connections.
 #[derive(Debug)]
 pub struct Server {
@@ -79,6 +83,14 @@
         self.end = end;
     }
 
+    /// Whether the server looks much slower than when it was chosen.
+    #[must_use]
+    pub fn slowed(&self) -> bool {
+        let usual_ms = self.dispatcher.usual_ms(&self.server.service, &self.ask);
+        let now_ms = self.dispatcher.expected_ms(&self.server, &self.ask);
+        now_ms > self.choice.expected_ms + SLOWED_SHARE * usual_ms
+    }
+
     /// Takes in a load report that came with the answer.
     pub fn report(&self, load: LoadReport) {
         self.dispatcher.report(&self.server, load);
@@ -302,6 +314,17 @@
         state.pools.values().all(|pool| pool.servers.iter().all(ServerTrack::idle))
     }
 
+    /// What is expected now of a server for such a request, in milliseconds.
+    #[must_use]
+    pub fn expected_ms(&self, server: &Server, ask: &Ask) -> f64 {
+        let mut state = self.state.lock();
+        let Some(pool) = state.pools.get_mut(&server.service) else {
+            return 0.0;
+        };
+        let usual_ms = pool.usual_ms(ask);
+        pool.server(&server.id).map_or(0.0, |track| track.expected_ms(usual_ms, now_us()))
+    }
+
     /// Whether requests wait for slots.
     #[must_use]
     pub fn contended(&self) -> bool {
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -26,6 +26,8 @@
     pub body: Bytes,
     pub route: Arc<Route>,
     pub service: Arc<str>,
+    /// Where the servers of the service answer health checks.
+    pub health_path: Option<String>,
     pub arrived_us: u64,
     /// Time that its caller spent on it before.
     pub spent_us: u64,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -24,6 +24,8 @@
 /// Servers that could not be reached before the request is given up; each costs a connect
 /// timeout.
 const UNREACHABLE_MAX: u32 = 4;
+/// Servers that are asked how they are before one request; each takes some two milliseconds.
+const UNFIT_MAX: u32 = 4;
 /// A send that still can answer within this part of the usual time is worth making.
 const WORTH_SENDING: f64 = 0.6;
 /// A second send goes out when the first would miss the aim if it had to start now, less this
@@ -52,6 +54,8 @@
     /// Servers that the request was handed to.
     sends: u32,
     unreachable: u32,
+    /// Servers that were asked before and not used.
+    unfit: u32,
     may_have_run: bool,
 }
 
@@ -129,6 +133,14 @@
                 }
                 Some(tried.not_run(Code::NoRepeatLeft, REFUSED_RETRY_MS))
             }
+            SendResult::Unfit { silent } => {
+                tried.sends -= 1;
+                tried.unfit += 1;
+                if !silent {
+                    tried.servers.pop();
+                }
+                None
+            }
             SendResult::NotSent => {
                 tried.sends -= 1;
                 tried.unreachable += 1;
@@ -215,16 +227,19 @@
         tried.sends += 1;
         let sends = tried.sends;
         self.board.counters.add(Counter::Attempts);
+        // Bounded, so that a request is sent at last even if all servers look worse each time.
+        let health_path = (tried.unfit < UNFIT_MAX).then(|| request.health_path.clone()).flatten();
         async move {
             let started_us = now_us();
             let choice = grant.choice.clone();
-            let result = send(&self.dialect, request, grant).await;
+            let result =
+                send(&self.dialect, &self.dispatcher, request, grant, health_path.as_deref()).await;
             let took_ms = now_us().saturating_sub(started_us) / 1000;
             info!(
                 event = "send", id = request.id_text(), service = &*request.service,
                 server = &*server, send = sends, took_ms = took_ms, outcome = result.name(),
                 running = choice.running, expected_ms = choice.expected_ms.round(),
-                belief_age_ms = choice.age_ms;
+                pace_age_us = choice.pace_age_us.unwrap_or(u64::MAX);
                 "send ended"
             );
             if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
--- /dev/null
+++ b/src/gateway/health_check.rs
@@ -0,0 +1,40 @@
+//! One health check on a connection to a backend server.
+
+use std::time::Duration;
+
+use super::Dialect;
+use super::dispatcher::Dispatcher;
+use super::dispatcher::Server;
+use super::server_conn::Echo;
+use super::server_conn::ExchangeError;
+use super::server_conn::ServerConn;
+
+/// Asks a server how it is, and takes in its load and pace; tells whether the connection may be
+/// used for the next request.
+///
+/// # Errors
+/// When no answer came, or that of another server which has the address now.
+pub async fn check<D: Dialect>(
+    dialect: &D,
+    dispatcher: &Dispatcher,
+    server: &Server,
+    conn: &mut ServerConn,
+    path: &str,
+) -> Result<bool, ExchangeError> {
+    let fields = dialect.fields();
+    let head = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", server.conns.address());
+    let echo = Echo { field: &fields.request_id, id: None, refusal: &fields.not_run };
+    let answer = conn.exchange(head.as_bytes(), &[], echo).await?;
+    let mut decoder = answer.decoder();
+    while conn.read_body(&mut decoder).await?.is_some() {}
+    let text = |name| answer.headers.get(name).and_then(|value| value.to_str().ok());
+    if text(&fields.server_id).is_some_and(|id| *id != *server.id) {
+        dispatcher.unlist(&server.id, Duration::ZERO);
+        return Err(ExchangeError::Garbled);
+    }
+    if let Some(load) = text(&fields.load).and_then(|text| dialect.parse_load(text)) {
+        dispatcher.report(server, load);
+    }
+    dispatcher.checked(server, answer.status.is_success());
+    Ok(conn.finish(&answer))
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod forward_request;
 mod forwarder;
 mod framing;
+mod health_check;
 mod homes;
 mod http_listener;
 mod load_report;
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -7,10 +7,8 @@
 use super::caller_handler::TableInForce;
 use super::dispatcher::Dispatcher;
 use super::dispatcher::Server;
+use super::health_check::check;
 use super::homes::is_home;
-use super::server_conn::Echo;
-use super::server_conn::ExchangeError;
-use super::server_conn::ServerConn;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::conf::GatewaySettings;
@@ -68,45 +66,18 @@
             return;
         };
         self.board.counters.add(Counter::Probes);
-        let probed = tokio::time::timeout(PROBE_TIMEOUT, self.exchange(&server, path)).await;
-        if !matches!(probed, Ok(Some(()))) {
+        let checked = async {
+            let mut conn = server.conns.take(PROBE_TIMEOUT).await.ok()?;
+            let keep =
+                check(&self.dialect, &self.dispatcher, &server, &mut conn, path).await.ok()?;
+            if keep {
+                server.conns.put_back(conn);
+            }
+            Some(())
+        };
+        let checked = tokio::time::timeout(PROBE_TIMEOUT, checked).await;
+        if !matches!(checked, Ok(Some(()))) {
             self.dispatcher.unheard(&server);
         }
     }
-
-    async fn exchange(&self, server: &Server, path: &str) -> Option<()> {
-        let mut conn = server.conns.take(PROBE_TIMEOUT).await.ok()?;
-        let head = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", server.conns.address());
-        let (well, keep) = self.read_answer(server, &mut conn, head.as_bytes()).await.ok()?;
-        self.dispatcher.checked(server, well);
-        if keep {
-            server.conns.put_back(conn);
-        }
-        Some(())
-    }
-
-    /// Whether the server says that it is well, and whether the connection may be kept.
-    async fn read_answer(
-        &self,
-        server: &Server,
-        conn: &mut ServerConn,
-        head: &[u8],
-    ) -> Result<(bool, bool), ExchangeError> {
-        let fields = self.dialect.fields();
-        let echo = Echo { field: &fields.request_id, id: None, refusal: &fields.not_run };
-        let answer = conn.exchange(head, &[], echo).await?;
-        let mut decoder = answer.decoder();
-        while conn.read_body(&mut decoder).await?.is_some() {}
-        let text = |name| answer.headers.get(name).and_then(|value| value.to_str().ok());
-        if text(&fields.server_id).is_some_and(|id| *id != *server.id) {
-            // The address belongs to another server now.
-            self.dispatcher.unlist(&server.id, Duration::ZERO);
-            return Ok((false, false));
-        }
-        if let Some(load) = text(&fields.load).and_then(|text| self.dialect.parse_load(text)) {
-            self.dispatcher.report(server, load);
-        }
-        let keep = conn.finish(&answer);
-        Ok((answer.status.is_success(), keep))
-    }
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -9,9 +9,11 @@
 use tokio::sync::mpsc;
 
 use super::Dialect;
+use super::dispatcher::Dispatcher;
 use super::dispatcher::Grant;
 use super::forward_request::ForwardRequest;
 use super::framing::BodyDecoder;
+use super::health_check::check;
 use super::reply::PROMISES;
 use super::reply::ReplyBody;
 use super::server_conn::AnswerHead;
@@ -25,6 +27,11 @@
 /// A server in the same region that takes longer to accept is not reachable; the caller has no
 /// more time to spare for it, as the next server is as good.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// What was last heard of a server's pace is believed for this long: of shifts every 150 ms, three
+/// in a hundred fall into it.
+const FRESH_US: u64 = 5_000;
+/// A server in the same region answers a health check within some milliseconds.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(25);
 /// Answers up to this size are held whole, so that one cut short is known in time to ask again.
 const HOLD_MAX_BYTES: usize = 256 << 10;
 /// Chunks of a large answer that are read ahead of the caller.
@@ -47,6 +54,8 @@
     Refused { status: StatusCode },
     /// No connection: nothing was sent.
     NotSent,
+    /// Asked before, the server turned out slow, or silent, or gone: nothing was sent.
+    Unfit { silent: bool },
     /// The request may have run, and there is no answer to pass on.
     Lost(ExchangeError),
     /// As `Lost`: the deadline passed.
@@ -63,6 +72,8 @@
             Self::Answered(_) => "answered",
             Self::Refused { .. } => "refused",
             Self::NotSent => "not-sent",
+            Self::Unfit { silent: true } => "unfit-silent",
+            Self::Unfit { silent: false } => "unfit",
             Self::Lost(error) => error.name(),
             Self::TimedOut => "timed-out",
             Self::Unproved { .. } => "unproved-refusal",
@@ -75,6 +86,7 @@
                 let failed = answer.status.as_u16() >= 500;
                 if failed { SendEnd::Failed } else { SendEnd::Answered }
             }
+            Self::Unfit { .. } => SendEnd::Cancelled,
             Self::Refused { .. } | Self::Unproved { .. } => SendEnd::Failed,
             Self::NotSent => SendEnd::Unreachable,
             Self::Lost(_) => SendEnd::Broken,
@@ -85,13 +97,44 @@
 
 /// Sends a request by a slot of a server. Dropped, it closes the connection, which ends the work
 /// at the server.
-pub async fn send<D: Dialect>(dialect: &D, request: &ForwardRequest, grant: Grant) -> SendResult {
+///
+/// With a health path, a server whose pace was last heard of some time ago is asked first, on the
+/// connection that the request will use: the pace when work begins holds for all of it, and a
+/// request that must not run twice is not handed to a server or connection that is gone.
+pub async fn send<D: Dialect>(
+    dialect: &D,
+    dispatcher: &Dispatcher,
+    request: &ForwardRequest,
+    grant: Grant,
+    health_path: Option<&str>,
+) -> SendResult {
     let left = Duration::from_millis(request.left_ms());
     let connect_within = CONNECT_TIMEOUT.min(left);
     let Ok(mut conn) = grant.server.conns.take(connect_within).await else {
         grant.end(SendEnd::Unreachable);
         return SendResult::NotSent;
     };
+    let stale = grant.choice.pace_age_us.is_some_and(|age_us| age_us > FRESH_US);
+    if let Some(path) = health_path.filter(|_| stale) {
+        let checked = check(dialect, dispatcher, &grant.server, &mut conn, path);
+        let checked = tokio::time::timeout(CHECK_TIMEOUT.min(left), checked).await;
+        let keeps_open = match checked {
+            Ok(Ok(keeps_open)) => keeps_open,
+            Ok(Err(_)) => return SendResult::Unfit { silent: false },
+            Err(_) => {
+                dispatcher.unheard(&grant.server);
+                return SendResult::Unfit { silent: true };
+            }
+        };
+        let slowed = grant.slowed();
+        if slowed && keeps_open {
+            grant.server.conns.put_back(conn);
+            return SendResult::Unfit { silent: false };
+        }
+        if slowed || !keeps_open {
+            return SendResult::Unfit { silent: false };
+        }
+    }
     let left = Duration::from_millis(request.left_ms());
     let exchange = exchange(dialect, request, &grant, &mut conn);
     let exchanged = tokio::time::timeout(left, exchange).await;
