--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -53,7 +53,7 @@
         .map_err(|err| Coded::new(Code::ListenFailed, format!("listen.{what} {address}: {err}")))
 }
 
-fn local(listener: &TcpListener, set: &mut SocketAddr) {
+pub(super) fn local(listener: &TcpListener, set: &mut SocketAddr) {
     if let Ok(address) = listener.local_addr() {
         *set = address;
     }
--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 
 use super::daemon::listen;
+use super::daemon::local;
 use super::gateway_peers::GatewayPeers;
 use crate::balance::RepeatAllowance;
 use crate::board::Blackboard;
@@ -89,14 +90,20 @@
 }
 
 impl Sockets {
-    async fn bind(settings: &Settings, gateway: &GatewaySettings) -> Result<Self, Coded> {
-        Ok(Self {
+    async fn bind(settings: &mut Settings, gateway: &mut GatewaySettings) -> Result<Self, Coded> {
+        let sockets = Self {
             callers: listen(settings.listen.caller, "caller").await?,
             peers: listen(settings.listen.peer, "peer").await?,
             status: listen(settings.listen.status, "status").await?,
             readiness: listen(gateway.readiness, "readiness").await?,
             addresses: listen(gateway.addresses, "addresses").await?,
-        })
+        };
+        local(&sockets.callers, &mut settings.listen.caller);
+        local(&sockets.peers, &mut settings.listen.peer);
+        local(&sockets.status, &mut settings.listen.status);
+        local(&sockets.readiness, &mut gateway.readiness);
+        local(&sockets.addresses, &mut gateway.addresses);
+        Ok(sockets)
     }
 }
 
@@ -113,20 +120,22 @@
 }
 
 impl Gateway {
-    /// Binds all listeners and starts the controllers.
+    /// Binds all listeners and starts the controllers. A port 0 in the settings is replaced by the
+    /// one that the system gave.
     ///
     /// # Errors
     /// `SettingsValue` without a `gateway` section; `ListenFailed` names the listener that cannot
     /// be bound.
     pub async fn spawn<D: Dialect, S: EventStore>(
-        settings: Settings,
+        mut settings: Settings,
         dialect: D,
         store: S,
     ) -> Result<Self, Coded> {
-        let Some(gateway) = settings.gateway.clone() else {
+        let Some(mut gateway) = settings.gateway.take() else {
             return Err(Coded::new(Code::SettingsValue, "gateway: the section is missing"));
         };
-        let sockets = Sockets::bind(&settings, &gateway).await?;
+        let sockets = Sockets::bind(&mut settings, &mut gateway).await?;
+        settings.gateway = Some(gateway.clone());
         let zone = settings.instance.zone.clone();
         let connections_max = u32::try_from(settings.requests.connections_max).unwrap_or(u32::MAX);
         let links = Links::new(&settings.peers.secret);
@@ -215,6 +224,12 @@
         })
     }
 
+    /// The shared state of the instance.
+    #[must_use]
+    pub const fn board(&self) -> &Arc<Blackboard> {
+        &self.board
+    }
+
     /// Stops as planned, within the grace: not ready and named in no new answer at once; serves
     /// on for callers that keep an old answer; then closes connections as they become idle.
     pub async fn stop(mut self) {
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -362,9 +362,9 @@
         if self.unwell {
             expected_ms *= 2.0;
         }
-        let overdue_us = (OVERDUE_FACTOR * typical_ms * 1000.0) as u64;
+        let overdue_us = OVERDUE_FACTOR * typical_ms * 1000.0;
         let overdue =
-            self.sent.iter().filter(|sent| now_us.saturating_sub(sent.at_us) > overdue_us);
+            self.sent.iter().filter(|sent| now_us.saturating_sub(sent.at_us) as f64 > overdue_us);
         expected_ms += overdue.count() as f64 * typical_ms;
         expected_ms + self.silence_ms(typical_ms, now_us)
     }
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -163,7 +163,7 @@
         for (index, server) in self.servers.iter().enumerate() {
             let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
             let occupancy = server.occupancy(now_us);
-            let tried = ask.avoid.iter().any(|id| *id == server.row.id);
+            let tried = ask.avoid.contains(&server.row.id);
             if tried || occupancy >= allowed || !server.usable(now_us) {
                 continue;
             }
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -254,6 +254,7 @@
     500
 }
 
+/// With one, a zone's slots are known exactly in one place; two served fewer in bursts.
 const fn homes_default() -> usize {
-    2
+    1
 }
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -26,6 +26,7 @@
 use super::http_listener::ConnLimits;
 use super::http_listener::Handler;
 use super::patience::Patience;
+use super::reply::OwnReply;
 use super::reply::Reply;
 use super::reply::ReplyBody;
 use crate::board::Counter;
@@ -92,15 +93,15 @@
     }
 
     /// The route of a request, or the answer that there is none.
-    fn route(&self, parts: &http::request::Parts) -> Result<Arc<Route>, Reply> {
+    fn route(&self, parts: &http::request::Parts) -> Result<Arc<Route>, OwnReply> {
         let table = self.table.load();
         let Some(table) = table.as_ref() else {
-            return Err(Reply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
+            return Err(OwnReply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
         };
         let named = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let host = parts.uri.host().or(named).unwrap_or("");
         let found = table.find(host, parts.uri.path()).cloned();
-        found.ok_or_else(|| Reply::rejected(StatusCode::NOT_FOUND, Code::NoRoute))
+        found.ok_or_else(|| OwnReply::rejected(StatusCode::NOT_FOUND, Code::NoRoute))
     }
 
     /// The caller's request, whole.
@@ -109,7 +110,7 @@
         request: Request<Incoming>,
         arrived_us: u64,
         part: &mut BodyPart<'_>,
-    ) -> Result<ForwardRequest, Reply> {
+    ) -> Result<ForwardRequest, OwnReply> {
         let (parts, incoming) = request.into_parts();
         let route = self.route(&parts)?;
         let fields = self.forwarder.dialect.fields();
@@ -123,11 +124,11 @@
         let body_bytes_max = self.limits_in_force().body_bytes_max;
         let body = tokio::time::timeout(left, read_body(incoming, body_bytes_max, part)).await;
         let body = body.unwrap_or_else(|_| {
-            Err(Reply::rejected(StatusCode::REQUEST_TIMEOUT, Code::BodyIncomplete))
+            Err(OwnReply::rejected(StatusCode::REQUEST_TIMEOUT, Code::BodyIncomplete))
         })?;
         let random = rand::rng().random_range(0.0..1.0);
         let Some(service) = route.pick_service(random).cloned() else {
-            return Err(Reply::not_run(Code::NoServer, NO_CONFIG_RETRY_MS));
+            return Err(OwnReply::not_run(Code::NoServer, NO_CONFIG_RETRY_MS));
         };
         Ok(ForwardRequest {
             id: parts.headers.get(&fields.request_id).cloned(),
@@ -155,14 +156,14 @@
                 self.log(&request, &reply);
                 reply
             }
-            Err(reply) => {
+            Err(own) => {
                 let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-");
                 info!(
-                    event = "request-rejected", id = id, code = reply.code.number(),
-                    status = reply.status.as_u16(), version = self.version();
+                    event = "request-rejected", id = id, code = own.code.number(),
+                    status = own.status.as_u16(), version = self.version();
                     "not forwarded"
                 );
-                reply
+                own.into()
             }
         };
         if reply.code != Code::Ok
@@ -199,15 +200,15 @@
     mut incoming: Incoming,
     bytes_max: usize,
     part: &mut BodyPart<'_>,
-) -> Result<Bytes, Reply> {
-    let too_large = || Reply::rejected(StatusCode::PAYLOAD_TOO_LARGE, Code::BodyTooLarge);
+) -> Result<Bytes, OwnReply> {
+    let too_large = || OwnReply::rejected(StatusCode::PAYLOAD_TOO_LARGE, Code::BodyTooLarge);
     let told = incoming.size_hint().exact().unwrap_or(0);
     if told > bytes_max as u64 {
         return Err(too_large());
     }
     let mut body = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
-        let cut = |_| Reply::rejected(StatusCode::BAD_REQUEST, Code::BodyIncomplete);
+        let cut = |_| OwnReply::rejected(StatusCode::BAD_REQUEST, Code::BodyIncomplete);
         let Ok(bytes) = frame.map_err(cut)?.into_data() else {
             continue;
         };
@@ -215,7 +216,7 @@
             return Err(too_large());
         }
         if !part.grow(bytes.len()) {
-            return Err(Reply::not_run(Code::BodyRoomFull, BODY_ROOM_RETRY_MS));
+            return Err(OwnReply::not_run(Code::BodyRoomFull, BODY_ROOM_RETRY_MS));
         }
         body.extend_from_slice(&bytes);
     }
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -47,7 +47,7 @@
 }
 
 /// What a waiting request is told.
-type Offer = Result<Grant, Refusal>;
+type Offer = Result<Box<Grant>, Refusal>;
 
 #[derive(Debug, Default)]
 struct State {
@@ -244,7 +244,8 @@
         let queued = InQueue { dispatcher: self, service, ticket };
         let offered = offer.await;
         drop(queued);
-        offered.unwrap_or(Err(Refusal { no_server: true, retry_after_ms: 0 }))
+        let refused = Refusal { no_server: true, retry_after_ms: 0 };
+        offered.unwrap_or(Err(refused)).map(|grant| *grant)
     }
 
     fn finish(&self, server: &Server, ticket: u64, ask: &Ask, end: SendEnd) {
@@ -367,9 +368,8 @@
             let Some(grant) = self.grant(state, choice, waiting.ticket, waiting.ask) else {
                 continue;
             };
-            match sender.map(|sender| sender.send(Ok(grant))) {
-                Some(Err(Ok(grant))) => undelivered.push(grant),
-                _ => {}
+            if let Some(Err(Ok(grant))) = sender.map(|sender| sender.send(Ok(Box::new(grant)))) {
+                undelivered.push(*grant);
             }
         }
     }
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -77,7 +77,7 @@
         line(&[self.method.as_str().as_bytes(), b" ", self.target.as_bytes(), b" HTTP/1.1"]);
         let named = named_in_connection(&self.headers);
         for (name, value) in &self.headers {
-            if !self.set_here(fields, name)
+            if !set_here(fields, name)
                 && !named.iter().any(|other| name.as_str().eq_ignore_ascii_case(other))
             {
                 line(&[name.as_str().as_bytes(), b": ", value.as_bytes()]);
@@ -94,15 +94,15 @@
         line(&[]);
         head
     }
+}
 
-    /// Fields that this instance sets, and those that concern only the caller's connection.
-    fn set_here(&self, fields: &FieldNames, name: &HeaderName) -> bool {
-        *name == fields.timeout_ms
-            || *name == fields.expected_server
-            || *name == http::header::CONTENT_LENGTH
-            || *name == http::header::EXPECT
-            || hop_by_hop(name)
-    }
+/// Fields that this instance sets, and those that concern only the caller's connection.
+fn set_here(fields: &FieldNames, name: &HeaderName) -> bool {
+    *name == fields.timeout_ms
+        || *name == fields.expected_server
+        || *name == http::header::CONTENT_LENGTH
+        || *name == http::header::EXPECT
+        || hop_by_hop(name)
 }
 
 /// Names that the `connection` field declares to be for one connection only.
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -11,6 +11,7 @@
 use super::dispatcher::Dispatcher;
 use super::dispatcher::Grant;
 use super::forward_request::ForwardRequest;
+use super::reply::OwnReply;
 use super::reply::Reply;
 use super::send::SendResult;
 use super::send::ServerAnswer;
@@ -67,7 +68,7 @@
         loop {
             let grant = match self.acquire(request, &tried).await {
                 Ok(grant) => grant,
-                Err(reply) => return reply,
+                Err(own) => return own.into(),
             };
             let result = self.send_hedged(request, grant, &mut tried).await;
             match self.judge(request, result, &mut tried) {
@@ -78,7 +79,7 @@
     }
 
     /// A slot, or the answer that there is none.
-    async fn acquire(&self, request: &ForwardRequest, tried: &Tried) -> Result<Grant, Reply> {
+    async fn acquire(&self, request: &ForwardRequest, tried: &Tried) -> Result<Grant, OwnReply> {
         let left = Duration::from_millis(request.left_ms());
         let acquire = self.dispatcher.acquire(&request.service, request.ask(&tried.servers));
         let refusal = match tokio::time::timeout(left, acquire).await {
@@ -94,9 +95,9 @@
             "no slot in time"
         );
         if tried.may_have_run {
-            return Err(Reply::unknown(Code::AnswerLost));
+            return Err(OwnReply::unknown(Code::AnswerLost));
         }
-        Err(Reply::not_run(code, refusal.retry_after_ms))
+        Err(OwnReply::not_run(code, refusal.retry_after_ms))
     }
 
     /// Whether another send is allowed: attempts, time, and the budget of repeats.
@@ -131,7 +132,7 @@
                 if status != StatusCode::BAD_REQUEST && self.may_repeat(request, tried) {
                     return None;
                 }
-                Some(tried.not_run(Code::NoRepeatLeft, REFUSED_RETRY_MS))
+                Some(tried.not_run(Code::NoRepeatLeft, REFUSED_RETRY_MS).into())
             }
             SendResult::Unfit { silent } => {
                 tried.sends -= 1;
@@ -147,15 +148,15 @@
                 if tried.unreachable < UNREACHABLE_MAX && request.left_ms() > 0 {
                     return None;
                 }
-                Some(tried.not_run(Code::ConnectFailed, REFUSED_RETRY_MS))
+                Some(tried.not_run(Code::ConnectFailed, REFUSED_RETRY_MS).into())
             }
-            SendResult::TimedOut => Some(Reply::unknown(Code::DeadlineAfterDispatch)),
+            SendResult::TimedOut => Some(OwnReply::unknown(Code::DeadlineAfterDispatch).into()),
             SendResult::Lost(_) | SendResult::Unproved { .. } => {
                 tried.may_have_run = true;
                 if idempotent && self.may_repeat(request, tried) {
                     return None;
                 }
-                Some(Reply::unknown(lost_code(&result)))
+                Some(OwnReply::unknown(lost_code(&result)).into())
             }
         }
     }
@@ -254,11 +255,11 @@
 impl Tried {
     /// A refusal, unless an earlier send may have run: that a later one did not run does not undo
     /// the earlier one.
-    fn not_run(&self, code: Code, retry_after_ms: u64) -> Reply {
+    fn not_run(&self, code: Code, retry_after_ms: u64) -> OwnReply {
         if self.may_have_run {
-            return Reply::unknown(Code::AnswerLost);
+            return OwnReply::unknown(Code::AnswerLost);
         }
-        Reply::not_run(code, retry_after_ms)
+        OwnReply::not_run(code, retry_after_ms)
     }
 }
 
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -17,8 +17,6 @@
 
 /// Events kept for instances that ask for what they missed; who missed more gets everything.
 const RECENT_MAX: usize = 256;
-/// Removed keys that are remembered, so that no older write brings them back.
-const REMOVED_MAX: usize = 10_000;
 
 /// What is done with the keys.
 pub trait Sink: Send + 'static {
@@ -43,8 +41,6 @@
 struct State<K> {
     sink: K,
     items: HashMap<String, Item>,
-    /// Revision of the removal of keys that are gone.
-    removed: HashMap<String, u64>,
     /// The events after `recent_after`, in order.
     recent: VecDeque<ItemEvent>,
     recent_after: u64,
@@ -58,7 +54,6 @@
         let state = State {
             sink,
             items: HashMap::new(),
-            removed: HashMap::new(),
             recent: VecDeque::new(),
             recent_after: 0,
             revision: None,
@@ -114,10 +109,11 @@
         for key in missing {
             state.removed(&key, read_at, grace);
         }
-        // Events between the last revision and this one were not seen one by one.
-        state.recent.clear();
-        state.recent_after = read_at;
         state.reach(read_at);
+        // Events between the last revision and this one were not seen one by one. A read that is
+        // older than what is known must not hide the events in between either.
+        state.recent.clear();
+        state.recent_after = state.revision.unwrap_or(0);
         drop(state);
         self.revision
             .send_if_modified(|told| std::mem::replace(told, read_at.max(*told)) < read_at);
@@ -152,27 +148,28 @@
         self.recent.push_back(event);
     }
 
+    /// Whether a change is part of what the copy has already. An answer that comes late would
+    /// otherwise bring back what was removed since.
+    fn covers(&self, revision: u64) -> bool {
+        self.revision.is_some_and(|complete| revision <= complete)
+    }
+
     fn written(&mut self, item: &Item) {
-        let known = self.items.get(&item.key).map(|known| known.revision);
-        let gone = self.removed.get(&item.key).copied();
-        if known.max(gone).is_some_and(|newest| newest >= item.revision) {
+        let newer = self.items.get(&item.key).is_none_or(|known| known.revision < item.revision);
+        if self.covers(item.revision) || !newer {
             return;
         }
-        self.removed.remove(&item.key);
         self.items.insert(item.key.clone(), item.clone());
         self.remember(ItemEvent::Written(item.clone()));
         self.sink.written(item);
     }
 
     fn removed(&mut self, key: &str, revision: u64, grace: Duration) {
-        if self.items.get(key).is_none_or(|known| known.revision > revision) {
+        let older = self.items.get(key).is_some_and(|known| known.revision <= revision);
+        if self.covers(revision) || !older {
             return;
         }
         self.items.remove(key);
-        if self.removed.len() >= REMOVED_MAX {
-            self.removed.clear();
-        }
-        self.removed.insert(key.to_owned(), revision);
         self.remember(ItemEvent::Removed { key: key.to_owned(), revision });
         self.sink.removed(key, grace);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 pub use platform_handlers::ReadinessHandler;
 pub use prober::Prober;
 pub use registry::Registry;
+pub use reply::OwnReply;
 pub use reply::Reply;
 pub use reply::ReplyBody;
 pub use routes::CallerLimits;
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -18,7 +18,7 @@
 const SETTLE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// An entry outlives its instance for at most this. It is only read by instances that look for
 /// others, which stand a dead address among living ones.
-const LEASE_TTL: Duration = Duration::from_secs(60);
+const LEASE_TTL: Duration = Duration::from_mins(1);
 const RENEW_INTERVAL: Duration = Duration::from_secs(20);
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -89,20 +90,21 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
-impl Reply {
-    fn own(status: StatusCode, code: Code) -> Self {
-        Self { status, headers: HeaderMap::new(), body: ReplyBody::Whole(None), code }
-    }
+/// An answer of this instance's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OwnReply {
+    pub status: StatusCode,
+    pub code: Code,
+    /// When to come back, for a request that did not run.
+    pub retry_after_ms: Option<u64>,
+}
 
+impl OwnReply {
     /// The request did not run and will not; when to come back.
     #[must_use]
-    pub fn not_run(code: Code, retry_after_ms: u64) -> Self {
-        let mut reply = Self::own(StatusCode::SERVICE_UNAVAILABLE, code);
-        let seconds = std::time::Duration::from_millis(retry_after_ms).as_secs_f64();
-        if let Ok(value) = format!("{seconds:.3}").parse() {
-            reply.headers.insert(http::header::RETRY_AFTER, value);
-        }
-        reply
+    pub const fn not_run(code: Code, retry_after_ms: u64) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self { status, code, retry_after_ms: Some(retry_after_ms) }
     }
 
     /// The request may have run and its answer is missing.
@@ -110,15 +112,28 @@
     pub fn unknown(code: Code) -> Self {
         let timed_out = code == Code::DeadlineAfterDispatch;
         let status = if timed_out { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
-        Self::own(status, code)
+        Self::rejected(status, code)
     }
 
     /// The request is not one that can be served at all.
     #[must_use]
-    pub fn rejected(status: StatusCode, code: Code) -> Self {
-        Self::own(status, code)
+    pub const fn rejected(status: StatusCode, code: Code) -> Self {
+        Self { status, code, retry_after_ms: None }
     }
+}
+
+impl From<OwnReply> for Reply {
+    fn from(own: OwnReply) -> Self {
+        let mut headers = HeaderMap::new();
+        let seconds = own.retry_after_ms.map(|ms| Duration::from_millis(ms).as_secs_f64());
+        if let Some(value) = seconds.and_then(|seconds| format!("{seconds:.3}").parse().ok()) {
+            headers.insert(http::header::RETRY_AFTER, value);
+        }
+        Self { status: own.status, headers, body: ReplyBody::Whole(None), code: own.code }
+    }
+}
 
+impl Reply {
     /// As an HTTP response.
     #[must_use]
     pub fn into_response(self) -> Response<ReplyBody> {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -179,14 +179,14 @@
         grant.report(load);
     }
     let mut decoder = answer.decoder();
-    let mut held = BytesMut::new();
-    while held.len() < HOLD_MAX_BYTES {
+    let mut whole = BytesMut::new();
+    while whole.len() < HOLD_MAX_BYTES {
         match conn.read_body(&mut decoder).await? {
-            Some(bytes) => held.extend_from_slice(&bytes),
+            Some(bytes) => whole.extend_from_slice(&bytes),
             None => break,
         }
     }
-    Ok((answer, held.freeze(), decoder))
+    Ok((answer, whole.freeze(), decoder))
 }
 
 /// Whether the answer says that the request did not run, or seems to.
--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -210,8 +210,8 @@
 /// The `timeout` of a `Keep-Alive` field.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
-    let values = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
-    let seconds = values.filter_map(|value| value.parse().ok()).next()?;
+    let mut values = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
+    let seconds = values.find_map(|value| value.parse().ok())?;
     Some(Duration::from_secs(seconds))
 }
 
@@ -247,11 +247,11 @@
     }
     let mut decoder = head.decoder();
     loop {
-        let decoded = decoder.decode(input).map_err(|_| ExchangeError::Garbled)?;
+        let content = decoder.decode(input).map_err(|_| ExchangeError::Garbled)?;
         if decoder.done() {
             return Ok(());
         }
-        if decoded.is_none() {
+        if content.is_none() {
             read_more(reader, input).await?;
         }
     }
--- a/src/store/http_client.rs
+++ b/src/store/http_client.rs
@@ -25,7 +25,7 @@
 /// A connection that went silent while a watch waits on it is found by the kernel's probes:
 /// after this time without a byte, and then after so many lost probes at this interval.
 const KEEPALIVE_AFTER: Duration = Duration::from_secs(1);
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
--- a/standins/src/bed/plan.rs
+++ b/standins/src/bed/plan.rs
@@ -70,6 +70,7 @@
             ping_interval_ms: 100,
             ping_timeout_ms: 100,
             suspect_timeout_ms: 500,
+            ..PeerSettings::default()
         },
         platform: Some(PlatformSettings {
             address: platform,
@@ -83,5 +84,6 @@
         outcomes: plan.outcomes.clone(),
         measuring: plan.measuring.clone(),
         log: LogSettings::default(),
+        gateway: None,
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod caller;
 pub mod load;
 pub mod platform;
+pub mod routed;
 pub mod trial;
--- /dev/null
+++ b/standins/src/routed/memory_events.rs
@@ -0,0 +1,204 @@
+//! The store, in memory; clones share.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::store::EventStore;
+use sorrelwick::store::Item;
+use sorrelwick::store::ItemEvent;
+use sorrelwick::store::Page;
+use sorrelwick::store::StoreError;
+use sorrelwick::store::Watched;
+use tokio::sync::watch;
+
+const PAGE_ITEMS: usize = 50;
+/// Longer than any caller waits.
+const FOREVER: Duration = Duration::from_hours(1);
+
+/// How the store treats one caller.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Answers that it is busy; nothing is done.
+    Busy,
+    /// Does not answer.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    items: BTreeMap<String, Item>,
+    history: Vec<ItemEvent>,
+    /// Events up to here are forgotten.
+    forgotten: u64,
+    revision: u64,
+}
+
+/// The store as one of its callers sees it.
+#[derive(Clone, Debug)]
+pub struct MemoryEvents {
+    state: Arc<Mutex<State>>,
+    changed: Arc<watch::Sender<u64>>,
+    fault: Arc<watch::Sender<Fault>>,
+    calls: Arc<AtomicU64>,
+}
+
+impl Default for MemoryEvents {
+    fn default() -> Self {
+        Self {
+            state: Arc::default(),
+            changed: Arc::new(watch::Sender::new(0)),
+            fault: Arc::new(watch::Sender::new(Fault::None)),
+            calls: Arc::default(),
+        }
+    }
+}
+
+impl MemoryEvents {
+    /// The same store as another caller sees it, with faults and a count of calls of its own.
+    #[must_use]
+    pub fn for_another(&self) -> Self {
+        Self {
+            state: Arc::clone(&self.state),
+            changed: Arc::clone(&self.changed),
+            fault: Arc::new(watch::Sender::new(Fault::None)),
+            calls: Arc::default(),
+        }
+    }
+
+    /// Treats this caller so from now on; calls that wait are cut.
+    pub fn set_fault(&self, fault: Fault) {
+        self.fault.send_replace(fault);
+    }
+
+    /// Calls of this caller so far.
+    #[must_use]
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Writes a key, as operators and backend servers do.
+    pub fn put(&self, key: &str, value: &str) {
+        let mut state = self.state.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        let item = Item { key: key.into(), value: value.as_bytes().to_vec(), revision };
+        state.items.insert(key.into(), item.clone());
+        state.history.push(ItemEvent::Written(item));
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        state.history.push(ItemEvent::Removed { key: key.into(), revision });
+        drop(state);
+        self.changed.send_replace(revision);
+    }
+
+    /// Forgets all events so far.
+    pub fn forget_history(&self) {
+        let mut state = self.state.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+    }
+
+    /// The revision of the last change.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.state.lock().revision
+    }
+
+    async fn call(&self) -> Result<(), StoreError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let fault = *self.fault.borrow();
+        match fault {
+            Fault::None => Ok(()),
+            Fault::Busy => Err(StoreError::Refused("busy".into())),
+            Fault::Silent => {
+                tokio::time::sleep(FOREVER).await;
+                Err(StoreError::AnswerLost("silent".into()))
+            }
+        }
+    }
+
+    fn events_after(&self, prefix: &str, after: u64) -> Option<Watched> {
+        let state = self.state.lock();
+        if after < state.forgotten {
+            return Some(Watched::HistoryLost);
+        }
+        let below = |event: &&ItemEvent| match event {
+            ItemEvent::Written(item) => item.key.starts_with(prefix),
+            ItemEvent::Removed { key, .. } => key.starts_with(prefix),
+        };
+        let newer = state.history.iter().filter(|event| event.revision() > after).filter(below);
+        let events: Vec<ItemEvent> = newer.cloned().collect();
+        let revision = state.revision;
+        (!events.is_empty()).then_some(Watched::Events { events, revision })
+    }
+}
+
+impl EventStore for MemoryEvents {
+    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+        self.call().await?;
+        let state = self.state.lock();
+        let below = state.items.values().filter(|item| item.key.starts_with(prefix));
+        let mut left = below.filter(|item| after.is_none_or(|after| item.key.as_str() > after));
+        let items: Vec<Item> = left.by_ref().take(PAGE_ITEMS).cloned().collect();
+        let more = left.next().is_some();
+        Ok(Page { items, more, revision: state.revision })
+    }
+
+    async fn events(
+        &self,
+        prefix: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        self.call().await?;
+        let mut changed = self.changed.subscribe();
+        let mut fault = self.fault.subscribe();
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            if let Some(watched) = self.events_after(prefix, revision) {
+                return Ok(watched);
+            }
+            tokio::select! {
+                _ = changed.changed() => {}
+                _ = fault.changed() => return Err(StoreError::AnswerLost("cut".into())),
+                () = tokio::time::sleep_until(until) => {
+                    return Ok(Watched::Events { events: Vec::new(), revision });
+                }
+            }
+        }
+    }
+
+    async fn alive(&self) -> Result<(), StoreError> {
+        self.call().await
+    }
+
+    async fn open_lease(&self, _: Duration) -> Result<u64, StoreError> {
+        self.call().await?;
+        Ok(1)
+    }
+
+    async fn renew_lease(&self, _: u64) -> Result<bool, StoreError> {
+        self.call().await?;
+        Ok(true)
+    }
+
+    async fn write_leased(&self, key: &str, value: &[u8], _: u64) -> Result<bool, StoreError> {
+        self.call().await?;
+        self.put(key, &String::from_utf8_lossy(value));
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/standins/src/routed/mod.rs
@@ -0,0 +1,19 @@
+//! A platform that lists routes and backend servers in a store with events: in memory, with the
+//! faults of a real one, and whole fleets of instances on it.
+
+mod memory_events;
+mod plain_dialect;
+mod raw_call;
+mod raw_server;
+mod routed_bed;
+
+pub use memory_events::Fault;
+pub use memory_events::MemoryEvents;
+pub use plain_dialect::PlainDialect;
+pub use raw_call::RawAnswer;
+pub use raw_call::raw_call;
+pub use raw_server::Behaviour;
+pub use raw_server::RawServer;
+pub use routed_bed::RoutedBed;
+pub use routed_bed::RoutedHost;
+pub use routed_bed::two_routes;
--- /dev/null
+++ b/standins/src/routed/plain_dialect.rs
@@ -0,0 +1,71 @@
+//! Plain names for everything that a platform names.
+
+use std::net::SocketAddr;
+
+use http::HeaderName;
+use sorrelwick::gateway::Dialect;
+use sorrelwick::gateway::FieldNames;
+use sorrelwick::gateway::LoadReport;
+use sorrelwick::gateway::Paths;
+use sorrelwick::gateway::RouteTable;
+use sorrelwick::gateway::ServerRow;
+use sorrelwick::gateway::StoreKeys;
+
+/// The stand-in's names: fields called what they hold, bodies as the product declares them.
+#[derive(Clone, Debug)]
+pub struct PlainDialect {
+    fields: FieldNames,
+}
+
+impl Default for PlainDialect {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        let fields = FieldNames {
+            request_id: name("request-id"),
+            timeout_ms: name("timeout-ms"),
+            expected_server: name("expected-server"),
+            signature: name("signature"),
+            load: name("load"),
+            not_run: name("not-run"),
+            server_id: name("server-id"),
+        };
+        Self { fields }
+    }
+}
+
+impl Dialect for PlainDialect {
+    fn fields(&self) -> &FieldNames {
+        &self.fields
+    }
+
+    fn keys(&self) -> StoreKeys {
+        StoreKeys { config: "config", servers_prefix: "servers/", instances_prefix: "instances/" }
+    }
+
+    fn paths(&self) -> Paths {
+        Paths { addresses: "/addresses", readiness: "/ready", zone_query: "zone" }
+    }
+
+    fn decode_config(&self, value: &[u8]) -> Result<RouteTable, String> {
+        serde_json::from_slice(value).map_err(|err| err.to_string())
+    }
+
+    fn decode_server(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
+        let row: ServerRow = serde_json::from_slice(value).map_err(|err| err.to_string())?;
+        Ok(ServerRow { id: id.into(), ..row })
+    }
+
+    /// Running, waiting and pace.
+    fn parse_load(&self, text: &str) -> Option<LoadReport> {
+        let mut figures = text.split(',').map(|figure| figure.parse().ok());
+        Some(LoadReport {
+            running: figures.next()??,
+            waiting: figures.next()??,
+            pace_percent: figures.next()??,
+        })
+    }
+
+    fn encode_addresses(&self, addresses: &[SocketAddr], keep_ms: u64) -> Vec<u8> {
+        serde_json::json!({ "addresses": addresses, "keep_ms": keep_ms }).to_string().into_bytes()
+    }
+}
--- /dev/null
+++ b/standins/src/routed/raw_call.rs
@@ -0,0 +1,61 @@
+//! One request over a connection of its own, byte for byte.
+
+use std::net::SocketAddr;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// What came back before the connection was closed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RawAnswer {
+    /// 0 where no answer came.
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl RawAnswer {
+    /// The value of a field of the head.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().skip(1).filter_map(|line| line.split_once(": "));
+        lines.into_iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+    }
+}
+
+/// Sends a request with these fields and a body, and reads until the connection ends.
+pub async fn raw_call(
+    to: SocketAddr,
+    line: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> RawAnswer {
+    let Ok(mut stream) = TcpStream::connect(to).await else {
+        return RawAnswer::default();
+    };
+    let mut head = format!("{line} HTTP/1.1\r\nconnection: close\r\n");
+    for (name, value) in fields {
+        head = head + name + ": " + value + "\r\n";
+    }
+    if !body.is_empty() {
+        head = head + "content-length: " + &body.len().to_string() + "\r\n";
+    }
+    head.push_str("\r\n");
+    let mut sent = head.into_bytes();
+    sent.extend_from_slice(body);
+    // A gateway that answers before it has read everything may close; its answer still counts.
+    let _ = stream.write_all(&sent).await;
+    let mut bytes = Vec::new();
+    let _ = stream.read_to_end(&mut bytes).await;
+    split(&bytes)
+}
+
+fn split(bytes: &[u8]) -> RawAnswer {
+    let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
+        return RawAnswer::default();
+    };
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let status = head.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+    RawAnswer { status, head, body: bytes[end + 4..].to_vec() }
+}
--- /dev/null
+++ b/standins/src/routed/raw_server.rs
@@ -0,0 +1,274 @@
+//! A backend server that misbehaves on request, byte for byte.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::task::TaskGuard;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+const READ_BYTES: usize = 4_096;
+
+/// What the server does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Answers with the request's id as body.
+    Answer,
+    /// The same in chunks.
+    AnswerInChunks,
+    /// The same without a length: the connection ends it.
+    AnswerByClose,
+    /// Says that it did not run the request.
+    Shed,
+    /// Answers 503 without saying that it did not run the request.
+    Unproved,
+    /// Answers 500.
+    Fail,
+    /// Runs it and closes the connection without an answer.
+    Close,
+    /// Promises more body than it sends.
+    Truncate,
+    /// Sends bytes that are no answer.
+    Garble,
+    /// Answers, and answers again when the next request on the connection comes.
+    AnswerTwice,
+    /// Runs it and never answers.
+    Silent,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    behaviour: Mutex<Behaviour>,
+    work: Mutex<Duration>,
+    pace_percent: AtomicU32,
+    /// Ids of the requests that it ran, in order.
+    ran: Mutex<Vec<String>>,
+    /// Heads of all requests but health checks.
+    heads: Mutex<Vec<String>>,
+    cancelled: AtomicU32,
+    in_flight: AtomicU32,
+    in_flight_most: AtomicU32,
+}
+
+/// A running server; it stops when dropped.
+#[derive(Debug)]
+pub struct RawServer {
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    _task: TaskGuard,
+}
+
+impl RawServer {
+    /// Starts a server.
+    ///
+    /// # Panics
+    /// When no port is free.
+    pub async fn spawn(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let shared = Arc::new(Shared {
+            id: id.into(),
+            behaviour: Mutex::new(Behaviour::Answer),
+            work: Mutex::new(Duration::from_millis(2)),
+            pace_percent: AtomicU32::new(100),
+            ran: Mutex::default(),
+            heads: Mutex::default(),
+            cancelled: AtomicU32::new(0),
+            in_flight: AtomicU32::new(0),
+            in_flight_most: AtomicU32::new(0),
+        });
+        let serving = Arc::clone(&shared);
+        let task = TaskGuard::spawn(async move {
+            let mut connections = tokio::task::JoinSet::new();
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.spawn(serve(stream, Arc::clone(&serving)));
+            }
+        });
+        Self { address, shared, _task: task }
+    }
+
+    /// What it does from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.shared.behaviour.lock() = behaviour;
+    }
+
+    /// How long it works on each request.
+    pub fn work(&self, work: Duration) {
+        *self.shared.work.lock() = work;
+    }
+
+    /// What it tells of its pace.
+    pub fn pace(&self, percent: u32) {
+        self.shared.pace_percent.store(percent, Ordering::Relaxed);
+    }
+
+    /// Ids of the requests that it ran.
+    #[must_use]
+    pub fn ran(&self) -> Vec<String> {
+        self.shared.ran.lock().clone()
+    }
+
+    /// Heads of the requests that it got.
+    #[must_use]
+    pub fn heads(&self) -> Vec<String> {
+        self.shared.heads.lock().clone()
+    }
+
+    /// Requests whose connection closed while it worked.
+    #[must_use]
+    pub fn cancelled(&self) -> u32 {
+        self.shared.cancelled.load(Ordering::Relaxed)
+    }
+
+    /// Most requests that it worked on at the same time.
+    #[must_use]
+    pub fn in_flight_most(&self) -> u32 {
+        self.shared.in_flight_most.load(Ordering::Relaxed)
+    }
+
+    /// The entry of this server as the stand-in's store lists it.
+    #[must_use]
+    pub fn entry(&self, service: &str, zone: &str, slots: u32, state: &str) -> String {
+        let address = self.address;
+        serde_json::json!({
+            "service": service, "address": address, "zone": zone, "slots": slots, "state": state,
+        })
+        .to_string()
+    }
+}
+
+struct Head {
+    text: String,
+    id: String,
+    body_bytes: usize,
+}
+
+async fn read_head(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<Head> {
+    loop {
+        if let Some(end) = input.windows(4).position(|window| window == b"\r\n\r\n") {
+            let text = String::from_utf8_lossy(&input[..end]).into_owned();
+            input.drain(..end + 4);
+            let field = |name: &str| {
+                let mut pairs = text.lines().filter_map(|line| line.split_once(": "));
+                pairs.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, v)| v.to_owned())
+            };
+            let id = field("request-id").unwrap_or_default();
+            let body_bytes = field("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+            return Some(Head { text, id, body_bytes });
+        }
+        let mut bytes = [0; READ_BYTES];
+        let read = stream.read(&mut bytes).await.ok().filter(|read| *read > 0)?;
+        input.extend_from_slice(&bytes[..read]);
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
+    let mut input = Vec::new();
+    let mut late: Option<String> = None;
+    while let Some(head) = read_head(&mut stream, &mut input).await {
+        while input.len() < head.body_bytes {
+            let mut bytes = [0; READ_BYTES];
+            match stream.read(&mut bytes).await {
+                Ok(read) if read > 0 => input.extend_from_slice(&bytes[..read]),
+                _ => return,
+            }
+        }
+        input.drain(..head.body_bytes);
+        if head.text.starts_with("GET /health ") {
+            if stream.write_all(health(&shared).as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
+        if let Some(late) = late.take()
+            && stream.write_all(late.as_bytes()).await.is_err()
+        {
+            return;
+        }
+        if !answer(&mut stream, &shared, &head, &mut late).await {
+            return;
+        }
+    }
+}
+
+fn health(shared: &Shared) -> String {
+    let (id, load) = (&shared.id, load(shared));
+    format!("HTTP/1.1 200 OK\r\nserver-id: {id}\r\nload: {load}\r\ncontent-length: 0\r\n\r\n")
+}
+
+fn load(shared: &Shared) -> String {
+    let running = shared.in_flight.load(Ordering::Relaxed);
+    format!("{running},0,{}", shared.pace_percent.load(Ordering::Relaxed))
+}
+
+/// Works on a request and answers; `false` when the connection is to be closed.
+async fn answer(
+    stream: &mut TcpStream,
+    shared: &Shared,
+    head: &Head,
+    late: &mut Option<String>,
+) -> bool {
+    shared.heads.lock().push(head.text.clone());
+    let behaviour = *shared.behaviour.lock();
+    let id = &head.id;
+    if behaviour == Behaviour::Shed {
+        let text = "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+        return stream.write_all(text.as_bytes()).await.is_ok();
+    }
+    shared.ran.lock().push(id.clone());
+    if !work(stream, shared).await {
+        return false;
+    }
+    let fields = format!("request-id: {id}\r\nsignature: s-{id}\r\nload: {}\r\n", load(shared));
+    let whole = format!("HTTP/1.1 200 OK\r\n{fields}content-length: {}\r\n\r\n{id}", id.len());
+    let (text, stays) = match behaviour {
+        Behaviour::Answer => (whole, true),
+        Behaviour::AnswerTwice => {
+            *late = Some(whole.clone());
+            (whole, true)
+        }
+        Behaviour::AnswerInChunks => {
+            let chunks = format!("{:x}\r\n{id}\r\n0\r\n\r\n", id.len());
+            (format!("HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n{chunks}"), true)
+        }
+        Behaviour::AnswerByClose => (format!("HTTP/1.1 200 OK\r\n{fields}\r\n{id}"), false),
+        Behaviour::Unproved => {
+            (format!("HTTP/1.1 503 Busy\r\n{fields}content-length: 0\r\n\r\n"), true)
+        }
+        Behaviour::Fail => (format!("HTTP/1.1 500 Oh\r\n{fields}content-length: 0\r\n\r\n"), true),
+        Behaviour::Truncate => {
+            (format!("HTTP/1.1 200 OK\r\n{fields}content-length: 1000\r\n\r\n{id}"), false)
+        }
+        Behaviour::Garble => ("what is this?\r\n\r\n".into(), false),
+        Behaviour::Close | Behaviour::Shed => (String::new(), false),
+        Behaviour::Silent => {
+            std::future::pending::<()>().await;
+            (String::new(), false)
+        }
+    };
+    stream.write_all(text.as_bytes()).await.is_ok() && stays
+}
+
+/// Works; `false` when the connection closed meanwhile.
+async fn work(stream: &mut TcpStream, shared: &Shared) -> bool {
+    let in_flight = shared.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
+    shared.in_flight_most.fetch_max(in_flight, Ordering::Relaxed);
+    let work = *shared.work.lock();
+    let mut byte = [0; 1];
+    let whole = tokio::select! {
+        () = tokio::time::sleep(work) => true,
+        peeked = stream.peek(&mut byte) => !matches!(peeked, Ok(0) | Err(_)),
+    };
+    shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+    if !whole {
+        shared.cancelled.fetch_add(1, Ordering::Relaxed);
+    }
+    whole
+}
--- /dev/null
+++ b/standins/src/routed/routed_bed.rs
@@ -0,0 +1,188 @@
+//! A fleet of instances that serve by routes, on one store, in this process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sorrelwick::app::Gateway;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::Settings;
+use sorrelwick::conf::parse_settings;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
+
+use super::MemoryEvents;
+use super::PlainDialect;
+use super::RawAnswer;
+use super::raw_call;
+
+const SECRET: &str = "a secret of sixteen";
+const WAIT: Duration = Duration::from_secs(10);
+const TURN: Duration = Duration::from_millis(10);
+
+/// Instances, the store that they share, and each one's view of it.
+#[derive(Debug)]
+pub struct RoutedBed {
+    pub store: MemoryEvents,
+    pub views: Vec<MemoryEvents>,
+    pub hosts: Vec<RoutedHost>,
+}
+
+/// An instance with a runtime of its own, so that it can be killed with all its connections.
+#[derive(Debug)]
+pub struct RoutedHost {
+    runtime: Runtime,
+    gateway: Gateway,
+}
+
+impl RoutedHost {
+    async fn spawn(settings: Settings, view: MemoryEvents) -> Self {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = runtime.expect("a runtime");
+        let spawned = runtime.spawn(Gateway::spawn(settings, PlainDialect::default(), view)).await;
+        Self { gateway: spawned.expect("no panic").expect("the instance starts"), runtime }
+    }
+
+    /// Stops it as planned.
+    ///
+    /// # Panics
+    /// When the stop does.
+    pub async fn stop(self) {
+        self.runtime.spawn(self.gateway.stop()).await.expect("no panic");
+        self.runtime.shutdown_background();
+    }
+
+    /// Ends it with all its tasks and connections.
+    pub fn kill(self) {
+        let Self { runtime, gateway } = self;
+        runtime.shutdown_background();
+        drop(gateway);
+    }
+}
+
+fn settings(name: &str, zone: &str, zones: &[&str], seeds: &[SocketAddr]) -> Settings {
+    let text = serde_json::json!({
+        "instance": { "name": name, "zone": zone },
+        "listen": {
+            "caller": "127.0.0.1:0", "operator": "127.0.0.1:1", "peer": "127.0.0.1:0",
+            "status": "127.0.0.1:0",
+        },
+        "peers": {
+            "secret": SECRET, "seeds": seeds, "ping_interval_ms": 100, "ping_timeout_ms": 80,
+            "suspect_timeout_ms": 300,
+        },
+        "gateway": {
+            "readiness": "127.0.0.1:0", "addresses": "127.0.0.1:0", "store": "127.0.0.1:1",
+            "grace_ms": 2_000, "drain_ms": 2_000, "config_apply_ms": 2_000,
+            "address_keep_max_ms": 5_000, "repeat_ratio": 0.2, "repeat_window_ms": 10_000,
+            "repeat_slack": 60.0, "probes_per_s_max": 60, "memory_bytes_max": 200_000_000,
+            "zones": zones,
+        },
+    });
+    parse_settings("bed", &text.to_string()).expect("the bed's settings are valid")
+}
+
+impl Drop for RoutedBed {
+    fn drop(&mut self) {
+        for host in self.hosts.drain(..) {
+            host.kill();
+        }
+    }
+}
+
+impl RoutedBed {
+    /// Starts one instance for each zone named, in order.
+    ///
+    /// # Panics
+    /// When one does not start.
+    pub async fn start(zones: &[&str]) -> Self {
+        let store = MemoryEvents::default();
+        let mut bed = Self { store, views: Vec::new(), hosts: Vec::new() };
+        for (number, zone) in zones.iter().enumerate() {
+            bed.add(&format!("i{number}"), zone, zones).await;
+        }
+        bed
+    }
+
+    /// Starts one more instance.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub async fn add(&mut self, name: &str, zone: &str, zones: &[&str]) {
+        let peers = self.hosts.iter().map(|host| host.gateway.board().settings.listen.peer);
+        let seeds: Vec<SocketAddr> = peers.take(3).collect();
+        let view = self.store.for_another();
+        let settings = settings(name, zone, zones, &seeds);
+        self.hosts.push(RoutedHost::spawn(settings, view.clone()).await);
+        self.views.push(view);
+    }
+
+    /// The state of an instance.
+    #[must_use]
+    pub fn board(&self, at: usize) -> &Arc<Blackboard> {
+        self.hosts[at].gateway.board()
+    }
+
+    /// Sends a request to an instance.
+    pub async fn call(&self, at: usize, line: &str, id: &str, body: &[u8]) -> RawAnswer {
+        let to = self.board(at).settings.listen.caller;
+        raw_call(to, line, &[("host", "shop.example"), ("request-id", id)], body).await
+    }
+
+    /// Asks an instance which addresses a zone's callers should use.
+    ///
+    /// # Panics
+    /// When the answer cannot be read.
+    pub async fn addresses(&self, at: usize, zone: &str) -> Vec<SocketAddr> {
+        let gateway = self.board(at).settings.gateway.clone().expect("a gateway");
+        let line = format!("GET /addresses?name=shop.example&zone={zone}");
+        let answer = raw_call(gateway.addresses, &line, &[("host", "x")], &[]).await;
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+        serde_json::from_value(body["addresses"].clone()).expect("addresses")
+    }
+
+    /// The status of an instance's readiness.
+    pub async fn readiness(&self, at: usize) -> u16 {
+        let Some(gateway) = self.board(at).settings.gateway.clone() else {
+            return 0;
+        };
+        raw_call(gateway.readiness, "GET /ready", &[("host", "x")], &[]).await.status
+    }
+
+    /// Waits until all instances know each other and are ready.
+    ///
+    /// # Panics
+    /// When that takes too long.
+    pub async fn settle(&self) {
+        let until = tokio::time::Instant::now() + WAIT;
+        for at in 0..self.hosts.len() {
+            let all = self.hosts.len();
+            while self.board(at).members_view().serving() < all || self.readiness(at).await != 200 {
+                assert!(tokio::time::Instant::now() < until, "instance {at} is not ready");
+                tokio::time::sleep(TURN).await;
+            }
+        }
+    }
+}
+
+/// A configuration with one idempotent route, one at-most-once route, and a service each.
+#[must_use]
+pub fn two_routes(version: u64) -> String {
+    serde_json::json!({
+        "version": version,
+        "routes": [
+            { "name": "look", "host": "shop.example", "prefix": "/look/", "kind": "idempotent",
+              "timeout_ms": 1_500, "aim_ms": 600, "priority": 2, "attempts_max": 3,
+              "service": "parts" },
+            { "name": "order", "host": "shop.example", "prefix": "/order/",
+              "kind": "at-most-once", "timeout_ms": 1_200, "aim_ms": 400, "priority": 0,
+              "attempts_max": 3, "service": "orders" },
+        ],
+        "services": [
+            { "name": "parts", "health_path": "/health", "connections_max": 200 },
+            { "name": "orders", "health_path": "/health", "connections_max": 200 },
+        ],
+        "limits": {},
+    })
+    .to_string()
+}
--- /dev/null
+++ b/tests/balance.rs
@@ -0,0 +1,266 @@
+//! The decisions of who gets which server, who waits and who is refused, without network, under the
+//! loads that they answer.
+
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
+    reason = "modelled times and counts are small"
+)]
+
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use sorrelwick::balance::Ask;
+use sorrelwick::balance::RepeatAllowance;
+use sorrelwick::balance::RepeatBudget;
+use sorrelwick::balance::SendEnd;
+use sorrelwick::balance::ServicePool;
+use sorrelwick::gateway::LoadReport;
+use sorrelwick::gateway::ServerRow;
+use sorrelwick::gateway::ServerState;
+
+mod common;
+
+const MS: u64 = 1_000;
+const ZONE: &str = "z";
+
+fn row(id: &str, slots: u32) -> ServerRow {
+    ServerRow {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: ZONE.into(),
+        slots,
+        state: ServerState::Ready,
+        warmup_ms: 0,
+    }
+}
+
+fn pool(servers: usize, slots: u32) -> ServicePool {
+    let mut pool = ServicePool::default();
+    for number in 0..servers {
+        pool.list(row(&format!("s{number}"), slots), 0);
+    }
+    pool
+}
+
+fn ask(route: &str, priority: u32, aim_ms: f64, now_us: u64) -> Ask {
+    Ask {
+        route: route.into(),
+        priority,
+        aim_ms,
+        arrived_us: now_us,
+        spent_us: 0,
+        deadline_us: now_us + (aim_ms * 2_500.0) as u64,
+        avoid: smallvec::SmallVec::new(),
+    }
+}
+
+fn half() -> impl FnMut() -> f64 {
+    || 0.5
+}
+
+/// Orders wait behind lookups that nobody minds to repeat.
+#[test]
+fn the_most_urgent_request_gets_the_first_free_slot() {
+    let mut pool = pool(1, 1);
+    let first = ask("look", 2, 600.0, MS);
+    let choice = pool.take(1, &first, ZONE, MS, &mut half()).expect("a free server");
+    pool.enqueue(2, ask("look", 2, 600.0, 2 * MS), 2 * MS).expect("it waits");
+    pool.enqueue(3, ask("order", 0, 600.0, 3 * MS), 3 * MS).expect("it waits");
+    pool.finish(&choice.server, 1, &first, SendEnd::Answered, 50 * MS);
+    let (served, _) = pool.serve_waiting(ZONE, 50 * MS, &mut half()).expect("a slot is free");
+    assert_eq!(served.ticket, 3);
+}
+
+/// A caller is held until its deadline although the queue before it could never be served in time.
+#[test]
+fn who_cannot_be_served_in_time_is_refused_at_once() {
+    let mut pool = pool(1, 1);
+    let first = ask("look", 2, 600.0, MS);
+    let choice = pool.take(1, &first, ZONE, MS, &mut half()).expect("a free server");
+    pool.finish(&choice.server, 1, &first, SendEnd::Answered, 201 * MS);
+    pool.take(2, &first, ZONE, 202 * MS, &mut half()).expect("a free server");
+    pool.enqueue(3, ask("look", 2, 600.0, 203 * MS), 203 * MS).expect("one may wait");
+    let refusal = pool.enqueue(4, ask("look", 2, 600.0, 204 * MS), 204 * MS);
+    let refusal = refusal.expect_err("two hundred milliseconds each, and an aim of six hundred");
+    assert!(!refusal.no_server && (50..=2_000).contains(&refusal.retry_after_ms), "{refusal:?}");
+}
+
+/// A caller that comes back after a refusal has less of its aim left than its arrival tells.
+#[test]
+fn time_that_a_caller_spent_before_counts() {
+    let mut pool = pool(1, 1);
+    pool.take(1, &ask("look", 2, 600.0, MS), ZONE, MS, &mut half()).expect("a free server");
+    let mut back = ask("look", 2, 600.0, 2 * MS);
+    back.spent_us = 500 * MS;
+    pool.enqueue(2, back, 2 * MS).expect("a late one waits a little");
+    assert!(pool.expire(40 * MS).is_empty());
+    assert_eq!(pool.expire(100 * MS).as_slice(), [2]);
+}
+
+/// A server that fails at once looks idle, and so attracts everything.
+#[test]
+fn a_server_that_fails_at_once_does_not_attract_the_traffic() {
+    let mut pool = pool(3, 4);
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut random = || rng.random_range(0.0..1.0);
+    let mut failed = 0;
+    for number in 0..300_u64 {
+        let now_us = MS + number * 10 * MS;
+        let asked = ask("look", 2, 600.0, now_us);
+        let choice = pool.take(number, &asked, ZONE, now_us, &mut random).expect("room");
+        let bad = &*choice.server == "s0";
+        failed += u32::from(bad);
+        let end = if bad { SendEnd::Failed } else { SendEnd::Answered };
+        pool.finish(&choice.server, number, &asked, end, now_us + MS);
+    }
+    assert!(failed < 30, "{failed} of 300 went to the server that fails");
+}
+
+/// A server that vanished without a word keeps getting requests, and all of them are lost.
+#[test]
+fn a_server_that_falls_silent_gets_no_more() {
+    let mut pool = pool(2, 4);
+    let asked = ask("look", 2, 600.0, MS);
+    pool.server("s1").expect("it is there").unheard(MS);
+    pool.server("s1").expect("it is there").unheard(101 * MS);
+    for number in 0..3 {
+        let choice = pool.take(number, &asked, ZONE, 110 * MS, &mut half()).expect("room");
+        assert_eq!(&*choice.server, "s0");
+    }
+}
+
+/// A request that would be late on the slow servers that are free waits for a fast one.
+#[test]
+fn a_request_waits_rather_than_begin_on_a_slow_server() {
+    let mut pool = pool(1, 4);
+    let report = |pace_percent| LoadReport { running: 0, waiting: 0, pace_percent };
+    pool.server("s0").expect("it is there").report(report(500), MS);
+    let asked = ask("look", 2, 600.0, MS);
+    assert!(pool.take(1, &asked, ZONE, MS, &mut half()).is_none());
+    pool.enqueue(1, asked, MS).expect("it waits");
+    assert!(pool.serve_waiting(ZONE, 2 * MS, &mut half()).is_none());
+    pool.server("s0").expect("it is there").report(report(100), 30 * MS);
+    assert!(pool.serve_waiting(ZONE, 30 * MS, &mut half()).is_some());
+}
+
+/// One end of a piece of work in the modelled load.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct End {
+    at_us: std::cmp::Reverse<u64>,
+    ticket: u64,
+}
+
+/// Work left of a request, in microseconds at full speed, and when that was so.
+struct Running {
+    server: Arc<str>,
+    asked: Ask,
+    left_us: f64,
+}
+
+/// A burst of 1.5 times what the servers can do, for eight seconds. Servers slow down all of their
+/// work by `knee` while all of their slots are in use. Returns the share answered within the aim.
+///
+/// Work of 220 ms on 11 servers of 4 slots, as one home of a zone has them.
+fn burst(knee: f64, slots: u32) -> f64 {
+    let mut pool = pool(11, slots);
+    let mut rng = Pcg64::seed_from_u64(7);
+    let capacity_per_s = 11.0 * f64::from(slots - 1) / 0.22;
+    let gap_us = (1e6 / (capacity_per_s * 1.5)) as u64;
+    let mut running: HashMap<u64, Running> = HashMap::new();
+    let (mut asked, mut in_aim, mut ticket) = (0_u32, 0_u32, 0_u64);
+    let mut next_us = MS;
+    for now_us in (MS..8_000 * MS).step_by(MS as usize) {
+        // Work advances, slower on servers that are full.
+        let mut on_server: HashMap<Arc<str>, u32> = HashMap::new();
+        for work in running.values() {
+            *on_server.entry(Arc::clone(&work.server)).or_default() += 1;
+        }
+        let mut ended = BinaryHeap::new();
+        for (ticket, work) in &mut running {
+            let full = on_server[&work.server] >= slots;
+            work.left_us -= MS as f64 / if full { knee } else { 1.0 };
+            if work.left_us <= 0.0 {
+                ended.push(End { at_us: std::cmp::Reverse(now_us), ticket: *ticket });
+            }
+        }
+        while let Some(end) = ended.pop() {
+            let work = running.remove(&end.ticket).expect("it runs");
+            in_aim += u32::from(now_us - work.asked.arrived_us <= 600 * MS);
+            pool.finish(&work.server, end.ticket, &work.asked, SendEnd::Answered, now_us);
+        }
+        let mut random = || rng.random_range(0.0..1.0);
+        while next_us <= now_us {
+            next_us += gap_us;
+            ticket += 1;
+            asked += 1;
+            let _ = pool.enqueue(ticket, ask("look", 2, 600.0, now_us), now_us);
+        }
+        pool.expire(now_us);
+        while let Some((waiting, choice)) = pool.serve_waiting(ZONE, now_us, &mut random) {
+            let left_us = random().mul_add(180.0, 130.0) * 1_000.0;
+            let server = choice.server;
+            running.insert(waiting.ticket, Running { server, asked: waiting.ask, left_us });
+        }
+    }
+    f64::from(in_aim) / f64::from(asked)
+}
+
+/// Counter staff see nearly all lookups late in a burst: every server is filled to the last slot,
+/// which slows all that runs there by 1.7, so that less is served than with one slot left free.
+///
+/// The pattern: a burst of 1.5 times the capacity of slots but one. Grounds: the share that can be
+/// served is 1 / 1.5 = 0.67; with all slots in use it would be 0.67 * 4/3 / 1.7 = 0.52, and later
+/// than the aim. Measured 0.55 with the limit; what is lost is the learning and the refusals.
+#[test]
+fn in_a_burst_the_last_slot_is_left_free_where_it_slows_the_rest() {
+    let with_knee = burst(1.7, 4);
+    assert!(with_knee > 0.5, "{with_knee}");
+}
+
+/// The same burst where the last slot slows nothing: it is used, as 4/3 of the work is served.
+#[test]
+fn in_a_burst_the_last_slot_is_used_where_it_slows_nothing() {
+    let without_knee = burst(1.0, 4);
+    assert!(without_knee > 0.7, "{without_knee}");
+}
+
+/// An outage is amplified: every instance repeats what fails, together more than the operators
+/// allow for the service.
+#[test]
+fn repeats_of_all_homes_together_stay_within_the_operators_budget() {
+    let (window_us, ratio, slack, homes) = (10_000 * MS, 0.2, 64.0, 3);
+    let allowance =
+        RepeatAllowance { ratio: ratio * 0.9, window_us, slack: slack * 0.7 / f64::from(homes) };
+    common::property(60, |u| {
+        let mut budgets: Vec<RepeatBudget> = (0..homes).map(|_| RepeatBudget::default()).collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now_us = window_us;
+        for _ in 0..u.int_in_range(100..=1_500)? {
+            now_us += u.int_in_range(0..=60 * MS)?;
+            let budget = &mut budgets[u.int_in_range(0..=homes as usize - 1)?];
+            budget.request(&allowance, now_us);
+            requests.push(now_us);
+            if u.ratio(4, 5)? && budget.spend(&allowance, now_us) {
+                repeats.push(now_us);
+            }
+        }
+        for (at, end_us) in repeats.iter().enumerate() {
+            let within = |times: &[u64]| {
+                times
+                    .iter()
+                    .filter(|time| **time <= *end_us && **time + window_us > *end_us)
+                    .count()
+            };
+            let allowed = ratio * within(&requests) as f64 + slack;
+            assert!(within(&repeats[..=at]) as f64 <= allowed);
+        }
+        Ok(())
+    });
+}
--- /dev/null
+++ b/tests/gateway_fleet.rs
@@ -0,0 +1,131 @@
+//! Several instances on one store: configuration in force everywhere, whoever the store serves.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::routed::Fault;
+use standins::routed::RawServer;
+use standins::routed::RoutedBed;
+use standins::routed::two_routes;
+
+/// The bound of a change, from its acknowledgement by the store.
+const APPLY: Duration = Duration::from_secs(2);
+const ZONES: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
+
+fn without_order(version: u64) -> String {
+    let mut config: serde_json::Value = serde_json::from_str(&two_routes(version)).expect("JSON");
+    config["routes"].as_array_mut().expect("routes").remove(1);
+    config.to_string()
+}
+
+/// Waits until every instance of `asked` answers a dropped route with 404; returns how long.
+async fn until_dropped(bed: &RoutedBed, asked: &[usize], since: Instant) -> Duration {
+    for at in asked {
+        while bed.call(*at, "POST /order/a", "dropped", &[]).await.status != 404 {
+            assert!(since.elapsed() < APPLY * 3, "instance {at} still has the route");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    since.elapsed()
+}
+
+async fn fleet() -> RoutedBed {
+    let bed = RoutedBed::start(&ZONES).await;
+    bed.store.put("config", &two_routes(1));
+    bed.settle().await;
+    bed
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_is_in_force_everywhere_and_few_instances_call_the_store() {
+    let bed = fleet().await;
+    let before: Vec<u64> = bed.views.iter().map(standins::routed::MemoryEvents::calls).collect();
+    let since = Instant::now();
+    bed.store.put("config", &without_order(2));
+    let took = until_dropped(&bed, &[0, 1, 2, 3, 4, 5], since).await;
+    assert!(took < APPLY, "{took:?}");
+    let after = bed.views.iter().map(standins::routed::MemoryEvents::calls);
+    let called = after.zip(&before).filter(|(after, before)| after > *before).count();
+    assert!(called <= 3, "{called} instances called the store");
+}
+
+/// An operator's change is acknowledged, and most instances go on without it: the store turned away
+/// just those instances that watch it, and the others believed them.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_that_the_store_serves_do_not_rely_on_those_it_turns_away() {
+    for fault in [Fault::Busy, Fault::Silent] {
+        let bed = fleet().await;
+        for watching in [0, 2, 4] {
+            bed.views[watching].set_fault(fault);
+        }
+        let since = Instant::now();
+        bed.store.put("config", &without_order(2));
+        let took = until_dropped(&bed, &[1, 3, 5], since).await;
+        assert!(took < APPLY, "{fault:?}: {took:?}");
+    }
+}
+
+/// The same, seen from those that are turned away: they hear it from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_the_store_turns_away_hears_of_changes_from_others() {
+    let bed = fleet().await;
+    bed.views[0].set_fault(Fault::Busy);
+    bed.views[1].set_fault(Fault::Silent);
+    let since = Instant::now();
+    bed.store.put("config", &without_order(2));
+    let took = until_dropped(&bed, &[0, 1], since).await;
+    assert!(took < APPLY, "{took:?}");
+}
+
+/// A shop's order goes by a route that was dropped an hour ago: a late answer with an old version
+/// came after the new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_never_goes_back() {
+    let bed = fleet().await;
+    bed.store.put("config", &without_order(5));
+    until_dropped(&bed, &[0, 1, 2, 3, 4, 5], Instant::now()).await;
+    bed.store.put("config", &two_routes(4));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    for at in 0..ZONES.len() {
+        assert_eq!(bed.call(at, "POST /order/a", "old", &[]).await.status, 404, "instance {at}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn history_that_the_store_forgot_is_read_anew() {
+    let bed = fleet().await;
+    for view in &bed.views {
+        view.set_fault(Fault::Busy);
+    }
+    let server = RawServer::spawn("p1").await;
+    bed.store.put("servers/p1", &server.entry("parts", "a", 4, "ready"));
+    bed.store.put("config", &without_order(2));
+    bed.store.forget_history();
+    for view in &bed.views {
+        view.set_fault(Fault::None);
+    }
+    let since = Instant::now();
+    until_dropped(&bed, &[0, 1, 2, 3, 4, 5], since).await;
+    // Servers are followed apart from the configuration, and may be heard of a little later.
+    while bed.call(0, "GET /look/a", "served", &[]).await.status != 200 {
+        assert!(since.elapsed() < APPLY, "the server is not known");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Callers are sent to the homes of their zone, and to another instance once a home is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_told_of_homes_and_not_of_instances_that_are_gone() {
+    let mut bed = fleet().await;
+    let home = bed.board(2).settings.listen.caller;
+    for at in 0..ZONES.len() {
+        assert_eq!(bed.addresses(at, "b").await, [home]);
+    }
+    let next = bed.board(3).settings.listen.caller;
+    bed.hosts.remove(2).kill();
+    let since = Instant::now();
+    while bed.addresses(0, "b").await != [next] {
+        assert!(since.elapsed() < Duration::from_secs(5), "the dead home is still named");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- /dev/null
+++ b/tests/mirror_schedules.rs
@@ -0,0 +1,118 @@
+//! Copies of the store under random schedules of events, reads and relays, against a plain map.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::Sink;
+use sorrelwick::peer::FeedReply;
+use sorrelwick::store::Item;
+use sorrelwick::store::ItemEvent;
+
+mod common;
+
+/// What the sink was told, as a map, and whether it was ever told something older.
+#[derive(Clone, Debug, Default)]
+struct Told {
+    values: Arc<Mutex<BTreeMap<String, u64>>>,
+    newest: Arc<Mutex<BTreeMap<String, u64>>>,
+    went_back: Arc<Mutex<bool>>,
+}
+
+impl Sink for Told {
+    fn written(&mut self, item: &Item) {
+        let newest = self.newest.lock().insert(item.key.clone(), item.revision);
+        *self.went_back.lock() |= newest.is_some_and(|newest| newest >= item.revision);
+        self.values.lock().insert(item.key.clone(), item.revision);
+    }
+
+    fn removed(&mut self, key: &str, _: Duration) {
+        self.values.lock().remove(key);
+    }
+}
+
+/// The store: all events in order, and the items after each of them.
+#[derive(Debug, Default)]
+struct Store {
+    events: Vec<ItemEvent>,
+}
+
+impl Store {
+    fn items(&self, upto: usize) -> BTreeMap<String, Item> {
+        let mut items = BTreeMap::new();
+        for event in &self.events[..upto] {
+            match event {
+                ItemEvent::Written(item) => items.insert(item.key.clone(), item.clone()),
+                ItemEvent::Removed { key, .. } => items.remove(key),
+            };
+        }
+        items
+    }
+}
+
+/// A route or server comes back from the dead: an old read or a relay's answer arrives after newer
+/// events, and overwrites them.
+#[test]
+fn a_copy_never_goes_back_and_ends_as_the_store() {
+    common::property(400, |u| {
+        let mut store = Store::default();
+        let told = Told::default();
+        let mirror = Mirror::new(told.clone());
+        let relay = Mirror::new(Told::default());
+        for _ in 0..u.int_in_range(5..=60)? {
+            match u.int_in_range(0..=5)? {
+                0..=2 => {
+                    let key = format!("k{}", u.int_in_range(0..=4)?);
+                    let revision = store.events.len() as u64 + 1;
+                    let there = store.items(store.events.len()).contains_key(&key);
+                    store.events.push(if there && u.ratio(1, 3)? {
+                        ItemEvent::Removed { key, revision }
+                    } else {
+                        ItemEvent::Written(Item { key, value: Vec::new(), revision })
+                    });
+                }
+                3 => {
+                    // Events after what the copy has, up to some point, told late or twice.
+                    let from = u.int_in_range(0..=mirror.revision().unwrap_or(0))?;
+                    let upto = u.int_in_range(from..=store.events.len() as u64)?;
+                    let part = &store.events[at(from)..at(upto)];
+                    mirror.apply(part, upto, Duration::ZERO);
+                }
+                4 => {
+                    // A read that is as old as anything; pages read later hold newer items.
+                    let read_at = u.int_in_range(0..=store.events.len())?;
+                    let items: Vec<Item> = store.items(read_at).into_values().collect();
+                    relay.replace(&items, read_at as u64, Duration::ZERO);
+                }
+                _ => answer_of(&relay, &mirror),
+            }
+        }
+        let all = store.events.len();
+        let from = at(mirror.revision().unwrap_or(0));
+        mirror.apply(&store.events[from.min(all)..], all as u64, Duration::ZERO);
+        let expected: BTreeMap<String, u64> =
+            store.items(all).into_iter().map(|(key, item)| (key, item.revision)).collect();
+        assert_eq!(*told.values.lock(), expected);
+        assert!(!*told.went_back.lock());
+        Ok(())
+    });
+}
+
+/// The place of the event after a revision.
+fn at(revision: u64) -> usize {
+    usize::try_from(revision).expect("a few events")
+}
+
+/// Takes in what a relay answers to an instance that knows what `mirror` knows.
+fn answer_of(relay: &Mirror<Told>, mirror: &Mirror<Told>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    let runtime = runtime.expect("a runtime");
+    let (reply, _) = runtime.block_on(relay.serve(mirror.revision(), Duration::ZERO));
+    match reply {
+        FeedReply::Events { events, revision } => mirror.apply(&events, revision, Duration::ZERO),
+        FeedReply::All { items, revision } => mirror.replace(&items, revision, Duration::ZERO),
+        FeedReply::Unknown => {}
+    }
+}
