--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -28,7 +28,6 @@
 use crate::gateway::Dispatcher;
 use crate::gateway::Follower;
 use crate::gateway::Forwarder;
-use crate::gateway::HttpListener;
 use crate::gateway::LoadShare;
 use crate::gateway::Mirror;
 use crate::gateway::Patience;
@@ -38,6 +37,7 @@
 use crate::gateway::ServerSink;
 use crate::gateway::TableInForce;
 use crate::gateway::run_store_check;
+use crate::listener::HttpListener;
 use crate::member::MemberState;
 use crate::member::announce;
 use crate::member::run_joiner;
@@ -245,7 +245,8 @@
         let _ = tokio::time::timeout(serve_on, announce(&self.board, &self.links)).await;
         tokio::time::sleep_until(started + serve_on).await;
         let left = end.saturating_duration_since(tokio::time::Instant::now());
-        self.callers.stop(left).await;
+        // Connections that are not closed by then end with the process.
+        let _ = tokio::time::timeout(left, self.callers.stop()).await;
         while self.board.requests_in_flight() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_TURN).await;
         }
--- /dev/null
+++ b/src/balance/ask.rs
@@ -0,0 +1,51 @@
+//! What a request asks of a service, and what it is told.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+/// What a request needs of a server.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub route: Arc<str>,
+    /// 0 is served first.
+    pub priority: u32,
+    pub aim_ms: f64,
+    /// When it arrived here.
+    pub arrived_us: u64,
+    /// Time that its caller spent on it before, at this instance or another.
+    pub spent_us: u64,
+    /// Nobody waits for the answer after this.
+    pub deadline_us: u64,
+    /// Servers that it was sent to already.
+    pub avoid: SmallVec<[Arc<str>; 4]>,
+}
+
+impl Ask {
+    /// Milliseconds until its aim is missed; below zero once it is.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "times of one request")]
+    pub fn aim_left_ms(&self, now_us: u64) -> f64 {
+        let used_us = now_us.saturating_sub(self.arrived_us) + self.spent_us;
+        self.aim_ms - used_us as f64 / 1000.0
+    }
+}
+
+/// The server chosen for a request, and what was believed of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    pub server: Arc<str>,
+    /// Requests there, this one included.
+    pub running: u32,
+    pub expected_ms: f64,
+    /// Age of the last word on its pace; `None` for a server that never told it.
+    pub pace_age_us: Option<u64>,
+}
+
+/// A request is not served; when to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// No server of the service may be used, as against none has room.
+    pub no_server: bool,
+    pub retry_after_ms: u64,
+}
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -1,11 +1,15 @@
 //! Which backend server a request goes to, who waits and who is refused; no I/O.
 
+mod ask;
 mod concurrency_limit;
 mod repeat_budget;
 mod server_track;
 mod service_pool;
 mod service_times;
 
+pub use ask::Ask;
+pub use ask::Choice;
+pub use ask::Refusal;
 pub use concurrency_limit::ConcurrencyLimit;
 pub use repeat_budget::RepeatAllowance;
 pub use repeat_budget::RepeatBudget;
@@ -13,9 +17,6 @@
 pub use server_track::Sent;
 pub use server_track::ServerTrack;
 pub use server_track::server_key;
-pub use service_pool::Ask;
-pub use service_pool::Choice;
-pub use service_pool::Refusal;
 pub use service_pool::ServicePool;
 pub use service_pool::Waiting;
 pub use service_times::ServiceTimes;
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -4,7 +4,10 @@
 
 use smallvec::SmallVec;
 
+use super::Ask;
+use super::Choice;
 use super::ConcurrencyLimit;
+use super::Refusal;
 use super::RepeatBudget;
 use super::SendEnd;
 use super::ServerTrack;
@@ -31,23 +34,6 @@
 const RETRY_MIN_MS: u64 = 50;
 const RETRY_MAX_MS: u64 = 2_000;
 
-/// What a request needs of a server.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    pub route: Arc<str>,
-    /// 0 is served first.
-    pub priority: u32,
-    pub aim_ms: f64,
-    /// When it arrived here.
-    pub arrived_us: u64,
-    /// Time that its caller spent on it before, at this instance or another.
-    pub spent_us: u64,
-    /// Nobody waits for the answer after this.
-    pub deadline_us: u64,
-    /// Servers that it was sent to already.
-    pub avoid: SmallVec<[Arc<str>; 4]>,
-}
-
 /// A request that waits for a server.
 #[derive(Clone, Debug)]
 pub struct Waiting {
@@ -59,16 +45,6 @@
     pub late: bool,
 }
 
-impl Ask {
-    /// Milliseconds until its aim is missed; below zero once it is.
-    #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "times of one request")]
-    pub fn aim_left_ms(&self, now_us: u64) -> f64 {
-        let used_us = now_us.saturating_sub(self.arrived_us) + self.spent_us;
-        self.aim_ms - used_us as f64 / 1000.0
-    }
-}
-
 /// Where a server is looked for.
 #[derive(Clone, Copy, Debug)]
 struct Place<'a> {
@@ -78,25 +54,6 @@
     in_aim: bool,
 }
 
-/// The server chosen for a request, and what was believed of it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    pub server: Arc<str>,
-    /// Requests there, this one included.
-    pub running: u32,
-    pub expected_ms: f64,
-    /// Age of the last word on its pace; `None` for a server that never told it.
-    pub pace_age_us: Option<u64>,
-}
-
-/// A request is not served; when to come back.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// No server of the service may be used, as against none has room.
-    pub no_server: bool,
-    pub retry_after_ms: u64,
-}
-
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -23,8 +23,6 @@
 use super::RouteTable;
 use super::forward_request::ForwardRequest;
 use super::forwarder::Forwarder;
-use super::http_listener::ConnLimits;
-use super::http_listener::Handler;
 use super::patience::Patience;
 use super::reply::OwnReply;
 use super::reply::Reply;
@@ -34,6 +32,8 @@
 use crate::board::Phase;
 use crate::clock::now_us;
 use crate::errors::Code;
+use crate::listener::ConnLimits;
+use crate::listener::Handler;
 
 /// When to come back while no configuration is known: the first one is there within a second.
 const NO_CONFIG_RETRY_MS: u64 = 300;
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -13,6 +13,8 @@
 
 use super::LoadReport;
 use super::ServerRow;
+use super::grant::Grant;
+use super::server::Server;
 use super::server_conns::ServerConns;
 use crate::balance::Ask;
 use crate::balance::Choice;
@@ -31,21 +33,6 @@
 /// Turns between two clean-ups of servers that are gone.
 const TIDY_TURNS: u32 = 50;
 
-/// A server that is expected to take longer by this part of the usual time than when it was chosen
-/// is chosen anew.
-const SLOWED_SHARE: f64 = 0.7;
-
-/// A backend server with its connections.
-#[derive(Debug)]
-pub struct Server {
-    pub id: Arc<str>,
-    /// Hash of the id, by which instances name the server to each other.
-    pub key: u32,
-    pub service: Arc<str>,
-    pub zone: Arc<str>,
-    pub conns: ServerConns,
-}
-
 /// What a waiting request is told.
 type Offer = Result<Box<Grant>, Refusal>;
 
@@ -65,45 +52,6 @@
     state: Arc<Mutex<State>>,
 }
 
-/// A slot of a backend server, given back when it is dropped.
-#[derive(Debug)]
-pub struct Grant {
-    pub server: Arc<Server>,
-    /// What was believed of the server when it was chosen.
-    pub choice: Choice,
-    ticket: u64,
-    ask: Ask,
-    end: SendEnd,
-    dispatcher: Dispatcher,
-}
-
-impl Grant {
-    /// Takes note of how the send ended; dropped without, it counts as cancelled.
-    pub fn end(mut self, end: SendEnd) {
-        self.end = end;
-    }
-
-    /// Whether the server looks much slower than when it was chosen.
-    #[must_use]
-    pub fn slowed(&self) -> bool {
-        let usual_ms = self.dispatcher.usual_ms(&self.server.service, &self.ask);
-        let now_ms = self.dispatcher.expected_ms(&self.server, &self.ask);
-        now_ms > self.choice.expected_ms + SLOWED_SHARE * usual_ms
-    }
-
-    /// Takes in a load report that came with the answer.
-    pub fn report(&self, load: LoadReport) {
-        self.dispatcher.report(&self.server, load);
-    }
-}
-
-impl Drop for Grant {
-    fn drop(&mut self) {
-        let dispatcher = self.dispatcher.clone();
-        dispatcher.finish(&self.server, self.ticket, &self.ask, self.end);
-    }
-}
-
 /// Takes a request out of the queue when its caller leaves.
 struct InQueue<'a> {
     dispatcher: &'a Dispatcher,
@@ -248,7 +196,7 @@
         offered.unwrap_or(Err(refused)).map(|grant| *grant)
     }
 
-    fn finish(&self, server: &Server, ticket: u64, ask: &Ask, end: SendEnd) {
+    pub(super) fn finish(&self, server: &Server, ticket: u64, ask: &Ask, end: SendEnd) {
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
         if let Some(pool) = state.pools.get_mut(&server.service) {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -37,9 +37,9 @@
 /// How long a watch waits in the store; each turn is a call. A connection that went silent hides
 /// changes for as long at most; the other watchers are asked meanwhile.
 const WAIT: Duration = Duration::from_secs(4);
-/// Pause after a change, so that changes that come together are one call: a fifth of the two
-/// seconds that a change may take.
-const GATHER: Duration = Duration::from_millis(400);
+/// Pause after a change, so that changes that come together are one call: this part of the time
+/// that a change, or the leaving of a server, may take.
+const GATHER_PART: u64 = 5;
 /// Pause after a call that the store refused or did not answer, doubling up to the second: each
 /// is paid for, and one that is back should be noticed within a second.
 const REFUSED_PAUSE_MS: u64 = 200;
@@ -75,7 +75,8 @@
     pub mirror: Arc<Mirror<K>>,
     pub feed: Feed,
     pub prefix: &'static str,
-    pub homes_per_zone: usize,
+    /// Pause after a change.
+    gather: Duration,
     progress: Progress,
 }
 
@@ -99,10 +100,11 @@
         feed: Feed,
         prefix: &'static str,
     ) -> Self {
-        let homes_per_zone =
-            board.settings.gateway.as_ref().map_or(1, |gateway| gateway.homes_per_zone);
+        let bounds = board.settings.gateway.as_ref();
+        let bound_ms = bounds.map_or(0, |bounds| bounds.config_apply_ms.min(bounds.drain_ms));
+        let gather = Duration::from_millis(bound_ms / GATHER_PART);
         let progress = Progress::default();
-        Self { store, links, board, mirror, feed, prefix, homes_per_zone, progress }
+        Self { store, links, board, mirror, feed, prefix, gather, progress }
     }
 
     /// Follows until the process ends.
@@ -126,7 +128,7 @@
             Ok(changed) => {
                 self.answered();
                 if changed {
-                    tokio::time::sleep(GATHER).await;
+                    tokio::time::sleep(self.gather).await;
                 }
             }
             Err(error) => self.failed(&error, began_us).await,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -9,8 +9,8 @@
 
 use super::Dialect;
 use super::dispatcher::Dispatcher;
-use super::dispatcher::Grant;
 use super::forward_request::ForwardRequest;
+use super::grant::Grant;
 use super::reply::OwnReply;
 use super::reply::Reply;
 use super::send::SendResult;
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -4,7 +4,7 @@
 
 use super::Dialect;
 use super::dispatcher::Dispatcher;
-use super::dispatcher::Server;
+use super::server::Server;
 use super::server_conn::Echo;
 use super::server_conn::ExchangeError;
 use super::server_conn::ServerConn;
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -15,10 +15,10 @@
 use super::Dialect;
 use super::caller_handler::TableInForce;
 use super::homes::homes_of_zone;
-use super::http_listener::ConnLimits;
-use super::http_listener::Handler;
 use crate::board::Blackboard;
 use crate::board::Phase;
+use crate::listener::ConnLimits;
+use crate::listener::Handler;
 
 /// How long callers keep an address answer. An instance that fails is left out of the next one,
 /// so this bounds how long callers go on trying it; a shorter time buys little, since the failure
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -10,9 +10,9 @@
 
 use super::Dialect;
 use super::dispatcher::Dispatcher;
-use super::dispatcher::Grant;
 use super::forward_request::ForwardRequest;
 use super::framing::BodyDecoder;
+use super::grant::Grant;
 use super::health_check::check;
 use super::reply::PROMISES;
 use super::reply::ReplyBody;
--- /dev/null
+++ b/src/gateway/server.rs
@@ -0,0 +1,16 @@
+//! A backend server as the request path uses it.
+
+use std::sync::Arc;
+
+use super::server_conns::ServerConns;
+
+/// A backend server with its connections.
+#[derive(Debug)]
+pub struct Server {
+    pub id: Arc<str>,
+    /// Hash of the id, by which instances name the server to each other.
+    pub key: u32,
+    pub service: Arc<str>,
+    pub zone: Arc<str>,
+    pub conns: ServerConns,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod errors;
 pub mod gateway;
 pub mod r#gen;
+pub mod listener;
 pub mod measure;
 pub mod member;
 pub mod model;
--- a/src/gateway/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -65,13 +65,12 @@
     }
 
     /// Accepts no further connection, closes idle ones, lets each other one finish its request,
-    /// and returns when all are closed or `within` is over.
-    pub async fn stop(self, within: Duration) {
+    /// and returns when all are closed.
+    pub async fn stop(self) {
         self.accepting.end().await;
         self.stop.send_replace(true);
-        let closed = self.permits.acquire_many(self.connections_max);
-        // Connections that are not closed by then end with the process.
-        let _ = tokio::time::timeout(within, closed).await;
+        // Fails only for a closed semaphore, and this one is never closed.
+        let _ = self.permits.acquire_many(self.connections_max).await;
     }
 }
 
--- /dev/null
+++ b/src/listener/mod.rs
@@ -0,0 +1,7 @@
+//! Listeners that can be stopped without cutting off a request.
+
+mod http_listener;
+
+pub use http_listener::ConnLimits;
+pub use http_listener::Handler;
+pub use http_listener::HttpListener;
--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -1,6 +1,5 @@
 //! The callers' listener: requests, and the answer to "which address".
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,15 +9,8 @@
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use serde::Serialize;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
-use tokio::sync::watch;
 
 use super::Answer;
 use super::AnswerBody;
@@ -32,11 +24,13 @@
 use crate::clock::now_us;
 use crate::errors::Code;
 use crate::errors::Coded;
+use crate::listener::ConnLimits;
+use crate::listener::Handler;
+use crate::listener::HttpListener;
 use crate::member::MemberRow;
 use crate::outcome::Key;
 use crate::outcome::KeyPrefix;
 use crate::peer::Stage;
-use crate::task::TaskGuard;
 
 /// A caller that has not sent its header fields within this is cut off.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -46,11 +40,22 @@
 
 /// The callers' listener, running until it is stopped.
 #[derive(Debug)]
-pub struct CallerListener {
-    accepting: TaskGuard,
-    stop: watch::Sender<bool>,
-    permits: Arc<Semaphore>,
-    permits_max: usize,
+pub struct CallerListener(HttpListener);
+
+/// Serves callers; clones share.
+#[derive(Clone, Debug)]
+struct CallerHandler(Router);
+
+impl Handler for CallerHandler {
+    type Body = AnswerBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        serve(&self.0, request).await
+    }
+
+    fn limits(&self) -> ConnLimits {
+        ConnLimits { header_bytes_max: HEADER_BYTES_MAX, head_timeout: HEADER_TIMEOUT }
+    }
 }
 
 /// One address of an address answer.
@@ -74,68 +79,16 @@
     /// Serves callers on `listener`.
     #[must_use]
     pub fn spawn(listener: TcpListener, router: Router) -> Self {
-        let permits_max = router.board.settings.requests.connections_max;
-        let permits = Arc::new(Semaphore::new(permits_max));
-        let (stop, stopped) = watch::channel(false);
-        let accepting =
-            TaskGuard::spawn(accept_all(listener, router, Arc::clone(&permits), stopped));
-        Self { accepting, stop, permits, permits_max }
+        let connections_max = router.board.settings.requests.connections_max;
+        let connections_max = u32::try_from(connections_max).unwrap_or(u32::MAX);
+        Self(HttpListener::spawn(listener, CallerHandler(router), connections_max))
     }
 
     /// Accepts no further connection, lets each open one finish the request it is in, and
     /// returns when all are closed.
     pub async fn stop(self) {
-        self.accepting.end().await;
-        self.stop.send_replace(true);
-        let all = u32::try_from(self.permits_max).unwrap_or(u32::MAX);
-        // Fails only for a closed semaphore, and this one is never closed.
-        let _ = self.permits.acquire_many(all).await;
-    }
-}
-
-async fn accept_all(
-    listener: TcpListener,
-    router: Router,
-    permits: Arc<Semaphore>,
-    stopped: watch::Receiver<bool>,
-) {
-    loop {
-        // A connection over the limit waits in the kernel's queue instead of being cut off.
-        let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
-            return;
-        };
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-            continue;
-        };
-        let router = router.clone();
-        let stopped = stopped.clone();
-        tokio::spawn(async move {
-            serve_connection(stream, router, stopped).await;
-            drop(permit);
-        });
-    }
-}
-
-async fn serve_connection(stream: TcpStream, router: Router, mut stopped: watch::Receiver<bool>) {
-    let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| {
-        let router = router.clone();
-        async move { Ok::<_, Infallible>(serve(&router, request).await) }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new());
-    builder.header_read_timeout(HEADER_TIMEOUT);
-    builder.max_buf_size(HEADER_BYTES_MAX);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
-    tokio::select! {
-        // A fault here is the caller's connection breaking; nobody is left to tell.
-        _ = &mut connection => return,
-        _ = stopped.wait_for(|stopped| *stopped) => {}
+        self.0.stop().await;
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
 }
 
 async fn serve(router: &Router, request: Request<Incoming>) -> Response<AnswerBody> {
