--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -244,11 +244,13 @@
             let took = Duration::from_micros(now_us().saturating_sub(started_us));
             self.board.latencies.record(Latency::Send, took, result.name());
             let took_ms = took.as_millis();
+            let pace_age =
+                choice.pace_age_us.map_or_else(|| "unknown".into(), |age| format!("{age} us"));
             info!(
                 event = "send", id = request.id_text(), service = &*request.service,
                 server = &*server, send = sends, took_ms = took_ms, outcome = result.name(),
                 running = choice.running, expected_ms = choice.expected_ms.round(),
-                pace_age_us = choice.pace_age_us.unwrap_or(u64::MAX);
+                pace_age = pace_age.as_str();
                 "send ended"
             );
             if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
