Servers that tell no load are checked seldom and not taken for gone; early answers have a test

Cause: where health checks wait for a slot, a busy server missed two of them and was paused, and every request was refused (test red first: 503).

--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -234,6 +234,15 @@
         }
     }
 
+    /// Whether a server ever told its load.
+    #[must_use]
+    pub fn tells_load(&self, server: &Server) -> bool {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(&server.service);
+        let track = pool.and_then(|pool| pool.server(&server.id));
+        track.is_some_and(|track| track.pace_age_us(now_us()).is_some())
+    }
+
     /// Takes note that a server did not answer a health check.
     pub fn unheard(&self, server: &Server) {
         let mut state = self.state.lock();
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -17,6 +17,10 @@
 /// They only have to find servers that fell silent, and to tell which look fast; each request asks
 /// the one it is meant for. Thirty a second cost 0.01 of a day's worth and served nobody better.
 const PROBES_PER_S: u32 = 8;
+/// Seconds between two checks of a server that tells no load. There a check waits for a slot like
+/// any request: it takes one from a request, and says nothing of the server if it is not answered
+/// soon.
+const UNTOLD_INTERVAL_S: u32 = 2;
 /// A server in the own zone answers a health check within some milliseconds; one that takes
 /// longer than this does not answer at all.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -43,18 +47,21 @@
         }
         let mut turns = tokio::time::interval(Duration::from_secs(1) / rate);
         turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut turn = 0;
         loop {
             turns.tick().await;
+            turn += 1;
             if is_home(&self.board, self.settings.homes_per_zone) {
-                self.probe_all();
+                self.probe_all(turn % (rate * UNTOLD_INTERVAL_S) == 0);
             }
         }
     }
 
-    fn probe_all(&self) {
+    /// Checks the servers of the zone; those that tell no load only where `all` says so.
+    fn probe_all(&self, all: bool) {
         let zone = &*self.board.settings.instance.zone;
         for server in self.dispatcher.servers() {
-            if *server.zone == *zone {
+            if *server.zone == *zone && (all || self.dispatcher.tells_load(&server)) {
                 tokio::spawn(self.clone().probe(server));
             }
         }
@@ -77,7 +84,7 @@
             Some(())
         };
         let checked = tokio::time::timeout(PROBE_TIMEOUT, checked).await;
-        if !matches!(checked, Ok(Some(()))) {
+        if !matches!(checked, Ok(Some(()))) && self.dispatcher.tells_load(&server) {
             self.dispatcher.unheard(&server);
         }
     }
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -40,6 +40,8 @@
     AnswerTwice,
     /// Runs it and never answers.
     Silent,
+    /// Answers before it has read the body.
+    AnswerEarly,
 }
 
 #[derive(Debug)]
@@ -104,7 +106,8 @@
         *self.shared.work.lock() = work;
     }
 
-    /// What it tells of its pace.
+    /// What it tells of its pace. With 0 it tells no load at all, and health checks wait like
+    /// requests until it has nothing to do.
     pub fn pace(&self, percent: u32) {
         self.shared.pace_percent.store(percent, Ordering::Relaxed);
     }
@@ -173,6 +176,11 @@
     let mut input = Vec::new();
     let mut late: Option<String> = None;
     while let Some(head) = read_head(&mut stream, &mut input).await {
+        let checked = head.text.starts_with("GET /health ");
+        let early = !checked && *shared.behaviour.lock() == Behaviour::AnswerEarly;
+        if early && !answer(&mut stream, &shared, &head, &mut late).await {
+            return;
+        }
         while input.len() < head.body_bytes {
             let mut bytes = [0; READ_BYTES];
             match stream.read(&mut bytes).await {
@@ -181,8 +189,11 @@
             }
         }
         input.drain(..head.body_bytes);
-        if head.text.starts_with("GET /health ") {
-            if stream.write_all(health(&shared).as_bytes()).await.is_err() {
+        if early {
+            continue;
+        }
+        if checked {
+            if stream.write_all(health(&shared).await.as_bytes()).await.is_err() {
                 return;
             }
             continue;
@@ -198,14 +209,22 @@
     }
 }
 
-fn health(shared: &Shared) -> String {
+async fn health(shared: &Shared) -> String {
+    let silent = shared.pace_percent.load(Ordering::Relaxed) == 0;
+    while silent && shared.in_flight.load(Ordering::Relaxed) > 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
     let (id, load) = (&shared.id, load(shared));
-    format!("HTTP/1.1 200 OK\r\nserver-id: {id}\r\nload: {load}\r\ncontent-length: 0\r\n\r\n")
+    format!("HTTP/1.1 200 OK\r\nserver-id: {id}\r\n{load}content-length: 0\r\n\r\n")
 }
 
+/// The field that tells the load; nothing for a server that does not tell.
 fn load(shared: &Shared) -> String {
     let running = shared.in_flight.load(Ordering::Relaxed);
-    format!("{running},0,{}", shared.pace_percent.load(Ordering::Relaxed))
+    match shared.pace_percent.load(Ordering::Relaxed) {
+        0 => String::new(),
+        pace => format!("load: {running},0,{pace}\r\n"),
+    }
 }
 
 /// Works on a request and answers; `false` when the connection is to be closed.
@@ -226,10 +245,10 @@
     if !work(stream, shared).await {
         return false;
     }
-    let fields = format!("request-id: {id}\r\nsignature: s-{id}\r\nload: {}\r\n", load(shared));
+    let fields = format!("request-id: {id}\r\nsignature: s-{id}\r\n{}", load(shared));
     let whole = format!("HTTP/1.1 200 OK\r\n{fields}content-length: {}\r\n\r\n{id}", id.len());
     let (text, stays) = match behaviour {
-        Behaviour::Answer => (whole, true),
+        Behaviour::Answer | Behaviour::AnswerEarly => (whole, true),
         Behaviour::AnswerTwice => {
             *late = Some(whole.clone());
             (whole, true)
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -87,6 +87,23 @@
     }
 }
 
+/// The rest of a long order is taken for the next request: the server answered before it had read
+/// all of it, and the connection was used again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_with_an_unfinished_body_carries_no_other_request() {
+    let (bed, _, orders) = one_of_each().await;
+    orders.behave(Behaviour::AnswerEarly);
+    let long = vec![b'x'; 900_000];
+    for number in 0..5 {
+        let id = format!("early-{number}");
+        let answer = bed.call(0, "POST /order/a", &id, &long).await;
+        assert_eq!((answer.status, answer.body.as_slice()), (200, id.as_bytes()));
+        assert_eq!(runs(&orders, &id), 1);
+    }
+    let heads = orders.heads();
+    assert!(heads.iter().all(|head| head.starts_with("POST /order/")), "{heads:?}");
+}
+
 /// A doubled order: the server runs it, its answer is lost, and the gateway asks again.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_order_whose_answer_is_lost_runs_once_and_is_not_called_refused() {
@@ -218,6 +235,32 @@
     assert_eq!((runs(&orders, "stopping"), runs(&orders, "after")), (1, 1));
 }
 
+/// A service whose servers tell no load is refused whenever they are busy: health checks wait there
+/// like requests, and servers that did not answer them in time were taken for gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_server_that_tells_no_load_is_not_taken_for_gone() {
+    let bed = RoutedBed::start(&["z"]).await;
+    let parts = RawServer::spawn("p1").await;
+    parts.pace(0);
+    bed.store.put("config", &two_routes(1));
+    bed.store.put("servers/p1", &parts.entry("parts", "z", 4, "ready"));
+    bed.settle().await;
+    until_served(&bed, "GET /look/a").await;
+    parts.work(Duration::from_millis(1_400));
+    let first = bed.call(0, "GET /look/a", "long", &[]);
+    let second = async {
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        parts.work(Duration::from_millis(20));
+        let began = Instant::now();
+        let answer = bed.call(0, "GET /look/a", "short", &[]).await;
+        (answer.status, began.elapsed())
+    };
+    let (first, (status, took)) = tokio::join!(first, second);
+    assert_eq!((first.status, status), (200, 200));
+    // Within the aim: a server that has been silent for so long is tried after a wait.
+    assert!(took < Duration::from_millis(600), "{took:?}");
+}
+
 /// Counter staff wait a second for a lookup that takes 200 ms: it began on a server that had turned
 /// slow after its last health check, while another one was idle and fast.
 #[tokio::test(flavor = "multi_thread")]
