--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -103,6 +104,7 @@
                 service: Arc::clone(&row.service),
                 zone: Arc::clone(&row.zone),
                 conns: ServerConns::new(row.address),
+                asked: AtomicBool::new(false),
             };
             state.servers.insert(Arc::clone(&row.id), Arc::new(server));
         }
@@ -234,6 +236,14 @@
         }
     }
 
+    /// Whether any server of a service ever told its load.
+    #[must_use]
+    pub fn service_tells_load(&self, service: &str) -> bool {
+        let state = self.state.lock();
+        let told = |track: &ServerTrack| track.pace_age_us(now_us()).is_some();
+        state.pools.get(service).is_some_and(|pool| pool.servers.iter().any(told))
+    }
+
     /// Whether a server ever told its load.
     #[must_use]
     pub fn tells_load(&self, server: &Server) -> bool {
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -1,6 +1,7 @@
 //! Health checks, which tell load and pace of the servers of the own zone.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::Dialect;
@@ -57,11 +58,13 @@
         }
     }
 
-    /// Checks the servers of the zone; those that tell no load only where `all` says so.
+    /// Checks the servers of the zone; those that tell no load only once, and where `all` says so.
     fn probe_all(&self, all: bool) {
         let zone = &*self.board.settings.instance.zone;
         for server in self.dispatcher.servers() {
-            if *server.zone == *zone && (all || self.dispatcher.tells_load(&server)) {
+            let first = !server.asked.swap(true, Ordering::Relaxed);
+            let due = all || first || self.dispatcher.tells_load(&server);
+            if *server.zone == *zone && due {
                 tokio::spawn(self.clone().probe(server));
             }
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -114,7 +114,10 @@
         grant.end(SendEnd::Unreachable);
         return SendResult::NotSent;
     };
-    let stale = grant.choice.pace_age_us.is_some_and(|age_us| age_us > FRESH_US);
+    let stale = match grant.choice.pace_age_us {
+        Some(age_us) => age_us > FRESH_US,
+        None => dispatcher.service_tells_load(&grant.server.service),
+    };
     if let Some(path) = health_path.filter(|_| stale) {
         let checked = check(dialect, dispatcher, &grant.server, &mut conn, path);
         let checked = tokio::time::timeout(CHECK_TIMEOUT.min(left), checked).await;
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -1,6 +1,7 @@
 //! A backend server as the request path uses it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
 use super::server_conns::ServerConns;
 
@@ -13,4 +14,6 @@
     pub service: Arc<str>,
     pub zone: Arc<str>,
     pub conns: ServerConns,
+    /// Whether it was ever asked for its health by this instance.
+    pub asked: AtomicBool,
 }
