--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -121,6 +121,48 @@
     }
 }
 
+/// What this instance knows of the store, for itself and for others that ask.
+struct Copies<D> {
+    config: Arc<Mirror<ConfigSink<D>>>,
+    servers: Arc<Mirror<ServerSink<D>>>,
+}
+
+/// Starts what keeps the copies up to date.
+fn spawn_followers<D: Dialect, S: EventStore>(
+    tasks: &mut JoinSet<()>,
+    dialect: &D,
+    store: &S,
+    links: &Links,
+    board: &Arc<Blackboard>,
+    table: &TableInForce,
+    dispatcher: &Dispatcher,
+) -> Copies<D> {
+    let keys = dialect.keys();
+    let config = Arc::new(Mirror::new(ConfigSink {
+        dialect: dialect.clone(),
+        table: Arc::clone(table),
+        board: Arc::clone(board),
+    }));
+    let servers = Arc::new(Mirror::new(ServerSink {
+        dialect: dialect.clone(),
+        dispatcher: dispatcher.clone(),
+    }));
+    let follow_config = || {
+        let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
+        Follower::new(store, links, board, Arc::clone(&config), Feed::Config, keys.config)
+    };
+    let follow_servers = || {
+        let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
+        let prefix = keys.servers_prefix;
+        Follower::new(store, links, board, Arc::clone(&servers), Feed::Servers, prefix)
+    };
+    tasks.spawn(follow_config().run());
+    tasks.spawn(follow_config().cross_check());
+    tasks.spawn(follow_servers().run());
+    tasks.spawn(follow_servers().cross_check());
+    Copies { config, servers }
+}
+
 impl Gateway {
     /// Binds all listeners and starts the controllers. A port 0 in the settings is replaced by the
     /// one that the system gave.
@@ -146,28 +188,8 @@
         let dispatcher = Dispatcher::new(&zone, allowance(&gateway));
 
         let mut tasks = JoinSet::new();
-        let keys = dialect.keys();
-        let config_sink = ConfigSink {
-            dialect: dialect.clone(),
-            table: Arc::clone(&table),
-            board: Arc::clone(&board),
-        };
-        let server_sink = ServerSink { dialect: dialect.clone(), dispatcher: dispatcher.clone() };
-        let config = Arc::new(Mirror::new(config_sink));
-        let servers = Arc::new(Mirror::new(server_sink));
-        let follow_config = || {
-            let (store, links, board) = (store.clone(), links.clone(), Arc::clone(&board));
-            Follower::new(store, links, board, Arc::clone(&config), Feed::Config, keys.config)
-        };
-        let follow_servers = || {
-            let (store, links, board) = (store.clone(), links.clone(), Arc::clone(&board));
-            let prefix = keys.servers_prefix;
-            Follower::new(store, links, board, Arc::clone(&servers), Feed::Servers, prefix)
-        };
-        tasks.spawn(follow_config().run());
-        tasks.spawn(follow_config().cross_check());
-        tasks.spawn(follow_servers().run());
-        tasks.spawn(follow_servers().cross_check());
+        let Copies { config, servers } =
+            spawn_followers(&mut tasks, &dialect, &store, &links, &board, &table, &dispatcher);
         let (config_copy, servers_copy) = (Arc::clone(&config), Arc::clone(&servers));
         let checked = run_store_check(store.clone(), Arc::clone(&board), config_copy, servers_copy);
         tasks.spawn(checked);
