One way to a server's track, one key for it; no copy of a question asked twice

Four copies of the same look-up of what is believed of a server, two of the services that requests wait for, a hash kept twice, and two names for one figure are one each now; an accessor nobody called went. Behaviour is the same.

--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -79,7 +79,7 @@
 /// The hash by which instances name a server to each other.
 #[must_use]
 #[expect(clippy::cast_possible_truncation, reason = "half of the hash is enough")]
-pub fn server_key(id: &str) -> u32 {
+fn server_key(id: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
 
@@ -344,12 +344,6 @@
         Some(now_us.saturating_sub(self.pace_at_us))
     }
 
-    /// Whether its last health check was answered and bad.
-    #[must_use]
-    pub const fn unwell(&self) -> bool {
-        self.unwell
-    }
-
     /// Expected time until a request sent there now is answered, from what work usually takes.
     #[must_use]
     #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -98,7 +98,9 @@
         self.servers.retain(|server| server.listed(now_us) || !server.idle());
     }
 
-    fn typical_ms(&self, ask: &Ask) -> f64 {
+    /// The usual time of a request of this kind.
+    #[must_use]
+    pub fn typical_ms(&self, ask: &Ask) -> f64 {
         self.times.typical_ms(&ask.route, ask.aim_ms)
     }
 
@@ -179,8 +181,7 @@
     /// # Errors
     /// When the queue before it needs longer than its aim leaves, or no server may be used.
     pub fn enqueue(&mut self, ticket: u64, ask: Ask, now_us: u64) -> Result<(), Refusal> {
-        let slots: u32 = self.usable(now_us).map(|server| server.row.slots).sum();
-        if slots == 0 && self.servers.iter().all(|server| !server.listed(now_us)) {
+        if self.servers.iter().all(|server| !server.listed(now_us)) {
             return Err(Refusal { no_server: true, retry_after_ms: NO_SERVER_RETRY_MS });
         }
         let slots = self.slots_in_use(now_us);
@@ -348,16 +349,4 @@
             self.unhindered.record(&ask.route, ask.aim_ms, took_ms);
         }
     }
-
-    /// Whether a repeat is worth a slot now: nobody waits for one.
-    #[must_use]
-    pub fn has_room(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
-    /// The usual time of a request of this kind.
-    #[must_use]
-    pub fn usual_ms(&self, ask: &Ask) -> f64 {
-        self.typical_ms(ask)
-    }
 }
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -24,7 +24,6 @@
 use crate::balance::SendEnd;
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
-use crate::balance::server_key;
 use crate::clock::now_us;
 use crate::peer::ServerLoadRow;
 use crate::peer::ServerLoads;
@@ -44,6 +43,14 @@
     waiting: HashMap<u64, oneshot::Sender<Offer>>,
 }
 
+impl State {
+    /// Services for which requests wait.
+    fn waited_for(&self) -> Vec<Arc<str>> {
+        let waited_for = self.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
+        waited_for.map(|(service, _)| Arc::clone(service)).collect()
+    }
+}
+
 /// Hands out slots; clones share.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
@@ -100,7 +107,6 @@
         if !known {
             let server = Server {
                 id: Arc::clone(&row.id),
-                key: server_key(&row.id),
                 service: Arc::clone(&row.service),
                 zone: Arc::clone(&row.zone),
                 conns: ServerConns::new(row.address),
@@ -152,7 +158,7 @@
     #[must_use]
     pub fn usual_ms(&self, service: &str, ask: &Ask) -> f64 {
         let state = self.state.lock();
-        state.pools.get(service).map_or(ask.aim_ms, |pool| pool.usual_ms(ask))
+        state.pools.get(service).map_or(ask.aim_ms, |pool| pool.typical_ms(ask))
     }
 
     /// A slot for a second send, only if one is free that nobody waits for.
@@ -160,7 +166,7 @@
     pub fn spare(&self, service: &str, ask: &Ask) -> Option<Grant> {
         let mut state = self.state.lock();
         let pool = state.pools.get_mut(service)?;
-        if !pool.has_room() {
+        if pool.waiting() > 0 {
             return None;
         }
         let ticket = self.ticket();
@@ -178,7 +184,7 @@
         let offer = {
             let mut state = self.state.lock();
             let pool = state.pools.entry(Arc::clone(service)).or_default();
-            if pool.has_room()
+            if pool.waiting() == 0
                 && let Some(choice) = pool.take(ticket, &ask, &self.zone, now_us(), &mut random)
                 && let Some(grant) = self.grant(&state, choice, ticket, ask.clone())
             {
@@ -218,22 +224,24 @@
         self.serve_waiting(&mut state, &server.service, &mut undelivered);
     }
 
+    /// Does something with what is believed of a server; `None` for one that is forgotten.
+    fn with_track<T>(
+        &self,
+        server: &Server,
+        work: impl FnOnce(&mut ServerTrack) -> T,
+    ) -> Option<T> {
+        let mut state = self.state.lock();
+        state.pools.get_mut(&server.service)?.server(&server.id).map(work)
+    }
+
     /// Takes in the load that a server told.
     pub fn report(&self, server: &Server, load: LoadReport) {
-        let mut state = self.state.lock();
-        let pool = state.pools.get_mut(&server.service);
-        if let Some(track) = pool.and_then(|pool| pool.server(&server.id)) {
-            track.report(load, now_us());
-        }
+        self.with_track(server, |track| track.report(load, now_us()));
     }
 
     /// Takes in the answer to a health check.
     pub fn checked(&self, server: &Server, well: bool) {
-        let mut state = self.state.lock();
-        let pool = state.pools.get_mut(&server.service);
-        if let Some(track) = pool.and_then(|pool| pool.server(&server.id)) {
-            track.checked(well, now_us());
-        }
+        self.with_track(server, |track| track.checked(well, now_us()));
     }
 
     /// Whether any server of a service ever told its load.
@@ -247,19 +255,12 @@
     /// Whether a server ever told its load.
     #[must_use]
     pub fn tells_load(&self, server: &Server) -> bool {
-        let mut state = self.state.lock();
-        let pool = state.pools.get_mut(&server.service);
-        let track = pool.and_then(|pool| pool.server(&server.id));
-        track.is_some_and(|track| track.pace_age_us(now_us()).is_some())
+        self.with_track(server, |track| track.pace_age_us(now_us()).is_some()).unwrap_or(false)
     }
 
     /// Takes note that a server did not answer a health check.
     pub fn unheard(&self, server: &Server) {
-        let mut state = self.state.lock();
-        let pool = state.pools.get_mut(&server.service);
-        if let Some(track) = pool.and_then(|pool| pool.server(&server.id)) {
-            track.unheard(now_us());
-        }
+        self.with_track(server, |track| track.unheard(now_us()));
     }
 
     /// What this instance has at each server, and the pace of those it has just heard of.
@@ -270,7 +271,7 @@
         let rows = servers.values().filter_map(|server| {
             let track = pools.get_mut(&server.service)?.server(&server.id)?;
             let (in_flight, pace_percent) = track.told(now_us());
-            Some(ServerLoadRow { server: server.key, in_flight, pace_percent })
+            Some(ServerLoadRow { server: track.key, in_flight, pace_percent })
         });
         rows.collect()
     }
@@ -289,7 +290,7 @@
         let Some(pool) = state.pools.get_mut(&server.service) else {
             return 0.0;
         };
-        let usual_ms = pool.usual_ms(ask);
+        let usual_ms = pool.typical_ms(ask);
         pool.server(&server.id).map_or(0.0, |track| track.expected_ms(usual_ms, now_us()))
     }
 
@@ -310,12 +311,10 @@
         for server in servers.values() {
             let track = pools.get_mut(&server.service).and_then(|pool| pool.server(&server.id));
             if let Some(track) = track {
-                track.hear_peer(loads.from, rows.get(&server.key).copied(), now_us);
+                track.hear_peer(loads.from, rows.get(&track.key).copied(), now_us);
             }
         }
-        let waited_for = pools.iter().filter(|(_, pool)| pool.waiting() > 0);
-        let services: Vec<Arc<str>> = waited_for.map(|(service, _)| Arc::clone(service)).collect();
-        for service in services {
+        for service in state.waited_for() {
             self.serve_waiting(&mut state, &service, &mut undelivered);
         }
     }
@@ -344,9 +343,7 @@
     fn turn(&self, tidy: bool) {
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
-        let waited_for = state.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
-        let services: Vec<Arc<str>> = waited_for.map(|(service, _)| Arc::clone(service)).collect();
-        for service in services {
+        for service in state.waited_for() {
             Self::refuse_late(&mut state, &service);
             self.serve_waiting(&mut state, &service, &mut undelivered);
         }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -129,12 +129,11 @@
                 return SendResult::Unfit { silent: true };
             }
         };
-        let slowed = grant.slowed();
-        if slowed && keeps_open {
-            grant.server.conns.put_back(conn);
+        if !keeps_open {
             return SendResult::Unfit { silent: false };
         }
-        if slowed || !keeps_open {
+        if grant.slowed() {
+            grant.server.conns.put_back(conn);
             return SendResult::Unfit { silent: false };
         }
     }
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -9,8 +9,6 @@
 #[derive(Debug)]
 pub struct Server {
     pub id: Arc<str>,
-    /// Hash of the id, by which instances name the server to each other.
-    pub key: u32,
     pub service: Arc<str>,
     pub zone: Arc<str>,
     pub conns: ServerConns,
