--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -90,13 +90,12 @@
 
     /// Lists a server.
     pub fn list(&mut self, row: ServerRow, now_us: u64) {
-        match self.server(&row.id) {
-            Some(server) => server.relist(row, now_us),
-            None => {
-                self.places.insert(Arc::clone(&row.id), self.servers.len());
-                self.servers.push(ServerTrack::new(row, now_us));
-            }
+        if let Some(server) = self.server(&row.id) {
+            server.relist(row, now_us);
+            return;
         }
+        self.places.insert(Arc::clone(&row.id), self.servers.len());
+        self.servers.push(ServerTrack::new(row, now_us));
     }
 
     /// Forgets servers that are neither listed nor in use.
