--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -109,18 +109,21 @@
     }
 }
 
-/// What one home may repeat, of the `zones` that have homes. Instances that are none get next to
-/// no requests, and the unused part of the slack covers those.
-#[expect(clippy::cast_precision_loss, reason = "a few homes")]
+/// What all homes together may repeat. Instances that are none get next to no requests, and the
+/// unused part of the slack covers those.
 fn allowance(gateway: &GatewaySettings) -> RepeatAllowance {
-    let homes = (gateway.homes_per_zone * gateway.zones.len().max(1)) as f64;
     RepeatAllowance {
         ratio: gateway.repeat_ratio * REPEAT_SHARE,
         window_us: gateway.repeat_window_ms * 1000,
-        slack: gateway.repeat_slack * SLACK_SHARE / homes,
+        slack: gateway.repeat_slack * SLACK_SHARE,
     }
 }
 
+/// Homes while the members are not known yet.
+fn homes_at_least(gateway: &GatewaySettings) -> usize {
+    gateway.homes_per_zone * gateway.zones.len()
+}
+
 /// What this instance knows of the store, for itself and for others that ask.
 struct Copies<D> {
     config: Arc<Mirror<ConfigSink<D>>>,
@@ -186,6 +189,7 @@
         let board = Arc::new(Blackboard::new(settings, rand::rng().random::<u64>()));
         let table: TableInForce = Arc::new(ArcSwapOption::empty());
         let dispatcher = Dispatcher::new(&zone, allowance(&gateway));
+        dispatcher.share_slack(homes_at_least(&gateway));
 
         let mut tasks = JoinSet::new();
         let Copies { config, servers } =
@@ -193,9 +197,7 @@
         let (config_copy, servers_copy) = (Arc::clone(&config), Arc::clone(&servers));
         let checked = run_store_check(store.clone(), Arc::clone(&board), config_copy, servers_copy);
         tasks.spawn(checked);
-        let homes_per_zone = gateway.homes_per_zone;
-        let registry =
-            Registry { dialect: dialect.clone(), store, board: Arc::clone(&board), homes_per_zone };
+        let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
         tasks.spawn(registry.clone().run());
         tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
@@ -215,7 +217,6 @@
             board: Arc::clone(&board),
             links: links.clone(),
             dispatcher: dispatcher.clone(),
-            homes_per_zone,
         };
         tasks.spawn(load_share.run());
         let peers = GatewayPeers {
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -16,6 +16,7 @@
 pub use server_track::SendEnd;
 pub use server_track::Sent;
 pub use server_track::ServerTrack;
+pub use server_track::server_key;
 pub use service_pool::ServicePool;
 pub use service_pool::Waiting;
 pub use service_times::ServiceTimes;
--- a/src/balance/repeat_budget.rs
+++ b/src/balance/repeat_budget.rs
@@ -9,7 +9,7 @@
     pub ratio: f64,
     /// Any span of this length counts.
     pub window_us: u64,
-    /// Repeats beyond the ratio that this instance may use, its part of the fleet's.
+    /// Repeats beyond the ratio.
     pub slack: f64,
 }
 
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -79,7 +79,7 @@
 /// The hash by which instances name a server to each other.
 #[must_use]
 #[expect(clippy::cast_possible_truncation, reason = "half of the hash is enough")]
-fn server_key(id: &str) -> u32 {
+pub fn server_key(id: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
 }
 
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -62,6 +63,7 @@
     services: ArcSwap<ServiceMap>,
     changed: watch::Sender<u64>,
     store_up: AtomicBool,
+    zone_demand_per_s: AtomicU32,
     phase: AtomicU8,
     in_flight: Arc<AtomicUsize>,
 }
@@ -86,6 +88,7 @@
         caller: settings.listen.caller,
         operator: settings.listen.operator,
         peer: settings.listen.peer,
+        capacity_per_s: settings.instance.capacity_per_s(),
         uptime_ms: 0,
         successor: None,
     }
@@ -112,6 +115,7 @@
             services: ArcSwap::default(),
             changed: watch::Sender::new(0),
             store_up: AtomicBool::new(true),
+            zone_demand_per_s: AtomicU32::new(0),
             phase: AtomicU8::new(Phase::Running as u8),
             in_flight: Arc::default(),
         };
@@ -200,6 +204,23 @@
         }
     }
 
+    /// Requests a second that this instance carries.
+    #[must_use]
+    pub fn own_capacity_per_s(&self) -> u32 {
+        self.settings.instance.capacity_per_s()
+    }
+
+    /// Requests a second that the homes of a zone must be able to carry together.
+    #[must_use]
+    pub fn zone_demand_per_s(&self) -> u32 {
+        self.zone_demand_per_s.load(Ordering::Acquire)
+    }
+
+    /// Sets what the homes of a zone must carry; for the controller that knows the servers.
+    pub fn set_zone_demand_per_s(&self, demand_per_s: u32) {
+        self.zone_demand_per_s.store(demand_per_s, Ordering::Release);
+    }
+
     /// Where the process is in its life.
     #[must_use]
     pub fn phase(&self) -> Phase {
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -8,6 +8,8 @@
 use super::Settings;
 
 const NAME_MAX: usize = 100;
+/// Cores or Mbit/s of the largest machines that a setting may name.
+const MACHINE_MAX: f64 = 1e6;
 /// Fewest characters of a shared secret or token.
 const SECRET_MIN: usize = 16;
 const SHARDS_MAX: u32 = 10_000;
@@ -97,6 +99,11 @@
     let allowed = format!("1 to {NAME_MAX} characters");
     faults.need(name_holds(&settings.instance.name), "instance.name", &allowed);
     faults.need(name_holds(&settings.instance.zone), "instance.zone", &allowed);
+    let positive = |value: f64| value > 0.0 && value <= MACHINE_MAX;
+    let allowed_machine = format!("above 0, to {MACHINE_MAX}");
+    faults.need(positive(settings.instance.cpu_share), "instance.cpu_share", &allowed_machine);
+    faults.need(positive(settings.instance.cores), "instance.cores", &allowed_machine);
+    faults.need(positive(settings.instance.link_mbps), "instance.link_mbps", &allowed_machine);
     let door_holds =
         settings.listen.operator.ip().is_loopback() || settings.operators.token.len() >= SECRET_MIN;
     let door_allowed = format!("at least {SECRET_MIN} characters when not on loopback");
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -32,13 +32,55 @@
     pub gateway: Option<GatewaySettings>,
 }
 
-/// Who this instance is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Who this instance is, and what it runs on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct InstanceSettings {
     /// Shown to operators; need not be unique.
     pub name: String,
     pub zone: String,
+    /// Part of the processor's cores that the process may use.
+    #[serde(default = "cpu_share_default")]
+    pub cpu_share: f64,
+    /// Speed of the processor, in usual cores.
+    #[serde(default = "cores_default")]
+    pub cores: f64,
+    #[serde(default = "link_default")]
+    pub link_mbps: f64,
+}
+
+/// Requests a second that a usual core carries, at half of its time: some 0.5 ms each, measured on
+/// whole days, answers of 5 KB and the logs included.
+const REQUESTS_PER_CORE: f64 = 1_000.0;
+/// Bytes of a request on one direction of the link, of which half is left for what is not even.
+const REQUEST_BYTES: f64 = 20_000.0;
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
+const fn cpu_share_default() -> f64 {
+    1.0
+}
+
+const fn cores_default() -> f64 {
+    1.0
+}
+
+const fn link_default() -> f64 {
+    1_000.0
+}
+
+impl InstanceSettings {
+    /// Requests a second that the processor and the link carry.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked settings, some thousand requests"
+    )]
+    pub fn capacity_per_s(&self) -> u32 {
+        let by_processor = self.cpu_share * self.cores * REQUESTS_PER_CORE;
+        let by_link = self.link_mbps * BYTES_PER_MBIT / REQUEST_BYTES;
+        by_processor.min(by_link).max(1.0) as u32
+    }
 }
 
 /// The addresses it listens on; these are also the ones it tells others.
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::balance::SendEnd;
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
+use crate::balance::server_key;
 use crate::clock::now_us;
 use crate::peer::ServerLoadRow;
 use crate::peer::ServerLoads;
@@ -58,7 +59,10 @@
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
     zone: Arc<str>,
+    /// Of all instances together.
     allowance: RepeatAllowance,
+    /// Instances that divide the slack of the repeat budget.
+    sharers: Arc<AtomicUsize>,
     tickets: Arc<AtomicU64>,
     state: Arc<Mutex<State>>,
     /// Slots that are handed out now.
@@ -98,6 +102,7 @@
         Self {
             zone: zone.into(),
             allowance,
+            sharers: Arc::new(AtomicUsize::new(1)),
             tickets: Arc::default(),
             state: Arc::default(),
             granted: Arc::default(),
@@ -129,6 +134,7 @@
                 id: Arc::clone(&row.id),
                 service: Arc::clone(&row.service),
                 zone: Arc::clone(&row.zone),
+                key: server_key(&row.id),
                 conns: ServerConns::new(row.address),
                 asked: AtomicBool::new(false),
             };
@@ -166,12 +172,33 @@
         pool.budget.request(&self.allowance, now_us());
     }
 
+    /// Divides the slack of the repeat budget among so many instances.
+    pub fn share_slack(&self, instances: usize) {
+        self.sharers.store(instances.max(1), Ordering::Release);
+    }
+
+    /// What this instance may repeat.
+    #[expect(clippy::cast_precision_loss, reason = "a few homes")]
+    fn own_allowance(&self) -> RepeatAllowance {
+        let sharers = self.sharers.load(Ordering::Acquire) as f64;
+        RepeatAllowance { slack: self.allowance.slack / sharers, ..self.allowance }
+    }
+
+    /// Slots of all servers together.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        let state = self.state.lock();
+        let tracks = state.pools.values().flat_map(|pool| &pool.servers);
+        tracks.map(|track| track.row.slots).sum()
+    }
+
     /// Takes one repeat out of the budget of the service.
     #[must_use]
     pub fn spend_repeat(&self, service: &str) -> bool {
         let mut state = self.state.lock();
+        let allowance = self.own_allowance();
         let pool = state.pools.get_mut(service);
-        pool.is_some_and(|pool| pool.budget.spend(&self.allowance, now_us()))
+        pool.is_some_and(|pool| pool.budget.spend(&allowance, now_us()))
     }
 
     /// The usual time of such a request, in milliseconds.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -17,8 +17,9 @@
 use rand::RngExt;
 use smallvec::SmallVec;
 
+use super::homes::HomesPlan;
 use super::homes::all_homes;
-use super::homes::homes_of_zone;
+use super::homes::instances_of_zone;
 use super::homes::is_home;
 use super::mirror::Mirror;
 use super::mirror::Sink;
@@ -148,14 +149,14 @@
 
     /// Whether this instance is the one of its zone that watches the store.
     fn watches(&self) -> bool {
-        is_home(&self.board, 1)
+        is_home(&self.board, HomesPlan::FIRST)
     }
 
     /// Some instances that watch the store: that of the own zone, then others by chance.
     fn watchers(&self) -> SmallVec<[SocketAddr; 4]> {
         let zone = &self.board.settings.instance.zone;
         let view = self.board.members_view();
-        let mut homes = all_homes(&view.rows, 1);
+        let mut homes = all_homes(&view.rows, HomesPlan::FIRST);
         homes.retain(|row| row.incarnation != self.board.incarnation);
         let salt = rand::rng().random::<u64>();
         homes.sort_by_key(|row| (row.zone != *zone, row.incarnation ^ salt));
@@ -193,7 +194,7 @@
     fn rank(&self) -> u64 {
         let zone = &self.board.settings.instance.zone;
         let view = self.board.members_view();
-        let ranked = homes_of_zone(&view.rows, zone, usize::MAX);
+        let ranked = instances_of_zone(&view.rows, zone);
         let place = ranked.iter().position(|row| row.incarnation == self.board.incarnation);
         place.unwrap_or(0) as u64
     }
@@ -202,8 +203,8 @@
     fn neighbours(&self) -> SmallVec<[SocketAddr; 4]> {
         let zone = &self.board.settings.instance.zone;
         let view = self.board.members_view();
-        let mut others = homes_of_zone(&view.rows, zone, usize::MAX);
-        others.retain(|row| row.incarnation != self.board.incarnation && row.zone == *zone);
+        let mut others = instances_of_zone(&view.rows, zone);
+        others.retain(|row| row.incarnation != self.board.incarnation);
         let salt = rand::rng().random::<u64>();
         others.sort_by_key(|row| row.incarnation ^ salt);
         others.iter().take(NEIGHBOURS_ASKED).map(|row| row.peer).collect()
--- a/src/gateway/load_share.rs
+++ b/src/gateway/load_share.rs
@@ -13,6 +13,7 @@
 use tokio::time::MissedTickBehavior;
 
 use super::dispatcher::Dispatcher;
+use super::homes::HomesPlan;
 use super::homes::all_homes;
 use super::homes::is_home;
 use crate::board::Blackboard;
@@ -31,6 +32,12 @@
 const IDLE_INTERVALS: u32 = 10;
 /// A peer that does not answer within this may have missed it; it is told everything again.
 const CALL_TIMEOUT: Duration = Duration::from_millis(200);
+/// Peers that are told at the full rate; with more of them each is told less often, as what
+/// instances may spend on telling each other does not grow with their number.
+const PEERS_AT_FULL_RATE: usize = 5;
+/// Requests a second that callers of a zone may send for each slot of its share of the servers.
+/// Work takes 0.2 to 0.5 s, so this fills most of the slots; more cannot be served for long.
+const REQUESTS_PER_SLOT: f64 = 1.5;
 /// How often the set of homes is looked at.
 const HOMES_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -40,7 +47,6 @@
     pub board: Arc<Blackboard>,
     pub links: Links,
     pub dispatcher: Dispatcher,
-    pub homes_per_zone: usize,
 }
 
 impl LoadShare {
@@ -48,35 +54,57 @@
     pub async fn run(self) {
         let mut told: HashMap<SocketAddr, TaskGuard> = HashMap::new();
         loop {
+            self.plan_homes();
             let peers = self.peers();
+            let stretch = u32::try_from(peers.len().div_ceil(PEERS_AT_FULL_RATE)).unwrap_or(1);
             told.retain(|peer, _| peers.contains(peer));
             for peer in peers {
-                told.entry(peer).or_insert_with(|| TaskGuard::spawn(self.clone().tell(peer)));
+                told.entry(peer)
+                    .or_insert_with(|| TaskGuard::spawn(self.clone().tell(peer, stretch)));
             }
             tokio::time::sleep(HOMES_INTERVAL).await;
         }
     }
 
+    /// Takes note of what the homes of a zone must carry, and of how many there are.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "some thousand slots"
+    )]
+    fn plan_homes(&self) {
+        let settings = self.board.settings.gateway.as_ref();
+        let zones = settings.map_or(1, |gateway| gateway.zones.len().max(1)) as f64;
+        let demand_per_s = f64::from(self.dispatcher.slots()) / zones * REQUESTS_PER_SLOT;
+        self.board.set_zone_demand_per_s(demand_per_s as u32);
+        let view = self.board.members_view();
+        self.dispatcher.share_slack(all_homes(&view.rows, HomesPlan::of(&self.board)).len());
+    }
+
     /// The other homes. An instance that is none still has the requests of callers that keep an
     /// old answer, so it tells them too.
     fn peers(&self) -> HashSet<SocketAddr> {
         let view = self.board.members_view();
-        let homes = all_homes(&view.rows, self.homes_per_zone);
+        let homes = all_homes(&view.rows, HomesPlan::of(&self.board));
         let others = homes.iter().filter(|row| row.incarnation != self.board.incarnation);
         others.map(|row| row.peer).collect()
     }
 
     fn is_home(&self) -> bool {
-        is_home(&self.board, self.homes_per_zone)
+        is_home(&self.board, HomesPlan::of(&self.board))
     }
 
-    async fn tell(self, peer: SocketAddr) {
+    async fn tell(self, peer: SocketAddr, stretch: u32) {
         let mut acknowledged: HashMap<u32, ServerLoadRow> = HashMap::new();
         let mut idle_intervals = 0;
-        let mut turns = tokio::time::interval(INTERVAL);
+        let mut turns = tokio::time::interval(INTERVAL * stretch.max(1));
         turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            if !self.is_home() && acknowledged.values().all(|row| row.in_flight == 0) {
+            if self.dispatcher.idle()
+                && acknowledged.values().all(|row| row.in_flight == 0)
+                && !self.is_home()
+            {
                 // An instance that is no home has nothing to tell but its own requests.
                 self.dispatcher.busy().await;
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub use framing::BodyDecoder;
 pub use framing::Framing;
 pub use grant::Grant;
+pub use homes::HomesPlan;
 pub use homes::all_homes;
 pub use homes::homes_of_zone;
 pub use homes::is_home;
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -14,6 +14,7 @@
 
 use super::Dialect;
 use super::caller_handler::TableInForce;
+use super::homes::HomesPlan;
 use super::homes::homes_of_zone;
 use crate::board::Blackboard;
 use crate::board::Phase;
@@ -68,10 +69,9 @@
 impl<D: Dialect> AddressHandler<D> {
     fn addresses(&self, zone: &str) -> (Vec<SocketAddr>, u64) {
         let settings = self.board.settings.gateway.as_ref();
-        let homes_per_zone = settings.map_or(1, |gateway| gateway.homes_per_zone);
         let keep_max_ms = settings.map_or(ADDRESS_KEEP_MS, |gateway| gateway.address_keep_max_ms);
         let view = self.board.members_view();
-        let homes = homes_of_zone(&view.rows, zone, homes_per_zone);
+        let homes = homes_of_zone(&view.rows, zone, HomesPlan::of(&self.board));
         (homes.iter().map(|row| row.caller).collect(), ADDRESS_KEEP_MS.min(keep_max_ms))
     }
 }
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -8,7 +8,8 @@
 use super::caller_handler::TableInForce;
 use super::dispatcher::Dispatcher;
 use super::health_check::check;
-use super::homes::is_home;
+use super::homes::HomesPlan;
+use super::homes::place_among_homes;
 use super::server::Server;
 use crate::board::Blackboard;
 use crate::board::Counter;
@@ -26,6 +27,23 @@
 /// longer than this does not answer at all.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Health checks for each request that the instance can carry: a check takes about a fifth of the
+/// processor's time of a request, so this leaves nine tenths to requests.
+const CHECKS_PER_REQUEST: f64 = 0.5;
+
+/// The servers of a zone that one of its homes checks.
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    place: usize,
+    homes: usize,
+}
+
+impl Part {
+    fn contains(self, server: &Server) -> bool {
+        server.key as usize % self.homes.max(1) == self.place
+    }
+}
+
 /// Checks the servers of the own zone while this instance is one of the zone's homes.
 #[derive(Clone, Debug)]
 pub struct Prober<D> {
@@ -39,10 +57,8 @@
 impl<D: Dialect> Prober<D> {
     /// Checks until the process ends.
     pub async fn run(self) {
-        let homes = u32::try_from(self.settings.homes_per_zone).unwrap_or(u32::MAX);
-        // Instances may disagree for a moment on who is a home: half of the bound is left.
-        let allowed = self.settings.probes_per_s_max / homes.saturating_mul(2).max(1);
-        let rate = PROBES_PER_S.min(allowed);
+        // Instances may disagree for a moment on who checks a server: half of the bound is left.
+        let rate = PROBES_PER_S.min(self.settings.probes_per_s_max / 2);
         if rate == 0 {
             return;
         }
@@ -52,24 +68,39 @@
         loop {
             turns.tick().await;
             turn += 1;
-            if is_home(&self.board, self.settings.homes_per_zone) {
-                self.probe_all(turn % (rate * UNTOLD_INTERVAL_S) == 0);
+            if let Some((place, homes)) = place_among_homes(&self.board, HomesPlan::of(&self.board))
+            {
+                let untold = turn % (rate * UNTOLD_INTERVAL_S) == 0;
+                self.probe_own(Part { place, homes }, turn, untold);
             }
         }
     }
 
-    /// Checks the servers of the zone; those that tell no load only once, and where `all` says so.
-    fn probe_all(&self, all: bool) {
+    /// Checks this home's part of the zone's servers; those that tell no load only once, and where
+    /// `untold` says so.
+    fn probe_own(&self, part: Part, turn: u32, untold: bool) {
         let zone = &*self.board.settings.instance.zone;
-        for server in self.dispatcher.servers() {
+        let mut servers = self.dispatcher.servers();
+        servers.retain(|server| *server.zone == *zone && part.contains(server));
+        let turns = self.turns_of_one_check(servers.len());
+        for server in servers {
             let first = !server.asked.swap(true, Ordering::Relaxed);
-            let due = all || first || self.dispatcher.tells_load(&server);
-            if *server.zone == *zone && due {
+            let due =
+                turn.wrapping_add(server.key) % turns == 0 && self.dispatcher.tells_load(&server);
+            if first || untold || due {
                 tokio::spawn(self.clone().probe(server));
             }
         }
     }
 
+    /// Turns in which each of so many servers is checked once, so that the checks of a large zone
+    /// leave the processor to requests.
+    fn turns_of_one_check(&self, servers: usize) -> u32 {
+        let affordable = f64::from(self.board.own_capacity_per_s()) * CHECKS_PER_REQUEST;
+        let wanted = servers as f64 * f64::from(PROBES_PER_S);
+        (wanted / affordable.max(1.0)).ceil().max(1.0) as u32
+    }
+
     async fn probe(self, server: Arc<Server>) {
         let table = self.table.load_full();
         let rule = table.as_ref().and_then(|table| table.services.get(&server.service));
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -7,6 +7,7 @@
 use log::warn;
 
 use super::Dialect;
+use super::homes::HomesPlan;
 use super::homes::is_home;
 use crate::board::Blackboard;
 use crate::store::EventStore;
@@ -28,7 +29,6 @@
     pub dialect: D,
     pub store: S,
     pub board: Arc<Blackboard>,
-    pub homes_per_zone: usize,
 }
 
 impl<D: Dialect, S: EventStore> Registry<D, S> {
@@ -50,7 +50,7 @@
     pub async fn run(self) {
         loop {
             tokio::time::sleep(SETTLE_INTERVAL).await;
-            if !is_home(&self.board, self.homes_per_zone) {
+            if !is_home(&self.board, HomesPlan::FIRST) {
                 continue;
             }
             match self.enter().await {
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -11,6 +11,8 @@
     pub id: Arc<str>,
     pub service: Arc<str>,
     pub zone: Arc<str>,
+    /// Hash of the id, by which instances name the server to each other.
+    pub key: u32,
     pub conns: ServerConns,
     /// Whether it was ever asked for its health by this instance.
     pub asked: AtomicBool,
--- a/src/gateway/store_check.rs
+++ b/src/gateway/store_check.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::homes::HomesPlan;
 use super::homes::is_home;
 use super::mirror::Mirror;
 use super::mirror::Sink;
@@ -24,7 +25,7 @@
 ) {
     loop {
         tokio::time::sleep(INTERVAL).await;
-        if !is_home(&board, 1) {
+        if !is_home(&board, HomesPlan::FIRST) {
             continue;
         }
         let began_us = now_us();
--- a/src/member/row.rs
+++ b/src/member/row.rs
@@ -58,6 +58,8 @@
     pub caller: SocketAddr,
     pub operator: SocketAddr,
     pub peer: SocketAddr,
+    /// Requests a second that its processor and link carry.
+    pub capacity_per_s: u32,
     /// Age of the member when the row was sent; never more than its true age.
     pub uptime_ms: u64,
     /// Who answers for its idempotency keys after it left.
--- a/standins/src/bed/plan.rs
+++ b/standins/src/bed/plan.rs
@@ -62,7 +62,13 @@
 pub fn settings_for(plan: &BedPlan, at: usize, platform: SocketAddr) -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
-        instance: InstanceSettings { name: format!("i{at}"), zone: plan.zone(at).to_owned() },
+        instance: InstanceSettings {
+            name: format!("i{at}"),
+            zone: plan.zone(at).to_owned(),
+            cpu_share: 1.0,
+            cores: 1.0,
+            link_mbps: 1_000.0,
+        },
         listen: ListenSettings { caller: any, operator: any, peer: any, status: any },
         peers: PeerSettings {
             secret: SECRET.into(),
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -28,6 +28,7 @@
         caller: address,
         operator: address,
         peer: address,
+        capacity_per_s: 100,
         uptime_ms: 5,
         successor: None,
     }
