--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -55,6 +55,15 @@
     in_aim: bool,
 }
 
+/// A server that may take one more request.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    /// Its place in the list of servers.
+    index: usize,
+    /// Requests that run or wait there.
+    occupancy: u32,
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -115,14 +124,25 @@
         self.times.typical_ms(&ask.route, ask.aim_ms)
     }
 
-    /// The server with room that is expected to answer first; with `in_aim`, only if it is
-    /// expected to answer within the aim.
+    /// The servers that have room now.
+    fn with_room(&self, now_us: u64) -> Vec<Room> {
+        let rooms = self.servers.iter().enumerate().filter_map(|(index, server)| {
+            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
+            let occupancy = server.occupancy(now_us);
+            (occupancy < allowed && server.usable(now_us)).then_some(Room { index, occupancy })
+        });
+        rooms.collect()
+    }
+
+    /// Of the servers with room the one that is expected to answer first; with `in_aim`, only if
+    /// it is expected to answer within the aim.
     ///
     /// The pace of a server when work begins holds for all of it, and shifts some times a second:
     /// waiting for another server is better than beginning on a slow one.
     fn choose(
         &self,
         ask: &Ask,
+        rooms: &[Room],
         place: Place<'_>,
         now_us: u64,
         random: &mut impl FnMut() -> f64,
@@ -130,30 +150,36 @@
         let typical_ms = self.typical_ms(ask);
         let left_ms = ask.aim_left_ms(now_us);
         let mut best: Option<(f64, usize)> = None;
-        for (index, server) in self.servers.iter().enumerate() {
-            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
-            let occupancy = server.occupancy(now_us);
-            let tried = ask.avoid.contains(&server.row.id);
-            if tried || occupancy >= allowed || !server.usable(now_us) {
+        for room in rooms {
+            let server = &self.servers[room.index];
+            if ask.avoid.contains(&server.row.id) {
                 continue;
             }
             let expected_ms = server.expected_ms(typical_ms, now_us);
             if place.in_aim && expected_ms > left_ms {
                 continue;
             }
-            let crowded = f64::from(occupancy) / f64::from(server.row.slots);
+            let crowded = f64::from(room.occupancy) / f64::from(server.row.slots);
             let mut cost_ms = expected_ms;
             cost_ms += typical_ms * (CROWDED_FACTOR * crowded + JITTER_SHARE * random());
             if *server.row.zone != *place.zone {
                 cost_ms += OTHER_ZONE_MS;
             }
             if best.is_none_or(|(least, _)| cost_ms < least) {
-                best = Some((cost_ms, index));
+                best = Some((cost_ms, room.index));
             }
         }
         best.map(|(_, index)| index)
     }
 
+    /// The least time in which any of the servers with room is expected to answer.
+    fn least_expected_ms(&self, ask: &Ask, rooms: &[Room], now_us: u64) -> f64 {
+        let typical_ms = self.typical_ms(ask);
+        let expected = rooms.iter().map(|room| &self.servers[room.index]);
+        let expected_ms = expected.map(|server| server.expected_ms(typical_ms, now_us));
+        expected_ms.fold(f64::INFINITY, f64::min)
+    }
+
     /// Takes a slot of the best server with room.
     pub fn take(
         &mut self,
@@ -164,7 +190,8 @@
         random: &mut impl FnMut() -> f64,
     ) -> Option<Choice> {
         let place = Place { zone, in_aim: self.can_meet_aim(ask, now_us) };
-        let index = self.choose(ask, place, now_us, random)?;
+        let rooms = self.with_room(now_us);
+        let index = self.choose(ask, &rooms, place, now_us, random)?;
         Some(self.start(index, ticket, ask, now_us))
     }
 
@@ -205,6 +232,7 @@
             return Err(self.refusal(now_us));
         }
         self.waiting.push(Waiting { ticket, ask, start_by_us, late });
+        self.order_waiting();
         Ok(())
     }
 
@@ -254,25 +282,60 @@
         Refusal { no_server: false, retry_after_ms: wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) }
     }
 
+    /// Puts the most urgent first; nearly sorted already, so this is a walk over the queue.
+    fn order_waiting(&mut self) {
+        self.waiting
+            .sort_by_key(|waiting| (waiting.late, waiting.ask.priority, waiting.ask.arrived_us));
+    }
+
     /// Gives a free slot to the most urgent request that can use one.
+    ///
+    /// In a burst this runs at each answer, with hundreds waiting and no server free or only slow
+    /// ones: trying each request on each server would take all of the processor, and an instance
+    /// that answers no pings any more counts as dead. So only servers with room are looked at,
+    /// and of requests of one route only those that the fastest of them could answer in time.
     pub fn serve_waiting(
         &mut self,
         zone: &str,
         now_us: u64,
         random: &mut impl FnMut() -> f64,
     ) -> Option<(Waiting, Choice)> {
-        self.waiting
-            .sort_by_key(|waiting| (waiting.late, waiting.ask.priority, waiting.ask.arrived_us));
-        let found = self.waiting.iter().enumerate().find_map(|(at, waiting)| {
-            let place = Place { zone, in_aim: !waiting.late };
-            self.choose(&waiting.ask, place, now_us, random).map(|index| (at, index))
-        });
-        let (at, index) = found?;
+        let (at, index) = self.first_served(zone, now_us, random)?;
         let waiting = self.waiting.remove(at);
         let choice = self.start(index, waiting.ticket, &waiting.ask, now_us);
         Some((waiting, choice))
     }
 
+    /// The first waiting request that can be served, by its place in the queue, and the server.
+    fn first_served(
+        &self,
+        zone: &str,
+        now_us: u64,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<(usize, usize)> {
+        let rooms = self.with_room(now_us);
+        if rooms.is_empty() {
+            return None;
+        }
+        let mut least_ms: SmallVec<[(&str, f64); 8]> = SmallVec::new();
+        for (at, waiting) in self.waiting.iter().enumerate() {
+            let ask = &waiting.ask;
+            if !least_ms.iter().any(|(route, _)| **route == *ask.route) {
+                least_ms.push((&ask.route, self.least_expected_ms(ask, &rooms, now_us)));
+            }
+            let left_ms = ask.aim_left_ms(now_us);
+            let in_time = |(route, ms): &(&str, f64)| **route == *ask.route && *ms <= left_ms;
+            if !waiting.late && !least_ms.iter().any(in_time) {
+                continue;
+            }
+            let place = Place { zone, in_aim: !waiting.late };
+            if let Some(index) = self.choose(ask, &rooms, place, now_us, random) {
+                return Some((at, index));
+            }
+        }
+        None
+    }
+
     /// Whether a request that starts now on a server of usual pace is answered within its aim.
     fn can_meet_aim(&self, ask: &Ask, now_us: u64) -> bool {
         self.typical_ms(ask) <= ask.aim_left_ms(now_us)
@@ -282,7 +345,7 @@
     /// servers with room are slow becomes late instead, and takes one of those.
     pub fn expire(&mut self, now_us: u64) -> SmallVec<[u64; 4]> {
         let mut tickets = SmallVec::new();
-        let room = self.has_any_slot(now_us);
+        let room = !self.with_room(now_us).is_empty();
         self.waiting.retain_mut(|waiting| {
             if now_us <= waiting.start_by_us {
                 return true;
@@ -295,17 +358,10 @@
             tickets.push(waiting.ticket);
             false
         });
+        self.order_waiting();
         tickets
     }
 
-    /// Whether any server has room, however slow it is.
-    fn has_any_slot(&self, now_us: u64) -> bool {
-        self.usable(now_us).any(|server| {
-            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
-            server.occupancy(now_us) < allowed
-        })
-    }
-
     /// Takes out a request that waits no more.
     pub fn cancel(&mut self, ticket: u64) {
         self.waiting.retain(|waiting| waiting.ticket != ticket);
