--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -61,9 +61,9 @@
 const SLACK_SHARE: f64 = 0.7;
 /// Callers that keep an old address answer are served for this long after the signal to stop, in
 /// percent of the grace.
-const SERVE_ON_PERCENT: u64 = 55;
+const SERVE_ON_PERCENT: u32 = 55;
 /// Kept back from the grace for the end of the process itself.
-const GRACE_MARGIN_MS: u64 = 400;
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time to tell the others that this instance has stopped, within that margin.
 const LAST_WORD: Duration = Duration::from_millis(100);
 const STOP_TURN: Duration = Duration::from_millis(20);
@@ -75,7 +75,7 @@
     links: Links,
     callers: HttpListener,
     tasks: JoinSet<()>,
-    grace_ms: u64,
+    grace: Duration,
     _readiness: HttpListener,
     _addresses: HttpListener,
     _peers: PeerListener,
@@ -114,7 +114,7 @@
 fn allowance(gateway: &GatewaySettings) -> RepeatAllowance {
     RepeatAllowance {
         ratio: gateway.repeat_ratio * REPEAT_SHARE,
-        window_us: gateway.repeat_window_ms * 1000,
+        window_us: u64::try_from(gateway.repeat_window().as_micros()).unwrap_or(u64::MAX),
         slack: gateway.repeat_slack * SLACK_SHARE,
     }
 }
@@ -202,8 +202,8 @@
         tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
         tasks.spawn(dispatcher.clone().run());
-        let grace_ms = gateway.grace_ms;
-        let memory_bytes = gateway.memory_bytes_max;
+        let grace = gateway.grace();
+        let memory_bytes = gateway.memory_max_bytes();
         let prober = Prober {
             dialect: dialect.clone(),
             board: Arc::clone(&board),
@@ -239,7 +239,7 @@
         Ok(Self {
             callers: HttpListener::spawn(sockets.callers, callers, connections_max),
             tasks,
-            grace_ms,
+            grace,
             _readiness: HttpListener::spawn(sockets.readiness, readiness, SMALL_CONNECTIONS_MAX),
             _addresses: HttpListener::spawn(sockets.addresses, addresses, SMALL_CONNECTIONS_MAX),
             _peers: PeerListener::spawn(sockets.peers, secret, peers),
@@ -262,9 +262,9 @@
         self.board.note(EventKind::Stopping);
         self.board.members.lock().set_own(MemberState::Leaving, None, now_ms());
         self.board.publish_members();
-        let serve_on = Duration::from_millis(self.grace_ms * SERVE_ON_PERCENT / 100);
+        let serve_on = self.grace * SERVE_ON_PERCENT / 100;
         let started = tokio::time::Instant::now();
-        let end = started + Duration::from_millis(self.grace_ms.saturating_sub(GRACE_MARGIN_MS));
+        let end = started + self.grace.saturating_sub(GRACE_MARGIN);
         let _ = tokio::time::timeout(serve_on, announce(&self.board, &self.links)).await;
         tokio::time::sleep_until(started + serve_on).await;
         let left = end.saturating_duration_since(tokio::time::Instant::now());
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -13,6 +13,7 @@
 pub use concurrency_limit::ConcurrencyLimit;
 pub use repeat_budget::RepeatAllowance;
 pub use repeat_budget::RepeatBudget;
+pub use repeat_budget::RepeatNeed;
 pub use server_track::SendEnd;
 pub use server_track::Sent;
 pub use server_track::ServerTrack;
--- a/src/balance/repeat_budget.rs
+++ b/src/balance/repeat_budget.rs
@@ -13,6 +13,20 @@
     pub slack: f64,
 }
 
+/// Who repeats a request if this instance does not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatNeed {
+    /// Its caller can still come back with it, at no cost to the budget.
+    CallerCanReturn,
+    /// Nobody: its caller came back with it already, or may not.
+    LastChance,
+}
+
+/// Part of the budget that requests may use whose callers can still come back. While 4 of 10 sends
+/// are refused, one in 12 requests fails for good if those may use up all of it, and one in 100 if
+/// half or a fifth (modelled, 40,000 requests).
+const RETURNABLE_SHARE: f64 = 0.35;
+
 /// Requests and repeats of one service on this instance over the last window.
 ///
 /// Every instance keeps the ratio for its own requests and its own part of the slack, so that the
@@ -38,12 +52,16 @@
 
     /// Takes one repeat if the budget allows it.
     #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
-    pub fn spend(&mut self, allowance: &RepeatAllowance, now_us: u64) -> bool {
+    pub fn spend(&mut self, allowance: &RepeatAllowance, need: RepeatNeed, now_us: u64) -> bool {
         let from_us = now_us.saturating_sub(allowance.window_us);
         forget(&mut self.requests, from_us);
         forget(&mut self.repeats, from_us);
         let allowed = allowance.ratio * self.requests.len() as f64 + allowance.slack;
-        if self.repeats.len() as f64 + 1.0 > allowed {
+        let share = match need {
+            RepeatNeed::CallerCanReturn => RETURNABLE_SHARE,
+            RepeatNeed::LastChance => 1.0,
+        };
+        if self.repeats.len() as f64 + 1.0 > allowed * share {
             return false;
         }
         self.repeats.push_back(now_us);
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -183,6 +183,12 @@
         now_us >= self.warm_at_us
     }
 
+    /// Requests of this instance that run or wait there.
+    #[must_use]
+    pub fn own_requests(&self) -> usize {
+        self.sent.len()
+    }
+
     /// Whether nothing of this instance runs there.
     #[must_use]
     pub fn idle(&self) -> bool {
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -227,7 +227,7 @@
         let late = for_aim_us < now_us;
         let start_by_us = if late { now_us + late_wait_us(&ask) } else { for_aim_us };
         let urgency = if late { u32::MAX } else { ask.priority };
-        let wait_us = self.expected_wait_us(urgency, slots);
+        let wait_us = self.expected_wait_us(urgency, slots, now_us);
         if now_us + wait_us > start_by_us {
             return Err(self.refusal(now_us));
         }
@@ -260,25 +260,36 @@
     }
 
     /// Time until a newcomer of this priority gets a slot: those before it, at the rate at which
-    /// all slots together come free.
+    /// this instance's part of the slots comes free. Other homes have queues of their own, which
+    /// take the rest.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
         reason = "a queue's length and time"
     )]
-    fn expected_wait_us(&self, priority: u32, slots: u32) -> u64 {
+    fn expected_wait_us(&self, priority: u32, slots: u32, now_us: u64) -> u64 {
         let before = |other: &&Waiting| !other.late && other.ask.priority <= priority;
         let ahead = self.waiting.iter().filter(before).count() + 1;
-        let per_slot_us = self.mean_ms * 1000.0 / f64::from(slots.max(1));
+        let own_slots = (f64::from(slots) * self.own_share(now_us)).max(1.0);
+        let per_slot_us = self.mean_ms * 1000.0 / own_slots;
         (ahead as f64 * per_slot_us) as u64
     }
 
+    /// This instance's part of all requests at the servers.
+    fn own_share(&self, now_us: u64) -> f64 {
+        let own: usize = self.servers.iter().map(ServerTrack::own_requests).sum();
+        let all: u32 = self.servers.iter().map(|server| server.occupancy(now_us)).sum();
+        #[expect(clippy::cast_precision_loss, reason = "some thousand requests")]
+        let own = own as f64;
+        if all == 0 { 1.0 } else { (own / f64::from(all)).min(1.0) }
+    }
+
     /// When to come back: once those that wait now are served.
     #[must_use]
     pub fn refusal(&self, now_us: u64) -> Refusal {
         let slots = self.slots_in_use(now_us);
-        let wait_ms = self.expected_wait_us(u32::MAX, slots) / 1000;
+        let wait_ms = self.expected_wait_us(u32::MAX, slots, now_us) / 1000;
         Refusal { no_server: false, retry_after_ms: wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) }
     }
 
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -14,6 +14,10 @@
 const SECRET_MIN: usize = 16;
 const SHARDS_MAX: u32 = 10_000;
 const MS_MAX: u64 = 3_600_000;
+const SECONDS_MAX: f64 = 3_600.0;
+/// Below this there is no room for connections beside the program itself.
+const MEMORY_MIN_MB: f64 = 16.0;
+const MEMORY_MAX_MB: f64 = 1e6;
 const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 
 /// One setting outside its range.
@@ -38,6 +42,11 @@
         let holds = (low..=high).contains(&value);
         self.need(holds, field, format!("{value} is not within {low} to {high}"));
     }
+
+    fn seconds(&mut self, value: f64, low: f64, field: &'static str) {
+        let holds = (low..=SECONDS_MAX).contains(&value);
+        self.need(holds, field, format!("{value} is not within {low} to {SECONDS_MAX}"));
+    }
 }
 
 fn check_peers(faults: &mut Faults, peers: &PeerSettings, alone: bool) {
@@ -79,17 +88,19 @@
 
 fn check_gateway(faults: &mut Faults, gateway: &GatewaySettings) {
     faults.range(gateway.store_call_timeout_ms, 10, 60_000, "gateway.store_call_timeout_ms");
-    faults.range(gateway.grace_ms, 500, MS_MAX, "gateway.grace_ms");
+    faults.seconds(gateway.grace_s, 0.5, "gateway.grace_s");
     faults.range(gateway.drain_ms, 100, MS_MAX, "gateway.drain_ms");
     faults.range(gateway.config_apply_ms, 100, MS_MAX, "gateway.config_apply_ms");
-    faults.range(gateway.address_keep_max_ms, 10, MS_MAX, "gateway.address_keep_max_ms");
+    faults.seconds(gateway.address_keep_max_s, 0.01, "gateway.address_keep_max_s");
     let ratio_holds = (0.0..=10.0).contains(&gateway.repeat_ratio);
     faults.need(ratio_holds, "gateway.repeat_ratio", "0 to 10");
-    faults.range(gateway.repeat_window_ms, 100, MS_MAX, "gateway.repeat_window_ms");
+    faults.seconds(gateway.repeat_window_s, 0.1, "gateway.repeat_window_s");
     let slack_holds = (0.0..=1e6).contains(&gateway.repeat_slack);
     faults.need(slack_holds, "gateway.repeat_slack", "0 to 1000000");
     faults.range(gateway.probes_per_s_max.into(), 0, 10_000, "gateway.probes_per_s_max");
-    faults.range(gateway.memory_bytes_max as u64, 16 << 20, 1 << 40, "gateway.memory_bytes_max");
+    let memory_holds = (MEMORY_MIN_MB..=MEMORY_MAX_MB).contains(&gateway.memory_max_mb);
+    let memory_allowed = format!("{MEMORY_MIN_MB} to {MEMORY_MAX_MB}");
+    faults.need(memory_holds, "gateway.memory_max_mb", memory_allowed);
     faults.range(gateway.zones.len() as u64, 1, 1_000, "gateway.zones");
     faults.range(gateway.homes_per_zone as u64, 1, 1_000, "gateway.homes_per_zone");
 }
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of one daemon.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -270,21 +271,29 @@
     #[serde(default = "store_call_timeout_default")]
     pub store_call_timeout_ms: u64,
     /// Time between the signal to stop and the forced end.
-    pub grace_ms: u64,
+    #[serde(default = "grace_default")]
+    pub grace_s: f64,
     /// A server that leaves takes work for so long after it was acknowledged.
+    #[serde(default = "apply_default")]
     pub drain_ms: u64,
     /// A configuration is in force everywhere within this.
+    #[serde(default = "apply_default")]
     pub config_apply_ms: u64,
     /// Most time that callers keep an address answer.
-    pub address_keep_max_ms: u64,
+    #[serde(default = "address_keep_default")]
+    pub address_keep_max_s: f64,
     /// Repeats allowed per request over all instances, in any window, and beyond that.
+    #[serde(default = "repeat_ratio_default")]
     pub repeat_ratio: f64,
-    pub repeat_window_ms: u64,
+    #[serde(default = "repeat_window_default")]
+    pub repeat_window_s: f64,
+    #[serde(default)]
     pub repeat_slack: f64,
     /// Health checks a second that a server may get from all instances together.
+    #[serde(default = "probes_default")]
     pub probes_per_s_max: u32,
     /// Memory that the process may use; a quarter of it is for the bodies of requests.
-    pub memory_bytes_max: usize,
+    pub memory_max_mb: f64,
     /// Availability zones that the instances run in.
     pub zones: Vec<String>,
     /// Instances of a zone that its callers are told of.
@@ -292,10 +301,69 @@
     pub homes_per_zone: usize,
 }
 
+const BYTES_PER_MB: f64 = 1e6;
+
 const fn store_call_timeout_default() -> u64 {
     500
 }
 
+/// Most operators leave a process so long to end.
+const fn grace_default() -> f64 {
+    5.0
+}
+
+const fn apply_default() -> u64 {
+    2_000
+}
+
+const fn address_keep_default() -> f64 {
+    1.0
+}
+
+/// Without a word of the operators, an outage may add a fifth to the load.
+const fn repeat_ratio_default() -> f64 {
+    0.2
+}
+
+const fn repeat_window_default() -> f64 {
+    10.0
+}
+
+const fn probes_default() -> u32 {
+    20
+}
+
+impl GatewaySettings {
+    /// Time between the signal to stop and the forced end.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.grace_s)
+    }
+
+    /// Most time that callers keep an address answer.
+    #[must_use]
+    pub fn address_keep_max(&self) -> Duration {
+        Duration::from_secs_f64(self.address_keep_max_s)
+    }
+
+    /// The window of the repeat budget.
+    #[must_use]
+    pub fn repeat_window(&self) -> Duration {
+        Duration::from_secs_f64(self.repeat_window_s)
+    }
+
+    /// Memory that the process may use.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "checked settings, some gigabytes"
+    )]
+    pub fn memory_max_bytes(&self) -> usize {
+        (self.memory_max_mb * BYTES_PER_MB) as usize
+    }
+}
+
 /// With one, a zone's slots are known exactly in one place; two served fewer in bursts.
 const fn homes_default() -> usize {
     1
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -50,7 +50,7 @@
     ConnectFailed = 2105, "No connection to a backend server could be opened.", "Check the backend server; come back after the time given.";
     NoConfiguration = 2106, "No configuration is known to this instance yet.", "Come back after the time given; check that the store is reachable.";
     NoRepeatLeft = 2107, "The backend server did not run the request, and no other may be asked.", "Come back after the time given.";
-    BodyRoomFull = 2108, "The bodies of requests that are being read fill the memory set aside for them.", "Come back after the time given; raise `gateway.memory_bytes_max`.";
+    BodyRoomFull = 2108, "The bodies of requests that are being read fill the memory set aside for them.", "Come back after the time given; raise `gateway.memory_max_mb`.";
     DeadlineBeforeDispatch = 2109, "The deadline passed before the request was sent to a backend server.", "Come back after the time given, or allow more time.";
     AnswerLost = 2201, "The connection was lost after the request was handed over; it may have run.", "Repeat with the same key if there is one; else ask the backing system.";
     AnswerTruncated = 2202, "The answer was cut short by the backend server.", "As for AnswerLost.";
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -1,6 +1,7 @@
 //! What a platform calls the things that a gateway says and hears; implemented by its adapter.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::HeaderName;
 
@@ -73,5 +74,5 @@
     fn parse_load(&self, text: &str) -> Option<LoadReport>;
 
     /// The answer to callers that ask which addresses to use, and how long to keep it.
-    fn encode_addresses(&self, addresses: &[SocketAddr], keep_ms: u64) -> Vec<u8>;
+    fn encode_addresses(&self, addresses: &[SocketAddr], keep: Duration) -> Vec<u8>;
 }
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -23,6 +23,7 @@
 use crate::balance::Choice;
 use crate::balance::Refusal;
 use crate::balance::RepeatAllowance;
+use crate::balance::RepeatNeed;
 use crate::balance::SendEnd;
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
@@ -194,11 +195,11 @@
 
     /// Takes one repeat out of the budget of the service.
     #[must_use]
-    pub fn spend_repeat(&self, service: &str) -> bool {
+    pub fn spend_repeat(&self, service: &str, need: RepeatNeed) -> bool {
         let mut state = self.state.lock();
         let allowance = self.own_allowance();
         let pool = state.pools.get_mut(service);
-        pool.is_some_and(|pool| pool.budget.spend(&allowance, now_us()))
+        pool.is_some_and(|pool| pool.budget.spend(&allowance, need, now_us()))
     }
 
     /// The usual time of such a request, in milliseconds.
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -12,6 +12,7 @@
 use super::FieldNames;
 use super::Route;
 use crate::balance::Ask;
+use crate::balance::RepeatNeed;
 use crate::clock::now_us;
 use crate::route::hop_by_hop;
 
@@ -42,6 +43,13 @@
         self.deadline_us.saturating_sub(now_us()) / 1000
     }
 
+    /// Who repeats it if this instance does not. Callers come back once with what was refused, or
+    /// with what is idempotent; the time spent before tells that this one did.
+    #[must_use]
+    pub const fn repeat_need(&self) -> RepeatNeed {
+        if self.spent_us == 0 { RepeatNeed::CallerCanReturn } else { RepeatNeed::LastChance }
+    }
+
     /// The id as text, for logs.
     #[must_use]
     pub fn id_text(&self) -> &str {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -114,7 +114,7 @@
         let usual_ms = self.dispatcher.usual_ms(&request.service, &request.ask(&tried.servers));
         #[expect(clippy::cast_precision_loss, reason = "milliseconds of a deadline")]
         let enough = request.left_ms() as f64 > WORTH_SENDING * usual_ms;
-        enough && self.dispatcher.spend_repeat(&request.service)
+        enough && self.dispatcher.spend_repeat(&request.service, request.repeat_need())
     }
 
     /// The final answer, or `None` when the request is to be sent again.
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -18,13 +18,14 @@
 use super::homes::homes_of_zone;
 use crate::board::Blackboard;
 use crate::board::Phase;
+use crate::conf::GatewaySettings;
 use crate::listener::ConnLimits;
 use crate::listener::Handler;
 
 /// How long callers keep an address answer. An instance that fails is left out of the next one,
 /// so this bounds how long callers go on trying it; a shorter time buys little, since the failure
 /// itself takes most of a second to be noticed.
-const ADDRESS_KEEP_MS: u64 = 1_000;
+const ADDRESS_KEEP: Duration = Duration::from_secs(1);
 const LIMITS: ConnLimits =
     ConnLimits { header_bytes_max: 16 << 10, head_timeout: Duration::from_secs(30) };
 
@@ -67,12 +68,12 @@
 }
 
 impl<D: Dialect> AddressHandler<D> {
-    fn addresses(&self, zone: &str) -> (Vec<SocketAddr>, u64) {
+    fn addresses(&self, zone: &str) -> (Vec<SocketAddr>, Duration) {
         let settings = self.board.settings.gateway.as_ref();
-        let keep_max_ms = settings.map_or(ADDRESS_KEEP_MS, |gateway| gateway.address_keep_max_ms);
+        let keep_max = settings.map_or(ADDRESS_KEEP, GatewaySettings::address_keep_max);
         let view = self.board.members_view();
         let homes = homes_of_zone(&view.rows, zone, HomesPlan::of(&self.board));
-        (homes.iter().map(|row| row.caller).collect(), ADDRESS_KEEP_MS.min(keep_max_ms))
+        (homes.iter().map(|row| row.caller).collect(), ADDRESS_KEEP.min(keep_max))
     }
 }
 
@@ -87,12 +88,11 @@
         let pairs = request.uri().query().unwrap_or("").split('&');
         let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
         let zone = pairs.find(|(name, _)| *name == paths.zone_query).map_or("", |(_, zone)| zone);
-        let (addresses, keep_ms) = self.addresses(zone);
+        let (addresses, keep) = self.addresses(zone);
         if addresses.is_empty() {
             return respond(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
         }
-        let mut response =
-            respond(StatusCode::OK, self.dialect.encode_addresses(&addresses, keep_ms));
+        let mut response = respond(StatusCode::OK, self.dialect.encode_addresses(&addresses, keep));
         let json = http::HeaderValue::from_static("application/json");
         response.headers_mut().insert(http::header::CONTENT_TYPE, json);
         response
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -27,9 +27,9 @@
 /// longer than this does not answer at all.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Health checks for each request that the instance can carry: a check takes about a fifth of the
-/// processor's time of a request, so this leaves nine tenths to requests.
-const CHECKS_PER_REQUEST: f64 = 0.5;
+/// One health check a second for so many requests a second that the instance can carry: a check
+/// takes about a fifth of the processor's time of a request, so this leaves nine tenths to these.
+const REQUESTS_PER_CHECK: u32 = 2;
 
 /// The servers of a zone that one of its homes checks.
 #[derive(Clone, Copy, Debug)]
@@ -96,9 +96,10 @@
     /// Turns in which each of so many servers is checked once, so that the checks of a large zone
     /// leave the processor to requests.
     fn turns_of_one_check(&self, servers: usize) -> u32 {
-        let affordable = f64::from(self.board.own_capacity_per_s()) * CHECKS_PER_REQUEST;
-        let wanted = servers as f64 * f64::from(PROBES_PER_S);
-        (wanted / affordable.max(1.0)).ceil().max(1.0) as u32
+        let affordable_per_s = self.board.own_capacity_per_s() / REQUESTS_PER_CHECK;
+        let servers = u32::try_from(servers).unwrap_or(u32::MAX);
+        let wanted_per_s = servers.saturating_mul(PROBES_PER_S);
+        wanted_per_s.div_ceil(affordable_per_s.max(1)).max(1)
     }
 
     async fn probe(self, server: Arc<Server>) {
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -1,6 +1,7 @@
 //! Plain names for everything that a platform names.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::HeaderName;
 use sorrelwick::gateway::Dialect;
@@ -65,7 +66,8 @@
         })
     }
 
-    fn encode_addresses(&self, addresses: &[SocketAddr], keep_ms: u64) -> Vec<u8> {
+    fn encode_addresses(&self, addresses: &[SocketAddr], keep: Duration) -> Vec<u8> {
+        let keep_ms = keep.as_millis();
         serde_json::json!({ "addresses": addresses, "keep_ms": keep_ms }).to_string().into_bytes()
     }
 }
--- a/standins/src/routed/routed_bed.rs
+++ b/standins/src/routed/routed_bed.rs
@@ -73,9 +73,9 @@
         },
         "gateway": {
             "readiness": "127.0.0.1:0", "addresses": "127.0.0.1:0", "store": "127.0.0.1:1",
-            "grace_ms": 2_000, "drain_ms": 2_000, "config_apply_ms": 2_000,
-            "address_keep_max_ms": 5_000, "repeat_ratio": 0.2, "repeat_window_ms": 10_000,
-            "repeat_slack": 60.0, "probes_per_s_max": 60, "memory_bytes_max": 200_000_000,
+            "grace_s": 2.0, "drain_ms": 2_000, "config_apply_ms": 2_000,
+            "address_keep_max_s": 5.0, "repeat_ratio": 0.2, "repeat_window_s": 10.0,
+            "repeat_slack": 60.0, "probes_per_s_max": 60, "memory_max_mb": 200.0,
             "zones": zones,
         },
     });
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -18,6 +18,7 @@
 use sorrelwick::balance::Ask;
 use sorrelwick::balance::RepeatAllowance;
 use sorrelwick::balance::RepeatBudget;
+use sorrelwick::balance::RepeatNeed;
 use sorrelwick::balance::SendEnd;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::gateway::LoadReport;
@@ -247,7 +248,7 @@
             let budget = &mut budgets[u.int_in_range(0..=homes as usize - 1)?];
             budget.request(&allowance, now_us);
             requests.push(now_us);
-            if u.ratio(4, 5)? && budget.spend(&allowance, now_us) {
+            if u.ratio(4, 5)? && budget.spend(&allowance, RepeatNeed::LastChance, now_us) {
                 repeats.push(now_us);
             }
         }
@@ -264,3 +265,40 @@
         Ok(())
     });
 }
+
+/// All servers of a service shed four sends in ten, for longer than the budget's window. Callers
+/// come back once with what was refused. If the budget goes to whoever is refused first, it is used
+/// up when those that came back are refused too, and nobody repeats these any more.
+#[test]
+fn while_servers_shed_the_budget_is_kept_for_those_that_came_back() {
+    let allowance = RepeatAllowance { ratio: 0.18, window_us: 10_000 * MS, slack: 10.0 };
+    let mut rng = Pcg64::seed_from_u64(7);
+    let mut budget = RepeatBudget::default();
+    let mut returning = std::collections::VecDeque::new();
+    let (mut asked, mut failed, mut repeats) = (0_u32, 0_u32, 0_u32);
+    for step in 0..40_000_u64 {
+        let now_us = 10_000 * MS + step * MS;
+        let fresh = [Some(RepeatNeed::CallerCanReturn)];
+        let back = returning.pop_front_if(|due: &mut u64| *due <= now_us);
+        for need in fresh.into_iter().chain([back.map(|_| RepeatNeed::LastChance)]).flatten() {
+            budget.request(&allowance, now_us);
+            let mut served = rng.random_range(0.0..1.0) >= 0.4;
+            while !served && budget.spend(&allowance, need, now_us) {
+                repeats += 1;
+                served = rng.random_range(0.0..1.0) >= 0.4;
+            }
+            match need {
+                RepeatNeed::CallerCanReturn => asked += 1,
+                RepeatNeed::LastChance => {}
+            }
+            if !served && need == RepeatNeed::CallerCanReturn {
+                returning.push_back(now_us + 20 * MS);
+            } else if !served {
+                failed += 1;
+            }
+        }
+    }
+    let requests = f64::from(asked) * 1.4;
+    assert!(f64::from(repeats) <= 0.2 * requests, "{repeats} repeats for {asked}");
+    assert!(f64::from(failed) < 0.05 * f64::from(asked), "{failed} of {asked} failed for good");
+}
