An instance that starts asks its neighbours beside the store

A planned restart of surrey's home fell into an outage of the store; the others named it again at once, its name being the first, and it waited two seconds for the store's word on routes that each neighbour had (code 2106 in its log). A watching instance asked the others only once it had a first copy. Ruled out: the repeat budget (none of these requests was sent to a server).

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -110,6 +110,7 @@
 
     /// Follows until the process ends.
     pub async fn run(self) {
+        self.first_copy().await;
         loop {
             if self.watches() {
                 self.follow_store().await;
@@ -122,6 +123,32 @@
         }
     }
 
+    /// Gets a first copy: from the store or from another instance, whichever answers first.
+    ///
+    /// An instance that restarts while the store does not answer would otherwise be a home again
+    /// at once, by its name, and refuse all of its zone's callers for want of a configuration that
+    /// each of its neighbours has.
+    async fn first_copy(&self) {
+        while self.mirror.revision().is_none() {
+            tokio::select! {
+                () = self.follow_store() => {}
+                () = self.others_know() => {}
+            }
+        }
+    }
+
+    /// Returns once another instance has told what it knows, however old.
+    async fn others_know(&self) {
+        let mut changes = self.board.changes();
+        while self.mirror.revision().is_none() {
+            if self.board.members_view().serving() > 1 {
+                self.ask_until_certain(Duration::ZERO).await;
+            }
+            // Another try once others are heard of, or after a while.
+            let _ = tokio::time::timeout(CROSS_CHECK_INTERVAL, changes.changed()).await;
+        }
+    }
+
     /// One turn at the store, and the pause after it.
     async fn follow_store(&self) {
         let began_us = now_us();
--- a/standins/src/routed/routed_bed.rs
+++ b/standins/src/routed/routed_bed.rs
@@ -11,6 +11,7 @@
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 
+use super::Fault;
 use super::MemoryEvents;
 use super::PlainDialect;
 use super::RawAnswer;
@@ -109,9 +110,18 @@
     /// # Panics
     /// When it does not start.
     pub async fn add(&mut self, name: &str, zone: &str, zones: &[&str]) {
+        self.add_turned_away(name, zone, zones, Fault::None).await;
+    }
+
+    /// Starts one more instance, which the store treats badly from its start.
+    ///
+    /// # Panics
+    /// When it does not start.
+    pub async fn add_turned_away(&mut self, name: &str, zone: &str, zones: &[&str], fault: Fault) {
         let peers = self.hosts.iter().map(|host| host.gateway.board().settings.listen.peer);
         let seeds: Vec<SocketAddr> = peers.take(3).collect();
         let view = self.store.for_another();
+        view.set_fault(fault);
         let settings = settings(name, zone, zones, &seeds);
         self.hosts.push(RoutedHost::spawn(settings, view.clone()).await);
         self.views.push(view);
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -129,3 +129,24 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// A planned restart of a zone's home falls into an outage of the store. The others name it again
+/// as soon as it is back, since its name comes first, and all of the zone's callers are refused: it
+/// waits for the store's word on the routes, which each of its neighbours has.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_that_restarts_while_the_store_is_silent_learns_from_its_neighbours() {
+    let mut bed = fleet().await;
+    let server = RawServer::spawn("p1").await;
+    bed.store.put("servers/p1", &server.entry("parts", "a", 4, "ready"));
+    while bed.call(1, "GET /look/a", "before", &[]).await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    bed.hosts.remove(0).kill();
+    bed.add_turned_away("i0", "a", &ZONES, Fault::Silent).await;
+    let restarted = bed.hosts.len() - 1;
+    let since = Instant::now();
+    while bed.call(restarted, "GET /look/a", "after", &[]).await.status != 200 {
+        assert!(since.elapsed() < Duration::from_millis(600), "it still knows nothing");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
