--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -217,9 +217,12 @@
     /// Lets a request wait, or tells that it would wait in vain.
     ///
     /// # Errors
-    /// When the queue before it needs longer than its aim leaves, or no server may be used.
+    /// When the queue before it needs longer than its aim leaves, or no server may be used that it
+    /// was not sent to already.
     pub fn enqueue(&mut self, ticket: u64, ask: Ask, now_us: u64) -> Result<(), Refusal> {
-        if self.servers.iter().all(|server| !server.listed(now_us)) {
+        let may_serve =
+            |server: &ServerTrack| server.listed(now_us) && !ask.avoid.contains(&server.row.id);
+        if !self.servers.iter().any(may_serve) {
             return Err(Refusal { no_server: true, retry_after_ms: NO_SERVER_RETRY_MS });
         }
         let slots = self.slots_in_use(now_us);
--- a/src/decide/slot_pool.rs
+++ b/src/decide/slot_pool.rs
@@ -94,12 +94,13 @@
         (ejected + 1) * 2 <= self.loads.len()
     }
 
-    /// Slots of the servers this instance may use now, free or not.
+    /// Slots of the servers this instance may use now, free or not, but for those of `avoid`.
     #[must_use]
-    pub fn slots(&self, reach: Reach, now_us: u64) -> u32 {
-        let reached = self.loads.iter().filter(|load| load.reached(reach));
-        let usable = reached.filter(|load| load.usable(now_us));
-        usable.map(|load| load.limit_now(now_us)).sum()
+    pub fn slots(&self, reach: Reach, avoid: &[usize], now_us: u64) -> u32 {
+        let loads = self.loads.iter().enumerate();
+        let reached = loads.filter(|(at, load)| load.reached(reach) && !avoid.contains(at));
+        let usable = reached.filter(|(_, load)| load.usable(now_us));
+        usable.map(|(_, load)| load.limit_now(now_us)).sum()
     }
 
     /// Slots free now.
--- a/src/route/binder.rs
+++ b/src/route/binder.rs
@@ -168,7 +168,7 @@
         let view = QueueView {
             waiting: binder_state.waiting.len(),
             waiting_max: binder_state.waiting_max,
-            slots: binder_state.pool.slots(reach, now_us()),
+            slots: binder_state.pool.slots(reach, avoid, now_us()),
             typical_us: binder_state.pool.typical_us(),
             left_us,
         };
@@ -221,7 +221,7 @@
     /// Whether any server within reach may be used at all now.
     #[must_use]
     pub fn usable(&self, reach: Reach) -> bool {
-        self.binder_state.lock().pool.slots(reach, now_us()) > 0
+        self.binder_state.lock().pool.slots(reach, &[], now_us()) > 0
     }
 
     /// Slots free now, and requests that wait.
--- a/standins/src/trial/model.rs
+++ b/standins/src/trial/model.rs
@@ -279,7 +279,7 @@
         let view = QueueView {
             waiting: self.homes[home].queue.len(),
             waiting_max: QUEUE_MAX,
-            slots: self.homes[home].pool.slots(Reach::Kept, self.now_us),
+            slots: self.homes[home].pool.slots(Reach::Kept, &[], self.now_us),
             typical_us: self.homes[home].pool.typical_us(),
             left_us: self.scene.deadline_us.saturating_sub(waited),
         };
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -7,6 +7,7 @@
 use standins::routed::Behaviour;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
+use standins::routed::raw_call;
 use standins::routed::two_routes;
 
 const WAIT: Duration = Duration::from_secs(10);
@@ -281,3 +282,31 @@
         assert_eq!(slow.ran().len(), before, "request {number} began on the slow server");
     }
 }
+
+/// An adviser waits for most of a second to hear that a lookup failed, though it was known at once:
+/// the only server that the service has cut its answer short, and the request then waited for
+/// another server that does not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_failed_on_the_only_server_gets_its_final_answer_at_once() {
+    for behaviour in [Behaviour::Close, Behaviour::Truncate, Behaviour::Garble] {
+        let (bed, parts, _) = one_of_each().await;
+        parts.behave(behaviour);
+        let since = Instant::now();
+        let answer = bed.call(0, "GET /look/a", "only", &[]).await;
+        let took = since.elapsed();
+        assert_eq!(answer.status, 502, "{behaviour:?}");
+        assert!(took < Duration::from_millis(100), "{behaviour:?}: {took:?}");
+    }
+}
+
+/// A request through a forward proxy names its host in the target. Routed by the other field, it
+/// would be run by another market's service.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_absolute_target_is_routed_by_its_own_host() {
+    let (bed, parts, _) = one_of_each().await;
+    let to = bed.board(0).settings.listen.caller;
+    let fields = [("host", "nobody.example"), ("request-id", "absolute")];
+    let answer = raw_call(to, "GET http://shop.example/look/a", &fields, &[]).await;
+    assert_eq!(answer.status, 200);
+    assert!(parts.heads().pop().is_some_and(|head| head.starts_with("GET /look/a HTTP/1.1")));
+}
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -177,3 +177,29 @@
     .await;
     assert!(bed.run_counts().values().all(|count| *count == 1));
 }
+
+/// Story: an adviser's lookup is cut short by the only server that the service has. That is its
+/// final answer, known at once; it must not wait until its deadline for another server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_failed_on_the_only_server_gets_its_final_answer_at_once() {
+    let bed = Bed::start(BedPlan { backends: 1, instances: 1, ..BedPlan::default() }).await;
+    bed.create("lookups").await;
+    let caller = bed.caller("lookups", 0);
+    bed.backends[0].behaviour.lose_answers.store(1, Ordering::Release);
+    let since = std::time::Instant::now();
+    let told = caller.call(&Call::get("/part", "only").within_ms(2_000)).await;
+    assert_eq!(told.outcome(), "unknown", "{told:?}");
+    assert!(since.elapsed().as_millis() < 400, "{:?}", since.elapsed());
+}
+
+/// Story: a caller behind a forward proxy names the host in the target. The service is that host,
+/// not what another field says.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_absolute_target_names_the_service_by_its_own_host() {
+    let bed = Bed::start(BedPlan { backends: 1, instances: 1, ..BedPlan::default() }).await;
+    bed.create("lookups").await;
+    let to = bed.caller_addresses()[0];
+    let line = "GET http://lookups/part?work_us=100";
+    let answer = standins::routed::raw_call(to, line, &[("host", "other")], &[]).await;
+    assert_eq!(answer.status, 200, "{}", answer.head);
+}
