An instance keeps to its part of a server's connections; late answers are not taken for health

Two findings by reading. Each home now has its part of three quarters, the others divide the rest; requests wait rather than open one more. And an answer that a faulty server sends a second time came where that to a health check was due, and told the load and pace of then: the lookup began on a slow server. We send no request id with health checks, so an answer that bears one is passed over. The stand-in's server now sends the late answer before a health answer too, without Nagle's delay.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -217,6 +217,7 @@
             board: Arc::clone(&board),
             links: links.clone(),
             dispatcher: dispatcher.clone(),
+            table: Arc::clone(&table),
         };
         tasks.spawn(load_share.run());
         let peers = GatewayPeers {
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -80,6 +80,9 @@
     /// Place of each server in `servers`, by id.
     places: HashMap<Arc<str>, usize>,
     pub budget: RepeatBudget,
+    /// Requests of this instance that each server may have, by the connections it accepts; 0 where
+    /// that is not known.
+    pub own_requests_max: usize,
     waiting: Vec<Waiting>,
     limit: ConcurrencyLimit,
     times: ServiceTimes,
@@ -129,7 +132,10 @@
         let rooms = self.servers.iter().enumerate().filter_map(|(index, server)| {
             let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
             let occupancy = server.occupancy(now_us);
-            (occupancy < allowed && server.usable(now_us)).then_some(Room { index, occupancy })
+            let connected =
+                self.own_requests_max == 0 || server.own_requests() < self.own_requests_max;
+            (occupancy < allowed && connected && server.usable(now_us))
+                .then_some(Room { index, occupancy })
         });
         rooms.collect()
     }
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -16,6 +16,7 @@
 
 use super::LoadReport;
 use super::ServerRow;
+use super::ServiceRule;
 use super::grant::Grant;
 use super::server::Server;
 use super::server_conns::ServerConns;
@@ -92,6 +93,16 @@
     }
 }
 
+/// This instance's part of the connections that a server accepts; it needs one at least.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a whole number"
+)]
+fn own_connections(rule: &ServiceRule, part: f64) -> u32 {
+    (f64::from(rule.connections_max) * part).max(1.0) as u32
+}
+
 fn random() -> f64 {
     rand::rng().random_range(0.0..1.0)
 }
@@ -178,6 +189,23 @@
         self.sharers.store(instances.max(1), Ordering::Release);
     }
 
+    /// Keeps to a part of the connections that each server of these services accepts.
+    pub fn share_connections(&self, services: &HashMap<Arc<str>, ServiceRule>, part: f64) {
+        let mut state = self.state.lock();
+        let State { pools, servers, .. } = &mut *state;
+        let own_max = |service: &str| {
+            services.get(service).map_or(u32::MAX, |rule| own_connections(rule, part))
+        };
+        for (service, pool) in pools.iter_mut() {
+            // One is left for health checks.
+            let for_requests = own_max(service).saturating_sub(1).max(1);
+            pool.own_requests_max = usize::try_from(for_requests).unwrap_or(usize::MAX);
+        }
+        for server in servers.values() {
+            server.conns.set_open_max(own_max(&server.service));
+        }
+    }
+
     /// What this instance may repeat.
     #[expect(clippy::cast_precision_loss, reason = "a few homes")]
     fn own_allowance(&self) -> RepeatAllowance {
--- a/src/gateway/load_share.rs
+++ b/src/gateway/load_share.rs
@@ -12,6 +12,7 @@
 
 use tokio::time::MissedTickBehavior;
 
+use super::caller_handler::TableInForce;
 use super::dispatcher::Dispatcher;
 use super::homes::HomesPlan;
 use super::homes::all_homes;
@@ -38,15 +39,30 @@
 /// Requests a second that callers of a zone may send for each slot of its share of the servers.
 /// Work takes 0.2 to 0.5 s, so this fills most of the slots; more cannot be served for long.
 const REQUESTS_PER_SLOT: f64 = 1.5;
+/// Part of the connections that a server accepts for all homes together.
+const HOMES_CONNECTIONS: f64 = 0.75;
 /// How often the set of homes is looked at.
 const HOMES_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The part of a server's connections that an instance may use: nearly all of the requests come
+/// by the homes, and the rest by callers that keep an old address answer.
+#[expect(clippy::cast_precision_loss, reason = "some hundred instances")]
+fn connection_part(homes: usize, others: usize, is_home: bool) -> f64 {
+    let (homes, others) = (homes.max(1) as f64, others as f64);
+    match (is_home, others > 0.0) {
+        (true, false) => 1.0 / homes,
+        (true, true) => HOMES_CONNECTIONS / homes,
+        (false, _) => (1.0 - HOMES_CONNECTIONS) / others.max(1.0),
+    }
+}
+
 /// Tells loads while this instance is a home.
 #[derive(Clone, Debug)]
 pub struct LoadShare {
     pub board: Arc<Blackboard>,
     pub links: Links,
     pub dispatcher: Dispatcher,
+    pub table: TableInForce,
 }
 
 impl LoadShare {
@@ -79,7 +95,13 @@
         let demand_per_s = f64::from(self.dispatcher.slots()) / zones * REQUESTS_PER_SLOT;
         self.board.set_zone_demand_per_s(demand_per_s as u32);
         let view = self.board.members_view();
-        self.dispatcher.share_slack(all_homes(&view.rows, HomesPlan::of(&self.board)).len());
+        let homes = all_homes(&view.rows, HomesPlan::of(&self.board)).len();
+        self.dispatcher.share_slack(homes);
+        let others = view.serving().saturating_sub(homes);
+        let part = connection_part(homes, others, self.is_home());
+        if let Some(table) = self.table.load().as_ref() {
+            self.dispatcher.share_connections(&table.services, part);
+        }
     }
 
     /// The other homes. An instance that is none still has the requests of callers that keep an
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -1,5 +1,6 @@
 //! Health checks, which tell load and pace of the servers of the own zone.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -110,7 +111,11 @@
         };
         self.board.counters.add(Counter::Probes);
         let checked = async {
-            let mut conn = server.conns.take(PROBE_TIMEOUT).await.ok()?;
+            let mut conn = match server.conns.take(PROBE_TIMEOUT).await {
+                Ok(conn) => conn,
+                // All connections carry requests, whose answers tell as much.
+                Err(err) => return (err.kind() == ErrorKind::QuotaExceeded).then_some(()),
+            };
             let keep =
                 check(&self.dialect, &self.dispatcher, &server, &mut conn, path).await.ok()?;
             if keep {
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -53,12 +53,18 @@
     1
 }
 
+/// Where the operators do not bound connections, the instances' own limits do.
+const fn connections_default() -> u32 {
+    u32::MAX
+}
+
 /// What the operators say of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRule {
     pub name: Arc<str>,
     pub health_path: String,
     /// Connections that a backend server of the service takes from everybody together.
+    #[serde(default = "connections_default")]
     pub connections_max: u32,
 }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one backend server.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -110,9 +111,16 @@
 ) -> SendResult {
     let left = Duration::from_millis(request.left_ms());
     let connect_within = CONNECT_TIMEOUT.min(left);
-    let Ok(mut conn) = grant.server.conns.take(connect_within).await else {
-        grant.end(SendEnd::Unreachable);
-        return SendResult::NotSent;
+    let mut conn = match grant.server.conns.take(connect_within).await {
+        Ok(conn) => conn,
+        // Its connections are all in use, which says nothing against the server.
+        Err(err) if err.kind() == ErrorKind::QuotaExceeded => {
+            return SendResult::Unfit { silent: false };
+        }
+        Err(_) => {
+            grant.end(SendEnd::Unreachable);
+            return SendResult::NotSent;
+        }
     };
     let stale = match grant.choice.pace_age_us {
         Some(age_us) => age_us > FRESH_US,
--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -1,6 +1,9 @@
 //! One connection to a backend server.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -80,7 +83,9 @@
                 head.headers.contains_key(self.refusal)
                     || head.status == StatusCode::MISDIRECTED_REQUEST
             }
-            (None, _) => true,
+            // We sent no id: an answer that bears one is a late one to an earlier request, and
+            // tells the load and health of then.
+            (None, echoed) => echoed.is_none(),
         }
     }
 }
@@ -92,6 +97,27 @@
     input: BytesMut,
     idle_since_us: u64,
     keep: Duration,
+    _open: OpenCount,
+}
+
+/// Counts a connection to a backend server while it is open.
+#[derive(Debug)]
+pub struct OpenCount(Arc<AtomicU32>);
+
+impl OpenCount {
+    /// Counts one more, unless there are `most` already.
+    #[must_use]
+    pub fn within(open: &Arc<AtomicU32>, most: u32) -> Option<Self> {
+        let add = |now: u32| (now < most).then_some(now + 1);
+        open.try_update(Ordering::AcqRel, Ordering::Acquire, add).ok()?;
+        Some(Self(Arc::clone(open)))
+    }
+}
+
+impl Drop for OpenCount {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl ServerConn {
@@ -99,13 +125,17 @@
     ///
     /// # Errors
     /// When it cannot be opened within `within`; nothing was sent then.
-    pub async fn open(address: SocketAddr, within: Duration) -> std::io::Result<Self> {
+    pub async fn open(
+        address: SocketAddr,
+        within: Duration,
+        open: OpenCount,
+    ) -> std::io::Result<Self> {
         let timed_out = |_| std::io::ErrorKind::TimedOut.into();
         let connected = tokio::time::timeout(within, TcpStream::connect(address)).await;
         let stream = connected.unwrap_or_else(|elapsed| Err(timed_out(elapsed)))?;
         stream.set_nodelay(true)?;
         let input = BytesMut::new();
-        Ok(Self { stream, input, idle_since_us: now_us(), keep: KEEP_DEFAULT })
+        Ok(Self { stream, input, idle_since_us: now_us(), keep: KEEP_DEFAULT, _open: open })
     }
 
     /// Whether an idle connection can carry another request.
--- a/src/gateway/server_conns.rs
+++ b/src/gateway/server_conns.rs
@@ -1,10 +1,15 @@
 //! The idle connections to one backend server.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 
+use super::server_conn::OpenCount;
 use super::server_conn::ServerConn;
 
 /// Idle connections kept to one server; more than its slots are of no use.
@@ -15,13 +20,23 @@
 pub struct ServerConns {
     address: SocketAddr,
     idle: Mutex<Vec<ServerConn>>,
+    /// Connections that are open, idle ones included.
+    open: Arc<AtomicU32>,
+    /// This instance's part of the connections that the server accepts from everybody.
+    open_max: AtomicU32,
 }
 
 impl ServerConns {
     /// No connection yet.
     #[must_use]
-    pub const fn new(address: SocketAddr) -> Self {
-        Self { address, idle: Mutex::new(Vec::new()) }
+    pub fn new(address: SocketAddr) -> Self {
+        let idle = Mutex::new(Vec::new());
+        Self { address, idle, open: Arc::default(), open_max: AtomicU32::new(u32::MAX) }
+    }
+
+    /// Sets this instance's part of the connections that the server accepts.
+    pub fn set_open_max(&self, open_max: u32) {
+        self.open_max.store(open_max, Ordering::Release);
     }
 
     /// Where the server listens.
@@ -45,12 +60,17 @@
     /// A connection: an idle one, or a new one.
     ///
     /// # Errors
-    /// When none can be opened within `within`.
+    /// When none can be opened within `within`, or [`ErrorKind::QuotaExceeded`] when this instance
+    /// has as many as it may.
     pub async fn take(&self, within: Duration) -> std::io::Result<ServerConn> {
-        match self.reuse() {
-            Some(conn) => Ok(conn),
-            None => ServerConn::open(self.address, within).await,
+        if let Some(conn) = self.reuse() {
+            return Ok(conn);
         }
+        let open_max = self.open_max.load(Ordering::Acquire);
+        let Some(open) = OpenCount::within(&self.open, open_max) else {
+            return Err(ErrorKind::QuotaExceeded.into());
+        };
+        ServerConn::open(self.address, within, open).await
     }
 
     /// Keeps a connection for the next request.
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -57,6 +57,8 @@
     cancelled: AtomicU32,
     in_flight: AtomicU32,
     in_flight_most: AtomicU32,
+    connections: AtomicU32,
+    connections_most: AtomicU32,
 }
 
 /// A running server; it stops when dropped.
@@ -85,12 +87,20 @@
             cancelled: AtomicU32::new(0),
             in_flight: AtomicU32::new(0),
             in_flight_most: AtomicU32::new(0),
+            connections: AtomicU32::new(0),
+            connections_most: AtomicU32::new(0),
         });
         let serving = Arc::clone(&shared);
         let task = TaskGuard::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(serve(stream, Arc::clone(&serving)));
+                let shared = Arc::clone(&serving);
+                let open = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
+                shared.connections_most.fetch_max(open, Ordering::Relaxed);
+                connections.spawn(async move {
+                    serve(stream, Arc::clone(&shared)).await;
+                    shared.connections.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
         Self { address, shared, _task: task }
@@ -136,6 +146,12 @@
         self.shared.in_flight_most.load(Ordering::Relaxed)
     }
 
+    /// Most connections that were open at the same time.
+    #[must_use]
+    pub fn connections_most(&self) -> u32 {
+        self.shared.connections_most.load(Ordering::Relaxed)
+    }
+
     /// The entry of this server as the stand-in's store lists it.
     #[must_use]
     pub fn entry(&self, service: &str, zone: &str, slots: u32, state: &str) -> String {
@@ -173,6 +189,8 @@
 }
 
 async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
+    // Two writes in a row would otherwise wait 40 ms for each other.
+    let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
     let mut late: Option<String> = None;
     while let Some(head) = read_head(&mut stream, &mut input).await {
@@ -192,17 +210,17 @@
         if early {
             continue;
         }
+        if let Some(late) = late.take()
+            && stream.write_all(late.as_bytes()).await.is_err()
+        {
+            return;
+        }
         if checked {
             if stream.write_all(health(&shared).await.as_bytes()).await.is_err() {
                 return;
             }
             continue;
         }
-        if let Some(late) = late.take()
-            && stream.write_all(late.as_bytes()).await.is_err()
-        {
-            return;
-        }
         if !answer(&mut stream, &shared, &head, &mut late).await {
             return;
         }
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -286,6 +286,62 @@
     }
 }
 
+/// A lookup is begun on a slow server although the server was asked just before: the answer to the
+/// request before it came a second time, where that to the health check was due, and told the pace
+/// of then.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_comes_again_is_not_taken_for_that_to_a_health_check() {
+    let (bed, parts, _) = one_of_each().await;
+    let other = RawServer::spawn("p2").await;
+    bed.store.put("servers/p2", &other.entry("parts", "z", 4, "ready"));
+    until_used(&bed, &other).await;
+    for number in 0..10 {
+        parts.pace(100);
+        other.pace(100);
+        parts.behave(Behaviour::AnswerTwice);
+        other.behave(Behaviour::AnswerTwice);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for warm in 0..4 {
+            bed.call(0, "GET /look/a", &format!("warm-{number}-{warm}"), &[]).await;
+        }
+        parts.behave(Behaviour::Answer);
+        parts.pace(500);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let before = parts.ran().len();
+        let answer = bed.call(0, "GET /look/a", &format!("again-{number}"), &[]).await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(parts.ran().len(), before, "request {number} began on the slow server");
+    }
+}
+
+/// More connections than a server accepts are reset, with the requests on them: each instance keeps
+/// to its part of what the operators declare, and lets requests wait instead.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_gets_no_more_connections_than_it_accepts() {
+    let bed = RoutedBed::start(&["z"]).await;
+    let parts = RawServer::spawn("p1").await;
+    parts.work(Duration::from_millis(20));
+    let config = two_routes(1).replace("\"connections_max\":200", "\"connections_max\":4");
+    bed.store.put("config", &config);
+    bed.store.put("servers/p1", &parts.entry("parts", "z", 16, "ready"));
+    bed.settle().await;
+    until_served(&bed, "GET /look/a").await;
+    // The part of each instance is worked out some times a second.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let to = bed.board(0).settings.listen.caller;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..40 {
+        calls.spawn(async move {
+            let id = format!("many-{number}");
+            let fields = [("host", "shop.example"), ("request-id", id.as_str())];
+            raw_call(to, "GET /look/a", &fields, &[]).await.status
+        });
+    }
+    let statuses = calls.join_all().await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert!(parts.connections_most() <= 4, "{} connections at once", parts.connections_most());
+}
+
 /// An adviser waits for most of a second to hear that a lookup failed, though it was known at once:
 /// the only server that the service has cut its answer short, and the request then waited for
 /// another server that does not exist.
