--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -171,12 +171,11 @@
 /// The service header, or else the host without its port: that of an absolute target, which goes
 /// before the field.
 fn service_name(parts: &http::request::Parts) -> Option<String> {
-    let named = match parts.headers.get(fields::SERVICE) {
-        Some(value) => value.to_str().ok()?,
-        None => {
-            let field = fields::text(&parts.headers, "host");
-            parts.uri.host().or(field)?.split(':').next()?
-        }
+    let named = if let Some(value) = parts.headers.get(fields::SERVICE) {
+        value.to_str().ok()?
+    } else {
+        let field = fields::text(&parts.headers, "host");
+        parts.uri.host().or(field)?.split(':').next()?
     };
     (!named.is_empty()).then(|| named.to_owned())
 }
