--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -80,6 +80,9 @@
     /// Place of each server in `servers`, by id.
     places: HashMap<Arc<str>, usize>,
     pub budget: RepeatBudget,
+    /// Requests of this instance that each server may have, by the connections it accepts; 0 where
+    /// that is not known.
+    pub own_requests_max: usize,
     waiting: Vec<Waiting>,
     limit: ConcurrencyLimit,
     times: ServiceTimes,
@@ -129,7 +132,10 @@
         let rooms = self.servers.iter().enumerate().filter_map(|(index, server)| {
             let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
             let occupancy = server.occupancy(now_us);
-            (occupancy < allowed && server.usable(now_us)).then_some(Room { index, occupancy })
+            let connected =
+                self.own_requests_max == 0 || server.own_requests() < self.own_requests_max;
+            (occupancy < allowed && connected && server.usable(now_us))
+                .then_some(Room { index, occupancy })
         });
         rooms.collect()
     }
@@ -217,9 +223,12 @@
     /// Lets a request wait, or tells that it would wait in vain.
     ///
     /// # Errors
-    /// When the queue before it needs longer than its aim leaves, or no server may be used.
+    /// When the queue before it needs longer than its aim leaves, or no server may be used that it
+    /// was not sent to already.
     pub fn enqueue(&mut self, ticket: u64, ask: Ask, now_us: u64) -> Result<(), Refusal> {
-        if self.servers.iter().all(|server| !server.listed(now_us)) {
+        let may_serve =
+            |server: &ServerTrack| server.listed(now_us) && !ask.avoid.contains(&server.row.id);
+        if !self.servers.iter().any(may_serve) {
             return Err(Refusal { no_server: true, retry_after_ms: NO_SERVER_RETRY_MS });
         }
         let slots = self.slots_in_use(now_us);
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -7,6 +7,7 @@
 use standins::routed::Behaviour;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
+use standins::routed::raw_call;
 use standins::routed::two_routes;
 
 const WAIT: Duration = Duration::from_secs(10);
@@ -271,8 +272,11 @@
     until_used(&bed, &other).await;
     for number in 0..40 {
         let (slow, fast) = if number % 2 == 0 { (&parts, &other) } else { (&other, &parts) };
-        slow.pace(500);
+        // Both are known to be fast: health checks come eight times a second.
+        slow.pace(100);
         fast.pace(100);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        slow.pace(500);
         // The last answer told the pace of then; it is believed for some milliseconds.
         tokio::time::sleep(Duration::from_millis(10)).await;
         let before = slow.ran().len();
@@ -281,3 +285,87 @@
         assert_eq!(slow.ran().len(), before, "request {number} began on the slow server");
     }
 }
+
+/// A lookup is begun on a slow server although the server was asked just before: the answer to the
+/// request before it came a second time, where that to the health check was due, and told the pace
+/// of then.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_comes_again_is_not_taken_for_that_to_a_health_check() {
+    let (bed, parts, _) = one_of_each().await;
+    let other = RawServer::spawn("p2").await;
+    bed.store.put("servers/p2", &other.entry("parts", "z", 4, "ready"));
+    until_used(&bed, &other).await;
+    for number in 0..10 {
+        parts.pace(100);
+        other.pace(100);
+        parts.behave(Behaviour::AnswerTwice);
+        other.behave(Behaviour::AnswerTwice);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        for warm in 0..4 {
+            bed.call(0, "GET /look/a", &format!("warm-{number}-{warm}"), &[]).await;
+        }
+        parts.behave(Behaviour::Answer);
+        parts.pace(500);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let before = parts.ran().len();
+        let answer = bed.call(0, "GET /look/a", &format!("again-{number}"), &[]).await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(parts.ran().len(), before, "request {number} began on the slow server");
+    }
+}
+
+/// More connections than a server accepts are reset, with the requests on them: each instance keeps
+/// to its part of what the operators declare, and lets requests wait instead.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_gets_no_more_connections_than_it_accepts() {
+    let bed = RoutedBed::start(&["z"]).await;
+    let parts = RawServer::spawn("p1").await;
+    parts.work(Duration::from_millis(20));
+    let config = two_routes(1).replace("\"connections_max\":200", "\"connections_max\":4");
+    bed.store.put("config", &config);
+    bed.store.put("servers/p1", &parts.entry("parts", "z", 16, "ready"));
+    bed.settle().await;
+    until_served(&bed, "GET /look/a").await;
+    // The part of each instance is worked out some times a second.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let to = bed.board(0).settings.listen.caller;
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..40 {
+        calls.spawn(async move {
+            let id = format!("many-{number}");
+            let fields = [("host", "shop.example"), ("request-id", id.as_str())];
+            raw_call(to, "GET /look/a", &fields, &[]).await.status
+        });
+    }
+    let statuses = calls.join_all().await;
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert!(parts.connections_most() <= 4, "{} connections at once", parts.connections_most());
+}
+
+/// An adviser waits for most of a second to hear that a lookup failed, though it was known at once:
+/// the only server that the service has cut its answer short, and the request then waited for
+/// another server that does not exist.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_failed_on_the_only_server_gets_its_final_answer_at_once() {
+    for behaviour in [Behaviour::Close, Behaviour::Truncate, Behaviour::Garble] {
+        let (bed, parts, _) = one_of_each().await;
+        parts.behave(behaviour);
+        let since = Instant::now();
+        let answer = bed.call(0, "GET /look/a", "only", &[]).await;
+        let took = since.elapsed();
+        assert_eq!(answer.status, 502, "{behaviour:?}");
+        assert!(took < Duration::from_millis(100), "{behaviour:?}: {took:?}");
+    }
+}
+
+/// A request through a forward proxy names its host in the target. Routed by the other field, it
+/// would be run by another market's service.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_absolute_target_is_routed_by_its_own_host() {
+    let (bed, parts, _) = one_of_each().await;
+    let to = bed.board(0).settings.listen.caller;
+    let fields = [("host", "nobody.example"), ("request-id", "absolute")];
+    let answer = raw_call(to, "GET http://shop.example/look/a", &fields, &[]).await;
+    assert_eq!(answer.status, 200);
+    assert!(parts.heads().pop().is_some_and(|head| head.starts_with("GET /look/a HTTP/1.1")));
+}
