--- a/src/balance/ask.rs
+++ b/src/balance/ask.rs
@@ -29,6 +29,13 @@
         let used_us = now_us.saturating_sub(self.arrived_us) + self.spent_us;
         self.aim_ms - used_us as f64 / 1000.0
     }
+
+    /// Milliseconds until nobody waits for the answer any more.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "times of one request")]
+    pub fn deadline_left_ms(&self, now_us: u64) -> f64 {
+        self.deadline_us.saturating_sub(now_us) as f64 / 1000.0
+    }
 }
 
 /// The server chosen for a request, and what was believed of it.
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -350,14 +350,22 @@
         Some(now_us.saturating_sub(self.pace_at_us))
     }
 
-    /// Expected time until a request sent there now is answered, from what work usually takes.
+    /// Expected time of work that begins now, from what it usually takes.
     #[must_use]
     #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
-    pub fn expected_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
+    pub fn work_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
         let pace_age_us = now_us.saturating_sub(self.pace_at_us) as f64;
         let pace = 1.0 + (self.pace - 1.0) * (-pace_age_us / PACE_LIFE_US).exp();
         let cold = if self.warm(now_us) { 1.0 } else { COLD_FACTOR };
-        let mut expected_ms = typical_ms * pace * cold;
+        typical_ms * pace * cold
+    }
+
+    /// Expected time until a request sent there now is answered, failures that make it take longer
+    /// included.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
+    pub fn expected_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
+        let mut expected_ms = self.work_ms(typical_ms, now_us);
         expected_ms *= 1.0 + FAILURE_FACTOR * self.failures(now_us);
         if self.unwell {
             expected_ms *= 2.0;
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -29,6 +29,8 @@
 const NEEDED_FACTOR: f64 = 1.25;
 /// A request that will be late waits for spare slots for at most this part of its aim.
 const LATE_WAIT_SHARE: f64 = 0.12;
+/// Times the usual that a late request may take on its server while others can be in time.
+const LATE_FACTOR: f64 = 2.0;
 /// When to come back while a service has no server at all.
 const NO_SERVER_RETRY_MS: u64 = 500;
 /// Bounds of the time told to refused callers.
@@ -51,8 +53,11 @@
 struct Place<'a> {
     /// The zone of this instance.
     zone: &'a str,
-    /// Only servers that are expected to answer within the aim.
-    in_aim: bool,
+    /// Only servers that are expected to answer within this.
+    within_ms: f64,
+    /// For a late request, failures and health do not count: it is begun on a bad server rather
+    /// than not at all.
+    late: bool,
 }
 
 /// A server that may take one more request.
@@ -140,8 +145,7 @@
         rooms.collect()
     }
 
-    /// Of the servers with room the one that is expected to answer first; with `in_aim`, only if
-    /// it is expected to answer within the aim.
+    /// Of the servers with room the one that is expected to answer first, if that is soon enough.
     ///
     /// The pace of a server when work begins holds for all of it, and shifts some times a second:
     /// waiting for another server is better than beginning on a slow one.
@@ -154,7 +158,6 @@
         random: &mut impl FnMut() -> f64,
     ) -> Option<usize> {
         let typical_ms = self.typical_ms(ask);
-        let left_ms = ask.aim_left_ms(now_us);
         let mut best: Option<(f64, usize)> = None;
         for room in rooms {
             let server = &self.servers[room.index];
@@ -162,7 +165,8 @@
                 continue;
             }
             let expected_ms = server.expected_ms(typical_ms, now_us);
-            if place.in_aim && expected_ms > left_ms {
+            let work_ms = if place.late { server.work_ms(typical_ms, now_us) } else { expected_ms };
+            if work_ms > place.within_ms {
                 continue;
             }
             let crowded = f64::from(room.occupancy) / f64::from(server.row.slots);
@@ -195,7 +199,8 @@
         now_us: u64,
         random: &mut impl FnMut() -> f64,
     ) -> Option<Choice> {
-        let place = Place { zone, in_aim: self.can_meet_aim(ask, now_us) };
+        let late = !self.can_meet_aim(ask, now_us);
+        let place = Place { zone, within_ms: self.within_ms(ask, late, now_us), late };
         let rooms = self.with_room(now_us);
         let index = self.choose(ask, &rooms, place, now_us, random)?;
         Some(self.start(index, ticket, ask, now_us))
@@ -345,12 +350,12 @@
             if !least_ms.iter().any(|(route, _)| **route == *ask.route) {
                 least_ms.push((&ask.route, self.least_expected_ms(ask, &rooms, now_us)));
             }
-            let left_ms = ask.aim_left_ms(now_us);
-            let in_time = |(route, ms): &(&str, f64)| **route == *ask.route && *ms <= left_ms;
+            let within_ms = self.within_ms(ask, waiting.late, now_us);
+            let in_time = |(route, ms): &(&str, f64)| **route == *ask.route && *ms <= within_ms;
             if !waiting.late && !least_ms.iter().any(in_time) {
                 continue;
             }
-            let place = Place { zone, in_aim: !waiting.late };
+            let place = Place { zone, within_ms, late: waiting.late };
             if let Some(index) = self.choose(ask, &rooms, place, now_us, random) {
                 return Some((at, index));
             }
@@ -358,6 +363,24 @@
         None
     }
 
+    /// How soon a server must be expected to answer for the request to begin there.
+    ///
+    /// A late request still needs its answer before its deadline: begun on a server that takes
+    /// longer, it holds a slot until then, and its caller is told neither an answer nor that it did
+    /// not run. While others wait that can be in time, it must not hold a slot for much longer than
+    /// usual either: a slow server is a fast one a moment later, and its slot theirs.
+    fn within_ms(&self, ask: &Ask, late: bool, now_us: u64) -> f64 {
+        if !late {
+            return ask.aim_left_ms(now_us);
+        }
+        let left_ms = ask.deadline_left_ms(now_us);
+        // The queue is in order: the late ones come last.
+        if self.waiting.first().is_some_and(|waiting| !waiting.late) {
+            return left_ms.min(LATE_FACTOR * self.typical_ms(ask));
+        }
+        left_ms
+    }
+
     /// Whether a request that starts now on a server of usual pace is answered within its aim.
     fn can_meet_aim(&self, ask: &Ask, now_us: u64) -> bool {
         self.typical_ms(ask) <= ask.aim_left_ms(now_us)
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -266,6 +266,35 @@
     });
 }
 
+/// In a burst a fifth of the slots is held by certifications that nobody will see answered: they
+/// could not be in time any more, were begun on servers then twenty times slower, and held their
+/// slots until their deadlines. Their callers were told neither an answer nor that nothing ran.
+#[test]
+fn a_late_request_is_not_begun_where_it_cannot_be_answered_before_its_deadline() {
+    let mut pool = pool(2, 1);
+    let mut now_us = 1_000 * MS;
+    // Both answer in 250 ms at first, so that this is the usual time.
+    for ticket in 0..100 {
+        let ask = ask("cert", 1, 800.0, now_us);
+        let choice = pool.take(ticket, &ask, ZONE, now_us, &mut half()).expect("a free server");
+        now_us += 250 * MS;
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us);
+    }
+    let slow = |pool: &mut ServicePool, percent, now_us| {
+        for id in ["s0", "s1"] {
+            let load = LoadReport { running: 0, waiting: 0, pace_percent: percent };
+            pool.server(id).expect("listed").report(load, now_us);
+        }
+    };
+    let mut late = ask("cert", 1, 800.0, now_us);
+    late.spent_us = 700 * MS;
+    late.deadline_us = now_us + 1_200 * MS;
+    slow(&mut pool, 2_000, now_us);
+    assert_eq!(pool.take(1_000, &late, ZONE, now_us, &mut half()), None, "begun, 5 s expected");
+    slow(&mut pool, 300, now_us);
+    assert!(pool.take(1_000, &late, ZONE, now_us, &mut half()).is_some(), "750 ms are in time");
+}
+
 /// All servers of a service shed four sends in ten, for longer than the budget's window. Callers
 /// come back once with what was refused. If the budget goes to whoever is refused first, it is used
 /// up when those that came back are refused too, and nobody repeats these any more.
