--- a/src/balance/repeat_budget.rs
+++ b/src/balance/repeat_budget.rs
@@ -25,7 +25,7 @@
 /// Part of the budget that requests may use whose callers can still come back. While 4 of 10 sends
 /// are refused, one in 12 requests fails for good if those may use up all of it, and one in 100 if
 /// half or a fifth (modelled, 40,000 requests).
-const RETURNABLE_SHARE: f64 = 0.35;
+const RETURNABLE_SHARE: f64 = 0.25;
 
 /// Requests and repeats of one service on this instance over the last window.
 ///
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -23,6 +23,10 @@
 const FAILURE_WEIGHT: f64 = 0.3;
 /// The share of failures halves in this time without an end, so that a server is tried again.
 const FAILURE_HALF_LIFE_US: f64 = 1_000_000.0;
+/// What a refusal counts as against a failure: nothing ran, and the request goes elsewhere at once.
+/// Counted in full, servers that all shed some of their requests look three times slower than the
+/// aims allow, and requests wait though there are slots.
+const REFUSAL_SAMPLE: f64 = 0.25;
 /// A server that fails all that it gets looks this many times slower, and one more.
 const FAILURE_FACTOR: f64 = 5.0;
 /// Work that takes this many times as long as usual counts as overdue.
@@ -56,8 +60,10 @@
 pub enum SendEnd {
     /// A whole answer that is no failure.
     Answered,
-    /// A whole answer that tells of a failure, or a refusal.
+    /// A whole answer that tells of a failure.
     Failed,
+    /// The server said that it did not run the request.
+    Refused,
     /// The connection was refused or could not be opened in time.
     Unreachable,
     /// The connection broke, or brought bytes that are no answer.
@@ -281,7 +287,7 @@
                 self.breaks = 0;
                 self.heard_us = now_us;
             }
-            SendEnd::Failed => self.heard_us = now_us,
+            SendEnd::Failed | SendEnd::Refused => self.heard_us = now_us,
             SendEnd::Unreachable => self.pause(now_us),
             SendEnd::Broken => {
                 self.breaks += 1;
@@ -292,7 +298,11 @@
             SendEnd::TimedOut => {}
         }
         let failures = self.failures(now_us);
-        let sample = if end == SendEnd::Answered { 0.0 } else { 1.0 };
+        let sample = match end {
+            SendEnd::Answered => 0.0,
+            SendEnd::Refused => REFUSAL_SAMPLE,
+            _ => 1.0,
+        };
         self.failures = failures + FAILURE_WEIGHT * (sample - failures);
         self.failures_at_us = now_us;
         Some(sent)
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -88,7 +88,8 @@
                 if failed { SendEnd::Failed } else { SendEnd::Answered }
             }
             Self::Unfit { .. } => SendEnd::Cancelled,
-            Self::Refused { .. } | Self::Unproved { .. } => SendEnd::Failed,
+            Self::Refused { .. } => SendEnd::Refused,
+            Self::Unproved { .. } => SendEnd::Failed,
             Self::NotSent => SendEnd::Unreachable,
             Self::Lost(_) => SendEnd::Broken,
             Self::TimedOut => SendEnd::TimedOut,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -266,6 +266,29 @@
     });
 }
 
+/// Half of the lookups wait a quarter of a second though most slots are free: all servers shed four
+/// requests in ten, and by that each of them looked slower than the aim allows.
+#[test]
+fn requests_do_not_wait_while_servers_with_free_slots_shed_some() {
+    let mut pool = pool(6, 4);
+    let mut rng = Pcg64::seed_from_u64(3);
+    let mut now_us = 1_000 * MS;
+    let mut waited = 0;
+    for ticket in 0..600 {
+        now_us += 50 * MS;
+        let ask = ask("look", 2, 600.0, now_us);
+        let Some(choice) = pool.take(ticket, &ask, ZONE, now_us, &mut half()) else {
+            waited += 1;
+            continue;
+        };
+        let shed = rng.random_range(0.0..1.0) < 0.4;
+        let (end, took_us) =
+            if shed { (SendEnd::Refused, MS) } else { (SendEnd::Answered, 220 * MS) };
+        pool.finish(&choice.server, ticket, &ask, end, now_us + took_us);
+    }
+    assert!(waited < 6, "{waited} of 600 found no server");
+}
+
 /// In a burst a fifth of the slots is held by certifications that nobody will see answered: they
 /// could not be in time any more, were begun on servers then twenty times slower, and held their
 /// slots until their deadlines. Their callers were told neither an answer nor that nothing ran.
