--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -28,6 +28,7 @@
 use crate::gateway::Dispatcher;
 use crate::gateway::Follower;
 use crate::gateway::Forwarder;
+use crate::gateway::HomePlanner;
 use crate::gateway::LoadShare;
 use crate::gateway::Mirror;
 use crate::gateway::Patience;
@@ -217,8 +218,13 @@
             board: Arc::clone(&board),
             links: links.clone(),
             dispatcher: dispatcher.clone(),
+        };
+        let planner = HomePlanner {
+            board: Arc::clone(&board),
+            dispatcher: dispatcher.clone(),
             table: Arc::clone(&table),
         };
+        tasks.spawn(planner.run());
         tasks.spawn(load_share.run());
         let peers = GatewayPeers {
             board: Arc::clone(&board),
--- /dev/null
+++ b/src/gateway/home_planner.rs
@@ -0,0 +1,88 @@
+//! How many homes there are, and what part each instance has of what all of them share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+
+use super::caller_handler::TableInForce;
+use super::dispatcher::Dispatcher;
+use super::homes::HomesPlan;
+use super::homes::all_homes;
+use crate::board::Blackboard;
+
+/// Requests a second that callers of a zone may send for each slot of its share of the servers.
+/// Work takes 0.2 to 0.5 s, so this fills most of the slots; more cannot be served for long.
+const REQUESTS_PER_SLOT: f64 = 1.5;
+/// Part of the connections that a server accepts for all homes together.
+const HOMES_CONNECTIONS: f64 = 0.75;
+/// How often the servers and the members are looked at.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// The part of a server's connections that an instance may use: nearly all of the requests come
+/// by the homes, and the rest by callers that keep an old address answer.
+#[expect(clippy::cast_precision_loss, reason = "some hundred instances")]
+fn connection_part(homes: usize, others: usize, is_home: bool) -> f64 {
+    let (homes, others) = (homes.max(1) as f64, others as f64);
+    match (is_home, others > 0.0) {
+        (true, false) => 1.0 / homes,
+        (true, true) => HOMES_CONNECTIONS / homes,
+        (false, _) => (1.0 - HOMES_CONNECTIONS) / others.max(1.0),
+    }
+}
+
+/// Keeps the plan of homes, and this instance's parts, up to date.
+#[derive(Clone, Debug)]
+pub struct HomePlanner {
+    pub board: Arc<Blackboard>,
+    pub dispatcher: Dispatcher,
+    pub table: TableInForce,
+}
+
+impl HomePlanner {
+    /// Plans until the process ends.
+    pub async fn run(self) {
+        let mut known: Vec<u64> = Vec::new();
+        loop {
+            self.plan(&mut known);
+            tokio::time::sleep(INTERVAL).await;
+        }
+    }
+
+    /// Works out what the homes of a zone must carry, who they are, and the own parts.
+    fn plan(&self, known: &mut Vec<u64>) {
+        self.board.set_zone_demand_per_s(self.zone_demand_per_s());
+        let view = self.board.members_view();
+        let homes = all_homes(&view.rows, HomesPlan::of(&self.board));
+        let incarnations: Vec<u64> = homes.iter().map(|row| row.incarnation).collect();
+        if incarnations != *known {
+            let names: Vec<&str> = homes.iter().map(|row| row.name.as_str()).collect();
+            info!(
+                event = "homes-changed", homes = names.join(" ").as_str(),
+                instances = view.serving(), zone_demand_per_s = self.board.zone_demand_per_s();
+                ""
+            );
+            *known = incarnations;
+        }
+        self.dispatcher.share_slack(homes.len());
+        let others = view.serving().saturating_sub(homes.len());
+        let own = homes.iter().any(|row| row.incarnation == self.board.incarnation);
+        let part = connection_part(homes.len(), others, own);
+        if let Some(table) = self.table.load().as_ref() {
+            self.dispatcher.share_connections(&table.services, part);
+        }
+    }
+
+    /// Requests a second that the homes of one zone must be able to carry.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "some thousand slots"
+    )]
+    fn zone_demand_per_s(&self) -> u32 {
+        let settings = self.board.settings.gateway.as_ref();
+        let zones = settings.map_or(1, |gateway| gateway.zones.len().max(1)) as f64;
+        (f64::from(self.dispatcher.slots()) / zones * REQUESTS_PER_SLOT) as u32
+    }
+}
--- /dev/null
+++ b/tests/homes.rs
@@ -0,0 +1,90 @@
+//! Which instances the callers of a zone are told of, without network.
+
+use std::sync::Arc;
+
+use sorrelwick::gateway::HomesPlan;
+use sorrelwick::gateway::all_homes;
+use sorrelwick::gateway::homes_of_zone;
+use sorrelwick::member::MemberRow;
+use sorrelwick::member::MemberState;
+
+mod common;
+
+fn row(name: &str, zone: &str, capacity_per_s: u32, state: MemberState) -> Arc<MemberRow> {
+    let address = ([127, 0, 0, 1], 1).into();
+    Arc::new(MemberRow {
+        incarnation: xxhash_rust::xxh3::xxh3_64(name.as_bytes()),
+        generation: 0,
+        state,
+        name: name.into(),
+        zone: zone.into(),
+        caller: address,
+        operator: address,
+        peer: address,
+        capacity_per_s,
+        uptime_ms: 1,
+        successor: None,
+    })
+}
+
+fn names(rows: &[Arc<MemberRow>]) -> Vec<&str> {
+    rows.iter().map(|row| row.name.as_str()).collect()
+}
+
+/// Two large instances and many small ones, as in a fleet that grew.
+fn grown() -> Vec<Arc<MemberRow>> {
+    let mut rows: Vec<Arc<MemberRow>> =
+        (10..40).map(|n| row(&format!("a-{n}"), "a", 60, MemberState::Alive)).collect();
+    rows.push(row("a-8", "a", 500, MemberState::Alive));
+    rows.push(row("a-9", "a", 500, MemberState::Alive));
+    rows
+}
+
+/// Counter staff wait while the large instances idle: callers were sent to whichever instance came
+/// first by name, one with a tenth of a core.
+#[test]
+fn the_largest_instances_become_homes_as_many_as_callers_need() {
+    let rows = grown();
+    let homes = |demand_per_s| homes_of_zone(&rows, "a", HomesPlan { least: 1, demand_per_s });
+    assert_eq!(names(&homes(0)), ["a-8"]);
+    assert_eq!(names(&homes(500)), ["a-8"]);
+    assert_eq!(names(&homes(800)), ["a-8", "a-9"]);
+    assert_eq!(names(&homes(1_100)), ["a-8", "a-9", "a-10", "a-11"]);
+}
+
+/// A large instance that does not answer must not be named before small ones that do.
+#[test]
+fn suspects_come_last_and_leaving_ones_not_at_all() {
+    let mut rows = grown();
+    rows.retain(|row| row.capacity_per_s < 500);
+    rows.push(row("a-8", "a", 500, MemberState::Suspect));
+    rows.push(row("a-9", "a", 500, MemberState::Leaving));
+    let homes = homes_of_zone(&rows, "a", HomesPlan { least: 1, demand_per_s: 100 });
+    assert_eq!(names(&homes), ["a-10", "a-11"]);
+}
+
+/// A zone without instances of its own sends its callers to another zone's, never nowhere; and
+/// however rows come in, every instance names the same homes.
+#[test]
+fn zones_borrow_and_the_order_of_rows_does_not_matter() {
+    common::property(200, |u| {
+        let mut rows = Vec::new();
+        for number in 0..u.int_in_range(1..=20)? {
+            let zone = ["a", "b", "c"][u.int_in_range(0..=1)?];
+            let capacity_per_s = u.int_in_range(1..=500)?;
+            rows.push(row(&format!("i-{number}"), zone, capacity_per_s, MemberState::Alive));
+        }
+        let plan = HomesPlan { least: 1, demand_per_s: u.int_in_range(0..=2_000)? };
+        let mut turned = rows.clone();
+        turned.rotate_left(u.int_in_range(0..=rows.len() - 1)?);
+        for zone in ["a", "b", "c"] {
+            let homes = homes_of_zone(&rows, zone, plan);
+            assert!(!homes.is_empty());
+            assert_eq!(names(&homes), names(&homes_of_zone(&turned, zone, plan)));
+            let carried: u32 = homes.iter().map(|row| row.capacity_per_s).sum();
+            assert!(carried >= plan.demand_per_s || homes.len() == 8.min(rows.len()));
+        }
+        assert_eq!(names(&all_homes(&rows, plan)), names(&all_homes(&turned, plan)));
+        Ok(())
+    });
+}
