--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -5,6 +5,7 @@
 mod repeat_budget;
 mod server_track;
 mod service_pool;
+mod service_queue;
 mod service_times;
 
 pub use ask::Ask;
@@ -19,5 +20,4 @@
 pub use server_track::ServerTrack;
 pub use server_track::server_key;
 pub use service_pool::ServicePool;
-pub use service_pool::Waiting;
 pub use service_times::ServiceTimes;
--- /dev/null
+++ b/src/balance/service_queue.rs
@@ -0,0 +1,238 @@
+//! The requests that wait for the servers of one service: who waits, who is refused, who is next.
+
+use smallvec::SmallVec;
+
+use super::Ask;
+use super::Choice;
+use super::Refusal;
+use super::ServerTrack;
+use super::ServicePool;
+use super::service_pool::Place;
+
+/// Time that an answer needs, against the usual: started with just the usual time left, half of
+/// the requests would be late, and their slots lost for others.
+const NEEDED_FACTOR: f64 = 1.25;
+/// A request that will be late waits for spare slots for at most this part of its aim.
+const LATE_WAIT_SHARE: f64 = 0.12;
+/// Times the usual that a late request may take on its server while others can be in time.
+const LATE_FACTOR: f64 = 2.0;
+/// When to come back while a service has no server at all.
+const NO_SERVER_RETRY_MS: u64 = 500;
+/// Bounds of the time told to refused callers.
+const RETRY_MIN_MS: u64 = 50;
+const RETRY_MAX_MS: u64 = 2_000;
+
+/// A request that waits for a server.
+#[derive(Clone, Debug)]
+pub struct Waiting {
+    pub ticket: u64,
+    pub ask: Ask,
+    /// Started later, it is not expected to be answered in time.
+    pub start_by_us: u64,
+    /// It will miss its aim anyway: it gets only what no other request needs.
+    pub late: bool,
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "part of an aim, never below zero"
+)]
+fn late_wait_us(ask: &Ask) -> u64 {
+    (ask.aim_ms * 1000.0 * LATE_WAIT_SHARE) as u64
+}
+
+impl ServicePool {
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets a request wait, or tells that it would wait in vain.
+    ///
+    /// # Errors
+    /// When the queue before it needs longer than its aim leaves, or no server may be used that it
+    /// was not sent to already.
+    pub fn enqueue(&mut self, ticket: u64, ask: Ask, now_us: u64) -> Result<(), Refusal> {
+        let may_serve =
+            |server: &ServerTrack| server.listed(now_us) && !ask.avoid.contains(&server.row.id);
+        if !self.servers.iter().any(may_serve) {
+            let (retry_after_ms, waiting) = (NO_SERVER_RETRY_MS, self.waiting.len());
+            return Err(Refusal { no_server: true, retry_after_ms, waiting, slots: 0 });
+        }
+        let slots = self.slots_in_use(now_us);
+        let for_aim_us = self.start_by_us(&ask);
+        let late = for_aim_us < now_us;
+        let start_by_us = if late { now_us + late_wait_us(&ask) } else { for_aim_us };
+        let urgency = if late { u32::MAX } else { ask.priority };
+        let wait_us = self.expected_wait_us(urgency, slots, now_us);
+        if now_us + wait_us > start_by_us {
+            return Err(self.refusal(now_us));
+        }
+        self.waiting.push(Waiting { ticket, ask, start_by_us, late });
+        self.order_waiting();
+        Ok(())
+    }
+
+    /// Slots that the limit lets be used now.
+    fn slots_in_use(&self, now_us: u64) -> u32 {
+        let usable = self.usable(now_us);
+        usable.map(|server| self.limit.usual(server.row.slots)).sum()
+    }
+
+    fn usable(&self, now_us: u64) -> impl Iterator<Item = &ServerTrack> {
+        self.servers.iter().filter(move |server| server.usable(now_us))
+    }
+
+    /// Started later, a request is expected to miss its aim.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "milliseconds of a deadline, never below zero"
+    )]
+    fn start_by_us(&self, ask: &Ask) -> u64 {
+        let needed_us = (self.typical_ms(ask) * 1000.0 * NEEDED_FACTOR) as u64;
+        let aim_us = (ask.aim_ms * 1000.0) as u64;
+        let for_aim_us = (ask.arrived_us + aim_us).saturating_sub(ask.spent_us + needed_us);
+        for_aim_us.min(ask.deadline_us.saturating_sub(needed_us))
+    }
+
+    /// Time until a newcomer of this priority gets a slot: those before it, at the rate at which
+    /// this instance's part of the slots comes free. Other homes have queues of their own, which
+    /// take the rest.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "a queue's length and time"
+    )]
+    fn expected_wait_us(&self, priority: u32, slots: u32, now_us: u64) -> u64 {
+        let before = |other: &&Waiting| !other.late && other.ask.priority <= priority;
+        let ahead = self.waiting.iter().filter(before).count() + 1;
+        let own_slots = (f64::from(slots) * self.own_share(now_us)).max(1.0);
+        let per_slot_us = self.mean_ms * 1000.0 / own_slots;
+        (ahead as f64 * per_slot_us) as u64
+    }
+
+    /// This instance's part of all requests at the servers.
+    fn own_share(&self, now_us: u64) -> f64 {
+        let own: usize = self.servers.iter().map(ServerTrack::own_requests).sum();
+        let all: u32 = self.servers.iter().map(|server| server.occupancy(now_us)).sum();
+        #[expect(clippy::cast_precision_loss, reason = "some thousand requests")]
+        let own = own as f64;
+        if all == 0 { 1.0 } else { (own / f64::from(all)).min(1.0) }
+    }
+
+    /// When to come back: once those that wait now are served.
+    #[must_use]
+    pub fn refusal(&self, now_us: u64) -> Refusal {
+        let slots = self.slots_in_use(now_us);
+        let wait_ms = self.expected_wait_us(u32::MAX, slots, now_us) / 1000;
+        let retry_after_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        Refusal { no_server: false, retry_after_ms, waiting: self.waiting.len(), slots }
+    }
+
+    /// Puts the most urgent first; nearly sorted already, so this is a walk over the queue.
+    fn order_waiting(&mut self) {
+        self.waiting
+            .sort_by_key(|waiting| (waiting.late, waiting.ask.priority, waiting.ask.arrived_us));
+    }
+
+    /// Gives a free slot to the most urgent request that can use one.
+    ///
+    /// In a burst this runs at each answer, with hundreds waiting and no server free or only slow
+    /// ones: trying each request on each server would take all of the processor, and an instance
+    /// that answers no pings any more counts as dead. So only servers with room are looked at,
+    /// and of requests of one route only those that the fastest of them could answer in time.
+    pub fn serve_waiting(
+        &mut self,
+        zone: &str,
+        now_us: u64,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<(Waiting, Choice)> {
+        let (at, index) = self.first_served(zone, now_us, random)?;
+        let waiting = self.waiting.remove(at);
+        let choice = self.start(index, waiting.ticket, &waiting.ask, now_us);
+        Some((waiting, choice))
+    }
+
+    /// The first waiting request that can be served, by its place in the queue, and the server.
+    fn first_served(
+        &self,
+        zone: &str,
+        now_us: u64,
+        random: &mut impl FnMut() -> f64,
+    ) -> Option<(usize, usize)> {
+        let rooms = self.with_room(now_us);
+        if rooms.is_empty() {
+            return None;
+        }
+        let mut least_ms: SmallVec<[(&str, f64); 8]> = SmallVec::new();
+        for (at, waiting) in self.waiting.iter().enumerate() {
+            let ask = &waiting.ask;
+            if !least_ms.iter().any(|(route, _)| **route == *ask.route) {
+                least_ms.push((&ask.route, self.least_expected_ms(ask, &rooms, now_us)));
+            }
+            let within_ms = self.within_ms(ask, waiting.late, now_us);
+            let in_time = |(route, ms): &(&str, f64)| **route == *ask.route && *ms <= within_ms;
+            if !waiting.late && !least_ms.iter().any(in_time) {
+                continue;
+            }
+            let place = Place { zone, within_ms, late: waiting.late };
+            if let Some(index) = self.choose(ask, &rooms, place, now_us, random) {
+                return Some((at, index));
+            }
+        }
+        None
+    }
+
+    /// How soon a server must be expected to answer for the request to begin there.
+    ///
+    /// A late request still needs its answer before its deadline: begun on a server that takes
+    /// longer, it holds a slot until then, and its caller is told neither an answer nor that it did
+    /// not run. While others wait that can be in time, it must not hold a slot for much longer than
+    /// usual either: a slow server is a fast one a moment later, and its slot theirs.
+    pub(super) fn within_ms(&self, ask: &Ask, late: bool, now_us: u64) -> f64 {
+        if !late {
+            return ask.aim_left_ms(now_us);
+        }
+        let left_ms = ask.deadline_left_ms(now_us);
+        // The queue is in order: the late ones come last.
+        if self.waiting.first().is_some_and(|waiting| !waiting.late) {
+            return left_ms.min(LATE_FACTOR * self.typical_ms(ask));
+        }
+        left_ms
+    }
+
+    /// Whether a request that starts now on a server of usual pace is answered within its aim.
+    pub(super) fn can_meet_aim(&self, ask: &Ask, now_us: u64) -> bool {
+        self.typical_ms(ask) <= ask.aim_left_ms(now_us)
+    }
+
+    /// Takes out the requests that cannot be in time any more. One that waited only because the
+    /// servers with room are slow becomes late instead, and takes one of those.
+    pub fn expire(&mut self, now_us: u64) -> SmallVec<[u64; 4]> {
+        let mut tickets = SmallVec::new();
+        let room = !self.with_room(now_us).is_empty();
+        self.waiting.retain_mut(|waiting| {
+            if now_us <= waiting.start_by_us {
+                return true;
+            }
+            if room && !waiting.late {
+                waiting.late = true;
+                waiting.start_by_us = now_us + late_wait_us(&waiting.ask);
+                return true;
+            }
+            tickets.push(waiting.ticket);
+            false
+        });
+        self.order_waiting();
+        tickets
+    }
+
+    /// Takes out a request that waits no more.
+    pub fn cancel(&mut self, ticket: u64) {
+        self.waiting.retain(|waiting| waiting.ticket != ticket);
+    }
+}
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -16,7 +16,6 @@
 
 use super::LoadReport;
 use super::ServerRow;
-use super::ServiceRule;
 use super::grant::Grant;
 use super::server::Server;
 use super::server_conns::ServerConns;
@@ -24,7 +23,6 @@
 use crate::balance::Choice;
 use crate::balance::Refusal;
 use crate::balance::RepeatAllowance;
-use crate::balance::RepeatNeed;
 use crate::balance::SendEnd;
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
@@ -43,9 +41,9 @@
 type Offer = Result<Box<Grant>, Refusal>;
 
 #[derive(Debug, Default)]
-struct State {
-    pools: HashMap<Arc<str>, ServicePool>,
-    servers: HashMap<Arc<str>, Arc<Server>>,
+pub(super) struct State {
+    pub(super) pools: HashMap<Arc<str>, ServicePool>,
+    pub(super) servers: HashMap<Arc<str>, Arc<Server>>,
     waiting: HashMap<u64, oneshot::Sender<Offer>>,
 }
 
@@ -62,11 +60,11 @@
 pub struct Dispatcher {
     zone: Arc<str>,
     /// Of all instances together.
-    allowance: RepeatAllowance,
+    pub(super) allowance: RepeatAllowance,
     /// Instances that divide the slack of the repeat budget.
-    sharers: Arc<AtomicUsize>,
+    pub(super) sharers: Arc<AtomicUsize>,
     tickets: Arc<AtomicU64>,
-    state: Arc<Mutex<State>>,
+    pub(super) state: Arc<Mutex<State>>,
     /// Slots that are handed out now.
     granted: Arc<AtomicUsize>,
     /// Told when the first slot is handed out after none was.
@@ -93,16 +91,6 @@
     }
 }
 
-/// This instance's part of the connections that a server accepts; it needs one at least.
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "a part of a whole number"
-)]
-fn own_connections(rule: &ServiceRule, part: f64) -> u32 {
-    (f64::from(rule.connections_max) * part).max(1.0) as u32
-}
-
 fn random() -> f64 {
     rand::rng().random_range(0.0..1.0)
 }
@@ -177,59 +165,6 @@
         self.state.lock().servers.values().cloned().collect()
     }
 
-    /// Counts a request of a caller, on which the budget of repeats depends.
-    pub fn count_request(&self, service: &Arc<str>) {
-        let mut state = self.state.lock();
-        let pool = state.pools.entry(Arc::clone(service)).or_default();
-        pool.budget.request(&self.allowance, now_us());
-    }
-
-    /// Divides the slack of the repeat budget among so many instances.
-    pub fn share_slack(&self, instances: usize) {
-        self.sharers.store(instances.max(1), Ordering::Release);
-    }
-
-    /// Keeps to a part of the connections that each server of these services accepts.
-    pub fn share_connections(&self, services: &HashMap<Arc<str>, ServiceRule>, part: f64) {
-        let mut state = self.state.lock();
-        let State { pools, servers, .. } = &mut *state;
-        let own_max = |service: &str| {
-            services.get(service).map_or(u32::MAX, |rule| own_connections(rule, part))
-        };
-        for (service, pool) in pools.iter_mut() {
-            // One is left for health checks.
-            let for_requests = own_max(service).saturating_sub(1).max(1);
-            pool.own_requests_max = usize::try_from(for_requests).unwrap_or(usize::MAX);
-        }
-        for server in servers.values() {
-            server.conns.set_open_max(own_max(&server.service));
-        }
-    }
-
-    /// What this instance may repeat.
-    #[expect(clippy::cast_precision_loss, reason = "a few homes")]
-    fn own_allowance(&self) -> RepeatAllowance {
-        let sharers = self.sharers.load(Ordering::Acquire) as f64;
-        RepeatAllowance { slack: self.allowance.slack / sharers, ..self.allowance }
-    }
-
-    /// Slots of all servers together.
-    #[must_use]
-    pub fn slots(&self) -> u32 {
-        let state = self.state.lock();
-        let tracks = state.pools.values().flat_map(|pool| &pool.servers);
-        tracks.map(|track| track.row.slots).sum()
-    }
-
-    /// Takes one repeat out of the budget of the service.
-    #[must_use]
-    pub fn spend_repeat(&self, service: &str, need: RepeatNeed) -> bool {
-        let mut state = self.state.lock();
-        let allowance = self.own_allowance();
-        let pool = state.pools.get_mut(service);
-        pool.is_some_and(|pool| pool.budget.spend(&allowance, need, now_us()))
-    }
-
     /// The usual time of such a request, in milliseconds.
     #[must_use]
     pub fn usual_ms(&self, service: &str, ask: &Ask) -> f64 {
--- /dev/null
+++ b/src/gateway/dispatcher_shares.rs
@@ -0,0 +1,78 @@
+//! This instance's parts of what all instances share: the budget of repeats, and the connections
+//! that backend servers accept.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use super::ServiceRule;
+use super::dispatcher::Dispatcher;
+use super::dispatcher::State;
+use crate::balance::RepeatAllowance;
+use crate::balance::RepeatNeed;
+use crate::clock::now_us;
+
+/// This instance's part of the connections that a server accepts; it needs one at least.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a part of a whole number"
+)]
+fn own_connections(rule: &ServiceRule, part: f64) -> u32 {
+    (f64::from(rule.connections_max) * part).max(1.0) as u32
+}
+
+impl Dispatcher {
+    /// Counts a request of a caller, on which the budget of repeats depends.
+    pub fn count_request(&self, service: &Arc<str>) {
+        let mut state = self.state.lock();
+        let pool = state.pools.entry(Arc::clone(service)).or_default();
+        pool.budget.request(&self.allowance, now_us());
+    }
+
+    /// Divides the slack of the repeat budget among so many instances.
+    pub fn share_slack(&self, instances: usize) {
+        self.sharers.store(instances.max(1), Ordering::Release);
+    }
+
+    /// Keeps to a part of the connections that each server of these services accepts.
+    pub fn share_connections(&self, services: &HashMap<Arc<str>, ServiceRule>, part: f64) {
+        let mut state = self.state.lock();
+        let State { pools, servers, .. } = &mut *state;
+        let own_max = |service: &str| {
+            services.get(service).map_or(u32::MAX, |rule| own_connections(rule, part))
+        };
+        for (service, pool) in pools.iter_mut() {
+            // One is left for health checks.
+            let for_requests = own_max(service).saturating_sub(1).max(1);
+            pool.own_requests_max = usize::try_from(for_requests).unwrap_or(usize::MAX);
+        }
+        for server in servers.values() {
+            server.conns.set_open_max(own_max(&server.service));
+        }
+    }
+
+    /// What this instance may repeat.
+    #[expect(clippy::cast_precision_loss, reason = "a few homes")]
+    fn own_allowance(&self) -> RepeatAllowance {
+        let sharers = self.sharers.load(Ordering::Acquire) as f64;
+        RepeatAllowance { slack: self.allowance.slack / sharers, ..self.allowance }
+    }
+
+    /// Slots of all servers together.
+    #[must_use]
+    pub fn slots(&self) -> u32 {
+        let state = self.state.lock();
+        let tracks = state.pools.values().flat_map(|pool| &pool.servers);
+        tracks.map(|track| track.row.slots).sum()
+    }
+
+    /// Takes one repeat out of the budget of the service.
+    #[must_use]
+    pub fn spend_repeat(&self, service: &str, need: RepeatNeed) -> bool {
+        let mut state = self.state.lock();
+        let allowance = self.own_allowance();
+        let pool = state.pools.get_mut(service);
+        pool.is_some_and(|pool| pool.budget.spend(&allowance, need, now_us()))
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod caller_handler;
 mod dialect;
 mod dispatcher;
+mod dispatcher_shares;
 mod follower;
 mod forward_request;
 mod forwarder;
