--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -2,9 +2,9 @@
 
 use smallvec::SmallVec;
 
-use crate::gateway::LoadReport;
-use crate::gateway::ServerRow;
-use crate::gateway::ServerState;
+use crate::model::LoadReport;
+use crate::model::ServerRow;
+use crate::model::ServerState;
 use crate::peer::ServerLoadRow;
 
 /// A report on requests that no peer told of fades over this time, about one request's work.
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -11,7 +11,7 @@
 use super::ServerTrack;
 use super::ServiceTimes;
 use super::service_queue::Waiting;
-use crate::gateway::ServerRow;
+use crate::model::ServerRow;
 
 /// What an answer from another zone costs beyond its own time. Its bytes cost money there, and
 /// its way is longer; 90 ms is some third of the usual work.
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,9 +5,9 @@
 
 use http::HeaderName;
 
-use super::LoadReport;
 use super::RouteTable;
-use super::ServerRow;
+use crate::model::LoadReport;
+use crate::model::ServerRow;
 
 /// Header fields between callers, gateway and backend servers.
 #[derive(Clone, Debug)]
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -14,8 +14,6 @@
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
-use super::LoadReport;
-use super::ServerRow;
 use super::grant::Grant;
 use super::server::Server;
 use super::server_conns::ServerConns;
@@ -28,6 +26,8 @@
 use crate::balance::ServicePool;
 use crate::balance::server_key;
 use crate::clock::now_us;
+use crate::model::LoadReport;
+use crate::model::ServerRow;
 use crate::peer::ServerLoadRow;
 use crate::peer::ServerLoads;
 
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use super::Dispatcher;
-use super::LoadReport;
 use super::server::Server;
 use crate::balance::Ask;
 use crate::balance::Choice;
 use crate::balance::SendEnd;
+use crate::model::LoadReport;
 
 /// A server that is expected to take longer by this part of the usual time than when it was chosen
 /// is chosen anew.
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -6,11 +6,11 @@
 use http::HeaderName;
 use sorrelwick::gateway::Dialect;
 use sorrelwick::gateway::FieldNames;
-use sorrelwick::gateway::LoadReport;
 use sorrelwick::gateway::Paths;
 use sorrelwick::gateway::RouteTable;
-use sorrelwick::gateway::ServerRow;
 use sorrelwick::gateway::StoreKeys;
+use sorrelwick::model::LoadReport;
+use sorrelwick::model::ServerRow;
 
 /// The stand-in's names: fields called what they hold, bodies as the product declares them.
 #[derive(Clone, Debug)]
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -21,9 +21,9 @@
 use sorrelwick::balance::RepeatNeed;
 use sorrelwick::balance::SendEnd;
 use sorrelwick::balance::ServicePool;
-use sorrelwick::gateway::LoadReport;
-use sorrelwick::gateway::ServerRow;
-use sorrelwick::gateway::ServerState;
+use sorrelwick::model::LoadReport;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
 
 mod common;
 
--- a/tests/control_cost.rs
+++ b/tests/control_cost.rs
@@ -8,8 +8,8 @@
 use sorrelwick::balance::RepeatAllowance;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::gateway::Dispatcher;
-use sorrelwick::gateway::ServerRow;
-use sorrelwick::gateway::ServerState;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
 
 const ALLOWANCE: RepeatAllowance =
     RepeatAllowance { ratio: 0.2, window_us: 10_000_000, slack: 10.0 };
