--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -34,6 +34,9 @@
 /// Without any word, also to probes, for this many times the usual work, a server in use counts
 /// as silent.
 const SILENT_FACTOR: f64 = 2.0;
+/// Servers close idle connections after some seconds, and one is not used again for the last quarter
+/// of that time.
+const CONNECTED_US: u64 = 3_000_000;
 /// First pause after a connection could not be opened or broke; doubles with each in a row.
 const PAUSE_US: u64 = 150_000;
 const PAUSE_DOUBLINGS_MAX: u32 = 4;
@@ -189,6 +192,13 @@
         now_us >= self.warm_at_us
     }
 
+    /// Whether an idle connection is probably there: it answered this instance lately.
+    #[must_use]
+    pub const fn connected(&self, now_us: u64) -> bool {
+        let answered_us = if self.own_pace_at_us > 0 { self.own_pace_at_us } else { self.heard_us };
+        now_us.saturating_sub(answered_us) < CONNECTED_US
+    }
+
     /// Requests of this instance that run or wait there.
     #[must_use]
     pub fn own_requests(&self) -> usize {
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -16,6 +16,9 @@
 /// What an answer from another zone costs beyond its own time. Its bytes cost money there, and
 /// its way is longer; 90 ms is some third of the usual work.
 const OTHER_ZONE_MS: f64 = 90.0;
+/// What a new connection costs beyond its handshake: servers bound their number, and each takes a
+/// slot for a moment. A third of what an answer from another zone costs.
+const NEW_CONNECTION_MS: f64 = 30.0;
 /// How much longer work is expected on a server whose slots are all in use, against an idle one:
 /// evens the load out between servers that look alike.
 const CROWDED_FACTOR: f64 = 0.3;
@@ -141,6 +144,9 @@
             if *server.row.zone != *place.zone {
                 cost_ms += OTHER_ZONE_MS;
             }
+            if !server.connected(now_us) {
+                cost_ms += NEW_CONNECTION_MS;
+            }
             if best.is_none_or(|(least, _)| cost_ms < least) {
                 best = Some((cost_ms, room.index));
             }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -289,6 +289,30 @@
     assert!(waited < 6, "{waited} of 600 found no server");
 }
 
+/// Half of all requests open a connection: hundreds of servers look alike, the choice goes round all
+/// of them, and each has closed its idle connection by the time it is chosen again.
+#[test]
+fn of_servers_that_look_alike_those_with_a_connection_are_used() {
+    let mut pool = pool(300, 4);
+    let mut rng = Pcg64::seed_from_u64(11);
+    let mut now_us = 100_000 * MS;
+    let mut answered_us: HashMap<Arc<str>, u64> = HashMap::new();
+    let mut opened = 0;
+    for ticket in 0..2_000 {
+        now_us += 25 * MS;
+        let ask = ask("look", 2, 600.0, now_us);
+        let mut random = || rng.random_range(0.0..1.0);
+        let choice = pool.take(ticket, &ask, ZONE, now_us, &mut random).expect("free servers");
+        // A server closes a connection that was idle for four seconds.
+        let known = answered_us.insert(Arc::clone(&choice.server), now_us);
+        opened += u32::from(known.is_none_or(|at_us| now_us - at_us > 4_000 * MS));
+        let load = LoadReport { running: 1, waiting: 0, pace_percent: 100 };
+        pool.server(&choice.server).expect("listed").report(load, now_us);
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + 220 * MS);
+    }
+    assert!(opened < 400, "{opened} connections for 2,000 requests");
+}
+
 /// In a burst a fifth of the slots is held by certifications that nobody will see answered: they
 /// could not be in time any more, were begun on servers then twenty times slower, and held their
 /// slots until their deadlines. Their callers were told neither an answer nor that nothing ran.
