--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -106,9 +106,9 @@
         let rooms = self.servers.iter().enumerate().filter_map(|(index, server)| {
             let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
             let occupancy = server.occupancy(now_us);
-            let connected =
+            let may_connect =
                 self.own_requests_max == 0 || server.own_requests() < self.own_requests_max;
-            (occupancy < allowed && connected && server.usable(now_us))
+            (occupancy < allowed && may_connect && server.usable(now_us))
                 .then_some(Room { index, occupancy })
         });
         rooms.collect()
@@ -134,8 +134,9 @@
                 continue;
             }
             let expected_ms = server.expected_ms(typical_ms, now_us);
-            let work_ms = if place.late { server.work_ms(typical_ms, now_us) } else { expected_ms };
-            if work_ms > place.within_ms {
+            let counted_ms =
+                if place.late { server.work_ms(typical_ms, now_us) } else { expected_ms };
+            if counted_ms > place.within_ms {
                 continue;
             }
             let crowded = f64::from(room.occupancy) / f64::from(server.row.slots);
