--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -21,7 +21,6 @@
 use crate::errors::Code;
 use crate::errors::Coded;
 use crate::gateway::AddressHandler;
-use crate::gateway::BodyRoom;
 use crate::gateway::CallerHandler;
 use crate::gateway::ConfigSink;
 use crate::gateway::Dialect;
@@ -30,6 +29,7 @@
 use crate::gateway::Forwarder;
 use crate::gateway::HomePlanner;
 use crate::gateway::LoadShare;
+use crate::gateway::MemoryRoom;
 use crate::gateway::Mirror;
 use crate::gateway::Patience;
 use crate::gateway::Prober;
@@ -52,7 +52,8 @@
 /// Connections for the platform's own questions: one a second from a few places, and one for
 /// each caller that asks for addresses.
 const SMALL_CONNECTIONS_MAX: u32 = 1_000;
-/// Part of the memory that the bodies of requests may take.
+/// Part of the memory that the bodies of requests may take, and as much again those of answers that
+/// are held whole.
 const BODY_MEMORY_SHARE: usize = 4;
 /// Part of the repeat ratio that is used: a repeat may be counted in another window than its
 /// request.
@@ -147,10 +148,8 @@
         table: Arc::clone(table),
         board: Arc::clone(board),
     }));
-    let servers = Arc::new(Mirror::new(ServerSink {
-        dialect: dialect.clone(),
-        dispatcher: dispatcher.clone(),
-    }));
+    let servers = ServerSink::new(dialect.clone(), dispatcher.clone());
+    let servers = Arc::new(Mirror::new(servers));
     let follow_config = || {
         let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
         Follower::new(store, links, board, Arc::clone(&config), Feed::Config, keys.config)
@@ -233,9 +232,13 @@
             config,
             servers,
         };
-        let forwarder =
-            Forwarder { dialect: dialect.clone(), board: Arc::clone(&board), dispatcher };
-        let room = Arc::new(BodyRoom::new(memory_bytes / BODY_MEMORY_SHARE));
+        let forwarder = Forwarder {
+            dialect: dialect.clone(),
+            board: Arc::clone(&board),
+            dispatcher,
+            answer_room: Arc::new(MemoryRoom::new(memory_bytes / BODY_MEMORY_SHARE)),
+        };
+        let room = Arc::new(MemoryRoom::new(memory_bytes / BODY_MEMORY_SHARE));
         let patience = Arc::new(Patience::default());
         let callers = CallerHandler { forwarder, table: Arc::clone(&table), room, patience };
         let readiness =
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -85,18 +85,19 @@
     heard_us: u64,
 }
 
-/// The hash by which instances name a server to each other.
+/// The hash by which instances name one start of a server to each other. With the time of the start
+/// in it, what a peer still tells of the start before is not taken for the new one's load.
 #[must_use]
 #[expect(clippy::cast_possible_truncation, reason = "half of the hash is enough")]
-pub fn server_key(id: &str) -> u32 {
-    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+pub fn server_key(row: &ServerRow) -> u32 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(row.id.as_bytes(), row.started_ms) as u32
 }
 
 /// One backend server as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct ServerTrack {
     pub row: ServerRow,
-    /// Hash of the id, by which instances name the server to each other.
+    /// Hash by which instances name this start of the server to each other.
     pub key: u32,
     /// Time for which all slots have been in use, until `full_at_us`.
     full_us: u64,
@@ -135,7 +136,7 @@
     pub fn new(row: ServerRow, now_us: u64) -> Self {
         let warm_at_us = now_us + row.warmup_ms * 1000;
         Self {
-            key: server_key(&row.id),
+            key: server_key(&row),
             row,
             full_us: 0,
             full_at_us: now_us,
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -74,10 +74,14 @@
         self.servers.get_mut(*self.places.get(id)?)
     }
 
-    /// Lists a server.
+    /// Lists a server. Nothing that is believed of an earlier start holds for a later one.
     pub fn list(&mut self, row: ServerRow, now_us: u64) {
         if let Some(server) = self.server(&row.id) {
-            server.relist(row, now_us);
+            if server.row.same_start(&row) {
+                server.relist(row, now_us);
+            } else {
+                *server = ServerTrack::new(row, now_us);
+            }
             return;
         }
         self.places.insert(Arc::clone(&row.id), self.servers.len());
@@ -86,8 +90,17 @@
 
     /// Forgets servers that are neither listed nor in use.
     pub fn forget_unlisted(&mut self, now_us: u64) {
+        self.retain(|server| server.listed(now_us) || !server.idle());
+    }
+
+    /// Forgets a server that belongs to another service now.
+    pub fn forget(&mut self, id: &str) {
+        self.retain(|server| *server.row.id != *id);
+    }
+
+    fn retain(&mut self, keep: impl Fn(&ServerTrack) -> bool) {
         let known = self.servers.len();
-        self.servers.retain(|server| server.listed(now_us) || !server.idle());
+        self.servers.retain(keep);
         if self.servers.len() == known {
             return;
         }
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -68,6 +68,13 @@
     OperatorUnreachable = 3008, "The operators' listener of the instance cannot be reached.", "Check --address.";
     LogUnreadable = 3009, "A log file cannot be read.", "Check the path and its permissions.";
     RequestNotLogged = 3010, "No line of these logs bears the request's id.", "Check the id, and that the logs of all instances and of that time are there.";
+    ConfigUnreadable = 3011, "Nothing of a configuration can be read; the one before stays in force.", "Correct the document; the log line names the first fault.";
+    RouteKindUnknown = 3012, "A route has a kind that is not known, or none; its requests are not repeated.", "Use a kind that this version knows, or update the instances.";
+    RouteUnreadable = 3013, "A route cannot be read; it stays as it was, or refuses its requests if it is new.", "Correct the field that the log line names.";
+    ServiceUnreadable = 3014, "What a configuration says of a service cannot be read; it stays as it was.", "Correct the field that the log line names.";
+    LimitsUnreadable = 3015, "The limits of a configuration cannot be read; they stay as they were.", "Correct the field that the log line names.";
+    ServerUnreadable = 3016, "An entry in the list of backend servers cannot be read; it names no server to use.", "Find who wrote the entry; the other entries hold.";
+    ServerOutdated = 3017, "An entry of an earlier start of a backend server came after that of a later one; it is not used.", "None, unless it repeats: then check the clock of that server.";
     PeerUnauthenticated = 4001, "A peer did not prove that it knows the shared secret.", "Give all instances the same `peers.secret`.";
     PeerFrame = 4002, "A peer sent a frame that cannot be decoded.", "Check that all instances run compatible versions.";
     PeerFrameTooLarge = 4003, "A peer sent a frame over the limit.", "As for PeerFrame.";
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -1,8 +1,6 @@
 //! Requests of callers: read, routed, forwarded, answered.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -23,6 +21,8 @@
 use super::RouteTable;
 use super::forward_request::ForwardRequest;
 use super::forwarder::Forwarder;
+use super::memory_room::MemoryRoom;
+use super::memory_room::RoomPart;
 use super::patience::Patience;
 use super::reply::OwnReply;
 use super::reply::Reply;
@@ -43,48 +43,13 @@
 /// The configuration in force; `None` until the first is known.
 pub type TableInForce = Arc<ArcSwapOption<RouteTable>>;
 
-/// Memory for the bodies of requests, shared by all connections.
-#[derive(Debug)]
-pub struct BodyRoom {
-    used: AtomicUsize,
-    max_bytes: usize,
-}
-
-/// Part of the room, given back when dropped.
-#[derive(Debug)]
-struct BodyPart<'a> {
-    room: &'a BodyRoom,
-    bytes: usize,
-}
-
-impl Drop for BodyPart<'_> {
-    fn drop(&mut self) {
-        self.room.used.fetch_sub(self.bytes, Ordering::AcqRel);
-    }
-}
-
-impl BodyRoom {
-    /// Room for `max_bytes`.
-    #[must_use]
-    pub const fn new(max_bytes: usize) -> Self {
-        Self { used: AtomicUsize::new(0), max_bytes }
-    }
-}
-
-impl BodyPart<'_> {
-    fn grow(&mut self, bytes: usize) -> bool {
-        let before = self.room.used.fetch_add(bytes, Ordering::AcqRel);
-        self.bytes += bytes;
-        before + bytes <= self.room.max_bytes
-    }
-}
-
 /// Serves callers; clones share.
 #[derive(Clone, Debug)]
 pub struct CallerHandler<D> {
     pub forwarder: Forwarder<D>,
     pub table: TableInForce,
-    pub room: Arc<BodyRoom>,
+    /// For the bodies of requests.
+    pub room: Arc<MemoryRoom>,
     pub patience: Arc<Patience>,
 }
 
@@ -110,7 +75,7 @@
         &self,
         request: Request<Incoming>,
         arrived_us: u64,
-        part: &mut BodyPart<'_>,
+        part: &mut RoomPart,
     ) -> Result<ForwardRequest, OwnReply> {
         let (parts, incoming) = request.into_parts();
         let route = self.route(&parts)?;
@@ -150,7 +115,7 @@
         let arrived_us = now_us();
         let fields = self.forwarder.dialect.fields();
         let id = request.headers().get(&fields.request_id).cloned();
-        let mut part = BodyPart { room: &self.room, bytes: 0 };
+        let mut part = self.room.part();
         let mut reply = match self.read(request, arrived_us, &mut part).await {
             Ok(request) => {
                 let reply = self.forwarder.forward(&request).await;
@@ -202,7 +167,7 @@
 async fn read_body(
     mut incoming: Incoming,
     bytes_max: usize,
-    part: &mut BodyPart<'_>,
+    part: &mut RoomPart,
 ) -> Result<Bytes, OwnReply> {
     let too_large = || OwnReply::rejected(StatusCode::PAYLOAD_TOO_LARGE, Code::BodyTooLarge);
     let told = incoming.size_hint().exact().unwrap_or(0);
--- /dev/null
+++ b/src/gateway/declaration.rs
@@ -0,0 +1,166 @@
+//! Reads the operators' configuration, so that one part that cannot be read costs only that part.
+//!
+//! A newer operator's tool, or a fault of it, may write a kind, a field or a whole route that this
+//! version does not understand. Rejecting the document for it would leave all routes on the version
+//! before, or, at a start, every caller without service.
+
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::value::RawValue;
+use smallvec::SmallVec;
+
+use super::CallerLimits;
+use super::Route;
+use super::RouteKind;
+use super::RouteTable;
+use super::ServiceRule;
+use crate::errors::Code;
+
+/// Timeout and aim of a route that takes no requests; neither is ever used.
+const CLOSED_ROUTE_MS: u64 = 1;
+
+/// A part of the configuration that could not be read as written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PartFault {
+    pub code: Code,
+    /// The name of the route or service, as far as it can be read.
+    pub name: String,
+    pub why: String,
+    /// The part of the version before stays in force in its place.
+    pub kept: bool,
+}
+
+/// A configuration that was read, with the parts that could not be.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadTable {
+    pub table: RouteTable,
+    pub faults: Vec<PartFault>,
+}
+
+/// The document, its parts unread. Each list may be missing.
+#[derive(Debug, Deserialize)]
+struct Document<'a> {
+    version: u64,
+    #[serde(borrow, default)]
+    routes: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    services: Vec<&'a RawValue>,
+    #[serde(borrow, default)]
+    limits: Option<&'a RawValue>,
+}
+
+/// What is needed of a route that cannot be read whole, to know which requests it concerns.
+#[derive(Debug, Default)]
+struct Stub {
+    name: String,
+    host: Option<String>,
+    prefix: Option<String>,
+}
+
+impl Stub {
+    fn of(part: &RawValue) -> Self {
+        // Only valid JSON gets here; of any other shape than a table there is nothing to learn.
+        let value: Value = serde_json::from_str(part.get()).unwrap_or_default();
+        let text = |name: &str| value.get(name).and_then(Value::as_str).map(str::to_owned);
+        Self { name: text("name").unwrap_or_default(), host: text("host"), prefix: text("prefix") }
+    }
+
+    /// A route that takes no requests: they are told that they did not run, not that there is no
+    /// such route, which would be final for them.
+    fn closed(self) -> Option<Route> {
+        Some(Route {
+            name: self.name,
+            host: self.host?,
+            prefix: self.prefix?,
+            kind: RouteKind::Unknown,
+            timeout_ms: CLOSED_ROUTE_MS,
+            aim_ms: CLOSED_ROUTE_MS,
+            attempts_max: 1,
+            priority: 0,
+            service: None,
+            targets: SmallVec::new(),
+        })
+    }
+}
+
+fn parse<T: DeserializeOwned>(part: &RawValue) -> Result<T, String> {
+    serde_json::from_str(part.get()).map_err(|err| err.to_string())
+}
+
+/// A route that can be used as it was written.
+fn parse_route(part: &RawValue) -> Result<Route, String> {
+    let route: Route = parse(part)?;
+    if route.has_target() { Ok(route) } else { Err("names no service".into()) }
+}
+
+/// Reads the parts of one document, in the light of the table before it.
+struct Reader<'a> {
+    before: Option<&'a RouteTable>,
+    faults: Vec<PartFault>,
+}
+
+impl Reader<'_> {
+    fn fault(&mut self, code: Code, name: String, why: String, kept: bool) {
+        self.faults.push(PartFault { code, name, why, kept });
+    }
+
+    fn route(&mut self, part: &RawValue) -> Option<Arc<Route>> {
+        match parse_route(part) {
+            Ok(route) => {
+                if route.kind == RouteKind::Unknown {
+                    let why = "a kind that is not known: its requests are not repeated";
+                    self.fault(Code::RouteKindUnknown, route.name.clone(), why.into(), false);
+                }
+                Some(Arc::new(route))
+            }
+            Err(why) => {
+                let stub = Stub::of(part);
+                let kept = self.before.and_then(|table| table.route_named(&stub.name)).cloned();
+                self.fault(Code::RouteUnreadable, stub.name.clone(), why, kept.is_some());
+                kept.or_else(|| stub.closed().map(Arc::new))
+            }
+        }
+    }
+
+    fn service(&mut self, part: &RawValue) -> Option<ServiceRule> {
+        match parse::<ServiceRule>(part) {
+            Ok(rule) => Some(rule),
+            Err(why) => {
+                let name = Stub::of(part).name;
+                let before = self.before.and_then(|table| table.services.get(name.as_str()));
+                self.fault(Code::ServiceUnreadable, name, why, before.is_some());
+                before.cloned()
+            }
+        }
+    }
+
+    fn limits(&mut self, part: &RawValue) -> CallerLimits {
+        parse(part).unwrap_or_else(|why| {
+            self.fault(Code::LimitsUnreadable, "limits".into(), why, self.before.is_some());
+            self.before.map_or_else(CallerLimits::default, |table| table.limits)
+        })
+    }
+}
+
+impl RouteTable {
+    /// Reads a configuration in JSON. A route, service or limits that cannot be read stay as they
+    /// are `before`, where they are known there; what else they cost is told by the faults.
+    ///
+    /// # Errors
+    /// When it is no JSON, has no version, or no lists: then nothing of it can be used.
+    pub fn read(text: &[u8], before: Option<&Self>) -> Result<ReadTable, String> {
+        let document: Document<'_> = serde_json::from_slice(text).map_err(|err| err.to_string())?;
+        let mut reader = Reader { before, faults: Vec::new() };
+        let routes = document.routes.iter().filter_map(|part| reader.route(part)).collect();
+        let services = document.services.iter().filter_map(|part| reader.service(part)).collect();
+        let limits = match document.limits {
+            Some(part) => reader.limits(part),
+            None => CallerLimits::default(),
+        };
+        let table = Self::new(document.version, routes, services, limits);
+        Ok(ReadTable { table, faults: reader.faults })
+    }
+}
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -5,6 +5,7 @@
 
 use http::HeaderName;
 
+use super::ReadTable;
 use super::RouteTable;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
@@ -58,11 +59,12 @@
     /// Paths of an instance.
     fn paths(&self) -> Paths;
 
-    /// A version of the operators' configuration.
+    /// A version of the operators' configuration, in the light of the one before.
     ///
     /// # Errors
-    /// Says what cannot be read.
-    fn decode_config(&self, value: &[u8]) -> Result<RouteTable, String>;
+    /// Says why nothing of it can be read.
+    fn decode_config(&self, value: &[u8], before: Option<&RouteTable>)
+    -> Result<ReadTable, String>;
 
     /// A listed backend server.
     ///
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -16,7 +15,7 @@
 
 use super::grant::Grant;
 use super::server::Server;
-use super::server_conns::ServerConns;
+use super::server_starts::ServerStarts;
 use crate::balance::Ask;
 use crate::balance::Choice;
 use crate::balance::Refusal;
@@ -24,7 +23,6 @@
 use crate::balance::SendEnd;
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
-use crate::balance::server_key;
 use crate::clock::now_us;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
@@ -44,10 +42,35 @@
 pub(super) struct State {
     pub(super) pools: HashMap<Arc<str>, ServicePool>,
     pub(super) servers: HashMap<Arc<str>, Arc<Server>>,
+    starts: ServerStarts,
     waiting: HashMap<u64, oneshot::Sender<Offer>>,
 }
 
 impl State {
+    /// What is believed of one start of a server; `None` once a later one is known.
+    fn track(&mut self, server: &Server) -> Option<&mut ServerTrack> {
+        let track = self.pools.get_mut(&server.row.service)?.server(&server.row.id)?;
+        (track.key == server.key).then_some(track)
+    }
+
+    fn unlist(&mut self, server: &Server, grace: Duration) {
+        let until_us = now_us() + u64::try_from(grace.as_micros()).unwrap_or(u64::MAX);
+        if let Some(track) = self.track(server) {
+            track.unlist(until_us);
+        }
+    }
+
+    fn forget_start(&mut self, server: &Server) {
+        info!(
+            event = "server-started-anew", server = &*server.row.id,
+            service = &*server.row.service, before_ms = server.row.started_ms;
+            "what was known of it is forgotten"
+        );
+        if let Some(pool) = self.pools.get_mut(&server.row.service) {
+            pool.forget(&server.row.id);
+        }
+    }
+
     /// Services for which requests wait.
     fn waited_for(&self) -> Vec<Arc<str>> {
         let waited_for = self.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
@@ -124,41 +147,47 @@
         Some(Grant { server, choice, ticket, ask, end: SendEnd::Cancelled, dispatcher })
     }
 
-    /// Lists a server; one that moved to another service is a new one.
+    /// Lists a server, unless the row is of an earlier start, or an earlier report, than what is
+    /// known already.
     pub fn list(&self, row: ServerRow) {
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
-        let known = state.servers.contains_key(&row.id);
-        if !known {
-            let server = Server {
-                id: Arc::clone(&row.id),
-                service: Arc::clone(&row.service),
-                zone: Arc::clone(&row.zone),
-                key: server_key(&row.id),
-                conns: ServerConns::new(row.address),
-                asked: AtomicBool::new(false),
-            };
-            state.servers.insert(Arc::clone(&row.id), Arc::new(server));
+        let Some(row) = state.starts.take(row, now_us()) else {
+            return;
+        };
+        self.put_in_force(&mut state, row, &mut undelivered);
+    }
+
+    /// A server that starts again holds and knows nothing of before, so neither do we: its
+    /// connections, slots, pace and failures go with the start that they were of.
+    fn put_in_force(&self, state: &mut State, row: ServerRow, undelivered: &mut Vec<Grant>) {
+        let before = state.servers.get(&row.id).cloned();
+        if before.as_ref().is_none_or(|before| !before.row.same_start(&row)) {
+            if let Some(before) = before {
+                state.forget_start(&before);
+            }
+            state.servers.insert(Arc::clone(&row.id), Arc::new(Server::new(row.clone())));
         }
         let service = Arc::clone(&row.service);
         state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
-        self.serve_waiting(&mut state, &service, &mut undelivered);
+        self.serve_waiting(state, &service, undelivered);
     }
 
     /// The platform no longer lists a server; it may be used for `grace` more.
     pub fn unlist(&self, id: &str, grace: Duration) {
         let mut state = self.state.lock();
-        let Some(server) = state.servers.get(id).cloned() else {
-            return;
-        };
-        let until_us = now_us() + u64::try_from(grace.as_micros()).unwrap_or(u64::MAX);
-        if let Some(pool) = state.pools.get_mut(&server.service)
-            && let Some(track) = pool.server(id)
-        {
-            track.unlist(until_us);
+        state.starts.removed(id);
+        if let Some(server) = state.servers.get(id).cloned() {
+            state.unlist(&server, grace);
         }
     }
 
+    /// Another server has the address of this one now. A later start of it, which may have another
+    /// address, is not concerned.
+    pub fn displaced(&self, server: &Server) {
+        self.state.lock().unlist(server, Duration::ZERO);
+    }
+
     /// All servers known now.
     #[must_use]
     pub fn servers(&self) -> Vec<Arc<Server>> {
@@ -229,21 +258,21 @@
         self.granted.fetch_sub(1, Ordering::AcqRel);
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
-        if let Some(pool) = state.pools.get_mut(&server.service) {
-            let slots = pool.server(&server.id).map_or(1, |track| track.row.slots);
-            let before = pool.limit().last_slot_pays(slots);
-            pool.finish(&server.id, ticket, ask, end, now_us());
-            let after = pool.limit().last_slot_pays(slots);
+        let ServerRow { id, service, slots, .. } = &server.row;
+        if let Some(pool) = state.pools.get_mut(service) {
+            let before = pool.limit().last_slot_pays(*slots);
+            pool.finish(id, ticket, ask, end, now_us());
+            let after = pool.limit().last_slot_pays(*slots);
             if before != after {
                 let (full, below) = pool.limit().means();
                 info!(
-                    event = "limit-changed", service = &*server.service, slots = slots,
+                    event = "limit-changed", service = &**service, slots = slots,
                     last_slot_pays = after, took_when_full = full, took_below = below;
                     ""
                 );
             }
         }
-        self.serve_waiting(&mut state, &server.service, &mut undelivered);
+        self.serve_waiting(&mut state, service, &mut undelivered);
     }
 
     /// Does something with what is believed of a server; `None` for one that is forgotten.
@@ -252,8 +281,7 @@
         server: &Server,
         work: impl FnOnce(&mut ServerTrack) -> T,
     ) -> Option<T> {
-        let mut state = self.state.lock();
-        state.pools.get_mut(&server.service)?.server(&server.id).map(work)
+        self.state.lock().track(server).map(work)
     }
 
     /// Takes in the load that a server told.
@@ -318,11 +346,11 @@
     #[must_use]
     pub fn expected_ms(&self, server: &Server, ask: &Ask) -> f64 {
         let mut state = self.state.lock();
-        let Some(pool) = state.pools.get_mut(&server.service) else {
+        let Some(pool) = state.pools.get_mut(&server.row.service) else {
             return 0.0;
         };
         let usual_ms = pool.typical_ms(ask);
-        pool.server(&server.id).map_or(0.0, |track| track.expected_ms(usual_ms, now_us()))
+        state.track(server).map_or(0.0, |track| track.expected_ms(usual_ms, now_us()))
     }
 
     /// Whether requests wait for slots.
@@ -392,15 +420,21 @@
     }
 
     fn tidy(&self) {
+        let mut undelivered = Vec::new();
         let mut state = self.state.lock();
-        let State { pools, servers, .. } = &mut *state;
+        for row in state.starts.due(now_us()) {
+            self.put_in_force(&mut state, row, &mut undelivered);
+        }
+        let State { pools, servers, starts, .. } = &mut *state;
         for pool in pools.values_mut() {
             pool.forget_unlisted(now_us());
         }
         servers.retain(|id, server| {
             server.conns.tidy();
-            pools.get_mut(&server.service).is_some_and(|pool| pool.server(id).is_some())
+            pools.get_mut(&server.row.service).is_some_and(|pool| pool.server(id).is_some())
         });
+        starts.forget(now_us(), |id| servers.contains_key(id));
+        drop(state);
     }
 
     /// Serves and refuses waiting requests as time passes, until the process ends.
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -48,7 +48,7 @@
             pool.own_requests_max = usize::try_from(for_requests).unwrap_or(usize::MAX);
         }
         for server in servers.values() {
-            server.conns.set_open_max(own_max(&server.service));
+            server.conns.set_open_max(own_max(&server.row.service));
         }
     }
 
@@ -59,11 +59,13 @@
         RepeatAllowance { slack: self.allowance.slack / sharers, ..self.allowance }
     }
 
-    /// Slots of all servers together.
+    /// Slots of all servers of these services together. An entry may name a service that nobody
+    /// declared; its server gets no requests.
     #[must_use]
-    pub fn slots(&self) -> u32 {
+    pub fn slots(&self, services: &HashMap<Arc<str>, ServiceRule>) -> u32 {
         let state = self.state.lock();
-        let tracks = state.pools.values().flat_map(|pool| &pool.servers);
+        let declared = state.pools.iter().filter(|(service, _)| services.contains_key(*service));
+        let tracks = declared.flat_map(|(_, pool)| &pool.servers);
         tracks.map(|track| track.row.slots).sum()
     }
 
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -11,11 +11,12 @@
 use super::dispatcher::Dispatcher;
 use super::forward_request::ForwardRequest;
 use super::grant::Grant;
+use super::memory_room::MemoryRoom;
 use super::reply::OwnReply;
 use super::reply::Reply;
 use super::send::SendResult;
+use super::send::Sender;
 use super::send::ServerAnswer;
-use super::send::send;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::board::Latency;
@@ -46,6 +47,8 @@
     pub dialect: D,
     pub board: Arc<Blackboard>,
     pub dispatcher: Dispatcher,
+    /// For answers that are held whole.
+    pub answer_room: Arc<MemoryRoom>,
 }
 
 /// What has been tried for one request.
@@ -229,8 +232,8 @@
         grant: Grant,
         tried: &mut Tried,
     ) -> impl Future<Output = SendResult> + use<'a, D> {
-        let server = Arc::clone(&grant.server.id);
-        tried.servers.push(Arc::clone(&server));
+        let server = Arc::clone(&grant.server);
+        tried.servers.push(Arc::clone(&server.row.id));
         tried.sends += 1;
         let sends = tried.sends;
         self.board.counters.add(Counter::Attempts);
@@ -239,21 +242,25 @@
         async move {
             let started_us = now_us();
             let choice = grant.choice.clone();
-            let result =
-                send(&self.dialect, &self.dispatcher, request, grant, health_path.as_deref()).await;
+            let sender = Sender {
+                dialect: &self.dialect,
+                dispatcher: &self.dispatcher,
+                answer_room: &self.answer_room,
+            };
+            let result = sender.send(request, grant, health_path.as_deref()).await;
             let took = Duration::from_micros(now_us().saturating_sub(started_us));
             self.board.latencies.record(Latency::Send, took, result.name());
             let took_ms = took.as_millis();
             info!(
                 event = "send", id = request.id_text(), service = &*request.service,
-                server = &*server, send = sends, took_ms = took_ms, outcome = result.name(),
+                server = &*server.row.id, send = sends, took_ms = took_ms, outcome = result.name(),
                 running = choice.running, expected_ms = choice.expected_ms.round(),
                 pace_age_us = choice.pace_age_us;
                 "send ended"
             );
             if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
                 // Another server has the address now; nothing more may be sent there.
-                self.dispatcher.unlist(&server, Duration::ZERO);
+                self.dispatcher.displaced(&server);
             }
             result
         }
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -34,7 +34,7 @@
     /// Whether the server looks much slower than when it was chosen.
     #[must_use]
     pub fn slowed(&self) -> bool {
-        let usual_ms = self.dispatcher.usual_ms(&self.server.service, &self.ask);
+        let usual_ms = self.dispatcher.usual_ms(&self.server.row.service, &self.ask);
         let now_ms = self.dispatcher.expected_ms(&self.server, &self.ask);
         now_ms > self.choice.expected_ms + SLOWED_SHARE * usual_ms
     }
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -1,7 +1,5 @@
 //! One health check on a connection to a backend server.
 
-use std::time::Duration;
-
 use super::Dialect;
 use super::dispatcher::Dispatcher;
 use super::server::Server;
@@ -28,8 +26,8 @@
     let mut decoder = answer.decoder();
     while conn.read_body(&mut decoder).await?.is_some() {}
     let text = |name| answer.headers.get(name).and_then(|value| value.to_str().ok());
-    if text(&fields.server_id).is_some_and(|id| *id != *server.id) {
-        dispatcher.unlist(&server.id, Duration::ZERO);
+    if text(&fields.server_id).is_some_and(|id| *id != *server.row.id) {
+        dispatcher.displaced(server);
         return Err(ExchangeError::Garbled);
     }
     if let Some(load) = text(&fields.load).and_then(|text| dialect.parse_load(text)) {
--- a/src/gateway/home_planner.rs
+++ b/src/gateway/home_planner.rs
@@ -81,8 +81,10 @@
         reason = "some thousand slots"
     )]
     fn zone_demand_per_s(&self) -> u32 {
+        let table = self.table.load();
+        let slots = table.as_ref().map_or(0, |table| self.dispatcher.slots(&table.services));
         let settings = self.board.settings.gateway.as_ref();
         let zones = settings.map_or(1, |gateway| gateway.zones.len().max(1)) as f64;
-        (f64::from(self.dispatcher.slots()) / zones * REQUESTS_PER_SLOT) as u32
+        (f64::from(slots) / zones * REQUESTS_PER_SLOT) as u32
     }
 }
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -82,7 +82,7 @@
     fn probe_own(&self, part: Part, turn: u32, untold: bool) {
         let zone = &*self.board.settings.instance.zone;
         let mut servers = self.dispatcher.servers();
-        servers.retain(|server| *server.zone == *zone && part.contains(server));
+        servers.retain(|server| *server.row.zone == *zone && part.contains(server));
         let turns = self.turns_of_one_check(servers.len());
         for server in servers {
             let first = !server.asked.swap(true, Ordering::Relaxed);
@@ -105,7 +105,7 @@
 
     async fn probe(self, server: Arc<Server>) {
         let table = self.table.load_full();
-        let rule = table.as_ref().and_then(|table| table.services.get(&server.service));
+        let rule = table.as_ref().and_then(|table| table.services.get(&server.row.service));
         let Some(path) = rule.map(|rule| rule.health_path.as_str()) else {
             return;
         };
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -14,6 +14,7 @@
 use http_body::SizeHint;
 use tokio::sync::mpsc;
 
+use super::memory_room::RoomPart;
 use super::server_conn::ExchangeError;
 use crate::errors::Code;
 use crate::task::TaskGuard;
@@ -21,8 +22,10 @@
 /// The body of an answer.
 #[derive(Debug)]
 pub enum ReplyBody {
-    /// Held whole.
-    Whole(Option<Bytes>),
+    /// An answer of this instance's own, which has no body.
+    Empty,
+    /// Held whole, and counted as held until the caller has taken it.
+    Whole { bytes: Option<Bytes>, _held: RoomPart },
     /// Too large to be held: passed on as it comes. An error ends the caller's connection, so that
     /// a body that was cut short never looks whole.
     Live {
@@ -50,7 +53,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ExchangeError>>> {
         match &mut *self {
-            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Empty => Poll::Ready(None),
+            Self::Whole { bytes, .. } => {
+                Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
+            }
             Self::Live { chunks, .. } => {
                 chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
@@ -58,12 +64,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(None))
+        matches!(self, Self::Empty | Self::Whole { bytes: None, .. })
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(bytes) => {
+            Self::Empty => SizeHint::with_exact(0),
+            Self::Whole { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
             Self::Live { bytes: Some(bytes), .. } => SizeHint::with_exact(*bytes),
@@ -129,7 +136,7 @@
         if let Some(value) = seconds.and_then(|seconds| format!("{seconds:.3}").parse().ok()) {
             headers.insert(http::header::RETRY_AFTER, value);
         }
-        Self { status: own.status, headers, body: ReplyBody::Whole(None), code: own.code }
+        Self { status: own.status, headers, body: ReplyBody::Empty, code: own.code }
     }
 }
 
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -7,12 +7,21 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
-/// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The care that a route's requests deserve.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RouteKind {
+    /// May run more than once.
     Idempotent,
+    /// Idempotent, with answers that may be far larger than what an instance holds.
+    Download,
+    /// Must not run more than once.
     AtMostOnce,
+    /// A kind that this version does not know, or none: nothing says that a repeat does no harm, so
+    /// it is treated as [`RouteKind::AtMostOnce`].
+    #[default]
+    #[serde(other)]
+    Unknown,
 }
 
 /// A service that a route sends requests to, with its part of them.
@@ -30,6 +39,7 @@
     pub host: String,
     /// Begins and ends with a slash.
     pub prefix: String,
+    #[serde(default)]
     pub kind: RouteKind,
     /// The longest time that a caller is kept waiting.
     pub timeout_ms: u64,
@@ -43,10 +53,10 @@
     pub priority: u32,
     /// The only service, where requests are not split.
     #[serde(default)]
-    service: Option<Arc<str>>,
+    pub(super) service: Option<Arc<str>>,
     /// The services among which requests are split.
     #[serde(default)]
-    targets: SmallVec<[Target; 2]>,
+    pub(super) targets: SmallVec<[Target; 2]>,
 }
 
 const fn attempts_default() -> u32 {
@@ -90,21 +100,8 @@
     }
 }
 
-/// A version of the configuration as it is written down.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Declaration {
-    pub version: u64,
-    #[serde(default)]
-    pub routes: Vec<Route>,
-    #[serde(default)]
-    pub services: Vec<ServiceRule>,
-    #[serde(default)]
-    pub limits: CallerLimits,
-}
-
 /// One version of the operators' configuration, ready for lookups.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
-#[serde(from = "Declaration")]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RouteTable {
     pub version: u64,
     pub services: HashMap<Arc<str>, ServiceRule>,
@@ -113,26 +110,33 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
 }
 
-impl From<Declaration> for RouteTable {
-    fn from(declaration: Declaration) -> Self {
+impl RouteTable {
+    /// A table of these routes, services and limits.
+    #[must_use]
+    pub fn new(
+        version: u64,
+        routes: Vec<Arc<Route>>,
+        services: Vec<ServiceRule>,
+        limits: CallerLimits,
+    ) -> Self {
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
-        for route in declaration.routes {
-            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        for route in routes {
+            by_host.entry(route.host.to_ascii_lowercase()).or_default().push(route);
         }
         for of_host in by_host.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let services = declaration.services.into_iter();
-        Self {
-            version: declaration.version,
-            services: services.map(|rule| (Arc::clone(&rule.name), rule)).collect(),
-            limits: declaration.limits,
-            routes: by_host,
-        }
+        let services = services.into_iter();
+        let services = services.map(|rule| (Arc::clone(&rule.name), rule)).collect();
+        Self { version, services, limits, routes: by_host }
+    }
+
+    /// The route of this name.
+    #[must_use]
+    pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
+        self.routes.values().flatten().find(|route| route.name == name)
     }
-}
 
-impl RouteTable {
     /// The route of the host with the longest prefix that begins the path.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -155,7 +159,13 @@
     /// Whether its requests may run more than once.
     #[must_use]
     pub const fn idempotent(&self) -> bool {
-        matches!(self.kind, RouteKind::Idempotent)
+        matches!(self.kind, RouteKind::Idempotent | RouteKind::Download)
+    }
+
+    /// Whether it names a service.
+    #[must_use]
+    pub fn has_target(&self) -> bool {
+        self.service.is_some() || !self.targets.is_empty()
     }
 
     /// The service for a request, by a random number from 0 to 1 (exclusive); `None` only for a
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,6 +1,7 @@
 //! One send of a request to one backend server.
 
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 use super::framing::BodyDecoder;
 use super::grant::Grant;
 use super::health_check::check;
+use super::memory_room::MemoryRoom;
+use super::memory_room::RoomPart;
 use super::reply::PROMISES;
 use super::reply::ReplyBody;
 use super::server_conn::AnswerHead;
@@ -35,8 +38,9 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(25);
 /// Answers up to this size are held whole, so that one cut short is known in time to ask again.
 const HOLD_MAX_BYTES: usize = 256 << 10;
-/// Chunks of a large answer that are read ahead of the caller.
-const LIVE_CHUNKS: usize = 4;
+/// Chunks of a larger answer that are read ahead of the caller: one is written while the next one
+/// comes. A caller that reads slowly holds no more than these, however large its answer is.
+const LIVE_CHUNKS: usize = 1;
 
 /// A backend server's answer.
 #[derive(Debug)]
@@ -97,75 +101,156 @@
     }
 }
 
-/// Sends a request by a slot of a server. Dropped, it closes the connection, which ends the work
-/// at the server.
-///
-/// With a health path, a server whose pace was last heard of some time ago is asked first, on the
-/// connection that the request will use: the pace when work begins holds for all of it, and a
-/// request that must not run twice is not handed to a server or connection that is gone.
-pub async fn send<D: Dialect>(
-    dialect: &D,
-    dispatcher: &Dispatcher,
-    request: &ForwardRequest,
-    grant: Grant,
-    health_path: Option<&str>,
-) -> SendResult {
-    let left = Duration::from_millis(request.left_ms());
-    let connect_within = CONNECT_TIMEOUT.min(left);
-    let mut conn = match grant.server.conns.take(connect_within).await {
-        Ok(conn) => conn,
-        // Its connections are all in use, which says nothing against the server.
-        Err(err) if err.kind() == ErrorKind::QuotaExceeded => {
-            return SendResult::Unfit { silent: false };
-        }
-        Err(_) => {
-            grant.end(SendEnd::Unreachable);
-            return SendResult::NotSent;
-        }
-    };
-    let stale = match grant.choice.pace_age_us {
-        Some(age_us) => age_us > FRESH_US,
-        None => dispatcher.service_tells_load(&grant.server.service),
-    };
-    if let Some(path) = health_path.filter(|_| stale) {
-        let checked = check(dialect, dispatcher, &grant.server, &mut conn, path);
-        let checked = tokio::time::timeout(CHECK_TIMEOUT.min(left), checked).await;
-        let keeps_open = match checked {
-            Ok(Ok(keeps_open)) => keeps_open,
-            Ok(Err(_)) => return SendResult::Unfit { silent: false },
+/// What each send needs of its instance.
+#[derive(Debug)]
+pub struct Sender<'a, D> {
+    pub dialect: &'a D,
+    pub dispatcher: &'a Dispatcher,
+    /// For answers that are held whole.
+    pub answer_room: &'a Arc<MemoryRoom>,
+}
+
+/// The beginning of an answer: its head, and its body as far as it was held.
+struct Begun {
+    head: AnswerHead,
+    held: Bytes,
+    part: RoomPart,
+    decoder: BodyDecoder,
+}
+
+impl<D: Dialect> Sender<'_, D> {
+    /// Sends a request by a slot of a server. Dropped, it closes the connection, which ends the
+    /// work at the server.
+    ///
+    /// With a health path, a server whose pace was last heard of some time ago is asked first, on
+    /// the connection that the request will use: the pace when work begins holds for all of it, and
+    /// a request that must not run twice is not handed to a server or connection that is gone.
+    pub async fn send(
+        &self,
+        request: &ForwardRequest,
+        grant: Grant,
+        health_path: Option<&str>,
+    ) -> SendResult {
+        let left = Duration::from_millis(request.left_ms());
+        let mut conn = match grant.server.conns.take(CONNECT_TIMEOUT.min(left)).await {
+            Ok(conn) => conn,
+            // Its connections are all in use, which says nothing against the server.
+            Err(err) if err.kind() == ErrorKind::QuotaExceeded => {
+                return SendResult::Unfit { silent: false };
+            }
             Err(_) => {
-                dispatcher.unheard(&grant.server);
-                return SendResult::Unfit { silent: true };
+                grant.end(SendEnd::Unreachable);
+                return SendResult::NotSent;
             }
         };
-        if !keeps_open {
-            return SendResult::Unfit { silent: false };
+        if let Some(path) = health_path.filter(|_| self.pace_is_stale(&grant)) {
+            match self.fit(&grant, &mut conn, path, left).await {
+                Fitness::Fit => {}
+                Fitness::Slowed => {
+                    grant.server.conns.put_back(conn);
+                    return SendResult::Unfit { silent: false };
+                }
+                Fitness::Gone => return SendResult::Unfit { silent: false },
+                Fitness::Silent => return SendResult::Unfit { silent: true },
+            }
         }
-        if grant.slowed() {
-            grant.server.conns.put_back(conn);
-            return SendResult::Unfit { silent: false };
+        let left = Duration::from_millis(request.left_ms());
+        let exchanged = tokio::time::timeout(left, self.exchange(request, &grant, &mut conn)).await;
+        match exchanged {
+            Err(_) => ended(grant, SendResult::TimedOut),
+            Ok(Err(error)) => ended(grant, SendResult::Lost(error)),
+            Ok(Ok(begun)) => self.answered(grant, conn, begun),
         }
     }
-    let left = Duration::from_millis(request.left_ms());
-    let exchange = exchange(dialect, request, &grant, &mut conn);
-    let exchanged = tokio::time::timeout(left, exchange).await;
-    let (head, first, decoder) = match exchanged {
-        Err(_) => return ended(grant, SendResult::TimedOut),
-        Ok(Err(error)) => return ended(grant, SendResult::Lost(error)),
-        Ok(Ok(answer)) => answer,
-    };
-    if let Some(result) = refusal(dialect, &head) {
-        keep(&grant, conn, &head, &decoder);
-        return ended(grant, result);
+
+    fn pace_is_stale(&self, grant: &Grant) -> bool {
+        match grant.choice.pace_age_us {
+            Some(age_us) => age_us > FRESH_US,
+            None => self.dispatcher.service_tells_load(&grant.server.row.service),
+        }
     }
-    let (status, headers) = (head.status, passed_on(&head.headers));
-    if decoder.done() {
-        keep(&grant, conn, &head, &decoder);
-        let body = ReplyBody::Whole(Some(first).filter(|bytes| !bytes.is_empty()));
-        return ended(grant, SendResult::Answered(ServerAnswer { status, headers, body }));
+
+    /// Asks a server how it is, just before a request is handed over.
+    async fn fit(
+        &self,
+        grant: &Grant,
+        conn: &mut ServerConn,
+        path: &str,
+        left: Duration,
+    ) -> Fitness {
+        let checked = check(self.dialect, self.dispatcher, &grant.server, conn, path);
+        match tokio::time::timeout(CHECK_TIMEOUT.min(left), checked).await {
+            Ok(Ok(true)) if grant.slowed() => Fitness::Slowed,
+            Ok(Ok(true)) => Fitness::Fit,
+            Ok(_) => Fitness::Gone,
+            Err(_) => {
+                self.dispatcher.unheard(&grant.server);
+                Fitness::Silent
+            }
+        }
+    }
+
+    /// Sends, and reads the answer up to what is held whole.
+    async fn exchange(
+        &self,
+        request: &ForwardRequest,
+        grant: &Grant,
+        conn: &mut ServerConn,
+    ) -> Result<Begun, ExchangeError> {
+        let fields = self.dialect.fields();
+        let echo =
+            Echo { field: &fields.request_id, id: request.id.as_ref(), refusal: &fields.not_run };
+        let sent = request.head(fields, &grant.server.row.id);
+        let head = conn.exchange(&sent, &request.body, echo).await?;
+        let load = head.headers.get(&fields.load).and_then(|value| value.to_str().ok());
+        if let Some(load) = load.and_then(|text| self.dialect.parse_load(text)) {
+            grant.report(load);
+        }
+        let mut decoder = head.decoder();
+        let mut part = self.answer_room.part();
+        let mut whole = BytesMut::new();
+        while whole.len() < HOLD_MAX_BYTES {
+            let Some(bytes) = conn.read_body(&mut decoder).await? else {
+                break;
+            };
+            whole.extend_from_slice(&bytes);
+            // Without room the answer is passed on as it comes; cut short, it cannot be asked for
+            // again then.
+            if !part.grow(bytes.len()) {
+                break;
+            }
+        }
+        Ok(Begun { head, held: whole.freeze(), part, decoder })
+    }
+
+    /// What an answer comes to whose beginning is there.
+    fn answered(&self, grant: Grant, conn: ServerConn, begun: Begun) -> SendResult {
+        let Begun { head, held, part, decoder } = begun;
+        if let Some(result) = refusal(self.dialect, &head) {
+            keep(&grant, conn, &head, &decoder);
+            return ended(grant, result);
+        }
+        let (status, headers) = (head.status, passed_on(&head.headers));
+        if decoder.done() {
+            keep(&grant, conn, &head, &decoder);
+            let bytes = Some(held).filter(|bytes| !bytes.is_empty());
+            let body = ReplyBody::Whole { bytes, _held: part };
+            return ended(grant, SendResult::Answered(ServerAnswer { status, headers, body }));
+        }
+        let body = live_body(grant, conn, head, held, decoder);
+        SendResult::Answered(ServerAnswer { status, headers, body })
     }
-    let body = live_body(grant, conn, head, first, decoder);
-    SendResult::Answered(ServerAnswer { status, headers, body })
+}
+
+/// What a server is found to be just before a request is handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fitness {
+    Fit,
+    /// It works much slower than when it was chosen.
+    Slowed,
+    /// Its connection cannot carry the request.
+    Gone,
+    Silent,
 }
 
 fn ended(grant: Grant, result: SendResult) -> SendResult {
@@ -173,33 +258,6 @@
     result
 }
 
-/// Sends, and reads the answer up to what is held whole.
-async fn exchange<D: Dialect>(
-    dialect: &D,
-    request: &ForwardRequest,
-    grant: &Grant,
-    conn: &mut ServerConn,
-) -> Result<(AnswerHead, Bytes, BodyDecoder), ExchangeError> {
-    let fields = dialect.fields();
-    let echo =
-        Echo { field: &fields.request_id, id: request.id.as_ref(), refusal: &fields.not_run };
-    let head = request.head(fields, &grant.server.id);
-    let answer = conn.exchange(&head, &request.body, echo).await?;
-    let load = answer.headers.get(&fields.load).and_then(|value| value.to_str().ok());
-    if let Some(load) = load.and_then(|text| dialect.parse_load(text)) {
-        grant.report(load);
-    }
-    let mut decoder = answer.decoder();
-    let mut whole = BytesMut::new();
-    while whole.len() < HOLD_MAX_BYTES {
-        match conn.read_body(&mut decoder).await? {
-            Some(bytes) => whole.extend_from_slice(&bytes),
-            None => break,
-        }
-    }
-    Ok((answer, whole.freeze(), decoder))
-}
-
 /// Whether the answer says that the request did not run, or seems to.
 fn refusal<D: Dialect>(dialect: &D, head: &AnswerHead) -> Option<SendResult> {
     let status = head.status;
--- /dev/null
+++ b/src/gateway/server_starts.rs
@@ -0,0 +1,105 @@
+//! Which start of a backend server an entry is of: reports that arrive late must not bring an
+//! earlier one back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use log::warn;
+
+use crate::errors::Code;
+use crate::model::ServerRow;
+
+/// How long an outdated row waits for somebody to contradict it. A server that lives writes its
+/// entry some times in this (every second and a half, on the platforms of today), and an entry that
+/// nobody renews is removed after three such intervals: one that stands for longer is of the process
+/// that lives, whose clock was set back.
+const HOLD_US: u64 = 5_000_000;
+/// How long the last start of a server that is gone is remembered, so that a report that was held up
+/// on its way cannot list it again.
+const REMEMBER_US: u64 = 60_000_000;
+
+/// The latest report that is known of a server.
+#[derive(Clone, Copy, Debug)]
+struct Latest {
+    started_ms: u64,
+    sequence: u64,
+    heard_us: u64,
+    /// When the server was last known to be listed.
+    listed_us: u64,
+}
+
+/// A row that is older than what is known.
+#[derive(Clone, Debug)]
+struct Held {
+    row: ServerRow,
+    since_us: u64,
+}
+
+/// The order of starts and reports of each server.
+#[derive(Debug, Default)]
+pub(super) struct ServerStarts {
+    latest: HashMap<Arc<str>, Latest>,
+    held: HashMap<Arc<str>, Held>,
+}
+
+impl Latest {
+    /// Whether a row was written before the report that this is of. A row that says that its server
+    /// leaves is taken in any order: nothing of the same start takes it back.
+    const fn outdates(&self, row: &ServerRow, draining: bool) -> bool {
+        row.started_ms < self.started_ms
+            || row.started_ms == self.started_ms && row.sequence < self.sequence && !draining
+    }
+}
+
+impl ServerStarts {
+    /// The row, if it is to be put in force now; an outdated one is held.
+    pub(super) fn take(&mut self, row: ServerRow, now_us: u64) -> Option<ServerRow> {
+        let latest = self.latest.get(&row.id).copied();
+        if let Some(latest) = latest.filter(|latest| latest.outdates(&row, row.draining())) {
+            warn!(
+                event = "server-outdated", code = Code::ServerOutdated.number(),
+                server = &*row.id, started_ms = row.started_ms, sequence = row.sequence,
+                known_started_ms = latest.started_ms, known_sequence = latest.sequence,
+                known_age_ms = now_us.saturating_sub(latest.heard_us) / 1000;
+                "a report that came late is not used"
+            );
+            self.held.insert(Arc::clone(&row.id), Held { row, since_us: now_us });
+            return None;
+        }
+        self.note(&row, now_us);
+        Some(row)
+    }
+
+    fn note(&mut self, row: &ServerRow, now_us: u64) {
+        let ServerRow { started_ms, sequence, .. } = *row;
+        self.held.remove(&row.id);
+        let latest = Latest { started_ms, sequence, heard_us: now_us, listed_us: now_us };
+        self.latest.insert(Arc::clone(&row.id), latest);
+    }
+
+    /// The entry of a server was removed, and a held row with it.
+    pub(super) fn removed(&mut self, id: &str) {
+        self.held.remove(id);
+    }
+
+    /// Held rows that nobody contradicted: they are of the process that lives.
+    pub(super) fn due(&mut self, now_us: u64) -> Vec<ServerRow> {
+        let is_due = |held: &&Held| now_us.saturating_sub(held.since_us) >= HOLD_US;
+        let due: Vec<ServerRow> =
+            self.held.values().filter(is_due).map(|held| held.row.clone()).collect();
+        for row in &due {
+            self.note(row, now_us);
+        }
+        due
+    }
+
+    /// Forgets servers that are neither listed nor were lately.
+    pub(super) fn forget(&mut self, now_us: u64, listed: impl Fn(&str) -> bool) {
+        self.latest.retain(|id, latest| {
+            if listed(id) {
+                latest.listed_us = now_us;
+            }
+            now_us.saturating_sub(latest.listed_us) < REMEMBER_US
+        });
+    }
+}
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -1,5 +1,6 @@
 //! Puts what the platform's store says in force.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,13 +8,19 @@
 use log::info;
 
 use super::Dialect;
+use super::PartFault;
 use super::caller_handler::TableInForce;
 use super::dispatcher::Dispatcher;
 use super::mirror::Sink;
 use crate::board::Blackboard;
 use crate::board::Counter;
+use crate::errors::Code;
+use crate::model::ServerRow;
 use crate::store::Item;
 
+/// Entries that cannot be read and are remembered as logged; beyond that some are logged again.
+const UNREADABLE_MAX: usize = 1_000;
+
 /// Puts versions of the operators' configuration in force.
 #[derive(Debug)]
 pub struct ConfigSink<D> {
@@ -22,29 +29,47 @@
     pub board: Arc<Blackboard>,
 }
 
+/// One line for each part of a configuration that could not be read.
+fn log_faults(faults: &[PartFault], version: u64) {
+    for fault in faults {
+        error!(
+            event = "config-part-unreadable", code = fault.code.number(), version = version,
+            part = fault.name.as_str(), why = fault.why.as_str(), kept = fault.kept;
+            "{}", fault.code
+        );
+    }
+}
+
 impl<D: Dialect> Sink for ConfigSink<D> {
     fn written(&mut self, item: &Item) {
         if item.key != self.dialect.keys().config {
             return;
         }
-        let table = match self.dialect.decode_config(&item.value) {
-            Ok(table) => table,
+        let before = self.table.load_full();
+        let read = match self.dialect.decode_config(&item.value, before.as_deref()) {
+            Ok(read) => read,
             Err(why) => {
-                error!(event = "config-unreadable", revision = item.revision, why = why.as_str(); "");
+                error!(
+                    event = "config-unreadable", code = Code::ConfigUnreadable.number(),
+                    revision = item.revision, why = why.as_str();
+                    "{}", Code::ConfigUnreadable
+                );
                 return;
             }
         };
         // A read that answers late must not take a newer version back.
-        let before = self.table.load().as_ref().map(|table| table.version);
-        if before.is_some_and(|before| before >= table.version) {
+        let before = before.map(|table| table.version);
+        if before.is_some_and(|before| before >= read.table.version) {
             return;
         }
+        log_faults(&read.faults, read.table.version);
         info!(
-            event = "config-in-force", version = table.version, before = before.unwrap_or(0),
-            routes = table.route_count(), revision = item.revision;
+            event = "config-in-force", version = read.table.version, before = before.unwrap_or(0),
+            routes = read.table.route_count(), faults = read.faults.len(),
+            revision = item.revision;
             "configuration changed"
         );
-        self.table.store(Some(Arc::new(table)));
+        self.table.store(Some(Arc::new(read.table)));
         self.board.counters.add(Counter::ConfigMerged);
     }
 
@@ -58,28 +83,64 @@
 pub struct ServerSink<D> {
     pub dialect: D,
     pub dispatcher: Dispatcher,
+    /// Why the entries that cannot be read now cannot be, by id: each is logged once, however often
+    /// its writer repeats it.
+    unreadable: HashMap<String, String>,
+}
+
+impl<D: Dialect> ServerSink<D> {
+    /// A sink that lists servers at `dispatcher`.
+    #[must_use]
+    pub fn new(dialect: D, dispatcher: Dispatcher) -> Self {
+        Self { dialect, dispatcher, unreadable: HashMap::new() }
+    }
+
+    fn read(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
+        let row = self.dialect.decode_server(id, value)?;
+        row.check()?;
+        Ok(row)
+    }
+
+    /// An entry may come from a writer that is no server, and says nothing that can be used. It
+    /// names no server, also where one stood under this key before; the other entries hold.
+    fn reject(&mut self, id: &str, why: String, revision: u64) {
+        self.dispatcher.unlist(id, Duration::ZERO);
+        if self.unreadable.get(id) == Some(&why) {
+            return;
+        }
+        error!(
+            event = "server-unreadable", code = Code::ServerUnreadable.number(), server = id,
+            revision = revision, why = why.as_str();
+            "{}", Code::ServerUnreadable
+        );
+        if self.unreadable.len() >= UNREADABLE_MAX {
+            self.unreadable.clear();
+        }
+        self.unreadable.insert(id.to_owned(), why);
+    }
 }
 
 impl<D: Dialect> Sink for ServerSink<D> {
     fn written(&mut self, item: &Item) {
         let id = item.key.strip_prefix(self.dialect.keys().servers_prefix).unwrap_or(&item.key);
-        match self.dialect.decode_server(id, &item.value) {
-            Ok(row) => {
-                info!(
-                    event = "server-listed", server = id, service = &*row.service,
-                    address = row.address.to_string().as_str(), zone = &*row.zone,
-                    draining = row.draining(), warmup_ms = row.warmup_ms,
-                    revision = item.revision;
-                    ""
-                );
-                self.dispatcher.list(row);
-            }
-            Err(why) => error!(event = "server-unreadable", server = id, why = why.as_str(); ""),
-        }
+        let row = match self.read(id, &item.value) {
+            Ok(row) => row,
+            Err(why) => return self.reject(id, why, item.revision),
+        };
+        self.unreadable.remove(id);
+        info!(
+            event = "server-listed", server = id, service = &*row.service,
+            address = row.address.to_string().as_str(), zone = &*row.zone,
+            draining = row.draining(), warmup_ms = row.warmup_ms, started_ms = row.started_ms,
+            revision = item.revision;
+            ""
+        );
+        self.dispatcher.list(row);
     }
 
     fn removed(&mut self, key: &str, grace: Duration) {
         let id = key.strip_prefix(self.dialect.keys().servers_prefix).unwrap_or(key);
+        self.unreadable.remove(id);
         info!(event = "server-unlisted", server = id, grace_ms = grace.as_millis(); "");
         self.dispatcher.unlist(id, grace);
     }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -30,8 +30,8 @@
 /// Requests that the sender has at one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoadRow {
-    /// Hash of the server's id; two of some thousand servers share one less than once in a
-    /// million, and then only look fuller than they are.
+    /// Hash of the server's id and start; two of some thousand servers share one less than once in
+    /// a million, and then only look fuller than they are.
     pub server: u32,
     pub in_flight: u16,
     /// How long work takes there now, 100 as usual; 0 where the sender does not know it.
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -13,6 +13,7 @@
 pub use raw_call::RawAnswer;
 pub use raw_call::raw_call;
 pub use raw_server::Behaviour;
+pub use raw_server::LARGE_BYTES;
 pub use raw_server::RawServer;
 pub use routed_bed::RoutedBed;
 pub use routed_bed::RoutedHost;
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -7,6 +7,7 @@
 use sorrelwick::gateway::Dialect;
 use sorrelwick::gateway::FieldNames;
 use sorrelwick::gateway::Paths;
+use sorrelwick::gateway::ReadTable;
 use sorrelwick::gateway::RouteTable;
 use sorrelwick::gateway::StoreKeys;
 use sorrelwick::model::LoadReport;
@@ -47,8 +48,12 @@
         Paths { addresses: "/addresses", readiness: "/ready", zone_query: "zone" }
     }
 
-    fn decode_config(&self, value: &[u8]) -> Result<RouteTable, String> {
-        serde_json::from_slice(value).map_err(|err| err.to_string())
+    fn decode_config(
+        &self,
+        value: &[u8],
+        before: Option<&RouteTable>,
+    ) -> Result<ReadTable, String> {
+        RouteTable::read(value, before)
     }
 
     fn decode_server(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -18,6 +19,9 @@
 use super::PlainDialect;
 
 const READ_BYTES: usize = 4_096;
+/// Body of a large answer: more than the buffers of all sockets on its way hold together.
+pub const LARGE_BYTES: usize = 64 << 20;
+const LARGE_PIECE_BYTES: usize = 64 << 10;
 
 /// What the server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +50,8 @@
     Silent,
     /// Answers before it has read the body.
     AnswerEarly,
+    /// Answers with [`LARGE_BYTES`], as fast as they are taken.
+    AnswerLarge,
 }
 
 #[derive(Debug)]
@@ -60,6 +66,8 @@
     /// Heads of all requests but health checks.
     heads: Mutex<Vec<String>>,
     cancelled: AtomicU32,
+    /// Bytes of large answers that were taken from it.
+    large_bytes: AtomicU64,
     in_flight: AtomicU32,
     in_flight_most: AtomicU32,
     connections: AtomicU32,
@@ -99,6 +107,7 @@
             ran: Mutex::default(),
             heads: Mutex::default(),
             cancelled: AtomicU32::new(0),
+            large_bytes: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
             in_flight_most: AtomicU32::new(0),
             connections: AtomicU32::new(0),
@@ -154,6 +163,12 @@
         self.shared.cancelled.load(Ordering::Relaxed)
     }
 
+    /// Bytes of large answers that were taken from it so far.
+    #[must_use]
+    pub fn large_bytes(&self) -> u64 {
+        self.shared.large_bytes.load(Ordering::Relaxed)
+    }
+
     /// Most requests that it worked on at the same time.
     #[must_use]
     pub fn in_flight_most(&self) -> u32 {
@@ -169,9 +184,23 @@
     /// The entry of this server as the stand-in's store lists it.
     #[must_use]
     pub fn entry(&self, service: &str, zone: &str, slots: u32, state: &str) -> String {
+        self.entry_of_start(service, zone, slots, state, 0)
+    }
+
+    /// As [`RawServer::entry`], of a process that started at `started_ms`.
+    #[must_use]
+    pub fn entry_of_start(
+        &self,
+        service: &str,
+        zone: &str,
+        slots: u32,
+        state: &str,
+        started_ms: u64,
+    ) -> String {
         let address = self.address;
         serde_json::json!({
             "service": service, "address": address, "zone": zone, "slots": slots, "state": state,
+            "started_ms": started_ms,
         })
         .to_string()
     }
@@ -306,6 +335,11 @@
         }
         Behaviour::Garble => ("what is this?\r\n\r\n".into(), false),
         Behaviour::Close | Behaviour::Shed => (String::new(), false),
+        Behaviour::AnswerLarge => {
+            let head = format!("HTTP/1.1 200 OK\r\n{fields}content-length: {LARGE_BYTES}\r\n\r\n");
+            return stream.write_all(head.as_bytes()).await.is_ok()
+                && write_large(stream, shared).await;
+        }
         Behaviour::Silent => {
             std::future::pending::<()>().await;
             (String::new(), false)
@@ -314,6 +348,18 @@
     stream.write_all(text.as_bytes()).await.is_ok() && stays
 }
 
+/// Writes the body of a large answer; `false` when the connection closed meanwhile.
+async fn write_large(stream: &mut TcpStream, shared: &Shared) -> bool {
+    let piece = vec![b'x'; LARGE_PIECE_BYTES];
+    for _ in 0..LARGE_BYTES / LARGE_PIECE_BYTES {
+        if stream.write_all(&piece).await.is_err() {
+            return false;
+        }
+        shared.large_bytes.fetch_add(LARGE_PIECE_BYTES as u64, Ordering::Relaxed);
+    }
+    true
+}
+
 /// Works; `false` when the connection closed meanwhile.
 async fn work(stream: &mut TcpStream, shared: &Shared) -> bool {
     let in_flight = shared.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -39,6 +39,8 @@
         slots,
         state: ServerState::Ready,
         warmup_ms: 0,
+        started_ms: 0,
+        sequence: 0,
     }
 }
 
--- a/tests/control_cost.rs
+++ b/tests/control_cost.rs
@@ -23,6 +23,8 @@
         slots,
         state: ServerState::Ready,
         warmup_ms: 0,
+        started_ms: 0,
+        sequence: 0,
     }
 }
 
--- /dev/null
+++ b/tests/declaration.rs
@@ -0,0 +1,129 @@
+//! The operators' configuration, read part by part: what cannot be read costs only itself.
+
+use std::sync::Arc;
+
+use arbtest::arbitrary::Arbitrary;
+use sorrelwick::errors::Code;
+use sorrelwick::gateway::PartFault;
+use sorrelwick::gateway::ReadTable;
+use sorrelwick::gateway::RouteKind;
+use sorrelwick::gateway::RouteTable;
+use standins::routed::two_routes;
+
+mod common;
+
+const HOST: &str = "shop.example";
+
+/// The two routes with one change to the document.
+fn changed(version: u64, change: impl FnOnce(&mut serde_json::Value)) -> Vec<u8> {
+    let mut document = serde_json::from_str(&two_routes(version)).expect("JSON");
+    change(&mut document);
+    document.to_string().into_bytes()
+}
+
+fn read(text: &[u8], before: Option<&RouteTable>) -> ReadTable {
+    RouteTable::read(text, before).expect("the document can be read")
+}
+
+fn codes(faults: &[PartFault]) -> Vec<(Code, bool)> {
+    faults.iter().map(|fault| (fault.code, fault.kept)).collect()
+}
+
+/// All callers of a deployment were refused: one route was of a kind that the instances did not
+/// know, and none of the others came in force for it.
+#[test]
+fn a_kind_that_is_not_known_costs_no_route_and_is_not_repeated() {
+    let text = changed(1, |document| document["routes"][0]["kind"] = "streamed".into());
+    let ReadTable { table, faults } = read(&text, None);
+    let look = table.find(HOST, "/look/a").expect("the route is there");
+    assert_eq!((look.kind, look.idempotent()), (RouteKind::Unknown, false));
+    assert!(look.has_target());
+    assert!(table.find(HOST, "/order/a").expect("the other holds").has_target());
+    assert_eq!(codes(&faults), [(Code::RouteKindUnknown, false)]);
+}
+
+#[test]
+fn a_download_is_a_kind_of_its_own_and_may_be_repeated() {
+    let text = changed(1, |document| document["routes"][0]["kind"] = "download".into());
+    let ReadTable { table, faults } = read(&text, None);
+    let look = table.find(HOST, "/look/a").expect("a route");
+    assert_eq!((look.kind, look.idempotent()), (RouteKind::Download, true));
+    assert!(faults.is_empty(), "{faults:?}");
+}
+
+/// An operator's tool writes a timeout as a text. Callers of that route are served as before; those
+/// of all others see the new version.
+#[test]
+fn a_route_that_cannot_be_read_stays_as_it_was() {
+    let before = read(two_routes(1).as_bytes(), None).table;
+    let text = changed(2, |document| {
+        document["routes"][0]["timeout_ms"] = "soon".into();
+        document["routes"][1]["aim_ms"] = 333.into();
+    });
+    let ReadTable { table, faults } = read(&text, Some(&before));
+    assert_eq!(table.version, 2);
+    assert_eq!(table.find(HOST, "/look/a"), before.find(HOST, "/look/a"));
+    assert_eq!(table.find(HOST, "/order/a").map(|route| route.aim_ms), Some(333));
+    assert_eq!(codes(&faults), [(Code::RouteUnreadable, true)]);
+    assert!(faults[0].why.contains("timeout_ms") || faults[0].why.contains("soon"), "{faults:?}");
+}
+
+/// A route that is new and cannot be read: a final "no such route" would end requests for good that
+/// the next version serves.
+#[test]
+fn a_new_route_that_cannot_be_read_refuses_for_a_while() {
+    let text = changed(1, |document| document["routes"][0]["timeout_ms"] = "soon".into());
+    let ReadTable { table, faults } = read(&text, None);
+    let look = table.find(HOST, "/look/a").expect("it is known that there is one");
+    assert!(!look.has_target() && !look.idempotent());
+    assert!(table.find(HOST, "/order/a").expect("the other holds").has_target());
+    assert_eq!(codes(&faults), [(Code::RouteUnreadable, false)]);
+}
+
+#[test]
+fn services_and_limits_that_cannot_be_read_stay_as_they_were() {
+    let first = changed(1, |document| document["limits"]["body_bytes_max"] = 77.into());
+    let before = read(&first, None).table;
+    let text = changed(2, |document| {
+        document["services"][0]["health_path"] = 7.into();
+        document["limits"]["body_bytes_max"] = "many".into();
+    });
+    let ReadTable { table, faults } = read(&text, Some(&before));
+    assert_eq!(table.services.get("parts"), before.services.get("parts"));
+    assert_eq!(table.limits.body_bytes_max, 77);
+    assert_eq!(codes(&faults), [(Code::ServiceUnreadable, true), (Code::LimitsUnreadable, true)]);
+}
+
+/// Any part replaced by anything: the document is read, and the other route is as it was written.
+#[test]
+fn no_part_costs_another() {
+    let whole = read(two_routes(1).as_bytes(), None).table;
+    common::property(2_000, |u| {
+        let at = usize::from(bool::arbitrary(u)?);
+        let field = *u.choose(&["name", "host", "prefix", "kind", "timeout_ms", "service", ""])?;
+        let values = [
+            serde_json::Value::Null,
+            serde_json::json!(u64::arbitrary(u)?),
+            serde_json::json!(String::arbitrary(u)?),
+            serde_json::json!([u8::arbitrary(u)?]),
+            serde_json::json!({ "a": bool::arbitrary(u)? }),
+        ];
+        let value = u.choose(&values)?.clone();
+        let text = changed(2, |document| {
+            let route = &mut document["routes"][at];
+            if field.is_empty() { *route = value } else { route[field] = value }
+        });
+        let table = read(&text, Some(&whole)).table;
+        let (path, other) = if at == 0 { ("/order/a", "order") } else { ("/look/a", "look") };
+        let found = table.find(HOST, path).map(Arc::as_ref);
+        assert_eq!(found, whole.route_named(other).map(Arc::as_ref));
+        Ok(())
+    });
+}
+
+#[test]
+fn what_is_no_document_is_rejected_whole() {
+    for text in ["", "[]", "{}", r#"{"version":"7"}"#, r#"{"version":7,"routes":{}}"#] {
+        assert!(RouteTable::read(text.as_bytes(), None).is_err(), "{text}");
+    }
+}
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -1,14 +1,19 @@
 //! Requests by routes over real sockets: whole answers to whoever asked, at most once, true
 //! refusals, and final answers at once.
 
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
+use sorrelwick::gateway::MemoryRoom;
 use standins::routed::Behaviour;
+use standins::routed::LARGE_BYTES;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
 use standins::routed::raw_call;
 use standins::routed::two_routes;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 
 const WAIT: Duration = Duration::from_secs(10);
 
@@ -369,3 +374,73 @@
     assert_eq!(answer.status, 200);
     assert!(parts.heads().pop().is_some_and(|head| head.starts_with("GET /look/a HTTP/1.1")));
 }
+
+/// A server crashes while it has four lookups and starts again under its id, at another address.
+/// New lookups wait for slots that nobody holds any more, or go to the address that is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_starts_again_under_its_id_is_used_at_once() {
+    let bed = RoutedBed::start(&["z"]).await;
+    let before = RawServer::spawn("p1").await;
+    bed.store.put("config", &two_routes(1));
+    bed.store.put("servers/p1", &before.entry_of_start("parts", "z", 4, "ready", 1_000));
+    bed.settle().await;
+    until_served(&bed, "GET /look/a").await;
+    before.behave(Behaviour::Silent);
+    let lost = async {
+        tokio::join!(
+            bed.call(0, "GET /look/b", "l1", &[]),
+            bed.call(0, "GET /look/b", "l2", &[]),
+            bed.call(0, "GET /look/b", "l3", &[]),
+        )
+    };
+    let served = async {
+        while before.ran().len() < 4 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let after = RawServer::spawn("p1").await;
+        bed.store.put("servers/p1", &after.entry_of_start("parts", "z", 4, "ready", 2_000));
+        until_used(&bed, &after).await;
+        let since = Instant::now();
+        for number in 0..20 {
+            let answer = bed.call(0, "GET /look/c", &format!("n{number}"), &[]).await;
+            assert_eq!(answer.status, 200);
+        }
+        assert!(since.elapsed() < Duration::from_secs(1), "{:?}", since.elapsed());
+    };
+    tokio::join!(lost, served);
+}
+
+/// A caller reads a large answer slowly. The instance must not hold what the caller has not taken:
+/// some such callers would fill its memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_is_passed_on_no_faster_than_its_caller_reads() {
+    let (bed, parts, _) = one_of_each().await;
+    parts.behave(Behaviour::AnswerLarge);
+    let to = bed.board(0).settings.listen.caller;
+    let mut stream = tokio::net::TcpStream::connect(to).await.expect("connected");
+    let call = b"GET /look/a HTTP/1.1\r\nhost: shop.example\r\nrequest-id: d1\r\n\r\n";
+    stream.write_all(call).await.expect("sent");
+    let mut bytes = vec![0; 64 << 10];
+    let mut taken = stream.read(&mut bytes).await.expect("the answer begins");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // Sockets on loopback hold some megabytes each.
+    assert!(parts.large_bytes() < LARGE_BYTES as u64 / 2, "{} bytes", parts.large_bytes());
+    while taken < LARGE_BYTES {
+        match stream.read(&mut bytes).await {
+            Ok(read) if read > 0 => taken += read,
+            ended => panic!("ended after {taken} bytes: {ended:?}"),
+        }
+    }
+}
+
+/// The memory set aside for held answers is full: answers are passed on as they come, whole.
+#[tokio::test]
+async fn a_full_room_for_answers_holds_no_more() {
+    let room = Arc::new(MemoryRoom::new(100));
+    let mut first = room.part();
+    let mut second = room.part();
+    assert!(first.grow(60) && !second.grow(50) && second.grow(40));
+    assert_eq!(room.used_bytes(), 100);
+    drop(first);
+    assert_eq!(room.used_bytes(), 40);
+}
