--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -157,7 +157,8 @@
             event = "request", id = request.id_text(), route = request.route.name.as_str(),
             service = &*request.service, version = self.version(),
             status = reply.status.as_u16(), code = reply.code.number(),
-            took_ms = took.as_millis();
+            took_ms = took.as_millis(), spent_before_ms = request.spent_us / 1000,
+            allowed_ms = request.deadline_us.saturating_sub(request.arrived_us) / 1000;
             "answered"
         );
     }
