--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -189,7 +189,7 @@
         let board = Arc::new(Blackboard::new(settings, rand::rng().random::<u64>()));
         let table: TableInForce = Arc::new(ArcSwapOption::empty());
         let dispatcher = Dispatcher::new(&zone, allowance(&gateway));
-        dispatcher.share_slack(homes_at_least(&gateway));
+        dispatcher.share_among(homes_at_least(&gateway), true);
 
         let mut tasks = JoinSet::new();
         let Copies { config, servers } =
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -47,7 +47,7 @@
 }
 
 /// Servers, queue and measures of one service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServicePool {
     pub servers: Vec<ServerTrack>,
     /// Place of each server in `servers`, by id.
@@ -56,6 +56,8 @@
     /// Requests of this instance that each server may have, by the connections it accepts; 0 where
     /// that is not known.
     pub own_requests_max: usize,
+    /// Part of the slots that this instance gets in the long run: one of so many homes.
+    pub fair_share: f64,
     /// The most urgent first.
     pub(super) waiting: Vec<Waiting>,
     pub(super) limit: ConcurrencyLimit,
@@ -67,6 +69,24 @@
     pub(super) mean_ms: f64,
 }
 
+impl Default for ServicePool {
+    /// A pool without servers, of an instance that is alone.
+    fn default() -> Self {
+        Self {
+            servers: Vec::new(),
+            places: HashMap::new(),
+            budget: RepeatBudget::default(),
+            own_requests_max: 0,
+            fair_share: 1.0,
+            waiting: Vec::new(),
+            limit: ConcurrencyLimit::default(),
+            times: ServiceTimes::default(),
+            unhindered: ServiceTimes::default(),
+            mean_ms: 0.0,
+        }
+    }
+}
+
 impl ServicePool {
     /// The server of this id.
     #[must_use]
--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -115,13 +115,17 @@
         (ahead as f64 * per_slot_us) as u64
     }
 
-    /// This instance's part of all requests at the servers.
+    /// This instance's part of all requests at the servers, or its fair part if that is more.
+    ///
+    /// By the former alone, a home that has just started gives itself next to nothing, as others
+    /// have all the requests: it refuses nearly all of its own, and so its part stays as it is. Seen
+    /// for a second and more after a loss of power of everything, with half of the slots free.
     fn own_share(&self, now_us: u64) -> f64 {
         let own: usize = self.servers.iter().map(ServerTrack::own_requests).sum();
         let all: u32 = self.servers.iter().map(|server| server.occupancy(now_us)).sum();
         #[expect(clippy::cast_precision_loss, reason = "some thousand requests")]
         let own = own as f64;
-        if all == 0 { 1.0 } else { (own / f64::from(all)).min(1.0) }
+        if all == 0 { 1.0 } else { (own / f64::from(all)).clamp(self.fair_share.min(1.0), 1.0) }
     }
 
     /// When to come back: once those that wait now are served.
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -30,9 +30,16 @@
         pool.budget.request(&self.allowance, now_us());
     }
 
-    /// Divides the slack of the repeat budget among so many instances.
-    pub fn share_slack(&self, instances: usize) {
-        self.sharers.store(instances.max(1), Ordering::Release);
+    /// Divides the slack of the repeat budget among so many homes, and the slots of all servers if
+    /// this instance is one of them.
+    #[expect(clippy::cast_precision_loss, reason = "some homes")]
+    pub fn share_among(&self, homes: usize, own: bool) {
+        let homes = homes.max(1);
+        self.sharers.store(homes, Ordering::Release);
+        let fair_share = if own { 1.0 / homes as f64 } else { 0.0 };
+        for pool in self.state.lock().pools.values_mut() {
+            pool.fair_share = fair_share;
+        }
     }
 
     /// Keeps to a part of the connections that each server of these services accepts.
--- a/src/gateway/home_planner.rs
+++ b/src/gateway/home_planner.rs
@@ -64,9 +64,9 @@
             );
             *known = incarnations;
         }
-        self.dispatcher.share_slack(homes.len());
         let others = view.serving().saturating_sub(homes.len());
         let own = homes.iter().any(|row| row.incarnation == self.board.incarnation);
+        self.dispatcher.share_among(homes.len(), own);
         let part = connection_part(homes.len(), others, own);
         if let Some(table) = self.table.load().as_ref() {
             self.dispatcher.share_connections(&table.services, part);
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -24,6 +24,7 @@
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
+use sorrelwick::peer::ServerLoadRow;
 
 mod common;
 
@@ -95,6 +96,29 @@
     assert!(!refusal.no_server && (50..=2_000).contains(&refusal.retry_after_ms), "{refusal:?}");
 }
 
+/// All instances start at once after a loss of power. The first ones up give out most slots, and a
+/// home that comes half a second later refuses everything it gets, for as long as they do: it has
+/// no part of the requests, so it reckons with no part of the slots.
+///
+/// The pattern: all usable slots in use by others. Grounds: three homes, twelve servers of three
+/// slots, work of 160 ms in an aim of 400, as on the deployments of today.
+#[test]
+fn a_home_that_starts_late_reckons_with_its_fair_part() {
+    let mut pool = pool(12, 3);
+    pool.fair_share = 1.0 / 3.0;
+    let first = ask("look", 2, 400.0, MS);
+    let choice = pool.take(100, &first, ZONE, MS, &mut half()).expect("a free server");
+    let now_us = 161 * MS;
+    pool.finish(&choice.server, 100, &first, SendEnd::Answered, now_us);
+    for server in &mut pool.servers {
+        let row = ServerLoadRow { server: server.key, in_flight: 2, pace_percent: 100 };
+        server.hear_peer(7, Some(&row), now_us);
+    }
+    let asks = (0..8).map(|number| (number, ask("look", 2, 400.0, now_us)));
+    let waiting = asks.filter(|(number, ask)| pool.enqueue(*number, ask.clone(), now_us).is_ok());
+    assert!(waiting.count() >= 5);
+}
+
 /// A caller that comes back after a refusal has less of its aim left than its arrival tells.
 #[test]
 fn time_that_a_caller_spent_before_counts() {
