A server that turns out full when asked is not used

Cause: after a start many instances have requests at the servers that nobody told of; the load that a server tells just before a send was taken in but not heeded, so the third slot was filled, which slows all three (knee), and others waited in the server's queue: sends 'running 1' took 440 to 530 ms where 160 is usual. Ruled out: the limit itself (two of three slots) was right.

--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -147,6 +147,17 @@
         rooms.collect()
     }
 
+    /// Whether a server has more requests than it is given at a time.
+    #[must_use]
+    pub fn crowded(&self, id: &str, now_us: u64) -> bool {
+        let place = self.places.get(id);
+        place.is_some_and(|place| {
+            let server = &self.servers[*place];
+            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
+            server.occupancy(now_us) > allowed
+        })
+    }
+
     /// Of the servers with room the one that is expected to answer first, if that is soon enough.
     ///
     /// The pace of a server when work begins holds for all of it, and shifts some times a second:
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -353,6 +353,14 @@
         state.track(server).map_or(0.0, |track| track.expected_ms(usual_ms, now_us()))
     }
 
+    /// Whether a server has more requests than it is given at a time.
+    #[must_use]
+    pub fn crowded(&self, server: &Server) -> bool {
+        let mut state = self.state.lock();
+        let pool = state.pools.get_mut(&server.row.service);
+        pool.is_some_and(|pool| pool.crowded(&server.row.id, now_us()))
+    }
+
     /// Whether requests wait for slots.
     #[must_use]
     pub fn contended(&self) -> bool {
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -39,6 +39,13 @@
         now_ms > self.choice.expected_ms + SLOWED_SHARE * usual_ms
     }
 
+    /// Whether the server has more requests, this one included, than it is given at a time: others
+    /// sent some that nobody told of.
+    #[must_use]
+    pub fn crowded(&self) -> bool {
+        self.dispatcher.crowded(&self.server)
+    }
+
     /// Takes in a load report that came with the answer.
     pub fn report(&self, load: LoadReport) {
         self.dispatcher.report(&self.server, load);
