--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -76,6 +76,12 @@
 /// While all who read the store say that it does not serve them, the others try it themselves only
 /// as often as this: in an outage each call is paid for and brings nothing.
 const OUTAGE_TRY: Duration = Duration::from_secs(5);
+/// Time that an instance that starts gives others to hand it a copy, before it reads the store: on
+/// a fleet that starts at once, those that come later need not read it all again.
+const START_PAUSE: Duration = Duration::from_millis(60);
+/// An instance that knows no other one takes itself for the one that watches. For so long after it
+/// got its copy it waits for others first; a call that waits in the store is paid for like any other.
+const ALONE_PAUSE: Duration = Duration::from_millis(700);
 /// Instances that must say so.
 const OUTAGE_WITNESSES: usize = 6;
 /// How often a watching instance asks another whether it missed something.
@@ -140,6 +146,7 @@
     /// Follows until the process ends.
     pub async fn run(self) {
         self.first_copy().await;
+        let _ = tokio::time::timeout(ALONE_PAUSE, self.others_there()).await;
         loop {
             if watches(&self.board) {
                 self.follow_store().await;
@@ -155,6 +162,7 @@
     /// at once, by its name, and refuse all of its zone's callers for want of a configuration that
     /// each of its neighbours has.
     async fn first_copy(&self) {
+        let _ = tokio::time::timeout(START_PAUSE, self.others_know()).await;
         while self.mirror.revision().is_none() {
             tokio::select! {
                 () = self.follow_store() => {}
@@ -163,6 +171,17 @@
         }
     }
 
+    /// Returns once another instance is known.
+    async fn others_there(&self) {
+        let mut changes = self.board.changes();
+        while self.board.members_view().serving() <= 1 {
+            // Ends only with the board, which outlives its controllers.
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Returns once another instance has told what it knows, however old.
     async fn others_know(&self) {
         let mut changes = self.board.changes();
@@ -226,8 +245,12 @@
         let age = self.mirror.age();
         // Where the store serves nobody there is nothing to learn, and no bound runs.
         let outage = asked.witnesses >= OUTAGE_WITNESSES;
-        let patience = if outage { self.patience.max(OUTAGE_TRY) } else { self.patience };
-        if age < patience {
+        let due = if outage {
+            age.min(self.outage.since_failure()) >= OUTAGE_TRY
+        } else {
+            age >= self.patience
+        };
+        if !due {
             return tokio::time::sleep(ASK_PAUSE).await;
         }
         info!(
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -26,6 +26,9 @@
 /// so this bounds how long callers go on trying it; a shorter time buys little, since the failure
 /// itself takes most of a second to be noticed.
 const ADDRESS_KEEP: Duration = Duration::from_secs(1);
+/// The same while this instance knows no other: it can name only itself, and callers that keep that
+/// answer go on using an instance that is no home once the others are found.
+const ADDRESS_KEEP_ALONE: Duration = Duration::from_millis(200);
 const LIMITS: ConnLimits =
     ConnLimits { header_bytes_max: 16 << 10, head_timeout: Duration::from_secs(30) };
 
@@ -73,7 +76,8 @@
         let keep_max = settings.map_or(ADDRESS_KEEP, GatewaySettings::address_keep_max);
         let view = self.board.members_view();
         let homes = homes_of_zone(&view.rows, zone, HomesPlan::of(&self.board));
-        (homes.iter().map(|row| row.caller).collect(), ADDRESS_KEEP.min(keep_max))
+        let keep = if view.serving() > 1 { ADDRESS_KEEP } else { ADDRESS_KEEP_ALONE };
+        (homes.iter().map(|row| row.caller).collect(), keep.min(keep_max))
     }
 }
 
--- a/src/gateway/store_outage.rs
+++ b/src/gateway/store_outage.rs
@@ -31,6 +31,11 @@
         self.failures.fetch_add(1, Ordering::AcqRel)
     }
 
+    /// Time since the last call that failed began.
+    pub(super) fn since_failure(&self) -> Duration {
+        Duration::from_micros(now_us().saturating_sub(self.failed_us.load(Ordering::Acquire)))
+    }
+
     /// How long a key that is missing now may be so only because its lease lapsed while the store
     /// was away. It ends by itself some two seconds after the store's return, so that a server
     /// that really left is not used for longer than it serves.
--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -32,6 +32,8 @@
 const BOUND: Duration = Duration::from_secs(2);
 const ZONES: usize = 3;
 const INSTANCES: usize = 24;
+/// Instances that read the store when nobody is certain: four of each zone, the first ones.
+const READERS: usize = 4 * ZONES;
 /// Played in CI; `SORRELWICK_SCHEDULES` gives another number.
 const SEEDS: u64 = 60;
 /// Time before the change, so that all instances have settled.
@@ -232,34 +234,49 @@
     false
 }
 
+/// Instances with their followers, running.
+struct Fleet {
+    sinks: Vec<Seen>,
+    net: Arc<Net>,
+    views: Vec<MemoryEvents>,
+    _tasks: tokio::task::JoinSet<()>,
+}
+
+impl Fleet {
+    fn start(store: &MemoryEvents, way: Way) -> Self {
+        let sinks: Vec<Seen> = (0..INSTANCES).map(|_| Seen::default()).collect();
+        let mirrors = sinks.iter().map(|sink| Arc::new(Mirror::new(sink.clone()))).collect();
+        let losses_now = Mutex::new(vec![Loss::None; INSTANCES]);
+        let net = Arc::new(Net { mirrors, losses: losses_now });
+        let views: Vec<MemoryEvents> = (0..INSTANCES).map(|_| store.for_another()).collect();
+        let mut tasks = tokio::task::JoinSet::new();
+        for (at, view) in views.iter().enumerate() {
+            let (view, peers) = (view.clone(), Peers(Arc::clone(&net)));
+            if way == Way::OneByOne {
+                tasks.spawn(one_by_one(at, view, peers));
+                continue;
+            }
+            let board = board(at);
+            let mirror = Arc::clone(&net.mirrors[at]);
+            let new = || {
+                let (view, peers, board) = (view.clone(), peers.clone(), Arc::clone(&board));
+                Follower::new(view, peers, board, Arc::clone(&mirror), Feed::Config, "config")
+            };
+            tasks.spawn(new().run());
+            tasks.spawn(new().cross_check());
+            let (first, second) = (Arc::clone(&mirror), Arc::clone(&mirror));
+            tasks.spawn(sorrelwick::gateway::run_store_check(view, board, first, second));
+        }
+        Self { sinks, net, views, _tasks: tasks }
+    }
+}
+
 /// One change, while some instances fail.
 async fn play(seed: u64, way: Way) -> Outcome {
     let mut random = Pcg64::seed_from_u64(seed);
     let store = MemoryEvents::default();
     store.put("config", "1");
-    let sinks: Vec<Seen> = (0..INSTANCES).map(|_| Seen::default()).collect();
-    let mirrors = sinks.iter().map(|sink| Arc::new(Mirror::new(sink.clone()))).collect();
-    let losses_now = Mutex::new(vec![Loss::None; INSTANCES]);
-    let net = Arc::new(Net { mirrors, losses: losses_now });
-    let views: Vec<MemoryEvents> = (0..INSTANCES).map(|_| store.for_another()).collect();
-    let mut tasks = tokio::task::JoinSet::new();
-    for (at, view) in views.iter().enumerate() {
-        let (view, peers) = (view.clone(), Peers(Arc::clone(&net)));
-        if way == Way::OneByOne {
-            tasks.spawn(one_by_one(at, view, peers));
-            continue;
-        }
-        let board = board(at);
-        let mirror = Arc::clone(&net.mirrors[at]);
-        let new = || {
-            let (view, peers, board) = (view.clone(), peers.clone(), Arc::clone(&board));
-            Follower::new(view, peers, board, Arc::clone(&mirror), Feed::Config, "config")
-        };
-        tasks.spawn(new().run());
-        tasks.spawn(new().cross_check());
-        let (first, second) = (Arc::clone(&mirror), Arc::clone(&mirror));
-        tasks.spawn(sorrelwick::gateway::run_store_check(view, board, first, second));
-    }
+    let Fleet { sinks, net, views, _tasks } = &Fleet::start(&store, way);
     tokio::time::sleep(SETTLE).await;
     let lost = losses(&mut random);
     net.losses.lock().clone_from(&lost);
@@ -307,6 +324,33 @@
     assert!(naive_breaks > 0, "the schedules are too mild to tell anything");
 }
 
+/// The store is away for eight seconds. Every instance goes on calling it once a second for each
+/// part that it follows, which brings nothing and is paid for.
+#[tokio::test(start_paused = true)]
+async fn in_an_outage_of_the_store_only_the_readers_go_on_calling_it() {
+    let store = MemoryEvents::default();
+    store.put("config", "1");
+    let fleet = Fleet::start(&store, Way::Ours);
+    tokio::time::sleep(SETTLE).await;
+    let before: Vec<u64> = fleet.views.iter().map(MemoryEvents::calls).collect();
+    for view in &fleet.views {
+        view.set_fault(Fault::Busy);
+    }
+    tokio::time::sleep(BOUND * 4).await;
+    for (at, view) in fleet.views.iter().enumerate().skip(READERS) {
+        let calls = view.calls() - before[at];
+        assert!(calls <= 3, "instance {at}: {calls} calls");
+    }
+    // Back again, all learn of the next change.
+    for view in &fleet.views {
+        view.set_fault(Fault::None);
+    }
+    store.put("config", "2");
+    tokio::time::sleep(BOUND).await;
+    let learned = |sink: &&Seen| sink.0.lock().is_some_and(|(seen, _)| seen == store.revision());
+    assert_eq!(fleet.sinks.iter().filter(learned).count(), INSTANCES);
+}
+
 /// Without a loss, a change costs a few calls, however many instances there are.
 #[tokio::test(start_paused = true)]
 async fn a_change_without_a_loss_costs_calls_of_the_watching_instances_only() {
