A watch that lost its answer holds back no change: after a silence of the store, and when another instance takes over

Change: after a failed call the next ones do not wait in the store; a check that the store does not answer gives up the watches that wait there; an instance that is relieved stops watching at once. Ruled out: relays (all instances had the same version), the time to gather changes.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -87,6 +87,11 @@
 /// How often a watching instance asks another whether it missed something.
 const CROSS_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// A watch that was given up because the store did not answer a check meanwhile.
+fn interrupted() -> StoreError {
+    StoreError::AnswerLost("no answer to a check while a watch waited".into())
+}
+
 /// Keeps one mirror up to date.
 #[derive(Debug)]
 pub struct Follower<S, K, P> {
@@ -149,7 +154,10 @@
         let _ = tokio::time::timeout(ALONE_PAUSE, self.others_there()).await;
         loop {
             if watches(&self.board) {
-                self.follow_store().await;
+                tokio::select! {
+                    () = self.follow_store() => {}
+                    () = self.relieved() => {}
+                }
             } else {
                 self.learn_from_others().await;
             }
@@ -194,6 +202,17 @@
         }
     }
 
+    /// Returns once another instance of the zone is to watch. A watch whose answer was lost waits on
+    /// for seconds; this one is asked about what it missed no more, and must ask itself.
+    async fn relieved(&self) {
+        let mut changes = self.board.changes();
+        while watches(&self.board) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// One turn at the store, and the pause after it.
     async fn follow_store(&self) {
         let began_us = now_us();
@@ -396,8 +415,14 @@
     }
 
     async fn watch(&self, revision: u64) -> Result<bool, StoreError> {
+        // A store that is back answers at once; one that is not holds a call that waits for nothing
+        // as long as it waits for changes.
+        let wait = if self.outage.lasts() { Duration::ZERO } else { WAIT };
         let watching = self.mirror.watching();
-        let watched = self.store.events(self.prefix, revision, WAIT).await?;
+        let watched = tokio::select! {
+            watched = self.store.events(self.prefix, revision, wait) => watched?,
+            () = self.mirror.interrupted() => return Err(interrupted()),
+        };
         drop(watching);
         match watched {
             Watched::HistoryLost => {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use super::follower::AGE_MAX;
@@ -38,6 +39,8 @@
     confirmed_us: AtomicU64,
     /// Watches that wait in the store for the next change.
     watches: AtomicU32,
+    /// Told when the store did not answer a check.
+    unanswered: Notify,
 }
 
 /// A watch that waits in the store, until it is dropped.
@@ -77,9 +80,21 @@
             revision,
             confirmed_us: AtomicU64::new(0),
             watches: AtomicU32::new(0),
+            unanswered: Notify::new(),
         }
     }
 
+    /// Gives up the watches that wait in the store: it did not answer a check, and what it answers
+    /// them on the connections of before may be lost.
+    pub fn interrupt(&self) {
+        self.unanswered.notify_waiters();
+    }
+
+    /// Returns when the store does not answer a check.
+    pub async fn interrupted(&self) {
+        self.unanswered.notified().await;
+    }
+
     /// Takes note of a watch that waits in the store from now on.
     pub fn watching(&self) -> Watching<'_> {
         self.watches.fetch_add(1, Ordering::AcqRel);
--- a/src/gateway/store_check.rs
+++ b/src/gateway/store_check.rs
@@ -33,6 +33,9 @@
         if matches!(alive, Ok(Ok(()))) {
             first.served(began_us);
             second.served(began_us);
+        } else {
+            first.interrupt();
+            second.interrupt();
         }
     }
 }
--- a/src/gateway/store_outage.rs
+++ b/src/gateway/store_outage.rs
@@ -31,6 +31,11 @@
         self.failures.fetch_add(1, Ordering::AcqRel)
     }
 
+    /// Whether the last call failed.
+    pub(super) fn lasts(&self) -> bool {
+        self.failures.load(Ordering::Acquire) > 0
+    }
+
     /// Time since the last call that failed began.
     pub(super) fn since_failure(&self) -> Duration {
         Duration::from_micros(now_us().saturating_sub(self.failed_us.load(Ordering::Acquire)))
--- a/standins/src/routed/memory_events.rs
+++ b/standins/src/routed/memory_events.rs
@@ -26,8 +26,11 @@
     None,
     /// Answers that it is busy; nothing is done.
     Busy,
-    /// Does not answer.
+    /// Does not answer; calls that wait are cut.
     Silent,
+    /// Does not answer, and what was called meanwhile or waits now is never answered, also when it
+    /// is back: the connections are dead.
+    Hung,
 }
 
 #[derive(Debug, Default)]
@@ -124,7 +127,7 @@
         match fault {
             Fault::None => Ok(()),
             Fault::Busy => Err(StoreError::Refused("busy".into())),
-            Fault::Silent => {
+            Fault::Silent | Fault::Hung => {
                 tokio::time::sleep(CALL_TIMEOUT).await;
                 Err(StoreError::AnswerLost("timed out".into()))
             }
@@ -164,17 +167,27 @@
         revision: u64,
         wait: Duration,
     ) -> Result<Watched, StoreError> {
+        let until = tokio::time::Instant::now() + wait;
+        if *self.fault.borrow() == Fault::Hung {
+            self.calls.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep_until(until + CALL_TIMEOUT).await;
+            return Err(StoreError::AnswerLost("timed out".into()));
+        }
         self.call().await?;
         let mut changed = self.changed.subscribe();
         let mut fault = self.fault.subscribe();
-        let until = tokio::time::Instant::now() + wait;
         loop {
             if let Some(watched) = self.events_after(prefix, revision) {
                 return Ok(watched);
             }
             tokio::select! {
                 _ = changed.changed() => {}
-                _ = fault.changed() => return Err(StoreError::AnswerLost("cut".into())),
+                _ = fault.changed() => {
+                    if *fault.borrow() == Fault::Hung {
+                        tokio::time::sleep_until(until + CALL_TIMEOUT).await;
+                    }
+                    return Err(StoreError::AnswerLost("cut".into()));
+                }
                 () = tokio::time::sleep_until(until) => {
                     return Ok(Watched::Events { events: Vec::new(), revision });
                 }
--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -239,6 +239,7 @@
     sinks: Vec<Seen>,
     net: Arc<Net>,
     views: Vec<MemoryEvents>,
+    boards: Vec<Arc<Blackboard>>,
     _tasks: tokio::task::JoinSet<()>,
 }
 
@@ -249,6 +250,7 @@
         let losses_now = Mutex::new(vec![Loss::None; INSTANCES]);
         let net = Arc::new(Net { mirrors, losses: losses_now });
         let views: Vec<MemoryEvents> = (0..INSTANCES).map(|_| store.for_another()).collect();
+        let mut boards = Vec::new();
         let mut tasks = tokio::task::JoinSet::new();
         for (at, view) in views.iter().enumerate() {
             let (view, peers) = (view.clone(), Peers(Arc::clone(&net)));
@@ -257,6 +259,7 @@
                 continue;
             }
             let board = board(at);
+            boards.push(Arc::clone(&board));
             let mirror = Arc::clone(&net.mirrors[at]);
             let new = || {
                 let (view, peers, board) = (view.clone(), peers.clone(), Arc::clone(&board));
@@ -267,7 +270,11 @@
             let (first, second) = (Arc::clone(&mirror), Arc::clone(&mirror));
             tasks.spawn(sorrelwick::gateway::run_store_check(view, board, first, second));
         }
-        Self { sinks, net, views, _tasks: tasks }
+        Self { sinks, net, views, boards, _tasks: tasks }
+    }
+
+    fn row_of(&self, at: usize) -> MemberRow {
+        row(at, self.boards[0].own_capacity_per_s())
     }
 }
 
@@ -276,7 +283,7 @@
     let mut random = Pcg64::seed_from_u64(seed);
     let store = MemoryEvents::default();
     store.put("config", "1");
-    let Fleet { sinks, net, views, _tasks } = &Fleet::start(&store, way);
+    let Fleet { sinks, net, views, .. } = &Fleet::start(&store, way);
     tokio::time::sleep(SETTLE).await;
     let lost = losses(&mut random);
     net.losses.lock().clone_from(&lost);
@@ -324,6 +331,57 @@
     assert!(naive_breaks > 0, "the schedules are too mild to tell anything");
 }
 
+/// The store does not answer for some seconds, and an operator changes the configuration soon after
+/// its return. All instances go on by the version before for seconds: their watches, sent or waiting
+/// in the outage, wait for answers on connections that are dead. Seen as `CONFIG` on the second
+/// site's day `pairs_that_share_a_mechanism --vary --seed 53884187977`.
+#[tokio::test(start_paused = true)]
+async fn after_a_silence_of_the_store_a_change_is_learned_in_its_bound() {
+    for silent_ms in [700, 1_500, 2_500, 4_500, 6_000] {
+        let store = MemoryEvents::default();
+        store.put("config", "1");
+        let fleet = Fleet::start(&store, Way::Ours);
+        tokio::time::sleep(SETTLE).await;
+        for view in &fleet.views {
+            view.set_fault(Fault::Hung);
+        }
+        tokio::time::sleep(Duration::from_millis(silent_ms)).await;
+        for view in &fleet.views {
+            view.set_fault(Fault::None);
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        store.put("config", "2");
+        tokio::time::sleep(BOUND).await;
+        let learned =
+            |sink: &&Seen| sink.0.lock().is_some_and(|(seen, _)| seen == store.revision());
+        let learned = fleet.sinks.iter().filter(learned).count();
+        assert_eq!(learned, INSTANCES, "silent for {silent_ms} ms");
+    }
+}
+
+/// The instance that watches for its zone loses its watch, and at the same moment another instance
+/// starts that takes its place. It waits for an answer that does not come, and nobody asks it about
+/// what it missed any more. Seen as `CONFIG` on the second site's day `hunt-67e7-19`.
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_is_relieved_of_watching_asks_the_one_that_took_over() {
+    let store = MemoryEvents::default();
+    store.put("config", "1");
+    let fleet = Fleet::start(&store, Way::Ours);
+    tokio::time::sleep(SETTLE).await;
+    // The last instance of its zone, under a name that comes first, is the one that took over.
+    let newcomer =
+        MemberRow { incarnation: 1_000, name: "a".into(), ..fleet.row_of(INSTANCES - 1) };
+    fleet.views[(INSTANCES - 1) % ZONES].set_fault(Fault::Hung);
+    for board in &fleet.boards {
+        board.members.lock().merge(&newcomer, 1_000);
+        board.publish_members();
+    }
+    store.put("config", "2");
+    tokio::time::sleep(BOUND).await;
+    let seen = fleet.sinks[(INSTANCES - 1) % ZONES].0.lock().map(|(seen, _)| seen);
+    assert_eq!(seen, Some(store.revision()));
+}
+
 /// The store is away for eight seconds. Every instance goes on calling it once a second for each
 /// part that it follows, which brings nothing and is paid for.
 #[tokio::test(start_paused = true)]
