--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -175,13 +175,19 @@
         let mut least_ms: SmallVec<[(&str, f64); 8]> = SmallVec::new();
         for (at, waiting) in self.waiting.iter().enumerate() {
             let ask = &waiting.ask;
-            if !least_ms.iter().any(|(route, _)| **route == *ask.route) {
-                least_ms.push((&ask.route, self.least_expected_ms(ask, &rooms, now_us)));
-            }
             let within_ms = self.within_ms(ask, waiting.late, now_us);
-            let in_time = |(route, ms): &(&str, f64)| **route == *ask.route && *ms <= within_ms;
-            if !waiting.late && !least_ms.iter().any(in_time) {
-                continue;
+            if !waiting.late {
+                let known = least_ms.iter().find(|(route, _)| **route == *ask.route);
+                let least = known.map_or_else(
+                    || self.least_expected_ms(ask, &rooms, now_us),
+                    |(_, least)| *least,
+                );
+                if known.is_none() {
+                    least_ms.push((&ask.route, least));
+                }
+                if least > within_ms {
+                    continue;
+                }
             }
             let place = Place { zone, within_ms, late: waiting.late };
             if let Some(index) = self.choose(ask, &rooms, place, now_us, random) {
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -42,35 +42,11 @@
 pub(super) struct State {
     pub(super) pools: HashMap<Arc<str>, ServicePool>,
     pub(super) servers: HashMap<Arc<str>, Arc<Server>>,
-    starts: ServerStarts,
+    pub(super) starts: ServerStarts,
     waiting: HashMap<u64, oneshot::Sender<Offer>>,
 }
 
 impl State {
-    /// What is believed of one start of a server; `None` once a later one is known.
-    fn track(&mut self, server: &Server) -> Option<&mut ServerTrack> {
-        let track = self.pools.get_mut(&server.row.service)?.server(&server.row.id)?;
-        (track.key == server.key).then_some(track)
-    }
-
-    fn unlist(&mut self, server: &Server, grace: Duration) {
-        let until_us = now_us() + u64::try_from(grace.as_micros()).unwrap_or(u64::MAX);
-        if let Some(track) = self.track(server) {
-            track.unlist(until_us);
-        }
-    }
-
-    fn forget_start(&mut self, server: &Server) {
-        info!(
-            event = "server-started-anew", server = &*server.row.id,
-            service = &*server.row.service, before_ms = server.row.started_ms;
-            "what was known of it is forgotten"
-        );
-        if let Some(pool) = self.pools.get_mut(&server.row.service) {
-            pool.forget(&server.row.id);
-        }
-    }
-
     /// Services for which requests wait.
     fn waited_for(&self) -> Vec<Arc<str>> {
         let waited_for = self.pools.iter().filter(|(_, pool)| pool.waiting() > 0);
@@ -147,47 +123,6 @@
         Some(Grant { server, choice, ticket, ask, end: SendEnd::Cancelled, dispatcher })
     }
 
-    /// Lists a server, unless the row is of an earlier start, or an earlier report, than what is
-    /// known already.
-    pub fn list(&self, row: ServerRow) {
-        let mut undelivered = Vec::new();
-        let mut state = self.state.lock();
-        let Some(row) = state.starts.take(row, now_us()) else {
-            return;
-        };
-        self.put_in_force(&mut state, row, &mut undelivered);
-    }
-
-    /// A server that starts again holds and knows nothing of before, so neither do we: its
-    /// connections, slots, pace and failures go with the start that they were of.
-    fn put_in_force(&self, state: &mut State, row: ServerRow, undelivered: &mut Vec<Grant>) {
-        let before = state.servers.get(&row.id).cloned();
-        if before.as_ref().is_none_or(|before| !before.row.same_start(&row)) {
-            if let Some(before) = before {
-                state.forget_start(&before);
-            }
-            state.servers.insert(Arc::clone(&row.id), Arc::new(Server::new(row.clone())));
-        }
-        let service = Arc::clone(&row.service);
-        state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
-        self.serve_waiting(state, &service, undelivered);
-    }
-
-    /// The platform no longer lists a server; it may be used for `grace` more.
-    pub fn unlist(&self, id: &str, grace: Duration) {
-        let mut state = self.state.lock();
-        state.starts.removed(id);
-        if let Some(server) = state.servers.get(id).cloned() {
-            state.unlist(&server, grace);
-        }
-    }
-
-    /// Another server has the address of this one now. A later start of it, which may have another
-    /// address, is not concerned.
-    pub fn displaced(&self, server: &Server) {
-        self.state.lock().unlist(server, Duration::ZERO);
-    }
-
     /// All servers known now.
     #[must_use]
     pub fn servers(&self) -> Vec<Arc<Server>> {
@@ -384,7 +319,12 @@
 
     /// Offers free slots to those that wait. Grants that cannot be delivered are left in
     /// `undelivered`, to be dropped once the lock is released: dropping takes it again.
-    fn serve_waiting(&self, state: &mut State, service: &str, undelivered: &mut Vec<Grant>) {
+    pub(super) fn serve_waiting(
+        &self,
+        state: &mut State,
+        service: &str,
+        undelivered: &mut Vec<Grant>,
+    ) {
         loop {
             let Some(pool) = state.pools.get_mut(service) else {
                 return;
@@ -427,24 +367,6 @@
         }
     }
 
-    fn tidy(&self) {
-        let mut undelivered = Vec::new();
-        let mut state = self.state.lock();
-        for row in state.starts.due(now_us()) {
-            self.put_in_force(&mut state, row, &mut undelivered);
-        }
-        let State { pools, servers, starts, .. } = &mut *state;
-        for pool in pools.values_mut() {
-            pool.forget_unlisted(now_us());
-        }
-        servers.retain(|id, server| {
-            server.conns.tidy();
-            pools.get_mut(&server.row.service).is_some_and(|pool| pool.server(id).is_some())
-        });
-        starts.forget(now_us(), |id| servers.contains_key(id));
-        drop(state);
-    }
-
     /// Serves and refuses waiting requests as time passes, until the process ends.
     ///
     /// Without a queue it sleeps: at a hundred turns a second an idle instance would spend more on
--- /dev/null
+++ b/src/gateway/dispatcher_servers.rs
@@ -0,0 +1,102 @@
+//! The servers that a dispatcher hands out slots of: listed, started anew, gone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+
+use super::dispatcher::Dispatcher;
+use super::dispatcher::State;
+use super::grant::Grant;
+use super::server::Server;
+use crate::balance::ServerTrack;
+use crate::clock::now_us;
+use crate::model::ServerRow;
+
+impl State {
+    /// What is believed of one start of a server; `None` once a later one is known.
+    pub(super) fn track(&mut self, server: &Server) -> Option<&mut ServerTrack> {
+        let track = self.pools.get_mut(&server.row.service)?.server(&server.row.id)?;
+        (track.key == server.key).then_some(track)
+    }
+
+    fn unlist(&mut self, server: &Server, grace: Duration) {
+        let until_us = now_us() + u64::try_from(grace.as_micros()).unwrap_or(u64::MAX);
+        if let Some(track) = self.track(server) {
+            track.unlist(until_us);
+        }
+    }
+
+    fn forget_start(&mut self, server: &Server) {
+        info!(
+            event = "server-started-anew", server = &*server.row.id,
+            service = &*server.row.service, before_ms = server.row.started_ms;
+            "what was known of it is forgotten"
+        );
+        if let Some(pool) = self.pools.get_mut(&server.row.service) {
+            pool.forget(&server.row.id);
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Lists a server, unless the row is of an earlier start, or an earlier report, than what is
+    /// known already.
+    pub fn list(&self, row: ServerRow) {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        let Some(row) = state.starts.take(row, now_us()) else {
+            return;
+        };
+        self.put_in_force(&mut state, row, &mut undelivered);
+    }
+
+    /// A server that starts again holds and knows nothing of before, so neither do we: its
+    /// connections, slots, pace and failures go with the start that they were of.
+    fn put_in_force(&self, state: &mut State, row: ServerRow, undelivered: &mut Vec<Grant>) {
+        let before = state.servers.get(&row.id).cloned();
+        if before.as_ref().is_none_or(|before| !before.row.same_start(&row)) {
+            if let Some(before) = before {
+                state.forget_start(&before);
+            }
+            state.servers.insert(Arc::clone(&row.id), Arc::new(Server::new(row.clone())));
+        }
+        let service = Arc::clone(&row.service);
+        state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
+        self.serve_waiting(state, &service, undelivered);
+    }
+
+    /// The platform no longer lists a server; it may be used for `grace` more.
+    pub fn unlist(&self, id: &str, grace: Duration) {
+        let mut state = self.state.lock();
+        state.starts.removed(id);
+        if let Some(server) = state.servers.get(id).cloned() {
+            state.unlist(&server, grace);
+        }
+    }
+
+    /// Another server has the address of this one now. A later start of it, which may have another
+    /// address, is not concerned.
+    pub fn displaced(&self, server: &Server) {
+        self.state.lock().unlist(server, Duration::ZERO);
+    }
+
+    /// Clears away what is gone, and puts reports in force that nobody contradicted.
+    pub(super) fn tidy(&self) {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        for row in state.starts.due(now_us()) {
+            self.put_in_force(&mut state, row, &mut undelivered);
+        }
+        let State { pools, servers, starts, .. } = &mut *state;
+        for pool in pools.values_mut() {
+            pool.forget_unlisted(now_us());
+        }
+        servers.retain(|id, server| {
+            server.conns.tidy();
+            pools.get_mut(&server.row.service).is_some_and(|pool| pool.server(id).is_some())
+        });
+        starts.forget(now_us(), |id| servers.contains_key(id));
+        drop(state);
+    }
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -18,23 +18,15 @@
 use log::warn;
 use parking_lot::Mutex;
 use rand::RngExt;
-use tokio::task::JoinSet;
 
-use super::feed_source::FeedAnswer;
 use super::feed_source::FeedSource;
 use super::mirror::Mirror;
 use super::mirror::Sink;
-use super::relays::Peers;
-use super::relays::all_readers;
-use super::relays::near_readers;
-use super::relays::place_among_readers;
-use super::relays::watchers;
 use super::relays::watches;
 use super::store_outage::StoreOutage;
 use crate::board::Blackboard;
 use crate::clock::now_us;
 use crate::peer::Feed;
-use crate::peer::FeedReply;
 use crate::store::EventStore;
 use crate::store::Item;
 use crate::store::StoreError;
@@ -52,40 +44,18 @@
 const REFUSED_PAUSE_MAX_MS: u64 = 1_000;
 /// Pause after a connection that could not be opened; nobody pays for those.
 const UNREACHABLE_PAUSE_MS: u64 = 100;
-/// How long another instance holds a question, and how long this one waits for the answer at most.
-const HOLD: Duration = Duration::from_millis(600);
-const HELD_TIMEOUT: Duration = Duration::from_millis(800);
-/// How long the answer to a question that is not held may take: a whole configuration of two
-/// thousand routes, compressed, takes a tenth of this over a link of 10 Mbit/s.
-const ASK_TIMEOUT: Duration = Duration::from_millis(250);
-/// The same, once more before a call to the store: who knows by now is near, and has little to tell.
-const LAST_ASK_TIMEOUT: Duration = Duration::from_millis(120);
-/// An instance that did not answer a held question is not asked one again for so long.
-const SHUN_US: u64 = 3_000_000;
 /// What another instance knows is believed when it was certain within this; above it, the store
 /// may have turned that instance away while it serves this one.
 pub const AGE_MAX: Duration = Duration::from_millis(900);
 /// Part of the bound after which an instance that is not certain turns to the store itself; the
 /// call, its connection and what is asked before it have the rest.
 const PATIENCE_PART: u32 = 2;
-/// Between two instances of a zone that turn to the store because no other one is certain: the
-/// first that is served tells the others.
-const READER_PAUSE: Duration = Duration::from_millis(60);
-/// Pause before others are asked again while none is certain.
-const ASK_PAUSE: Duration = Duration::from_millis(150);
-/// While all who read the store say that it does not serve them, the others try it themselves only
-/// as often as this: in an outage each call is paid for and brings nothing.
-const OUTAGE_TRY: Duration = Duration::from_secs(5);
 /// Time that an instance that starts gives others to hand it a copy, before it reads the store: on
 /// a fleet that starts at once, those that come later need not read it all again.
 const START_PAUSE: Duration = Duration::from_millis(60);
 /// An instance that knows no other one takes itself for the one that watches. For so long after it
 /// got its copy it waits for others first; a call that waits in the store is paid for like any other.
 const ALONE_PAUSE: Duration = Duration::from_millis(700);
-/// Instances that must say so.
-const OUTAGE_WITNESSES: usize = 6;
-/// How often a watching instance asks another whether it missed something.
-const CROSS_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
 /// A watch that was given up because the store did not answer a check meanwhile.
 fn interrupted() -> StoreError {
@@ -104,20 +74,12 @@
     /// Pause after a change.
     gather: Duration,
     /// How long this instance goes on without being certain before it turns to the store.
-    patience: Duration,
-    outage: StoreOutage,
+    pub(super) patience: Duration,
+    pub(super) outage: StoreOutage,
     /// The store lost the history, so all keys are to be read.
     read_all: AtomicBool,
     /// The instance that left a held question unanswered last, and until when it is not asked.
-    shunned: Mutex<Option<(SocketAddr, u64)>>,
-}
-
-/// What asking several instances at once came to.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Asked {
-    certain: bool,
-    /// Instances that answered that they are not certain, for longer than a reader's turn takes.
-    witnesses: usize,
+    pub(super) shunned: Mutex<Option<(SocketAddr, u64)>>,
 }
 
 impl<S: EventStore, K: Sink, P: FeedSource> Follower<S, K, P> {
@@ -179,29 +141,6 @@
         }
     }
 
-    /// Returns once another instance is known.
-    async fn others_there(&self) {
-        let mut changes = self.board.changes();
-        while self.board.members_view().serving() <= 1 {
-            // Ends only with the board, which outlives its controllers.
-            if changes.changed().await.is_err() {
-                return;
-            }
-        }
-    }
-
-    /// Returns once another instance has told what it knows, however old.
-    async fn others_know(&self) {
-        let mut changes = self.board.changes();
-        while self.mirror.revision().is_none() {
-            if self.board.members_view().serving() > 1 {
-                self.ask_all(near_readers(&self.board), ASK_TIMEOUT).await;
-            }
-            // Another try once others are heard of, or after a while.
-            let _ = tokio::time::timeout(CROSS_CHECK_INTERVAL, changes.changed()).await;
-        }
-    }
-
     /// Returns once another instance of the zone is to watch. A watch whose answer was lost waits on
     /// for seconds; this one is asked about what it missed no more, and must ask itself.
     async fn relieved(&self) {
@@ -214,7 +153,7 @@
     }
 
     /// One turn at the store, and the pause after it.
-    async fn follow_store(&self) {
+    pub(super) async fn follow_store(&self) {
         let began_us = now_us();
         match self.turn_at_store().await {
             Ok(changed) => {
@@ -227,141 +166,6 @@
         }
     }
 
-    /// Learns from other instances what there is, or takes the next step towards the store.
-    async fn learn_from_others(&self) {
-        if self.ask_held().await {
-            return;
-        }
-        match place_among_readers(&self.board) {
-            Some(place) => self.stand_in(place).await,
-            None => self.wait_for_readers().await,
-        }
-    }
-
-    /// Reads the store in place of those that watch it, until another instance is certain.
-    ///
-    /// The store may turn some instances away and serve the others: those that watch may all be
-    /// among the former, and know nothing of what changes.
-    async fn stand_in(&self, place: usize) {
-        if self.ask_all(near_readers(&self.board), ASK_TIMEOUT).await.certain {
-            return;
-        }
-        let place = u32::try_from(place).unwrap_or(u32::MAX);
-        tokio::time::sleep(READER_PAUSE * place).await;
-        if self.ask_all(near_readers(&self.board), LAST_ASK_TIMEOUT).await.certain {
-            return;
-        }
-        self.try_store().await;
-    }
-
-    /// Waits for an instance that reads the store to become certain; turns to the store itself when
-    /// that takes too long.
-    async fn wait_for_readers(&self) {
-        let asked = self.ask_all(all_readers(&self.board), ASK_TIMEOUT).await;
-        if asked.certain {
-            return;
-        }
-        let age = self.mirror.age();
-        // Where the store serves nobody there is nothing to learn, and no bound runs.
-        let outage = asked.witnesses >= OUTAGE_WITNESSES;
-        let due = if outage {
-            age.min(self.outage.since_failure()) >= OUTAGE_TRY
-        } else {
-            age >= self.patience
-        };
-        if !due {
-            return tokio::time::sleep(ASK_PAUSE).await;
-        }
-        info!(
-            event = "relays-uncertain", prefix = self.prefix, age_ms = age.as_millis(),
-            witnesses = asked.witnesses;
-            "asks the store itself"
-        );
-        self.try_store().await;
-    }
-
-    /// One turn at the store, unless another instance is certain before it ends: a store that is
-    /// slow to answer must not keep this one from hearing what others know already.
-    async fn try_store(&self) {
-        tokio::select! {
-            () = self.follow_store() => {}
-            () = self.others_certain() => {}
-        }
-    }
-
-    /// Returns once another instance is certain again.
-    async fn others_certain(&self) {
-        loop {
-            tokio::time::sleep(CROSS_CHECK_INTERVAL).await;
-            if self.ask_all(near_readers(&self.board), ASK_TIMEOUT).await.certain {
-                return;
-            }
-        }
-    }
-
-    /// Asks a watching instance, which answers when there is news; `false` when it is not certain
-    /// or does not answer.
-    async fn ask_held(&self) -> bool {
-        let watchers = watchers(&self.board);
-        let Some(peer) = watchers.iter().copied().find(|peer| !self.shuns(*peer)) else {
-            return false;
-        };
-        // The bound runs while this one waits: it must not wait past its patience.
-        let within = HELD_TIMEOUT.min(self.patience.saturating_sub(self.mirror.age()));
-        let after = self.mirror.revision();
-        let answer = self.peers.ask(peer, self.feed, after, HOLD, within).await;
-        let Some(answer) = answer else {
-            *self.shunned.lock() = Some((peer, now_us() + SHUN_US));
-            return false;
-        };
-        self.take_in(answer)
-    }
-
-    fn shuns(&self, peer: SocketAddr) -> bool {
-        self.shunned
-            .lock()
-            .is_some_and(|(shunned, until_us)| shunned == peer && now_us() < until_us)
-    }
-
-    /// Asks several instances at once, so that those that do not answer cost no time; returns with
-    /// the first that is certain.
-    async fn ask_all(&self, peers: Peers, within: Duration) -> Asked {
-        let mut asked = Asked::default();
-        let mut asking = JoinSet::new();
-        for peer in peers {
-            let (source, feed, after) = (self.peers.clone(), self.feed, self.mirror.revision());
-            asking
-                .spawn(async move { source.ask(peer, feed, after, Duration::ZERO, within).await });
-        }
-        while let Some(answer) = asking.join_next().await {
-            let Ok(Some(answer)) = answer else {
-                continue;
-            };
-            let age = answer.age;
-            if self.take_in(answer) {
-                asked.certain = true;
-                return asked;
-            }
-            if age > AGE_MAX + READER_PAUSE {
-                asked.witnesses += 1;
-            }
-        }
-        asked
-    }
-
-    /// Takes in what another instance told; whether that one is certain.
-    fn take_in(&self, answer: FeedAnswer) -> bool {
-        let grace = self.outage.lapse_grace();
-        match answer.reply {
-            FeedReply::Events { events, revision } => self.mirror.apply(&events, revision, grace),
-            FeedReply::All { items, revision } => self.mirror.replace(&items, revision, grace),
-            FeedReply::Unknown => return false,
-        }
-        let age_us = u64::try_from(answer.age.as_micros()).unwrap_or(u64::MAX);
-        self.mirror.confirm(now_us().saturating_sub(age_us));
-        answer.age <= AGE_MAX
-    }
-
     fn answered(&self) {
         self.mirror.confirm(now_us());
         self.board.note_store(None);
@@ -435,25 +239,4 @@
             }
         }
     }
-
-    /// Asks other watching instances now and then, until the process ends.
-    ///
-    /// A watch whose connection went silent, or that the store turns away, hides changes from a
-    /// whole zone: everyone there relies on this instance. Several are asked, since those that the
-    /// store turns away as well answer too, with what they know.
-    pub async fn cross_check(self) {
-        loop {
-            tokio::time::sleep(CROSS_CHECK_INTERVAL).await;
-            if watches(&self.board) && self.mirror.revision().is_some() {
-                self.check_once().await;
-            }
-        }
-    }
-
-    async fn check_once(&self) {
-        let one = watchers(&self.board).into_iter().take(1).collect();
-        if !self.ask_all(one, ASK_TIMEOUT).await.certain || self.mirror.age() > AGE_MAX {
-            self.ask_all(near_readers(&self.board), ASK_TIMEOUT).await;
-        }
-    }
 }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -19,7 +19,6 @@
 use super::PassHead;
 use super::PassReply;
 use super::PeerReply;
-use super::PeerRequest;
 use super::ReplyHead;
 use super::auth;
 use super::decode;
@@ -135,15 +134,15 @@
         Ok(response.into_body())
     }
 
+    /// Sends an encoded control message and waits for its answer.
     pub(super) async fn call(
         &self,
         secret: &str,
-        request: &PeerRequest,
+        request: Bytes,
         within: Duration,
     ) -> Result<PeerReply, PeerError> {
         let exchange = async {
-            let body = Bytes::from(encode(request));
-            let mut answer = self.exchange(secret, "/control", body, within).await?;
+            let mut answer = self.exchange(secret, "/control", request, within).await?;
             let bytes = read_all(&mut answer).await.ok_or(PeerError::Lost)?;
             decode::<PeerReply>(&bytes).map_err(|_| PeerError::Lost)
         };
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -78,8 +78,9 @@
         request: &PeerRequest,
         within: Duration,
     ) -> Result<PeerReply, PeerError> {
-        self.control_bytes.fetch_add(encode(request).len() as u64, Ordering::Relaxed);
-        self.link(address).call(&self.secret, request, within).await
+        let encoded = Bytes::from(encode(request));
+        self.control_bytes.fetch_add(encoded.len() as u64, Ordering::Relaxed);
+        self.link(address).call(&self.secret, encoded, within).await
     }
 
     /// Passes a request on; the deadline is the caller's to watch.
