--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -53,8 +53,11 @@
 }
 
 impl<S: EventStore, K: Sink, P: FeedSource> Follower<S, K, P> {
-    /// Returns once another instance is known.
+    /// Returns once another instance is known, at once where none can be found.
     pub(super) async fn others_there(&self) {
+        if self.board.settings.peers.seeds.is_empty() {
+            return;
+        }
         let mut changes = self.board.changes();
         while self.board.members_view().serving() <= 1 {
             // Ends only with the board, which outlives its controllers.
