A question that may only be held for a moment is not asked, and nobody is shunned for it

Read as a newcomer: while an instance is past its patience (an outage), the time for a held question is nothing, and the instance that was asked so counted as one that does not answer, for three seconds.

--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -160,6 +160,10 @@
         };
         // The bound runs while this one waits: it must not wait past its patience.
         let within = HELD_TIMEOUT.min(self.patience.saturating_sub(self.mirror.age()));
+        if within < LAST_ASK_TIMEOUT {
+            // Too short to say anything of the one that is asked.
+            return false;
+        }
         let after = self.mirror.revision();
         let answer = self.peers.ask(peer, self.feed, after, HOLD, within).await;
         let Some(answer) = answer else {
