The test of whole answers asks for nearly all answers at a rate that a busy machine carries

Traced: at 1,000 requests a second a debug build on a full machine refuses most (343 to 605 of 1,500 right in 8 runs); the untouched code does the same under the same load (308 to 523 in 4 runs). None was ever wrong.

--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -26,17 +26,23 @@
     bed.backends[1].behaviour.lose_answers.store(30, Ordering::Release);
     bed.backends[2].behaviour.slow_factor.store(20, Ordering::Release);
     let callers: Vec<Caller> = (0..3).map(|zone| bed.caller("catalogue", zone)).collect();
-    let plan = LoadPlan {
+    let crowd = LoadPlan {
         requests: 1_500,
         rate_per_s: 1_000.0,
         body_max_bytes: 150_000,
         timeout_ms: 20_000,
         ..LoadPlan::default()
     };
-    let summary = run_load(&plan, &callers).await;
-    assert_eq!(summary.calls(), plan.requests);
+    // A busy machine does not carry this rate and refuses some, but mixes up none.
+    let summary = run_load(&crowd, &callers).await;
+    assert_eq!(summary.calls(), crowd.requests);
+    assert_eq!(summary.wrong, 0, "somebody got another's or a partial answer");
+    // At a rate that any machine carries, nearly all are answered.
+    let calm = LoadPlan { requests: 600, rate_per_s: 60.0, ..crowd };
+    let summary = run_load(&calm, &callers).await;
+    assert_eq!(summary.calls(), calm.requests);
     assert_eq!(summary.wrong, 0, "somebody got another's or a partial answer");
-    assert!(summary.right >= plan.requests * 9 / 10, "right: {}", summary.right);
+    assert!(summary.right >= calm.requests * 9 / 10, "right: {}", summary.right);
 }
 
 /// Story: an adviser downloads a large comparables list; the server dies in the middle of it.
