Read once more: one check, one default, one lock where there were two

Behaviour as it was. A server that started again was forgotten by the dispatcher and replaced by its pool: the pool does it, the dispatcher only for one that moved to another service. Whether a server is worse than when it was chosen takes one lock and one look instead of three, and one name (two had the same end). The least time of a route is a function of its own again instead of a nest. Zones of instances, slots allowed and reports outdated are each worked out in one place.

--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -25,6 +25,10 @@
 /// Expected times closer than this share of the usual one are told apart by chance, so that
 /// instances that know the same do not all choose the same server.
 const JITTER_SHARE: f64 = 0.05;
+/// A server that is expected to take longer by this part of the usual time than when it was chosen
+/// is chosen anew.
+const SLOWED_SHARE: f64 = 0.7;
+
 /// Where a server is looked for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Place<'a> {
@@ -137,25 +141,33 @@
     /// The servers that have room now.
     pub(super) fn with_room(&self, now_us: u64) -> Vec<Room> {
         let rooms = self.servers.iter().enumerate().filter_map(|(index, server)| {
-            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
             let occupancy = server.occupancy(now_us);
             let may_connect =
                 self.own_requests_max == 0 || server.own_requests() < self.own_requests_max;
-            (occupancy < allowed && may_connect && server.usable(now_us))
+            (occupancy < self.allowed(server, now_us) && may_connect && server.usable(now_us))
                 .then_some(Room { index, occupancy })
         });
         rooms.collect()
     }
 
-    /// Whether a server has more requests than it is given at a time.
+    /// Requests that a server is given at a time.
+    fn allowed(&self, server: &ServerTrack, now_us: u64) -> u32 {
+        self.limit.allowed(server.row.slots, server.key, now_us)
+    }
+
+    /// Whether a server is no place any more for a request that was given a slot of it, the request
+    /// counted in: it works much slower than when it was chosen, at `expected_ms`, or others sent it
+    /// more than it is given at a time, of which nobody told. `key` names the start that it is of;
+    /// of another one nothing is said.
     #[must_use]
-    pub fn crowded(&self, id: &str, now_us: u64) -> bool {
-        let place = self.places.get(id);
-        place.is_some_and(|place| {
-            let server = &self.servers[*place];
-            let allowed = self.limit.allowed(server.row.slots, server.key, now_us);
-            server.occupancy(now_us) > allowed
-        })
+    pub fn worse(&self, id: &str, key: u32, ask: &Ask, expected_ms: f64, now_us: u64) -> bool {
+        let server = self.places.get(id).map(|place| &self.servers[*place]);
+        let Some(server) = server.filter(|server| server.key == key) else {
+            return false;
+        };
+        let usual_ms = self.typical_ms(ask);
+        server.expected_ms(usual_ms, now_us) > expected_ms + SLOWED_SHARE * usual_ms
+            || server.occupancy(now_us) > self.allowed(server, now_us)
     }
 
     /// Of the servers with room the one that is expected to answer first, if that is soon enough.
--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -8,6 +8,7 @@
 use super::ServerTrack;
 use super::ServicePool;
 use super::service_pool::Place;
+use super::service_pool::Room;
 
 /// Time that an answer needs, against the usual: started with just the usual time left, half of
 /// the requests would be late, and their slots lost for others.
@@ -176,18 +177,9 @@
         for (at, waiting) in self.waiting.iter().enumerate() {
             let ask = &waiting.ask;
             let within_ms = self.within_ms(ask, waiting.late, now_us);
-            if !waiting.late {
-                let known = least_ms.iter().find(|(route, _)| **route == *ask.route);
-                let least = known.map_or_else(
-                    || self.least_expected_ms(ask, &rooms, now_us),
-                    |(_, least)| *least,
-                );
-                if known.is_none() {
-                    least_ms.push((&ask.route, least));
-                }
-                if least > within_ms {
-                    continue;
-                }
+            if !waiting.late && self.least_of_route(&mut least_ms, ask, &rooms, now_us) > within_ms
+            {
+                continue;
             }
             let place = Place { zone, within_ms, late: waiting.late };
             if let Some(index) = self.choose(ask, &rooms, place, now_us, random) {
@@ -197,6 +189,23 @@
         None
     }
 
+    /// The least time in which any server with room is expected to answer a request of this route;
+    /// worked out once for each route, and kept in `known`.
+    fn least_of_route<'a>(
+        &self,
+        known: &mut SmallVec<[(&'a str, f64); 8]>,
+        ask: &'a Ask,
+        rooms: &[Room],
+        now_us: u64,
+    ) -> f64 {
+        if let Some((_, least_ms)) = known.iter().find(|(route, _)| **route == *ask.route) {
+            return *least_ms;
+        }
+        let least_ms = self.least_expected_ms(ask, rooms, now_us);
+        known.push((&ask.route, least_ms));
+        least_ms
+    }
+
     /// How soon a server must be expected to answer for the request to begin there.
     ///
     /// A late request still needs its answer before its deadline: begun on a server that takes
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -59,12 +59,18 @@
     /// Paths of an instance.
     fn paths(&self) -> Paths;
 
-    /// A version of the operators' configuration, in the light of the one before.
+    /// A version of the operators' configuration, in the light of the one before; as the product
+    /// writes it, unless a platform writes it otherwise.
     ///
     /// # Errors
     /// Says why nothing of it can be read.
-    fn decode_config(&self, value: &[u8], before: Option<&RouteTable>)
-    -> Result<ReadTable, String>;
+    fn decode_config(
+        &self,
+        value: &[u8],
+        before: Option<&RouteTable>,
+    ) -> Result<ReadTable, String> {
+        RouteTable::read(value, before)
+    }
 
     /// A listed backend server.
     ///
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -277,23 +277,13 @@
         }
     }
 
-    /// What is expected now of a server for such a request, in milliseconds.
+    /// Whether a server is no place any more for a request that was given a slot of it, expecting an
+    /// answer after `expected_ms`; see [`ServicePool::worse`].
     #[must_use]
-    pub fn expected_ms(&self, server: &Server, ask: &Ask) -> f64 {
-        let mut state = self.state.lock();
-        let Some(pool) = state.pools.get_mut(&server.row.service) else {
-            return 0.0;
-        };
-        let usual_ms = pool.typical_ms(ask);
-        state.track(server).map_or(0.0, |track| track.expected_ms(usual_ms, now_us()))
-    }
-
-    /// Whether a server has more requests than it is given at a time.
-    #[must_use]
-    pub fn crowded(&self, server: &Server) -> bool {
-        let mut state = self.state.lock();
-        let pool = state.pools.get_mut(&server.row.service);
-        pool.is_some_and(|pool| pool.crowded(&server.row.id, now_us()))
+    pub fn worse(&self, server: &Server, ask: &Ask, expected_ms: f64) -> bool {
+        let state = self.state.lock();
+        let pool = state.pools.get(&server.row.service);
+        pool.is_some_and(|pool| pool.worse(&server.row.id, server.key, ask, expected_ms, now_us()))
     }
 
     /// Whether requests wait for slots.
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -27,14 +27,18 @@
         }
     }
 
-    fn forget_start(&mut self, server: &Server) {
+    /// Takes note of a later start. The pool that it is listed in replaces what it believes; one of
+    /// another service would keep it.
+    fn started_anew(&mut self, before: &Server, row: &ServerRow) {
         info!(
-            event = "server-started-anew", server = &*server.row.id,
-            service = &*server.row.service, before_ms = server.row.started_ms;
+            event = "server-started-anew", server = &*row.id, service = &*before.row.service,
+            before_ms = before.row.started_ms;
             "what was known of it is forgotten"
         );
-        if let Some(pool) = self.pools.get_mut(&server.row.service) {
-            pool.forget(&server.row.id);
+        if before.row.service != row.service
+            && let Some(pool) = self.pools.get_mut(&before.row.service)
+        {
+            pool.forget(&row.id);
         }
     }
 }
@@ -57,7 +61,7 @@
         let before = state.servers.get(&row.id).cloned();
         if before.as_ref().is_none_or(|before| !before.row.same_start(&row)) {
             if let Some(before) = before {
-                state.forget_start(&before);
+                state.started_anew(&before, &row);
             }
             state.servers.insert(Arc::clone(&row.id), Arc::new(Server::new(row.clone())));
         }
@@ -97,6 +101,5 @@
             pools.get_mut(&server.row.service).is_some_and(|pool| pool.server(id).is_some())
         });
         starts.forget(now_us(), |id| servers.contains_key(id));
-        drop(state);
     }
 }
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -9,10 +9,6 @@
 use crate::balance::SendEnd;
 use crate::model::LoadReport;
 
-/// A server that is expected to take longer by this part of the usual time than when it was chosen
-/// is chosen anew.
-const SLOWED_SHARE: f64 = 0.7;
-
 /// A slot of a backend server, given back when it is dropped.
 #[derive(Debug)]
 pub struct Grant {
@@ -31,19 +27,10 @@
         self.end = end;
     }
 
-    /// Whether the server looks much slower than when it was chosen.
-    #[must_use]
-    pub fn slowed(&self) -> bool {
-        let usual_ms = self.dispatcher.usual_ms(&self.server.row.service, &self.ask);
-        let now_ms = self.dispatcher.expected_ms(&self.server, &self.ask);
-        now_ms > self.choice.expected_ms + SLOWED_SHARE * usual_ms
-    }
-
-    /// Whether the server has more requests, this one included, than it is given at a time: others
-    /// sent some that nobody told of.
+    /// Whether the server looks much slower than when it was chosen, or turned out full.
     #[must_use]
-    pub fn crowded(&self) -> bool {
-        self.dispatcher.crowded(&self.server)
+    pub fn worse(&self) -> bool {
+        self.dispatcher.worse(&self.server, &self.ask, self.choice.expected_ms)
     }
 
     /// Takes in a load report that came with the answer.
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -78,10 +78,16 @@
     ranked.into_iter().take(count).cloned().collect()
 }
 
+/// The zones of these instances.
+#[must_use]
+pub fn zones_of(rows: &[Arc<MemberRow>]) -> BTreeSet<&str> {
+    rows.iter().map(|row| row.zone.as_str()).collect()
+}
+
 /// The homes of all zones.
 #[must_use]
 pub fn all_homes(rows: &[Arc<MemberRow>], plan: HomesPlan) -> Vec<Arc<MemberRow>> {
-    let zones: BTreeSet<&str> = rows.iter().map(|row| row.zone.as_str()).collect();
+    let zones = zones_of(rows);
     let mut all: Vec<Arc<MemberRow>> =
         zones.into_iter().flat_map(|zone| homes_of_zone(rows, zone, plan)).collect();
     all.sort_by_key(|row| row.incarnation);
--- a/src/gateway/relays.rs
+++ b/src/gateway/relays.rs
@@ -12,6 +12,7 @@
 use super::homes::all_homes;
 use super::homes::instances_of_zone;
 use super::homes::is_home;
+use super::homes::zones_of;
 use crate::board::Blackboard;
 use crate::member::MemberRow;
 
@@ -54,8 +55,7 @@
 /// All other instances that read the store when nobody is certain.
 pub fn all_readers(board: &Blackboard) -> Peers {
     let view = board.members_view();
-    let zones: std::collections::BTreeSet<&str> =
-        view.rows.iter().map(|row| row.zone.as_str()).collect();
+    let zones = zones_of(&view.rows);
     let rows: Vec<Arc<MemberRow>> =
         zones.into_iter().flat_map(|zone| readers_of_zone(&view.rows, zone)).collect();
     others(board, &rows)
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -146,7 +146,7 @@
         if let Some(path) = health_path.filter(|_| self.pace_is_stale(&grant)) {
             match self.fit(&grant, &mut conn, path, left).await {
                 Fitness::Fit => {}
-                Fitness::Slowed | Fitness::Crowded => {
+                Fitness::Worse => {
                     grant.server.conns.put_back(conn);
                     return SendResult::Unfit { silent: false };
                 }
@@ -180,8 +180,7 @@
     ) -> Fitness {
         let checked = check(self.dialect, self.dispatcher, &grant.server, conn, path);
         match tokio::time::timeout(CHECK_TIMEOUT.min(left), checked).await {
-            Ok(Ok(true)) if grant.slowed() => Fitness::Slowed,
-            Ok(Ok(true)) if grant.crowded() => Fitness::Crowded,
+            Ok(Ok(true)) if grant.worse() => Fitness::Worse,
             Ok(Ok(true)) => Fitness::Fit,
             Ok(_) => Fitness::Gone,
             Err(_) => {
@@ -247,10 +246,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fitness {
     Fit,
-    /// It works much slower than when it was chosen.
-    Slowed,
-    /// Others fill its slots. Sent there, the request would wait, and slow down what runs.
-    Crowded,
+    /// It works much slower than when it was chosen, or others fill its slots: sent there, the
+    /// request would wait, and slow down what runs.
+    Worse,
     /// Its connection cannot carry the request.
     Gone,
     Silent,
--- a/src/gateway/server_starts.rs
+++ b/src/gateway/server_starts.rs
@@ -45,9 +45,9 @@
 impl Latest {
     /// Whether a row was written before the report that this is of. A row that says that its server
     /// leaves is taken in any order: nothing of the same start takes it back.
-    const fn outdates(&self, row: &ServerRow, draining: bool) -> bool {
-        row.started_ms < self.started_ms
-            || row.started_ms == self.started_ms && row.sequence < self.sequence && !draining
+    fn outdates(&self, row: &ServerRow) -> bool {
+        let earlier_report = row.sequence < self.sequence && !row.draining();
+        row.started_ms < self.started_ms || row.started_ms == self.started_ms && earlier_report
     }
 }
 
@@ -55,7 +55,7 @@
     /// The row, if it is to be put in force now; an outdated one is held.
     pub(super) fn take(&mut self, row: ServerRow, now_us: u64) -> Option<ServerRow> {
         let latest = self.latest.get(&row.id).copied();
-        if let Some(latest) = latest.filter(|latest| latest.outdates(&row, row.draining())) {
+        if let Some(latest) = latest.filter(|latest| latest.outdates(&row)) {
             warn!(
                 event = "server-outdated", code = Code::ServerOutdated.number(),
                 server = &*row.id, started_ms = row.started_ms, sequence = row.sequence,
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -7,8 +7,6 @@
 use sorrelwick::gateway::Dialect;
 use sorrelwick::gateway::FieldNames;
 use sorrelwick::gateway::Paths;
-use sorrelwick::gateway::ReadTable;
-use sorrelwick::gateway::RouteTable;
 use sorrelwick::gateway::StoreKeys;
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
@@ -48,14 +46,6 @@
         Paths { addresses: "/addresses", readiness: "/ready", zone_query: "zone" }
     }
 
-    fn decode_config(
-        &self,
-        value: &[u8],
-        before: Option<&RouteTable>,
-    ) -> Result<ReadTable, String> {
-        RouteTable::read(value, before)
-    }
-
     fn decode_server(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
         let row: ServerRow = serde_json::from_slice(value).map_err(|err| err.to_string())?;
         Ok(ServerRow { id: id.into(), ..row })
