Fleets of five hundred in paused time: messages, bytes and calls counted; joining parts no fleet

Cause, found by the new tests: an instance that others had joined took itself for joined, and asked its own seeds again after 30 s only; of 250 instances that start together two groups formed around two seeds and did not know each other after 4 s (all_known: not on 250). And 8 to 21 of 500 named other homes a second after a start. Change: an instance goes on asking, at growing pauses, until one address has answered itself; after joining it compares tables with others, by chance, until that brings little. Calls between instances go through a trait, so that hundreds run in one process on a net in memory.

--- a/src/app/gateway_peers.rs
+++ b/src/app/gateway_peers.rs
@@ -7,8 +7,6 @@
 use bytes::Bytes;
 use log::warn;
 
-use super::membership_answers::join;
-use super::membership_answers::ping_for;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::errors::Code;
@@ -19,7 +17,9 @@
 use crate::gateway::ServerSink;
 use crate::member::answer_compare;
 use crate::member::answer_exchange;
+use crate::member::answer_join;
 use crate::member::answer_ping;
+use crate::member::answer_ping_for;
 use crate::peer::Feed;
 use crate::peer::Links;
 use crate::peer::PassHead;
@@ -58,13 +58,15 @@
 impl<D: Dialect> PeerService for GatewayPeers<D> {
     async fn control(&self, request: PeerRequest) -> PeerReply {
         match request {
-            PeerRequest::Join(row) => join(&self.board, &row),
+            PeerRequest::Join(row) => answer_join(&self.board, &row),
             PeerRequest::Ping { from, stamp, rumours, .. } => {
                 answer_ping(&self.board, &from, stamp, rumours)
             }
             PeerRequest::Compare(theirs) => answer_compare(&self.board, &theirs),
             PeerRequest::Exchange { wanted, rows } => answer_exchange(&self.board, &wanted, &rows),
-            PeerRequest::PingFor { target } => ping_for(&self.board, &self.links, target).await,
+            PeerRequest::PingFor { target } => {
+                answer_ping_for(&self.board, &self.links, target).await
+            }
             PeerRequest::ServerLoads(loads) => {
                 self.dispatcher.hear_loads(&loads);
                 PeerReply::Done
--- a/src/app/mod.rs
+++ b/src/app/mod.rs
@@ -3,7 +3,6 @@
 mod daemon;
 mod gateway;
 mod gateway_peers;
-mod membership_answers;
 mod peer_answers;
 mod stop;
 
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -5,8 +5,6 @@
 use bytes::Bytes;
 use log::warn;
 
-use super::membership_answers::join;
-use super::membership_answers::ping_for;
 use crate::board::Counter;
 use crate::board::EventKind;
 use crate::catalog::merge_rows;
@@ -18,7 +16,9 @@
 use crate::measure::mark_listed;
 use crate::member::answer_compare;
 use crate::member::answer_exchange;
+use crate::member::answer_join;
 use crate::member::answer_ping;
+use crate::member::answer_ping_for;
 use crate::outcome::OwnerSnapshot;
 use crate::peer::LoadNote;
 use crate::peer::PassHead;
@@ -87,13 +87,15 @@
     async fn control(&self, request: PeerRequest) -> PeerReply {
         let board = &self.router.board;
         match request {
-            PeerRequest::Join(row) => join(board, &row),
+            PeerRequest::Join(row) => answer_join(board, &row),
             PeerRequest::Ping { from, stamp, rumours, .. } => {
                 answer_ping(board, &from, stamp, rumours)
             }
             PeerRequest::Compare(theirs) => answer_compare(board, &theirs),
             PeerRequest::Exchange { wanted, rows } => answer_exchange(board, &wanted, &rows),
-            PeerRequest::PingFor { target } => ping_for(board, &self.router.links, target).await,
+            PeerRequest::PingFor { target } => {
+                answer_ping_for(board, &self.router.links, target).await
+            }
             PeerRequest::Digest { digest } => self.digest(digest),
             PeerRequest::Changes(rows) => {
                 merge_rows(board, rows);
--- a/src/app/stop.rs
+++ b/src/app/stop.rs
@@ -15,6 +15,7 @@
 use crate::outcome::KeptRow;
 use crate::outcome::OwnerSnapshot;
 use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerRequest;
 use crate::peer::parts;
 use crate::route::CallerListener;
--- a/src/catalog/spread.rs
+++ b/src/catalog/spread.rs
@@ -11,6 +11,7 @@
 use crate::board::EventKind;
 use crate::member::MemberRow;
 use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::peer::parts;
--- a/src/gateway/feed_source.rs
+++ b/src/gateway/feed_source.rs
@@ -5,7 +5,7 @@
 
 use crate::peer::Feed;
 use crate::peer::FeedReply;
-use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
@@ -31,7 +31,7 @@
     ) -> impl Future<Output = Option<FeedAnswer>> + Send;
 }
 
-impl FeedSource for Links {
+impl<L: PeerCalls> FeedSource for L {
     async fn ask(
         &self,
         peer: SocketAddr,
--- a/src/gateway/load_share.rs
+++ b/src/gateway/load_share.rs
@@ -20,7 +20,7 @@
 use super::told_loads::ToldLoads;
 use crate::board::Blackboard;
 use crate::clock::now_us;
-use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerRequest;
 use crate::peer::ServerLoads;
 use crate::task::TaskGuard;
@@ -51,13 +51,13 @@
 
 /// Tells loads while this instance is a home.
 #[derive(Clone, Debug)]
-pub struct LoadShare {
+pub struct LoadShare<L> {
     pub board: Arc<Blackboard>,
-    pub links: Links,
+    pub links: L,
     pub dispatcher: Dispatcher,
 }
 
-impl LoadShare {
+impl<L: PeerCalls> LoadShare<L> {
     /// Tells loads until the process ends.
     pub async fn run(self) {
         let mut told: HashMap<(u64, SocketAddr), TaskGuard> = HashMap::new();
--- a/src/measure/prober.rs
+++ b/src/measure/prober.rs
@@ -19,6 +19,7 @@
 use crate::clock::now_ms;
 use crate::member::MemberRow;
 use crate::peer::GrantRequest;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::route::BACKEND_STATE;
--- a/src/measure/roster.rs
+++ b/src/measure/roster.rs
@@ -12,6 +12,7 @@
 use crate::board::EventKind;
 use crate::catalog::watches;
 use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerRequest;
 use crate::route::CloseReason;
 use crate::store::Roster;
--- a/src/member/comparison.rs
+++ b/src/member/comparison.rs
@@ -14,7 +14,7 @@
 use super::row::fingerprint;
 use crate::board::Blackboard;
 use crate::clock::now_ms;
-use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
@@ -69,7 +69,11 @@
 
 /// Compares tables with another instance; returns how many rows that brought, `None` without an
 /// answer.
-pub async fn compare(board: &Blackboard, links: &Links, peer: SocketAddr) -> Option<usize> {
+pub async fn compare<L: PeerCalls>(
+    board: &Blackboard,
+    links: &L,
+    peer: SocketAddr,
+) -> Option<usize> {
     let digest = board.members.lock().digest().clone();
     let reply = links.call(peer, &PeerRequest::Compare(digest), CALL_TIMEOUT).await.ok()?;
     let PeerReply::Differing { parts, fingerprints } = reply else {
--- a/src/member/joiner.rs
+++ b/src/member/joiner.rs
@@ -14,7 +14,7 @@
 use super::compare;
 use crate::board::Blackboard;
 use crate::clock::now_ms;
-use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::store::Roster;
@@ -29,20 +29,26 @@
 /// Turns while alone between two looks into the platform's list, each of which is paid for.
 const ALONE_LIST_TURNS: u64 = 16;
 const SMALL_FLEET: u64 = 20;
+/// Comparisons after a join, at most, and the pause between two: of 500 instances that start within
+/// 0.3 s all then know the same homes within a second.
+const CATCH_UP_ROUNDS: u32 = 5;
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(100);
+/// A comparison that brings no more than this leaves the rest to rumours.
+const CAUGHT_UP_ROWS: usize = 6;
 /// Addresses asked in one turn.
 const ASKED_MAX: usize = 3;
 
 /// Joins the others by one address after the other.
 #[derive(Clone, Debug)]
-struct Joiner {
+struct Joiner<L> {
     board: Arc<Blackboard>,
-    links: Links,
+    links: L,
     /// Addresses that were asked and have not answered yet: of hundreds of instances that start
     /// together each asks the same few, and one that is slow to answer must not be asked again.
     asked: Arc<Mutex<HashSet<SocketAddr>>>,
 }
 
-impl Joiner {
+impl<L: PeerCalls> Joiner<L> {
     /// Whether no other instance is known.
     fn alone(&self) -> bool {
         self.board.members_view().serving() <= 1
@@ -68,35 +74,60 @@
         unknown
     }
 
-    /// Asks one address; `None` where its answer is still awaited from before.
-    fn ask(&self, address: SocketAddr) -> Option<JoinHandle<()>> {
+    /// Asks one address, which tells whether it answered; `None` where its answer is still awaited
+    /// from before.
+    fn ask(&self, address: SocketAddr) -> Option<JoinHandle<bool>> {
         if !self.asked.lock().insert(address) {
             return None;
         }
         let joiner = self.clone();
         Some(tokio::spawn(async move {
-            joiner.join_by(address).await;
+            let answered = joiner.join_by(address).await;
             joiner.asked.lock().remove(&address);
+            answered
         }))
     }
 
-    async fn join_by(&self, address: SocketAddr) {
+    async fn join_by(&self, address: SocketAddr) -> bool {
         let own = self.board.members.lock().own_row(now_ms());
         let reply = self.links.call(address, &PeerRequest::Join(own), CALL_TIMEOUT).await;
         let Ok(PeerReply::Members(rows)) = reply else {
-            return;
+            return false;
         };
         self.take_in(&rows);
-        let own = self.board.settings.listen.peer;
-        // Not with the one that was asked: it is the same for the whole fleet.
-        let others = rows.iter().map(|row| row.peer).filter(|peer| ![address, own].contains(peer));
-        let others: Vec<SocketAddr> = others.collect();
-        let at = rand::rng().random_range(0..others.len().max(1));
-        if let Some(other) = others.get(at) {
-            compare(&self.board, &self.links, *other).await;
+        tokio::spawn(self.clone().catch_up(address));
+        true
+    }
+
+    /// Compares tables with others until they bring little that is new.
+    ///
+    /// When a fleet starts, those that were asked knew of those that came before only, and each
+    /// moment in which instances name different homes to callers spoils requests. Not with the one
+    /// that was asked: it is the same for the whole fleet.
+    async fn catch_up(self, asked: SocketAddr) {
+        for _ in 0..CATCH_UP_ROUNDS {
+            let Some(other) = self.any_other(asked) else {
+                return;
+            };
+            let brought = compare(&self.board, &self.links, other).await;
+            if brought.is_some_and(|rows| rows <= CAUGHT_UP_ROWS) {
+                return;
+            }
+            tokio::time::sleep(CATCH_UP_PAUSE).await;
         }
     }
 
+    /// Some other instance that may answer, by chance.
+    fn any_other(&self, asked: SocketAddr) -> Option<SocketAddr> {
+        let view = self.board.members_view();
+        let from = rand::rng().random_range(0..view.rows.len().max(1));
+        let (before, after) = view.rows.split_at(from);
+        let fits = |row: &&Arc<MemberRow>| {
+            row.state.may_answer() && row.incarnation != self.board.incarnation && row.peer != asked
+        };
+        after.iter().chain(before).find(fits).map(|row| row.peer)
+    }
+
     fn take_in(&self, rows: &[MemberRow]) {
         let now_ms = now_ms();
         let mut members = self.board.members.lock();
@@ -107,24 +138,26 @@
         self.board.publish_members();
     }
 
-    /// Asks for the others, each address after a moment without an answer of the one before.
-    async fn turn(&self, unknown: Vec<SocketAddr>) {
-        let alone = self.alone();
+    /// Asks for the others, each address after a moment without an answer of the one before; tells
+    /// whether one answered in time.
+    async fn turn(&self, unknown: Vec<SocketAddr>) -> bool {
         let asked = unknown.into_iter().filter_map(|address| self.ask(address));
         for mut answer in asked.take(ASKED_MAX) {
-            let _ = tokio::time::timeout(Duration::from_millis(ALONE_MS), &mut answer).await;
-            if alone && !self.alone() {
-                return;
+            let answered = tokio::time::timeout(Duration::from_millis(ALONE_MS), &mut answer).await;
+            if matches!(answered, Ok(Ok(true))) {
+                return true;
             }
         }
+        false
     }
 }
 
 /// Joins, and goes on looking: two groups that formed while parted find each other again.
-pub async fn run_joiner<R: Roster>(board: Arc<Blackboard>, roster: R, links: Links) {
+pub async fn run_joiner<R: Roster, L: PeerCalls>(board: Arc<Blackboard>, roster: R, links: L) {
     let interval_ms = board.settings.peers.list_interval_ms;
     let joiner = Joiner { board, links, asked: Arc::default() };
     let mut turn = 0;
+    let mut pause_ms = ALONE_MS;
     loop {
         // The whole fleet together asks the platform about as often as a small one does; it
         // takes one instance to find another group, and both become one.
@@ -134,8 +167,15 @@
         let list_due = turn % list_turns == list_turns - 1;
         let unknown = joiner.unknown_addresses(&roster, list_due).await;
         turn += 1;
-        joiner.turn(unknown).await;
-        let pause_ms = if joiner.alone() { ALONE_MS } else { interval_ms };
+        let settled = unknown.is_empty();
+        let joined = joiner.turn(unknown).await;
+        // That others joined this one says nothing of whom they know: it may be one of several
+        // that a starting fleet gathers around.
+        pause_ms = match (joined || settled, joiner.alone()) {
+            (_, true) => ALONE_MS,
+            (true, false) => interval_ms,
+            (false, false) => (pause_ms * 2).min(interval_ms),
+        };
         let jitter_ms = rand::rng().random_range(0..=pause_ms / 2);
         tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
     }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -1,5 +1,7 @@
 //! Membership between instances: who is there, who is suspected, who left.
 
+mod announce;
+mod answers;
 mod comparison;
 mod digest;
 mod joiner;
@@ -8,6 +10,10 @@
 mod swim;
 mod table;
 
+pub use announce::announce;
+pub use answers::answer_join;
+pub use answers::answer_ping;
+pub use answers::answer_ping_for;
 pub use comparison::answer_compare;
 pub use comparison::answer_exchange;
 pub use comparison::compare;
@@ -15,8 +21,6 @@
 pub use joiner::run_joiner;
 pub use row::MemberRow;
 pub use row::MemberState;
-pub use swim::announce;
-pub use swim::answer_ping;
 pub use swim::run_swim;
 pub use table::MemberChange;
 pub use table::MemberTable;
--- a/src/member/swim.rs
+++ b/src/member/swim.rs
@@ -1,6 +1,5 @@
 //! The failure detector: pings in rounds, indirect pings, suspicion, and rumours on the way.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -9,63 +8,21 @@
 
 use rand::RngExt;
 
+use super::answers::RUMOURS_MAX;
+use super::answers::merge_all;
 use super::compare;
 use crate::board::Blackboard;
-use crate::board::rank;
 use crate::clock::now_ms;
 use crate::member::MemberRow;
-use crate::peer::Links;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
-/// Rumours on one ping or answer; bounds the bytes of control traffic.
-const RUMOURS_MAX: usize = 6;
 /// Least time between two comparisons that this instance begins, the greatest is twice as long: in
 /// a fleet where members change all the while, each instance spends some 300 bytes a second on them.
 const COMPARE_PAUSE_MS: u64 = 600;
 /// Members that are asked to ping for us.
 const HELPERS: usize = 2;
-const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Instances up to which all are told at once of one that leaves.
-const ANNOUNCED_ALL_MAX: usize = 32;
-/// The first instances of each zone that are told in a larger fleet: as many as may be homes.
-const ANNOUNCED_FIRST: usize = 8;
-
-fn merge_all(board: &Blackboard, rows: &[MemberRow]) {
-    let mut changed = false;
-    let mut members = board.members.lock();
-    for row in rows {
-        changed |= members.merge(row, now_ms());
-    }
-    drop(members);
-    if changed {
-        board.publish_members();
-    }
-}
-
-/// Answers a ping: takes its rumours in and gives ours.
-pub fn answer_ping(
-    board: &Blackboard,
-    from: &MemberRow,
-    stamp: u64,
-    mut rumours: Vec<MemberRow>,
-) -> PeerReply {
-    board.events.clock.observe(stamp);
-    rumours.push(from.clone());
-    merge_all(board, &rumours);
-    let mut members = board.members.lock();
-    let mut told = members.rumours(RUMOURS_MAX, now_ms());
-    told.push(members.own_row(now_ms()));
-    // A member that was given up must hear so, or it could not refute.
-    if let Some(row) = members.row(from.incarnation, now_ms())
-        && row.state != from.state
-    {
-        told.push(row);
-    }
-    let summary = members.digest().summary();
-    drop(members);
-    PeerReply::Ack { stamp: board.events.clock.stamp(), summary, rumours: told }
-}
 
 /// What a ping came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +34,7 @@
     Differs,
 }
 
-async fn ping(board: &Blackboard, links: &Links, target: &MemberRow) -> Pinged {
+async fn ping<L: PeerCalls>(board: &Blackboard, links: &L, target: &MemberRow) -> Pinged {
     let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
     let request = {
         let mut members = board.members.lock();
@@ -102,7 +59,7 @@
     if agrees { Pinged::Agrees } else { Pinged::Differs }
 }
 
-async fn ping_by_helpers(board: &Blackboard, links: &Links, target: &MemberRow) -> bool {
+async fn ping_by_helpers<L: PeerCalls>(board: &Blackboard, links: &L, target: &MemberRow) -> bool {
     let within = Duration::from_millis(board.settings.peers.ping_timeout_ms * 2);
     let helpers = board.members.lock().helpers(target.incarnation, HELPERS);
     let mut asked = tokio::task::JoinSet::new();
@@ -121,14 +78,14 @@
 
 /// Pings members in turn, and compares tables with those that believe something else.
 #[derive(Clone, Debug)]
-struct Detector {
+struct Detector<L> {
     board: Arc<Blackboard>,
-    links: Links,
+    links: L,
     /// When the next comparison may begin.
     next_comparison_ms: Arc<AtomicU64>,
 }
 
-impl Detector {
+impl<L: PeerCalls> Detector<L> {
     async fn check(self, target: MemberRow) {
         match ping(&self.board, &self.links, &target).await {
             Pinged::Agrees => {}
@@ -164,7 +121,7 @@
 ///
 /// A pause of this process is not taken for the silence of the others: each ping is judged by
 /// its own timeout, and a suspect has its time from when it was suspected.
-pub async fn run_swim(board: Arc<Blackboard>, links: Links) {
+pub async fn run_swim<L: PeerCalls>(board: Arc<Blackboard>, links: L) {
     let interval_ms = board.settings.peers.ping_interval_ms;
     let suspect_timeout_ms = board.settings.peers.suspect_timeout_ms;
     let mut turns = tokio::time::interval(Duration::from_millis(interval_ms));
@@ -189,45 +146,3 @@
         }
     }
 }
-
-/// Whom to tell of the own state at once: everybody in a small fleet. In a large one, a thousand
-/// connections for each instance that stops would be a square over a rolling restart, so only those
-/// that are pinged, the first ones of each zone, which others ask, and for an instance that callers
-/// may be told of, its own zone.
-fn announced_to(board: &Blackboard) -> BTreeSet<SocketAddr> {
-    let view = board.members_view();
-    let (own, zone) = (board.incarnation, &board.settings.instance.zone);
-    if view.serving() <= ANNOUNCED_ALL_MAX {
-        let others = view.rows.iter().filter(|row| row.incarnation != own);
-        return others.filter(|row| row.state.may_answer()).map(|row| row.peer).collect();
-    }
-    let pinged = board.members.lock().pinged().iter().map(|row| row.peer).collect::<Vec<_>>();
-    let first = view.zones().flat_map(|zone| view.ranked(zone).iter().take(ANNOUNCED_FIRST));
-    // Its own row takes no work any more, so the place it had is where it would stand now.
-    let own_row = view.row(own);
-    let named = |row: &Arc<MemberRow>| {
-        let before = view.ranked(zone).iter().take_while(|other| rank(other, row).is_lt());
-        before.count() < ANNOUNCED_FIRST
-    };
-    let in_zone = if own_row.is_some_and(named) { view.ranked(zone) } else { &[] };
-    let others = first.chain(in_zone).filter(|row| row.incarnation != own);
-    pinged.into_iter().chain(others.map(|row| row.peer)).collect()
-}
-
-/// Tells others of the own state at once, instead of waiting for rounds of pings.
-pub async fn announce(board: &Blackboard, links: &Links) {
-    let own = board.members.lock().own_row(now_ms());
-    let mut told = tokio::task::JoinSet::new();
-    for address in announced_to(board) {
-        let links = links.clone();
-        let request = PeerRequest::Ping {
-            from: own.clone(),
-            stamp: board.events.clock.stamp(),
-            summary: board.members.lock().digest().summary(),
-            rumours: Vec::new(),
-        };
-        told.spawn(async move { links.call(address, &request, ANNOUNCE_TIMEOUT).await });
-    }
-    // Whoever misses this hears it as a rumour.
-    while told.join_next().await.is_some() {}
-}
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -12,6 +12,7 @@
 
 use super::PassHead;
 use super::PassReply;
+use super::PeerCalls;
 use super::PeerError;
 use super::PeerReply;
 use super::PeerRequest;
@@ -58,21 +59,22 @@
         Arc::clone(links.entry(address).or_insert_with(|| Arc::new(Link::new(address))))
     }
 
-    /// Closes links that were not used for [`IDLE_MAX`]: each holds some 30 KB on both ends.
-    pub fn close_idle(&self) {
-        self.by_address.lock().retain(|_, link| link.idle() < IDLE_MAX);
-    }
-
-    /// Drops the link to a peer that is gone.
-    pub fn forget(&self, address: SocketAddr) {
-        self.by_address.lock().remove(&address);
-    }
-
-    /// Sends a control message and waits for its answer.
+    /// Passes a request on; the deadline is the caller's to watch.
     ///
     /// # Errors
-    /// Tells whether the message may have arrived.
-    pub async fn call(
+    /// Tells whether the request may have arrived.
+    pub async fn pass(
+        &self,
+        address: SocketAddr,
+        head: &PassHead,
+        body: &Bytes,
+    ) -> Result<PassReply, PeerError> {
+        self.link(address).pass(&self.secret, head, body, OPEN_TIMEOUT).await
+    }
+}
+
+impl PeerCalls for Links {
+    async fn call(
         &self,
         address: SocketAddr,
         request: &PeerRequest,
@@ -83,16 +85,12 @@
         self.link(address).call(&self.secret, encoded, within).await
     }
 
-    /// Passes a request on; the deadline is the caller's to watch.
-    ///
-    /// # Errors
-    /// Tells whether the request may have arrived.
-    pub async fn pass(
-        &self,
-        address: SocketAddr,
-        head: &PassHead,
-        body: &Bytes,
-    ) -> Result<PassReply, PeerError> {
-        self.link(address).pass(&self.secret, head, body, OPEN_TIMEOUT).await
+    /// Each link holds some 30 KB on both ends.
+    fn close_idle(&self) {
+        self.by_address.lock().retain(|_, link| link.idle() < IDLE_MAX);
+    }
+
+    fn forget(&self, address: SocketAddr) {
+        self.by_address.lock().remove(&address);
     }
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,6 +7,7 @@
 mod listener;
 mod message;
 mod pass;
+mod peer_calls;
 
 pub use frame::FRAME_MAX_BYTES;
 pub use frame::decode;
@@ -28,3 +29,4 @@
 pub use pass::PassReply;
 pub use pass::ReplyHead;
 pub use pass::Stage;
+pub use peer_calls::PeerCalls;
--- a/src/route/queues.rs
+++ b/src/route/queues.rs
@@ -12,6 +12,7 @@
 use crate::clock::now_ms;
 use crate::member::MemberRow;
 use crate::peer::LoadNote;
+use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -25,6 +25,7 @@
 use crate::decide::may_retry;
 use crate::errors::Code;
 use crate::member::MemberRow;
+use crate::peer::PeerCalls;
 use crate::peer::PeerError;
 use crate::peer::PeerRequest;
 use crate::peer::Stage;
--- a/standins/src/routed/memory_events.rs
+++ b/standins/src/routed/memory_events.rs
@@ -49,6 +49,7 @@
     changed: Arc<watch::Sender<u64>>,
     fault: Arc<watch::Sender<Fault>>,
     calls: Arc<AtomicU64>,
+    looks: Arc<AtomicU64>,
 }
 
 impl Default for MemoryEvents {
@@ -58,6 +59,7 @@
             changed: Arc::new(watch::Sender::new(0)),
             fault: Arc::new(watch::Sender::new(Fault::None)),
             calls: Arc::default(),
+            looks: Arc::default(),
         }
     }
 }
@@ -71,6 +73,7 @@
             changed: Arc::clone(&self.changed),
             fault: Arc::new(watch::Sender::new(Fault::None)),
             calls: Arc::default(),
+            looks: Arc::default(),
         }
     }
 
@@ -85,6 +88,12 @@
         self.calls.load(Ordering::Relaxed)
     }
 
+    /// Those of them that only look whether the store still answers.
+    #[must_use]
+    pub fn looks(&self) -> u64 {
+        self.looks.load(Ordering::Relaxed)
+    }
+
     /// Writes a key, as operators and backend servers do.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock();
@@ -196,6 +205,7 @@
     }
 
     async fn alive(&self) -> Result<(), StoreError> {
+        self.looks.fetch_add(1, Ordering::Relaxed);
         self.call().await
     }
 
--- /dev/null
+++ b/standins/src/routed/memory_links.rs
@@ -0,0 +1,196 @@
+//! Hundreds of instances in one process, that call each other in memory.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::board::Blackboard;
+use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::Sink;
+use sorrelwick::member::answer_compare;
+use sorrelwick::member::answer_exchange;
+use sorrelwick::member::answer_join;
+use sorrelwick::member::answer_ping;
+use sorrelwick::peer::PeerCalls;
+use sorrelwick::peer::PeerError;
+use sorrelwick::peer::PeerReply;
+use sorrelwick::peer::PeerRequest;
+use sorrelwick::peer::encode;
+
+/// One way of a message between two instances of a region.
+const WAY: Duration = Duration::from_millis(1);
+/// A ping without rumours.
+const PING_BYTES: usize = 120;
+
+/// An instance as others reach it.
+struct Reached<K> {
+    board: Arc<Blackboard>,
+    mirror: Option<Arc<Mirror<K>>>,
+    /// Bytes a second that its link carries in each direction.
+    link_bytes_per_s: u64,
+    /// Until when its link is busy with what was sent before, in microseconds.
+    busy_until_us: AtomicU64,
+}
+
+impl<K> Reached<K> {
+    /// Sends bytes over the link, after those that wait already.
+    async fn carry(&self, bytes: usize) {
+        let now_us = sorrelwick::clock::now_us();
+        let takes_us = bytes as u64 * 1_000_000 / self.link_bytes_per_s;
+        let begins_us = self.busy_until_us.load(Ordering::Relaxed).max(now_us);
+        self.busy_until_us.store(begins_us + takes_us, Ordering::Relaxed);
+        tokio::time::sleep(Duration::from_micros(begins_us + takes_us - now_us) + WAY).await;
+    }
+}
+
+/// The instances that are there, by their peer addresses, and what they sent.
+struct Net<K> {
+    /// `None` for one that was there, and is gone with its machine.
+    reached: Mutex<HashMap<SocketAddr, Option<Arc<Reached<K>>>>>,
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+/// The links of one instance; those of one net reach each other.
+pub struct MemoryLinks<K> {
+    net: Arc<Net<K>>,
+    own: SocketAddr,
+}
+
+impl<K> Clone for MemoryLinks<K> {
+    fn clone(&self) -> Self {
+        Self { net: Arc::clone(&self.net), own: self.own }
+    }
+}
+
+impl<K> std::fmt::Debug for MemoryLinks<K> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("MemoryLinks").field("own", &self.own).finish_non_exhaustive()
+    }
+}
+
+impl<K: Sink> Default for MemoryLinks<K> {
+    /// Links of nobody, on a net of its own; see [`MemoryLinks::add`].
+    fn default() -> Self {
+        let net = Net { reached: Mutex::default(), messages: 0.into(), bytes: 0.into() };
+        Self { net: Arc::new(net), own: SocketAddr::from(([0, 0, 0, 0], 0)) }
+    }
+}
+
+impl<K: Sink> MemoryLinks<K> {
+    /// The links of one more instance of the net, which answers from now on.
+    #[must_use]
+    pub fn add(
+        &self,
+        board: &Arc<Blackboard>,
+        mirror: Option<Arc<Mirror<K>>>,
+        link_bytes_per_s: u64,
+    ) -> Self {
+        let own = board.settings.listen.peer;
+        let board = Arc::clone(board);
+        let reached = Reached { board, mirror, link_bytes_per_s, busy_until_us: 0.into() };
+        self.net.reached.lock().insert(own, Some(Arc::new(reached)));
+        Self { net: Arc::clone(&self.net), own }
+    }
+
+    /// Takes an instance away with its machine: calls to it hang. Where none ever was, they are
+    /// refused.
+    pub fn remove(&self, address: SocketAddr) {
+        self.net.reached.lock().insert(address, None);
+    }
+
+    /// Messages that were sent so far, answers included.
+    #[must_use]
+    pub fn messages(&self) -> u64 {
+        self.net.messages.load(Ordering::Relaxed)
+    }
+
+    /// Bytes of these messages, without what connections add.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.net.bytes.load(Ordering::Relaxed)
+    }
+
+    fn reached(&self, address: SocketAddr) -> Option<Arc<Reached<K>>> {
+        self.net.reached.lock().get(&address).cloned().flatten()
+    }
+
+    fn ever_there(&self, address: SocketAddr) -> bool {
+        self.net.reached.lock().contains_key(&address)
+    }
+
+    /// Sends a message from one end; hangs where the end is not there any more.
+    async fn sent(&self, from: SocketAddr, bytes: usize) {
+        self.net.messages.fetch_add(1, Ordering::Relaxed);
+        self.net.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        match self.reached(from) {
+            Some(end) => end.carry(bytes).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    async fn answer(&self, to: &Reached<K>, request: PeerRequest) -> PeerReply {
+        let board = &to.board;
+        match request {
+            PeerRequest::Join(row) => answer_join(board, &row),
+            PeerRequest::Ping { from, stamp, rumours, .. } => {
+                answer_ping(board, &from, stamp, rumours)
+            }
+            PeerRequest::Compare(theirs) => answer_compare(board, &theirs),
+            PeerRequest::Exchange { wanted, rows } => answer_exchange(board, &wanted, &rows),
+            PeerRequest::PingFor { target } => self.ping_for(board, target).await,
+            PeerRequest::Feed { after, hold_ms, .. } => match &to.mirror {
+                Some(mirror) => {
+                    let (reply, age_ms) = mirror.serve(after, Duration::from_millis(hold_ms)).await;
+                    PeerReply::Feed { reply, age_ms }
+                }
+                None => PeerReply::Failed(0),
+            },
+            _ => PeerReply::Failed(0),
+        }
+    }
+
+    /// Reaches another instance in the place of one that could not. Only whether it is there counts.
+    async fn ping_for(&self, board: &Blackboard, target: SocketAddr) -> PeerReply {
+        let reached = async {
+            self.sent(board.settings.listen.peer, PING_BYTES).await;
+            self.sent(target, PING_BYTES).await;
+        };
+        let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
+        PeerReply::Reached(tokio::time::timeout(within, reached).await.is_ok())
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: PeerRequest) -> PeerReply {
+        self.sent(self.own, encode(&request).len()).await;
+        let Some(to) = self.reached(address) else {
+            return std::future::pending().await;
+        };
+        let reply = self.answer(&to, request).await;
+        self.sent(address, encode(&reply).len()).await;
+        reply
+    }
+}
+
+impl<K: Sink> PeerCalls for MemoryLinks<K> {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        within: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        if !self.ever_there(address) {
+            tokio::time::sleep(WAY * 2).await;
+            return Err(PeerError::NotSent);
+        }
+        let exchanged = self.exchange(address, request.clone());
+        tokio::time::timeout(within, exchanged).await.map_err(|_| PeerError::Lost)
+    }
+
+    fn close_idle(&self) {}
+
+    fn forget(&self, _: SocketAddr) {}
+}
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -2,6 +2,7 @@
 //! faults of a real one, and whole fleets of instances on it.
 
 mod memory_events;
+mod memory_links;
 mod plain_dialect;
 mod raw_call;
 mod raw_server;
@@ -9,6 +10,7 @@
 
 pub use memory_events::Fault;
 pub use memory_events::MemoryEvents;
+pub use memory_links::MemoryLinks;
 pub use plain_dialect::PlainDialect;
 pub use raw_call::RawAnswer;
 pub use raw_call::raw_call;
--- /dev/null
+++ b/tests/large_fleet.rs
@@ -0,0 +1,340 @@
+//! Five hundred instances in one process, in paused time: what they send each other and the store,
+//! counted. A cost that grows with the square of the fleet shows as a count that is too high.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::parse_settings;
+use sorrelwick::gateway::Follower;
+use sorrelwick::gateway::HomesPlan;
+use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::Sink;
+use sorrelwick::gateway::homes_of_zone;
+use sorrelwick::gateway::run_store_check;
+use sorrelwick::member::MemberState;
+use sorrelwick::member::announce;
+use sorrelwick::member::run_joiner;
+use sorrelwick::member::run_swim;
+use sorrelwick::peer::Feed;
+use sorrelwick::store::Item;
+use sorrelwick::store::Listed;
+use sorrelwick::store::Roster;
+use sorrelwick::store::StoreError;
+use standins::routed::MemoryEvents;
+use standins::routed::MemoryLinks;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+const ZONES: usize = 5;
+/// The instances of a zone that are five times as large as the others.
+const LARGE_PER_ZONE: usize = 3;
+/// All instances start within this.
+const START_SPREAD_MS: u64 = 300;
+/// Bytes a second of a large link and of a small one: 200 and 20 Mbit/s.
+const LINKS: [u64; 2] = [25_000_000, 2_500_000];
+/// Entries of the store: two pages of the stand-in's, as many bytes as 800 backend servers have.
+const ENTRIES: usize = 80;
+const ENTRY_BYTES: usize = 2_000;
+
+/// A store's list that names nobody.
+#[derive(Clone, Debug)]
+struct NoList;
+
+impl Roster for NoList {
+    async fn instances(&self) -> Result<Vec<Listed>, StoreError> {
+        Ok(Vec::new())
+    }
+
+    async fn backend_servers(&self) -> Result<Vec<Listed>, StoreError> {
+        Ok(Vec::new())
+    }
+}
+
+#[derive(Debug)]
+struct Nothing;
+
+impl Sink for Nothing {
+    fn written(&mut self, _: &Item) {}
+
+    fn removed(&mut self, _: &str, _: Duration) {}
+}
+
+type FleetLinks = MemoryLinks<Nothing>;
+
+/// One instance, running until it is dropped.
+struct Instance {
+    board: Arc<Blackboard>,
+    mirror: Arc<Mirror<Nothing>>,
+    links: FleetLinks,
+    store: MemoryEvents,
+    _tasks: JoinSet<()>,
+}
+
+/// Instances that know only the addresses of three of them.
+struct Fleet {
+    net: FleetLinks,
+    store: MemoryEvents,
+    instances: Vec<Instance>,
+    random: Pcg64,
+}
+
+fn address(at: usize) -> SocketAddr {
+    let at = u16::try_from(at).expect("some thousand");
+    SocketAddr::from(([10, 0, (at >> 8) as u8, (at & 0xff) as u8], 7_000))
+}
+
+const fn large(at: usize) -> bool {
+    at / ZONES < LARGE_PER_ZONE
+}
+
+fn settings(at: usize, seeds: &[SocketAddr]) -> sorrelwick::conf::Settings {
+    let text = serde_json::json!({
+        "instance": {
+            "name": format!("front-{at:04}"),
+            "zone": format!("z{}", at % ZONES),
+            "cpu_share": if large(at) { 0.5 } else { 0.1 },
+        },
+        "listen": { "peer": address(at) },
+        "gateway": {
+            "readiness": "127.0.0.1:0", "addresses": "127.0.0.1:0", "store": "127.0.0.1:1",
+            "config_apply_ms": 3_000, "drain_ms": 3_000, "memory_max_mb": 160.0,
+            "zones": (0..ZONES).map(|zone| format!("z{zone}")).collect::<Vec<_>>(),
+        },
+        "peers": {
+            "secret": "a secret of sixteen", "seeds": seeds, "ping_interval_ms": 250,
+            "ping_timeout_ms": 200, "suspect_timeout_ms": 600, "list_interval_ms": 30_000,
+        },
+    });
+    parse_settings("t", &text.to_string()).expect("valid")
+}
+
+impl Fleet {
+    /// Starts so many instances within a moment; the settings of all name the last three, which
+    /// are small.
+    async fn start(count: usize, seed: u64) -> Self {
+        let store = MemoryEvents::default();
+        for number in 0..ENTRIES {
+            store.put(&format!("servers/i-{number:06}"), &"x".repeat(ENTRY_BYTES));
+        }
+        let random = Pcg64::seed_from_u64(seed);
+        let net = FleetLinks::default();
+        let mut fleet = Self { net, store, instances: Vec::new(), random };
+        let seeds: Vec<SocketAddr> = (count - 3..count).map(address).collect();
+        let mut order: Vec<(u64, usize)> =
+            (0..count).map(|at| (fleet.random.random_range(0..START_SPREAD_MS), at)).collect();
+        order.sort_unstable();
+        let began = Instant::now();
+        for (at_ms, at) in order {
+            tokio::time::sleep_until(began + Duration::from_millis(at_ms)).await;
+            let instance = fleet.instance(at, &seeds);
+            fleet.instances.push(instance);
+        }
+        fleet
+    }
+
+    fn instance(&mut self, at: usize, seeds: &[SocketAddr]) -> Instance {
+        let board = Arc::new(Blackboard::new(settings(at, seeds), self.random.random()));
+        let mirror = Arc::new(Mirror::new(Nothing));
+        let link = LINKS[usize::from(!large(at))];
+        let links = self.net.add(&board, Some(Arc::clone(&mirror)), link);
+        let store = self.store.for_another();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
+        tasks.spawn(run_joiner(Arc::clone(&board), NoList, links.clone()));
+        let new = || {
+            let (store, links) = (store.clone(), links.clone());
+            let (board, mirror) = (Arc::clone(&board), Arc::clone(&mirror));
+            Follower::new(store, links, board, mirror, Feed::Servers, "servers/")
+        };
+        tasks.spawn(new().run());
+        tasks.spawn(new().cross_check());
+        let (first, second) = (Arc::clone(&mirror), Arc::clone(&mirror));
+        tasks.spawn(run_store_check(store.clone(), Arc::clone(&board), first, second));
+        Instance { board, mirror, links, store, _tasks: tasks }
+    }
+
+    /// Waits until something holds on all instances; panics when that takes longer than `within`.
+    async fn until(
+        &self,
+        within: Duration,
+        what: &str,
+        holds: impl Fn(&Instance) -> bool,
+    ) -> Duration {
+        let began = Instant::now();
+        loop {
+            let lack = self.instances.iter().filter(|instance| !holds(instance));
+            let lack: Vec<(&str, usize)> = lack
+                .map(|one| (&*one.board.settings.instance.name, one.board.members_view().serving()))
+                .collect();
+            if lack.is_empty() {
+                return began.elapsed();
+            }
+            let (count, first) = (lack.len(), &lack[..lack.len().min(4)]);
+            assert!(began.elapsed() < within, "{what}: not on {count} after {within:?}: {first:?}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Ends some instances without a word.
+    fn kill(&mut self, which: impl Fn(usize) -> bool) {
+        let mut at = 0;
+        let net = self.net.clone();
+        self.instances.retain(|instance| {
+            let killed = which(at);
+            at += 1;
+            if killed {
+                net.remove(instance.board.settings.listen.peer);
+            }
+            !killed
+        });
+    }
+
+    /// Calls to the store at the full price: looks whether it still answers cost a tenth.
+    fn store_calls(&self) -> u64 {
+        let stores = self.instances.iter().map(|instance| &instance.store);
+        stores.map(|store| store.calls() - store.looks()).sum()
+    }
+}
+
+/// What a start came to, per instance.
+#[derive(Debug)]
+struct Start {
+    messages: u64,
+    bytes: u64,
+    store_calls: u64,
+}
+
+async fn start_of(count: usize) -> Start {
+    let fleet = Fleet::start(count, 1).await;
+    fleet
+        .until(Duration::from_secs(4), "all known", |one| {
+            one.board.members_view().serving() == count
+        })
+        .await;
+    fleet
+        .until(Duration::from_secs(1), "a first copy", |one| one.mirror.revision().is_some())
+        .await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (count, net) = (count as u64, &fleet.net);
+    Start {
+        messages: net.messages() / count,
+        bytes: net.bytes() / count,
+        store_calls: fleet.store_calls(),
+    }
+}
+
+/// All power was lost and comes back: five hundred instances start at once and know three addresses.
+/// Callers wait meanwhile, and each instance that gives out slots without knowing of the others
+/// spoils the answers of all. Cause: each instance read the whole store itself, the three were asked
+/// for all members by everybody at once, and each member was told to everybody nine times over.
+#[tokio::test(start_paused = true)]
+async fn a_fleet_that_starts_at_once_costs_each_instance_about_the_same_whatever_its_size() {
+    let (half, whole) = (start_of(250).await, start_of(500).await);
+    println!("250: {half:?}; 500: {whole:?}");
+    assert!(whole.messages < half.messages * 13 / 10, "{half:?}, {whole:?}");
+    // Each instance hears of each other once, and gets one copy.
+    assert!(whole.bytes < half.bytes * 2, "{half:?}, {whole:?}");
+    assert!(whole.bytes < 250_000, "{whole:?}");
+    assert!(whole.store_calls < 500 * 3 / 10, "{whole:?}");
+    assert!(whole.store_calls < half.store_calls * 3 / 2, "{half:?}, {whole:?}");
+}
+
+/// Callers ask any instance which address to use, from the first second on. As long as instances
+/// name different ones, requests go to homes that do not know of each other.
+#[tokio::test(start_paused = true)]
+async fn within_a_second_of_a_start_all_instances_name_the_same_homes() {
+    let fleet = Fleet::start(500, 2).await;
+    let homes = |one: &Instance| -> BTreeSet<u64> {
+        let view = one.board.members_view();
+        let plan = HomesPlan { least: 2, demand_per_s: 0 };
+        let zones: Vec<&str> = view.zones().collect();
+        let all = zones.iter().flat_map(|zone| homes_of_zone(&view, zone, plan));
+        all.map(|row| row.incarnation).collect()
+    };
+    let large = |one: &&Instance| one.board.own_capacity_per_s() == 500;
+    let largest = fleet.instances.iter().filter(large).map(|one| one.board.incarnation);
+    let largest: BTreeSet<u64> = largest.collect();
+    let took = fleet
+        .until(Duration::from_secs(1), "the same homes", |one| {
+            let homes = homes(one);
+            homes.len() == 2 * ZONES && homes.is_subset(&largest)
+        })
+        .await;
+    println!("all name the same homes after {took:?}");
+}
+
+/// Half of the fleet is killed at one moment. The other half must not take itself for dead, must
+/// notice within seconds, and must not drown in its own news of it.
+#[tokio::test(start_paused = true)]
+async fn the_loss_of_half_of_a_fleet_is_noticed_by_the_other_half() {
+    let mut fleet = Fleet::start(500, 3).await;
+    fleet
+        .until(Duration::from_secs(4), "all known", |one| one.board.members_view().serving() == 500)
+        .await;
+    let (messages, bytes) = (fleet.net.messages(), fleet.net.bytes());
+    fleet.kill(|at| at % 2 == 0);
+    let took = fleet
+        .until(Duration::from_secs(20), "the loss noticed", |one| {
+            one.board.members_view().serving() == 250
+        })
+        .await;
+    let messages = (fleet.net.messages() - messages) / 250;
+    let bytes = (fleet.net.bytes() - bytes) / 250;
+    println!("after {took:?}: {messages} messages and {bytes} bytes an instance");
+    assert!(bytes < 100_000, "{bytes}");
+    // While nobody who reads the store is certain, each asks all who do, four of each zone, some six
+    // times a second.
+    let asked_per_s = 4 * ZONES as u64 * 6 + 20;
+    assert!(messages < asked_per_s * (took.as_secs() + 1), "{messages}");
+}
+
+/// A rolling restart of a third of the fleet. Each instance that stops tells that to everybody, twice,
+/// on a connection of its own each time: a thousand for each of 160.
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_leaves_tells_a_few_others_and_all_hear_of_it() {
+    let fleet = Fleet::start(500, 4).await;
+    fleet
+        .until(Duration::from_secs(4), "all known", |one| one.board.members_view().serving() == 500)
+        .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let small = |one: &&Instance| one.board.own_capacity_per_s() == 100;
+    let leaving = fleet.instances.iter().find(small).expect("most are small");
+    let before = fleet.net.messages();
+    let now_ms = sorrelwick::clock::now_ms();
+    leaving.board.members.lock().set_own(MemberState::Leaving, None, now_ms);
+    leaving.board.publish_members();
+    announce(&leaving.board, &leaving.links).await;
+    let told = fleet.net.messages() - before;
+    // The others go on pinging meanwhile: some milliseconds of 500 instances.
+    assert!(told < 2 * 100, "{told} messages");
+    let incarnation = leaving.board.incarnation;
+    fleet
+        .until(Duration::from_secs(6), "its leaving", |one| {
+            let view = one.board.members_view();
+            view.row(incarnation).is_some_and(|row| row.state == MemberState::Leaving)
+        })
+        .await;
+}
+
+/// In calm, nothing is sent but pings of a few bytes, and the store is asked by a few only.
+#[tokio::test(start_paused = true)]
+async fn a_calm_fleet_sends_a_few_messages_an_instance() {
+    let fleet = Fleet::start(500, 5).await;
+    tokio::time::sleep(Duration::from_secs(12)).await;
+    let (messages, bytes, calls) = (fleet.net.messages(), fleet.net.bytes(), fleet.store_calls());
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let messages = (fleet.net.messages() - messages) / 500 / 10;
+    let bytes = (fleet.net.bytes() - bytes) / 500 / 10;
+    let calls = fleet.store_calls() - calls;
+    println!("each second: {messages} messages, {bytes} bytes an instance; {calls} calls in all");
+    // Four pings and two questions that are held, with their answers.
+    assert!(messages <= 13, "{messages}");
+    assert!(bytes < 2_000, "{bytes}");
+    assert!(calls <= 5 * (10 / 4 + 1), "{calls}");
+}
