--- a/src/member/joiner.rs
+++ b/src/member/joiner.rs
@@ -168,10 +168,10 @@
         let unknown = joiner.unknown_addresses(&roster, list_due).await;
         turn += 1;
         let settled = unknown.is_empty();
-        let joined = joiner.turn(unknown).await;
+        let answered = joiner.turn(unknown).await;
         // That others joined this one says nothing of whom they know: it may be one of several
         // that a starting fleet gathers around.
-        pause_ms = match (joined || settled, joiner.alone()) {
+        pause_ms = match (answered || settled, joiner.alone()) {
             (_, true) => ALONE_MS,
             (true, false) => interval_ms,
             (false, false) => (pause_ms * 2).min(interval_ms),
