A start that waits for no one: a cheap reading that may be old, until a copy is there

Change: 60 ms after its start, 260 ms where others are known, an instance goes by a reading of the store that may be seconds old, at a tenth of the price, and replaces it by a certain copy as before. Not at the first start of all, when there are no callers. A list that is read whole has a line each for the first eight changes, and one for the rest.

--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -296,6 +296,9 @@
     pub memory_max_mb: f64,
     /// Availability zones that the instances run in.
     pub zones: Vec<String>,
+    /// Whether the whole fleet starts for the first time, before there are any callers.
+    #[serde(default)]
+    pub first_start: bool,
     /// Instances of a zone that its callers are told of.
     #[serde(default = "homes_default")]
     pub homes_per_zone: usize,
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -28,6 +28,7 @@
 use crate::clock::now_us;
 use crate::peer::Feed;
 use crate::store::EventStore;
+use crate::store::Freshness;
 use crate::store::Item;
 use crate::store::StoreError;
 use crate::store::Watched;
@@ -157,7 +158,7 @@
         }
     }
 
-    async fn failed(&self, error: &StoreError, began_us: u64) {
+    pub(super) async fn failed(&self, error: &StoreError, began_us: u64) {
         self.board.note_store(Some(error.to_string()));
         let failures = self.outage.failed(began_us);
         if failures == 0 {
@@ -184,18 +185,27 @@
 
     /// Reads all keys. Pages are no snapshot, so the watch goes on from before the first one.
     async fn read_store(&self) -> Result<bool, StoreError> {
+        let (items, read_at) = self.read_pages(Freshness::Latest).await?;
+        self.mirror.replace(&items, read_at, self.outage.lapse_grace());
+        self.read_all.store(false, Ordering::Release);
+        Ok(false)
+    }
+
+    /// All keys, and the store's counter when the first page was read.
+    pub(super) async fn read_pages(
+        &self,
+        freshness: Freshness,
+    ) -> Result<(Vec<Item>, u64), StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut read_at = None;
         loop {
             let after = items.last().map(|item| item.key.clone());
-            let page = self.store.page(self.prefix, after.as_deref()).await?;
+            let page = self.store.page(self.prefix, after.as_deref(), freshness).await?;
             let at = *read_at.get_or_insert(page.revision);
             let last = !page.more || page.items.is_empty();
             items.extend(page.items);
             if last {
-                self.mirror.replace(&items, at, self.outage.lapse_grace());
-                self.read_all.store(false, Ordering::Release);
-                return Ok(false);
+                return Ok((items, at));
             }
         }
     }
--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use log::info;
 use rand::RngExt;
 use tokio::time::Instant;
 
@@ -18,8 +19,14 @@
 use super::relays::near_readers;
 use super::relays::place_among_readers;
 use super::relays::readers_nearby;
+use crate::clock::now_us;
 use crate::store::EventStore;
+use crate::store::Freshness;
 
+/// Time that others have to hand a copy to an instance that starts, before it goes by one that may be
+/// old; and the time more once it knows another instance, which probably has one.
+const START_PAUSE: Duration = Duration::from_millis(60);
+const JOINED_PAUSE: Duration = Duration::from_millis(200);
 /// Time to find another instance before this one takes itself for the only one. Seeds start some
 /// 0.3 s apart, and one that is not there refuses at once.
 const ALONE_MAX: Duration = Duration::from_millis(300);
@@ -58,6 +65,7 @@
     pub(super) async fn first_copy(&self) {
         let began = Instant::now();
         if !self.named_in_settings() {
+            self.hear_or_go_by_old().await;
             let _ = tokio::time::timeout(ALONE_MAX, self.others_there()).await;
             let _ = tokio::time::timeout(SETTLE, self.others_know()).await;
         }
@@ -78,6 +86,39 @@
         }
     }
 
+    /// Gives others a moment to hand a copy on; without one, this instance goes by a cheap reading
+    /// that may be seconds old.
+    ///
+    /// After a loss of all power callers wait, and those that all settings name may come last: who
+    /// comes first would turn callers away until then. Seconds old is good enough for a moment: a
+    /// process that was away for longer than that is not relied on for the newest version at once.
+    async fn hear_or_go_by_old(&self) {
+        let _ = tokio::time::timeout(START_PAUSE, self.others_know()).await;
+        let first_start = self.board.settings.gateway.as_ref().is_some_and(|one| one.first_start);
+        if first_start || self.mirror.revision().is_some() {
+            return;
+        }
+        if self.board.members_view().serving() > 1 {
+            let _ = tokio::time::timeout(JOINED_PAUSE, self.others_know()).await;
+        }
+        tokio::select! {
+            () = self.go_by_old() => {}
+            () = self.others_know() => {}
+        }
+    }
+
+    async fn go_by_old(&self) {
+        let began_us = now_us();
+        match self.read_pages(Freshness::MaybeOld).await {
+            Ok((items, _)) => {
+                info!(event = "old-reading", prefix = self.prefix, items = items.len(); "");
+                self.mirror.go_by(&items);
+                self.board.note_store(None);
+            }
+            Err(error) => self.failed(&error, began_us).await,
+        }
+    }
+
     /// Returns once another instance has told what it knows, however old.
     pub(super) async fn others_know(&self) {
         let mut tries = 0;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -28,6 +28,12 @@
     /// A key was removed. For `grace` it may be missing only because its writer's lease lapsed
     /// while the store was away.
     fn removed(&mut self, key: &str, grace: Duration);
+
+    /// All keys were read, and what that changes is told next, up to [`Sink::read_all`].
+    fn reading_all(&mut self) {}
+
+    /// All that the keys read up to `revision` changed was told.
+    fn read_all(&mut self, _revision: u64) {}
 }
 
 /// The copy; tells its sink of each change once, and of nothing older after something newer.
@@ -140,9 +146,21 @@
         self.revision.send_if_modified(|told| std::mem::replace(told, upto.max(*told)) < upto);
     }
 
+    /// Takes in keys that may be seconds old, to go by until a copy is there that is certain: it
+    /// replaces them, and what it does not have is removed. Others are not told of them.
+    pub fn go_by(&self, items: &[Item]) {
+        let mut state = self.state.lock();
+        state.sink.reading_all();
+        for item in items {
+            state.written(item);
+        }
+        state.sink.read_all(0);
+    }
+
     /// Takes in all keys as they were read at `read_at` or later.
     pub fn replace(&self, items: &[Item], read_at: u64, grace: Duration) {
         let mut state = self.state.lock();
+        state.sink.reading_all();
         for item in items {
             state.written(item);
         }
@@ -156,6 +174,7 @@
         for key in missing {
             state.removed(&key, read_at, grace);
         }
+        state.sink.read_all(read_at);
         state.reach(read_at);
         // Events between the last revision and this one were not seen one by one. A read that is
         // older than what is known must not hide the events in between either.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -11,6 +11,7 @@
 use super::homes::is_home;
 use crate::board::Blackboard;
 use crate::store::EventStore;
+use crate::store::Freshness;
 use crate::store::Listed;
 use crate::store::Roster;
 use crate::store::StoreError;
@@ -83,7 +84,7 @@
             return Ok(Vec::new());
         }
         let prefix = self.dialect.keys().instances_prefix;
-        let page = self.store.page(prefix, None).await?;
+        let page = self.store.page(prefix, None, Freshness::Latest).await?;
         let listed = page.items.iter().filter_map(|item| {
             let address: SocketAddr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
             Some(Listed { id: item.key.clone(), address, zone: String::new(), leaving: false })
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -20,6 +20,9 @@
 
 /// Entries that cannot be read and are remembered as logged; beyond that some are logged again.
 const UNREADABLE_MAX: usize = 1_000;
+/// Changes of one whole reading that have a line each. At a start each of hundreds of instances reads
+/// hundreds of servers, where one line with their number and revision tells as much.
+const READING_LINES_MAX: usize = 8;
 
 /// Puts versions of the operators' configuration in force.
 #[derive(Debug)]
@@ -86,13 +89,29 @@
     /// Why the entries that cannot be read now cannot be, by id: each is logged once, however often
     /// its writer repeats it.
     unreadable: HashMap<String, String>,
+    /// While the changes of one whole reading are told.
+    reading: Option<Reading>,
+}
+
+/// How many changes a whole reading brought so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reading {
+    listed: usize,
+    unlisted: usize,
+}
+
+impl Reading {
+    /// Whether the next change still has a line of its own.
+    const fn has_line(self) -> bool {
+        self.listed + self.unlisted <= READING_LINES_MAX
+    }
 }
 
 impl<D: Dialect> ServerSink<D> {
     /// A sink that lists servers at `dispatcher`.
     #[must_use]
     pub fn new(dialect: D, dispatcher: Dispatcher) -> Self {
-        Self { dialect, dispatcher, unreadable: HashMap::new() }
+        Self { dialect, dispatcher, unreadable: HashMap::new(), reading: None }
     }
 
     fn read(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
@@ -118,6 +137,15 @@
         }
         self.unreadable.insert(id.to_owned(), why);
     }
+
+    /// Counts a change of a whole reading; tells whether it has a line of its own.
+    fn count(&mut self, listed: usize, unlisted: usize) -> bool {
+        self.reading.as_mut().is_none_or(|reading| {
+            reading.listed += listed;
+            reading.unlisted += unlisted;
+            reading.has_line()
+        })
+    }
 }
 
 impl<D: Dialect> Sink for ServerSink<D> {
@@ -128,20 +156,39 @@
             Err(why) => return self.reject(id, why, item.revision),
         };
         self.unreadable.remove(id);
-        info!(
-            event = "server-listed", server = id, service = &*row.service,
-            address = row.address.to_string().as_str(), zone = &*row.zone,
-            draining = row.draining(), warmup_ms = row.warmup_ms, started_ms = row.started_ms,
-            revision = item.revision;
-            ""
-        );
+        if self.count(1, 0) {
+            info!(
+                event = "server-listed", server = id, service = &*row.service,
+                address = row.address.to_string().as_str(), zone = &*row.zone,
+                draining = row.draining(), warmup_ms = row.warmup_ms, started_ms = row.started_ms,
+                revision = item.revision;
+                ""
+            );
+        }
         self.dispatcher.list(row);
     }
 
     fn removed(&mut self, key: &str, grace: Duration) {
         let id = key.strip_prefix(self.dialect.keys().servers_prefix).unwrap_or(key);
         self.unreadable.remove(id);
-        info!(event = "server-unlisted", server = id, grace_ms = grace.as_millis(); "");
+        if self.count(0, 1) {
+            info!(event = "server-unlisted", server = id, grace_ms = grace.as_millis(); "");
+        }
         self.dispatcher.unlist(id, grace);
     }
+
+    fn reading_all(&mut self) {
+        self.reading = Some(Reading::default());
+    }
+
+    fn read_all(&mut self, revision: u64) {
+        let reading = self.reading.take().unwrap_or_default();
+        if !reading.has_line() {
+            info!(
+                event = "servers-read", listed = reading.listed, unlisted = reading.unlisted,
+                revision = revision;
+                "the list was read whole"
+            );
+        }
+    }
 }
--- a/src/store/event_store.rs
+++ b/src/store/event_store.rs
@@ -34,13 +34,22 @@
     }
 }
 
+/// What is asked of a reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// All that was acknowledged before.
+    Latest,
+    /// It may be seconds old, and costs a tenth.
+    MaybeOld,
+}
+
 /// Some of the keys below a prefix, in the order of their names. Pages are not a snapshot.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
     pub items: Vec<Item>,
     /// Whether more keys follow after the last one of this page.
     pub more: bool,
-    /// The store's counter when the page was read.
+    /// The store's counter when the page was read; says nothing of a page that may be old.
     pub revision: u64,
 }
 
@@ -60,6 +69,7 @@
         &self,
         prefix: &str,
         after: Option<&str>,
+        freshness: Freshness,
     ) -> impl Future<Output = Result<Page, StoreError>> + Send;
 
     /// Events below `prefix` after `revision`, as soon as there is one or when `wait` is over.
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -10,6 +10,7 @@
 pub use any_store::AnyStore;
 pub use consul_store::ConsulStore;
 pub use event_store::EventStore;
+pub use event_store::Freshness;
 pub use event_store::Item;
 pub use event_store::ItemEvent;
 pub use event_store::Page;
--- a/standins/src/routed/memory_events.rs
+++ b/standins/src/routed/memory_events.rs
@@ -8,6 +8,7 @@
 
 use parking_lot::Mutex;
 use sorrelwick::store::EventStore;
+use sorrelwick::store::Freshness;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
 use sorrelwick::store::Page;
@@ -36,6 +37,8 @@
 #[derive(Debug, Default)]
 struct State {
     items: BTreeMap<String, Item>,
+    /// What readings that may be old bring; the latest where none is set.
+    old_items: Option<BTreeMap<String, Item>>,
     history: Vec<ItemEvent>,
     /// Events up to here are forgotten.
     forgotten: u64,
@@ -88,7 +91,7 @@
         self.calls.load(Ordering::Relaxed)
     }
 
-    /// Those of them that only look whether the store still answers.
+    /// Those of them that cost a tenth: readings that may be old, and looks whether it still answers.
     #[must_use]
     pub fn looks(&self) -> u64 {
         self.looks.load(Ordering::Relaxed)
@@ -117,6 +120,12 @@
         self.changed.send_replace(revision);
     }
 
+    /// Readings that may be old bring what there is now, from now on.
+    pub fn keep_as_old(&self) {
+        let mut state = self.state.lock();
+        state.old_items = Some(state.items.clone());
+    }
+
     /// Forgets all events so far.
     pub fn forget_history(&self) {
         let mut state = self.state.lock();
@@ -160,10 +169,20 @@
 }
 
 impl EventStore for MemoryEvents {
-    async fn page(&self, prefix: &str, after: Option<&str>) -> Result<Page, StoreError> {
+    async fn page(
+        &self,
+        prefix: &str,
+        after: Option<&str>,
+        freshness: Freshness,
+    ) -> Result<Page, StoreError> {
+        if freshness == Freshness::MaybeOld {
+            self.looks.fetch_add(1, Ordering::Relaxed);
+        }
         self.call().await?;
         let state = self.state.lock();
-        let below = state.items.values().filter(|item| item.key.starts_with(prefix));
+        let old = state.old_items.as_ref().filter(|_| freshness == Freshness::MaybeOld);
+        let below =
+            old.unwrap_or(&state.items).values().filter(|item| item.key.starts_with(prefix));
         let mut left = below.filter(|item| after.is_none_or(|after| item.key.as_str() > after));
         let items: Vec<Item> = left.by_ref().take(PAGE_ITEMS).cloned().collect();
         let more = left.next().is_some();
--- /dev/null
+++ b/tests/first_copy.rs
@@ -0,0 +1,125 @@
+//! What an instance goes by that starts when nobody can tell it anything yet. In paused time, on the
+//! stand-in's store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::parse_settings;
+use sorrelwick::gateway::Follower;
+use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::Sink;
+use sorrelwick::peer::Feed;
+use sorrelwick::store::Item;
+use standins::routed::Fault;
+use standins::routed::MemoryEvents;
+use standins::routed::MemoryLinks;
+
+/// What is in force: the value of each key.
+#[derive(Clone, Debug, Default)]
+struct InForce(Arc<Mutex<BTreeMap<String, String>>>);
+
+impl Sink for InForce {
+    fn written(&mut self, item: &Item) {
+        let value = String::from_utf8_lossy(&item.value).into_owned();
+        self.0.lock().insert(item.key.clone(), value);
+    }
+
+    fn removed(&mut self, key: &str, _: Duration) {
+        self.0.lock().remove(key);
+    }
+}
+
+impl InForce {
+    fn keys(&self) -> Vec<(String, String)> {
+        self.0.lock().clone().into_iter().collect()
+    }
+}
+
+/// An instance that starts alone; the one that all settings name is not there yet.
+fn start(store: &MemoryEvents, first_start: bool) -> InForce {
+    let text = serde_json::json!({
+        "instance": { "name": "a2", "zone": "z" },
+        "gateway": {
+            "readiness": "127.0.0.1:0", "addresses": "127.0.0.1:0", "store": "127.0.0.1:1",
+            "memory_max_mb": 200.0, "zones": ["z"], "first_start": first_start,
+        },
+        "peers": { "secret": "a secret of sixteen", "seeds": ["127.0.0.1:1"] },
+    });
+    let settings = parse_settings("t", &text.to_string()).expect("valid");
+    let board = Arc::new(Blackboard::new(settings, 1));
+    let in_force = InForce::default();
+    let mirror = Arc::new(Mirror::new(in_force.clone()));
+    let links = MemoryLinks::default().add(&board, Some(Arc::clone(&mirror)), 1_000_000);
+    let follower = Follower::new(store.clone(), links, board, mirror, Feed::Servers, "servers/");
+    tokio::spawn(follower.run());
+    in_force
+}
+
+fn pairs(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
+    pairs.iter().map(|(key, value)| ((*key).to_owned(), (*value).to_owned())).collect()
+}
+
+async fn pass(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
+/// All power was lost and is back. Callers come to an instance whose neighbours start half a second
+/// later; it turned them all away until then, though the store is there. Cause: it waited for others
+/// to hand it a copy, to save the price of reading.
+#[tokio::test(start_paused = true)]
+async fn an_instance_that_starts_alone_goes_by_a_cheap_reading_at_once() {
+    let store = MemoryEvents::default();
+    store.put("servers/s1", "one");
+    let in_force = start(&store, false);
+    pass(100).await;
+    assert_eq!(in_force.keys(), pairs(&[("servers/s1", "one")]));
+    assert_eq!((store.calls(), store.looks()), (1, 1), "one call at a tenth of the price");
+}
+
+/// The same, and the cheap reading was seconds old: a server had left since, another had come, and a
+/// third had changed. What was read must not stay, although it came first.
+#[tokio::test(start_paused = true)]
+async fn what_was_read_old_is_replaced_and_removed_by_what_is_certain() {
+    let store = MemoryEvents::default();
+    store.put("servers/s1", "one");
+    store.put("servers/s2", "two");
+    store.keep_as_old();
+    store.remove("servers/s1");
+    store.put("servers/s2", "two anew");
+    store.put("servers/s3", "three");
+    let in_force = start(&store, false);
+    pass(100).await;
+    assert_eq!(in_force.keys(), pairs(&[("servers/s1", "one"), ("servers/s2", "two")]));
+    pass(700).await;
+    let now = pairs(&[("servers/s2", "two anew"), ("servers/s3", "three")]);
+    assert_eq!(in_force.keys(), now);
+}
+
+/// The store does not answer the cheap reading. The instance must not stop there.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_comes_back_is_read_although_the_first_reading_failed() {
+    let store = MemoryEvents::default();
+    store.put("servers/s1", "one");
+    store.set_fault(Fault::Silent);
+    let in_force = start(&store, false);
+    pass(2_000).await;
+    assert!(in_force.keys().is_empty());
+    store.set_fault(Fault::None);
+    pass(2_500).await;
+    assert_eq!(in_force.keys(), pairs(&[("servers/s1", "one")]));
+}
+
+/// At the first start of all there are no callers yet: nothing is read before others had their time.
+#[tokio::test(start_paused = true)]
+async fn at_the_first_start_of_all_nothing_is_read_in_haste() {
+    let store = MemoryEvents::default();
+    store.put("servers/s1", "one");
+    let in_force = start(&store, true);
+    pass(200).await;
+    assert_eq!(store.calls(), 0);
+    pass(600).await;
+    assert_eq!(in_force.keys(), pairs(&[("servers/s1", "one")]));
+}
