--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -30,12 +30,27 @@
 
 /// The bound of a change, from its acknowledgement by the store.
 const BOUND: Duration = Duration::from_secs(2);
-const ZONES: usize = 3;
-const INSTANCES: usize = 24;
-/// Instances that read the store when nobody is certain: four of each zone, the first ones.
-const READERS: usize = 4 * ZONES;
+/// How many instances play, in how many zones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Size {
+    zones: usize,
+    instances: usize,
+}
+
+impl Size {
+    const SMALL: Self = Self { zones: 3, instances: 24 };
+    const LARGE: Self = Self { zones: 5, instances: 500 };
+
+    /// Instances that read the store when nobody is certain: four of each zone, the first ones.
+    const fn readers(self) -> usize {
+        4 * self.zones
+    }
+}
+
 /// Played in CI; `SORRELWICK_SCHEDULES` gives another number.
 const SEEDS: u64 = 60;
+/// A schedule of the large fleet takes as long as so many of the others.
+const LARGE_SEED_COST: u64 = 15;
 /// Time before the change, so that all instances have settled.
 const SETTLE: Duration = Duration::from_millis(1_500);
 /// Losses begin up to this long before the change.
@@ -105,13 +120,13 @@
     }
 }
 
-fn row(at: usize, capacity_per_s: u32) -> MemberRow {
+fn row(size: Size, at: usize, capacity_per_s: u32) -> MemberRow {
     MemberRow {
         incarnation: at as u64 + 1,
         generation: 0,
         state: MemberState::Alive,
-        name: format!("i{at:02}"),
-        zone: format!("z{}", at % ZONES),
+        name: format!("i{at:03}"),
+        zone: format!("z{}", at % size.zones),
         caller: peer_address(at),
         operator: peer_address(at),
         peer: peer_address(at),
@@ -121,20 +136,21 @@
     }
 }
 
-fn board(at: usize) -> Arc<Blackboard> {
-    let own = row(at, 0);
+fn board(size: Size, at: usize) -> Arc<Blackboard> {
+    let own = row(size, at, 0);
+    let zones: Vec<String> = (0..size.zones).map(|zone| format!("z{zone}")).collect();
     let text = serde_json::json!({
         "instance": { "name": own.name, "zone": own.zone },
         "gateway": {
             "readiness": "127.0.0.1:0", "addresses": "127.0.0.1:0", "store": "127.0.0.1:1",
-            "config_apply_ms": 2_000, "memory_max_mb": 200.0, "zones": ["z0", "z1", "z2"],
+            "config_apply_ms": 2_000, "memory_max_mb": 200.0, "zones": zones,
         },
         "peers": { "secret": "a secret of sixteen" },
     });
     let settings = parse_settings("t", &text.to_string()).expect("valid");
     let board = Arc::new(Blackboard::new(settings, own.incarnation));
-    for other in (0..INSTANCES).filter(|other| *other != at) {
-        let row = row(other, board.own_capacity_per_s());
+    for other in (0..size.instances).filter(|other| *other != at) {
+        let row = row(size, other, board.own_capacity_per_s());
         board.members.lock().merge(&row, 1_000);
     }
     board.publish_members();
@@ -157,7 +173,7 @@
     calls: u64,
 }
 
-fn losses(random: &mut Pcg64) -> Vec<Loss> {
+fn losses(size: Size, random: &mut Pcg64) -> Vec<Loss> {
     let share = random.random_range(0.0..0.6);
     let kinds = [
         Loss::Silent,
@@ -170,28 +186,29 @@
     // Faults look for those that act for others.
     let watchers_share = if random.random_bool(0.5) { 0.9 } else { share };
     let draw = |at| {
-        if !random.random_bool(if at < ZONES { watchers_share } else { share }) {
+        if !random.random_bool(if at < size.zones { watchers_share } else { share }) {
             return Loss::None;
         }
         if mixed { kinds[random.random_range(0..kinds.len())] } else { kind }
     };
-    (0..INSTANCES).map(draw).collect()
+    (0..size.instances).map(draw).collect()
 }
 
 /// A follower that asks its relays one after the other, and the store when none of them is certain:
 /// the watching instances, then two neighbours, and all of them again after a pause by its place.
-async fn one_by_one(at: usize, store: MemoryEvents, peers: Peers) {
+async fn one_by_one(size: Size, at: usize, store: MemoryEvents, peers: Peers) {
     let mirror = Arc::clone(&peers.0.mirrors[at]);
-    let zone = at % ZONES;
-    let others = (0..ZONES).filter(|other| *other != zone);
-    let near = [(at + ZONES) % INSTANCES, (at + 2 * ZONES) % INSTANCES];
+    let Size { zones, instances } = size;
+    let zone = at % zones;
+    let others = (0..zones).filter(|other| *other != zone);
+    let near = [(at + zones) % instances, (at + 2 * zones) % instances];
     let relays: Vec<usize> = std::iter::once(zone).chain(others).chain(near).collect();
     loop {
-        if at >= ZONES {
+        if at >= zones {
             if ask_in_turn(&relays, &mirror, &peers, Duration::from_millis(600)).await {
                 continue;
             }
-            tokio::time::sleep(Duration::from_millis(60) * u32::try_from(at / ZONES).unwrap())
+            tokio::time::sleep(Duration::from_millis(60) * u32::try_from(at / zones).unwrap())
                 .await;
             if ask_in_turn(&relays, &mirror, &peers, Duration::ZERO).await {
                 continue;
@@ -236,6 +253,7 @@
 
 /// Instances with their followers, running.
 struct Fleet {
+    size: Size,
     sinks: Vec<Seen>,
     net: Arc<Net>,
     views: Vec<MemoryEvents>,
@@ -244,21 +262,21 @@
 }
 
 impl Fleet {
-    fn start(store: &MemoryEvents, way: Way) -> Self {
-        let sinks: Vec<Seen> = (0..INSTANCES).map(|_| Seen::default()).collect();
+    fn start(store: &MemoryEvents, size: Size, way: Way) -> Self {
+        let sinks: Vec<Seen> = (0..size.instances).map(|_| Seen::default()).collect();
         let mirrors = sinks.iter().map(|sink| Arc::new(Mirror::new(sink.clone()))).collect();
-        let losses_now = Mutex::new(vec![Loss::None; INSTANCES]);
+        let losses_now = Mutex::new(vec![Loss::None; size.instances]);
         let net = Arc::new(Net { mirrors, losses: losses_now });
-        let views: Vec<MemoryEvents> = (0..INSTANCES).map(|_| store.for_another()).collect();
+        let views: Vec<MemoryEvents> = (0..size.instances).map(|_| store.for_another()).collect();
         let mut boards = Vec::new();
         let mut tasks = tokio::task::JoinSet::new();
         for (at, view) in views.iter().enumerate() {
             let (view, peers) = (view.clone(), Peers(Arc::clone(&net)));
             if way == Way::OneByOne {
-                tasks.spawn(one_by_one(at, view, peers));
+                tasks.spawn(one_by_one(size, at, view, peers));
                 continue;
             }
-            let board = board(at);
+            let board = board(size, at);
             boards.push(Arc::clone(&board));
             let mirror = Arc::clone(&net.mirrors[at]);
             let new = || {
@@ -270,22 +288,22 @@
             let (first, second) = (Arc::clone(&mirror), Arc::clone(&mirror));
             tasks.spawn(sorrelwick::gateway::run_store_check(view, board, first, second));
         }
-        Self { sinks, net, views, boards, _tasks: tasks }
+        Self { size, sinks, net, views, boards, _tasks: tasks }
     }
 
     fn row_of(&self, at: usize) -> MemberRow {
-        row(at, self.boards[0].own_capacity_per_s())
+        row(self.size, at, self.boards[0].own_capacity_per_s())
     }
 }
 
 /// One change, while some instances fail.
-async fn play(seed: u64, way: Way) -> Outcome {
+async fn play(seed: u64, size: Size, way: Way) -> Outcome {
     let mut random = Pcg64::seed_from_u64(seed);
     let store = MemoryEvents::default();
     store.put("config", "1");
-    let Fleet { sinks, net, views, .. } = &Fleet::start(&store, way);
+    let Fleet { sinks, net, views, .. } = &Fleet::start(&store, size, way);
     tokio::time::sleep(SETTLE).await;
-    let lost = losses(&mut random);
+    let lost = losses(size, &mut random);
     net.losses.lock().clone_from(&lost);
     for (view, loss) in views.iter().zip(&lost) {
         if let Loss::Store(fault) = loss {
@@ -320,17 +338,29 @@
     let mut naive_breaks = 0;
     let mut slowest = Duration::ZERO;
     for seed in 0..seeds() {
-        let ours = play(seed, Way::Ours).await;
+        let ours = play(seed, Size::SMALL, Way::Ours).await;
         let longest = ours.took.iter().max().copied().unwrap_or_default();
         assert!(longest < BOUND, "seed {seed}: {longest:?}");
         slowest = slowest.max(longest);
-        let naive = play(seed, Way::OneByOne).await;
+        let naive = play(seed, Size::SMALL, Way::OneByOne).await;
         naive_breaks += u32::from(naive.took.iter().any(|took| *took >= BOUND));
     }
     println!("slowest {slowest:?}; one by one {naive_breaks} schedules break the bound");
     assert!(naive_breaks > 0, "the schedules are too mild to tell anything");
 }
 
+/// The same with five hundred instances in five zones. What a change may cost must not grow with them:
+/// whoever fails, only those that read the store call it, and each of the others asks a few.
+#[tokio::test(start_paused = true)]
+async fn of_five_hundred_instances_all_learn_of_a_change_in_its_bound() {
+    for seed in 0..seeds() / LARGE_SEED_COST {
+        let Outcome { took, calls } = play(seed, Size::LARGE, Way::Ours).await;
+        let longest = took.iter().max().copied().unwrap_or_default();
+        println!("seed {seed}: {longest:?}, {calls} calls, {} whole", took.len());
+        assert!(longest < BOUND, "seed {seed}: {longest:?}");
+    }
+}
+
 /// The store does not answer for some seconds, and an operator changes the configuration soon after
 /// its return. All instances go on by the version before for seconds: their watches, sent or waiting
 /// in the outage, wait for answers on connections that are dead. Seen as `CONFIG` on the second
@@ -340,7 +370,7 @@
     for silent_ms in [700, 1_500, 2_500, 4_500, 6_000] {
         let store = MemoryEvents::default();
         store.put("config", "1");
-        let fleet = Fleet::start(&store, Way::Ours);
+        let fleet = Fleet::start(&store, Size::SMALL, Way::Ours);
         tokio::time::sleep(SETTLE).await;
         for view in &fleet.views {
             view.set_fault(Fault::Hung);
@@ -355,7 +385,7 @@
         let learned =
             |sink: &&Seen| sink.0.lock().is_some_and(|(seen, _)| seen == store.revision());
         let learned = fleet.sinks.iter().filter(learned).count();
-        assert_eq!(learned, INSTANCES, "silent for {silent_ms} ms");
+        assert_eq!(learned, Size::SMALL.instances, "silent for {silent_ms} ms");
     }
 }
 
@@ -366,19 +396,23 @@
 async fn an_instance_that_is_relieved_of_watching_asks_the_one_that_took_over() {
     let store = MemoryEvents::default();
     store.put("config", "1");
-    let fleet = Fleet::start(&store, Way::Ours);
+    let fleet = Fleet::start(&store, Size::SMALL, Way::Ours);
     tokio::time::sleep(SETTLE).await;
     // The last instance of its zone, under a name that comes first, is the one that took over.
-    let newcomer =
-        MemberRow { incarnation: 1_000, name: "a".into(), ..fleet.row_of(INSTANCES - 1) };
-    fleet.views[(INSTANCES - 1) % ZONES].set_fault(Fault::Hung);
+    let newcomer = MemberRow {
+        incarnation: 1_000,
+        name: "a".into(),
+        ..fleet.row_of(Size::SMALL.instances - 1)
+    };
+    fleet.views[(Size::SMALL.instances - 1) % Size::SMALL.zones].set_fault(Fault::Hung);
     for board in &fleet.boards {
         board.members.lock().merge(&newcomer, 1_000);
         board.publish_members();
     }
     store.put("config", "2");
     tokio::time::sleep(BOUND).await;
-    let seen = fleet.sinks[(INSTANCES - 1) % ZONES].0.lock().map(|(seen, _)| seen);
+    let seen =
+        fleet.sinks[(Size::SMALL.instances - 1) % Size::SMALL.zones].0.lock().map(|(seen, _)| seen);
     assert_eq!(seen, Some(store.revision()));
 }
 
@@ -388,14 +422,14 @@
 async fn in_an_outage_of_the_store_only_the_readers_go_on_calling_it() {
     let store = MemoryEvents::default();
     store.put("config", "1");
-    let fleet = Fleet::start(&store, Way::Ours);
+    let fleet = Fleet::start(&store, Size::SMALL, Way::Ours);
     tokio::time::sleep(SETTLE).await;
     let before: Vec<u64> = fleet.views.iter().map(MemoryEvents::calls).collect();
     for view in &fleet.views {
         view.set_fault(Fault::Busy);
     }
     tokio::time::sleep(BOUND * 4).await;
-    for (at, view) in fleet.views.iter().enumerate().skip(READERS) {
+    for (at, view) in fleet.views.iter().enumerate().skip(Size::SMALL.readers()) {
         let calls = view.calls() - before[at];
         assert!(calls <= 3, "instance {at}: {calls} calls");
     }
@@ -406,17 +440,17 @@
     store.put("config", "2");
     tokio::time::sleep(BOUND).await;
     let learned = |sink: &&Seen| sink.0.lock().is_some_and(|(seen, _)| seen == store.revision());
-    assert_eq!(fleet.sinks.iter().filter(learned).count(), INSTANCES);
+    assert_eq!(fleet.sinks.iter().filter(learned).count(), Size::SMALL.instances);
 }
 
 /// Without a loss, a change costs a few calls, however many instances there are.
 #[tokio::test(start_paused = true)]
 async fn a_change_without_a_loss_costs_calls_of_the_watching_instances_only() {
     let no_loss = |seed: &u64| {
-        losses(&mut Pcg64::seed_from_u64(*seed)).iter().all(|loss| *loss == Loss::None)
+        losses(Size::SMALL, &mut Pcg64::seed_from_u64(*seed)).iter().all(|loss| *loss == Loss::None)
     };
     let seed = (0..10_000).find(no_loss).expect("one of these draws no loss");
-    let outcome = play(seed, Way::Ours).await;
+    let outcome = play(seed, Size::SMALL, Way::Ours).await;
     // Three watch, look whether the store still serves them every 0.4 s, and watch anew.
     assert!(outcome.calls <= 3 * (10 + 4), "{} calls", outcome.calls);
     assert!(outcome.took.iter().all(|took| *took < Duration::from_millis(700)));
