--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -21,6 +21,7 @@
 use sorrelwick::decide::Reach;
 use sorrelwick::decide::ServerLoad;
 use sorrelwick::decide::SlotPool;
+use sorrelwick::member::MemberRequest;
 use sorrelwick::member::MemberRow;
 use sorrelwick::model::Service;
 use sorrelwick::model::Versioned;
@@ -210,7 +211,9 @@
     for rumours in [0_u64, 3, 6] {
         let rumours: Vec<MemberRow> = (1..=rumours).map(member).collect();
         let count = rumours.len();
-        let ping = PeerRequest::Ping { from: member(1), stamp: 1 << 60, summary: 1 << 60, rumours };
+        let from = member(1);
+        let ping = MemberRequest::Ping { from, stamp: 1 << 60, summary: 1 << 60, rumours };
+        let ping = PeerRequest::Member(ping);
         println!("  ping with {count} rumours: {} bytes", encode(&ping).len());
     }
     for services in [1, 8, 64] {
--- a/src/app/gateway_peers.rs
+++ b/src/app/gateway_peers.rs
@@ -15,10 +15,7 @@
 use crate::gateway::Dispatcher;
 use crate::gateway::Mirror;
 use crate::gateway::ServerSink;
-use crate::member::answer_compare;
-use crate::member::answer_exchange;
-use crate::member::answer_join;
-use crate::member::answer_ping;
+use crate::member::answer_member;
 use crate::member::answer_ping_for;
 use crate::peer::Feed;
 use crate::peer::Links;
@@ -58,12 +55,7 @@
 impl<D: Dialect> PeerService for GatewayPeers<D> {
     async fn control(&self, request: PeerRequest) -> PeerReply {
         match request {
-            PeerRequest::Join(row) => answer_join(&self.board, &row),
-            PeerRequest::Ping { from, stamp, rumours, .. } => {
-                answer_ping(&self.board, &from, stamp, rumours)
-            }
-            PeerRequest::Compare(theirs) => answer_compare(&self.board, &theirs),
-            PeerRequest::Exchange { wanted, rows } => answer_exchange(&self.board, &wanted, &rows),
+            PeerRequest::Member(request) => answer_member(&self.board, request),
             PeerRequest::PingFor { target } => {
                 answer_ping_for(&self.board, &self.links, target).await
             }
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -14,10 +14,7 @@
 use crate::measure::TokenBuckets;
 use crate::measure::grant;
 use crate::measure::mark_listed;
-use crate::member::answer_compare;
-use crate::member::answer_exchange;
-use crate::member::answer_join;
-use crate::member::answer_ping;
+use crate::member::answer_member;
 use crate::member::answer_ping_for;
 use crate::outcome::OwnerSnapshot;
 use crate::peer::LoadNote;
@@ -87,12 +84,7 @@
     async fn control(&self, request: PeerRequest) -> PeerReply {
         let board = &self.router.board;
         match request {
-            PeerRequest::Join(row) => answer_join(board, &row),
-            PeerRequest::Ping { from, stamp, rumours, .. } => {
-                answer_ping(board, &from, stamp, rumours)
-            }
-            PeerRequest::Compare(theirs) => answer_compare(board, &theirs),
-            PeerRequest::Exchange { wanted, rows } => answer_exchange(board, &wanted, &rows),
+            PeerRequest::Member(request) => answer_member(board, request),
             PeerRequest::PingFor { target } => {
                 answer_ping_for(board, &self.router.links, target).await
             }
--- a/src/member/announce.rs
+++ b/src/member/announce.rs
@@ -6,11 +6,10 @@
 use std::time::Duration;
 
 use super::MemberRow;
+use super::answers::bare_ping;
 use crate::board::Blackboard;
 use crate::board::rank;
-use crate::clock::now_ms;
 use crate::peer::PeerCalls;
-use crate::peer::PeerRequest;
 
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Instances up to which all are told at once of one that leaves.
@@ -44,16 +43,10 @@
 
 /// Tells others of the own state at once, instead of waiting for rounds of pings.
 pub async fn announce<L: PeerCalls>(board: &Blackboard, links: &L) {
-    let own = board.members.lock().own_row(now_ms());
     let mut told = tokio::task::JoinSet::new();
     for address in announced_to(board) {
         let links = links.clone();
-        let request = PeerRequest::Ping {
-            from: own.clone(),
-            stamp: board.events.clock.stamp(),
-            summary: board.members.lock().digest().summary(),
-            rumours: Vec::new(),
-        };
+        let request = bare_ping(board);
         told.spawn(async move { links.call(address, &request, ANNOUNCE_TIMEOUT).await });
     }
     // Whoever misses this hears it as a rumour.
--- a/src/member/answers.rs
+++ b/src/member/answers.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::MemberRequest;
 use super::MemberRow;
+use super::comparison::answer_compare;
+use super::comparison::answer_exchange;
 use crate::board::Blackboard;
 use crate::clock::now_ms;
 use crate::peer::PeerCalls;
@@ -31,7 +34,7 @@
 }
 
 /// Answers a ping: takes its rumours in and gives ours.
-pub fn answer_ping(
+fn answer_ping(
     board: &Blackboard,
     from: &MemberRow,
     stamp: u64,
@@ -57,7 +60,7 @@
 /// Takes a newcomer in, and tells it whom it needs to know at once. The rest it finds by comparing
 /// with one of these: an instance whose address is in all settings would otherwise hand the whole
 /// list to each of hundreds that start together.
-pub fn answer_join(board: &Blackboard, row: &MemberRow) -> PeerReply {
+fn answer_join(board: &Blackboard, row: &MemberRow) -> PeerReply {
     let changed = board.members.lock().merge(row, now_ms());
     if changed {
         board.publish_members();
@@ -74,6 +77,17 @@
     PeerReply::Members(rows.collect())
 }
 
+/// A ping without rumours.
+pub(super) fn bare_ping(board: &Blackboard) -> PeerRequest {
+    let members = board.members.lock();
+    PeerRequest::Member(MemberRequest::Ping {
+        from: members.own_row(now_ms()),
+        stamp: board.events.clock.stamp(),
+        summary: members.digest().summary(),
+        rumours: Vec::new(),
+    })
+}
+
 /// Pings another instance for a peer that could not reach it.
 pub async fn answer_ping_for<L: PeerCalls>(
     board: &Blackboard,
@@ -81,9 +95,17 @@
     target: SocketAddr,
 ) -> PeerReply {
     let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
-    let own = board.members.lock().own_row(now_ms());
-    let stamp = board.events.clock.stamp();
-    let summary = board.members.lock().digest().summary();
-    let request = PeerRequest::Ping { from: own, stamp, summary, rumours: Vec::new() };
-    PeerReply::Reached(links.call(target, &request, within).await.is_ok())
+    PeerReply::Reached(links.call(target, &bare_ping(board), within).await.is_ok())
+}
+
+/// Answers a question about members.
+pub fn answer_member(board: &Blackboard, request: MemberRequest) -> PeerReply {
+    match request {
+        MemberRequest::Join(row) => answer_join(board, &row),
+        MemberRequest::Ping { from, stamp, rumours, .. } => {
+            answer_ping(board, &from, stamp, rumours)
+        }
+        MemberRequest::Compare(theirs) => answer_compare(board, &theirs),
+        MemberRequest::Exchange { wanted, rows } => answer_exchange(board, &wanted, &rows),
+    }
 }
--- a/src/member/comparison.rs
+++ b/src/member/comparison.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::MemberRequest;
 use super::MemberRow;
 use super::MemberTable;
 use super::MembersDigest;
@@ -22,7 +23,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Answers the first question of a comparison: the parts that differ, and what is believed there.
-pub fn answer_compare(board: &Blackboard, theirs: &MembersDigest) -> PeerReply {
+pub(super) fn answer_compare(board: &Blackboard, theirs: &MembersDigest) -> PeerReply {
     let members = board.members.lock();
     let parts = members.digest().differing(theirs);
     let fingerprints = members.fingerprints(&parts);
@@ -31,7 +32,7 @@
 
 /// Answers the second one: takes rows in, and returns those asked for, and those that are known
 /// better here.
-pub fn answer_exchange(board: &Blackboard, wanted: &[u32], rows: &[MemberRow]) -> PeerReply {
+pub(super) fn answer_exchange(board: &Blackboard, wanted: &[u32], rows: &[MemberRow]) -> PeerReply {
     let mut members = board.members.lock();
     let mut reply = members.rows_of(wanted, now_ms());
     reply.extend(take_in(&mut members, rows));
@@ -75,7 +76,10 @@
     peer: SocketAddr,
 ) -> Option<usize> {
     let digest = board.members.lock().digest().clone();
-    let reply = links.call(peer, &PeerRequest::Compare(digest), CALL_TIMEOUT).await.ok()?;
+    let reply = links
+        .call(peer, &PeerRequest::Member(MemberRequest::Compare(digest)), CALL_TIMEOUT)
+        .await
+        .ok()?;
     let PeerReply::Differing { parts, fingerprints } = reply else {
         return None;
     };
@@ -83,14 +87,15 @@
     if wanted.is_empty() && rows.is_empty() {
         return Some(0);
     }
-    let request = PeerRequest::Exchange { wanted, rows };
+    let request = PeerRequest::Member(MemberRequest::Exchange { wanted, rows });
     let Ok(PeerReply::Members(rows)) = links.call(peer, &request, CALL_TIMEOUT).await else {
         return None;
     };
     let known_better = take_in(&mut board.members.lock(), &rows);
     board.publish_members();
     if !known_better.is_empty() {
-        let request = PeerRequest::Exchange { wanted: Vec::new(), rows: known_better };
+        let exchange = MemberRequest::Exchange { wanted: Vec::new(), rows: known_better };
+        let request = PeerRequest::Member(exchange);
         // Lost, the next comparison finds the same again.
         let _ = links.call(peer, &request, CALL_TIMEOUT).await;
     }
--- a/src/member/joiner.rs
+++ b/src/member/joiner.rs
@@ -10,6 +10,7 @@
 use rand::RngExt;
 use tokio::task::JoinHandle;
 
+use super::MemberRequest;
 use super::MemberRow;
 use super::compare;
 use crate::board::Blackboard;
@@ -90,7 +91,10 @@
 
     async fn join_by(&self, address: SocketAddr) -> bool {
         let own = self.board.members.lock().own_row(now_ms());
-        let reply = self.links.call(address, &PeerRequest::Join(own), CALL_TIMEOUT).await;
+        let reply = self
+            .links
+            .call(address, &PeerRequest::Member(MemberRequest::Join(own)), CALL_TIMEOUT)
+            .await;
         let Ok(PeerReply::Members(rows)) = reply else {
             return false;
         };
--- a/src/member/swim.rs
+++ b/src/member/swim.rs
@@ -13,6 +13,7 @@
 use super::compare;
 use crate::board::Blackboard;
 use crate::clock::now_ms;
+use crate::member::MemberRequest;
 use crate::member::MemberRow;
 use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
@@ -38,12 +39,12 @@
     let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
     let request = {
         let mut members = board.members.lock();
-        PeerRequest::Ping {
+        PeerRequest::Member(MemberRequest::Ping {
             from: members.own_row(now_ms()),
             stamp: board.events.clock.stamp(),
             summary: members.digest().summary(),
             rumours: members.rumours(RUMOURS_MAX, now_ms()),
-        }
+        })
     };
     let reply = links.call(target.peer, &request, within).await;
     let Ok(PeerReply::Ack { stamp, summary, rumours }) = reply else {
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -12,6 +12,7 @@
 use super::MemberState;
 use super::MembersDigest;
 use super::digest::part_of;
+use super::news::News;
 use super::ring::Ring;
 use super::row::fingerprint;
 
@@ -20,10 +21,6 @@
 /// A rumour is told this many times per doubling of the members. Who misses it differs from those
 /// it talks to, and asks them.
 const TELLS_PER_DOUBLING: u32 = 1;
-/// Rumours that wait to be told at most. More come at once only when many instances start or stop;
-/// then comparing whole tables costs less, and rumours would fill every ping for minutes: 470
-/// members told nine times each by each of 470 instances are 180 MB.
-const RUMOURS_WAITING_MAX: usize = 8;
 /// Most members known at once; more are refused, so that a faulty peer cannot fill the memory.
 const MEMBERS_MAX: usize = 5_000;
 
@@ -34,8 +31,6 @@
     born_ms: u64,
     /// When the state became what it is.
     since_ms: u64,
-    /// How often the row is still to be told.
-    tells: u32,
 }
 
 impl Known {
@@ -75,8 +70,8 @@
     at_peer: HashMap<SocketAddr, SmallVec<[u64; 1]>>,
     ring: Ring,
     digest: MembersDigest,
-    /// Members whose rows are still to be told, with how often.
-    news: BTreeSet<(u32, u64)>,
+    /// Members whose rows are still to be told.
+    news: News,
     /// Suspects, with the time since when.
     suspects: BTreeSet<(u64, u64)>,
     /// Members that are gone, with the time since when.
@@ -103,27 +98,25 @@
             at_peer: HashMap::new(),
             ring: Ring::default(),
             digest: MembersDigest::default(),
-            news: BTreeSet::new(),
+            news: News::default(),
             suspects: BTreeSet::new(),
             gone: BTreeSet::new(),
             changed: BTreeSet::new(),
             turn: 0,
         };
-        table.put(Known { row: own, born_ms: now_ms, since_ms: now_ms, tells: 0 });
+        table.put(Known { row: own, born_ms: now_ms, since_ms: now_ms }, 0);
         table
     }
 
-    /// Puts a row in force in the place of the one known of its member, if any.
-    fn put(&mut self, known: Known) {
+    /// Puts a row in force in the place of the one known of its member, if any, to be told so often.
+    fn put(&mut self, known: Known, tells: u32) {
         let incarnation = known.row.incarnation;
         self.take_out(incarnation);
         if known.row.state.may_answer() {
             self.at_peer.entry(known.row.peer).or_default().push(incarnation);
             self.ring.set(incarnation, true);
         }
-        if known.tells > 0 {
-            self.news.insert((known.tells, incarnation));
-        }
+        self.news.set(incarnation, tells);
         if known.row.state == MemberState::Suspect {
             self.suspects.insert((known.since_ms, incarnation));
         }
@@ -133,7 +126,6 @@
         self.digest.add(&known.row);
         self.changed.insert(incarnation);
         self.known.insert(incarnation, known);
-        self.drop_old_news();
     }
 
     /// Takes a member out of everything that is derived from its row.
@@ -141,7 +133,7 @@
         let known = self.known.remove(&incarnation)?;
         self.digest.remove(&known.row);
         self.ring.set(incarnation, false);
-        self.news.remove(&(known.tells, incarnation));
+        self.news.set(incarnation, 0);
         self.suspects.remove(&(known.since_ms, incarnation));
         self.gone.remove(&(known.since_ms, incarnation));
         if let Some(at_peer) = self.at_peer.get_mut(&known.row.peer) {
@@ -153,18 +145,6 @@
         Some(known)
     }
 
-    /// Leaves the rumours that were told most to comparisons when too many wait.
-    fn drop_old_news(&mut self) {
-        while self.news.len() > RUMOURS_WAITING_MAX {
-            let Some((_, incarnation)) = self.news.pop_first() else {
-                return;
-            };
-            if let Some(known) = self.known.get_mut(&incarnation) {
-                known.tells = 0;
-            }
-        }
-    }
-
     /// The own row with its age of now.
     #[must_use]
     pub fn own_row(&self, now_ms: u64) -> MemberRow {
@@ -270,7 +250,7 @@
             None if full => return false,
             None => self.supersede_predecessor(row, now_ms),
         }
-        self.put(Known { row: row.clone(), born_ms, since_ms: now_ms, tells });
+        self.put(Known { row: row.clone(), born_ms, since_ms: now_ms }, tells);
         true
     }
 
@@ -283,7 +263,7 @@
         }
         let generation = row.generation + 1;
         let row = MemberRow { generation, ..own.row.clone() };
-        self.put(Known { row, born_ms: own.born_ms, since_ms: now_ms, tells: self.tells() });
+        self.put(Known { row, born_ms: own.born_ms, since_ms: now_ms }, self.tells());
         true
     }
 
@@ -301,7 +281,7 @@
                 continue;
             };
             let row = MemberRow { state: MemberState::Dead, ..known.row.clone() };
-            self.put(Known { row, since_ms: now_ms, ..known.clone() });
+            self.put(Known { row, born_ms: known.born_ms, since_ms: now_ms }, 0);
         }
     }
 
@@ -310,7 +290,7 @@
         let own = &self.known[&self.own];
         let generation = own.row.generation + 1;
         let row = MemberRow { generation, state, successor, ..own.row.clone() };
-        self.put(Known { row, born_ms: own.born_ms, since_ms: now_ms, tells: self.tells() });
+        self.put(Known { row, born_ms: own.born_ms, since_ms: now_ms }, self.tells());
     }
 
     /// Marks a member that did not answer; tells whether that is news.
@@ -329,7 +309,7 @@
             return false;
         }
         let row = MemberRow { state, ..known.row.clone() };
-        self.put(Known { row, born_ms: known.born_ms, since_ms: now_ms, tells: self.tells() });
+        self.put(Known { row, born_ms: known.born_ms, since_ms: now_ms }, self.tells());
         true
     }
 
@@ -351,20 +331,8 @@
 
     /// Up to `most` rows that are still news, the least told first.
     pub fn rumours(&mut self, most: usize, now_ms: u64) -> Vec<MemberRow> {
-        let picked: SmallVec<[(u32, u64); 8]> =
-            self.news.iter().rev().take(most).copied().collect();
-        let mut rows = Vec::with_capacity(picked.len());
-        for (tells, incarnation) in picked {
-            self.news.remove(&(tells, incarnation));
-            if tells > 1 {
-                self.news.insert((tells - 1, incarnation));
-            }
-            if let Some(known) = self.known.get_mut(&incarnation) {
-                known.tells = tells - 1;
-                rows.push(known.aged(now_ms));
-            }
-        }
-        rows
+        let told = self.news.take(most);
+        told.iter().filter_map(|member| self.row(*member, now_ms)).collect()
     }
 
     /// The members that this one pings, and is connected to.
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,8 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::member::MemberRequest;
 use crate::member::MemberRow;
-use crate::member::MembersDigest;
 use crate::model::Versioned;
 use crate::outcome::OwnerSnapshot;
 use crate::store::Item;
@@ -67,22 +67,7 @@
 /// What one instance asks another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// A newcomer asks for members: all of a small fleet, the first ones of each zone of a large one.
-    Join(MemberRow),
-    /// `summary` is that of what the sender believes of all members.
-    Ping {
-        from: MemberRow,
-        stamp: u64,
-        summary: u64,
-        rumours: Vec<MemberRow>,
-    },
-    /// Asks in which members the other believes something else.
-    Compare(MembersDigest),
-    /// Tells of members, and asks for the rows with these fingerprints.
-    Exchange {
-        wanted: Vec<u32>,
-        rows: Vec<MemberRow>,
-    },
+    Member(MemberRequest),
     /// Asks for a ping of another instance, which the sender could not reach.
     PingFor {
         target: SocketAddr,
--- a/standins/src/routed/memory_links.rs
+++ b/standins/src/routed/memory_links.rs
@@ -11,10 +11,7 @@
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::Sink;
-use sorrelwick::member::answer_compare;
-use sorrelwick::member::answer_exchange;
-use sorrelwick::member::answer_join;
-use sorrelwick::member::answer_ping;
+use sorrelwick::member::answer_member;
 use sorrelwick::peer::PeerCalls;
 use sorrelwick::peer::PeerError;
 use sorrelwick::peer::PeerReply;
@@ -136,12 +133,7 @@
     async fn answer(&self, to: &Reached<K>, request: PeerRequest) -> PeerReply {
         let board = &to.board;
         match request {
-            PeerRequest::Join(row) => answer_join(board, &row),
-            PeerRequest::Ping { from, stamp, rumours, .. } => {
-                answer_ping(board, &from, stamp, rumours)
-            }
-            PeerRequest::Compare(theirs) => answer_compare(board, &theirs),
-            PeerRequest::Exchange { wanted, rows } => answer_exchange(board, &wanted, &rows),
+            PeerRequest::Member(request) => answer_member(board, request),
             PeerRequest::PingFor { target } => self.ping_for(board, target).await,
             PeerRequest::Feed { after, hold_ms, .. } => match &to.mirror {
                 Some(mirror) => {
