Two zones' first homes watch the store for all

Cause: each change costs a call of each watch and part followed; five zones had ten, 25 would have fifty. Change: the first homes of the first two zones watch; the first home of each other zone asks these, and its zone asks it. All other steps towards the store stay.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -1,8 +1,8 @@
 //! Keeps a [`Mirror`] up to date: from the platform's store, or from an instance that does so.
 //!
 //! Each call to the store has its price, and a change that wakes a watch on each instance costs a
-//! call of each. So only the first home of a zone watches; the others ask it, and when it does not
-//! know, several others at once.
+//! call of each. So only the first homes of two zones watch; the others ask the first home of their
+//! zone, or these, and when none knows, several others at once.
 //!
 //! What holds a change back at most: an instance that was not certain for [`PATIENCE_PART`] of the
 //! bound turns to the store itself, however its relays fail (slow, frozen, cut, turned away), unless
@@ -51,7 +51,7 @@
 /// Part of the bound after which an instance that is not certain turns to the store itself; the
 /// call, its connection and what is asked before it have the rest.
 const PATIENCE_PART: u32 = 2;
-/// An instance that knows no other one takes itself for the one that watches. For so long after it
+/// An instance that knows no other one takes itself for one that watches. For so long after it
 /// got its copy it waits for others first; a call that waits in the store is paid for like any other.
 const ALONE_PAUSE: Duration = Duration::from_millis(700);
 
@@ -124,7 +124,7 @@
         }
     }
 
-    /// Returns once another instance of the zone is to watch. A watch whose answer was lost waits on
+    /// Returns once another instance is to watch. A watch whose answer was lost waits on
     /// for seconds; this one is asked about what it missed no more, and must ask itself.
     async fn relieved(&self) {
         let mut changes = self.board.changes();
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -15,7 +15,7 @@
 use super::relays::all_readers;
 use super::relays::near_readers;
 use super::relays::place_among_readers;
-use super::relays::watchers;
+use super::relays::relays;
 use super::relays::watches;
 use crate::clock::now_us;
 use crate::peer::FeedReply;
@@ -139,11 +139,11 @@
         }
     }
 
-    /// Asks a watching instance, which answers when there is news; `false` when it is not certain
+    /// Asks a relay, which answers when there is news; `false` when it is not certain
     /// or does not answer.
     async fn ask_held(&self) -> bool {
-        let watchers = watchers(&self.board);
-        let Some(peer) = watchers.iter().copied().find(|peer| !self.shuns(*peer)) else {
+        let relays = relays(&self.board);
+        let Some(peer) = relays.iter().copied().find(|peer| !self.shuns(*peer)) else {
             return false;
         };
         // The bound runs while this one waits: it must not wait past its patience.
@@ -221,7 +221,7 @@
     }
 
     async fn check_once(&self) {
-        let one = watchers(&self.board).into_iter().take(1).collect();
+        let one = relays(&self.board).into_iter().take(1).collect();
         if !self.ask_all(one, ASK_TIMEOUT).await.certain || self.mirror.age() > AGE_MAX {
             self.ask_all(near_readers(&self.board), ASK_TIMEOUT).await;
         }
--- a/src/gateway/relays.rs
+++ b/src/gateway/relays.rs
@@ -1,16 +1,14 @@
 //! Which instances read the store, and which others learn from.
 //!
-//! The first home of each zone watches the store; the next few of the zone stand in for it. All
-//! others learn from these. How many read the store does not grow with the fleet.
+//! The first homes of two zones watch the store; each zone's own learns from them, and hands on what
+//! it learns to its zone; the next few of the zone stand in for it. How many watch the store does not
+//! grow with the fleet or its zones.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use smallvec::SmallVec;
 
-use super::homes::HomesPlan;
-use super::homes::all_homes;
-use super::homes::is_home;
 use crate::board::Blackboard;
 use crate::board::MembersView;
 use crate::member::MemberRow;
@@ -20,12 +18,22 @@
 /// once in a hundred, and all of three zones once in a million times.
 pub const READERS_PER_ZONE: usize = 4;
 
+/// Zones whose first homes watch the store. A change costs a call for each of them and each part that
+/// is followed; with one, all others would depend on it until it is found to fail.
+const WATCHING_ZONES: usize = 2;
+
 /// Addresses of some instances.
 pub type Peers = SmallVec<[SocketAddr; 16]>;
 
-/// Whether this instance is the one of its zone that watches the store.
+/// Whether this instance is one of those that watch the store.
 pub fn watches(board: &Blackboard) -> bool {
-    is_home(board, HomesPlan::FIRST)
+    let view = board.members_view();
+    watchers(&view).any(|row| row.incarnation == board.incarnation)
+}
+
+/// The first homes of the first zones.
+fn watchers(view: &MembersView) -> impl Iterator<Item = &Arc<MemberRow>> {
+    view.zones().take(WATCHING_ZONES).filter_map(|zone| view.ranked(zone).first())
 }
 
 /// This instance's place among those of its zone that read the store when nobody is certain;
@@ -36,12 +44,13 @@
     readers.iter().position(|row| row.incarnation == board.incarnation)
 }
 
-/// The other instances that watch the store, that of the own zone first.
-pub fn watchers(board: &Blackboard) -> Peers {
-    let zone = &board.settings.instance.zone;
-    let mut homes = all_homes(&board.members_view(), HomesPlan::FIRST);
-    homes.sort_by_key(|row| row.zone != *zone);
-    others(board, &homes)
+/// Whom this instance asks for what changed: the first home of its zone, which hands on what it
+/// learns, then those that watch the store.
+pub fn relays(board: &Blackboard) -> Peers {
+    let view = board.members_view();
+    let nearest = view.ranked(&board.settings.instance.zone).first();
+    let rows: Vec<Arc<MemberRow>> = nearest.into_iter().chain(watchers(&view)).cloned().collect();
+    others(board, &rows)
 }
 
 /// The other readers of the own zone.
@@ -49,11 +58,11 @@
     others(board, readers_of_zone(&board.members_view(), &board.settings.instance.zone))
 }
 
-/// The other readers of the own zone, and the watchers of the others.
+/// The other readers of the own zone, and those that watch the store.
 pub fn near_readers(board: &Blackboard) -> Peers {
     let view = board.members_view();
     let mut rows = readers_of_zone(&view, &board.settings.instance.zone).to_vec();
-    rows.extend(all_homes(&view, HomesPlan::FIRST));
+    rows.extend(watchers(&view).cloned());
     others(board, &rows)
 }
 
--- a/src/gateway/store_check.rs
+++ b/src/gateway/store_check.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::homes::HomesPlan;
-use super::homes::is_home;
 use super::mirror::Mirror;
 use super::mirror::Sink;
+use super::relays::watches;
 use crate::board::Blackboard;
 use crate::clock::now_us;
 use crate::store::EventStore;
@@ -25,7 +24,7 @@
 ) {
     loop {
         tokio::time::sleep(INTERVAL).await;
-        if !is_home(&board, HomesPlan::FIRST) {
+        if !watches(&board) {
             continue;
         }
         let began_us = now_us();
