--- a/tests/control_cost.rs
+++ b/tests/control_cost.rs
@@ -1,15 +1,25 @@
 //! What an instance spends on itself grows no faster than what it knows.
 
 use std::hint::black_box;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
 use sorrelwick::balance::Ask;
 use sorrelwick::balance::RepeatAllowance;
 use sorrelwick::balance::ServicePool;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::parse_settings;
 use sorrelwick::gateway::Dispatcher;
+use sorrelwick::gateway::HomesPlan;
+use sorrelwick::gateway::homes_of_zone;
+use sorrelwick::member::MemberRow;
+use sorrelwick::member::MemberState;
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
+use sorrelwick::peer::ServerLoadRow;
+use sorrelwick::peer::ServerLoads;
 
 const ALLOWANCE: RepeatAllowance =
     RepeatAllowance { ratio: 0.2, window_us: 10_000_000, slack: 10.0 };
@@ -75,6 +85,91 @@
     assert!(many < few * 5, "{few:?} among 400 servers, {many:?} among 4,000");
 }
 
+/// Forty homes that each hear of thirty-nine others some times a second, of 800 servers, did nothing
+/// else: each word went through all servers. A word costs as much as it names servers.
+#[test]
+fn hearing_of_a_few_servers_does_not_depend_on_how_many_there_are() {
+    let hear = |dispatcher: &Dispatcher| {
+        let servers = dispatcher.servers();
+        let named = servers.iter().take(10);
+        let rows: Vec<ServerLoadRow> = named
+            .map(|server| ServerLoadRow { server: server.key, in_flight: 1, pace_percent: 100 })
+            .collect();
+        let loads = ServerLoads { from: 7, rows };
+        shortest(|| dispatcher.hear_loads(&loads))
+    };
+    let (few, many) = (hear(&dispatcher_with(400)), hear(&dispatcher_with(4_000)));
+    assert!(many < few * 5, "{few:?} among 400 servers, {many:?} among 4,000");
+}
+
+/// What an instance has at servers is told to each home some times a second. One that has nothing
+/// anywhere, as nearly all of a large fleet, finds that out without going through the servers.
+#[test]
+fn an_instance_without_requests_has_nothing_to_tell() {
+    let (few, many) = (dispatcher_with(400), dispatcher_with(4_000));
+    assert!(many.own_loads().is_empty());
+    let told_few = shortest(|| drop(black_box(few.own_loads())));
+    let told_many = shortest(|| drop(black_box(many.own_loads())));
+    let least = Duration::from_micros(1);
+    assert!(told_many < told_few.max(least) * 5, "{told_few:?} and {told_many:?}");
+}
+
+fn member(incarnation: u64) -> MemberRow {
+    let peer = SocketAddr::from(([10, 0, 0, 1], 1_000)).ip();
+    let port = u16::try_from(incarnation % 60_000).expect("a port");
+    let address = SocketAddr::new(peer, port);
+    MemberRow {
+        incarnation,
+        generation: 0,
+        state: MemberState::Alive,
+        name: format!("front-{incarnation}"),
+        zone: format!("z{}", incarnation % 5),
+        caller: address,
+        operator: address,
+        peer: address,
+        capacity_per_s: 100,
+        uptime_ms: 1_000,
+        successor: None,
+    }
+}
+
+fn board_with(members: u64) -> Blackboard {
+    let settings = parse_settings("t", r#"{ instance: { name: "a", zone: "z0" } }"#);
+    let board = Blackboard::new(settings.expect("valid"), 1);
+    for incarnation in 2..=members {
+        board.members.lock().merge_compared(&member(incarnation), 1_000);
+    }
+    board.publish_members();
+    board
+}
+
+/// Hundreds of instances start, and each hears of the others one after the other. Each change of one
+/// made all rows anew, found each among all, and sorted them for each look at the homes: half of the
+/// processor of a calm fleet of 472.
+#[test]
+fn a_change_of_one_member_costs_the_same_however_many_there_are() {
+    let change = |board: &Blackboard| {
+        let mut generation = 0;
+        shortest(|| {
+            generation += 1;
+            let row = MemberRow { generation, ..member(77) };
+            assert!(board.members.lock().merge(&row, 1_000));
+            board.publish_members();
+            black_box(homes_of_zone(&board.members_view(), "z2", HomesPlan::FIRST));
+        })
+    };
+    let (few, many) = (board_with(450), board_with(4_500));
+    let (took_few, took_many) = (change(&few), change(&many));
+    assert!(took_many < took_few * 5, "{took_few:?} of 450 members, {took_many:?} of 4,500");
+    let before = few.members_view();
+    assert!(few.members.lock().merge(&MemberRow { generation: 1_000, ..member(78) }, 1_000));
+    few.publish_members();
+    let after = few.members_view();
+    let copied =
+        before.rows.iter().zip(&after.rows).filter(|(one, other)| !Arc::ptr_eq(one, other));
+    assert_eq!(copied.count(), 1, "rows of members that did not change were made anew");
+}
+
 /// In a burst all servers are full and hundreds of requests wait. Each answer anywhere asks whether
 /// one of them can be served, and trying each of them on each server took more than the processor
 /// had: the instance answered no pings, was taken for dead, and its callers fell upon smaller ones.
