Many servers that change at once have one line, also when they come as events

Cause: at the first start servers enter the list over four seconds, in batches of some 200 events, and each of 472 instances wrote a line for each of 809; the lines of whole readings were bounded only.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -20,8 +20,8 @@
 struct Context {
     /// Lines on each server's place in the platform's list.
     servers: BTreeMap<String, Vec<LogLine>>,
-    /// Lines on whole readings of that list.
-    readings: Vec<LogLine>,
+    /// Lines on many changes of that list at once.
+    many: Vec<LogLine>,
     /// When each version came in force on each instance.
     versions: BTreeMap<(String, u64), String>,
     /// Lines that an instance dropped, with the time of the next line it wrote.
@@ -41,7 +41,7 @@
             "server-listed" | "server-unlisted" => {
                 self.servers.entry(line.text("server")).or_default().push(line);
             }
-            "servers-read" => self.readings.push(line),
+            "servers-changed" => self.many.push(line),
             _ => {}
         }
     }
@@ -49,7 +49,7 @@
     /// What one instance believed of a server last before `time`, and first after it.
     fn around(&self, server: &str, instance: &str, time: &str) -> Vec<&LogLine> {
         let lines = self.servers.get(server).map_or(&[][..], Vec::as_slice);
-        let lines = lines.iter().chain(&self.readings);
+        let lines = lines.iter().chain(&self.many);
         let mut own: Vec<&LogLine> = lines.filter(|line| line.instance == instance).collect();
         own.sort_by(|a, b| a.time.cmp(&b.time));
         let after = own.partition_point(|line| line.time.as_str() <= time);
@@ -169,9 +169,9 @@
     if line.event == "server-unlisted" {
         return format!("server {} unlisted", line.text("server"));
     }
-    if line.event == "servers-read" {
+    if line.event == "servers-changed" {
         let (listed, unlisted) = (line.text("listed"), line.text("unlisted"));
-        return format!("list read whole: {listed} servers listed, {unlisted} unlisted");
+        return format!("many at once: {listed} servers listed, {unlisted} unlisted");
     }
     let draining = if line.flag("draining") { ", draining" } else { "" };
     let warmup = match line.number("warmup_ms") {
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -29,11 +29,11 @@
     /// while the store was away.
     fn removed(&mut self, key: &str, grace: Duration);
 
-    /// All keys were read, and what that changes is told next, up to [`Sink::read_all`].
-    fn reading_all(&mut self) {}
+    /// Changes that came together are told next, up to [`Sink::together_ends`].
+    fn together_begins(&mut self) {}
 
-    /// All that the keys read up to `revision` changed was told.
-    fn read_all(&mut self, _revision: u64) {}
+    /// All changes that came together, up to `revision`, were told.
+    fn together_ends(&mut self, _revision: u64) {}
 }
 
 /// The copy; tells its sink of each change once, and of nothing older after something newer.
@@ -135,12 +135,14 @@
     /// Takes in the events after a revision that the copy had, up to `upto`.
     pub fn apply(&self, events: &[ItemEvent], upto: u64, grace: Duration) {
         let mut state = self.state.lock();
+        state.sink.together_begins();
         for event in events {
             match event {
                 ItemEvent::Written(item) => state.written(item),
                 ItemEvent::Removed { key, revision } => state.removed(key, *revision, grace),
             }
         }
+        state.sink.together_ends(upto);
         state.reach(upto);
         drop(state);
         self.revision.send_if_modified(|told| std::mem::replace(told, upto.max(*told)) < upto);
@@ -150,17 +152,17 @@
     /// replaces them, and what it does not have is removed. Others are not told of them.
     pub fn go_by(&self, items: &[Item]) {
         let mut state = self.state.lock();
-        state.sink.reading_all();
+        state.sink.together_begins();
         for item in items {
             state.written(item);
         }
-        state.sink.read_all(0);
+        state.sink.together_ends(0);
     }
 
     /// Takes in all keys as they were read at `read_at` or later.
     pub fn replace(&self, items: &[Item], read_at: u64, grace: Duration) {
         let mut state = self.state.lock();
-        state.sink.reading_all();
+        state.sink.together_begins();
         for item in items {
             state.written(item);
         }
@@ -174,7 +176,7 @@
         for key in missing {
             state.removed(&key, read_at, grace);
         }
-        state.sink.read_all(read_at);
+        state.sink.together_ends(read_at);
         state.reach(read_at);
         // Events between the last revision and this one were not seen one by one. A read that is
         // older than what is known must not hide the events in between either.
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -20,9 +20,9 @@
 
 /// Entries that cannot be read and are remembered as logged; beyond that some are logged again.
 const UNREADABLE_MAX: usize = 1_000;
-/// Changes of one whole reading that have a line each. At a start each of hundreds of instances reads
+/// Changes that come together and have a line each. At a start each of hundreds of instances hears of
 /// hundreds of servers, where one line with their number and revision tells as much.
-const READING_LINES_MAX: usize = 8;
+const TOGETHER_LINES_MAX: usize = 8;
 
 /// Puts versions of the operators' configuration in force.
 #[derive(Debug)]
@@ -89,21 +89,21 @@
     /// Why the entries that cannot be read now cannot be, by id: each is logged once, however often
     /// its writer repeats it.
     unreadable: HashMap<String, String>,
-    /// While the changes of one whole reading are told.
-    reading: Option<Reading>,
+    /// While changes that came together are told.
+    together: Option<Together>,
 }
 
-/// How many changes a whole reading brought so far.
+/// How many changes came together so far.
 #[derive(Clone, Copy, Debug, Default)]
-struct Reading {
+struct Together {
     listed: usize,
     unlisted: usize,
 }
 
-impl Reading {
+impl Together {
     /// Whether the next change still has a line of its own.
     const fn has_line(self) -> bool {
-        self.listed + self.unlisted <= READING_LINES_MAX
+        self.listed + self.unlisted <= TOGETHER_LINES_MAX
     }
 }
 
@@ -111,7 +111,7 @@
     /// A sink that lists servers at `dispatcher`.
     #[must_use]
     pub fn new(dialect: D, dispatcher: Dispatcher) -> Self {
-        Self { dialect, dispatcher, unreadable: HashMap::new(), reading: None }
+        Self { dialect, dispatcher, unreadable: HashMap::new(), together: None }
     }
 
     fn read(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
@@ -138,12 +138,12 @@
         self.unreadable.insert(id.to_owned(), why);
     }
 
-    /// Counts a change of a whole reading; tells whether it has a line of its own.
+    /// Counts a change; tells whether it has a line of its own.
     fn count(&mut self, listed: usize, unlisted: usize) -> bool {
-        self.reading.as_mut().is_none_or(|reading| {
-            reading.listed += listed;
-            reading.unlisted += unlisted;
-            reading.has_line()
+        self.together.as_mut().is_none_or(|together| {
+            together.listed += listed;
+            together.unlisted += unlisted;
+            together.has_line()
         })
     }
 }
@@ -177,17 +177,17 @@
         self.dispatcher.unlist(id, grace);
     }
 
-    fn reading_all(&mut self) {
-        self.reading = Some(Reading::default());
+    fn together_begins(&mut self) {
+        self.together = Some(Together::default());
     }
 
-    fn read_all(&mut self, revision: u64) {
-        let reading = self.reading.take().unwrap_or_default();
-        if !reading.has_line() {
+    fn together_ends(&mut self, revision: u64) {
+        let together = self.together.take().unwrap_or_default();
+        if !together.has_line() {
             info!(
-                event = "servers-read", listed = reading.listed, unlisted = reading.unlisted,
-                revision = revision;
-                "the list was read whole"
+                event = "servers-changed", listed = together.listed,
+                unlisted = together.unlisted, revision = revision;
+                "many at once"
             );
         }
     }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -55,16 +55,15 @@
     assert!(!told.contains("other"), "{told}");
 }
 
-/// An instance that started a moment before read hundreds of servers in one go, and wrote one line on
-/// them. What it knew of the server of a failed request is that it read the list then.
+/// An instance that started a moment before heard of hundreds of servers in one go, and wrote one line on
+/// them. What it knew of the server of a failed request is that it heard of many then.
 #[test]
-fn a_server_that_was_read_with_hundreds_of_others_is_told_of_by_that_reading() {
-    let read = r#"{"event":"servers-read","instance":"a-1","listed":809,"unlisted":0,"revision":44,"time":"2026-12-02T10:00:02.500000000+00:00"}"#;
+fn a_server_that_was_listed_with_hundreds_of_others_is_told_of_by_their_line() {
+    let read = r#"{"event":"servers-changed","instance":"a-1","listed":809,"unlisted":0,"revision":44,"time":"2026-12-02T10:00:02.500000000+00:00"}"#;
     let listed = LOGS.lines().find(|line| line.contains("server-listed")).expect("a line");
     let output = explain(&["order-1"], &LOGS.replace(listed, read));
     let told = text(&output.stdout);
-    let line =
-        "2026-12-02T10:00:02.500000000+00:00  list read whole: 809 servers listed, 0 unlisted";
+    let line = "2026-12-02T10:00:02.500000000+00:00  many at once: 809 servers listed, 0 unlisted";
     assert!(told.contains(line), "{told}");
 }
 
