A copy of an empty store is handed on; a test counts the calls of a change, not of a start

Cause: a copy read at revision 0 woke none of those that waited for their first one (a watch of numbers, where 0 stood for none), so each went by a reading of its own. Test first_copy::a_copy_of_an_empty_store_... red before, green now.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -40,7 +40,9 @@
 #[derive(Debug)]
 pub struct Mirror<K> {
     state: Mutex<State<K>>,
-    revision: watch::Sender<u64>,
+    /// Up to where the copy is complete, for those who wait. `None` before there is one: a store to
+    /// which nothing was ever written is at 0, and a copy of it is one.
+    revision: watch::Sender<Option<u64>>,
     /// When it was last certain that nothing is missing; 0 before the first time.
     confirmed_us: AtomicU64,
     /// Watches that wait in the store for the next change.
@@ -80,7 +82,7 @@
             recent_after: 0,
             revision: None,
         };
-        let revision = watch::Sender::new(0);
+        let revision = watch::Sender::new(None);
         Self {
             state: Mutex::new(state),
             revision,
@@ -145,7 +147,7 @@
         state.sink.together_ends(upto);
         state.reach(upto);
         drop(state);
-        self.revision.send_if_modified(|told| std::mem::replace(told, upto.max(*told)) < upto);
+        self.tell(upto);
     }
 
     /// Takes in keys that may be seconds old, to go by until a copy is there that is certain: it
@@ -183,8 +185,13 @@
         state.recent.clear();
         state.recent_after = state.revision.unwrap_or(0);
         drop(state);
-        self.revision
-            .send_if_modified(|told| std::mem::replace(told, read_at.max(*told)) < read_at);
+        self.tell(read_at);
+    }
+
+    /// Tells those who wait how far the copy is complete now.
+    fn tell(&self, upto: u64) {
+        let upto = Some(upto);
+        self.revision.send_if_modified(|told| std::mem::replace(told, upto.max(*told)) < upto);
     }
 
     /// What an instance that knows everything up to `after` has missed, and the age of that in
@@ -195,7 +202,7 @@
         let wait =
             if after.is_some() { wait.min(AGE_MAX.saturating_sub(self.age())) } else { wait };
         // Without news in time, the answer says so.
-        let news = told.wait_for(|told| *told > after.unwrap_or(0));
+        let news = told.wait_for(|told| *told > after);
         let _ = tokio::time::timeout(wait, news).await;
         let age_ms = u64::try_from(self.age().as_millis()).unwrap_or(u64::MAX);
         (self.state.lock().missed(after), age_ms)
--- a/tests/first_copy.rs
+++ b/tests/first_copy.rs
@@ -12,6 +12,7 @@
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::Sink;
 use sorrelwick::peer::Feed;
+use sorrelwick::peer::FeedReply;
 use sorrelwick::store::Item;
 use standins::routed::Fault;
 use standins::routed::MemoryEvents;
@@ -123,3 +124,20 @@
     pass(600).await;
     assert_eq!(in_force.keys(), pairs(&[("servers/s1", "one")]));
 }
+
+/// A store to which nothing was written yet. An instance that had read it let others wait for their copy
+/// until their time was over, and each read the store itself. Cause: it told of its copy only once a
+/// revision was above 0.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_an_empty_store_is_handed_on_at_once() {
+    let mirror = Mirror::new(InForce::default());
+    let asked = mirror.serve(None, Duration::from_millis(400));
+    let began = tokio::time::Instant::now();
+    let read = async {
+        pass(20).await;
+        mirror.replace(&[], 0, Duration::ZERO);
+    };
+    let ((reply, _), ()) = tokio::join!(asked, read);
+    assert_eq!(reply, FeedReply::All { items: Vec::new(), revision: 0 });
+    assert!(began.elapsed() < Duration::from_millis(30), "{:?}", began.elapsed());
+}
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -10,6 +10,8 @@
 
 /// The bound of a change, from its acknowledgement by the store.
 const APPLY: Duration = Duration::from_secs(2);
+/// By then no instance reads the store for its start any more, also one that is the last in its turn.
+const START: Duration = Duration::from_secs(1);
 const ZONES: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
 
 fn without_order(version: u64) -> String {
@@ -39,6 +41,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_is_in_force_everywhere_and_few_instances_call_the_store() {
     let bed = fleet().await;
+    tokio::time::sleep(START).await;
     let before: Vec<u64> = bed.views.iter().map(standins::routed::MemoryEvents::calls).collect();
     let since = Instant::now();
     bed.store.put("config", &without_order(2));
@@ -46,7 +49,7 @@
     assert!(took < APPLY, "{took:?}");
     let after = bed.views.iter().map(standins::routed::MemoryEvents::calls);
     let called = after.zip(&before).filter(|(after, before)| after > *before).count();
-    assert!(called <= 3, "{called} instances called the store");
+    assert!(called <= 2, "{called} instances called the store");
 }
 
 /// An operator's change is acknowledged, and most instances go on without it: the store turned away
