A zone's relay asks more often than it is asked

Cause: with two zones watching, the first home of each other zone learns at two removes. What it hears is up to 0.4 s old, it waited up to 0.6 s for the next answer, and passed for uncertain (0.9 s) in between; all of its zone then asked all readers, six times a second, for seconds. Change: it lets its question be held for 0.2 s.

--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -23,6 +23,10 @@
 
 /// How long another instance holds a question, and how long this one waits for the answer at most.
 const HOLD: Duration = Duration::from_millis(600);
+/// The same for the first home of a zone, on which the zone relies: what it hears may be 0.4 s old
+/// already, and held for as long as others it would pass for uncertain before the next answer; 500
+/// instances then asked all readers for seconds.
+const RELAY_HOLD: Duration = Duration::from_millis(200);
 const HELD_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long the answer to a question that is not held may take: a whole configuration of two
 /// thousand routes, compressed, takes a tenth of this over a link of 10 Mbit/s.
@@ -153,7 +157,8 @@
             return false;
         }
         let after = self.mirror.revision();
-        let answer = self.peers.ask(peer, self.feed, after, HOLD, within).await;
+        let hold = if place_among_readers(&self.board) == Some(0) { RELAY_HOLD } else { HOLD };
+        let answer = self.peers.ask(peer, self.feed, after, hold, within).await;
         let Some(answer) = answer else {
             *self.shunned.lock() = Some((peer, now_us() + SHUN_US));
             return false;
