Sight: the content of a request that got no answer, and whether its server has ended

Cause: lines named ids only, and an id is new each time a request comes. Change: a fingerprint of caller address, host, method, target and body; after a send without an answer the server's address is tried, and the line no-answer tells both. A server that lost an answer or reset a connection takes the next one; one that ended refuses it. No decision changes.

--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -1,5 +1,7 @@
 //! Requests of callers: read, routed, forwarded, answered.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,8 +34,10 @@
 use crate::board::Phase;
 use crate::clock::now_us;
 use crate::errors::Code;
+use crate::listener::CallerAddress;
 use crate::listener::ConnLimits;
 use crate::listener::Handler;
+use crate::quarantine::Fingerprint;
 
 /// When to come back while no configuration is known: the first one is there within a second.
 const NO_CONFIG_RETRY_MS: u64 = 300;
@@ -64,9 +68,7 @@
         let Some(table) = table.as_ref() else {
             return Err(OwnReply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
         };
-        let named = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-        let host = parts.uri.host().or(named).unwrap_or("");
-        let found = table.find(host, parts.uri.path()).cloned();
+        let found = table.find(host(parts), parts.uri.path()).cloned();
         found.ok_or_else(|| OwnReply::rejected(StatusCode::NOT_FOUND, Code::NoRoute))
     }
 
@@ -98,8 +100,9 @@
         };
         Ok(ForwardRequest {
             id: parts.headers.get(&fields.request_id).cloned(),
+            fingerprint: fingerprint(&parts, &body),
+            target: target(&parts).to_owned(),
             method: parts.method,
-            target: parts.uri.path_and_query().map_or("/", |target| target.as_str()).to_owned(),
             headers: parts.headers,
             body,
             route,
@@ -164,6 +167,22 @@
     }
 }
 
+fn host(parts: &http::request::Parts) -> &str {
+    let named = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    parts.uri.host().or(named).unwrap_or("")
+}
+
+/// Path and query.
+fn target(parts: &http::request::Parts) -> &str {
+    parts.uri.path_and_query().map_or("/", |target| target.as_str())
+}
+
+fn fingerprint(parts: &http::request::Parts, body: &[u8]) -> Fingerprint {
+    let unknown = CallerAddress(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
+    let CallerAddress(caller) = parts.extensions.get().copied().unwrap_or(unknown);
+    Fingerprint::of(caller, host(parts), parts.method.as_str(), target(parts), body)
+}
+
 /// Reads a body within the limits.
 async fn read_body(
     mut incoming: Incoming,
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -14,12 +14,15 @@
 use crate::balance::Ask;
 use crate::balance::RepeatNeed;
 use crate::clock::now_us;
+use crate::quarantine::Fingerprint;
 use crate::route::hop_by_hop;
 
 /// Everything that every send of the request needs.
 #[derive(Debug)]
 pub struct ForwardRequest {
     pub id: Option<HeaderValue>,
+    /// The same each time that its caller sends it, whatever the id.
+    pub fingerprint: Fingerprint,
     pub method: Method,
     /// Path and query, byte for byte.
     pub target: String,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -17,11 +17,13 @@
 use super::send::SendResult;
 use super::send::Sender;
 use super::send::ServerAnswer;
+use super::server::Server;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::board::Latency;
 use crate::clock::now_us;
 use crate::errors::Code;
+use crate::quarantine::takes_no_connection;
 
 /// Servers that could not be reached before the request is given up; each costs a connect
 /// timeout.
@@ -262,6 +264,9 @@
                 // Another server has the address now; nothing more may be sent there.
                 self.dispatcher.displaced(&server);
             }
+            if result.without_answer() {
+                look_after(request, server);
+            }
             result
         }
     }
@@ -278,6 +283,20 @@
     }
 }
 
+/// Finds out, beside the request, whether a server that gave no answer has ended, and tells which
+/// content it was that it had.
+fn look_after(request: &ForwardRequest, server: Arc<Server>) {
+    let (id, fingerprint) = (request.id_text().to_owned(), request.fingerprint);
+    tokio::spawn(async move {
+        let ended = takes_no_connection(server.conns.address()).await;
+        info!(
+            event = "no-answer", id = id.as_str(), content = fingerprint.to_string().as_str(),
+            service = &*server.row.service, server = &*server.row.id, server_ended = ended;
+            "the server was looked for after it gave no answer"
+        );
+    });
+}
+
 /// Whether a result settles the request, so that the other send is not needed.
 fn conclusive(result: &SendResult) -> bool {
     match result {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -85,6 +85,12 @@
         }
     }
 
+    /// Whether the server began on the request, as far as can be told, and gave no answer.
+    #[must_use]
+    pub const fn without_answer(&self) -> bool {
+        matches!(self, Self::Lost(_) | Self::TimedOut)
+    }
+
     const fn end(&self) -> SendEnd {
         match self {
             Self::Answered(answer) => {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod operator;
 pub mod outcome;
 pub mod peer;
+pub mod quarantine;
 pub mod route;
 pub mod status;
 pub mod store;
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -1,6 +1,7 @@
 //! A listener for HTTP/1.1 that can be stopped without cutting off a request.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -37,6 +38,10 @@
     fn limits(&self) -> ConnLimits;
 }
 
+/// Where a request came from; an extension of each request that a handler gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
 /// Limits of a caller's connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnLimits {
@@ -84,14 +89,14 @@
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
         };
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let handler = handler.clone();
         let stopped = stopped.clone();
         tokio::spawn(async move {
-            serve_connection(stream, handler, stopped).await;
+            serve_connection(stream, CallerAddress(peer.ip()), handler, stopped).await;
             drop(permit);
         });
     }
@@ -99,6 +104,7 @@
 
 async fn serve_connection<H: Handler>(
     stream: TcpStream,
+    caller: CallerAddress,
     handler: H,
     mut stopped: watch::Receiver<bool>,
 ) {
@@ -107,7 +113,8 @@
         return;
     }
     let limits = handler.limits();
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(caller);
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
