--- a/standins/src/backend/record.rs
+++ b/standins/src/backend/record.rs
@@ -16,6 +16,7 @@
 struct Rows {
     runs: Vec<Run>,
     measuring: Vec<Instant>,
+    crashes: Vec<Instant>,
 }
 
 /// The log of one backend server.
@@ -34,6 +35,16 @@
         self.rows.lock().measuring.push(Instant::now());
     }
 
+    pub(super) fn crashed(&self) {
+        self.rows.lock().crashes.push(Instant::now());
+    }
+
+    /// When the server crashed.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.rows.lock().crashes.clone()
+    }
+
     /// All runs, in the order they began.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -24,6 +24,7 @@
 use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
 
@@ -48,6 +49,10 @@
     pub cold_factor: u32,
     /// Added before a new connection is served.
     pub connect_us: u64,
+    /// A request whose path begins so crashes it once its work is over; none where empty.
+    pub crash_path: String,
+    /// How long nothing listens on its address after a crash.
+    pub down_ms: u64,
     pub seed: u64,
 }
 
@@ -63,6 +68,8 @@
             cold_ms: 0,
             cold_factor: 1,
             connect_us: 1_000,
+            crash_path: String::new(),
+            down_ms: 1_000,
             seed: 1,
         }
     }
@@ -78,6 +85,7 @@
     connections: AtomicU32,
     connections_most: AtomicU32,
     times: Mutex<WorkTimes>,
+    crash: Notify,
     started: tokio::time::Instant,
 }
 
@@ -110,6 +118,7 @@
         let shared = Arc::new(Shared {
             slots: Semaphore::new(settings.slots),
             times: Mutex::new(WorkTimes::new(settings.work_us, settings.seed)),
+            crash: Notify::new(),
             behaviour: Arc::clone(&behaviour),
             record: Arc::clone(&record),
             in_flight: AtomicU32::new(0),
@@ -118,7 +127,7 @@
             started: tokio::time::Instant::now(),
             settings,
         });
-        let task = tokio::spawn(accept_all(listener, Arc::clone(&shared)));
+        let task = tokio::spawn(live(listener, Arc::clone(&shared)));
         Ok(Self { address, behaviour, record, shared, task })
     }
 
@@ -161,13 +170,36 @@
     }
 }
 
-async fn accept_all(listener: TcpListener, shared: Arc<Shared>) {
+/// Lives, crashes and is back again, on one address.
+async fn live(mut listener: TcpListener, shared: Arc<Shared>) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    loop {
+        accept_all(listener, &shared).await;
+        shared.record.crashed();
+        tokio::time::sleep(Duration::from_millis(shared.settings.down_ms)).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+            }
+        };
+    }
+}
+
+/// Serves until it crashes; all of its connections end with it.
+async fn accept_all(listener: TcpListener, shared: &Arc<Shared>) {
     let mut connections = tokio::task::JoinSet::new();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.crash.notified() => return,
+        };
+        let Ok((stream, _)) = accepted else {
             continue;
         };
-        connections.spawn(serve_connection(stream, Arc::clone(&shared)));
+        connections.spawn(serve_connection(stream, Arc::clone(shared)));
         while connections.try_join_next().is_some() {}
     }
 }
@@ -190,6 +222,8 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
+/// Pause before a crashed server tries again for its address, which may still be taken.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
 /// Time between the first half and the cut, so that the half is on its way.
 const CUT_AFTER: Duration = Duration::from_millis(5);
 
@@ -307,6 +341,8 @@
     let len = query_number(&request, "bytes").and_then(|len| usize::try_from(len).ok());
     let id = request.headers().get("x-request-id").and_then(|value| value.to_str().ok());
     let id = id.unwrap_or("").to_owned();
+    let crash_path = shared.settings.crash_path.as_str();
+    let crashes = !crash_path.is_empty() && request.uri().path().starts_with(crash_path);
     if request.into_body().collect().await.is_err() {
         return Err(Cut);
     }
@@ -320,6 +356,10 @@
     if !time.is_zero() {
         tokio::time::sleep(time * slowness(shared)).await;
     }
+    if crashes {
+        shared.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
     if take_one(&behaviour.lose_answers) {
         return Err(Cut);
     }
--- a/standins/src/routed/raw_call.rs
+++ b/standins/src/routed/raw_call.rs
@@ -1,9 +1,12 @@
 //! One request over a connection of its own, byte for byte.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
 /// What came back before the connection was closed.
@@ -31,7 +34,18 @@
     fields: &[(&str, &str)],
     body: &[u8],
 ) -> RawAnswer {
-    let Ok(mut stream) = TcpStream::connect(to).await else {
+    raw_call_from(Ipv4Addr::LOCALHOST.into(), to, line, fields, body).await
+}
+
+/// The same from one of this machine's loopback addresses, as another caller.
+pub async fn raw_call_from(
+    from: IpAddr,
+    to: SocketAddr,
+    line: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> RawAnswer {
+    let Ok(mut stream) = connect(from, to).await else {
         return RawAnswer::default();
     };
     let mut head = format!("{line} HTTP/1.1\r\nconnection: close\r\n");
@@ -51,6 +65,12 @@
     split(&bytes)
 }
 
+async fn connect(from: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    socket.connect(to).await
+}
+
 fn split(bytes: &[u8]) -> RawAnswer {
     let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
         return RawAnswer::default();
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -15,6 +15,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::PlainDialect;
 
@@ -22,6 +23,19 @@
 /// Body of a large answer: more than the buffers of all sockets on its way hold together.
 pub const LARGE_BYTES: usize = 64 << 20;
 const LARGE_PIECE_BYTES: usize = 64 << 10;
+/// Pause before a crashed server tries again for its address, which may still be taken.
+const REBIND_PAUSE: Duration = Duration::from_millis(5);
+
+/// Requests that crash a server, and how it comes back.
+#[derive(Clone, Debug)]
+pub struct CrashRule {
+    /// A request whose target contains this crashes the server once its work is over.
+    pub target_part: String,
+    /// How long nothing listens on its address.
+    pub down: Duration,
+    /// Whether the answer has begun by then.
+    pub midway: bool,
+}
 
 /// What the server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +73,10 @@
     id: String,
     names: FieldNames,
     behaviour: Mutex<Behaviour>,
+    crash_rule: Mutex<Option<CrashRule>>,
+    crash: Notify,
+    /// When it crashed, in order.
+    crashed_at: Mutex<Vec<tokio::time::Instant>>,
     work: Mutex<Duration>,
     pace_percent: AtomicU32,
     /// Ids of the requests that it ran, in order.
@@ -102,6 +120,9 @@
             id: id.into(),
             names,
             behaviour: Mutex::new(Behaviour::Answer),
+            crash_rule: Mutex::default(),
+            crash: Notify::new(),
+            crashed_at: Mutex::default(),
             work: Mutex::new(Duration::from_millis(2)),
             pace_percent: AtomicU32::new(100),
             ran: Mutex::default(),
@@ -114,18 +135,7 @@
             connections_most: AtomicU32::new(0),
         });
         let serving = Arc::clone(&shared);
-        let task = TaskGuard::spawn(async move {
-            let mut connections = tokio::task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                let shared = Arc::clone(&serving);
-                let open = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
-                shared.connections_most.fetch_max(open, Ordering::Relaxed);
-                connections.spawn(async move {
-                    serve(stream, Arc::clone(&shared)).await;
-                    shared.connections.fetch_sub(1, Ordering::Relaxed);
-                });
-            }
-        });
+        let task = TaskGuard::spawn(live(listener, serving));
         Self { address, shared, _task: task }
     }
 
@@ -134,6 +144,24 @@
         *self.shared.behaviour.lock() = behaviour;
     }
 
+    /// Which requests crash it from now on.
+    pub fn crash_on(&self, rule: CrashRule) {
+        *self.shared.crash_rule.lock() = Some(rule);
+    }
+
+    /// Ends it as a crash would; it is back after `down`.
+    pub fn crash(&self, down: Duration) {
+        let rule = CrashRule { target_part: "\0".into(), down, midway: false };
+        self.shared.crash_rule.lock().get_or_insert(rule);
+        self.shared.crash.notify_one();
+    }
+
+    /// When it crashed.
+    #[must_use]
+    pub fn crashed_at(&self) -> Vec<tokio::time::Instant> {
+        self.shared.crashed_at.lock().clone()
+    }
+
     /// How long it works on each request.
     pub fn work(&self, work: Duration) {
         *self.shared.work.lock() = work;
@@ -206,6 +234,47 @@
     }
 }
 
+/// Lives, crashes and is back again, on one address.
+async fn live(mut listener: TcpListener, shared: Arc<Shared>) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    loop {
+        accept_all(listener, &shared).await;
+        shared.crashed_at.lock().push(tokio::time::Instant::now());
+        shared.in_flight.store(0, Ordering::Relaxed);
+        let down = shared.crash_rule.lock().as_ref().map_or(Duration::ZERO, |rule| rule.down);
+        tokio::time::sleep(down).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => tokio::time::sleep(REBIND_PAUSE).await,
+            }
+        };
+    }
+}
+
+/// Serves until it crashes; all of its connections end with it.
+async fn accept_all(listener: TcpListener, shared: &Arc<Shared>) {
+    let mut connections = tokio::task::JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = shared.crash.notified() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        let shared = Arc::clone(shared);
+        let open = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
+        shared.connections_most.fetch_max(open, Ordering::Relaxed);
+        connections.spawn(async move {
+            serve(stream, Arc::clone(&shared)).await;
+            shared.connections.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
 struct Head {
     text: String,
     id: String,
@@ -312,6 +381,19 @@
     if !work(stream, shared).await {
         return false;
     }
+    if let Some(rule) = crashing(shared, head) {
+        if rule.midway {
+            let begun = format!(
+                "HTTP/1.1 200 OK\r\n{}: {id}\r\ncontent-length: {LARGE_BYTES}\r\n\r\n",
+                shared.names.request_id
+            );
+            let piece = vec![b'x'; LARGE_PIECE_BYTES * 8];
+            let _ = stream.write_all(begun.as_bytes()).await;
+            let _ = stream.write_all(&piece).await;
+        }
+        shared.crash.notify_one();
+        std::future::pending::<()>().await;
+    }
     let FieldNames { request_id, signature, .. } = &shared.names;
     let fields = format!("{request_id}: {id}\r\n{signature}: s-{id}\r\n{}", load(shared));
     let whole = format!("HTTP/1.1 200 OK\r\n{fields}content-length: {}\r\n\r\n{id}", id.len());
@@ -348,6 +430,13 @@
     stream.write_all(text.as_bytes()).await.is_ok() && stays
 }
 
+/// The rule by which a request crashes the server, if it does.
+fn crashing(shared: &Shared, head: &Head) -> Option<CrashRule> {
+    let target = head.text.split(' ').nth(1)?;
+    let rule = shared.crash_rule.lock().clone()?;
+    target.contains(&rule.target_part).then_some(rule)
+}
+
 /// Writes the body of a large answer; `false` when the connection closed meanwhile.
 async fn write_large(stream: &mut TcpStream, shared: &Shared) -> bool {
     let piece = vec![b'x'; LARGE_PIECE_BYTES];
--- /dev/null
+++ b/tests/crashing_requests.rs
@@ -0,0 +1,180 @@
+//! A request that crashes each backend server that runs it ends no more than a few of them.
+
+use std::time::Duration;
+
+use standins::backend::BackendSettings;
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use standins::caller::Call;
+use standins::routed::CrashRule;
+use standins::routed::RawServer;
+use standins::routed::RoutedBed;
+use standins::routed::two_routes;
+use tokio::time::Instant;
+
+/// Time in which all instances must have learned of the third crash.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Sends allowed after that.
+const SENDS_MAX: usize = 3;
+/// Crashes after which a request is known to be their cause.
+const CRASHES_TO_CONVICT: usize = 3;
+const SERVERS: usize = 12;
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Servers are back sooner than their entries could lapse.
+const DOWN: Duration = Duration::from_millis(300);
+const PAUSE: Duration = Duration::from_millis(25);
+const WAIT: Duration = Duration::from_secs(10);
+const POISON: &str = "poison";
+
+/// Three instances and a dozen servers of one service, each crashed by the same request.
+struct Scene {
+    bed: RoutedBed,
+    servers: Vec<RawServer>,
+    sent: usize,
+}
+
+impl Scene {
+    async fn start(service: &str, midway: bool) -> Self {
+        let bed = RoutedBed::start(&ZONES).await;
+        bed.store.put("config", &two_routes(1));
+        let mut servers = Vec::new();
+        for number in 0..SERVERS {
+            let id = format!("s{number}");
+            let server = RawServer::spawn(&id).await;
+            server.work(Duration::from_millis(20));
+            server.crash_on(CrashRule { target_part: POISON.into(), down: DOWN, midway });
+            let entry = server.entry(service, ZONES[number % ZONES.len()], 4, "ready");
+            bed.store.put(&format!("servers/{id}"), &entry);
+            servers.push(server);
+        }
+        bed.settle().await;
+        let mut scene = Self { bed, servers, sent: 0 };
+        for at in 0..ZONES.len() {
+            scene.until_served(at, service).await;
+        }
+        scene
+    }
+
+    async fn until_served(&mut self, at: usize, service: &str) {
+        let line = if service == "parts" { "GET /look/fine" } else { "POST /order/fine" };
+        let until = Instant::now() + WAIT;
+        while self.call(at, line, b"").await.status != 200 {
+            assert!(Instant::now() < until, "instance {at} does not serve");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Sends a request under an id of its own.
+    async fn call(&mut self, at: usize, line: &str, body: &[u8]) -> standins::routed::RawAnswer {
+        self.sent += 1;
+        self.bed.call(at, line, &format!("id-{}", self.sent), body).await
+    }
+
+    /// When servers crashed, in order.
+    fn crashes(&self) -> Vec<Instant> {
+        let mut all: Vec<Instant> = self.servers.iter().flat_map(RawServer::crashed_at).collect();
+        all.sort();
+        all
+    }
+
+    /// Sends the same request to all instances in turn, until well after the third crash. Fails if
+    /// it reaches servers too often by then.
+    async fn repeat(&mut self, line: &str, body: &[u8]) {
+        let until = Instant::now() + CONTACT * 2;
+        let mut at = 0;
+        while Instant::now() < until {
+            self.call(at % ZONES.len(), line, body).await;
+            at += 1;
+            tokio::time::sleep(PAUSE).await;
+        }
+        let crashes = self.crashes();
+        assert!(crashes.len() >= CRASHES_TO_CONVICT, "nothing crashed: {crashes:?}");
+        let known = crashes[CRASHES_TO_CONVICT - 1] + CONTACT;
+        let late = crashes.iter().filter(|at| **at > known).count();
+        assert!(late <= SENDS_MAX, "{late} servers ended later, {} in all", crashes.len());
+    }
+}
+
+/// Story: a shop's page asks for a part whose number crashes the catalogue. The shop's program asks
+/// again and again, each time under a new id and at another instance. Each server that begins to
+/// work on it ends, and with it everybody's requests there; within seconds no server is left and all
+/// shops are refused. Cause: instances knew requests by their ids only, so each repeat was a new
+/// request, which went to one server after the other. Proof: the servers that ended without an
+/// answer all had the same content, and took no connection afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lookup_that_crashes_servers_is_refused_by_all_instances() {
+    let mut scene = Scene::start("parts", false).await;
+    scene.repeat("GET /look/poison", b"").await;
+    for at in 0..ZONES.len() {
+        let refused = scene.call(at, "GET /look/poison", b"").await;
+        assert_eq!(refused.status, 503, "instance {at}");
+        assert!(refused.field("retry-after").is_some(), "instance {at} tells no time: {refused:?}");
+        let other = scene.call(at, "GET /look/another", b"").await;
+        assert_eq!(other.status, 200, "instance {at} refuses what does no harm");
+    }
+}
+
+/// Story: as above, but an order that must not run twice. No instance repeats it; its caller's
+/// program does, as a new order with the same body, each time it is told that the outcome is unknown.
+/// Orders of the same path with other bodies must go on.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_that_crashes_servers_is_refused_by_all_instances() {
+    let mut scene = Scene::start("orders", false).await;
+    scene.repeat("POST /order/poison", b"two pallets").await;
+    for at in 0..ZONES.len() {
+        let refused = scene.call(at, "POST /order/poison", b"two pallets").await;
+        assert_eq!(refused.status, 503, "instance {at}");
+        let other = scene.call(at, "POST /order/fine", b"two pallets").await;
+        assert_eq!(other.status, 200, "instance {at} refuses what does no harm");
+    }
+}
+
+/// Story: the same at the product's own interface, where a request is passed between instances: the
+/// one that a caller asked, the home that has the slots, the owner of its key. None of them knew it
+/// again, so lookups, orders and orders with a key each went on ending servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn at_the_own_interface_a_request_that_crashes_servers_is_refused() {
+    let backend = BackendSettings {
+        crash_path: "/poison".into(),
+        down_ms: 300,
+        work_us: 20_000,
+        ..BackendSettings::default()
+    };
+    let plan = BedPlan { backends: 9, instances: 4, backend, ..BedPlan::default() };
+    let bed = Bed::start(plan).await;
+    bed.create("parts").await;
+    let caller = bed.caller("parts", 0);
+    let addresses = bed.caller_addresses();
+    for (kind, method) in ["GET", "POST", "POST"].into_iter().enumerate() {
+        let keyed = kind == 2;
+        let before = crashes(&bed).len();
+        let until = Instant::now() + CONTACT * 2;
+        for number in 0.. {
+            let id = format!("{kind}-{number}");
+            let call = Call {
+                method: method.into(),
+                body: format!("body {kind}").into(),
+                ..Call::get("/poison", &id).within_ms(2_000)
+            };
+            let call = if keyed { call.with_key(&format!("key-{id}")) } else { call };
+            caller.call_at(addresses[number % addresses.len()], &call).await;
+            tokio::time::sleep(PAUSE).await;
+            if Instant::now() > until {
+                break;
+            }
+        }
+        let crashes = crashes(&bed).split_off(before);
+        assert!(crashes.len() >= CRASHES_TO_CONVICT, "kind {kind}: nothing crashed");
+        let known = crashes[CRASHES_TO_CONVICT - 1] + CONTACT;
+        let late = crashes.iter().filter(|at| **at > known).count();
+        assert!(late <= SENDS_MAX, "kind {kind}: {late} servers ended later of {}", crashes.len());
+        let fine = caller.call_at(addresses[0], &Call::get("/fine", "fine")).await;
+        assert_eq!(fine.outcome(), "ran", "kind {kind}: {fine:?}");
+    }
+}
+
+fn crashes(bed: &Bed) -> Vec<Instant> {
+    let mut all: Vec<Instant> = bed.backends.iter().flat_map(|b| b.record.crashes()).collect();
+    all.sort();
+    all
+}
