A request that crashes the servers that run it is refused after the third

Cause: instances knew requests by their ids only, so one that came again under a new id went to one server after the other. Change: instances know a request again by its content and its caller's address, tell each other at once of servers that ended under it (the rest of a large fleet by the digests of pings), send a suspect once at a time, and refuse one that three servers ended under over two tries; ten minutes, then one trial, then six times as long. An answer clears it. Both request paths, keyed requests, large answers. Ruled out: fewer repeats (each caller's own repeat still ends a server), a limit by route (would refuse everybody), counting lost answers (a server that lives loses them too).

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -46,6 +46,7 @@
 use crate::peer::Feed;
 use crate::peer::Links;
 use crate::peer::PeerListener;
+use crate::quarantine::run_suspect_share;
 use crate::status::StatusPage;
 use crate::store::EventStore;
 
@@ -201,6 +202,7 @@
         tasks.spawn(registry.clone().run());
         tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
+        tasks.spawn(run_suspect_share(Arc::clone(&board), links.clone()));
         tasks.spawn(dispatcher.clone().run());
         let grace = gateway.grace();
         let memory_bytes = gateway.memory_max_bytes();
--- a/src/app/gateway_peers.rs
+++ b/src/app/gateway_peers.rs
@@ -63,6 +63,7 @@
                 self.dispatcher.hear_loads(&loads);
                 PeerReply::Done
             }
+            PeerRequest::Suspects(rows) => PeerReply::Suspects(self.board.quarantine.merge(&rows)),
             PeerRequest::Feed { feed, after, hold_ms } => {
                 let hold = Duration::from_millis(hold_ms).min(HOLD_MAX);
                 let (reply, age_ms) = match feed {
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -109,6 +109,7 @@
             PeerRequest::Grant(asked) => {
                 PeerReply::Granted(grant(board, &self.shard, &self.buckets, &asked))
             }
+            PeerRequest::Suspects(rows) => PeerReply::Suspects(board.quarantine.merge(&rows)),
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
             // Only instances that serve by routes tell these.
             PeerRequest::ServerLoads(_) | PeerRequest::Feed { .. } => {
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -28,6 +28,7 @@
 use crate::member::MemberState;
 use crate::member::MemberTable;
 use crate::outcome::OutcomeTable;
+use crate::quarantine::Quarantine;
 use crate::route::ServiceState;
 
 /// The services in force, by name.
@@ -57,6 +58,8 @@
     /// Written by the catalog controllers.
     pub catalog: Mutex<Catalog>,
     pub outcomes: OutcomeTable,
+    /// Requests that are refused, since they crash servers.
+    pub quarantine: Quarantine,
     pub counters: Counters,
     pub latencies: Latencies,
     pub events: EventRing,
@@ -112,6 +115,7 @@
             members: Mutex::new(members),
             catalog: Mutex::default(),
             outcomes,
+            quarantine: Quarantine::default(),
             counters: Counters::default(),
             latencies: Latencies::default(),
             events: EventRing::default(),
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -12,6 +12,8 @@
 use crate::errors::Coded;
 use crate::errors::TABLE;
 
+/// Lines of other requests with the same content that are told.
+const CONTENT_LINES_MAX: usize = 8;
 /// Lines of one server that are told before and after the request.
 const SERVER_LINES_MAX: usize = 3;
 
@@ -24,6 +26,8 @@
     many: Vec<LogLine>,
     /// When each version came in force on each instance.
     versions: BTreeMap<(String, u64), String>,
+    /// Lines on each content under which servers gave no answer.
+    contents: BTreeMap<String, Vec<LogLine>>,
     /// Lines that an instance dropped, with the time of the next line it wrote.
     dropped: Vec<LogLine>,
 }
@@ -41,6 +45,9 @@
             "server-listed" | "server-unlisted" => {
                 self.servers.entry(line.text("server")).or_default().push(line);
             }
+            "no-answer" | "request-quarantined" | "suspect-answered" => {
+                self.contents.entry(line.text("content")).or_default().push(line);
+            }
             "servers-changed" => self.many.push(line),
             _ => {}
         }
@@ -66,7 +73,8 @@
     let mut context = Context::default();
     let mut own = Vec::new();
     let read = read_log_lines(files, |line| {
-        if line.text("id") == id {
+        // A look for its server ends after the request, and is no line of its own.
+        if line.text("id") == id || line.text("request") == id {
             own.push(line);
         } else {
             context.take(line);
@@ -111,12 +119,25 @@
             line(&["    ", meaning, " ", remedy]);
         }
     }
+    for known in same_content(own, context) {
+        line(&["same content: ", &known.time, "  ", &known.instance, "  ", &told(known)]);
+    }
     for gap in gaps(own, context) {
         line(&[&gap]);
     }
     text
 }
 
+/// The first lines on the content of the request, from all instances.
+fn same_content<'a>(own: &[LogLine], context: &'a Context) -> Vec<&'a LogLine> {
+    let contents: BTreeSet<String> = own.iter().map(|line| line.text("content")).collect();
+    let known = contents.iter().filter_map(|content| context.contents.get(content));
+    let mut known: Vec<&LogLine> = known.flatten().collect();
+    known.sort_by(|a, b| a.time.cmp(&b.time));
+    known.truncate(CONTENT_LINES_MAX);
+    known
+}
+
 /// What a line says, in words.
 fn told(line: &LogLine) -> String {
     let text = |name: &str| line.text(name);
@@ -157,6 +178,13 @@
             text("code"),
             text("version"),
         ),
+        "no-answer" => format!(
+            "server {} of {} was looked for after it gave no answer: {}",
+            text("server"),
+            text("service"),
+            if line.flag("server_ended") { "it takes no connection" } else { "it is there" },
+        ),
+        "request-denied" => format!("not sent on; come back after {} ms", text("retry_after_ms")),
         other => format!("{other} {}", text("message")),
     }
 }
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -52,6 +52,8 @@
     NoRepeatLeft = 2107, "The backend server did not run the request, and no other may be asked.", "Come back after the time given.";
     BodyRoomFull = 2108, "The bodies of requests that are being read fill the memory set aside for them.", "Come back after the time given; raise `gateway.memory_max_mb`.";
     DeadlineBeforeDispatch = 2109, "The deadline passed before the request was sent to a backend server.", "Come back after the time given, or allow more time.";
+    Quarantined = 2110, "Requests of this content crashed the backend servers that ran them; it is not sent on.", "Do not repeat it; ask the operators of the service. It is tried again after the time given.";
+    OnTrial = 2111, "A backend server ended under a request of this content, which is being tried by itself.", "Come back after the time given.";
     AnswerLost = 2201, "The connection was lost after the request was handed over; it may have run.", "Repeat with the same key if there is one; else ask the backing system.";
     AnswerTruncated = 2202, "The answer was cut short by the backend server.", "As for AnswerLost.";
     DeadlineAfterDispatch = 2203, "The deadline passed while the backend server worked; it may have run.", "Repeat with the same key, or allow more time.";
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -11,10 +11,12 @@
 
 use super::FieldNames;
 use super::Route;
+use super::Server;
 use crate::balance::Ask;
 use crate::balance::RepeatNeed;
 use crate::clock::now_us;
 use crate::quarantine::Fingerprint;
+use crate::quarantine::Unanswered;
 use crate::route::hop_by_hop;
 
 /// Everything that every send of the request needs.
@@ -59,6 +61,18 @@
         self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// A send of it to `server` that brought no whole answer.
+    #[must_use]
+    pub fn unanswered(&self, server: &Server) -> Unanswered {
+        Unanswered {
+            id: self.id_text().to_owned(),
+            service: server.row.service.to_string(),
+            server: server.row.id.to_string(),
+            server_key: server.key,
+            address: server.conns.address(),
+        }
+    }
+
     /// What it needs of a backend server other than those in `tried`.
     #[must_use]
     pub fn ask(&self, tried: &[Arc<str>]) -> Ask {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -17,13 +17,13 @@
 use super::send::SendResult;
 use super::send::Sender;
 use super::send::ServerAnswer;
-use super::server::Server;
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::board::Latency;
 use crate::clock::now_us;
 use crate::errors::Code;
-use crate::quarantine::takes_no_connection;
+use crate::quarantine::Denial;
+use crate::quarantine::LOOK_WAIT;
 
 /// Servers that could not be reached before the request is given up; each costs a connect
 /// timeout.
@@ -71,6 +71,9 @@
         self.dispatcher.count_request(&request.service);
         let mut tried = Tried::default();
         loop {
+            if let Some(denial) = self.board.quarantine.denial(request.fingerprint) {
+                return tried.denied(request, denial).into();
+            }
             let grant = match self.acquire(request, &tried).await {
                 Ok(grant) => grant,
                 Err(own) => return own.into(),
@@ -161,6 +164,7 @@
                 }
                 Some(tried.not_run(Code::ConnectFailed, REFUSED_RETRY_MS).into())
             }
+            SendResult::Denied(denial) => Some(tried.denied(request, denial).into()),
             SendResult::TimedOut => Some(OwnReply::unknown(Code::DeadlineAfterDispatch).into()),
             SendResult::Lost(_) | SendResult::Unproved { .. } => {
                 tried.may_have_run = true;
@@ -242,12 +246,17 @@
         // Bounded, so that a request is sent at last even if all servers look worse each time.
         let health_path = (tried.unfit < UNFIT_MAX).then(|| request.health_path.clone()).flatten();
         async move {
+            let trial = match self.board.quarantine.admit(request.fingerprint) {
+                Ok(trial) => Arc::new(trial),
+                Err(denial) => return SendResult::Denied(denial),
+            };
             let started_us = now_us();
             let choice = grant.choice.clone();
             let sender = Sender {
                 dialect: &self.dialect,
                 dispatcher: &self.dispatcher,
                 answer_room: &self.answer_room,
+                trial: &trial,
             };
             let result = sender.send(request, grant, health_path.as_deref()).await;
             let took = Duration::from_micros(now_us().saturating_sub(started_us));
@@ -265,7 +274,12 @@
                 self.dispatcher.displaced(&server);
             }
             if result.without_answer() {
-                look_after(request, server);
+                let looked = request.unanswered(&server).look(trial);
+                let goes_on = request.route.idempotent() && request.left_ms() > 0;
+                if goes_on {
+                    // Still looking after that, it goes on by itself.
+                    let _ = tokio::time::timeout(LOOK_WAIT, looked).await;
+                }
             }
             result
         }
@@ -273,6 +287,18 @@
 }
 
 impl Tried {
+    /// The answer to a request that is not sent on since it may crash servers.
+    fn denied(&self, request: &ForwardRequest, denial: Denial) -> OwnReply {
+        let content = request.fingerprint.to_string();
+        info!(
+            event = "request-denied", id = request.id_text(), content = content.as_str(),
+            code = denial.code().number(), retry_after_ms = denial.retry_after_ms(),
+            sends = self.sends, may_have_run = self.may_have_run;
+            "not sent on, since it may crash servers"
+        );
+        self.not_run(denial.code(), denial.retry_after_ms())
+    }
+
     /// A refusal, unless an earlier send may have run: that a later one did not run does not undo
     /// the earlier one.
     fn not_run(&self, code: Code, retry_after_ms: u64) -> OwnReply {
@@ -283,20 +309,6 @@
     }
 }
 
-/// Finds out, beside the request, whether a server that gave no answer has ended, and tells which
-/// content it was that it had.
-fn look_after(request: &ForwardRequest, server: Arc<Server>) {
-    let (id, fingerprint) = (request.id_text().to_owned(), request.fingerprint);
-    tokio::spawn(async move {
-        let ended = takes_no_connection(server.conns.address()).await;
-        info!(
-            event = "no-answer", id = id.as_str(), content = fingerprint.to_string().as_str(),
-            service = &*server.row.service, server = &*server.row.id, server_ended = ended;
-            "the server was looked for after it gave no answer"
-        );
-    });
-}
-
 /// Whether a result settles the request, so that the other send is not needed.
 fn conclusive(result: &SendResult) -> bool {
     match result {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -25,6 +25,9 @@
 use super::server_conn::ExchangeError;
 use super::server_conn::ServerConn;
 use crate::balance::SendEnd;
+use crate::quarantine::Denial;
+use crate::quarantine::SendWatch;
+use crate::quarantine::Trial;
 use crate::route::hop_by_hop;
 use crate::task::TaskGuard;
 
@@ -65,6 +68,8 @@
     Lost(ExchangeError),
     /// As `Lost`: the deadline passed.
     TimedOut,
+    /// It may crash servers: nothing was sent.
+    Denied(Denial),
     /// As `Lost`: a status that promises that the request did not run, without the proof of it.
     Unproved { status: StatusCode },
 }
@@ -81,6 +86,7 @@
             Self::Unfit { silent: false } => "unfit",
             Self::Lost(error) => error.name(),
             Self::TimedOut => "timed-out",
+            Self::Denied(_) => "denied",
             Self::Unproved { .. } => "unproved-refusal",
         }
     }
@@ -97,7 +103,7 @@
                 let failed = answer.status.as_u16() >= 500;
                 if failed { SendEnd::Failed } else { SendEnd::Answered }
             }
-            Self::Unfit { .. } => SendEnd::Cancelled,
+            Self::Unfit { .. } | Self::Denied(_) => SendEnd::Cancelled,
             Self::Refused { .. } => SendEnd::Refused,
             Self::Unproved { .. } => SendEnd::Failed,
             Self::NotSent => SendEnd::Unreachable,
@@ -114,6 +120,8 @@
     pub dispatcher: &'a Dispatcher,
     /// For answers that are held whole.
     pub answer_room: &'a Arc<MemoryRoom>,
+    /// What the send shows of the request.
+    pub trial: &'a Arc<Trial>,
 }
 
 /// The beginning of an answer: its head, and its body as far as it was held.
@@ -165,7 +173,7 @@
         match exchanged {
             Err(_) => ended(grant, SendResult::TimedOut),
             Ok(Err(error)) => ended(grant, SendResult::Lost(error)),
-            Ok(Ok(begun)) => self.answered(grant, conn, begun),
+            Ok(Ok(begun)) => self.answered(request, grant, conn, begun),
         }
     }
 
@@ -230,7 +238,13 @@
     }
 
     /// What an answer comes to whose beginning is there.
-    fn answered(&self, grant: Grant, conn: ServerConn, begun: Begun) -> SendResult {
+    fn answered(
+        &self,
+        request: &ForwardRequest,
+        grant: Grant,
+        conn: ServerConn,
+        begun: Begun,
+    ) -> SendResult {
         let Begun { head, held, part, decoder } = begun;
         if let Some(result) = refusal(self.dialect, &head) {
             keep(&grant, conn, &head, &decoder);
@@ -239,11 +253,18 @@
         let (status, headers) = (head.status, passed_on(&head.headers));
         if decoder.done() {
             keep(&grant, conn, &head, &decoder);
+            if !status.is_server_error() {
+                self.trial.answered();
+            }
             let bytes = Some(held).filter(|bytes| !bytes.is_empty());
             let body = ReplyBody::Whole { bytes, _held: part };
             return ended(grant, SendResult::Answered(ServerAnswer { status, headers, body }));
         }
-        let body = live_body(grant, conn, head, held, decoder);
+        let watch = SendWatch {
+            unanswered: request.unanswered(&grant.server),
+            trial: Arc::clone(self.trial),
+        };
+        let body = live_body(grant, conn, head, held, decoder, watch);
         SendResult::Answered(ServerAnswer { status, headers, body })
     }
 }
@@ -303,6 +324,7 @@
     head: AnswerHead,
     first: Bytes,
     mut decoder: BodyDecoder,
+    watch: SendWatch,
 ) -> ReplyBody {
     let (sender, chunks) = mpsc::channel(LIVE_CHUNKS);
     let bytes = head.body_bytes();
@@ -316,6 +338,7 @@
                 Ok(chunk) => chunk,
                 Err(error) => {
                     grant.end(SendEnd::Broken);
+                    drop(watch.lost());
                     // Without a caller nobody needs to hear of it.
                     let _ = sender.send(Err(error)).await;
                     return;
@@ -323,6 +346,9 @@
             };
         }
         keep(&grant, conn, &head, &decoder);
+        if !head.status.is_server_error() {
+            watch.answered();
+        }
         grant.end(SendEnd::Answered);
     });
     ReplyBody::Live { chunks, bytes, reader }
--- a/src/member/announce.rs
+++ b/src/member/announce.rs
@@ -17,11 +17,11 @@
 /// The first instances of each zone that are told in a larger fleet: as many as may be homes.
 const ANNOUNCED_FIRST: usize = 8;
 
-/// Whom to tell of the own state at once: everybody in a small fleet. In a large one, a thousand
+/// Whom to tell of what cannot wait for rounds of pings: everybody in a small fleet. In a large one, a thousand
 /// connections for each instance that stops would be a square over a rolling restart, so only those
 /// that are pinged, the first ones of each zone, which others ask, and for an instance that callers
 /// may be told of, its own zone.
-fn announced_to(board: &Blackboard) -> BTreeSet<SocketAddr> {
+pub fn told_at_once(board: &Blackboard) -> BTreeSet<SocketAddr> {
     let view = board.members_view();
     let (own, zone) = (board.incarnation, &board.settings.instance.zone);
     if view.serving() <= ANNOUNCED_ALL_MAX {
@@ -44,7 +44,7 @@
 /// Tells others of the own state at once, instead of waiting for rounds of pings.
 pub async fn announce<L: PeerCalls>(board: &Blackboard, links: &L) {
     let mut told = tokio::task::JoinSet::new();
-    for address in announced_to(board) {
+    for address in told_at_once(board) {
         let links = links.clone();
         let request = bare_ping(board);
         told.spawn(async move { links.call(address, &request, ANNOUNCE_TIMEOUT).await });
--- a/src/member/answers.rs
+++ b/src/member/answers.rs
@@ -54,7 +54,8 @@
     }
     let summary = members.digest().summary();
     drop(members);
-    PeerReply::Ack { stamp: board.events.clock.stamp(), summary, rumours: told }
+    let suspects = board.quarantine.digest();
+    PeerReply::Ack { stamp: board.events.clock.stamp(), summary, suspects, rumours: told }
 }
 
 /// Takes a newcomer in, and tells it whom it needs to know at once. The rest it finds by comparing
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -13,6 +13,7 @@
 mod table;
 
 pub use announce::announce;
+pub use announce::told_at_once;
 pub use answers::answer_member;
 pub use answers::answer_ping_for;
 pub use comparison::compare;
--- a/src/member/swim.rs
+++ b/src/member/swim.rs
@@ -18,24 +18,31 @@
 use crate::peer::PeerCalls;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::quarantine::exchange_suspects;
 
 /// Least time between two comparisons that this instance begins, the greatest is twice as long: in
 /// a fleet where members change all the while, each instance spends some 300 bytes a second on them.
 const COMPARE_PAUSE_MS: u64 = 600;
+/// Least time between two exchanges of suspects that this instance begins. After a loss of power
+/// instances keep different parts of what became suspect, and would exchange them with each ping.
+const EXCHANGE_PAUSE_MS: u64 = 400;
 /// Members that are asked to ping for us.
 const HELPERS: usize = 2;
 
-/// What a ping came to.
+/// Where another instance believes the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Pinged {
-    Silent,
-    /// It answered, and believes the same of all members.
-    Agrees,
-    /// It answered, and believes something else.
-    Differs,
+struct Agreement {
+    members: bool,
+    /// The requests under which servers ended.
+    suspects: bool,
 }
 
-async fn ping<L: PeerCalls>(board: &Blackboard, links: &L, target: &MemberRow) -> Pinged {
+/// Asks for a sign of life; `None` without one.
+async fn ping<L: PeerCalls>(
+    board: &Blackboard,
+    links: &L,
+    target: &MemberRow,
+) -> Option<Agreement> {
     let within = Duration::from_millis(board.settings.peers.ping_timeout_ms);
     let request = {
         let mut members = board.members.lock();
@@ -47,17 +54,17 @@
         })
     };
     let reply = links.call(target.peer, &request, within).await;
-    let Ok(PeerReply::Ack { stamp, summary, rumours }) = reply else {
-        return Pinged::Silent;
+    let Ok(PeerReply::Ack { stamp, summary, suspects, rumours }) = reply else {
+        return None;
     };
     board.events.clock.observe(stamp);
     merge_all(board, &rumours);
     // Another process on the same address is no sign of life of the target.
     if !rumours.iter().any(|row| row.incarnation == target.incarnation) {
-        return Pinged::Silent;
+        return None;
     }
-    let agrees = board.members.lock().digest().summary() == summary;
-    if agrees { Pinged::Agrees } else { Pinged::Differs }
+    let members = board.members.lock().digest().summary() == summary;
+    Some(Agreement { members, suspects: board.quarantine.digest() == suspects })
 }
 
 async fn ping_by_helpers<L: PeerCalls>(board: &Blackboard, links: &L, target: &MemberRow) -> bool {
@@ -84,14 +91,21 @@
     links: L,
     /// When the next comparison may begin.
     next_comparison_ms: Arc<AtomicU64>,
+    next_exchange_ms: Arc<AtomicU64>,
 }
 
 impl<L: PeerCalls> Detector<L> {
     async fn check(self, target: MemberRow) {
         match ping(&self.board, &self.links, &target).await {
-            Pinged::Agrees => {}
-            Pinged::Differs => self.compare_in_turn(target.peer).await,
-            Pinged::Silent => {
+            Some(agreement) => {
+                if !agreement.suspects {
+                    self.exchange_in_turn(target.peer).await;
+                }
+                if !agreement.members {
+                    self.compare_in_turn(target.peer).await;
+                }
+            }
+            None => {
                 if !ping_by_helpers(&self.board, &self.links, &target).await
                     && self.board.members.lock().suspect(target.incarnation, now_ms())
                 {
@@ -101,6 +115,16 @@
         }
     }
 
+    /// Exchanges what is known of suspects, unless that was done a moment ago.
+    async fn exchange_in_turn(&self, peer: SocketAddr) {
+        let now = now_ms();
+        if now < self.next_exchange_ms.load(Ordering::Acquire) {
+            return;
+        }
+        self.next_exchange_ms.store(now + EXCHANGE_PAUSE_MS, Ordering::Release);
+        exchange_suspects(&self.board, &self.links, peer).await;
+    }
+
     /// Compares tables, unless that was done a moment ago.
     async fn compare_in_turn(&self, peer: SocketAddr) {
         let now = now_ms();
@@ -127,7 +151,12 @@
     let suspect_timeout_ms = board.settings.peers.suspect_timeout_ms;
     let mut turns = tokio::time::interval(Duration::from_millis(interval_ms));
     turns.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let detector = Detector { board, links, next_comparison_ms: Arc::default() };
+    let detector = Detector {
+        board,
+        links,
+        next_comparison_ms: Arc::default(),
+        next_exchange_ms: Arc::default(),
+    };
     let Detector { board, links, .. } = &detector;
     loop {
         turns.tick().await;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,6 +9,7 @@
 use crate::member::MemberRow;
 use crate::model::Versioned;
 use crate::outcome::OwnerSnapshot;
+use crate::quarantine::SuspectRow;
 use crate::store::Item;
 use crate::store::ItemEvent;
 
@@ -97,6 +98,8 @@
         after: Option<u64>,
         hold_ms: u64,
     },
+    /// Requests under which servers ended; the other answers with what it knows otherwise.
+    Suspects(Vec<SuspectRow>),
     /// Outcomes of an instance that stops; the receiver answers for its keys from now on.
     HandOver {
         part: OwnerSnapshot,
@@ -113,6 +116,8 @@
         stamp: u64,
         /// Of what the answering instance believes of all members.
         summary: u64,
+        /// Of the requests under which servers ended.
+        suspects: u64,
         rumours: Vec<MemberRow>,
     },
     /// The parts of the members in which the digests differ, and the fingerprints of what the
@@ -122,6 +127,7 @@
         fingerprints: Vec<u32>,
     },
     Reached(bool),
+    Suspects(Vec<SuspectRow>),
     /// Revision of each service, as far as the digests differ.
     Summary(Vec<(String, u64)>),
     Changes(Vec<(String, Versioned)>),
--- a/src/peer/pass.rs
+++ b/src/peer/pass.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::quarantine::Fingerprint;
 use crate::route::Outcome;
 
 /// Why a request is passed; each later stage is passed on less often, so that no request can
@@ -25,6 +26,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassHead {
     pub service: String,
+    /// Of the request as its caller sent it.
+    pub fingerprint: Fingerprint,
     pub method: String,
     /// Path and query.
     pub target: String,
--- /dev/null
+++ b/src/quarantine/share.rs
@@ -0,0 +1,48 @@
+//! Instances tell each other of requests under which servers ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::SuspectRow;
+use crate::board::Blackboard;
+use crate::member::told_at_once;
+use crate::peer::PeerCalls;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+
+/// Least time between two words: crashes of one moment go out together.
+const PAUSE: Duration = Duration::from_millis(10);
+/// Whoever does not answer by then finds the difference by its next ping.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Tells the instances that callers are sent to, as soon as this one finds out something; until the
+/// process ends. All others learn it from those they ping, when a digest differs.
+pub async fn run_suspect_share<L: PeerCalls>(board: Arc<Blackboard>, links: L) {
+    loop {
+        let news = board.quarantine.news().await;
+        for peer in told_at_once(&board) {
+            let (board, links, news) = (Arc::clone(&board), links.clone(), news.clone());
+            tokio::spawn(async move { tell(&board, &links, peer, news).await });
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn tell<L: PeerCalls>(
+    board: &Blackboard,
+    links: &L,
+    peer: SocketAddr,
+    rows: Vec<SuspectRow>,
+) {
+    let request = PeerRequest::Suspects(rows);
+    // Lost, it is found by the digests that pings carry.
+    if let Ok(PeerReply::Suspects(known)) = links.call(peer, &request, CALL_TIMEOUT).await {
+        let _ = board.quarantine.merge(&known);
+    }
+}
+
+/// Tells another instance all that is known here, and learns what it knows.
+pub async fn exchange_suspects<L: PeerCalls>(board: &Blackboard, links: &L, peer: SocketAddr) {
+    tell(board, links, peer, board.quarantine.rows()).await;
+}
--- /dev/null
+++ b/src/quarantine/suspect.rs
@@ -0,0 +1,203 @@
+//! When a request is known to crash servers; no I/O.
+
+use std::time::Duration;
+
+use super::Crash;
+use super::Fingerprint;
+use super::SuspectRow;
+use super::suspect_row::Crashes;
+
+/// Crashes that convict. A request that shared a server with the one at fault is sent again once or
+/// twice, so it rarely meets three.
+const CRASHES_TO_CONVICT: usize = 3;
+/// Levels over which these are spread at least. Many equal requests that run when all servers lose
+/// power are no cause of it; only a repeat that ends one more server tells them apart.
+const LEVELS_TO_CONVICT: u16 = 2;
+/// For how long the first conviction holds: long against the patience of any caller, short against
+/// the time in which a server is mended and its operators wonder about refusals.
+const FIRST_HOLD: Duration = Duration::from_mins(10);
+/// Each further conviction holds so many times as long: a request that is never mended ends no more
+/// than three servers in two days after its first conviction.
+const HOLD_FACTOR: u32 = 6;
+/// Convictions after which the hold grows no more; it is three months then.
+const HOLD_GROWTHS_MAX: u16 = 6;
+/// A crash is forgotten after this, unless another follows.
+const CRASH_LIFE: Duration = Duration::from_mins(10);
+
+/// What may be done with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing speaks against it.
+    Clear,
+    /// A server ended under it: it is sent once at a time.
+    Watched,
+    /// It is refused for so long.
+    Held { left: Duration },
+}
+
+/// What is known of one request under which servers ended.
+///
+/// Merging is the maximum of each part, so words may come late, twice and in any order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Suspect {
+    /// Sorted; all above `settled_level`, and none while a conviction stands.
+    crashes: Crashes,
+    settled_level: u16,
+    convictions: u16,
+    pardons: u16,
+    /// Of the last crash that counted, or conviction.
+    news_us: u64,
+}
+
+impl Suspect {
+    /// Nothing is known yet; what will be is as old as `news_us` at least.
+    #[must_use]
+    pub fn new(news_us: u64) -> Self {
+        let crashes = Crashes::new();
+        Self { crashes, settled_level: 0, convictions: 0, pardons: 0, news_us }
+    }
+
+    /// The highest level of a crash known so far.
+    #[must_use]
+    pub fn level(&self) -> u16 {
+        self.crashes.last().map_or(self.settled_level, |last| last.level)
+    }
+
+    const fn convicted(&self) -> bool {
+        self.convictions > self.pardons
+    }
+
+    fn hold(&self) -> Duration {
+        let growths = self.convictions.saturating_sub(1).min(HOLD_GROWTHS_MAX);
+        FIRST_HOLD * HOLD_FACTOR.pow(u32::from(growths))
+    }
+
+    fn age(&self, now_us: u64) -> Duration {
+        Duration::from_micros(now_us.saturating_sub(self.news_us))
+    }
+
+    /// What may be done with it now.
+    #[must_use]
+    pub fn standing(&self, now_us: u64) -> Standing {
+        if self.convicted() {
+            let left = self.hold().saturating_sub(self.age(now_us));
+            return if left.is_zero() { Standing::Watched } else { Standing::Held { left } };
+        }
+        if self.crashes.is_empty() { Standing::Clear } else { Standing::Watched }
+    }
+
+    /// Whether it can be forgotten.
+    #[must_use]
+    pub fn expired(&self, now_us: u64) -> bool {
+        let life = if self.convicted() { self.hold() * 2 } else { CRASH_LIFE };
+        self.age(now_us) >= life
+    }
+
+    /// A server ended under it, which was sent when crashes up to `known_level` were known. Tells
+    /// whether that convicts it.
+    pub fn crashed(&mut self, server: u32, known_level: u16, now_us: u64) -> bool {
+        match self.standing(now_us) {
+            // It was sent before the conviction.
+            Standing::Held { .. } => return false,
+            Standing::Watched if self.convicted() => {
+                self.convict(now_us);
+                return true;
+            }
+            _ => {}
+        }
+        let crash = Crash { level: known_level.saturating_add(1), server };
+        if self.add(crash) {
+            self.news_us = now_us;
+        }
+        self.judge(now_us)
+    }
+
+    /// A server answered it, which was sent when crashes up to `known_level` were known: those were
+    /// not its doing. Tells whether that changed anything.
+    pub fn answered(&mut self, known_level: u16, now_us: u64) -> bool {
+        match self.standing(now_us) {
+            // A word from before the conviction.
+            Standing::Held { .. } | Standing::Clear => return false,
+            Standing::Watched => {}
+        }
+        let before = (self.settled_level, self.pardons);
+        self.pardons = self.convictions;
+        self.settle(known_level);
+        before != (self.settled_level, self.pardons)
+    }
+
+    fn settle(&mut self, level: u16) {
+        self.settled_level = self.settled_level.max(level);
+        let settled_level = self.settled_level;
+        self.crashes.retain(|crash| crash.level > settled_level);
+    }
+
+    /// Keeps a crash that counts; tells whether it is new.
+    fn add(&mut self, crash: Crash) -> bool {
+        if crash.level <= self.settled_level {
+            return false;
+        }
+        let Err(at) = self.crashes.binary_search(&crash) else {
+            return false;
+        };
+        self.crashes.insert(at, crash);
+        true
+    }
+
+    /// Convicts it if its crashes suffice; of those that do not, only as many are kept as may.
+    fn judge(&mut self, now_us: u64) -> bool {
+        let levels = self.level().saturating_sub(self.settled_level);
+        if self.crashes.len() >= CRASHES_TO_CONVICT && levels >= LEVELS_TO_CONVICT {
+            self.convict(now_us);
+            return true;
+        }
+        self.crashes.truncate(CRASHES_TO_CONVICT);
+        false
+    }
+
+    fn convict(&mut self, now_us: u64) {
+        self.convictions = self.convictions.saturating_add(1);
+        self.news_us = now_us;
+        self.settle(self.level());
+    }
+
+    /// Takes in what another instance knows; tells whether that changed what is known here.
+    pub fn merge(&mut self, row: &SuspectRow, now_us: u64) -> bool {
+        let before = self.clone();
+        self.convictions = self.convictions.max(row.convictions);
+        self.pardons = self.pardons.max(row.pardons);
+        self.settle(row.settled_level);
+        for crash in &row.crashes {
+            self.add(*crash);
+        }
+        if self.convicted() {
+            self.settle(self.level());
+        }
+        let judged = self.judge(now_us);
+        let changed = judged || !self.believes_same(&before);
+        if !judged {
+            self.news_us = self.news_us.max(row.news_us(now_us));
+        }
+        changed
+    }
+
+    fn believes_same(&self, other: &Self) -> bool {
+        let Self { crashes, settled_level, convictions, pardons, .. } = self;
+        *crashes == other.crashes
+            && (*settled_level, *convictions, *pardons)
+                == (other.settled_level, other.convictions, other.pardons)
+    }
+
+    /// As it is told to other instances.
+    #[must_use]
+    pub fn row(&self, fingerprint: Fingerprint, now_us: u64) -> SuspectRow {
+        SuspectRow {
+            fingerprint,
+            crashes: self.crashes.clone(),
+            settled_level: self.settled_level,
+            convictions: self.convictions,
+            pardons: self.pardons,
+            age_ms: u64::try_from(self.age(now_us).as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
--- a/src/route/answer.rs
+++ b/src/route/answer.rs
@@ -29,6 +29,7 @@
 use crate::peer::PassReply;
 use crate::peer::PeerError;
 use crate::peer::ReplyHead;
+use crate::quarantine::SendWatch;
 
 /// What a request came to; the caller reads it in `sorrelwick-outcome`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,28 +80,36 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     incoming: Incoming,
-    held: Option<(Slot, Conn)>,
+    held: Option<(Slot, Conn, SendWatch)>,
     /// The request's deadline holds for its whole answer: without it a server that stops in the
     /// middle would keep its slot and its caller for ever.
     deadline: Pin<Box<Sleep>>,
 }
 
 impl UpstreamBody {
-    pub(super) fn new(incoming: Incoming, slot: Slot, conn: Conn, left: Duration) -> Self {
+    pub(super) fn new(
+        incoming: Incoming,
+        slot: Slot,
+        conn: Conn,
+        left: Duration,
+        watch: SendWatch,
+    ) -> Self {
         let deadline = Box::pin(tokio::time::sleep(left));
-        Self { incoming, held: Some((slot, conn)), deadline }
+        Self { incoming, held: Some((slot, conn, watch)), deadline }
     }
 
     fn ended(&mut self, whole: bool) {
-        let Some((slot, conn)) = self.held.take() else {
+        let Some((slot, conn, watch)) = self.held.take() else {
             return;
         };
         if whole {
             conn.give_back();
+            watch.answered();
             let latency_us = slot.age_us();
             slot.finish(Finish::Answered { latency_us });
         } else {
             slot.finish(Finish::Failed);
+            drop(watch.lost());
         }
     }
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -24,6 +24,8 @@
 use crate::decide::Finish;
 use crate::errors::Code;
 use crate::model::Service;
+use crate::quarantine::SendWatch;
+use crate::quarantine::Trial;
 
 /// When to come back where the server tells nothing of it.
 const RETRY_SOON_MS: u64 = 100;
@@ -86,6 +88,7 @@
     spec: &Service,
     slot: Slot,
     buffer_bytes: usize,
+    trial: &Arc<Trial>,
 ) -> Attempted {
     let Some(request) = build(proxy_request) else {
         return Answer::not_run(Code::BadRequest, 0).into();
@@ -101,7 +104,9 @@
         }
         Err(_) => return Answer::not_run(Code::DeadlineInQueue, RETRY_SOON_MS).into(),
     };
-    exchange(proxy_request, spec, slot, conn, request, buffer_bytes).await
+    let (unanswered, trial) = (proxy_request.unanswered(&upstream), Arc::clone(trial));
+    let watch = SendWatch { trial, unanswered };
+    exchange(proxy_request, spec, slot, conn, request, buffer_bytes, watch).await
 }
 
 async fn exchange(
@@ -111,6 +116,7 @@
     mut conn: Conn,
     request: Request<Full<Bytes>>,
     buffer_bytes: usize,
+    watch: SendWatch,
 ) -> Attempted {
     let left = Duration::from_micros(proxy_request.left_us());
     if left.is_zero() {
@@ -141,7 +147,7 @@
         slot.finish(Finish::Failed);
         return Attempted { answer: Answer::unknown(Code::AnswerTruncated), leaving };
     }
-    let answer = take(proxy_request, response, slot, conn, buffer_bytes).await;
+    let answer = take(proxy_request, response, slot, conn, buffer_bytes, watch).await;
     Attempted { answer, leaving }
 }
 
@@ -184,13 +190,14 @@
     slot: Slot,
     conn: Conn,
     buffer_bytes: usize,
+    watch: SendWatch,
 ) -> Answer {
     let (parts, incoming) = response.into_parts();
     let headers = fields::header_map(&fields::travelling(&parts.headers));
     let size = incoming.size_hint().exact();
     let left = Duration::from_micros(proxy_request.left_us());
     if size.is_none_or(|size| size > buffer_bytes as u64) {
-        let body = UpstreamBody::new(incoming, slot, conn, left);
+        let body = UpstreamBody::new(incoming, slot, conn, left, watch);
         return Answer::ran(parts.status, headers, AnswerBody::Upstream(Box::new(body)));
     }
     let Ok(collected) = tokio::time::timeout(left, incoming.collect()).await else {
@@ -203,6 +210,9 @@
     conn.give_back();
     let latency_us = slot.age_us();
     let failed = failure(parts.status);
+    if !failed {
+        watch.answered();
+    }
     slot.finish(if failed { Finish::Failed } else { Finish::Answered { latency_us } });
     Answer::ran(parts.status, headers, AnswerBody::Whole(collected.to_bytes()))
 }
--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -1,5 +1,7 @@
 //! The callers' listener: requests, and the answer to "which address".
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +26,7 @@
 use crate::clock::now_us;
 use crate::errors::Code;
 use crate::errors::Coded;
+use crate::listener::CallerAddress;
 use crate::listener::ConnLimits;
 use crate::listener::Handler;
 use crate::listener::HttpListener;
@@ -31,6 +34,7 @@
 use crate::outcome::Key;
 use crate::outcome::KeyPrefix;
 use crate::peer::Stage;
+use crate::quarantine::Fingerprint;
 
 /// A caller that has not sent its header fields within this is cut off.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -155,9 +159,13 @@
         Err(_) => return Err(Answer::refused(Code::BodyIncomplete, keyed)),
     };
     let target = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
+    let unknown = CallerAddress(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
+    let CallerAddress(caller) = parts.extensions.get().copied().unwrap_or(unknown);
+    let method = parts.method.as_str();
     Ok(ProxyRequest {
+        fingerprint: Fingerprint::of(caller, &service, method, target, &body),
         service,
-        method: parts.method.as_str().to_owned(),
+        method: method.to_owned(),
         target: target.to_owned(),
         headers: fields::travelling(headers),
         body,
--- a/src/route/fields.rs
+++ b/src/route/fields.rs
@@ -8,6 +8,8 @@
 pub const ADDRESSES_PATH: &str = "/.sorrelwick/v1/addresses";
 /// Names the service; without it the host does.
 pub const SERVICE: &str = "sorrelwick-service";
+/// Names one attempt of a caller, in logs.
+pub const REQUEST_ID: &str = "x-request-id";
 /// Time that the caller still allows, in milliseconds.
 pub const TIMEOUT_MS: &str = "sorrelwick-timeout-ms";
 pub const OUTCOME: &str = "sorrelwick-outcome";
--- a/src/route/proxy_request.rs
+++ b/src/route/proxy_request.rs
@@ -1,16 +1,24 @@
 //! One request on its way through an instance.
 
+use std::borrow::Cow;
+
 use bytes::Bytes;
 
+use super::Upstream;
+use super::fields;
 use crate::clock::now_us;
 use crate::outcome::Key;
 use crate::peer::PassHead;
 use crate::peer::Stage;
+use crate::quarantine::Fingerprint;
+use crate::quarantine::Unanswered;
 
 /// A request whose body is whole.
 #[derive(Clone, Debug)]
 pub struct ProxyRequest {
     pub service: String,
+    /// The same each time that its caller sends it, at any instance.
+    pub fingerprint: Fingerprint,
     pub method: String,
     /// Path and query.
     pub target: String,
@@ -38,11 +46,31 @@
         self.target.split('?').next().unwrap_or("")
     }
 
+    /// The id that its caller gave it, for logs.
+    #[must_use]
+    pub fn id(&self) -> Cow<'_, str> {
+        let id = self.headers.iter().find(|(name, _)| name == fields::REQUEST_ID);
+        id.map_or(Cow::Borrowed("-"), |(_, value)| String::from_utf8_lossy(value))
+    }
+
+    /// A send of it to `upstream` that brought no whole answer.
+    #[must_use]
+    pub fn unanswered(&self, upstream: &Upstream) -> Unanswered {
+        Unanswered {
+            id: self.id().into_owned(),
+            service: self.service.clone(),
+            server: upstream.id.clone(),
+            server_key: upstream.key,
+            address: upstream.address,
+        }
+    }
+
     /// This request as passed to another instance.
     #[must_use]
     pub fn pass_head(&self, stage: Stage) -> PassHead {
         PassHead {
             service: self.service.clone(),
+            fingerprint: self.fingerprint,
             method: self.method.clone(),
             target: self.target.clone(),
             headers: self.headers.clone(),
@@ -59,6 +87,7 @@
         let key = head.key.as_deref().and_then(|text| Key::parse(text).ok());
         Self {
             service: head.service,
+            fingerprint: head.fingerprint,
             method: head.method,
             target: head.target,
             headers: head.headers,
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::info;
 use smallvec::SmallVec;
 
 use super::Answer;
@@ -29,6 +30,8 @@
 use crate::peer::PeerError;
 use crate::peer::PeerRequest;
 use crate::peer::Stage;
+use crate::quarantine::Denial;
+use crate::quarantine::LOOK_WAIT;
 
 /// Added to the deadline of a passed request, so that the final answer of the other instance is
 /// heard rather than replaced by our own guess.
@@ -49,6 +52,17 @@
     answer.outcome != Outcome::Ran || failure(answer.status)
 }
 
+/// The answer to a request that is not sent on, since it may crash servers.
+fn denied(proxy_request: &ProxyRequest, denial: Denial) -> Answer {
+    let content = proxy_request.fingerprint.to_string();
+    info!(
+        event = "request-denied", id = proxy_request.id().as_ref(), content = content.as_str(),
+        code = denial.code().number(), retry_after_ms = denial.retry_after_ms();
+        "not sent on, since it may crash servers"
+    );
+    Answer::not_run(denial.code(), denial.retry_after_ms())
+}
+
 fn refusal(admission: Admission) -> Answer {
     match admission {
         Admission::NoServer { retry_after_ms } => Answer::not_run(Code::NoServer, retry_after_ms),
@@ -75,6 +89,9 @@
     answer: &Answer,
     attempts: u32,
 ) -> bool {
+    if matches!(answer.code, Code::Quarantined | Code::OnTrial) {
+        return false;
+    }
     let view = RetryView {
         idempotent: proxy_request.idempotent,
         not_run: answer.outcome == Outcome::NotRun,
@@ -147,6 +164,9 @@
         state.core.binder.earn();
         loop {
             attempts += 1;
+            if let Some(denial) = self.board.quarantine.denial(proxy_request.fingerprint) {
+                return denied(proxy_request, denial).after(may_have_run);
+            }
             let answer = match self.place(state, proxy_request, &avoid).await {
                 Place::Nowhere(answer) => return answer.after(may_have_run),
                 Place::CoHome(home) => match self.pass(&home, proxy_request, Stage::Spill).await {
@@ -288,11 +308,22 @@
     ) -> Answer {
         self.board.counters.add(Counter::Attempts);
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
-        let server = slot.upstream.id.clone();
+        let trial = match self.board.quarantine.admit(proxy_request.fingerprint) {
+            Ok(trial) => Arc::new(trial),
+            Err(denial) => return denied(proxy_request, denial),
+        };
+        let upstream = Arc::clone(&slot.upstream);
         let Attempted { answer, leaving } =
-            attempt(proxy_request, &state.spec, slot, buffer_bytes).await;
+            attempt(proxy_request, &state.spec, slot, buffer_bytes, &trial).await;
         if leaving {
-            self.server_leaves(state, &server);
+            self.server_leaves(state, &upstream.id);
+        }
+        if answer.outcome == Outcome::Unknown {
+            let looked = proxy_request.unanswered(&upstream).look(trial);
+            if proxy_request.idempotent && proxy_request.left_us() > 0 {
+                // Still looking after that, it goes on by itself.
+                let _ = tokio::time::timeout(LOOK_WAIT, looked).await;
+            }
         }
         answer
     }
--- a/src/route/upstream.rs
+++ b/src/route/upstream.rs
@@ -49,6 +49,8 @@
 pub struct Upstream {
     pub id: String,
     pub address: SocketAddr,
+    /// Hash by which instances name the server to each other.
+    pub key: u32,
     idle: Mutex<Vec<Idle>>,
     open: Arc<AtomicU32>,
     opened: AtomicU32,
@@ -88,6 +90,12 @@
     }
 }
 
+/// The low half of the hash of a server's id.
+#[expect(clippy::cast_possible_truncation, reason = "half of a hash")]
+fn key_of(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
+
 impl Upstream {
     /// No connection is opened before the first request.
     #[must_use]
@@ -95,6 +103,7 @@
         Self {
             id: id.to_owned(),
             address,
+            key: key_of(id),
             idle: Mutex::default(),
             open: Arc::default(),
             opened: AtomicU32::new(0),
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -279,6 +279,7 @@
         let id = format!("d-{at}");
         let key = format!("{}-{id}", named[0].key_prefix);
         let head = PassHead {
+            fingerprint: sorrelwick::quarantine::Fingerprint::default(),
             service: "orders".into(),
             method: "POST".into(),
             target: format!("/orders?bytes={BYTES}"),
