Requests that crash servers are known again by what they share, not to the byte

Cause: repeats of one caller, or of several, differ in query or address; each variant was convicted by itself after three servers. Change: three fingerprints from narrow to wide (all of it; caller, method, path and body; method, path and body); a wide one is convicted only by crashes of two variants at least, and any answer to one of its requests clears it, so that one caller's or one query's fault is not held against the others.

--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -26,7 +26,7 @@
     many: Vec<LogLine>,
     /// When each version came in force on each instance.
     versions: BTreeMap<(String, u64), String>,
-    /// Lines on each content under which servers gave no answer.
+    /// Lines on each fingerprint under which servers gave no answer.
     contents: BTreeMap<String, Vec<LogLine>>,
     /// Lines that an instance dropped, with the time of the next line it wrote.
     dropped: Vec<LogLine>,
@@ -45,9 +45,12 @@
             "server-listed" | "server-unlisted" => {
                 self.servers.entry(line.text("server")).or_default().push(line);
             }
-            "no-answer" | "request-quarantined" | "suspect-answered" => {
+            "no-answer" | "suspect-answered" => {
                 self.contents.entry(line.text("content")).or_default().push(line);
             }
+            "request-quarantined" => {
+                self.contents.entry(line.text("fingerprint")).or_default().push(line);
+            }
             "servers-changed" => self.many.push(line),
             _ => {}
         }
@@ -130,8 +133,9 @@
 
 /// The first lines on the content of the request, from all instances.
 fn same_content<'a>(own: &[LogLine], context: &'a Context) -> Vec<&'a LogLine> {
-    let contents: BTreeSet<String> = own.iter().map(|line| line.text("content")).collect();
-    let known = contents.iter().filter_map(|content| context.contents.get(content));
+    let names = |line: &LogLine| ["exact", "by_caller", "content"].map(|name| line.text(name));
+    let names: BTreeSet<String> = own.iter().flat_map(names).collect();
+    let known = names.iter().filter_map(|content| context.contents.get(content));
     let mut known: Vec<&LogLine> = known.flatten().collect();
     known.sort_by(|a, b| a.time.cmp(&b.time));
     known.truncate(CONTENT_LINES_MAX);
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -37,7 +37,7 @@
 use crate::listener::CallerAddress;
 use crate::listener::ConnLimits;
 use crate::listener::Handler;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Fingerprints;
 
 /// When to come back while no configuration is known: the first one is there within a second.
 const NO_CONFIG_RETRY_MS: u64 = 300;
@@ -100,7 +100,7 @@
         };
         Ok(ForwardRequest {
             id: parts.headers.get(&fields.request_id).cloned(),
-            fingerprint: fingerprint(&parts, &body),
+            fingerprints: fingerprints(&parts, &body),
             target: target(&parts).to_owned(),
             method: parts.method,
             headers: parts.headers,
@@ -177,10 +177,10 @@
     parts.uri.path_and_query().map_or("/", |target| target.as_str())
 }
 
-fn fingerprint(parts: &http::request::Parts, body: &[u8]) -> Fingerprint {
+fn fingerprints(parts: &http::request::Parts, body: &[u8]) -> Fingerprints {
     let unknown = CallerAddress(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
     let CallerAddress(caller) = parts.extensions.get().copied().unwrap_or(unknown);
-    Fingerprint::of(caller, host(parts), parts.method.as_str(), target(parts), body)
+    Fingerprints::of(caller, host(parts), parts.method.as_str(), target(parts), body)
 }
 
 /// Reads a body within the limits.
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -15,7 +15,7 @@
 use crate::balance::Ask;
 use crate::balance::RepeatNeed;
 use crate::clock::now_us;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Fingerprints;
 use crate::quarantine::Unanswered;
 use crate::route::hop_by_hop;
 
@@ -24,7 +24,7 @@
 pub struct ForwardRequest {
     pub id: Option<HeaderValue>,
     /// The same each time that its caller sends it, whatever the id.
-    pub fingerprint: Fingerprint,
+    pub fingerprints: Fingerprints,
     pub method: Method,
     /// Path and query, byte for byte.
     pub target: String,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -71,7 +71,7 @@
         self.dispatcher.count_request(&request.service);
         let mut tried = Tried::default();
         loop {
-            if let Some(denial) = self.board.quarantine.denial(request.fingerprint) {
+            if let Some(denial) = self.board.quarantine.denial(&request.fingerprints) {
                 return tried.denied(request, denial).into();
             }
             let grant = match self.acquire(request, &tried).await {
@@ -246,7 +246,7 @@
         // Bounded, so that a request is sent at last even if all servers look worse each time.
         let health_path = (tried.unfit < UNFIT_MAX).then(|| request.health_path.clone()).flatten();
         async move {
-            let trial = match self.board.quarantine.admit(request.fingerprint) {
+            let trial = match self.board.quarantine.admit(&request.fingerprints) {
                 Ok(trial) => Arc::new(trial),
                 Err(denial) => return SendResult::Denied(denial),
             };
@@ -289,9 +289,9 @@
 impl Tried {
     /// The answer to a request that is not sent on since it may crash servers.
     fn denied(&self, request: &ForwardRequest, denial: Denial) -> OwnReply {
-        let content = request.fingerprint.to_string();
+        let [exact, by_caller, content] = request.fingerprints.names();
         info!(
-            event = "request-denied", id = request.id_text(), content = content.as_str(),
+            event = "request-denied", id = request.id_text(), content = content.as_str(), exact = exact.as_str(), by_caller = by_caller.as_str(),
             code = denial.code().number(), retry_after_ms = denial.retry_after_ms(),
             sends = self.sends, may_have_run = self.may_have_run;
             "not sent on, since it may crash servers"
--- a/src/peer/pass.rs
+++ b/src/peer/pass.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Fingerprints;
 use crate::route::Outcome;
 
 /// Why a request is passed; each later stage is passed on less often, so that no request can
@@ -27,7 +27,7 @@
 pub struct PassHead {
     pub service: String,
     /// Of the request as its caller sent it.
-    pub fingerprint: Fingerprint,
+    pub fingerprints: Fingerprints,
     pub method: String,
     /// Path and query.
     pub target: String,
--- a/src/quarantine/crash_check.rs
+++ b/src/quarantine/crash_check.rs
@@ -39,9 +39,10 @@
     pub fn look(self, trial: Arc<Trial>) -> JoinHandle<()> {
         tokio::spawn(async move {
             let ended = takes_no_connection(self.address).await;
-            let content = trial.fingerprint().to_string();
+            let [exact, by_caller, content] = trial.fingerprints().names();
             info!(
                 event = "no-answer", request = self.id.as_str(), content = content.as_str(),
+                exact = exact.as_str(), by_caller = by_caller.as_str(),
                 service = self.service.as_str(), server = self.server.as_str(),
                 server_ended = ended, known_level = trial.known_level();
                 "the server was looked for after it gave no answer"
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -6,40 +6,111 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
 
-/// Hash of the content of a request and of the address that it came from: equal for each time that
-/// the same caller sends the same thing, at any instance.
-///
-/// Without the caller's address, one caller's fault would be held against others that ask the same.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-pub struct Fingerprint(u128);
-
-impl Fingerprint {
-    /// The fingerprint of a request to `scope`, its host or its service.
+/// What two requests have in common that bear one fingerprint; from narrow to wide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Scope {
+    /// Caller's address, host or service, method, path, query and body.
+    Exact,
+    /// Caller's address, method, path and body: a program that numbers its repeats in the query.
+    Caller,
+    /// Method, path and body: a record that crashes whoever reads it.
+    Content,
+}
+
+impl Scope {
+    /// All scopes, from narrow to wide.
+    pub const ALL: [Self; 3] = [Self::Exact, Self::Caller, Self::Content];
+
+    /// The name written in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Exact => "exact",
+            Self::Caller => "caller",
+            Self::Content => "content",
+        }
+    }
+}
+
+/// Hash of what requests of one scope have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint {
+    pub scope: Scope,
+    hash: u128,
+}
+
+impl std::fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.hash)
+    }
+}
+
+/// The fingerprints of one request, equal each time it comes, at any instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fingerprints {
+    exact: u128,
+    caller: u128,
+    content: u128,
+    caller_address: u32,
+}
+
+/// Hash over parts, each with its length, so that no part can run into the next one.
+fn hash(parts: &[&[u8]]) -> u128 {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&part.len().to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest128()
+}
+
+/// The low part of a hash.
+#[expect(clippy::cast_possible_truncation, reason = "a quarter of a hash")]
+const fn low(hash: u128) -> u32 {
+    hash as u32
+}
+
+impl Fingerprints {
+    /// The fingerprints of a request to `scope`, its host or its service.
     #[must_use]
     pub fn of(caller: IpAddr, scope: &str, method: &str, target: &str, body: &[u8]) -> Self {
-        let mut hash = Xxh3::new();
         let caller = caller.to_canonical().to_string();
-        for part in [caller.as_bytes(), scope.as_bytes(), method.as_bytes(), target.as_bytes()] {
-            // With its length, so that no part can run into the next one.
-            hash.update(&part.len().to_le_bytes());
-            hash.update(part);
+        let path = target.split('?').next().unwrap_or(target);
+        let body = hash(&[body]).to_le_bytes();
+        let content = [method.as_bytes(), path.as_bytes(), &body];
+        let [method, path, _] = content;
+        Self {
+            exact: hash(&[caller.as_bytes(), scope.as_bytes(), method, target.as_bytes(), &body]),
+            caller: hash(&[caller.as_bytes(), method, path, &body]),
+            content: hash(&content),
+            caller_address: low(hash(&[caller.as_bytes()])),
         }
-        hash.update(body);
-        Self(hash.digest128())
     }
 
-    /// Of 64 bits, for digests over many.
+    /// The fingerprint in one scope.
     #[must_use]
-    pub fn folded(self) -> u64 {
-        let [low, high] = [self.0, self.0 >> 64].map(|half| half & u128::from(u64::MAX));
-        u64::try_from(low ^ high).unwrap_or_default()
+    pub const fn in_scope(&self, scope: Scope) -> Fingerprint {
+        let hash = match scope {
+            Scope::Exact => self.exact,
+            Scope::Caller => self.caller,
+            Scope::Content => self.content,
+        };
+        Fingerprint { scope, hash }
     }
-}
 
-impl std::fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:032x}", self.0)
+    /// What tells requests of one scope apart, one step narrower; 0 where nothing does.
+    #[must_use]
+    pub const fn variant_in(&self, scope: Scope) -> u32 {
+        match scope {
+            Scope::Exact => 0,
+            Scope::Caller => low(self.exact),
+            Scope::Content => self.caller_address,
+        }
+    }
+
+    /// The names by which logs tell requests that are the same, in the order of [`Scope::ALL`].
+    #[must_use]
+    pub fn names(&self) -> [String; 3] {
+        Scope::ALL.map(|scope| self.in_scope(scope).to_string())
     }
 }
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the backend servers that run them.
 //!
 //! Such a request comes again, under another id and at any instance, and ends one server after the
-//! other, with everybody's work there. Instances know it by its [`Fingerprint`], tell each other of
+//! other, with everybody's work there. Instances know it by its [`Fingerprints`], tell each other of
 //! the servers that ended under it, and refuse it once three have: see [`Suspect`] for the rule.
 
 mod crash_check;
@@ -18,6 +18,8 @@
 pub use crash_check::Unanswered;
 pub use denial::Denial;
 pub use fingerprint::Fingerprint;
+pub use fingerprint::Fingerprints;
+pub use fingerprint::Scope;
 pub use send_watch::SendWatch;
 pub use share::exchange_suspects;
 pub use share::run_suspect_share;
--- a/src/quarantine/suspect.rs
+++ b/src/quarantine/suspect.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::Crash;
 use super::Fingerprint;
+use super::Scope;
 use super::SuspectRow;
 use super::suspect_row::Crashes;
 
@@ -13,6 +16,14 @@
 /// Levels over which these are spread at least. Many equal requests that run when all servers lose
 /// power are no cause of it; only a repeat that ends one more server tells them apart.
 const LEVELS_TO_CONVICT: u16 = 2;
+/// Variants over which the crashes of a wide fingerprint are spread at least: while all came from one
+/// caller, others that ask the same are not concerned, and while all had one query, other queries.
+const VARIANTS_TO_CONVICT: usize = 2;
+/// Crashes from which on a request is sent once at a time: whatever becomes of the next ones, three
+/// can be known before more than one follows.
+const CRASHES_TO_WATCH: usize = 2;
+/// Crashes that are kept where they do not convict, of the highest levels.
+const CRASHES_KEPT: usize = 4;
 /// For how long the first conviction holds: long against the patience of any caller, short against
 /// the time in which a server is mended and its operators wonder about refusals.
 const FIRST_HOLD: Duration = Duration::from_mins(10);
@@ -29,7 +40,7 @@
 pub enum Standing {
     /// Nothing speaks against it.
     Clear,
-    /// A server ended under it: it is sent once at a time.
+    /// Servers ended under it: it is sent once at a time.
     Watched,
     /// It is refused for so long.
     Held { left: Duration },
@@ -40,6 +51,7 @@
 /// Merging is the maximum of each part, so words may come late, twice and in any order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Suspect {
+    scope: Scope,
     /// Sorted; all above `settled_level`, and none while a conviction stands.
     crashes: Crashes,
     settled_level: u16,
@@ -52,9 +64,9 @@
 impl Suspect {
     /// Nothing is known yet; what will be is as old as `news_us` at least.
     #[must_use]
-    pub fn new(news_us: u64) -> Self {
+    pub fn new(scope: Scope, news_us: u64) -> Self {
         let crashes = Crashes::new();
-        Self { crashes, settled_level: 0, convictions: 0, pardons: 0, news_us }
+        Self { scope, crashes, settled_level: 0, convictions: 0, pardons: 0, news_us }
     }
 
     /// The highest level of a crash known so far.
@@ -83,7 +95,25 @@
             let left = self.hold().saturating_sub(self.age(now_us));
             return if left.is_zero() { Standing::Watched } else { Standing::Held { left } };
         }
-        if self.crashes.is_empty() { Standing::Clear } else { Standing::Watched }
+        let watched = match self.scope {
+            Scope::Exact => self.crashes.len() >= CRASHES_TO_WATCH,
+            // Of these there may be many at any moment, and most have nothing to do with a crash.
+            Scope::Caller | Scope::Content => self.spread(CRASHES_TO_WATCH),
+        };
+        if watched { Standing::Watched } else { Standing::Clear }
+    }
+
+    /// Whether there are so many crashes, and spread so that the request is their likely cause.
+    fn spread(&self, crashes: usize) -> bool {
+        let levels = self.level().saturating_sub(self.settled_level);
+        let mut variants: SmallVec<[u32; 4]> = self.crashes.iter().map(|c| c.variant).collect();
+        variants.sort_unstable();
+        variants.dedup();
+        let wide = self.scope != Scope::Exact;
+        let variants_needed = if wide { VARIANTS_TO_CONVICT } else { 1 };
+        self.crashes.len() >= crashes
+            && levels >= LEVELS_TO_CONVICT
+            && variants.len() >= variants_needed
     }
 
     /// Whether it can be forgotten.
@@ -95,7 +125,7 @@
 
     /// A server ended under it, which was sent when crashes up to `known_level` were known. Tells
     /// whether that convicts it.
-    pub fn crashed(&mut self, server: u32, known_level: u16, now_us: u64) -> bool {
+    pub fn crashed(&mut self, server: u32, variant: u32, known_level: u16, now_us: u64) -> bool {
         match self.standing(now_us) {
             // It was sent before the conviction.
             Standing::Held { .. } => return false,
@@ -105,7 +135,7 @@
             }
             _ => {}
         }
-        let crash = Crash { level: known_level.saturating_add(1), server };
+        let crash = Crash { level: known_level.saturating_add(1), server, variant };
         if self.add(crash) {
             self.news_us = now_us;
         }
@@ -117,8 +147,8 @@
     pub fn answered(&mut self, known_level: u16, now_us: u64) -> bool {
         match self.standing(now_us) {
             // A word from before the conviction.
-            Standing::Held { .. } | Standing::Clear => return false,
-            Standing::Watched => {}
+            Standing::Held { .. } => return false,
+            Standing::Watched | Standing::Clear => {}
         }
         let before = (self.settled_level, self.pardons);
         self.pardons = self.convictions;
@@ -146,12 +176,12 @@
 
     /// Convicts it if its crashes suffice; of those that do not, only as many are kept as may.
     fn judge(&mut self, now_us: u64) -> bool {
-        let levels = self.level().saturating_sub(self.settled_level);
-        if self.crashes.len() >= CRASHES_TO_CONVICT && levels >= LEVELS_TO_CONVICT {
+        if self.spread(CRASHES_TO_CONVICT) {
             self.convict(now_us);
             return true;
         }
-        self.crashes.truncate(CRASHES_TO_CONVICT);
+        let surplus = self.crashes.len().saturating_sub(CRASHES_KEPT);
+        self.crashes.drain(..surplus);
         false
     }
 
--- a/src/quarantine/suspect_row.rs
+++ b/src/quarantine/suspect_row.rs
@@ -15,6 +15,8 @@
     pub level: u16,
     /// Hash of the server's id and start.
     pub server: u32,
+    /// Tells requests of a wide fingerprint apart; see [`super::Fingerprints::variant_in`].
+    pub variant: u32,
 }
 
 /// Crashes that count, in order; rarely more than two before they convict.
@@ -52,13 +54,15 @@
     #[must_use]
     pub fn hash(&self) -> u64 {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
-        hash.update(&self.fingerprint.folded().to_le_bytes());
+        hash.update(self.fingerprint.scope.name().as_bytes());
+        hash.update(self.fingerprint.to_string().as_bytes());
         for number in [self.settled_level, self.convictions, self.pardons] {
             hash.update(&number.to_le_bytes());
         }
         for crash in &self.crashes {
             hash.update(&crash.level.to_le_bytes());
             hash.update(&crash.server.to_le_bytes());
+            hash.update(&crash.variant.to_le_bytes());
         }
         hash.digest()
     }
--- a/src/quarantine/table.rs
+++ b/src/quarantine/table.rs
@@ -14,16 +14,19 @@
 
 use super::Denial;
 use super::Fingerprint;
+use super::Fingerprints;
+use super::Scope;
 use super::Standing;
 use super::Suspect;
 use super::SuspectRow;
 use super::Trial;
+use super::trial::Known;
 use crate::clock::now_us;
 
 /// Requests that are kept. When an availability zone loses power, each request that ran there is
 /// suspect for some minutes; the table then holds the worst and latest of them, some 30 bytes each,
 /// which bounds what instances tell each other.
-const SUSPECTS_MAX: usize = 64;
+const SUSPECTS_MAX: usize = 128;
 
 #[derive(Debug)]
 struct Entry {
@@ -70,10 +73,46 @@
         if !self.entries.contains_key(&fingerprint) {
             self.make_room(now_us);
         }
-        let new = || Entry { suspect: Suspect::new(news_us), trials: 0 };
+        let new = || Entry { suspect: Suspect::new(fingerprint.scope, news_us), trials: 0 };
         self.entries.entry(fingerprint).or_insert_with(new)
     }
 
+    fn denial(&self, fingerprints: &Fingerprints, now_us: u64) -> Option<Denial> {
+        let entries = Scope::ALL.iter().map(|scope| fingerprints.in_scope(*scope));
+        let known = entries.filter_map(|fingerprint| self.entries.get(&fingerprint));
+        known.into_iter().find_map(|entry| entry.denial(now_us))
+    }
+
+    /// Takes note of a crash; returns the fingerprints that it convicts.
+    fn crashed(&mut self, trial: &Trial, server: u32, now_us: u64) -> Vec<Fingerprint> {
+        let mut convicted = Vec::new();
+        for (scope, known) in Scope::ALL.into_iter().zip(trial.known) {
+            let fingerprint = trial.fingerprints.in_scope(scope);
+            let variant = trial.fingerprints.variant_in(scope);
+            let suspect = &mut self.entry(fingerprint, now_us, now_us).suspect;
+            if suspect.crashed(server, variant, known.level, now_us) {
+                convicted.push(fingerprint);
+            }
+            self.news.insert(fingerprint);
+        }
+        self.convicted.extend(&convicted);
+        convicted
+    }
+
+    /// Takes note of an answer; tells whether it changed anything.
+    fn answered(&mut self, trial: &Trial, now_us: u64) -> bool {
+        let mut changed = false;
+        for (scope, known) in Scope::ALL.into_iter().zip(trial.known) {
+            let fingerprint = trial.fingerprints.in_scope(scope);
+            let entry = self.entries.get_mut(&fingerprint);
+            if entry.is_some_and(|entry| entry.suspect.answered(known.level, now_us)) {
+                self.news.insert(fingerprint);
+                changed = true;
+            }
+        }
+        changed
+    }
+
     /// Takes in what another instance knows; tells whether the request is refused since. What is
     /// over is not taken in again, or instances would remind each other of it for ever.
     fn merge(&mut self, row: &SuspectRow, now_us: u64) -> bool {
@@ -116,77 +155,72 @@
 
     /// Why a request may not be sent now; `None` where it may.
     #[must_use]
-    pub fn denial(&self, fingerprint: Fingerprint) -> Option<Denial> {
+    pub fn denial(&self, fingerprints: &Fingerprints) -> Option<Denial> {
         if self.empty() {
             return None;
         }
-        let state = self.0.state.lock();
-        state.entries.get(&fingerprint).and_then(|entry| entry.denial(now_us()))
+        self.0.state.lock().denial(fingerprints, now_us())
     }
 
     /// Lets a request be sent once.
     ///
-    /// One that may have crashed a server is sent once at a time. Without that, all copies that
-    /// came between the send and the crash would each end a server, however well each crash is told.
+    /// One that may have crashed servers is sent once at a time. Without that, all copies that came
+    /// between the send and the crash would each end a server, however well each crash is told.
     ///
     /// # Errors
     /// Why it may not be sent now.
-    pub fn admit(&self, fingerprint: Fingerprint) -> Result<Trial, Denial> {
-        let mut trial =
-            Trial { quarantine: self.clone(), fingerprint, known_level: 0, counted: false };
-        if self.empty() {
-            return Ok(trial);
-        }
+    pub fn admit(&self, fingerprints: &Fingerprints) -> Result<Trial, Denial> {
+        let known = if self.empty() { Default::default() } else { self.count_trial(fingerprints)? };
+        Ok(Trial { quarantine: self.clone(), fingerprints: *fingerprints, known })
+    }
+
+    fn count_trial(&self, fingerprints: &Fingerprints) -> Result<[Known; 3], Denial> {
         let mut state = self.0.state.lock();
-        if let Some(entry) = state.entries.get_mut(&fingerprint) {
-            if let Some(denial) = entry.denial(now_us()) {
-                return Err(denial);
-            }
-            trial.known_level = entry.suspect.level();
-            trial.counted = true;
-            entry.trials += 1;
+        if let Some(denial) = state.denial(fingerprints, now_us()) {
+            return Err(denial);
         }
-        Ok(trial)
+        Ok(Scope::ALL.map(|scope| {
+            let entry = state.entries.get_mut(&fingerprints.in_scope(scope));
+            entry.map_or_else(Known::default, |entry| {
+                entry.trials += 1;
+                Known { level: entry.suspect.level(), counted: true }
+            })
+        }))
     }
 
-    pub(super) fn trial_over(&self, fingerprint: Fingerprint) {
-        if let Some(entry) = self.0.state.lock().entries.get_mut(&fingerprint) {
-            entry.trials = entry.trials.saturating_sub(1);
+    pub(super) fn trial_over(&self, trial: &Trial) {
+        let mut state = self.0.state.lock();
+        for (scope, known) in Scope::ALL.into_iter().zip(trial.known) {
+            let entry = state.entries.get_mut(&trial.fingerprints.in_scope(scope));
+            if let Some(entry) = entry.filter(|_| known.counted) {
+                entry.trials = entry.trials.saturating_sub(1);
+            }
         }
     }
 
-    pub(super) fn crashed(&self, fingerprint: Fingerprint, server: u32, known_level: u16) {
-        let now_us = now_us();
-        let convicted = self.with(|state| {
-            let entry = state.entry(fingerprint, now_us, now_us);
-            let convicted = entry.suspect.crashed(server, known_level, now_us);
-            state.news.insert(fingerprint);
-            if convicted {
-                state.convicted.push(fingerprint);
-            }
-            convicted
-        });
+    pub(super) fn crashed(&self, trial: &Trial, server: u32) {
+        let convicted = self.with(|state| state.crashed(trial, server, now_us()));
         self.0.changed.notify_one();
-        if convicted {
+        if !convicted.is_empty() {
             self.0.convicted.notify_one();
+        }
+        for fingerprint in convicted {
             note_quarantined(fingerprint, "here");
         }
     }
 
-    pub(super) fn answered(&self, fingerprint: Fingerprint, known_level: u16) {
+    pub(super) fn answered(&self, trial: &Trial) {
         if self.empty() {
             return;
         }
-        let changed = self.with(|state| {
-            let entry = state.entries.get_mut(&fingerprint)?;
-            let changed = entry.suspect.answered(known_level, now_us());
-            changed.then(|| state.news.insert(fingerprint))
-        });
-        if changed.is_some() {
+        let changed = self.with(|state| state.answered(trial, now_us()));
+        if changed {
             self.0.changed.notify_one();
-            let content = fingerprint.to_string();
+            let [exact, by_caller, content] = trial.fingerprints.names();
             info!(
-                event = "suspect-answered", content = content.as_str(), known_level = known_level;
+                event = "suspect-answered", content = content.as_str(), exact = exact.as_str(),
+                by_caller = by_caller.as_str(),
+                known_level = trial.known_level();
                 "a server answered it, so the crashes before were not its doing"
             );
         }
@@ -273,9 +307,10 @@
 }
 
 fn note_quarantined(fingerprint: Fingerprint, learned: &str) {
-    let content = fingerprint.to_string();
+    let name = fingerprint.to_string();
     warn!(
-        event = "request-quarantined", content = content.as_str(), learned = learned;
+        event = "request-quarantined", scope = fingerprint.scope.name(), fingerprint = name.as_str(),
+        learned = learned;
         "it crashes the servers that run it; it is refused from now on"
     );
 }
--- a/src/quarantine/trial.rs
+++ b/src/quarantine/trial.rs
@@ -1,46 +1,55 @@
 //! One send of a request, as far as it may tell whether the request crashes servers.
 
-use super::Fingerprint;
+use super::Fingerprints;
 use super::Quarantine;
+use super::Scope;
+
+/// What was known of one fingerprint of a request when it was sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Known {
+    /// The highest level of a crash.
+    pub level: u16,
+    /// Whether this send is counted as under way.
+    pub counted: bool,
+}
 
 /// A send that was admitted; over when it is dropped.
 #[derive(Debug)]
 pub struct Trial {
     pub(super) quarantine: Quarantine,
-    pub(super) fingerprint: Fingerprint,
-    pub(super) known_level: u16,
-    /// Whether it is the one send that a watched request is allowed at a time.
-    pub(super) counted: bool,
+    pub(super) fingerprints: Fingerprints,
+    /// In the order of [`Scope::ALL`].
+    pub(super) known: [Known; Scope::ALL.len()],
 }
 
 impl Trial {
     /// What was sent.
     #[must_use]
-    pub const fn fingerprint(&self) -> Fingerprint {
-        self.fingerprint
+    pub const fn fingerprints(&self) -> &Fingerprints {
+        &self.fingerprints
     }
 
     /// The highest level of a crash that was known when it was sent.
     #[must_use]
-    pub const fn known_level(&self) -> u16 {
-        self.known_level
+    pub fn known_level(&self) -> u16 {
+        self.known.iter().map(|known| known.level).max().unwrap_or(0)
     }
 
     /// The server that it was sent to has ended, and gave no whole answer.
     pub fn crashed(&self, server: u32) {
-        self.quarantine.crashed(self.fingerprint, server, self.known_level);
+        self.quarantine.crashed(self, server);
     }
 
     /// The server gave a whole answer.
     pub fn answered(&self) {
-        self.quarantine.answered(self.fingerprint, self.known_level);
+        self.quarantine.answered(self);
     }
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        if self.counted {
-            self.quarantine.trial_over(self.fingerprint);
+        if self.known.iter().any(|known| known.counted) {
+            self.quarantine.trial_over(self);
         }
     }
 }
--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -34,7 +34,7 @@
 use crate::outcome::Key;
 use crate::outcome::KeyPrefix;
 use crate::peer::Stage;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Fingerprints;
 
 /// A caller that has not sent its header fields within this is cut off.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
@@ -163,7 +163,7 @@
     let CallerAddress(caller) = parts.extensions.get().copied().unwrap_or(unknown);
     let method = parts.method.as_str();
     Ok(ProxyRequest {
-        fingerprint: Fingerprint::of(caller, &service, method, target, &body),
+        fingerprints: Fingerprints::of(caller, &service, method, target, &body),
         service,
         method: method.to_owned(),
         target: target.to_owned(),
--- a/src/route/proxy_request.rs
+++ b/src/route/proxy_request.rs
@@ -10,7 +10,7 @@
 use crate::outcome::Key;
 use crate::peer::PassHead;
 use crate::peer::Stage;
-use crate::quarantine::Fingerprint;
+use crate::quarantine::Fingerprints;
 use crate::quarantine::Unanswered;
 
 /// A request whose body is whole.
@@ -18,7 +18,7 @@
 pub struct ProxyRequest {
     pub service: String,
     /// The same each time that its caller sends it, at any instance.
-    pub fingerprint: Fingerprint,
+    pub fingerprints: Fingerprints,
     pub method: String,
     /// Path and query.
     pub target: String,
@@ -70,7 +70,7 @@
     pub fn pass_head(&self, stage: Stage) -> PassHead {
         PassHead {
             service: self.service.clone(),
-            fingerprint: self.fingerprint,
+            fingerprints: self.fingerprints,
             method: self.method.clone(),
             target: self.target.clone(),
             headers: self.headers.clone(),
@@ -87,7 +87,7 @@
         let key = head.key.as_deref().and_then(|text| Key::parse(text).ok());
         Self {
             service: head.service,
-            fingerprint: head.fingerprint,
+            fingerprints: head.fingerprints,
             method: head.method,
             target: head.target,
             headers: head.headers,
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -54,9 +54,9 @@
 
 /// The answer to a request that is not sent on, since it may crash servers.
 fn denied(proxy_request: &ProxyRequest, denial: Denial) -> Answer {
-    let content = proxy_request.fingerprint.to_string();
+    let [exact, by_caller, content] = proxy_request.fingerprints.names();
     info!(
-        event = "request-denied", id = proxy_request.id().as_ref(), content = content.as_str(),
+        event = "request-denied", id = proxy_request.id().as_ref(), content = content.as_str(), exact = exact.as_str(), by_caller = by_caller.as_str(),
         code = denial.code().number(), retry_after_ms = denial.retry_after_ms();
         "not sent on, since it may crash servers"
     );
@@ -164,7 +164,7 @@
         state.core.binder.earn();
         loop {
             attempts += 1;
-            if let Some(denial) = self.board.quarantine.denial(proxy_request.fingerprint) {
+            if let Some(denial) = self.board.quarantine.denial(&proxy_request.fingerprints) {
                 return denied(proxy_request, denial).after(may_have_run);
             }
             let answer = match self.place(state, proxy_request, &avoid).await {
@@ -308,7 +308,7 @@
     ) -> Answer {
         self.board.counters.add(Counter::Attempts);
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
-        let trial = match self.board.quarantine.admit(proxy_request.fingerprint) {
+        let trial = match self.board.quarantine.admit(&proxy_request.fingerprints) {
             Ok(trial) => Arc::new(trial),
             Err(denial) => return denied(proxy_request, denial),
         };
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -279,7 +279,13 @@
         let id = format!("d-{at}");
         let key = format!("{}-{id}", named[0].key_prefix);
         let head = PassHead {
-            fingerprint: sorrelwick::quarantine::Fingerprint::default(),
+            fingerprints: sorrelwick::quarantine::Fingerprints::of(
+                std::net::Ipv4Addr::LOCALHOST.into(),
+                "orders",
+                "POST",
+                "/orders",
+                b"",
+            ),
             service: "orders".into(),
             method: "POST".into(),
             target: format!("/orders?bytes={BYTES}"),
