--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -240,6 +240,28 @@
     assert_eq!(scene.crashes().len(), before);
 }
 
+/// Story: all instances lose power at once after a request was found to crash servers, and are back a
+/// second later. Nobody remembers, and the request ends three more servers before it is refused again;
+/// after each such loss. What was found must outlast them in the platform's store.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_found_outlasts_all_instances() {
+    let mut scene = Scene::start("parts", false).await;
+    scene.repeat("GET /look/poison", b"").await;
+    scene.bed.hosts.drain(..).for_each(standins::routed::RoutedHost::kill);
+    for (number, zone) in ZONES.iter().enumerate() {
+        scene.bed.add(&format!("again-{number}"), zone, &ZONES).await;
+    }
+    scene.bed.settle().await;
+    tokio::time::sleep(CONTACT).await;
+    let before = scene.crashes().len();
+    for at in 0..ZONES.len() {
+        let refused = scene.call(at, "GET /look/poison", b"").await;
+        assert_eq!(refused.status, 503, "instance {at}");
+        scene.until_served(at, "parts").await;
+    }
+    assert_eq!(scene.crashes().len(), before);
+}
+
 /// Story: the same at the product's own interface, where a request is passed between instances: the
 /// one that a caller asked, the home that has the slots, the owner of its key. None of them knew it
 /// again, so lookups, orders and orders with a key each went on ending servers.
