Requests that crash servers outlast all instances in the platform's store

Cause: what instances had found was in their memories only. Change: a conviction is written under a lease of ten minutes, as long as it holds (two calls), and the first instance of each zone reads what is kept when it becomes so (one call; none at the first start of all). Ruled out: a watch (a call for each zone and change), every instance reading (a call for each of hundreds).

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -36,6 +36,7 @@
 use crate::gateway::ReadinessHandler;
 use crate::gateway::Registry;
 use crate::gateway::ServerSink;
+use crate::gateway::SuspectKeeper;
 use crate::gateway::TableInForce;
 use crate::gateway::run_store_check;
 use crate::listener::HttpListener;
@@ -198,6 +199,16 @@
         let (config_copy, servers_copy) = (Arc::clone(&config), Arc::clone(&servers));
         let checked = run_store_check(store.clone(), Arc::clone(&board), config_copy, servers_copy);
         tasks.spawn(checked);
+        let keeper = SuspectKeeper {
+            dialect: dialect.clone(),
+            store: store.clone(),
+            board: Arc::clone(&board),
+        };
+        if !gateway.first_start {
+            // At the first start of all there is nothing to read.
+            tasks.spawn(keeper.clone().read());
+        }
+        tasks.spawn(keeper.write_all());
         let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
         tasks.spawn(registry.clone().run());
         tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -118,7 +118,9 @@
         if let Some(since) = in_force_since(entry, context) {
             line(&["    version ", &entry.text("version"), " in force here since ", since]);
         }
-        if let Some((meaning, remedy)) = meaning(entry) {
+        // A denial has the code of the answer that follows it.
+        let meaning = meaning(entry).filter(|_| entry.event != "request-denied");
+        if let Some((meaning, remedy)) = meaning {
             line(&["    ", meaning, " ", remedy]);
         }
     }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -37,6 +37,8 @@
     pub servers_prefix: &'static str,
     /// Keys of instances begin so; written by the instances themselves.
     pub instances_prefix: &'static str,
+    /// Keys of requests that crash backend servers begin so; written by the instances themselves.
+    pub suspects_prefix: &'static str,
 }
 
 /// Paths that the platform calls on an instance.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,6 +41,7 @@
 mod sinks;
 mod store_check;
 mod store_outage;
+mod suspect_keeper;
 mod told_loads;
 
 pub use caller_handler::CallerHandler;
@@ -96,3 +97,4 @@
 pub use sinks::ConfigSink;
 pub use sinks::ServerSink;
 pub use store_check::run_store_check;
+pub use suspect_keeper::SuspectKeeper;
--- /dev/null
+++ b/src/gateway/suspect_keeper.rs
@@ -0,0 +1,113 @@
+//! Requests that crash servers, kept in the platform's store, so that they outlast all instances.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+
+use super::Dialect;
+use super::homes::HomesPlan;
+use super::homes::is_home;
+use crate::board::Blackboard;
+use crate::quarantine::SuspectRow;
+use crate::store::EventStore;
+use crate::store::Freshness;
+use crate::store::StoreError;
+
+/// As long as a first conviction holds, and the longest lease that the platform gives.
+const KEEP: Duration = Duration::from_mins(10);
+/// Before this a starting instance does not know whether it is a home.
+const SETTLE: Duration = Duration::from_millis(300);
+/// How often an instance looks whether it has become a home.
+const HOME_INTERVAL: Duration = Duration::from_secs(1);
+const RETRY: Duration = Duration::from_secs(1);
+/// Writes of one conviction before it is left to the other instances' memories.
+const WRITES_MAX: u32 = 30;
+
+/// Keeps convictions in the store, and reads them when an instance becomes the first of its zone:
+/// the others learn them from it, so a start costs one call a zone and a conviction two.
+#[derive(Clone, Debug)]
+pub struct SuspectKeeper<D, S> {
+    pub dialect: D,
+    pub store: S,
+    pub board: Arc<Blackboard>,
+}
+
+impl<D: Dialect, S: EventStore> SuspectKeeper<D, S> {
+    /// Writes convictions until the process ends.
+    pub async fn write_all(self) {
+        loop {
+            let rows = self.board.quarantine.convicted().await;
+            self.write_in_time(&rows).await;
+        }
+    }
+
+    async fn write_in_time(&self, rows: &[SuspectRow]) {
+        for _ in 0..WRITES_MAX {
+            match self.write(rows).await {
+                Ok(()) => return,
+                Err(error) => self.board.note_store(Some(error.to_string())),
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+        warn!(event = "suspects-not-kept", rows = rows.len(); "the store took no write");
+    }
+
+    async fn write(&self, rows: &[SuspectRow]) -> Result<(), StoreError> {
+        let Some(first) = rows.first() else {
+            return Ok(());
+        };
+        let (prefix, name) = (self.dialect.keys().suspects_prefix, first.fingerprint);
+        let value = serde_json::to_vec(rows).map_err(|err| StoreError::Refused(err.to_string()))?;
+        let lease = self.store.open_lease(KEEP).await?;
+        if self.store.write_leased(&format!("{prefix}{name}"), &value, lease).await? {
+            return Ok(());
+        }
+        Err(StoreError::Refused("the lease ended at once".into()))
+    }
+
+    /// Reads what is kept, once this instance is the first of its zone.
+    pub async fn read(self) {
+        tokio::time::sleep(SETTLE).await;
+        while !is_home(&self.board, HomesPlan::FIRST) {
+            tokio::time::sleep(HOME_INTERVAL).await;
+        }
+        loop {
+            match self.read_once().await {
+                Ok(rows) => {
+                    let _ = self.board.quarantine.merge(&rows);
+                    info!(event = "suspects-read", rows = rows.len(); "from the store");
+                    return;
+                }
+                Err(error) => self.board.note_store(Some(error.to_string())),
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    async fn read_once(&self) -> Result<Vec<SuspectRow>, StoreError> {
+        let prefix = self.dialect.keys().suspects_prefix;
+        let mut rows = Vec::new();
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.store.page(prefix, after.as_deref(), Freshness::Latest).await?;
+            for item in &page.items {
+                rows.extend(read_rows(&item.key, &item.value));
+            }
+            after = page.items.last().map(|item| item.key.clone());
+            if !page.more || after.is_none() {
+                return Ok(rows);
+            }
+        }
+    }
+}
+
+/// The rows of one key; none of one that another version wrote.
+fn read_rows(key: &str, value: &[u8]) -> Vec<SuspectRow> {
+    serde_json::from_slice(value).unwrap_or_else(|err| {
+        let why = err.to_string();
+        warn!(event = "suspects-unreadable", key = key, why = why.as_str(); "passed over");
+        Vec::new()
+    })
+}
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -39,7 +39,12 @@
     }
 
     fn keys(&self) -> StoreKeys {
-        StoreKeys { config: "config", servers_prefix: "servers/", instances_prefix: "instances/" }
+        StoreKeys {
+            config: "config",
+            servers_prefix: "servers/",
+            instances_prefix: "instances/",
+            suspects_prefix: "suspects/",
+        }
     }
 
     fn paths(&self) -> Paths {
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -22,6 +22,8 @@
 use sorrelwick::member::run_joiner;
 use sorrelwick::member::run_swim;
 use sorrelwick::peer::Feed;
+use sorrelwick::quarantine::Fingerprints;
+use sorrelwick::quarantine::run_suspect_share;
 use sorrelwick::store::Item;
 use sorrelwick::store::Listed;
 use sorrelwick::store::Roster;
@@ -147,6 +149,7 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(run_swim(Arc::clone(&board), links.clone()));
         tasks.spawn(run_joiner(Arc::clone(&board), NoList, links.clone()));
+        tasks.spawn(run_suspect_share(Arc::clone(&board), links.clone()));
         let new = || {
             let (store, links) = (store.clone(), links.clone());
             let (board, mirror) = (Arc::clone(&board), Arc::clone(&mirror));
@@ -321,6 +324,48 @@
         .await;
 }
 
+/// A request ends three servers at one instance of five hundred, and comes again at any other. All must
+/// refuse it before the bound of four seconds, and the one that found out must not tell each of them.
+#[tokio::test(start_paused = true)]
+async fn all_refuse_a_request_that_crashed_three_servers_at_one_of_them() {
+    let fleet = Fleet::start(500, 6).await;
+    fleet
+        .until(Duration::from_secs(4), "all known", |one| one.board.members_view().serving() == 500)
+        .await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let caller = std::net::Ipv4Addr::new(10, 9, 9, 9);
+    let guilty = Fingerprints::of(caller.into(), "shop.example", "GET", "/look/a", b"");
+    let small = |one: &&Instance| one.board.own_capacity_per_s() == 100;
+    let first = fleet.instances.iter().find(small).expect("most are small");
+    let (calls, messages, bytes) = (first.links.calls(), fleet.net.messages(), fleet.net.bytes());
+    for server in 0..3 {
+        first.board.quarantine.admit(&guilty).expect("not convicted yet").crashed(server);
+    }
+    let took = fleet
+        .until(Duration::from_secs(4), "the request refused", |one| {
+            one.board.quarantine.denial(&guilty).is_some()
+        })
+        .await;
+    let calls = first.links.calls() - calls;
+    let messages = (fleet.net.messages() - messages) / 500;
+    let bytes = (fleet.net.bytes() - bytes) / 500;
+    println!("after {took:?}: {calls} calls by the first, {messages} messages, {bytes} bytes each");
+    assert!(calls < 100, "{calls} calls");
+    // As in calm, and one exchange with each ping.
+    assert!(messages <= (13 + 4 * 4) * (took.as_secs() + 1), "{messages}");
+    assert!(bytes < 5_000 * (took.as_secs() + 1), "{bytes}");
+    let digest = first.board.quarantine.digest();
+    fleet
+        .until(Duration::from_secs(10), "all know the same", |one| {
+            one.board.quarantine.digest() == digest
+        })
+        .await;
+    let messages = fleet.net.messages();
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let messages = (fleet.net.messages() - messages) / 500 / 5;
+    assert!(messages <= 13, "told again and again: {messages} messages a second");
+}
+
 /// In calm, nothing is sent but pings of a few bytes, and the store is asked by a few only.
 #[tokio::test(start_paused = true)]
 async fn a_calm_fleet_sends_a_few_messages_an_instance() {
--- /dev/null
+++ b/tests/suspects.rs
@@ -0,0 +1,210 @@
+//! When a request is known to crash servers: the rule, its merging over instances, and its bounds.
+
+use std::time::Duration;
+
+use sorrelwick::quarantine::Denial;
+use sorrelwick::quarantine::Fingerprints;
+use sorrelwick::quarantine::Quarantine;
+use sorrelwick::quarantine::Scope;
+use sorrelwick::quarantine::Standing;
+use sorrelwick::quarantine::Suspect;
+use sorrelwick::quarantine::SuspectRow;
+
+const MINUTE_US: u64 = 60_000_000;
+/// Rows that an instance keeps at most.
+const ROWS_MAX: usize = 128;
+
+fn suspect(scope: Scope) -> Suspect {
+    Suspect::new(scope, 0)
+}
+
+fn prints(caller: u8, target: &str) -> Fingerprints {
+    let caller = std::net::Ipv4Addr::new(10, 0, 0, caller);
+    Fingerprints::of(caller.into(), "shop.example", "GET", target, b"")
+}
+
+fn row(suspect: &Suspect, now_us: u64) -> SuspectRow {
+    suspect.row(prints(1, "/look/a").in_scope(Scope::Exact), now_us)
+}
+
+fn held(suspect: &Suspect, now_us: u64) -> bool {
+    matches!(suspect.standing(now_us), Standing::Held { .. })
+}
+
+#[test]
+fn three_crashes_over_two_tries_convict_and_crashes_of_one_moment_do_not() {
+    let mut one_moment = suspect(Scope::Exact);
+    for server in 0..40 {
+        assert!(!one_moment.crashed(server, 0, 0, 0));
+    }
+    assert!(one_moment.crashed(41, 0, 1, 0), "a further try ended one more");
+
+    let mut one_by_one = suspect(Scope::Exact);
+    assert!(!one_by_one.crashed(1, 0, 0, 0));
+    assert!(!one_by_one.crashed(2, 0, 1, 0));
+    assert!(one_by_one.crashed(3, 0, 2, 0));
+    assert!(held(&one_by_one, 0));
+}
+
+#[test]
+fn an_answer_clears_what_was_known_when_it_was_sent_and_nothing_later() {
+    let mut cleared = suspect(Scope::Exact);
+    cleared.crashed(1, 0, 0, 0);
+    cleared.crashed(2, 0, 1, 0);
+    assert!(cleared.answered(2, 0));
+    assert_eq!(cleared.standing(0), Standing::Clear);
+    assert!(!cleared.crashed(3, 0, 2, 0), "two of the three were not its doing");
+
+    let mut late = suspect(Scope::Exact);
+    late.crashed(1, 0, 0, 0);
+    late.crashed(2, 0, 1, 0);
+    assert!(!late.answered(0, 0), "sent before the first crash, it shows nothing of them");
+    assert!(late.crashed(3, 0, 2, 0));
+    assert!(!late.answered(2, 0), "a word from before the conviction");
+    assert!(held(&late, 0));
+}
+
+#[test]
+fn a_wide_fingerprint_needs_two_variants() {
+    let mut one_caller = suspect(Scope::Content);
+    for try_number in 0..20 {
+        assert!(!one_caller.crashed(u32::from(try_number), 7, try_number, 0));
+        assert_eq!(one_caller.standing(0), Standing::Clear, "other callers are not concerned");
+    }
+    assert!(one_caller.crashed(21, 8, 0, 0), "another caller's ended one too");
+}
+
+#[test]
+fn a_conviction_ends_with_one_trial_and_each_further_one_holds_longer() {
+    let mut suspect = suspect(Scope::Exact);
+    (0..3).for_each(|level| drop(suspect.crashed(u32::from(level), 0, level, 0)));
+    assert!(held(&suspect, 10 * MINUTE_US - 1));
+    let trial_us = 10 * MINUTE_US;
+    assert_eq!(suspect.standing(trial_us), Standing::Watched, "sent once at a time");
+    assert!(suspect.crashed(9, 0, suspect.level(), trial_us), "one crash is enough now");
+    assert!(held(&suspect, trial_us + 60 * MINUTE_US - 1));
+    let second_trial_us = trial_us + 60 * MINUTE_US;
+    assert!(suspect.answered(suspect.level(), second_trial_us), "it was mended");
+    assert_eq!(suspect.standing(second_trial_us), Standing::Clear);
+}
+
+#[test]
+fn what_is_over_is_not_taken_in_again() {
+    let now_us = sorrelwick::clock::now_us();
+    let mut old = Suspect::new(Scope::Exact, now_us);
+    old.crashed(1, 0, 0, now_us);
+    let quarantine = Quarantine::default();
+    let told = old.row(prints(1, "/look/a").in_scope(Scope::Exact), now_us + 11 * MINUTE_US);
+    let _ = quarantine.merge(&[told]);
+    assert!(quarantine.rows().is_empty());
+    assert_eq!(quarantine.digest(), 0);
+}
+
+/// Words between instances come late, twice and in any order; all instances must come to believe the
+/// same, and none may let a request through that another one convicted, once it has heard of it.
+#[test]
+fn instances_that_heard_the_same_believe_the_same() {
+    arbtest::arbtest(|u| {
+        let scope = Scope::ALL[u.choose_index(3)?];
+        let mut instances = vec![Suspect::new(scope, 0), Suspect::new(scope, 0)];
+        instances.push(Suspect::new(scope, 0));
+        let mut words: Vec<SuspectRow> = Vec::new();
+        for _ in 0..u.int_in_range(1..=24)? {
+            let at = u.choose_index(instances.len())?;
+            match u.int_in_range(0..=5)? {
+                0..=2 => {
+                    let level = u.int_in_range(0..=instances[at].level())?;
+                    let (server, variant) = (u.int_in_range(0..=9)?, u.int_in_range(0..=2)?);
+                    instances[at].crashed(server, variant, level, 0);
+                }
+                3 => {
+                    let level = u.int_in_range(0..=instances[at].level())?;
+                    instances[at].answered(level, 0);
+                }
+                _ => {
+                    if let Some(word) = words.get(u.choose_index(words.len().max(1))?) {
+                        instances[at].merge(word, 0);
+                    }
+                }
+            }
+            words.push(row(&instances[at], 0));
+        }
+        // Then all hear of all, in an order of their own, until nothing changes.
+        for _ in 0..4 {
+            let mut all: Vec<SuspectRow> = instances.iter().map(|own| row(own, 0)).collect();
+            let turned = u.choose_index(all.len())?;
+            all.rotate_left(turned);
+            for own in &mut instances {
+                all.iter().for_each(|word| drop(own.merge(word, 0)));
+            }
+        }
+        let rows: Vec<SuspectRow> = instances.iter().map(|own| row(own, 0)).collect();
+        assert_eq!(rows[0], rows[1]);
+        assert_eq!(rows[1], rows[2]);
+        let convicted = words.iter().any(|word| word.convictions > word.pardons);
+        let pardoned = rows[0].pardons > 0;
+        assert!(!convicted || pardoned || held(&instances[0], 0), "{words:?}");
+        Ok(())
+    })
+    .budget(Duration::from_secs(3));
+}
+
+/// An availability zone loses power while thousands of requests run there. What an instance keeps, and
+/// tells others with each difference, stays bounded, and a conviction is not pushed out by it.
+#[test]
+fn a_loss_of_power_fills_no_memory_and_pushes_no_conviction_out() {
+    let quarantine = Quarantine::default();
+    let guilty = prints(1, "/look/guilty");
+    for server in 0..3 {
+        quarantine.admit(&guilty).expect("not convicted yet").crashed(server);
+    }
+    assert!(matches!(quarantine.denial(&guilty), Some(Denial::Quarantined { .. })));
+    let trials: Vec<_> = (0..4_000)
+        .map(|number| quarantine.admit(&prints(2, &format!("/look/{number}"))).expect("unknown"))
+        .collect();
+    for (server, trial) in (100..).zip(&trials) {
+        trial.crashed(server);
+    }
+    assert!(quarantine.rows().len() <= ROWS_MAX);
+    assert!(matches!(quarantine.denial(&guilty), Some(Denial::Quarantined { .. })));
+    for number in 0..4_000 {
+        assert_eq!(quarantine.denial(&prints(2, &format!("/look/{number}"))), None);
+    }
+}
+
+/// A suspect is sent once at a time at each instance, however many copies come at the same moment.
+#[test]
+fn a_suspect_is_sent_once_at_a_time() {
+    let quarantine = Quarantine::default();
+    let suspect = prints(1, "/look/suspect");
+    let copies: Vec<_> = (0..2).map(|_| quarantine.admit(&suspect).expect("unknown")).collect();
+    copies.iter().zip(0..).for_each(|(copy, server)| copy.crashed(server));
+    drop(copies);
+    let first = quarantine.admit(&suspect).expect("one may be sent");
+    assert_eq!(quarantine.admit(&suspect).err(), Some(Denial::OnTrial));
+    drop(first);
+    let second = quarantine.admit(&suspect).expect("the first is over");
+    second.crashed(9);
+    assert!(matches!(quarantine.denial(&suspect), Some(Denial::Quarantined { .. })));
+}
+
+#[test]
+fn fingerprints_tell_apart_what_differs_in_their_scope_only() {
+    let same = |a: &Fingerprints, b: &Fingerprints, scope| a.in_scope(scope) == b.in_scope(scope);
+    let first = prints(1, "/look/a?n=1");
+    for (other, exact, caller, content) in [
+        (prints(1, "/look/a?n=1"), true, true, true),
+        (prints(1, "/look/a?n=2"), false, true, true),
+        (prints(2, "/look/a?n=1"), false, false, true),
+        (prints(1, "/look/b?n=1"), false, false, false),
+    ] {
+        assert_eq!(same(&first, &other, Scope::Exact), exact);
+        assert_eq!(same(&first, &other, Scope::Caller), caller);
+        assert_eq!(same(&first, &other, Scope::Content), content);
+    }
+    let address = std::net::Ipv4Addr::LOCALHOST.into();
+    let of = |method: &str, body: &[u8]| Fingerprints::of(address, "h", method, "/a", body);
+    for (other, what) in [(of("POST", b"2"), "body"), (of("PUT", b"1"), "method")] {
+        assert!(!same(&of("POST", b"1"), &other, Scope::Content), "{what}");
+    }
+}
