Pages of requests that crash servers; a test of an outage in which everything crashes, red

Found by reading: where all servers crash on whatever they are asked, each request that comes often is convicted, and refused for ten minutes after the outage is over. Red: 15 s are allowed.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -72,6 +72,7 @@
         let mut tried = Tried::default();
         loop {
             if let Some(denial) = self.board.quarantine.denial(&request.fingerprints) {
+                self.board.counters.add(Counter::Denied);
                 return tried.denied(request, denial).into();
             }
             let grant = match self.acquire(request, &tried).await {
@@ -164,7 +165,10 @@
                 }
                 Some(tried.not_run(Code::ConnectFailed, REFUSED_RETRY_MS).into())
             }
-            SendResult::Denied(denial) => Some(tried.denied(request, denial).into()),
+            SendResult::Denied(denial) => {
+                self.board.counters.add(Counter::Denied);
+                Some(tried.denied(request, denial).into())
+            }
             SendResult::TimedOut => Some(OwnReply::unknown(Code::DeadlineAfterDispatch).into()),
             SendResult::Lost(_) | SendResult::Unproved { .. } => {
                 tried.may_have_run = true;
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -165,6 +165,7 @@
         loop {
             attempts += 1;
             if let Some(denial) = self.board.quarantine.denial(&proxy_request.fingerprints) {
+                self.board.counters.add(Counter::Denied);
                 return denied(proxy_request, denial).after(may_have_run);
             }
             let answer = match self.place(state, proxy_request, &avoid).await {
@@ -310,7 +311,10 @@
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
         let trial = match self.board.quarantine.admit(&proxy_request.fingerprints) {
             Ok(trial) => Arc::new(trial),
-            Err(denial) => return denied(proxy_request, denial),
+            Err(denial) => {
+                self.board.counters.add(Counter::Denied);
+                return denied(proxy_request, denial);
+            }
         };
         let upstream = Arc::clone(&slot.upstream);
         let Attempted { answer, leaving } =
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -26,6 +26,8 @@
 const DOWN: Duration = Duration::from_millis(300);
 const PAUSE: Duration = Duration::from_millis(25);
 const WAIT: Duration = Duration::from_secs(10);
+/// After an outage of a whole service, what it may still be refused for.
+const OUTAGE_GRACE: Duration = Duration::from_secs(15);
 const POISON: &str = "poison";
 
 /// Three instances and a dozen servers of one service, each crashed by the same request.
@@ -223,6 +225,37 @@
     }
 }
 
+/// Story: a bad release crashes on whatever it is asked, for some seconds; all shops go on asking for the
+/// front page. It is mended, and nobody gets that page for ten minutes: in the outage it had crashed one
+/// server after the other, and nothing told that everything else had, too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_page_is_served_soon_after_an_outage_in_which_everything_crashed() {
+    let mut scene = Scene::start("parts", false).await;
+    let crash = |head_part: &str| CrashRule {
+        head_part: head_part.into(),
+        down: Duration::from_millis(50),
+        midway: false,
+    };
+    scene.servers.iter().for_each(|server| server.crash_on(crash("GET /look")));
+    let until = Instant::now() + CONTACT;
+    let mut number = 0_u8;
+    while Instant::now() < until {
+        number = number.wrapping_add(1);
+        let (from, at) = (Ipv4Addr::new(127, 0, 0, 10 + number % 3), usize::from(number) % 3);
+        let id = format!("outage-{number}");
+        scene.bed.call_from(from, at, "GET /look/front-page", &id, ("accept", "*/*")).await;
+    }
+    assert!(scene.crashes().len() > CRASHES_TO_CONVICT, "there was no outage");
+    scene.servers.iter().for_each(|server| server.crash_on(crash("nothing")));
+    let mended = Instant::now();
+    for at in 0..ZONES.len() {
+        while scene.call(at, "GET /look/front-page", b"").await.status != 200 {
+            assert!(mended.elapsed() < OUTAGE_GRACE, "instance {at} refuses the page");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
 /// Story: an instance is replaced after a request was found to crash servers. Its callers repeat the
 /// request there, and the newcomer knows nothing of it.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -77,7 +77,9 @@
 #[test]
 fn a_conviction_ends_with_one_trial_and_each_further_one_holds_longer() {
     let mut suspect = suspect(Scope::Exact);
-    (0..3).for_each(|level| drop(suspect.crashed(u32::from(level), 0, level, 0)));
+    for level in 0..3 {
+        suspect.crashed(u32::from(level), 0, level, 0);
+    }
     assert!(held(&suspect, 10 * MINUTE_US - 1));
     let trial_us = 10 * MINUTE_US;
     assert_eq!(suspect.standing(trial_us), Standing::Watched, "sent once at a time");
@@ -135,7 +137,9 @@
             let turned = u.choose_index(all.len())?;
             all.rotate_left(turned);
             for own in &mut instances {
-                all.iter().for_each(|word| drop(own.merge(word, 0)));
+                for word in &all {
+                    own.merge(word, 0);
+                }
             }
         }
         let rows: Vec<SuspectRow> = instances.iter().map(|own| row(own, 0)).collect();
