In an outage in which everything crashes, requests are paused and not convicted

Cause: where all servers of a service crash on whatever they are asked, each request that comes often gathered crashes, and was refused for ten minutes after the outage. Change: a crash convicts only where other requests of the service were answered since the first one; else the request is paused, until something else is answered, at most for 4 s, then 12, 36 and so on, since on servers that nobody else asks nothing else can be answered. Any instance that knows of the crashes and of the answers convicts.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -250,7 +250,7 @@
         // Bounded, so that a request is sent at last even if all servers look worse each time.
         let health_path = (tried.unfit < UNFIT_MAX).then(|| request.health_path.clone()).flatten();
         async move {
-            let trial = match self.board.quarantine.admit(&request.fingerprints) {
+            let trial = match self.board.quarantine.admit(&request.fingerprints, &request.service) {
                 Ok(trial) => Arc::new(trial),
                 Err(denial) => return SendResult::Denied(denial),
             };
--- a/src/quarantine/fingerprint.rs
+++ b/src/quarantine/fingerprint.rs
@@ -64,6 +64,11 @@
     hash.digest128()
 }
 
+/// Hash of one part, as far as it tells a few thousand apart.
+pub(super) fn low_hash(part: &[u8]) -> u32 {
+    low(hash(&[part]))
+}
+
 /// The low part of a hash.
 #[expect(clippy::cast_possible_truncation, reason = "a quarter of a hash")]
 const fn low(hash: u128) -> u32 {
@@ -83,7 +88,7 @@
             exact: hash(&[caller.as_bytes(), scope.as_bytes(), method, target.as_bytes(), &body]),
             caller: hash(&[caller.as_bytes(), method, path, &body]),
             content: hash(&content),
-            caller_address: low(hash(&[caller.as_bytes()])),
+            caller_address: low_hash(caller.as_bytes()),
         }
     }
 
--- a/src/quarantine/suspect.rs
+++ b/src/quarantine/suspect.rs
@@ -32,6 +32,14 @@
 const HOLD_FACTOR: u32 = 6;
 /// Convictions after which the hold grows no more; it is three months then.
 const HOLD_GROWTHS_MAX: u16 = 6;
+/// Where nothing else is answered either, a request that would be convicted is only paused, until
+/// something is; the first time for so long at most, longer than all instances take to hear of it.
+const PAUSE: Duration = Duration::from_secs(4);
+/// Each further pause lasts so many times as long: where nothing else is asked, so that nothing can be
+/// answered, a request that crashes servers ends three more of them in a minute.
+const PAUSE_FACTOR: u32 = 3;
+/// Pauses after which they grow no more; one is as long as a conviction then.
+const PAUSE_GROWTHS_MAX: u32 = 4;
 /// A crash is forgotten after this, unless another follows.
 const CRASH_LIFE: Duration = Duration::from_mins(10);
 
@@ -59,6 +67,9 @@
     pardons: u16,
     /// Of the last crash that counted, or conviction.
     news_us: u64,
+    /// Known to this instance only, as the two are guesses of the moment.
+    paused_until_us: u64,
+    pauses: u32,
 }
 
 impl Suspect {
@@ -66,7 +77,16 @@
     #[must_use]
     pub fn new(scope: Scope, news_us: u64) -> Self {
         let crashes = Crashes::new();
-        Self { scope, crashes, settled_level: 0, convictions: 0, pardons: 0, news_us }
+        Self {
+            scope,
+            crashes,
+            settled_level: 0,
+            convictions: 0,
+            pardons: 0,
+            news_us,
+            paused_until_us: 0,
+            pauses: 0,
+        }
     }
 
     /// The highest level of a crash known so far.
@@ -84,6 +104,12 @@
         FIRST_HOLD * HOLD_FACTOR.pow(u32::from(growths))
     }
 
+    /// For how long a conviction still holds; nothing where there is none.
+    fn hold_left(&self, now_us: u64) -> Duration {
+        let hold = if self.convicted() { self.hold() } else { Duration::ZERO };
+        hold.saturating_sub(self.age(now_us))
+    }
+
     fn age(&self, now_us: u64) -> Duration {
         Duration::from_micros(now_us.saturating_sub(self.news_us))
     }
@@ -91,9 +117,13 @@
     /// What may be done with it now.
     #[must_use]
     pub fn standing(&self, now_us: u64) -> Standing {
+        let pause = Duration::from_micros(self.paused_until_us.saturating_sub(now_us));
+        let left = self.hold_left(now_us).max(pause);
+        if !left.is_zero() {
+            return Standing::Held { left };
+        }
         if self.convicted() {
-            let left = self.hold().saturating_sub(self.age(now_us));
-            return if left.is_zero() { Standing::Watched } else { Standing::Held { left } };
+            return Standing::Watched;
         }
         let watched = match self.scope {
             Scope::Exact => self.crashes.len() >= CRASHES_TO_WATCH,
@@ -123,39 +153,43 @@
         self.age(now_us) >= life
     }
 
-    /// A server ended under it, which was sent when crashes up to `known_level` were known. Tells
-    /// whether that convicts it.
-    pub fn crashed(&mut self, server: u32, variant: u32, known_level: u16, now_us: u64) -> bool {
-        match self.standing(now_us) {
+    /// A server ended under it. `others_served` tells whether other requests of its service were
+    /// answered since it became suspect: where they were not, all of them crash servers, and this one
+    /// is no more to blame than the rest. Tells whether the crash convicts it.
+    pub fn crashed(&mut self, crash: Crash, others_served: bool, now_us: u64) -> bool {
+        if !self.hold_left(now_us).is_zero() {
             // It was sent before the conviction.
-            Standing::Held { .. } => return false,
-            Standing::Watched if self.convicted() => {
-                self.convict(now_us);
-                return true;
-            }
-            _ => {}
+            return false;
+        }
+        if self.convicted() {
+            return self.convict_or_pause(others_served, now_us);
         }
-        let crash = Crash { level: known_level.saturating_add(1), server, variant };
         if self.add(crash) {
             self.news_us = now_us;
         }
-        self.judge(now_us)
+        self.judge(others_served, now_us)
     }
 
     /// A server answered it, which was sent when crashes up to `known_level` were known: those were
     /// not its doing. Tells whether that changed anything.
     pub fn answered(&mut self, known_level: u16, now_us: u64) -> bool {
-        match self.standing(now_us) {
+        if !self.hold_left(now_us).is_zero() {
             // A word from before the conviction.
-            Standing::Held { .. } => return false,
-            Standing::Watched | Standing::Clear => {}
+            return false;
         }
         let before = (self.settled_level, self.pardons);
         self.pardons = self.convictions;
         self.settle(known_level);
+        self.pauses = 0;
+        self.paused_until_us = 0;
         before != (self.settled_level, self.pardons)
     }
 
+    /// Other requests of its service are answered: it need not pause any longer, and is tried.
+    pub const fn others_are_served(&mut self) {
+        self.paused_until_us = 0;
+    }
+
     fn settle(&mut self, level: u16) {
         self.settled_level = self.settled_level.max(level);
         let settled_level = self.settled_level;
@@ -175,9 +209,8 @@
     }
 
     /// Convicts it if its crashes suffice; of those that do not, only as many are kept as may.
-    fn judge(&mut self, now_us: u64) -> bool {
-        if self.spread(CRASHES_TO_CONVICT) {
-            self.convict(now_us);
+    fn judge(&mut self, others_served: bool, now_us: u64) -> bool {
+        if self.spread(CRASHES_TO_CONVICT) && self.convict_or_pause(others_served, now_us) {
             return true;
         }
         let surplus = self.crashes.len().saturating_sub(CRASHES_KEPT);
@@ -185,37 +218,34 @@
         false
     }
 
-    fn convict(&mut self, now_us: u64) {
-        self.convictions = self.convictions.saturating_add(1);
-        self.news_us = now_us;
-        self.settle(self.level());
+    fn convict_or_pause(&mut self, others_served: bool, now_us: u64) -> bool {
+        if others_served {
+            self.convictions = self.convictions.saturating_add(1);
+            self.news_us = now_us;
+            self.settle(self.level());
+            return true;
+        }
+        let pause = PAUSE * PAUSE_FACTOR.pow(self.pauses.min(PAUSE_GROWTHS_MAX));
+        self.pauses = self.pauses.saturating_add(1);
+        self.paused_until_us = now_us + u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
+        false
     }
 
-    /// Takes in what another instance knows; tells whether that changed what is known here.
-    pub fn merge(&mut self, row: &SuspectRow, now_us: u64) -> bool {
-        let before = self.clone();
+    /// Takes in what another instance knows; tells whether that convicts it here. One instance may
+    /// know of the crashes, and another of what was served meanwhile.
+    pub fn merge(&mut self, row: &SuspectRow, others_served: bool, now_us: u64) -> bool {
         self.convictions = self.convictions.max(row.convictions);
         self.pardons = self.pardons.max(row.pardons);
         self.settle(row.settled_level);
+        let mut new = false;
         for crash in &row.crashes {
-            self.add(*crash);
+            new |= self.add(*crash);
         }
+        self.news_us = self.news_us.max(row.news_us(now_us));
         if self.convicted() {
             self.settle(self.level());
         }
-        let judged = self.judge(now_us);
-        let changed = judged || !self.believes_same(&before);
-        if !judged {
-            self.news_us = self.news_us.max(row.news_us(now_us));
-        }
-        changed
-    }
-
-    fn believes_same(&self, other: &Self) -> bool {
-        let Self { crashes, settled_level, convictions, pardons, .. } = self;
-        *crashes == other.crashes
-            && (*settled_level, *convictions, *pardons)
-                == (other.settled_level, other.convictions, other.pardons)
+        new && self.judge(others_served, now_us)
     }
 
     /// As it is told to other instances.
@@ -223,6 +253,7 @@
     pub fn row(&self, fingerprint: Fingerprint, now_us: u64) -> SuspectRow {
         SuspectRow {
             fingerprint,
+            service: 0,
             crashes: self.crashes.clone(),
             settled_level: self.settled_level,
             convictions: self.convictions,
--- a/src/quarantine/suspect_row.rs
+++ b/src/quarantine/suspect_row.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRow {
     pub fingerprint: Fingerprint,
+    /// Hash of the name of the service that it was sent to last.
+    pub service: u32,
     pub crashes: Crashes,
     /// Crashes up to this level count no more: the request was answered since, or convicted.
     pub settled_level: u16,
--- a/src/quarantine/table.rs
+++ b/src/quarantine/table.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+use super::Crash;
 use super::Denial;
 use super::Fingerprint;
 use super::Fingerprints;
@@ -20,6 +21,7 @@
 use super::Suspect;
 use super::SuspectRow;
 use super::Trial;
+use super::fingerprint::low_hash;
 use super::trial::Known;
 use crate::clock::now_us;
 
@@ -33,9 +35,17 @@
     suspect: Suspect,
     /// Sends of this instance that are under way.
     trials: u32,
+    /// Since when this instance knows of it.
+    since_us: u64,
+    /// Hash of the name of its service.
+    service: u32,
 }
 
 impl Entry {
+    fn row(&self, fingerprint: Fingerprint, now_us: u64) -> SuspectRow {
+        SuspectRow { service: self.service, ..self.suspect.row(fingerprint, now_us) }
+    }
+
     fn denial(&self, now_us: u64) -> Option<Denial> {
         match self.suspect.standing(now_us) {
             Standing::Held { left } => Some(Denial::Quarantined { left }),
@@ -52,6 +62,9 @@
     news: HashSet<Fingerprint>,
     /// Those that were convicted here, to be kept in the platform's store.
     convicted: Vec<Fingerprint>,
+    /// When each service answered a request of this instance last, by its hash; only while there is
+    /// a suspect.
+    answered_us: HashMap<u32, u64>,
 }
 
 impl State {
@@ -59,7 +72,7 @@
     fn make_room(&mut self, now_us: u64) {
         self.entries.retain(|_, entry| entry.trials > 0 || !entry.suspect.expired(now_us));
         while self.entries.len() >= SUSPECTS_MAX {
-            let rows = self.entries.iter().map(|(key, entry)| entry.suspect.row(*key, now_us));
+            let rows = self.entries.iter().map(|(key, entry)| entry.row(*key, now_us));
             let least = rows.min_by_key(|row| (row.convictions, row.level(), Reverse(row.age_ms)));
             let Some(least) = least else {
                 return;
@@ -73,7 +86,12 @@
         if !self.entries.contains_key(&fingerprint) {
             self.make_room(now_us);
         }
-        let new = || Entry { suspect: Suspect::new(fingerprint.scope, news_us), trials: 0 };
+        let new = || Entry {
+            suspect: Suspect::new(fingerprint.scope, news_us),
+            trials: 0,
+            since_us: now_us,
+            service: 0,
+        };
         self.entries.entry(fingerprint).or_insert_with(new)
     }
 
@@ -89,8 +107,12 @@
         for (scope, known) in Scope::ALL.into_iter().zip(trial.known) {
             let fingerprint = trial.fingerprints.in_scope(scope);
             let variant = trial.fingerprints.variant_in(scope);
-            let suspect = &mut self.entry(fingerprint, now_us, now_us).suspect;
-            if suspect.crashed(server, variant, known.level, now_us) {
+            let crash = Crash { level: known.level.saturating_add(1), server, variant };
+            let answered_us = self.answered_us.get(&trial.service).copied();
+            let entry = self.entry(fingerprint, now_us, now_us);
+            let others_served = answered_us.is_some_and(|at| at > entry.since_us);
+            entry.service = trial.service;
+            if entry.suspect.crashed(crash, others_served, now_us) {
                 convicted.push(fingerprint);
             }
             self.news.insert(fingerprint);
@@ -101,6 +123,10 @@
 
     /// Takes note of an answer; tells whether it changed anything.
     fn answered(&mut self, trial: &Trial, now_us: u64) -> bool {
+        self.answered_us.insert(trial.service, now_us);
+        for entry in self.entries.values_mut().filter(|entry| entry.service == trial.service) {
+            entry.suspect.others_are_served();
+        }
         let mut changed = false;
         for (scope, known) in Scope::ALL.into_iter().zip(trial.known) {
             let fingerprint = trial.fingerprints.in_scope(scope);
@@ -117,13 +143,21 @@
     /// over is not taken in again, or instances would remind each other of it for ever.
     fn merge(&mut self, row: &SuspectRow, now_us: u64) -> bool {
         let held = |suspect: &Suspect| matches!(suspect.standing(now_us), Standing::Held { .. });
-        let suspect = &mut self.entry(row.fingerprint, row.news_us(now_us), now_us).suspect;
+        let answered_us = self.answered_us.get(&row.service).copied();
+        let entry = self.entry(row.fingerprint, row.news_us(now_us), now_us);
+        let others_served = answered_us.is_some_and(|at| at > entry.since_us);
+        entry.service = row.service;
+        let suspect = &mut entry.suspect;
         let was_held = held(suspect);
-        suspect.merge(row, now_us);
+        let convicted = suspect.merge(row, others_served, now_us);
         let is_held = held(suspect);
         if suspect.expired(now_us) {
             self.entries.remove(&row.fingerprint);
         }
+        if convicted {
+            self.news.insert(row.fingerprint);
+            self.convicted.push(row.fingerprint);
+        }
         is_held && !was_held
     }
 }
@@ -169,9 +203,10 @@
     ///
     /// # Errors
     /// Why it may not be sent now.
-    pub fn admit(&self, fingerprints: &Fingerprints) -> Result<Trial, Denial> {
+    pub fn admit(&self, fingerprints: &Fingerprints, service: &str) -> Result<Trial, Denial> {
         let known = if self.empty() { Default::default() } else { self.count_trial(fingerprints)? };
-        Ok(Trial { quarantine: self.clone(), fingerprints: *fingerprints, known })
+        let service = low_hash(service.as_bytes());
+        Ok(Trial { quarantine: self.clone(), fingerprints: *fingerprints, service, known })
     }
 
     fn count_trial(&self, fingerprints: &Fingerprints) -> Result<[Known; 3], Denial> {
@@ -235,9 +270,13 @@
             let held = refused.map(|row| row.fingerprint).collect();
             let told: HashMap<Fingerprint, u64> =
                 rows.iter().map(|row| (row.fingerprint, row.hash())).collect();
-            let own = state.entries.iter().map(|(key, entry)| entry.suspect.row(*key, now_us));
+            let own = state.entries.iter().map(|(key, entry)| entry.row(*key, now_us));
             (held, own.filter(|row| told.get(&row.fingerprint) != Some(&row.hash())).collect())
         });
+        if !held.is_empty() {
+            self.0.changed.notify_one();
+            self.0.convicted.notify_one();
+        }
         for fingerprint in held {
             note_quarantined(fingerprint, "told");
         }
@@ -253,7 +292,7 @@
         let now_us = now_us();
         self.with(|state| {
             state.entries.retain(|_, entry| entry.trials > 0 || !entry.suspect.expired(now_us));
-            state.entries.iter().map(|(key, entry)| entry.suspect.row(*key, now_us)).collect()
+            state.entries.iter().map(|(key, entry)| entry.row(*key, now_us)).collect()
         })
     }
 
@@ -279,9 +318,9 @@
         let now_us = now_us();
         self.with(|state| {
             let news = std::mem::take(&mut state.news);
-            let known = news.into_iter().filter_map(|key| {
-                state.entries.get(&key).map(|entry| entry.suspect.row(key, now_us))
-            });
+            let known = news
+                .into_iter()
+                .filter_map(|key| state.entries.get(&key).map(|entry| entry.row(key, now_us)));
             known.collect()
         })
     }
@@ -293,9 +332,9 @@
             let now_us = now_us();
             let rows: Vec<SuspectRow> = self.with(|state| {
                 let convicted = std::mem::take(&mut state.convicted);
-                let known = convicted.into_iter().filter_map(|key| {
-                    state.entries.get(&key).map(|entry| entry.suspect.row(key, now_us))
-                });
+                let known = convicted
+                    .into_iter()
+                    .filter_map(|key| state.entries.get(&key).map(|entry| entry.row(key, now_us)));
                 known.collect()
             });
             if !rows.is_empty() {
--- a/src/quarantine/trial.rs
+++ b/src/quarantine/trial.rs
@@ -18,6 +18,8 @@
 pub struct Trial {
     pub(super) quarantine: Quarantine,
     pub(super) fingerprints: Fingerprints,
+    /// Hash of the name of its service.
+    pub(super) service: u32,
     /// In the order of [`Scope::ALL`].
     pub(super) known: [Known; Scope::ALL.len()],
 }
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -309,7 +309,11 @@
     ) -> Answer {
         self.board.counters.add(Counter::Attempts);
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
-        let trial = match self.board.quarantine.admit(&proxy_request.fingerprints) {
+        let trial = match self
+            .board
+            .quarantine
+            .admit(&proxy_request.fingerprints, &proxy_request.service)
+        {
             Ok(trial) => Arc::new(trial),
             Err(denial) => {
                 self.board.counters.add(Counter::Denied);
