Silent servers that answer others are not looked for; words of suspects answered in their own size

Change: after a timeout a server that told its load since is taken to live. A word of a crash is answered with what differs of it, and only an exchange of all with all. One place each for the caller's address, for denials and for stand-ins that come back.

--- a/src/app/gateway_peers.rs
+++ b/src/app/gateway_peers.rs
@@ -63,7 +63,9 @@
                 self.dispatcher.hear_loads(&loads);
                 PeerReply::Done
             }
-            PeerRequest::Suspects(rows) => PeerReply::Suspects(self.board.quarantine.merge(&rows)),
+            PeerRequest::Suspects { rows, all } => {
+                PeerReply::Suspects(self.board.quarantine.answer(&rows, all))
+            }
             PeerRequest::Feed { feed, after, hold_ms } => {
                 let hold = Duration::from_millis(hold_ms).min(HOLD_MAX);
                 let (reply, age_ms) = match feed {
--- a/src/app/peer_answers.rs
+++ b/src/app/peer_answers.rs
@@ -109,7 +109,9 @@
             PeerRequest::Grant(asked) => {
                 PeerReply::Granted(grant(board, &self.shard, &self.buckets, &asked))
             }
-            PeerRequest::Suspects(rows) => PeerReply::Suspects(board.quarantine.merge(&rows)),
+            PeerRequest::Suspects { rows, all } => {
+                PeerReply::Suspects(board.quarantine.answer(&rows, all))
+            }
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
             // Only instances that serve by routes tell these.
             PeerRequest::ServerLoads(_) | PeerRequest::Feed { .. } => {
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -1,7 +1,5 @@
 //! Requests of callers: read, routed, forwarded, answered.
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -178,8 +176,7 @@
 }
 
 fn fingerprints(parts: &http::request::Parts, body: &[u8]) -> Fingerprints {
-    let unknown = CallerAddress(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
-    let CallerAddress(caller) = parts.extensions.get().copied().unwrap_or(unknown);
+    let caller = CallerAddress::of(parts);
     Fingerprints::of(caller, host(parts), parts.method.as_str(), target(parts), body)
 }
 
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -264,6 +264,13 @@
         self.with_track(server, |track| track.pace_age_us(now_us()).is_some()).unwrap_or(false)
     }
 
+    /// Whether a server told its load after `since_us`.
+    #[must_use]
+    pub fn heard_since(&self, server: &Server, since_us: u64) -> bool {
+        let age_us = self.with_track(server, |track| track.pace_age_us(now_us())).flatten();
+        age_us.is_some_and(|age_us| now_us().saturating_sub(age_us) > since_us)
+    }
+
     /// Takes note that a server did not answer a health check.
     pub fn unheard(&self, server: &Server) {
         self.with_track(server, |track| track.unheard(now_us()));
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -72,8 +72,7 @@
         let mut tried = Tried::default();
         loop {
             if let Some(denial) = self.board.quarantine.denial(&request.fingerprints) {
-                self.board.counters.add(Counter::Denied);
-                return tried.denied(request, denial).into();
+                return self.denied(request, &tried, denial).into();
             }
             let grant = match self.acquire(request, &tried).await {
                 Ok(grant) => grant,
@@ -126,6 +125,20 @@
         enough && self.dispatcher.spend_repeat(&request.service, request.repeat_need())
     }
 
+    /// The answer to a request that is not sent on, since it may crash servers.
+    fn denied(&self, request: &ForwardRequest, tried: &Tried, denial: Denial) -> OwnReply {
+        self.board.counters.add(Counter::Denied);
+        let [exact, by_caller, content] = request.fingerprints.names();
+        info!(
+            event = "request-denied", id = request.id_text(), content = content.as_str(),
+            exact = exact.as_str(), by_caller = by_caller.as_str(),
+            code = denial.code().number(), retry_after_ms = denial.retry_after_ms(),
+            sends = tried.sends, may_have_run = tried.may_have_run;
+            "not sent on, since it may crash servers"
+        );
+        tried.not_run(denial.code(), denial.retry_after_ms())
+    }
+
     /// The final answer, or `None` when the request is to be sent again.
     fn judge(
         &self,
@@ -165,10 +178,7 @@
                 }
                 Some(tried.not_run(Code::ConnectFailed, REFUSED_RETRY_MS).into())
             }
-            SendResult::Denied(denial) => {
-                self.board.counters.add(Counter::Denied);
-                Some(tried.denied(request, denial).into())
-            }
+            SendResult::Denied(denial) => Some(self.denied(request, tried, denial).into()),
             SendResult::TimedOut => Some(OwnReply::unknown(Code::DeadlineAfterDispatch).into()),
             SendResult::Lost(_) | SendResult::Unproved { .. } => {
                 tried.may_have_run = true;
@@ -277,7 +287,11 @@
                 // Another server has the address now; nothing more may be sent there.
                 self.dispatcher.displaced(&server);
             }
-            if result.without_answer() {
+            // A full server that is silent to one request and answers others has not ended; asked
+            // for a connection, it would only have more to do.
+            let lives = matches!(result, SendResult::TimedOut)
+                && self.dispatcher.heard_since(&server, started_us);
+            if result.without_answer() && !lives {
                 let looked = request.unanswered(&server).look(trial);
                 let goes_on = request.route.idempotent() && request.left_ms() > 0;
                 if goes_on {
@@ -291,18 +305,6 @@
 }
 
 impl Tried {
-    /// The answer to a request that is not sent on since it may crash servers.
-    fn denied(&self, request: &ForwardRequest, denial: Denial) -> OwnReply {
-        let [exact, by_caller, content] = request.fingerprints.names();
-        info!(
-            event = "request-denied", id = request.id_text(), content = content.as_str(), exact = exact.as_str(), by_caller = by_caller.as_str(),
-            code = denial.code().number(), retry_after_ms = denial.retry_after_ms(),
-            sends = self.sends, may_have_run = self.may_have_run;
-            "not sent on, since it may crash servers"
-        );
-        self.not_run(denial.code(), denial.retry_after_ms())
-    }
-
     /// A refusal, unless an earlier send may have run: that a later one did not run does not undo
     /// the earlier one.
     fn not_run(&self, code: Code, retry_after_ms: u64) -> OwnReply {
--- a/src/gateway/suspect_keeper.rs
+++ b/src/gateway/suspect_keeper.rs
@@ -76,7 +76,7 @@
         loop {
             match self.read_once().await {
                 Ok(rows) => {
-                    let _ = self.board.quarantine.merge(&rows);
+                    self.board.quarantine.merge(&rows);
                     info!(event = "suspects-read", rows = rows.len(); "from the store");
                     return;
                 }
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use http::Request;
 use http::Response;
+use http::request::Parts;
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -42,6 +44,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerAddress(pub IpAddr);
 
+impl CallerAddress {
+    /// Of a request that a listener handed on; unspecified for any other.
+    #[must_use]
+    pub fn of(parts: &Parts) -> IpAddr {
+        let known = parts.extensions.get::<Self>();
+        known.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0)
+    }
+}
+
 /// Limits of a caller's connection.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnLimits {
--- a/src/member/announce.rs
+++ b/src/member/announce.rs
@@ -17,10 +17,10 @@
 /// The first instances of each zone that are told in a larger fleet: as many as may be homes.
 const ANNOUNCED_FIRST: usize = 8;
 
-/// Whom to tell of what cannot wait for rounds of pings: everybody in a small fleet. In a large one, a thousand
-/// connections for each instance that stops would be a square over a rolling restart, so only those
-/// that are pinged, the first ones of each zone, which others ask, and for an instance that callers
-/// may be told of, its own zone.
+/// Whom to tell of what cannot wait for rounds of pings: everybody in a small fleet. In a large one,
+/// a thousand connections for each instance that stops would be a square over a rolling restart, so
+/// only those that are pinged, the first ones of each zone, which others ask, and for an instance
+/// that callers may be told of, its own zone.
 pub fn told_at_once(board: &Blackboard) -> BTreeSet<SocketAddr> {
     let view = board.members_view();
     let (own, zone) = (board.incarnation, &board.settings.instance.zone);
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -98,8 +98,12 @@
         after: Option<u64>,
         hold_ms: u64,
     },
-    /// Requests under which servers ended; the other answers with what it knows otherwise.
-    Suspects(Vec<SuspectRow>),
+    /// Requests under which servers ended; the other answers with those of them that it knows
+    /// otherwise, and where these are `all` that the sender knows, with any others too.
+    Suspects {
+        rows: Vec<SuspectRow>,
+        all: bool,
+    },
     /// Outcomes of an instance that stops; the receiver answers for its keys from now on.
     HandOver {
         part: OwnerSnapshot,
--- a/src/quarantine/share.rs
+++ b/src/quarantine/share.rs
@@ -23,7 +23,7 @@
         let news = board.quarantine.news().await;
         for peer in told_at_once(&board) {
             let (board, links, news) = (Arc::clone(&board), links.clone(), news.clone());
-            tokio::spawn(async move { tell(&board, &links, peer, news).await });
+            tokio::spawn(async move { tell(&board, &links, peer, news, false).await });
         }
         tokio::time::sleep(PAUSE).await;
     }
@@ -34,15 +34,16 @@
     links: &L,
     peer: SocketAddr,
     rows: Vec<SuspectRow>,
+    all: bool,
 ) {
-    let request = PeerRequest::Suspects(rows);
+    let request = PeerRequest::Suspects { rows, all };
     // Lost, it is found by the digests that pings carry.
     if let Ok(PeerReply::Suspects(known)) = links.call(peer, &request, CALL_TIMEOUT).await {
-        let _ = board.quarantine.merge(&known);
+        board.quarantine.merge(&known);
     }
 }
 
 /// Tells another instance all that is known here, and learns what it knows.
 pub async fn exchange_suspects<L: PeerCalls>(board: &Blackboard, links: &L, peer: SocketAddr) {
-    tell(board, links, peer, board.quarantine.rows()).await;
+    tell(board, links, peer, board.quarantine.rows(), true).await;
 }
--- a/src/quarantine/table.rs
+++ b/src/quarantine/table.rs
@@ -261,17 +261,12 @@
         }
     }
 
-    /// Takes in what another instance knows; returns what is known otherwise here.
-    #[must_use]
-    pub fn merge(&self, rows: &[SuspectRow]) -> Vec<SuspectRow> {
+    /// Takes in what another instance knows.
+    pub fn merge(&self, rows: &[SuspectRow]) {
         let now_us = now_us();
-        let (held, known): (Vec<Fingerprint>, Vec<SuspectRow>) = self.with(|state| {
+        let held: Vec<Fingerprint> = self.with(|state| {
             let refused = rows.iter().filter(|row| state.merge(row, now_us));
-            let held = refused.map(|row| row.fingerprint).collect();
-            let told: HashMap<Fingerprint, u64> =
-                rows.iter().map(|row| (row.fingerprint, row.hash())).collect();
-            let own = state.entries.iter().map(|(key, entry)| entry.row(*key, now_us));
-            (held, own.filter(|row| told.get(&row.fingerprint) != Some(&row.hash())).collect())
+            refused.map(|row| row.fingerprint).collect()
         });
         if !held.is_empty() {
             self.0.changed.notify_one();
@@ -280,7 +275,20 @@
         for fingerprint in held {
             note_quarantined(fingerprint, "told");
         }
-        known
+    }
+
+    /// Takes in what another instance knows; returns what is known otherwise here, of these or, where
+    /// they are `all` that it knows, at all.
+    #[must_use]
+    pub fn answer(&self, rows: &[SuspectRow], all: bool) -> Vec<SuspectRow> {
+        self.merge(rows);
+        let told: HashMap<Fingerprint, u64> =
+            rows.iter().map(|row| (row.fingerprint, row.hash())).collect();
+        let differs = |row: &SuspectRow| match told.get(&row.fingerprint) {
+            Some(hash) => *hash != row.hash(),
+            None => all,
+        };
+        self.rows().into_iter().filter(differs).collect()
     }
 
     /// All that is known.
--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -1,7 +1,5 @@
 //! The callers' listener: requests, and the answer to "which address".
 
-use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -159,8 +157,7 @@
         Err(_) => return Err(Answer::refused(Code::BodyIncomplete, keyed)),
     };
     let target = parts.uri.path_and_query().map_or("/", http::uri::PathAndQuery::as_str);
-    let unknown = CallerAddress(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
-    let CallerAddress(caller) = parts.extensions.get().copied().unwrap_or(unknown);
+    let caller = CallerAddress::of(&parts);
     let method = parts.method.as_str();
     Ok(ProxyRequest {
         fingerprints: Fingerprints::of(caller, &service, method, target, &body),
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -52,17 +52,6 @@
     answer.outcome != Outcome::Ran || failure(answer.status)
 }
 
-/// The answer to a request that is not sent on, since it may crash servers.
-fn denied(proxy_request: &ProxyRequest, denial: Denial) -> Answer {
-    let [exact, by_caller, content] = proxy_request.fingerprints.names();
-    info!(
-        event = "request-denied", id = proxy_request.id().as_ref(), content = content.as_str(), exact = exact.as_str(), by_caller = by_caller.as_str(),
-        code = denial.code().number(), retry_after_ms = denial.retry_after_ms();
-        "not sent on, since it may crash servers"
-    );
-    Answer::not_run(denial.code(), denial.retry_after_ms())
-}
-
 fn refusal(admission: Admission) -> Answer {
     match admission {
         Admission::NoServer { retry_after_ms } => Answer::not_run(Code::NoServer, retry_after_ms),
@@ -165,8 +154,7 @@
         loop {
             attempts += 1;
             if let Some(denial) = self.board.quarantine.denial(&proxy_request.fingerprints) {
-                self.board.counters.add(Counter::Denied);
-                return denied(proxy_request, denial).after(may_have_run);
+                return self.denied(proxy_request, denial).after(may_have_run);
             }
             let answer = match self.place(state, proxy_request, &avoid).await {
                 Place::Nowhere(answer) => return answer.after(may_have_run),
@@ -301,6 +289,19 @@
         }
     }
 
+    /// The answer to a request that is not sent on, since it may crash servers.
+    fn denied(&self, proxy_request: &ProxyRequest, denial: Denial) -> Answer {
+        self.board.counters.add(Counter::Denied);
+        let [exact, by_caller, content] = proxy_request.fingerprints.names();
+        info!(
+            event = "request-denied", id = proxy_request.id().as_ref(),
+            content = content.as_str(), exact = exact.as_str(), by_caller = by_caller.as_str(),
+            code = denial.code().number(), retry_after_ms = denial.retry_after_ms();
+            "not sent on, since it may crash servers"
+        );
+        Answer::not_run(denial.code(), denial.retry_after_ms())
+    }
+
     async fn attempt_once(
         &self,
         state: &ServiceState,
@@ -316,8 +317,7 @@
         {
             Ok(trial) => Arc::new(trial),
             Err(denial) => {
-                self.board.counters.add(Counter::Denied);
-                return denied(proxy_request, denial);
+                return self.denied(proxy_request, denial);
             }
         };
         let upstream = Arc::clone(&slot.upstream);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod caller;
 pub mod load;
 pub mod platform;
+mod rebind;
 pub mod routed;
 pub mod trial;
--- a/standins/src/routed/memory_links.rs
+++ b/standins/src/routed/memory_links.rs
@@ -142,7 +142,9 @@
         let board = &to.board;
         match request {
             PeerRequest::Member(request) => answer_member(board, request),
-            PeerRequest::Suspects(rows) => PeerReply::Suspects(board.quarantine.merge(&rows)),
+            PeerRequest::Suspects { rows, all } => {
+                PeerReply::Suspects(board.quarantine.answer(&rows, all))
+            }
             PeerRequest::PingFor { target } => self.ping_for(board, target).await,
             PeerRequest::Feed { after, hold_ms, .. } => match &to.mirror {
                 Some(mirror) => {
