--- a/standins/src/routed/raw_call.rs
+++ b/standins/src/routed/raw_call.rs
@@ -1,7 +1,6 @@
 //! One request over a connection of its own, byte for byte.
 
 use std::net::IpAddr;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use tokio::io::AsyncReadExt;
@@ -34,7 +33,7 @@
     fields: &[(&str, &str)],
     body: &[u8],
 ) -> RawAnswer {
-    raw_call_from(Ipv4Addr::LOCALHOST.into(), to, line, fields, body).await
+    exchange(TcpStream::connect(to).await, line, fields, body).await
 }
 
 /// The same from one of this machine's loopback addresses, as another caller.
@@ -45,7 +44,22 @@
     fields: &[(&str, &str)],
     body: &[u8],
 ) -> RawAnswer {
-    let Ok(mut stream) = connect(from, to).await else {
+    exchange(connect_from(from, to).await, line, fields, body).await
+}
+
+async fn connect_from(from: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(from, 0))?;
+    socket.connect(to).await
+}
+
+async fn exchange(
+    connected: std::io::Result<TcpStream>,
+    line: &str,
+    fields: &[(&str, &str)],
+    body: &[u8],
+) -> RawAnswer {
+    let Ok(mut stream) = connected else {
         return RawAnswer::default();
     };
     let mut head = format!("{line} HTTP/1.1\r\nconnection: close\r\n");
@@ -65,12 +79,6 @@
     split(&bytes)
 }
 
-async fn connect(from: IpAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::new(from, 0))?;
-    socket.connect(to).await
-}
-
 fn split(bytes: &[u8]) -> RawAnswer {
     let Some(end) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else {
         return RawAnswer::default();
