A relay that is not certain is passed over for a while instead of asked around in a loop

Cause: a follower whose relay answered that it is not certain (no copy yet at a start, or turned away by the store) asked all readers at once; one was certain, so it began again without a pause, at the pace of the network. 500 instances sent 405 messages a second each while the store turned a third away (13 in calm), and starts cost 81 to 229 messages by chance.

Change: such a relay is passed over for 0.4 s, the time in which it asks others itself, and the next relay, drawn by chance, gets the held question. Only when all are passed over are all readers asked, and after that there is a pause of 0.15 s whether one was certain or not.

Ruled out: a pause alone (20 questions each 0.15 s from each instance of the zone are 130 a second); the next relay in order (all instances of the zones concerned would turn to the same one).

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -1,14 +1,13 @@
 //! Keeps a [`Mirror`] up to date: from the platform's store, or from an instance that does so.
 //!
 //! Each call to the store has its price, and a change that wakes a watch on each instance costs a
-//! call of each. So only the first homes of two zones watch; the others ask the first home of their
-//! zone, or these, and when none knows, several others at once.
+//! call of each. So only the first home of each zone watches; the others ask that of their zone, or
+//! that of another, and when none is certain, several others at once.
 //!
 //! What holds a change back at most: an instance that was not certain for [`PATIENCE_PART`] of the
 //! bound turns to the store itself, however its relays fail (slow, frozen, cut, turned away), unless
 //! as many others as read the store say that it serves none of them either.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -23,6 +22,7 @@
 use super::mirror::Mirror;
 use super::mirror::Sink;
 use super::relays::watches;
+use super::shunned::Shunned;
 use super::store_outage::StoreOutage;
 use crate::board::Blackboard;
 use crate::clock::now_us;
@@ -76,8 +76,8 @@
     pub(super) outage: StoreOutage,
     /// The store lost the history, so all keys are to be read.
     read_all: AtomicBool,
-    /// The instance that left a held question unanswered last, and until when it is not asked.
-    pub(super) shunned: Mutex<Option<(SocketAddr, u64)>>,
+    /// Relays that are not asked for a while.
+    pub(super) shunned: Mutex<Shunned>,
 }
 
 impl<S: EventStore, K: Sink, P: FeedSource> Follower<S, K, P> {
@@ -104,7 +104,7 @@
             patience: bound / PATIENCE_PART,
             outage: StoreOutage::default(),
             read_all: AtomicBool::new(false),
-            shunned: Mutex::new(None),
+            shunned: Mutex::default(),
         }
     }
 
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use log::info;
+use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 
 use super::feed_source::FeedAnswer;
@@ -34,11 +35,15 @@
 /// The same, once more before a call to the store: who knows by now is near, and has little to tell.
 const LAST_ASK_TIMEOUT: Duration = Duration::from_millis(120);
 /// An instance that did not answer a held question is not asked one again for so long.
-const SHUN_US: u64 = 3_000_000;
+const SILENT_SHUN: Duration = Duration::from_secs(3);
+/// The same for one that is not certain: it asks others itself as often as this.
+const UNCERTAIN_SHUN: Duration = CROSS_CHECK_INTERVAL;
 /// Between two instances of a zone that turn to the store because no other one is certain: the
 /// first that is served tells the others.
 const READER_PAUSE: Duration = Duration::from_millis(60);
-/// Pause before others are asked again while none is certain.
+/// Pause before all readers are asked again, whether one was certain or not. Without it a relay that was
+/// not certain set each instance of its zone asking all of them in a loop: hundreds of questions a
+/// second from each, in which a large zone's answers drown.
 const ASK_PAUSE: Duration = Duration::from_millis(150);
 /// While all who read the store say that it does not serve them, the others try it themselves only
 /// as often as this: in an outage each call is paid for and brings nothing.
@@ -76,34 +81,39 @@
         if self.ask_held().await {
             return;
         }
-        match place_among_readers(&self.board) {
+        let others_certain = match place_among_readers(&self.board) {
             Some(place) => self.stand_in(place).await,
             None => self.wait_for_readers().await,
+        };
+        if others_certain {
+            tokio::time::sleep(ASK_PAUSE).await;
         }
     }
 
-    /// Reads the store in place of those that watch it, until another instance is certain.
+    /// Reads the store in place of those that watch it, unless another instance is certain, which it
+    /// tells.
     ///
     /// The store may turn some instances away and serve the others: those that watch may all be
     /// among the former, and know nothing of what changes.
-    async fn stand_in(&self, place: usize) {
+    async fn stand_in(&self, place: usize) -> bool {
         if self.ask_all(near_readers(&self.board), ASK_TIMEOUT).await.certain {
-            return;
+            return true;
         }
         let place = u32::try_from(place).unwrap_or(u32::MAX);
         tokio::time::sleep(READER_PAUSE * place).await;
         if self.ask_all(near_readers(&self.board), LAST_ASK_TIMEOUT).await.certain {
-            return;
+            return true;
         }
         self.try_store().await;
+        false
     }
 
-    /// Waits for an instance that reads the store to become certain; turns to the store itself when
-    /// that takes too long.
-    async fn wait_for_readers(&self) {
+    /// Waits for an instance that reads the store to become certain, and tells whether one is; turns to
+    /// the store itself when that takes too long.
+    async fn wait_for_readers(&self) -> bool {
         let asked = self.ask_all(all_readers(&self.board), ASK_TIMEOUT).await;
         if asked.certain {
-            return;
+            return true;
         }
         let age = self.mirror.age();
         // Where the store serves nobody there is nothing to learn, and no bound runs.
@@ -114,7 +124,8 @@
             age >= self.patience
         };
         if !due {
-            return tokio::time::sleep(ASK_PAUSE).await;
+            tokio::time::sleep(ASK_PAUSE).await;
+            return false;
         }
         info!(
             event = "relays-uncertain", prefix = self.prefix, age_ms = age.as_millis(),
@@ -122,6 +133,7 @@
             "asks the store itself"
         );
         self.try_store().await;
+        false
     }
 
     /// One turn at the store, unless another instance is certain before it ends: a store that is
@@ -143,33 +155,41 @@
         }
     }
 
-    /// Asks a relay, which answers when there is news; `false` when it is not certain
-    /// or does not answer.
+    /// Asks a relay, which answers when there is news. One that is not certain answers at once, and
+    /// the next is asked; `false` when none is certain or one does not answer.
     async fn ask_held(&self) -> bool {
-        let relays = relays(&self.board);
-        let Some(peer) = relays.iter().copied().find(|peer| !self.shuns(*peer)) else {
-            return false;
-        };
-        // The bound runs while this one waits: it must not wait past its patience.
-        let within = HELD_TIMEOUT.min(self.patience.saturating_sub(self.mirror.age()));
-        if within < LAST_ASK_TIMEOUT {
-            // Too short to say anything of the one that is asked.
-            return false;
-        }
-        let after = self.mirror.revision();
         let hold = if place_among_readers(&self.board) == Some(0) { RELAY_HOLD } else { HOLD };
-        let answer = self.peers.ask(peer, self.feed, after, hold, within).await;
-        let Some(answer) = answer else {
-            *self.shunned.lock() = Some((peer, now_us() + SHUN_US));
-            return false;
-        };
-        self.take_in(answer)
+        while let Some(peer) = self.next_relay() {
+            // The bound runs while this one waits: it must not wait past its patience.
+            let within = HELD_TIMEOUT.min(self.patience.saturating_sub(self.mirror.age()));
+            if within < LAST_ASK_TIMEOUT {
+                // Too short to say anything of the one that is asked.
+                return false;
+            }
+            let after = self.mirror.revision();
+            let Some(answer) = self.peers.ask(peer, self.feed, after, hold, within).await else {
+                self.shunned.lock().add(peer, SILENT_SHUN);
+                return false;
+            };
+            if self.take_in(answer) {
+                return true;
+            }
+            self.shunned.lock().add(peer, UNCERTAIN_SHUN);
+        }
+        false
     }
 
-    fn shuns(&self, peer: SocketAddr) -> bool {
-        self.shunned
-            .lock()
-            .is_some_and(|(shunned, until_us)| shunned == peer && now_us() < until_us)
+    /// The first home of the zone; while that is shunned, any other relay, so that those of a zone do not
+    /// all turn to the same one.
+    fn next_relay(&self) -> Option<SocketAddr> {
+        let relays = relays(&self.board);
+        let shunned = self.shunned.lock();
+        let open = relays.iter().copied().filter(|peer| !shunned.has(*peer));
+        let mut open: Peers = open.collect();
+        if open.first() != relays.first() {
+            open.shuffle(&mut rand::rng());
+        }
+        open.first().copied()
     }
 
     /// Asks several instances at once, so that those that do not answer cost no time; returns with
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod server_conns;
 mod server_starts;
 mod servers_in_use;
+mod shunned;
 mod sinks;
 mod store_check;
 mod store_outage;
