--- a/src/quarantine/table.rs
+++ b/src/quarantine/table.rs
@@ -70,7 +70,7 @@
 impl State {
     /// Forgets what is over, and makes room for one more.
     fn make_room(&mut self, now_us: u64) {
-        self.entries.retain(|_, entry| entry.trials > 0 || !entry.suspect.expired(now_us));
+        self.expire(now_us);
         while self.entries.len() >= SUSPECTS_MAX {
             let rows = self.entries.iter().map(|(key, entry)| entry.row(*key, now_us));
             let least = rows.min_by_key(|row| (row.convictions, row.level(), Reverse(row.age_ms)));
@@ -81,6 +81,17 @@
         }
     }
 
+    /// Forgets what is over.
+    fn expire(&mut self, now_us: u64) {
+        self.entries.retain(|_, entry| entry.trials > 0 || !entry.suspect.expired(now_us));
+    }
+
+    /// What is known of these.
+    fn rows_of(&self, keys: impl IntoIterator<Item = Fingerprint>, now_us: u64) -> Vec<SuspectRow> {
+        let row = |key| self.entries.get(&key).map(|entry| entry.row(key, now_us));
+        keys.into_iter().filter_map(row).collect()
+    }
+
     /// The entry of a request; a new one has news of that time.
     fn entry(&mut self, fingerprint: Fingerprint, news_us: u64, now_us: u64) -> &mut Entry {
         if !self.entries.contains_key(&fingerprint) {
@@ -179,6 +190,9 @@
     fn with<T>(&self, work: impl FnOnce(&mut State) -> T) -> T {
         let mut state = self.0.state.lock();
         let done = work(&mut state);
+        if state.entries.is_empty() {
+            state.answered_us.clear();
+        }
         self.0.known.store(state.entries.len(), Ordering::Release);
         done
     }
@@ -299,7 +313,7 @@
         }
         let now_us = now_us();
         self.with(|state| {
-            state.entries.retain(|_, entry| entry.trials > 0 || !entry.suspect.expired(now_us));
+            state.expire(now_us);
             state.entries.iter().map(|(key, entry)| entry.row(*key, now_us)).collect()
         })
     }
@@ -326,10 +340,7 @@
         let now_us = now_us();
         self.with(|state| {
             let news = std::mem::take(&mut state.news);
-            let known = news
-                .into_iter()
-                .filter_map(|key| state.entries.get(&key).map(|entry| entry.row(key, now_us)));
-            known.collect()
+            state.rows_of(news, now_us)
         })
     }
 
@@ -340,10 +351,7 @@
             let now_us = now_us();
             let rows: Vec<SuspectRow> = self.with(|state| {
                 let convicted = std::mem::take(&mut state.convicted);
-                let known = convicted
-                    .into_iter()
-                    .filter_map(|key| state.entries.get(&key).map(|entry| entry.row(key, now_us)));
-                known.collect()
+                state.rows_of(convicted, now_us)
             });
             if !rows.is_empty() {
                 return rows;
