--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -32,6 +32,7 @@
 use super::Record;
 use super::body_for;
 use super::work::WorkTimes;
+use crate::rebind::accept_until;
 use crate::rebind::rebind;
 
 /// How a backend server is set up.
@@ -177,28 +178,13 @@
         return;
     };
     loop {
-        accept_all(listener, &shared).await;
+        let serve = |stream| serve_connection(stream, Arc::clone(&shared));
+        accept_until(listener, &shared.crash, serve).await;
         shared.record.crashed();
         listener = rebind(address, Duration::from_millis(shared.settings.down_ms)).await;
     }
 }
 
-/// Serves until it crashes; all of its connections end with it.
-async fn accept_all(listener: TcpListener, shared: &Arc<Shared>) {
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shared.crash.notified() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            continue;
-        };
-        connections.spawn(serve_connection(stream, Arc::clone(shared)));
-        while connections.try_join_next().is_some() {}
-    }
-}
-
 async fn serve_connection(stream: TcpStream, shared: Arc<Shared>) {
     let (_count, open) = Count::of(&shared.connections);
     shared.connections_most.fetch_max(open, Ordering::AcqRel);
--- a/standins/src/bed/fleet.rs
+++ b/standins/src/bed/fleet.rs
@@ -54,7 +54,7 @@
     fn list_daemons(&self) {
         let listed = self.daemons.iter().map(|daemon| ListedMachine {
             id: daemon.settings.instance.name.clone(),
-            ip: "127.0.0.1".into(),
+            ip: daemon.settings.listen.peer.ip().to_string(),
             port: daemon.settings.listen.peer.port(),
             zone: daemon.settings.instance.zone.clone(),
             leaving: false,
--- a/standins/src/bed/mod.rs
+++ b/standins/src/bed/mod.rs
@@ -3,6 +3,7 @@
 mod bed;
 mod fleet;
 mod host;
+mod own_addresses;
 mod plan;
 mod process;
 mod wait;
@@ -10,6 +11,7 @@
 pub use bed::Bed;
 pub use fleet::Fleet;
 pub use host::Host;
+pub use own_addresses::own_addresses;
 pub use plan::BedPlan;
 pub use plan::settings_for;
 pub use process::DaemonProcess;
--- a/standins/src/bed/process.rs
+++ b/standins/src/bed/process.rs
@@ -1,15 +1,14 @@
 //! A daemon as a process of its own, to be killed, frozen and stopped by signals.
 
-use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU16;
-use std::sync::atomic::Ordering;
 
 use sorrelwick::conf::Settings;
 
+use super::own_addresses;
+
 /// Positions in /proc/PID/stat behind the command's name.
 const USER_TICKS_AT: usize = 11;
 const SYSTEM_TICKS_AT: usize = 12;
@@ -37,40 +36,17 @@
     }
 }
 
-/// Below the range from which the system takes ports for outgoing connections: a port from
-/// there could be taken between this check and the daemon's start.
-const PORT_FIRST: u16 = 12_000;
-const PORTS: u16 = 20_000;
-
-static PORT_NEXT: AtomicU16 = AtomicU16::new(0);
-
-/// A port that nobody listens on; each is given out once by this process.
-fn free_port() -> std::io::Result<SocketAddr> {
-    // Processes that run at the same time begin at different places.
-    let own = u16::try_from(std::process::id() % 97).unwrap_or(0) * 200;
-    loop {
-        let next = PORT_NEXT.fetch_add(1, Ordering::Relaxed);
-        if next >= PORTS {
-            return Err(std::io::ErrorKind::AddrInUse.into());
-        }
-        let port = PORT_FIRST + (own + next) % PORTS;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if std::net::TcpListener::bind(address).is_ok() {
-            return Ok(address);
-        }
-    }
-}
-
 impl DaemonProcess {
     /// Starts `program` with these settings, on ports of its own, its settings file in `dir`.
     ///
     /// # Errors
     /// When the file cannot be written or the program not be started.
     pub fn spawn(program: &Path, dir: &Path, mut settings: Settings) -> std::io::Result<Self> {
-        settings.listen.caller = free_port()?;
-        settings.listen.operator = free_port()?;
-        settings.listen.peer = free_port()?;
-        settings.listen.status = free_port()?;
+        let [caller, operator, peer, status] = own_addresses();
+        settings.listen.caller = caller;
+        settings.listen.operator = operator;
+        settings.listen.peer = peer;
+        settings.listen.status = status;
         let file = dir.join(format!("{}.json", settings.instance.name));
         std::fs::write(&file, serde_json::to_vec_pretty(&settings)?)?;
         let child = Command::new(program)
--- a/standins/src/rebind.rs
+++ b/standins/src/rebind.rs
@@ -4,6 +4,9 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 /// Pause before the next try; the address may still be taken for a moment.
 const PAUSE: Duration = Duration::from_millis(5);
@@ -18,3 +21,22 @@
         }
     }
 }
+
+/// Serves each connection until the server crashes; all of its connections end with it.
+pub async fn accept_until<S, F>(listener: TcpListener, crash: &Notify, serve: S)
+where
+    S: Fn(TcpStream) -> F,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = crash.notified() => return,
+        };
+        if let Ok((stream, _)) = accepted {
+            connections.spawn(serve(stream));
+        }
+        while connections.try_join_next().is_some() {}
+    }
+}
--- /dev/null
+++ b/standins/src/routed/crash_rule.rs
@@ -0,0 +1,14 @@
+//! Which requests crash a backend server.
+
+use std::time::Duration;
+
+/// Requests that crash a server, and how it comes back.
+#[derive(Clone, Debug)]
+pub struct CrashRule {
+    /// A request whose head contains this crashes the server once its work is over.
+    pub head_part: String,
+    /// How long nothing listens on its address.
+    pub down: Duration,
+    /// Whether the answer has begun by then.
+    pub midway: bool,
+}
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -1,6 +1,7 @@
 //! A platform that lists routes and backend servers in a store with events: in memory, with the
 //! faults of a real one, and whole fleets of instances on it.
 
+mod crash_rule;
 mod memory_events;
 mod memory_links;
 mod plain_dialect;
@@ -8,6 +9,7 @@
 mod raw_server;
 mod routed_bed;
 
+pub use crash_rule::CrashRule;
 pub use memory_events::Fault;
 pub use memory_events::MemoryEvents;
 pub use memory_links::MemoryLinks;
@@ -16,7 +18,6 @@
 pub use raw_call::raw_call;
 pub use raw_call::raw_call_from;
 pub use raw_server::Behaviour;
-pub use raw_server::CrashRule;
 pub use raw_server::LARGE_BYTES;
 pub use raw_server::RawServer;
 pub use routed_bed::RoutedBed;
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -17,7 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::CrashRule;
 use super::PlainDialect;
+use crate::rebind::accept_until;
 use crate::rebind::rebind;
 
 const READ_BYTES: usize = 4_096;
@@ -25,17 +27,6 @@
 pub const LARGE_BYTES: usize = 64 << 20;
 const LARGE_PIECE_BYTES: usize = 64 << 10;
 
-/// Requests that crash a server, and how it comes back.
-#[derive(Clone, Debug)]
-pub struct CrashRule {
-    /// A request whose head contains this crashes the server once its work is over.
-    pub head_part: String,
-    /// How long nothing listens on its address.
-    pub down: Duration,
-    /// Whether the answer has begun by then.
-    pub midway: bool,
-}
-
 /// What the server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -237,33 +228,21 @@
         return;
     };
     loop {
-        accept_all(listener, &shared).await;
+        accept_until(listener, &shared.crash, |stream| counted(stream, Arc::clone(&shared))).await;
         shared.crashed_at.lock().push(tokio::time::Instant::now());
         shared.in_flight.store(0, Ordering::Relaxed);
+        shared.connections.store(0, Ordering::Relaxed);
         let down = shared.crash_rule.lock().as_ref().map_or(Duration::ZERO, |rule| rule.down);
         listener = rebind(address, down).await;
     }
 }
 
-/// Serves until it crashes; all of its connections end with it.
-async fn accept_all(listener: TcpListener, shared: &Arc<Shared>) {
-    let mut connections = tokio::task::JoinSet::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = shared.crash.notified() => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            continue;
-        };
-        let shared = Arc::clone(shared);
-        let open = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
-        shared.connections_most.fetch_max(open, Ordering::Relaxed);
-        connections.spawn(async move {
-            serve(stream, Arc::clone(&shared)).await;
-            shared.connections.fetch_sub(1, Ordering::Relaxed);
-        });
-    }
+/// Serves a connection, and counts it meanwhile.
+async fn counted(stream: TcpStream, shared: Arc<Shared>) {
+    let open = shared.connections.fetch_add(1, Ordering::Relaxed) + 1;
+    shared.connections_most.fetch_max(open, Ordering::Relaxed);
+    serve(stream, Arc::clone(&shared)).await;
+    shared.connections.fetch_sub(1, Ordering::Relaxed);
 }
 
 struct Head {
