The stand-in's cut answers leave their first half before they are cut

Cause: the pause between the first half and the cut began with the answer. Where the server's task was polled later than that, the body's error came before the half was flushed, and the connection closed with neither head nor half: the instance rightly told that the answer was lost. Shown by a run: with 20 ms between the making of the answer and its first poll the test is red with the same words each time, also on an idle core.

Change: the pause begins when more is asked for.

Conclusion: the stand-in's fault; the test is as it was.

--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -203,7 +203,9 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-/// Time between the first half and the cut, so that the half is on its way.
+/// Time between the first half and the cut, so that the half is on its way. It begins when more is
+/// asked for: begun with the answer, it was over on a full machine before the half had left, and
+/// the cut took that along.
 const CUT_AFTER: Duration = Duration::from_millis(5);
 
 /// A body that says how long it is and ends with an error halfway.
@@ -212,7 +214,7 @@
     first: Option<Bytes>,
     /// Told beforehand; `None` for chunks.
     len: Option<u64>,
-    pause: std::pin::Pin<Box<tokio::time::Sleep>>,
+    pause: Option<std::pin::Pin<Box<tokio::time::Sleep>>>,
 }
 
 /// The fault that ends a connection on purpose.
@@ -238,7 +240,8 @@
         if let Some(bytes) = self.first.take() {
             return std::task::Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        self.pause.as_mut().poll(cx).map(|()| Some(Err(Cut)))
+        let pause = || Box::pin(tokio::time::sleep(CUT_AFTER));
+        self.pause.get_or_insert_with(pause).as_mut().poll(cx).map(|()| Some(Err(Cut)))
     }
 
     fn size_hint(&self) -> SizeHint {
@@ -346,11 +349,7 @@
     if take_one(&behaviour.cut_bodies) {
         let chunked = behaviour.cut_chunked.load(Ordering::Acquire);
         let len = (!chunked).then_some(body.len() as u64);
-        let cut = CutBody {
-            first: Some(body.slice(..body.len() / 2)),
-            len,
-            pause: Box::pin(tokio::time::sleep(CUT_AFTER)),
-        };
+        let cut = CutBody { first: Some(body.slice(..body.len() / 2)), len, pause: None };
         return Ok(Response::new(Either::Right(cut)));
     }
     Ok(whole(StatusCode::OK, body))
