--- a/standins/src/rebind.rs
+++ b/standins/src/rebind.rs
@@ -32,11 +32,14 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = crash.notified() => return,
+            () = crash.notified() => break,
         };
         if let Ok((stream, _)) = accepted {
             connections.spawn(serve(stream));
         }
         while connections.try_join_next().is_some() {}
     }
+    drop(listener);
+    // One that is just at work on another thread would otherwise count itself out later.
+    connections.shutdown().await;
 }
