A home writes and compresses what it tells of a change once for all that ask

Cause: each of some ninety instances that ask a home after a change had its own copy of the events collected, written and compressed. Change: what was told at one revision is kept until the next change, as frames of their own (peer::Packed) that go into the answer as they are. Ruled out: compressing the finished answer once (it carries the age, which differs for each), and a shared copy without the bytes (compressing is most of the cost).

The bytes on the wire are the same but for a length.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -14,11 +14,14 @@
 use super::follower::AGE_MAX;
 use crate::clock::now_us;
 use crate::peer::FeedReply;
+use crate::peer::Packed;
 use crate::store::Item;
 use crate::store::ItemEvent;
 
 /// Events kept for instances that ask for what they missed; who missed more gets everything.
 const RECENT_MAX: usize = 256;
+/// Revisions asked from for which the answer is kept; nearly all ask from the last one or two.
+const TOLD_MAX: usize = 8;
 
 /// What is done with the keys.
 pub trait Sink: Send + 'static {
@@ -70,6 +73,16 @@
     recent_after: u64,
     /// Up to where the copy is complete; `None` before it was first read.
     revision: Option<u64>,
+    /// What was told since the last change; holds only at `revision`.
+    told: Told,
+}
+
+/// What others were told at one revision, kept for the next that ask.
+#[derive(Debug, Default)]
+struct Told {
+    /// By the revision that was asked from.
+    events: HashMap<u64, Packed<Vec<ItemEvent>>>,
+    all: Option<Packed<Vec<Item>>>,
 }
 
 impl<K: Sink> Mirror<K> {
@@ -81,6 +94,7 @@
             recent: VecDeque::new(),
             recent_after: 0,
             revision: None,
+            told: Told::default(),
         };
         let revision = watch::Sender::new(None);
         Self {
@@ -212,6 +226,7 @@
 impl<K: Sink> State<K> {
     fn reach(&mut self, upto: u64) {
         self.revision = Some(self.revision.unwrap_or(0).max(upto));
+        self.told = Told::default();
     }
 
     fn remember(&mut self, event: ItemEvent) {
@@ -249,16 +264,34 @@
         self.sink.removed(key, grace);
     }
 
-    fn missed(&self, after: Option<u64>) -> FeedReply {
+    fn missed(&mut self, after: Option<u64>) -> FeedReply {
         let Some(revision) = self.revision else {
             return FeedReply::Unknown;
         };
         match after {
             Some(after) if after >= self.recent_after => {
-                let newer = self.recent.iter().filter(|event| event.revision() > after);
-                FeedReply::Events { events: newer.cloned().collect(), revision }
+                FeedReply::Events { events: self.events_after(after), revision }
             }
-            _ => FeedReply::All { items: self.items.values().cloned().collect(), revision },
+            _ => FeedReply::All { items: self.all(), revision },
+        }
+    }
+
+    fn events_after(&mut self, after: u64) -> Packed<Vec<ItemEvent>> {
+        if let Some(known) = self.told.events.get(&after) {
+            return known.clone();
+        }
+        let newer = self.recent.iter().filter(|event| event.revision() > after);
+        let events: Packed<Vec<ItemEvent>> = newer.cloned().collect::<Vec<_>>().into();
+        // Who waited in vain is told nothing, mostly at revisions of its own.
+        if !events.is_empty() && self.told.events.len() < TOLD_MAX {
+            self.told.events.insert(after, events.clone());
         }
+        events
+    }
+
+    fn all(&mut self) -> Packed<Vec<Item>> {
+        let items = &self.items;
+        let all = || items.values().cloned().collect::<Vec<_>>().into();
+        self.told.all.get_or_insert_with(all).clone()
     }
 }
--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -24,16 +24,29 @@
 const PLAIN: u8 = 0;
 const COMPRESSED: u8 = 1;
 
+/// What instances send each other.
+pub trait Message: Serialize {
+    /// Bytes of it that are compressed already.
+    fn packed_bytes(&self) -> usize {
+        0
+    }
+}
+
 /// Encodes a message.
+#[must_use]
+pub fn encode<T: Message>(message: &T) -> Vec<u8> {
+    encode_value(message, message.packed_bytes())
+}
+
+/// Encodes a value of which so many bytes are compressed already.
 ///
 /// # Panics
 /// Never for the message types of this crate: encoding to memory cannot fail for them.
-#[must_use]
-pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+pub(super) fn encode_value<T: Serialize>(value: &T, packed_bytes: usize) -> Vec<u8> {
     let mut bytes = vec![PLAIN];
-    bincode::serde::encode_into_std_write(message, &mut bytes, config::standard())
+    bincode::serde::encode_into_std_write(value, &mut bytes, config::standard())
         .expect("messages can be encoded");
-    if bytes.len() < COMPRESS_MIN_BYTES {
+    if bytes.len() < COMPRESS_MIN_BYTES + packed_bytes {
         return bytes;
     }
     compress(&bytes[1..]).unwrap_or(bytes)
@@ -93,7 +106,7 @@
     let mut parts: Vec<Vec<T>> = Vec::new();
     let mut room = 0;
     for row in rows {
-        let size = encode(row).len();
+        let size = encode_value(row, 0).len();
         if size > PART_MAX_BYTES {
             continue;
         }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Message;
+use super::Packed;
 use crate::member::MemberRequest;
 use crate::member::MemberRow;
 use crate::model::Versioned;
@@ -58,9 +60,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedReply {
     /// All events after the revision asked for, up to `revision`.
-    Events { events: Vec<ItemEvent>, revision: u64 },
+    Events { events: Packed<Vec<ItemEvent>>, revision: u64 },
     /// All items, complete up to `revision`.
-    All { items: Vec<Item>, revision: u64 },
+    All { items: Packed<Vec<Item>>, revision: u64 },
     /// It does not know that part itself.
     Unknown,
 }
@@ -147,3 +149,15 @@
     /// The request was not served; a result code.
     Failed(u16),
 }
+
+impl Message for PeerRequest {}
+
+impl Message for PeerReply {
+    fn packed_bytes(&self) -> usize {
+        match self {
+            Self::Feed { reply: FeedReply::Events { events, .. }, .. } => events.bytes().len(),
+            Self::Feed { reply: FeedReply::All { items, .. }, .. } => items.bytes().len(),
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/packed.rs
@@ -0,0 +1,71 @@
+//! A value that many peers are told.
+
+use std::ops::Deref;
+use std::sync::Arc;
+use std::sync::OnceLock;
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+use serde::de::DeserializeOwned;
+
+use super::frame::decode;
+use super::frame::encode_value;
+
+/// Written and compressed once, for whoever is told first; clones share.
+#[derive(Clone, Debug)]
+pub struct Packed<T>(Arc<Inner<T>>);
+
+#[derive(Debug)]
+struct Inner<T> {
+    value: T,
+    /// The value as a frame of its own, once somebody was told.
+    bytes: OnceLock<Bytes>,
+}
+
+impl<T: Serialize> Packed<T> {
+    /// The value as it travels.
+    #[must_use]
+    pub fn bytes(&self) -> &Bytes {
+        self.0.bytes.get_or_init(|| encode_value(&self.0.value, 0).into())
+    }
+}
+
+impl<T> From<T> for Packed<T> {
+    fn from(value: T) -> Self {
+        Self(Arc::new(Inner { value, bytes: OnceLock::new() }))
+    }
+}
+
+impl<T> Deref for Packed<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.0.value
+    }
+}
+
+impl<T: PartialEq> PartialEq for Packed<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.value == other.0.value
+    }
+}
+
+impl<T: Eq> Eq for Packed<T> {}
+
+impl<T: Serialize> Serialize for Packed<T> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        self.bytes().serialize(serializer)
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Packed<T> {
+    /// What was received is not kept beside the value: who hands it on mostly tells others more or less.
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let bytes = Bytes::deserialize(deserializer)?;
+        let value: T = decode(&bytes).map_err(serde::de::Error::custom)?;
+        Ok(value.into())
+    }
+}
--- a/src/peer/pass.rs
+++ b/src/peer/pass.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Message;
 use crate::quarantine::Fingerprints;
 use crate::route::Outcome;
 
@@ -62,3 +63,7 @@
     pub first: Bytes,
     pub rest: RecvStream,
 }
+
+impl Message for PassHead {}
+
+impl Message for ReplyHead {}
