--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -29,6 +29,7 @@
 use sorrelwick::outcome::Kept;
 use sorrelwick::outcome::OutcomeTable;
 use sorrelwick::outcome::WholeAnswer;
+use sorrelwick::peer::PeerReply;
 use sorrelwick::peer::PeerRequest;
 use sorrelwick::peer::encode;
 use sorrelwick::route::refresh;
@@ -153,7 +154,7 @@
         println!(
             "  services {services:>5} (7 servers each): {grown:>7} KB grown, {json} bytes a row in \
              the store, {} on a peer stream",
-            encode(&row(1)).len()
+            encode(&PeerRequest::Changes(vec![row(1)])).len()
         );
         black_box(&board);
         std::mem::forget(board);
@@ -223,7 +224,10 @@
     for services in [100_usize, 400, 1_200] {
         let summary: Vec<(String, u64)> =
             (0..services).map(|n| (format!("service-{n}"), 12)).collect();
-        println!("  summary of {services} services: {} bytes", encode(&summary).len());
+        println!(
+            "  summary of {services} services: {} bytes",
+            encode(&PeerReply::Summary(summary)).len()
+        );
     }
 }
 
