Availability zones that the operators evacuate get nothing more

Change: evacuations lie beside the configuration in the operators' part of the store, so the follower that had the configuration follows both: the same copy, relays, cross-checks and start, and no call more. In force for new and waiting requests, repeats and hedges, health checks and servers listed meanwhile; without a zone left requests are refused at once. Ruled out: a feed of their own, which costs a watch more in each zone and can be newer or older than the configuration that an instance counts as ready with.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -22,7 +22,6 @@
 use crate::errors::Coded;
 use crate::gateway::AddressHandler;
 use crate::gateway::CallerHandler;
-use crate::gateway::ConfigSink;
 use crate::gateway::Dialect;
 use crate::gateway::Dispatcher;
 use crate::gateway::Follower;
@@ -31,6 +30,7 @@
 use crate::gateway::LoadShare;
 use crate::gateway::MemoryRoom;
 use crate::gateway::Mirror;
+use crate::gateway::OperatorSink;
 use crate::gateway::Patience;
 use crate::gateway::Prober;
 use crate::gateway::ReadinessHandler;
@@ -130,7 +130,7 @@
 
 /// What this instance knows of the store, for itself and for others that ask.
 struct Copies<D> {
-    config: Arc<Mirror<ConfigSink<D>>>,
+    config: Arc<Mirror<OperatorSink<D>>>,
     servers: Arc<Mirror<ServerSink<D>>>,
 }
 
@@ -145,16 +145,17 @@
     dispatcher: &Dispatcher,
 ) -> Copies<D> {
     let keys = dialect.keys();
-    let config = Arc::new(Mirror::new(ConfigSink {
+    let config = Arc::new(Mirror::new(OperatorSink {
         dialect: dialect.clone(),
         table: Arc::clone(table),
         board: Arc::clone(board),
+        dispatcher: dispatcher.clone(),
     }));
     let servers = ServerSink::new(dialect.clone(), dispatcher.clone());
     let servers = Arc::new(Mirror::new(servers));
     let follow_config = || {
         let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
-        Follower::new(store, links, board, Arc::clone(&config), Feed::Config, keys.config)
+        Follower::new(store, links, board, Arc::clone(&config), Feed::Config, keys.operators_prefix)
     };
     let follow_servers = || {
         let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
--- a/src/app/gateway_peers.rs
+++ b/src/app/gateway_peers.rs
@@ -10,10 +10,10 @@
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::errors::Code;
-use crate::gateway::ConfigSink;
 use crate::gateway::Dialect;
 use crate::gateway::Dispatcher;
 use crate::gateway::Mirror;
+use crate::gateway::OperatorSink;
 use crate::gateway::ServerSink;
 use crate::member::answer_member;
 use crate::member::answer_ping_for;
@@ -36,7 +36,7 @@
     pub board: Arc<Blackboard>,
     pub links: Links,
     pub dispatcher: Dispatcher,
-    pub config: Arc<Mirror<ConfigSink<D>>>,
+    pub config: Arc<Mirror<OperatorSink<D>>>,
     pub servers: Arc<Mirror<ServerSink<D>>>,
 }
 
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -124,6 +124,8 @@
     unwell: bool,
     /// The platform no longer lists it: not to be used from this time on.
     unlisted_at_us: Option<u64>,
+    /// Its availability zone is to get nothing.
+    evacuated: bool,
 }
 
 impl ServerTrack {
@@ -154,6 +156,7 @@
             misses: 0,
             unwell: false,
             unlisted_at_us: None,
+            evacuated: false,
         }
     }
 
@@ -181,11 +184,27 @@
         self.unlisted_at_us.is_some()
     }
 
+    /// Its availability zone is evacuated; what runs there is finished.
+    pub fn evacuate(&mut self) {
+        self.evacuated = true;
+    }
+
+    /// The evacuation ends.
+    pub fn readmit(&mut self, _now_us: u64) {
+        self.evacuated = false;
+    }
+
+    /// Whether it may be given work at all, now or after a pause.
+    #[must_use]
+    pub fn in_service(&self, now_us: u64) -> bool {
+        self.listed(now_us) && !self.evacuated
+    }
+
     /// Whether it may be given new work.
     #[must_use]
     pub fn usable(&self, now_us: u64) -> bool {
         self.row.state == ServerState::Ready
-            && self.listed(now_us)
+            && self.in_service(now_us)
             && now_us >= self.paused_until_us
     }
 
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -98,18 +98,25 @@
         self.servers.get_mut(*self.places.get(id)?)
     }
 
-    /// Lists a server. Nothing that is believed of an earlier start holds for a later one.
-    pub fn list(&mut self, row: ServerRow, now_us: u64) {
-        if let Some(server) = self.server(&row.id) {
-            if server.row.same_start(&row) {
-                server.relist(row, now_us);
-            } else {
-                *server = ServerTrack::new(row, now_us);
+    /// Lists a server, and returns what is believed of it. Nothing that is believed of an earlier
+    /// start holds for a later one.
+    pub fn list(&mut self, row: ServerRow, now_us: u64) -> &mut ServerTrack {
+        let place = match self.places.get(&row.id) {
+            Some(place) => *place,
+            None => {
+                let place = self.servers.len();
+                self.places.insert(Arc::clone(&row.id), place);
+                self.servers.push(ServerTrack::new(row.clone(), now_us));
+                place
             }
-            return;
+        };
+        let server = &mut self.servers[place];
+        if server.row.same_start(&row) {
+            server.relist(row, now_us);
+        } else {
+            *server = ServerTrack::new(row, now_us);
         }
-        self.places.insert(Arc::clone(&row.id), self.servers.len());
-        self.servers.push(ServerTrack::new(row, now_us));
+        server
     }
 
     /// Forgets servers that are neither listed nor in use.
--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -57,10 +57,9 @@
     /// was not sent to already.
     pub fn enqueue(&mut self, ticket: u64, ask: Ask, now_us: u64) -> Result<(), Refusal> {
         let may_serve =
-            |server: &ServerTrack| server.listed(now_us) && !ask.avoid.contains(&server.row.id);
+            |server: &ServerTrack| server.in_service(now_us) && !ask.avoid.contains(&server.row.id);
         if !self.servers.iter().any(may_serve) {
-            let (retry_after_ms, waiting) = (NO_SERVER_RETRY_MS, self.waiting.len());
-            return Err(Refusal { no_server: true, retry_after_ms, waiting, slots: 0 });
+            return Err(self.no_server());
         }
         let slots = self.slots_in_use(now_us);
         let for_aim_us = self.start_by_us(&ask);
@@ -129,9 +128,21 @@
         if all == 0 { 1.0 } else { (own / f64::from(all)).clamp(self.fair_share.min(1.0), 1.0) }
     }
 
+    fn no_server(&self) -> Refusal {
+        let (retry_after_ms, waiting) = (NO_SERVER_RETRY_MS, self.waiting.len());
+        Refusal { no_server: true, retry_after_ms, waiting, slots: 0 }
+    }
+
+    fn any_in_service(&self, now_us: u64) -> bool {
+        self.servers.iter().any(|server| server.in_service(now_us))
+    }
+
     /// When to come back: once those that wait now are served.
     #[must_use]
     pub fn refusal(&self, now_us: u64) -> Refusal {
+        if !self.any_in_service(now_us) {
+            return self.no_server();
+        }
         let slots = self.slots_in_use(now_us);
         let wait_ms = self.expected_wait_us(u32::MAX, slots, now_us) / 1000;
         let retry_after_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
@@ -229,9 +240,13 @@
         self.typical_ms(ask) <= ask.aim_left_ms(now_us)
     }
 
-    /// Takes out the requests that cannot be in time any more. One that waited only because the
-    /// servers with room are slow becomes late instead, and takes one of those.
+    /// Takes out the requests that cannot be in time any more, and all where no server is left. One
+    /// that waited only because the servers with room are slow becomes late instead, and takes one of
+    /// those.
     pub fn expire(&mut self, now_us: u64) -> SmallVec<[u64; 4]> {
+        if !self.any_in_service(now_us) {
+            return self.waiting.drain(..).map(|waiting| waiting.ticket).collect();
+        }
         let mut tickets = SmallVec::new();
         let room = !self.with_room(now_us).is_empty();
         self.waiting.retain_mut(|waiting| {
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -72,6 +72,7 @@
     services: ArcSwap<ServiceMap>,
     changed: watch::Sender<u64>,
     store_up: AtomicBool,
+    evacuated_zones: ArcSwap<Vec<Arc<str>>>,
     zone_demand_per_s: AtomicU32,
     phase: AtomicU8,
     in_flight: Arc<AtomicUsize>,
@@ -124,6 +125,7 @@
             services: ArcSwap::default(),
             changed: watch::Sender::new(0),
             store_up: AtomicBool::new(true),
+            evacuated_zones: ArcSwap::default(),
             zone_demand_per_s: AtomicU32::new(0),
             phase: AtomicU8::new(Phase::Running as u8),
             in_flight: Arc::default(),
@@ -233,6 +235,17 @@
         self.settings.instance.capacity_per_s()
     }
 
+    /// The availability zones that the operators evacuate.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> Arc<Vec<Arc<str>>> {
+        self.evacuated_zones.load_full()
+    }
+
+    /// Sets the availability zones that the operators evacuate.
+    pub fn set_evacuated_zones(&self, zones: Vec<Arc<str>>) {
+        self.evacuated_zones.store(Arc::new(zones));
+    }
+
     /// Requests a second that the homes of a zone must be able to carry together.
     #[must_use]
     pub fn zone_demand_per_s(&self) -> u32 {
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -91,6 +91,7 @@
     faults.seconds(gateway.grace_s, 0.5, "gateway.grace_s");
     faults.range(gateway.drain_ms, 100, MS_MAX, "gateway.drain_ms");
     faults.range(gateway.config_apply_ms, 100, MS_MAX, "gateway.config_apply_ms");
+    faults.range(gateway.evacuate_ms, 100, MS_MAX, "gateway.evacuate_ms");
     faults.seconds(gateway.address_keep_max_s, 0.01, "gateway.address_keep_max_s");
     let ratio_holds = (0.0..=10.0).contains(&gateway.repeat_ratio);
     faults.need(ratio_holds, "gateway.repeat_ratio", "0 to 10");
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -279,6 +279,9 @@
     /// A configuration is in force everywhere within this.
     #[serde(default = "apply_default")]
     pub config_apply_ms: u64,
+    /// An availability zone's backend servers get nothing more within this of its evacuation.
+    #[serde(default = "evacuate_default")]
+    pub evacuate_ms: u64,
     /// Most time that callers keep an address answer.
     #[serde(default = "address_keep_default")]
     pub address_keep_max_s: f64,
@@ -319,6 +322,10 @@
     2_000
 }
 
+const fn evacuate_default() -> u64 {
+    5_000
+}
+
 const fn address_keep_default() -> f64 {
     1.0
 }
--- /dev/null
+++ b/src/evacuation/mod.rs
@@ -0,0 +1,5 @@
+//! Availability zones that the operators evacuate: their backend servers are given nothing.
+
+mod evacuations;
+
+pub use evacuations::Evacuations;
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -27,12 +27,19 @@
     pub not_run: HeaderName,
     /// Id of the backend server, on health answers.
     pub server_id: HeaderName,
+    /// Milliseconds for which a backend server stays cold, on health answers of those that are.
+    pub cold_left_ms: HeaderName,
 }
 
 /// Where the platform's store keeps what the gateway reads and writes.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreKeys {
+    /// Keys that the operators write begin so: the configuration and the evacuations.
+    pub operators_prefix: &'static str,
     pub config: &'static str,
+    /// Keys of evacuations begin so; the availability zone follows. One is in force while its key is
+    /// there.
+    pub evacuations_prefix: &'static str,
     /// Keys of backend servers begin so; their id follows.
     pub servers_prefix: &'static str,
     /// Keys of instances begin so; written by the instances themselves.
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
 use crate::clock::now_us;
+use crate::evacuation::Evacuations;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
 
@@ -45,6 +46,7 @@
     /// The same servers by the hash by which instances name them to each other.
     pub(super) by_key: HashMap<u32, Arc<Server>>,
     pub(super) starts: ServerStarts,
+    pub(super) evacuations: Evacuations,
     pub(super) peers: PeersHeard,
     pub(super) in_use: ServersInUse,
     /// Whether any server is unlisted and not forgotten yet.
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -96,7 +96,11 @@
         }
         state.list_version += 1;
         let service = Arc::clone(&row.service);
-        state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
+        let evacuated = state.evacuations.covers(&row.zone);
+        let track = state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
+        if evacuated {
+            track.evacuate();
+        }
         self.serve_waiting(state, &service, undelivered);
     }
 
--- /dev/null
+++ b/src/gateway/dispatcher_zones.rs
@@ -0,0 +1,67 @@
+//! The availability zones whose servers the dispatcher passes over.
+
+use std::sync::Arc;
+
+use super::dispatcher::Dispatcher;
+use crate::clock::now_us;
+
+/// What an evacuation, or its end, changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ZoneChange {
+    /// Listed servers of the zone.
+    pub servers: usize,
+    /// Requests of this instance that run there, and are finished.
+    pub running: usize,
+    /// How long the zone was evacuated; 0 when that begins.
+    pub lasted_us: u64,
+}
+
+impl Dispatcher {
+    /// Gives the servers of a zone nothing more; `None` if that is so already.
+    pub fn evacuate(&self, zone: &str) -> Option<ZoneChange> {
+        let mut state = self.state.lock();
+        if !state.evacuations.begin(zone, now_us()) {
+            return None;
+        }
+        let mut change = ZoneChange::default();
+        let tracks = state.pools.values_mut().flat_map(|pool| &mut pool.servers);
+        for track in tracks.filter(|track| *track.row.zone == *zone) {
+            track.evacuate();
+            change.servers += 1;
+            change.running += track.own_requests();
+        }
+        Some(change)
+    }
+
+    /// Uses the servers of a zone again; `None` if they were used.
+    pub fn readmit(&self, zone: &str) -> Option<ZoneChange> {
+        let mut undelivered = Vec::new();
+        let mut state = self.state.lock();
+        let now_us = now_us();
+        let since_us = state.evacuations.end(zone)?;
+        let mut change = ZoneChange::default();
+        let tracks = state.pools.values_mut().flat_map(|pool| &mut pool.servers);
+        for track in tracks.filter(|track| *track.row.zone == *zone) {
+            track.readmit(now_us);
+            change.servers += 1;
+        }
+        change.lasted_us = now_us.saturating_sub(since_us);
+        for service in state.waited_for() {
+            self.serve_waiting(&mut state, &service, &mut undelivered);
+        }
+        drop(state);
+        Some(change)
+    }
+
+    /// The evacuated zones.
+    #[must_use]
+    pub fn evacuated_zones(&self) -> Vec<Arc<str>> {
+        self.state.lock().evacuations.zones().cloned().collect()
+    }
+
+    /// Whether a zone is evacuated.
+    #[must_use]
+    pub fn evacuated(&self, zone: &str) -> bool {
+        self.state.lock().evacuations.covers(zone)
+    }
+}
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -91,7 +91,9 @@
         prefix: &'static str,
     ) -> Self {
         let bounds = board.settings.gateway.as_ref();
-        let bound_ms = bounds.map_or(0, |bounds| bounds.config_apply_ms.min(bounds.drain_ms));
+        let bound_ms = bounds.map_or(0, |bounds| {
+            bounds.config_apply_ms.min(bounds.drain_ms).min(bounds.evacuate_ms)
+        });
         let bound = Duration::from_millis(bound_ms);
         Self {
             store,
--- a/src/gateway/prober.rs
+++ b/src/gateway/prober.rs
@@ -96,7 +96,9 @@
             {
                 own.refresh(&self.dispatcher, Part { place, homes }, &self.board);
                 let untold = turn % (rate * UNTOLD_INTERVAL_S) == 0;
-                self.probe_own(&own.servers, turn, untold);
+                if !self.dispatcher.evacuated(&self.board.settings.instance.zone) {
+                    self.probe_own(&own.servers, turn, untold);
+                }
             }
         }
     }
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -24,12 +24,13 @@
 /// hundreds of servers, where one line with their number and revision tells as much.
 const TOGETHER_LINES_MAX: usize = 8;
 
-/// Puts versions of the operators' configuration in force.
+/// Puts what the operators write in force: versions of the configuration, and evacuations.
 #[derive(Debug)]
-pub struct ConfigSink<D> {
+pub struct OperatorSink<D> {
     pub dialect: D,
     pub table: TableInForce,
     pub board: Arc<Blackboard>,
+    pub dispatcher: Dispatcher,
 }
 
 /// One line for each part of a configuration that could not be read.
@@ -43,11 +44,46 @@
     }
 }
 
-impl<D: Dialect> Sink for ConfigSink<D> {
-    fn written(&mut self, item: &Item) {
-        if item.key != self.dialect.keys().config {
+impl<D: Dialect> OperatorSink<D> {
+    /// The zone that a key evacuates.
+    fn zone_of<'a>(&self, key: &'a str) -> Option<&'a str> {
+        key.strip_prefix(self.dialect.keys().evacuations_prefix)
+    }
+
+    /// The key alone is the operators' word; what its value may come to say does not take it back.
+    fn evacuate(&self, zone: &str, revision: u64) {
+        if zone.is_empty() || zone.contains('/') {
+            error!(
+                event = "evacuation-unreadable", code = Code::EvacuationUnreadable.number(),
+                zone = zone, revision = revision;
+                "{}", Code::EvacuationUnreadable
+            );
             return;
         }
+        let Some(change) = self.dispatcher.evacuate(zone) else {
+            return;
+        };
+        info!(
+            event = "zone-evacuated", zone = zone, servers = change.servers,
+            running = change.running, revision = revision;
+            "nothing more is sent there"
+        );
+        self.board.set_evacuated_zones(self.dispatcher.evacuated_zones());
+    }
+
+    fn readmit(&self, zone: &str) {
+        let Some(change) = self.dispatcher.readmit(zone) else {
+            return;
+        };
+        info!(
+            event = "zone-readmitted", zone = zone, servers = change.servers,
+            lasted_ms = change.lasted_us / 1000;
+            "its servers are used again"
+        );
+        self.board.set_evacuated_zones(self.dispatcher.evacuated_zones());
+    }
+
+    fn configure(&self, item: &Item) {
         let before = self.table.load_full();
         let read = match self.dialect.decode_config(&item.value, before.as_deref()) {
             Ok(read) => read,
@@ -75,9 +111,22 @@
         self.table.store(Some(Arc::new(read.table)));
         self.board.counters.add(Counter::ConfigMerged);
     }
+}
+
+impl<D: Dialect> Sink for OperatorSink<D> {
+    fn written(&mut self, item: &Item) {
+        if item.key == self.dialect.keys().config {
+            self.configure(item);
+        } else if let Some(zone) = self.zone_of(&item.key) {
+            self.evacuate(zone, item.revision);
+        }
+    }
 
     fn removed(&mut self, key: &str, _: Duration) {
-        info!(event = "config-removed", key = key; "the last version stays in force");
+        match self.zone_of(key) {
+            Some(zone) => self.readmit(zone),
+            None => info!(event = "config-removed", key = key; "the last version stays in force"),
+        }
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod conf;
 pub mod decide;
 pub mod errors;
+pub mod evacuation;
 pub mod gateway;
 pub mod r#gen;
 pub mod listener;
--- a/src/status/metrics.rs
+++ b/src/status/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use opentelemetry::KeyValue;
 use opentelemetry::metrics::MeterProvider;
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::Encoder;
@@ -48,6 +49,16 @@
             .with_callback(move |seen| seen.observe(observed.outcomes.len() as u64, &[]))
             .build();
         let observed = Arc::clone(board);
+        meter
+            .u64_observable_gauge("sorrelwick_zone_evacuated")
+            .with_description("1 for each availability zone that is evacuated.")
+            .with_callback(move |seen| {
+                for zone in observed.evacuated_zones().iter() {
+                    seen.observe(1, &[KeyValue::new("zone", zone.to_string())]);
+                }
+            })
+            .build();
+        let observed = Arc::clone(board);
         meter
             .u64_observable_gauge("sorrelwick_requests_in_flight")
             .with_description("Callers' requests without answer yet.")
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -13,6 +13,8 @@
 pub use memory_events::Fault;
 pub use memory_events::MemoryEvents;
 pub use memory_links::MemoryLinks;
+pub use plain_dialect::CONFIG_KEY;
+pub use plain_dialect::EVACUATIONS_PREFIX;
 pub use plain_dialect::PlainDialect;
 pub use raw_call::RawAnswer;
 pub use raw_call::raw_call;
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -11,6 +11,10 @@
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
 
+/// Where the operators write, in the stand-in store.
+pub const CONFIG_KEY: &str = "operators/config";
+pub const EVACUATIONS_PREFIX: &str = "operators/evacuations/";
+
 /// The stand-in's names: fields called what they hold, bodies as the product declares them.
 #[derive(Clone, Debug)]
 pub struct PlainDialect {
@@ -28,6 +32,7 @@
             load: name("load"),
             not_run: name("not-run"),
             server_id: name("server-id"),
+            cold_left_ms: name("cold-left-ms"),
         };
         Self { fields }
     }
@@ -40,7 +45,9 @@
 
     fn keys(&self) -> StoreKeys {
         StoreKeys {
-            config: "config",
+            operators_prefix: "operators/",
+            config: CONFIG_KEY,
+            evacuations_prefix: EVACUATIONS_PREFIX,
             servers_prefix: "servers/",
             instances_prefix: "instances/",
             suspects_prefix: "suspects/",
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -7,6 +7,7 @@
 use standins::bed::Bed;
 use standins::bed::BedPlan;
 use standins::caller::Call;
+use standins::routed::CONFIG_KEY;
 use standins::routed::CrashRule;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
@@ -40,7 +41,7 @@
 impl Scene {
     async fn start(service: &str, midway: bool) -> Self {
         let bed = RoutedBed::start(&ZONES).await;
-        bed.store.put("config", &two_routes(1));
+        bed.store.put(CONFIG_KEY, &two_routes(1));
         let mut servers = Vec::new();
         for number in 0..SERVERS {
             let id = format!("s{number}");
--- /dev/null
+++ b/tests/evacuation.rs
@@ -0,0 +1,274 @@
+//! Availability zones that the operators evacuate: nothing more is sent to their backend servers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwapOption;
+use sorrelwick::balance::Ask;
+use sorrelwick::balance::RepeatAllowance;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::parse_settings;
+use sorrelwick::gateway::Dispatcher;
+use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::OperatorSink;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
+use sorrelwick::peer::FeedReply;
+use sorrelwick::store::Item;
+use sorrelwick::store::ItemEvent;
+use standins::routed::CONFIG_KEY;
+use standins::routed::EVACUATIONS_PREFIX;
+use standins::routed::Fault;
+use standins::routed::PlainDialect;
+use standins::routed::RawServer;
+use standins::routed::RoutedBed;
+use standins::routed::two_routes;
+
+mod common;
+
+/// Half of the bound that operators set by default.
+const IN_FORCE: Duration = Duration::from_millis(2_500);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const ALLOWANCE: RepeatAllowance =
+    RepeatAllowance { ratio: 0.2, window_us: 10_000_000, slack: 10.0 };
+
+fn row(id: &str, zone: &str) -> ServerRow {
+    ServerRow {
+        id: id.into(),
+        service: "parts".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: zone.into(),
+        slots: 4,
+        state: ServerState::Ready,
+        warmup_ms: 0,
+        started_ms: 0,
+        sequence: 0,
+    }
+}
+
+fn ask() -> Ask {
+    let now_us = sorrelwick::clock::now_us();
+    Ask {
+        route: "look".into(),
+        priority: 1,
+        aim_ms: 600.0,
+        arrived_us: now_us,
+        spent_us: 0,
+        deadline_us: now_us + 1_500_000,
+        avoid: smallvec::SmallVec::new(),
+    }
+}
+
+/// A dispatcher that knows two servers in each zone.
+fn dispatcher() -> Dispatcher {
+    let dispatcher = Dispatcher::new("a", ALLOWANCE);
+    for zone in ZONES {
+        for number in 0..2 {
+            dispatcher.list(row(&format!("{zone}{number}"), zone));
+        }
+    }
+    dispatcher
+}
+
+fn key(zone: &str) -> String {
+    format!("{EVACUATIONS_PREFIX}{zone}")
+}
+
+/// Requests, hedges and servers listed during an evacuation: each way to a server of the zone.
+#[tokio::test]
+async fn no_way_leads_to_a_server_of_an_evacuated_zone() {
+    let dispatcher = dispatcher();
+    let change = dispatcher.evacuate("a").expect("it was not evacuated");
+    assert_eq!((change.servers, change.running), (2, 0));
+    assert_eq!(dispatcher.evacuate("a"), None);
+    dispatcher.list(row("a0", "a"));
+    dispatcher.list(ServerRow { started_ms: 7, ..row("a1", "a") });
+    dispatcher.list(row("a2", "a"));
+    let service = "parts".into();
+    let mut grants = Vec::new();
+    for _ in 0..4 {
+        grants.push(dispatcher.acquire(&service, ask()).await.expect("a slot elsewhere"));
+        grants.extend(dispatcher.spare("parts", &ask()));
+    }
+    assert!(grants.iter().all(|grant| *grant.server.row.zone != *"a"));
+    assert!(dispatcher.readmit("a").is_some_and(|change| change.servers == 3));
+    let back = dispatcher.acquire(&service, ask()).await.expect("a slot");
+    assert_eq!(&*back.server.row.zone, "a");
+}
+
+/// All zones evacuated: a request that waits, and one that comes, would be held for nothing.
+#[tokio::test]
+async fn without_a_zone_left_requests_are_refused_at_once() {
+    let dispatcher = dispatcher();
+    let running = tokio::spawn(dispatcher.clone().run());
+    let service: Arc<str> = "parts".into();
+    let mut grants = Vec::new();
+    while let Some(grant) = dispatcher.spare("parts", &ask()) {
+        grants.push(grant);
+    }
+    // A server may be given its last slot for a moment meanwhile.
+    let waits = loop {
+        let waiter = dispatcher.clone();
+        let waits = tokio::spawn(async move { waiter.acquire(&"parts".into(), ask()).await });
+        while !dispatcher.contended() && !waits.is_finished() {
+            tokio::task::yield_now().await;
+        }
+        if dispatcher.contended() {
+            break waits;
+        }
+        grants.push(waits.await.expect("no panic").expect("a slot"));
+    };
+    let began = Instant::now();
+    for zone in ZONES {
+        dispatcher.evacuate(zone);
+    }
+    let waited = waits.await.expect("no panic").expect_err("no zone is left");
+    assert!(waited.no_server && waited.retry_after_ms > 0, "{waited:?}");
+    let came = dispatcher.acquire(&service, ask()).await.expect_err("no zone is left");
+    assert!(came.no_server && came.retry_after_ms > 0, "{came:?}");
+    assert!(began.elapsed() < Duration::from_millis(100), "{:?}", began.elapsed());
+    running.abort();
+}
+
+fn board() -> Arc<Blackboard> {
+    let text = serde_json::json!({
+        "instance": { "name": "i", "zone": "a" },
+        "listen": {
+            "caller": "127.0.0.1:1", "operator": "127.0.0.1:1", "peer": "127.0.0.1:1",
+            "status": "127.0.0.1:1",
+        },
+        "peers": { "secret": "a secret of sixteen" },
+    });
+    let settings = parse_settings("board", &text.to_string()).expect("valid settings");
+    Arc::new(Blackboard::new(settings, 1))
+}
+
+fn mirror(dispatcher: &Dispatcher) -> Mirror<OperatorSink<PlainDialect>> {
+    Mirror::new(OperatorSink {
+        dialect: PlainDialect::default(),
+        table: Arc::new(ArcSwapOption::empty()),
+        board: board(),
+        dispatcher: dispatcher.clone(),
+    })
+}
+
+fn pass_on(reply: FeedReply, to: &Mirror<OperatorSink<PlainDialect>>) {
+    match reply {
+        FeedReply::Events { events, revision } => to.apply(&events, revision, Duration::ZERO),
+        FeedReply::All { items, revision } => to.replace(&items, revision, Duration::ZERO),
+        FeedReply::Unknown => {}
+    }
+}
+
+/// Words that come twice, late or not at all, to an instance and to one that relies on it: each ends
+/// with what the operators wrote last, and neither ever goes back to an older word.
+#[test]
+fn whatever_is_lost_the_last_word_on_each_zone_holds() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
+    let runtime = runtime.expect("a runtime");
+    common::property(300, |u| {
+        let (first, second) = (dispatcher(), dispatcher());
+        let (relay, follower) = (mirror(&first), mirror(&second));
+        let mut written: BTreeSet<&str> = BTreeSet::new();
+        let mut events: Vec<ItemEvent> = Vec::new();
+        let mut seen = 0;
+        for _ in 0..u.int_in_range(1..=30)? {
+            let zone = *u.choose(&ZONES)?;
+            let revision = events.len() as u64 + 1;
+            events.push(if written.remove(zone) {
+                ItemEvent::Removed { key: key(zone), revision }
+            } else {
+                written.insert(zone);
+                ItemEvent::Written(Item { key: key(zone), value: b"{}".to_vec(), revision })
+            });
+            if u.ratio(1, 2)? {
+                relay.apply(&events[seen..], revision, Duration::ZERO);
+                seen = events.len();
+            }
+            if u.ratio(1, 3)? {
+                // Late, and of what is known already.
+                let from = u.int_in_range(0..=seen)?;
+                relay.apply(&events[from..seen], seen as u64, Duration::ZERO);
+            }
+            if u.ratio(1, 2)? {
+                let after = follower.revision();
+                let (reply, _) = runtime.block_on(relay.serve(after, Duration::ZERO));
+                pass_on(reply, &follower);
+            }
+        }
+        relay.apply(&events[seen..], events.len() as u64, Duration::ZERO);
+        let (reply, _) = runtime.block_on(relay.serve(follower.revision(), Duration::ZERO));
+        pass_on(reply, &follower);
+        for dispatcher in [&first, &second] {
+            let in_force = dispatcher.evacuated_zones();
+            assert!(in_force.iter().map(|zone| &**zone).eq(written.iter().copied()));
+            while let Some(grant) = dispatcher.spare("parts", &ask()) {
+                assert!(!written.contains(&*grant.server.row.zone));
+                std::mem::forget(grant);
+            }
+        }
+        Ok(())
+    });
+}
+
+/// A key that names no zone, or one in which no server lies, must not hide the others.
+#[test]
+fn a_key_that_names_no_zone_costs_only_itself() {
+    let dispatcher = dispatcher();
+    let mirror = mirror(&dispatcher);
+    for (number, zone) in ["", "a/b", "nowhere", "b"].into_iter().enumerate() {
+        let value = [0xff, 0x00].to_vec();
+        let revision = number as u64 + 1;
+        let written = ItemEvent::Written(Item { key: key(zone), value, revision });
+        mirror.apply(&[written], revision, Duration::ZERO);
+    }
+    let zones = dispatcher.evacuated_zones();
+    assert!(zones.iter().map(|zone| &**zone).eq(["b", "nowhere"]));
+}
+
+async fn two_zones() -> (RoutedBed, [RawServer; 2]) {
+    let bed = RoutedBed::start(&["a", "a", "b", "b"]).await;
+    let servers = [RawServer::spawn("a1").await, RawServer::spawn("b1").await];
+    bed.store.put(CONFIG_KEY, &two_routes(1));
+    bed.store.put("servers/a1", &servers[0].entry("parts", "a", 4, "ready"));
+    bed.store.put("servers/b1", &servers[1].entry("parts", "b", 4, "ready"));
+    bed.settle().await;
+    (bed, servers)
+}
+
+/// Waits until requests at an instance reach only this server.
+async fn until_only(bed: &RoutedBed, at: usize, server: &RawServer, since: Instant) {
+    let mut in_a_row = 0;
+    while in_a_row < 10 {
+        assert!(since.elapsed() < IN_FORCE, "instance {at}");
+        let ran = server.ran().len();
+        let answer = bed.call(at, "GET /look/a", "probe", &[]).await;
+        in_a_row = if answer.status == 200 && server.ran().len() > ran { in_a_row + 1 } else { 0 };
+    }
+}
+
+/// The operators evacuate a zone, and requests go on reaching it: through an instance of it, one
+/// elsewhere, one that the store turns away, and one that starts meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuation_is_in_force_at_each_instance_in_half_of_its_bound() {
+    let (mut bed, [in_a, in_b]) = two_zones().await;
+    until_only(&bed, 0, &in_a, Instant::now()).await;
+    bed.views[1].set_fault(Fault::Busy);
+    let since = Instant::now();
+    bed.store.put(&key("a"), "{}");
+    bed.add("late", "a", &["a", "b"]).await;
+    for at in 0..5 {
+        until_only(&bed, at, &in_b, since).await;
+    }
+    let ran = in_a.ran().len();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(in_a.ran().len(), ran);
+    bed.store.remove(&key("a"));
+    bed.store.put(&key("b"), "{}");
+    let since = Instant::now();
+    for at in 0..5 {
+        until_only(&bed, at, &in_a, since).await;
+    }
+}
--- a/tests/gateway_fleet.rs
+++ b/tests/gateway_fleet.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standins::routed::CONFIG_KEY;
 use standins::routed::Fault;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
@@ -33,7 +34,7 @@
 
 async fn fleet() -> RoutedBed {
     let bed = RoutedBed::start(&ZONES).await;
-    bed.store.put("config", &two_routes(1));
+    bed.store.put(CONFIG_KEY, &two_routes(1));
     bed.settle().await;
     bed
 }
@@ -44,7 +45,7 @@
     tokio::time::sleep(START).await;
     let before: Vec<u64> = bed.views.iter().map(standins::routed::MemoryEvents::calls).collect();
     let since = Instant::now();
-    bed.store.put("config", &without_order(2));
+    bed.store.put(CONFIG_KEY, &without_order(2));
     let took = until_dropped(&bed, &[0, 1, 2, 3, 4, 5], since).await;
     assert!(took < APPLY, "{took:?}");
     let after = bed.views.iter().map(standins::routed::MemoryEvents::calls);
@@ -62,7 +63,7 @@
             bed.views[watching].set_fault(fault);
         }
         let since = Instant::now();
-        bed.store.put("config", &without_order(2));
+        bed.store.put(CONFIG_KEY, &without_order(2));
         let took = until_dropped(&bed, &[1, 3, 5], since).await;
         assert!(took < APPLY, "{fault:?}: {took:?}");
     }
@@ -75,7 +76,7 @@
     bed.views[0].set_fault(Fault::Busy);
     bed.views[1].set_fault(Fault::Silent);
     let since = Instant::now();
-    bed.store.put("config", &without_order(2));
+    bed.store.put(CONFIG_KEY, &without_order(2));
     let took = until_dropped(&bed, &[0, 1], since).await;
     assert!(took < APPLY, "{took:?}");
 }
@@ -85,9 +86,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_version_never_goes_back() {
     let bed = fleet().await;
-    bed.store.put("config", &without_order(5));
+    bed.store.put(CONFIG_KEY, &without_order(5));
     until_dropped(&bed, &[0, 1, 2, 3, 4, 5], Instant::now()).await;
-    bed.store.put("config", &two_routes(4));
+    bed.store.put(CONFIG_KEY, &two_routes(4));
     tokio::time::sleep(Duration::from_millis(1_200)).await;
     for at in 0..ZONES.len() {
         assert_eq!(bed.call(at, "POST /order/a", "old", &[]).await.status, 404, "instance {at}");
@@ -102,7 +103,7 @@
     }
     let server = RawServer::spawn("p1").await;
     bed.store.put("servers/p1", &server.entry("parts", "a", 4, "ready"));
-    bed.store.put("config", &without_order(2));
+    bed.store.put(CONFIG_KEY, &without_order(2));
     bed.store.forget_history();
     for view in &bed.views {
         view.set_fault(Fault::None);
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -7,6 +7,7 @@
 
 use sorrelwick::gateway::MemoryRoom;
 use standins::routed::Behaviour;
+use standins::routed::CONFIG_KEY;
 use standins::routed::LARGE_BYTES;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
@@ -22,7 +23,7 @@
     let bed = RoutedBed::start(&["z"]).await;
     let parts = RawServer::spawn("p1").await;
     let orders = RawServer::spawn("o1").await;
-    bed.store.put("config", &two_routes(1));
+    bed.store.put(CONFIG_KEY, &two_routes(1));
     bed.store.put("servers/p1", &parts.entry("parts", "z", 4, "ready"));
     bed.store.put("servers/o1", &orders.entry("orders", "z", 4, "ready"));
     bed.settle().await;
@@ -196,7 +197,7 @@
     let answer = bed.call(0, "GET /look/a", "early", &[]).await;
     assert_eq!(answer.status, 503);
     assert!(answer.field("retry-after").is_some());
-    bed.store.put("config", &two_routes(1));
+    bed.store.put(CONFIG_KEY, &two_routes(1));
     bed.settle().await;
     assert_eq!(bed.call(0, "GET /other/", "late", &[]).await.status, 404);
 }
@@ -248,7 +249,7 @@
     let bed = RoutedBed::start(&["z"]).await;
     let parts = RawServer::spawn("p1").await;
     parts.pace(0);
-    bed.store.put("config", &two_routes(1));
+    bed.store.put(CONFIG_KEY, &two_routes(1));
     bed.store.put("servers/p1", &parts.entry("parts", "z", 4, "ready"));
     bed.settle().await;
     until_served(&bed, "GET /look/a").await;
@@ -327,7 +328,7 @@
     let parts = RawServer::spawn("p1").await;
     parts.work(Duration::from_millis(20));
     let config = two_routes(1).replace("\"connections_max\":200", "\"connections_max\":4");
-    bed.store.put("config", &config);
+    bed.store.put(CONFIG_KEY, &config);
     bed.store.put("servers/p1", &parts.entry("parts", "z", 16, "ready"));
     bed.settle().await;
     until_served(&bed, "GET /look/a").await;
@@ -381,7 +382,7 @@
 async fn a_server_that_starts_again_under_its_id_is_used_at_once() {
     let bed = RoutedBed::start(&["z"]).await;
     let before = RawServer::spawn("p1").await;
-    bed.store.put("config", &two_routes(1));
+    bed.store.put(CONFIG_KEY, &two_routes(1));
     bed.store.put("servers/p1", &before.entry_of_start("parts", "z", 4, "ready", 1_000));
     bed.settle().await;
     until_served(&bed, "GET /look/a").await;
