What all instances send a cold server in a second is bounded

Cause: nothing guarded the operators' bound (rate x overage + slack): no instance counted what it or others start at a cold server; that a server is cold was read from its entry only. Change: src/cold holds what is known of one server's coldness (entry and health answers, the newer word counts; presumed after an evacuation), what was started there in the last second, and the part of each home. The bound is divided by three views of the homes that may be held at the same time, and a view's part among its homes by a hash of the server; who knows no other instance starts one, who is no home none. Counted at warm servers too, as one may turn cold unsaid; taken back where nothing was sent. Ruled out: counting starts between homes beside the slots (a word is 25 to 75 ms old, and each of six homes may start meanwhile). Refusals alone do not break the bound: their failures hold a server back already; short work does.

--- a/src/balance/ask.rs
+++ b/src/balance/ask.rs
@@ -47,6 +47,8 @@
     pub expected_ms: f64,
     /// Age of the last word on its pace; `None` for a server that never told it.
     pub pace_age_us: Option<u64>,
+    /// Whether it was believed cold.
+    pub cold: bool,
 }
 
 /// A request is not served; when to come back.
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -2,6 +2,7 @@
 
 use smallvec::SmallVec;
 
+use crate::cold::ColdState;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
 use crate::model::ServerState;
@@ -72,6 +73,8 @@
     TimedOut,
     /// The caller left or another send was faster.
     Cancelled,
+    /// The server turned out to be no place for the request before it was sent.
+    Unsent,
 }
 
 /// What a peer has at the server.
@@ -111,7 +114,7 @@
     /// The pace that the server told this instance itself.
     own_pace_percent: u16,
     own_pace_at_us: u64,
-    warm_at_us: u64,
+    pub(super) cold: ColdState,
     /// Share of ends that were failures, as of `failures_at_us`.
     failures: f64,
     failures_at_us: u64,
@@ -132,9 +135,9 @@
     /// A server that was just listed.
     #[must_use]
     pub fn new(row: ServerRow, now_us: u64) -> Self {
-        let warm_at_us = now_us + row.warmup_ms * 1000;
         Self {
             key: server_key(&row),
+            cold: ColdState::new(row.warmup_ms, now_us),
             row,
             full_us: 0,
             full_at_us: now_us,
@@ -147,7 +150,6 @@
             pace_at_us: 0,
             own_pace_percent: 0,
             own_pace_at_us: 0,
-            warm_at_us,
             failures: 0.0,
             failures_at_us: now_us,
             breaks: 0,
@@ -162,7 +164,7 @@
 
     /// Takes over what the platform lists now.
     pub fn relist(&mut self, row: ServerRow, now_us: u64) {
-        self.warm_at_us = now_us + row.warmup_ms * 1000;
+        self.cold.hear_entry(row.warmup_ms, now_us);
         self.row = row;
         self.unlisted_at_us = None;
     }
@@ -189,9 +191,11 @@
         self.evacuated = true;
     }
 
-    /// The evacuation ends.
-    pub fn readmit(&mut self, _now_us: u64) {
+    /// The evacuation ends. For as long as a cold server of its service is slow it may be cold without
+    /// anybody having said so.
+    pub fn readmit(&mut self, warmup_us: u64, now_us: u64) {
         self.evacuated = false;
+        self.cold.presume(warmup_us, now_us);
     }
 
     /// Whether it may be given work at all, now or after a pause.
@@ -211,7 +215,12 @@
     /// Whether it works at its usual speed, as far as its start is concerned.
     #[must_use]
     pub const fn warm(&self, now_us: u64) -> bool {
-        now_us >= self.warm_at_us
+        self.cold.warm(now_us)
+    }
+
+    /// Takes in for how long a health answer says that it is cold; `None` where it does not say.
+    pub fn hear_cold(&mut self, left_ms: Option<u64>, now_us: u64) {
+        self.cold.hear_health(left_ms, now_us);
     }
 
     /// Whether an idle connection is probably there: it answered this instance lately.
@@ -286,6 +295,7 @@
         self.note_full(now_us);
         let running = self.occupancy(now_us) + 1;
         self.sent.push(Sent { ticket, at_us: now_us, running, full_us: self.full_us });
+        self.cold.start(now_us);
         self.note_full(now_us);
     }
 
@@ -314,12 +324,19 @@
         self.note_full(now_us);
         match end {
             SendEnd::Cancelled => return Some(sent),
+            SendEnd::Unsent => {
+                self.cold.take_back(sent.at_us);
+                return Some(sent);
+            }
             SendEnd::Answered => {
                 self.breaks = 0;
                 self.heard_us = now_us;
             }
             SendEnd::Failed | SendEnd::Refused => self.heard_us = now_us,
-            SendEnd::Unreachable => self.pause(now_us),
+            SendEnd::Unreachable => {
+                self.cold.take_back(sent.at_us);
+                self.pause(now_us);
+            }
             SendEnd::Broken => {
                 self.breaks += 1;
                 if self.breaks >= RESETS_MAX {
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -11,6 +11,8 @@
 use super::ServerTrack;
 use super::ServiceTimes;
 use super::service_queue::Waiting;
+use crate::cold::ColdRule;
+use crate::cold::ColdShare;
 use crate::model::ServerRow;
 
 /// What an answer from another zone costs beyond its own time. Its bytes cost money there, and
@@ -71,6 +73,8 @@
     unhindered: ServiceTimes,
     /// Mean time of all requests; 0 before the first.
     pub(super) mean_ms: f64,
+    cold_rule: ColdRule,
+    cold_share: ColdShare,
 }
 
 impl Default for ServicePool {
@@ -87,6 +91,8 @@
             times: ServiceTimes::default(),
             unhindered: ServiceTimes::default(),
             mean_ms: 0.0,
+            cold_rule: ColdRule::default(),
+            cold_share: ColdShare::default(),
         }
     }
 }
@@ -101,24 +107,43 @@
     /// Lists a server, and returns what is believed of it. Nothing that is believed of an earlier
     /// start holds for a later one.
     pub fn list(&mut self, row: ServerRow, now_us: u64) -> &mut ServerTrack {
-        let place = match self.places.get(&row.id) {
-            Some(place) => *place,
+        let place = self.places.get(&row.id).copied().unwrap_or(self.servers.len());
+        match self.servers.get_mut(place) {
+            Some(server) if server.row.same_start(&row) => server.relist(row, now_us),
+            Some(server) => *server = ServerTrack::new(row, now_us),
             None => {
-                let place = self.servers.len();
                 self.places.insert(Arc::clone(&row.id), place);
-                self.servers.push(ServerTrack::new(row.clone(), now_us));
-                place
+                self.servers.push(ServerTrack::new(row, now_us));
             }
-        };
-        let server = &mut self.servers[place];
-        if server.row.same_start(&row) {
-            server.relist(row, now_us);
-        } else {
-            *server = ServerTrack::new(row, now_us);
         }
+        let starts_max = self.cold_starts_max(self.servers[place].key);
+        let server = &mut self.servers[place];
+        server.cold.set_starts_max(starts_max);
         server
     }
 
+    /// Takes over what cold servers of the service may get, and who shares that.
+    pub fn share_cold_starts(&mut self, rule: ColdRule, share: &ColdShare) {
+        self.cold_rule = rule;
+        self.cold_share = share.clone();
+        for place in 0..self.servers.len() {
+            let starts_max = self.cold_starts_max(self.servers[place].key);
+            self.servers[place].cold.set_starts_max(starts_max);
+        }
+    }
+
+    fn cold_starts_max(&self, server_key: u32) -> u32 {
+        let bound = self.cold_rule.bound.as_ref();
+        bound.map_or(u32::MAX, |bound| self.cold_share.starts_per_s(bound, server_key))
+    }
+
+    /// Uses the servers of an availability zone again; returns how many there are.
+    pub fn readmit(&mut self, zone: &str, now_us: u64) -> usize {
+        let of_zone = self.servers.iter_mut().filter(|server| *server.row.zone == *zone);
+        let readmitted = of_zone.map(|server| server.readmit(self.cold_rule.warmup_us, now_us));
+        readmitted.count()
+    }
+
     /// Forgets servers that are neither listed nor in use.
     pub fn forget_unlisted(&mut self, now_us: u64) {
         self.retain(|server| server.listed(now_us) || !server.idle());
@@ -151,8 +176,11 @@
             let occupancy = server.occupancy(now_us);
             let may_connect =
                 self.own_requests_max == 0 || server.own_requests() < self.own_requests_max;
-            (occupancy < self.allowed(server, now_us) && may_connect && server.usable(now_us))
-                .then_some(Room { index, occupancy })
+            (occupancy < self.allowed(server, now_us)
+                && may_connect
+                && server.usable(now_us)
+                && server.cold.may_start(now_us))
+            .then_some(Room { index, occupancy })
         });
         rooms.collect()
     }
@@ -164,8 +192,9 @@
 
     /// Whether a server is no place any more for a request that was given a slot of it, the request
     /// counted in: it works much slower than when it was chosen, at `expected_ms`, or others sent it
-    /// more than it is given at a time, of which nobody told. `key` names the start that it is of;
-    /// of another one nothing is said.
+    /// more than it is given at a time, of which nobody told, or it turned out cold and this instance
+    /// has started all there that it may. `key` names the start that it is of; of another one nothing
+    /// is said.
     #[must_use]
     pub fn worse(&self, id: &str, key: u32, ask: &Ask, expected_ms: f64, now_us: u64) -> bool {
         let server = self.places.get(id).map(|place| &self.servers[*place]);
@@ -175,6 +204,7 @@
         let usual_ms = self.typical_ms(ask);
         server.expected_ms(usual_ms, now_us) > expected_ms + SLOWED_SHARE * usual_ms
             || server.occupancy(now_us) > self.allowed(server, now_us)
+            || server.cold.over_started(now_us)
     }
 
     /// Of the servers with room the one that is expected to answer first, if that is soon enough.
@@ -252,6 +282,7 @@
             running: server.occupancy(now_us),
             expected_ms,
             pace_age_us: server.pace_age_us(now_us),
+            cold: !server.warm(now_us),
         }
     }
 
--- /dev/null
+++ b/src/cold/mod.rs
@@ -0,0 +1,14 @@
+//! Backend servers that are cold: just started, or back after an evacuation. They work slower, and
+//! crash under more than some requests a second from all instances together.
+
+mod cold_bound;
+mod cold_rule;
+mod cold_share;
+mod cold_state;
+mod start_window;
+
+pub use cold_bound::ColdBound;
+pub use cold_rule::ColdRule;
+pub use cold_share::ColdShare;
+pub use cold_state::ColdState;
+pub use start_window::StartWindow;
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -92,6 +92,10 @@
     faults.range(gateway.drain_ms, 100, MS_MAX, "gateway.drain_ms");
     faults.range(gateway.config_apply_ms, 100, MS_MAX, "gateway.config_apply_ms");
     faults.range(gateway.evacuate_ms, 100, MS_MAX, "gateway.evacuate_ms");
+    let overage_holds = (0.0..=1e6).contains(&gateway.cold_overage);
+    faults.need(overage_holds, "gateway.cold_overage", "0 to 1000000");
+    let cold_slack_holds = (0.0..=1e6).contains(&gateway.cold_slack);
+    faults.need(cold_slack_holds, "gateway.cold_slack", "0 to 1000000");
     faults.seconds(gateway.address_keep_max_s, 0.01, "gateway.address_keep_max_s");
     let ratio_holds = (0.0..=10.0).contains(&gateway.repeat_ratio);
     faults.need(ratio_holds, "gateway.repeat_ratio", "0 to 10");
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -282,6 +282,11 @@
     /// An availability zone's backend servers get nothing more within this of its evacuation.
     #[serde(default = "evacuate_default")]
     pub evacuate_ms: u64,
+    /// By how much a cold server may get more than its service's rate, as a factor and in requests.
+    #[serde(default = "cold_overage_default")]
+    pub cold_overage: f64,
+    #[serde(default)]
+    pub cold_slack: f64,
     /// Most time that callers keep an address answer.
     #[serde(default = "address_keep_default")]
     pub address_keep_max_s: f64,
@@ -322,6 +327,11 @@
     2_000
 }
 
+/// Without a word of the operators, a cold server gets no more than its rate.
+const fn cold_overage_default() -> f64 {
+    1.0
+}
+
 const fn evacuate_default() -> u64 {
     5_000
 }
--- a/src/gateway/declaration.rs
+++ b/src/gateway/declaration.rs
@@ -34,7 +34,7 @@
 }
 
 /// A configuration that was read, with the parts that could not be.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReadTable {
     pub table: RouteTable,
     pub faults: Vec<PartFault>,
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -26,6 +26,8 @@
 use crate::balance::ServerTrack;
 use crate::balance::ServicePool;
 use crate::clock::now_us;
+use crate::cold::ColdRule;
+use crate::cold::ColdShare;
 use crate::evacuation::Evacuations;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
@@ -47,6 +49,9 @@
     pub(super) by_key: HashMap<u32, Arc<Server>>,
     pub(super) starts: ServerStarts,
     pub(super) evacuations: Evacuations,
+    /// By service.
+    pub(super) cold_rules: HashMap<Arc<str>, ColdRule>,
+    pub(super) cold_share: ColdShare,
     pub(super) peers: PeersHeard,
     pub(super) in_use: ServersInUse,
     /// Whether any server is unlisted and not forgotten yet.
@@ -247,9 +252,12 @@
         self.with_track(server, |track| track.report(load, now_us()));
     }
 
-    /// Takes in the answer to a health check.
-    pub fn checked(&self, server: &Server, well: bool) {
-        self.with_track(server, |track| track.checked(well, now_us()));
+    /// Takes in the answer to a health check, and for how long the server says that it is cold.
+    pub fn checked(&self, server: &Server, well: bool, cold_left_ms: Option<u64>) {
+        self.with_track(server, |track| {
+            track.checked(well, now_us());
+            track.hear_cold(cold_left_ms, now_us());
+        });
     }
 
     /// Whether any server of a service ever told its load.
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -97,7 +97,15 @@
         state.list_version += 1;
         let service = Arc::clone(&row.service);
         let evacuated = state.evacuations.covers(&row.zone);
-        let track = state.pools.entry(Arc::clone(&service)).or_default().list(row, now_us());
+        let State { pools, cold_rules, cold_share, .. } = state;
+        let pool = pools.entry(Arc::clone(&service)).or_default();
+        if pool.servers.is_empty() {
+            pool.share_cold_starts(
+                cold_rules.get(&service).copied().unwrap_or_default(),
+                cold_share,
+            );
+        }
+        let track = pool.list(row, now_us());
         if evacuated {
             track.evacuate();
         }
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -11,6 +11,8 @@
 use crate::balance::RepeatAllowance;
 use crate::balance::RepeatNeed;
 use crate::clock::now_us;
+use crate::cold::ColdRule;
+use crate::cold::ColdShare;
 
 /// This instance's part of the connections that a server accepts; it needs one at least.
 #[expect(
@@ -22,6 +24,15 @@
     (f64::from(rule.connections_max) * part).max(1.0) as u32
 }
 
+impl State {
+    fn apply_cold_rules(&mut self) {
+        for (service, pool) in &mut self.pools {
+            let rule = self.cold_rules.get(service).copied().unwrap_or_default();
+            pool.share_cold_starts(rule, &self.cold_share);
+        }
+    }
+}
+
 impl Dispatcher {
     /// Counts a request of a caller, on which the budget of repeats depends.
     pub fn count_request(&self, service: &Arc<str>) {
@@ -59,6 +70,22 @@
         }
     }
 
+    /// Takes over what holds for the cold servers of each service.
+    pub fn rule_cold_servers(&self, rules: HashMap<Arc<str>, ColdRule>) {
+        let mut state = self.state.lock();
+        state.cold_rules = rules;
+        state.apply_cold_rules();
+    }
+
+    /// Keeps to a part of what cold servers may get.
+    pub fn share_cold_starts(&self, share: ColdShare) {
+        let mut state = self.state.lock();
+        if state.cold_share != share {
+            state.cold_share = share;
+            state.apply_cold_rules();
+        }
+    }
+
     /// What this instance may repeat.
     #[expect(clippy::cast_precision_loss, reason = "a few homes")]
     fn own_allowance(&self) -> RepeatAllowance {
--- a/src/gateway/dispatcher_zones.rs
+++ b/src/gateway/dispatcher_zones.rs
@@ -18,6 +18,7 @@
 
 impl Dispatcher {
     /// Gives the servers of a zone nothing more; `None` if that is so already.
+    #[expect(clippy::must_use_candidate, reason = "what changed is for the log")]
     pub fn evacuate(&self, zone: &str) -> Option<ZoneChange> {
         let mut state = self.state.lock();
         if !state.evacuations.begin(zone, now_us()) {
@@ -34,16 +35,15 @@
     }
 
     /// Uses the servers of a zone again; `None` if they were used.
+    #[expect(clippy::must_use_candidate, reason = "what changed is for the log")]
     pub fn readmit(&self, zone: &str) -> Option<ZoneChange> {
         let mut undelivered = Vec::new();
         let mut state = self.state.lock();
         let now_us = now_us();
         let since_us = state.evacuations.end(zone)?;
         let mut change = ZoneChange::default();
-        let tracks = state.pools.values_mut().flat_map(|pool| &mut pool.servers);
-        for track in tracks.filter(|track| *track.row.zone == *zone) {
-            track.readmit(now_us);
-            change.servers += 1;
+        for pool in state.pools.values_mut() {
+            change.servers += pool.readmit(zone, now_us);
         }
         change.lasted_us = now_us.saturating_sub(since_us);
         for service in state.waited_for() {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -280,7 +280,7 @@
                 event = "send", id = request.id_text(), service = &*request.service,
                 server = &*server.row.id, send = sends, took_ms = took_ms, outcome = result.name(),
                 running = choice.running, expected_ms = choice.expected_ms.round(),
-                pace_age_us = choice.pace_age_us;
+                pace_age_us = choice.pace_age_us, cold = choice.cold;
                 "send ended"
             );
             if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -33,6 +33,7 @@
     if let Some(load) = text(&fields.load).and_then(|text| dialect.parse_load(text)) {
         dispatcher.report(server, load);
     }
-    dispatcher.checked(server, answer.status.is_success());
+    let cold_left_ms = text(&fields.cold_left_ms).and_then(|text| text.trim().parse().ok());
+    dispatcher.checked(server, answer.status.is_success(), cold_left_ms);
     Ok(conn.finish(&answer))
 }
--- a/src/gateway/home_planner.rs
+++ b/src/gateway/home_planner.rs
@@ -10,6 +10,7 @@
 use super::homes::HomesPlan;
 use super::homes::all_homes;
 use crate::board::Blackboard;
+use crate::cold::ColdShare;
 use crate::member::MemberRow;
 
 /// Requests a second that callers of a zone may send for each slot of its share of the servers.
@@ -92,6 +93,7 @@
                 ""
             );
         }
+        self.dispatcher.share_cold_starts(self.cold_share(&basis));
         let own = basis.homes.contains(&self.board.incarnation);
         self.dispatcher.share_among(homes.len(), own);
         let part = connection_part(homes.len(), basis.others, own);
@@ -101,6 +103,15 @@
         basis
     }
 
+    /// Who shares what cold servers may get. An instance that knows no other, though there are some,
+    /// may be one of hundreds that start at this moment.
+    fn cold_share(&self, basis: &Basis) -> ColdShare {
+        let alone = basis.homes.len() + basis.others <= 1;
+        let others_expected = !self.board.settings.peers.seeds.is_empty();
+        let homes = (!alone || !others_expected).then(|| basis.homes.clone());
+        ColdShare { homes, own: self.board.incarnation }
+    }
+
     /// Requests a second that the homes of one zone must be able to carry.
     #[expect(
         clippy::cast_possible_truncation,
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -69,13 +70,27 @@
 }
 
 /// What the operators say of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRule {
     pub name: Arc<str>,
     pub health_path: String,
     /// Connections that a backend server of the service takes from everybody together.
     #[serde(default = "connections_default")]
     pub connections_max: u32,
+    /// How long a backend server stays cold, in seconds.
+    #[serde(default)]
+    pub warmup_s: f64,
+    /// Requests a second that a cold one tolerates from all instances together; not bounded without.
+    #[serde(default)]
+    pub cold_per_s: Option<f64>,
+}
+
+impl ServiceRule {
+    /// How long a backend server stays cold.
+    #[must_use]
+    pub fn warmup(&self) -> Duration {
+        Duration::try_from_secs_f64(self.warmup_s).unwrap_or_default()
+    }
 }
 
 /// What callers may send, and how long they may take.
@@ -101,7 +116,7 @@
 }
 
 /// One version of the operators' configuration, ready for lookups.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteTable {
     pub version: u64,
     pub services: HashMap<Arc<str>, ServiceRule>,
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -103,7 +103,7 @@
                 let failed = answer.status.as_u16() >= 500;
                 if failed { SendEnd::Failed } else { SendEnd::Answered }
             }
-            Self::Unfit { .. } | Self::Denied(_) => SendEnd::Cancelled,
+            Self::Unfit { .. } | Self::Denied(_) => SendEnd::Unsent,
             Self::Refused { .. } => SendEnd::Refused,
             Self::Unproved { .. } => SendEnd::Failed,
             Self::NotSent => SendEnd::Unreachable,
@@ -150,7 +150,7 @@
             Ok(conn) => conn,
             // Its connections are all in use, which says nothing against the server.
             Err(err) if err.kind() == ErrorKind::QuotaExceeded => {
-                return SendResult::Unfit { silent: false };
+                return ended(grant, SendResult::Unfit { silent: false });
             }
             Err(_) => {
                 grant.end(SendEnd::Unreachable);
@@ -162,10 +162,10 @@
                 Fitness::Fit => {}
                 Fitness::Worse => {
                     grant.server.conns.put_back(conn);
-                    return SendResult::Unfit { silent: false };
+                    return ended(grant, SendResult::Unfit { silent: false });
                 }
-                Fitness::Gone => return SendResult::Unfit { silent: false },
-                Fitness::Silent => return SendResult::Unfit { silent: true },
+                Fitness::Gone => return ended(grant, SendResult::Unfit { silent: false }),
+                Fitness::Silent => return ended(grant, SendResult::Unfit { silent: true }),
             }
         }
         let left = Duration::from_millis(request.left_ms());
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -9,11 +9,15 @@
 
 use super::Dialect;
 use super::PartFault;
+use super::RouteTable;
+use super::ServiceRule;
 use super::caller_handler::TableInForce;
 use super::dispatcher::Dispatcher;
 use super::mirror::Sink;
 use crate::board::Blackboard;
 use crate::board::Counter;
+use crate::cold::ColdBound;
+use crate::cold::ColdRule;
 use crate::errors::Code;
 use crate::model::ServerRow;
 use crate::store::Item;
@@ -83,6 +87,17 @@
         self.board.set_evacuated_zones(self.dispatcher.evacuated_zones());
     }
 
+    /// What the operators say of each service's cold servers.
+    fn cold_rules(&self, table: &RouteTable) -> HashMap<Arc<str>, ColdRule> {
+        let bounds = self.board.settings.gateway.as_ref();
+        let (overage, slack) = bounds.map_or((1.0, 0.0), |one| (one.cold_overage, one.cold_slack));
+        let rule = |service: &ServiceRule| ColdRule {
+            bound: service.cold_per_s.map(|per_s| ColdBound { per_s, overage, slack }),
+            warmup_us: u64::try_from(service.warmup().as_micros()).unwrap_or(0),
+        };
+        table.services.iter().map(|(name, service)| (Arc::clone(name), rule(service))).collect()
+    }
+
     fn configure(&self, item: &Item) {
         let before = self.table.load_full();
         let read = match self.dialect.decode_config(&item.value, before.as_deref()) {
@@ -108,6 +123,7 @@
             revision = item.revision;
             "configuration changed"
         );
+        self.dispatcher.rule_cold_servers(self.cold_rules(&read.table));
         self.table.store(Some(Arc::new(read.table)));
         self.board.counters.add(Counter::ConfigMerged);
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod cli;
 pub mod clock;
+pub mod cold;
 pub mod command;
 pub mod conf;
 pub mod decide;
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -1,6 +1,7 @@
 //! A platform that lists routes and backend servers in a store with events: in memory, with the
 //! faults of a real one, and whole fleets of instances on it.
 
+mod cold_spell;
 mod crash_rule;
 mod memory_events;
 mod memory_links;
@@ -9,6 +10,7 @@
 mod raw_server;
 mod routed_bed;
 
+pub use cold_spell::ColdSpell;
 pub use crash_rule::CrashRule;
 pub use memory_events::Fault;
 pub use memory_events::MemoryEvents;
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::ColdSpell;
 use super::CrashRule;
 use super::PlainDialect;
 use crate::rebind::accept_until;
@@ -68,6 +69,7 @@
     /// When it crashed, in order.
     crashed_at: Mutex<Vec<tokio::time::Instant>>,
     work: Mutex<Duration>,
+    cold: Mutex<Option<ColdSpell>>,
     pace_percent: AtomicU32,
     /// Ids of the requests that it ran, in order.
     ran: Mutex<Vec<String>>,
@@ -114,6 +116,7 @@
             crash: Notify::new(),
             crashed_at: Mutex::default(),
             work: Mutex::new(Duration::from_millis(2)),
+            cold: Mutex::default(),
             pace_percent: AtomicU32::new(100),
             ran: Mutex::default(),
             heads: Mutex::default(),
@@ -155,6 +158,18 @@
         *self.shared.work.lock() = work;
     }
 
+    /// It is cold from now on, for so long, and crashes when more requests than that arrive within a
+    /// second meanwhile.
+    pub fn grow_cold(&self, lasts: Duration, bears_per_s: usize) {
+        *self.shared.cold.lock() = Some(ColdSpell::new(lasts, bears_per_s));
+    }
+
+    /// Most requests that arrived within a second while it was cold.
+    #[must_use]
+    pub fn cold_arrivals_most(&self) -> usize {
+        self.shared.cold.lock().as_ref().map_or(0, ColdSpell::arrivals_most)
+    }
+
     /// What it tells of its pace. With 0 it tells no load at all, and health checks wait like
     /// requests until it has nothing to do.
     pub fn pace(&self, percent: u32) {
@@ -319,8 +334,11 @@
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
     let (id, load) = (&shared.id, load(shared));
-    let server_id = &shared.names.server_id;
-    format!("HTTP/1.1 200 OK\r\n{server_id}: {id}\r\n{load}content-length: 0\r\n\r\n")
+    let FieldNames { server_id, cold_left_ms, .. } = &shared.names;
+    let left = shared.cold.lock().as_ref().and_then(ColdSpell::left);
+    let cold =
+        left.map_or_else(String::new, |left| format!("{cold_left_ms}: {}\r\n", left.as_millis()));
+    format!("HTTP/1.1 200 OK\r\n{server_id}: {id}\r\n{load}{cold}content-length: 0\r\n\r\n")
 }
 
 /// The field that tells the load; nothing for a server that does not tell.
@@ -340,6 +358,10 @@
     late: &mut Option<String>,
 ) -> bool {
     shared.heads.lock().push(head.text.clone());
+    if shared.cold.lock().as_mut().is_some_and(ColdSpell::arrives) {
+        shared.crash.notify_one();
+        return false;
+    }
     let behaviour = *shared.behaviour.lock();
     let id = &head.id;
     if behaviour == Behaviour::Shed {
--- /dev/null
+++ b/tests/cold_servers.rs
@@ -0,0 +1,219 @@
+//! Cold backend servers: what all instances together send them in a second.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use smallvec::SmallVec;
+use sorrelwick::balance::Ask;
+use sorrelwick::balance::SendEnd;
+use sorrelwick::balance::ServicePool;
+use sorrelwick::balance::server_key;
+use sorrelwick::cold::ColdBound;
+use sorrelwick::cold::ColdRule;
+use sorrelwick::cold::ColdShare;
+use sorrelwick::cold::ColdState;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
+use standins::routed::CONFIG_KEY;
+use standins::routed::EVACUATIONS_PREFIX;
+use standins::routed::RawServer;
+use standins::routed::RoutedBed;
+use standins::routed::two_routes;
+
+mod common;
+
+const MS: u64 = 1_000;
+const SECOND_US: u64 = 1_000_000;
+const BOUND: ColdBound = ColdBound { per_s: 4.8, overage: 1.5, slack: 8.0 };
+/// `BOUND` in whole requests.
+const MOST: usize = 15;
+const WARMUP_MS: u64 = 3_000;
+
+fn row(id: &str, warmup_ms: u64) -> ServerRow {
+    ServerRow {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        warmup_ms,
+        started_ms: 0,
+        sequence: 0,
+    }
+}
+
+fn ask(now_us: u64) -> Ask {
+    Ask {
+        route: "look".into(),
+        priority: 0,
+        aim_ms: 600.0,
+        arrived_us: now_us,
+        spent_us: 0,
+        deadline_us: now_us + 1_500 * MS,
+        avoid: SmallVec::new(),
+    }
+}
+
+fn share(homes: &[u64], own: u64) -> ColdShare {
+    ColdShare { homes: Some(homes.to_vec()), own }
+}
+
+/// Instances disagree on who is a home, as after a cut or a restart of all: each of three views may hold
+/// its own homes, and a cold server gets what all of them send.
+#[test]
+fn three_views_of_the_homes_keep_the_bound_together() {
+    common::property(400, |u| {
+        let bound = ColdBound {
+            per_s: f64::from(u.int_in_range(0..=400)?) / 10.0,
+            overage: f64::from(u.int_in_range(10..=30)?) / 10.0,
+            slack: f64::from(u.int_in_range(3..=40)?),
+        };
+        let key: u32 = u.arbitrary()?;
+        let mut sum = 0;
+        for view in 0..3 {
+            let homes: Vec<u64> =
+                (0..u.int_in_range(1..=40)?).map(|home| view * 1_000 + home).collect();
+            sum +=
+                homes.iter().map(|own| share(&homes, *own).starts_per_s(&bound, key)).sum::<u32>();
+        }
+        assert!(f64::from(sum) <= bound.per_s * bound.overage + bound.slack, "{sum}: {bound:?}");
+        Ok(())
+    });
+}
+
+/// Starts are shared out whole: nothing of what a server may get is lost by dividing.
+#[test]
+fn the_homes_of_one_view_use_up_its_part() {
+    for homes in 1..=40_u64 {
+        let homes: Vec<u64> = (0..homes).collect();
+        let sum: u32 = homes.iter().map(|own| share(&homes, *own).starts_per_s(&BOUND, 7)).sum();
+        assert_eq!(sum, BOUND.starts_of_view());
+        assert_eq!(share(&homes, 1_000).starts_per_s(&BOUND, 7), 0);
+    }
+}
+
+/// A cold server whose work is short is free again and again: six homes in a burst send it hundreds of
+/// requests a second, and it crashes.
+///
+/// The pattern: all servers of a service cold, work far shorter than a second, more callers than slots.
+#[test]
+fn a_cold_server_of_short_work_gets_no_more_than_its_bound() {
+    let homes: Vec<u64> = (0..6).collect();
+    let mut pools: Vec<ServicePool> = Vec::new();
+    for own in &homes {
+        let mut pool = ServicePool::default();
+        let rule = ColdRule { bound: Some(BOUND), warmup_us: WARMUP_MS * MS };
+        pool.share_cold_starts(rule, &share(&homes, *own));
+        pool.list(row("s0", WARMUP_MS), 0);
+        pools.push(pool);
+    }
+    let mut arrivals: VecDeque<u64> = VecDeque::new();
+    let (mut most, mut all) = (0, 0);
+    for now_us in (0..WARMUP_MS * MS).step_by(2_000) {
+        for (pool, ticket) in pools.iter_mut().zip(now_us..) {
+            let ask = ask(now_us);
+            let Some(choice) = pool.take(ticket, &ask, "z", now_us, &mut || 0.5) else {
+                continue;
+            };
+            arrivals.push_back(now_us);
+            all += 1;
+            while arrivals.front().is_some_and(|at| at + SECOND_US <= now_us) {
+                arrivals.pop_front();
+            }
+            most = most.max(arrivals.len());
+            pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + MS);
+        }
+    }
+    assert!(most <= MOST, "{most} within a second");
+    // Kept busy all the while: its rate is borne by it.
+    assert!(all >= 8, "{all} in {WARMUP_MS} ms");
+}
+
+/// A request that was given a place and not sent takes nothing from the server's bound.
+#[test]
+fn what_was_not_sent_is_not_counted() {
+    let mut pool = ServicePool::default();
+    let rule = ColdRule { bound: Some(BOUND), warmup_us: WARMUP_MS * MS };
+    pool.share_cold_starts(rule, &share(&[1], 1));
+    pool.list(row("s0", WARMUP_MS), 0);
+    for ticket in 1..100 {
+        let now_us = ticket * MS;
+        let ask = ask(now_us);
+        let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Unsent, now_us);
+    }
+}
+
+/// A server turns cold unasked, and a request that was given a place there is one too many once its
+/// health answer says so.
+#[test]
+fn a_server_that_turns_cold_after_the_choice_is_no_place_any_more() {
+    let mut pool = ServicePool::default();
+    let rule = ColdRule { bound: Some(BOUND), warmup_us: WARMUP_MS * MS };
+    pool.share_cold_starts(rule, &share(&[1, 2, 3, 4, 5, 6], 1));
+    pool.list(row("s0", 0), 0);
+    let key = server_key(&row("s0", 0));
+    for ticket in 0..5 {
+        let ask = ask(MS);
+        let choice = pool.take(ticket, &ask, "z", MS, &mut || 0.5).expect("a warm server");
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Refused, MS);
+    }
+    let asked = ask(2 * MS);
+    let choice = pool.take(9, &asked, "z", 2 * MS, &mut || 0.5).expect("a warm server");
+    // Its slowness alone would be no reason.
+    let expected_ms = 10.0 * choice.expected_ms;
+    assert!(!pool.worse("s0", key, &asked, expected_ms, 2 * MS));
+    pool.server("s0").expect("listed").hear_cold(Some(WARMUP_MS), 3 * MS);
+    assert!(pool.worse("s0", key, &asked, expected_ms, 3 * MS));
+}
+
+/// The entry of a server and its health answers contradict each other: the newer word counts.
+#[test]
+fn the_newer_word_on_being_cold_counts() {
+    let mut state = ColdState::new(WARMUP_MS, 0);
+    assert!(!state.warm(MS));
+    // One that never told that it is cold says nothing of it by silence.
+    state.hear_health(None, 2 * MS);
+    assert!(!state.warm(2 * MS));
+    state.hear_health(Some(2_000), 3 * MS);
+    state.hear_health(None, 4 * MS);
+    assert!(state.warm(4 * MS));
+    state.hear_entry(1_000, 5 * MS);
+    assert!(!state.warm(5 * MS));
+    state.hear_health(None, 6 * MS);
+    assert!(state.warm(6 * MS));
+    state.presume(WARMUP_MS * MS, 7 * MS);
+    assert!(!state.warm(7 * MS));
+    assert!(state.warm((7 + WARMUP_MS) * MS));
+}
+
+/// A zone is given back, and its servers turned cold before anybody heard so: the callers that were
+/// waiting for its slots fall upon them, and they crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_that_is_given_back_cold_is_not_crashed() {
+    let bed = RoutedBed::start(&["a", "a"]).await;
+    let server = RawServer::spawn("s1").await;
+    let mut config: serde_json::Value = serde_json::from_str(&two_routes(1)).expect("JSON");
+    config["services"][0]["warmup_s"] = 3.0.into();
+    config["services"][0]["cold_per_s"] = 4.8.into();
+    bed.store.put(CONFIG_KEY, &config.to_string());
+    bed.store.put("servers/s1", &server.entry("parts", "a", 4, "ready"));
+    bed.settle().await;
+    while bed.call(0, "GET /look/a", "first", &[]).await.status != 200 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    bed.store.put(&format!("{EVACUATIONS_PREFIX}a"), "{}");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    server.grow_cold(Duration::from_millis(WARMUP_MS), MOST);
+    bed.store.remove(&format!("{EVACUATIONS_PREFIX}a"));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(1_500) {
+        for at in 0..2 {
+            bed.call(at, "GET /look/a", "again", &[]).await;
+        }
+    }
+    assert!(server.crashed_at().is_empty());
+    assert!((1..=MOST).contains(&server.cold_arrivals_most()), "{}", server.cold_arrivals_most());
+}
