What slows a server is counted once

Usual times are learned at the pace that the work began at. cold_servers::slowness_of_all_servers_is_counted_once: red before (the eighth request finds no place), green.

--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -15,8 +15,11 @@
 /// A report on the pace of the machine is worth a third after this: the neighbours' load that
 /// causes it shifts within 100 to 200 ms.
 const PACE_LIFE_US: f64 = 150_000.0;
-/// How much slower a server works until it has warmed up.
-const COLD_FACTOR: f64 = 2.0;
+/// How much slower a cold server works, where its own word on its pace is missing or old.
+const COLD_PACE: f64 = 2.0;
+/// A request is handed over within so long of being given its place; the server is asked for its pace
+/// in between.
+const HAND_OVER_US: u64 = 30_000;
 /// Weight of one end in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.3;
 /// The share of failures halves in this time without an end, so that a server is tried again.
@@ -46,7 +49,7 @@
 const RESETS_MAX: u32 = 3;
 
 /// A request that this instance has at the server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Sent {
     pub ticket: u64,
     pub at_us: u64,
@@ -54,6 +57,8 @@
     pub running: u32,
     /// Time for which all slots had been in use until it began.
     full_us: u64,
+    /// How much longer work took there than usual when it began.
+    pub pace: f64,
 }
 
 /// How a send ended, as far as the server is concerned.
@@ -294,7 +299,8 @@
     pub fn start(&mut self, ticket: u64, now_us: u64) {
         self.note_full(now_us);
         let running = self.occupancy(now_us) + 1;
-        self.sent.push(Sent { ticket, at_us: now_us, running, full_us: self.full_us });
+        let (full_us, pace) = (self.full_us, self.pace(now_us));
+        self.sent.push(Sent { ticket, at_us: now_us, running, full_us, pace });
         self.cold.start(now_us);
         self.note_full(now_us);
     }
@@ -382,6 +388,11 @@
         self.pace = f64::from(load.pace_percent) / 100.0;
         self.pace_at_us = now_us;
         self.heard_us = now_us;
+        for sent in &mut self.sent {
+            if now_us.saturating_sub(sent.at_us) < HAND_OVER_US {
+                sent.pace = self.pace;
+            }
+        }
     }
 
     /// Takes in the answer to a health check.
@@ -408,14 +419,19 @@
         Some(now_us.saturating_sub(self.pace_at_us))
     }
 
+    /// How much longer work that begins now is expected to take than usual. The pace that a server tells
+    /// is that of its work, its being cold included.
+    #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
+    fn pace(&self, now_us: u64) -> f64 {
+        let pace_age_us = now_us.saturating_sub(self.pace_at_us) as f64;
+        let untold = if self.warm(now_us) { 1.0 } else { COLD_PACE };
+        untold + (self.pace - untold) * (-pace_age_us / PACE_LIFE_US).exp()
+    }
+
     /// Expected time of work that begins now, from what it usually takes.
     #[must_use]
-    #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
     pub fn work_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
-        let pace_age_us = now_us.saturating_sub(self.pace_at_us) as f64;
-        let pace = 1.0 + (self.pace - 1.0) * (-pace_age_us / PACE_LIFE_US).exp();
-        let cold = if self.warm(now_us) { 1.0 } else { COLD_FACTOR };
-        typical_ms * pace * cold
+        typical_ms * self.pace(now_us)
     }
 
     /// Expected time until a request sent there now is answered, failures that make it take longer
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -309,7 +309,8 @@
         if end != SendEnd::Answered {
             return;
         }
-        self.times.record(&ask.route, ask.aim_ms, took_ms);
+        // At the pace of that server and moment it took so long; what is usual does not know of it.
+        self.times.record(&ask.route, ask.aim_ms, took_ms / sent.pace.max(f64::MIN_POSITIVE));
         let mean_ms = if self.mean_ms == 0.0 { took_ms } else { self.mean_ms };
         self.mean_ms = mean_ms + 0.05 * (took_ms - mean_ms);
     }
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -13,6 +13,7 @@
 use sorrelwick::cold::ColdRule;
 use sorrelwick::cold::ColdShare;
 use sorrelwick::cold::ColdState;
+use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
 use standins::routed::CONFIG_KEY;
@@ -217,3 +218,31 @@
     assert!(server.crashed_at().is_empty());
     assert!((1..=MOST).contains(&server.cold_arrivals_most()), "{}", server.cold_arrivals_most());
 }
+
+/// All servers are back cold, work twice as long as usual and say so, and nearly everybody is refused
+/// beside free slots: the slowness is counted in the pace, once more for being cold, and once more in
+/// the usual times that are learned from it.
+///
+/// The pattern: every server of a service slower than usual for seconds, the aims still to be met.
+#[test]
+fn slowness_of_all_servers_is_counted_once() {
+    let mut pool = ServicePool::default();
+    for server in 0..12 {
+        pool.list(row(&format!("s{server}"), WARMUP_MS), 0);
+    }
+    let slow = LoadReport { running: 0, waiting: 0, pace_percent: 200 };
+    for ticket in 0..400 {
+        let now_us = (ticket + 1) * 5 * MS;
+        let ask = ask(now_us);
+        let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5);
+        let choice = choice.unwrap_or_else(|| panic!("request {ticket} finds no place"));
+        let server = pool.server(&choice.server).expect("listed");
+        server.report(slow, now_us + MS);
+        server.hear_cold(Some(WARMUP_MS), now_us + MS);
+        // Usual work of 220 ms, of 600 that it may take.
+        assert!(choice.expected_ms < 600.0, "request {ticket}: {choice:?}");
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + 440 * MS);
+    }
+    let usual_ms = pool.typical_ms(&ask(0));
+    assert!((200.0..280.0).contains(&usual_ms), "{usual_ms} ms");
+}
