The pace of servers is told within the availability zone only

A home tells all other homes the pace of its part of the servers, which shifts at nearly every health check: 1,000 servers of a zone at 8 checks a second, 23 peers of some 7 bytes each, are 5 MB a second over 24 homes. Ruled out: telling paces less often (the bytes still grow with the square), and only slow ones (a third is slow). tests/load_words.rs, red before (53,942 bytes to the other zone in 10 s), 167 bytes now.

--- a/src/gateway/load_share.rs
+++ b/src/gateway/load_share.rs
@@ -20,8 +20,10 @@
 use super::told_loads::ToldLoads;
 use crate::board::Blackboard;
 use crate::clock::now_us;
+use crate::member::MemberRow;
 use crate::peer::PeerCalls;
 use crate::peer::PeerRequest;
+use crate::peer::ServerLoadRow;
 use crate::peer::ServerLoads;
 use crate::task::TaskGuard;
 
@@ -49,6 +51,26 @@
 /// then that it has none.
 const CALM_TURNS: u32 = 10;
 
+/// Another home that is told of the loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct ToldPeer {
+    /// One that starts again has heard nothing.
+    incarnation: u64,
+    address: SocketAddr,
+    /// Whether it is in the zone of this instance.
+    near: bool,
+}
+
+/// Leaves what is told to another zone: requests at the servers, without their pace. That shifts several
+/// times a second on each server, so telling it would cost bytes between zones with the square of the
+/// fleet; a home asks a server of another zone for its pace before each request there.
+fn told_far(loads: &mut Vec<ServerLoadRow>) {
+    loads.retain(|row| row.in_flight > 0);
+    for row in loads {
+        row.pace_percent = 0;
+    }
+}
+
 /// Tells loads while this instance is a home.
 #[derive(Clone, Debug)]
 pub struct LoadShare<L> {
@@ -60,7 +82,7 @@
 impl<L: PeerCalls> LoadShare<L> {
     /// Tells loads until the process ends.
     pub async fn run(self) {
-        let mut told: HashMap<(u64, SocketAddr), TaskGuard> = HashMap::new();
+        let mut told: HashMap<ToldPeer, TaskGuard> = HashMap::new();
         let mut calm_turns = 0;
         loop {
             // An instance that is no home has nothing to tell but its own requests, if any.
@@ -81,32 +103,37 @@
     }
 
     /// Keeps one task for each peer.
-    fn tell_all(&self, told: &mut HashMap<(u64, SocketAddr), TaskGuard>) {
+    fn tell_all(&self, told: &mut HashMap<ToldPeer, TaskGuard>) {
         let peers = self.peers();
         let stretch = u32::try_from(peers.len().div_ceil(PEERS_AT_FULL_RATE));
         let stretch = stretch.unwrap_or(STRETCH_MAX).clamp(1, STRETCH_MAX);
         told.retain(|peer, _| peers.contains(peer));
         for peer in peers {
-            told.entry(peer)
-                .or_insert_with(|| TaskGuard::spawn(self.clone().tell(peer.1, stretch)));
+            told.entry(peer).or_insert_with(|| TaskGuard::spawn(self.clone().tell(peer, stretch)));
         }
     }
 
     /// The other homes, by incarnation and address: one that starts again has heard nothing. An
     /// instance that is none still has the requests of callers that keep an old answer, so it tells
     /// them too.
-    fn peers(&self) -> HashSet<(u64, SocketAddr)> {
+    fn peers(&self) -> HashSet<ToldPeer> {
         let view = self.board.members_view();
         let homes = all_homes(&view, HomesPlan::of(&self.board));
         let others = homes.iter().filter(|row| row.incarnation != self.board.incarnation);
-        others.map(|row| (row.incarnation, row.peer)).collect()
+        let own_zone = &self.board.settings.instance.zone;
+        let peer = |row: &Arc<MemberRow>| ToldPeer {
+            incarnation: row.incarnation,
+            address: row.peer,
+            near: row.zone == *own_zone,
+        };
+        others.map(peer).collect()
     }
 
     fn is_home(&self) -> bool {
         is_home(&self.board, HomesPlan::of(&self.board))
     }
 
-    async fn tell(self, peer: SocketAddr, stretch: u32) {
+    async fn tell(self, peer: ToldPeer, stretch: u32) {
         let mut told = ToldLoads::default();
         let mut idle_intervals = 0;
         let mut spoke_us = now_us();
@@ -121,7 +148,11 @@
             if now_us().saturating_sub(spoke_us) >= FORGOTTEN_US {
                 told.forgotten();
             }
-            let rows = told.changes(&self.dispatcher.own_loads());
+            let mut loads = self.dispatcher.own_loads();
+            if !peer.near {
+                told_far(&mut loads);
+            }
+            let rows = told.changes(&loads);
             idle_intervals += 1;
             let idle_due = (IDLE_INTERVALS / stretch).max(CALM_INTERVALS);
             let due = if rows.is_empty() { idle_due } else { CALM_INTERVALS };
@@ -135,7 +166,7 @@
             spoke_us = now_us();
             let loads = ServerLoads { from: self.board.incarnation, rows };
             let request = PeerRequest::ServerLoads(loads.clone());
-            if self.links.call(peer, &request, CALL_TIMEOUT).await.is_ok() {
+            if self.links.call(peer.address, &request, CALL_TIMEOUT).await.is_ok() {
                 told.heard(&loads.rows);
             } else {
                 told.maybe_heard(&loads.rows);
--- /dev/null
+++ b/tests/load_words.rs
@@ -0,0 +1,152 @@
+//! What homes tell each other of the backend servers, in bytes, without network.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::balance::RepeatAllowance;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::parse_settings;
+use sorrelwick::gateway::Dispatcher;
+use sorrelwick::gateway::LoadShare;
+use sorrelwick::member::MemberRow;
+use sorrelwick::member::MemberState;
+use sorrelwick::model::LoadReport;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
+use sorrelwick::peer::PeerCalls;
+use sorrelwick::peer::PeerError;
+use sorrelwick::peer::PeerReply;
+use sorrelwick::peer::PeerRequest;
+use sorrelwick::peer::encode;
+
+/// Servers of one home's part of a large zone.
+const SERVERS: u16 = 125;
+const CHECKS_PER_S: u64 = 8;
+const SECONDS: u64 = 10;
+/// What an instance may spend on control.
+const CONTROL_MAX_BYTES_PER_S: usize = 5_000;
+const NEAR: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 2);
+const FAR: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 3);
+
+/// Takes note of what each peer is told.
+#[derive(Clone, Debug, Default)]
+struct Recorder {
+    bytes: Arc<Mutex<HashMap<SocketAddr, usize>>>,
+}
+
+impl PeerCalls for Recorder {
+    async fn call(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        _: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        *self.bytes.lock().entry(address).or_default() += encode(request).len();
+        Ok(PeerReply::Done)
+    }
+
+    fn close_idle(&self) {}
+
+    fn forget(&self, _: SocketAddr) {}
+}
+
+fn board() -> Arc<Blackboard> {
+    let text = serde_json::json!({
+        "instance": { "name": "i", "zone": "a" },
+        "listen": {
+            "caller": "127.0.0.1:1", "operator": "127.0.0.1:1", "peer": "127.0.0.1:1",
+            "status": "127.0.0.1:1",
+        },
+        "peers": { "secret": "a secret of sixteen" },
+        "gateway": {
+            "readiness": "127.0.0.1:1", "addresses": "127.0.0.1:1", "store": "127.0.0.1:1",
+            "memory_max_mb": 200.0, "zones": ["a", "b"], "homes_per_zone": 2,
+        },
+    });
+    let settings = parse_settings("board", &text.to_string()).expect("valid settings");
+    Arc::new(Blackboard::new(settings, 1))
+}
+
+fn member(incarnation: u64, zone: &str, peer: SocketAddr) -> MemberRow {
+    MemberRow {
+        incarnation,
+        generation: 0,
+        state: MemberState::Alive,
+        name: format!("i{incarnation}"),
+        zone: zone.into(),
+        caller: peer,
+        operator: peer,
+        peer,
+        capacity_per_s: 500,
+        uptime_ms: 1,
+        successor: None,
+    }
+}
+
+fn server(port: u16) -> ServerRow {
+    ServerRow {
+        id: format!("s{port}").into(),
+        service: "parts".into(),
+        address: ([10, 1, 1, 1], port).into(),
+        zone: "a".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        warmup_ms: 0,
+        started_ms: 0,
+        sequence: 0,
+    }
+}
+
+/// Homes of all zones told each other the pace of each server of theirs, which shifts at nearly every
+/// health check: at 300 instances and 3,000 servers the bytes between zones cost three quarters of what the
+/// callers' answers were worth.
+///
+/// The pattern: neighbours whose load shifts several times a second, and no request that runs.
+#[tokio::test(start_paused = true)]
+async fn the_pace_of_servers_does_not_travel_between_zones() {
+    let board = board();
+    for row in [member(2, "a", NEAR), member(3, "b", FAR)] {
+        board.members.lock().merge(&row, 1_000);
+    }
+    board.publish_members();
+    let allowance = RepeatAllowance { ratio: 0.2, window_us: 10_000_000, slack: 10.0 };
+    let dispatcher = Dispatcher::new("a", allowance);
+    (1..=SERVERS).for_each(|port| dispatcher.list(server(port)));
+    let servers = dispatcher.servers();
+    let links = Recorder::default();
+    let share = LoadShare { board, links: links.clone(), dispatcher: dispatcher.clone() };
+    let running = tokio::spawn(share.run());
+    // A request keeps the instance busy, as on a day.
+    let ask = sorrelwick::balance::Ask {
+        route: "look".into(),
+        priority: 1,
+        aim_ms: 60_000.0,
+        arrived_us: sorrelwick::clock::now_us(),
+        spent_us: 0,
+        deadline_us: u64::MAX,
+        avoid: smallvec::SmallVec::new(),
+    };
+    let grant = dispatcher.spare("parts", &ask).expect("a slot");
+    for check in 0..SECONDS * CHECKS_PER_S {
+        for (number, server) in servers.iter().enumerate() {
+            dispatcher.note_use(server);
+            let slow = (check + number as u64).is_multiple_of(3);
+            let pace_percent = if slow { 500 } else { 100 };
+            dispatcher.report(server, LoadReport { running: 0, waiting: 0, pace_percent });
+        }
+        tokio::time::sleep(Duration::from_secs(1) / u32::try_from(CHECKS_PER_S).expect("few"))
+            .await;
+    }
+    running.abort();
+    drop(grant);
+    let told = |peer| links.bytes.lock().get(&peer).copied().unwrap_or(0);
+    let far = told(FAR) / usize::try_from(SECONDS).expect("few");
+    println!("{} bytes near, {} far", told(NEAR), told(FAR));
+    assert!(told(FAR) > 0, "it is told of requests");
+    assert!(told(NEAR) > told(FAR), "pace is told in the zone");
+    // Of 24 homes 16 are of other zones.
+    assert!(far * 16 < CONTROL_MAX_BYTES_PER_S, "{far} bytes a second");
+}
