A server is used again once the later one at its address is forgotten

Found by reading the diff: the holder that the claims name was dropped where servers are forgotten after a lapse, so the earlier server stayed passed over for good. Test red before.

--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -68,13 +68,14 @@
         for pool in pools.values_mut() {
             pool.forget_unlisted(now_us);
         }
+        let mut holders = Vec::new();
         servers.retain(|id, server| {
             let kept =
                 pools.get_mut(&server.row.service).is_some_and(|pool| pool.server(id).is_some());
             if !kept {
                 starts.gone(id, now_us);
                 by_key.remove(&server.key);
-                claims.give_up(server.row.address, id);
+                holders.extend(claims.give_up(server.row.address, id));
             }
             kept
         });
@@ -82,6 +83,9 @@
         let mut tracks = pools.values().flat_map(|pool| &pool.servers);
         self.any_unlisted = tracks.any(ServerTrack::leaves);
         self.list_version += 1;
+        for holder in holders {
+            self.supersede(&holder, false);
+        }
     }
 
     /// Takes note of a later start. The pool that it is listed in replaces what it believes; one of
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -249,6 +249,22 @@
     assert_eq!(&*bed.slot().expect("a slot").server.row.id, "before");
 }
 
+/// The later of two servers at one address goes with its entry, which may have lapsed only: once it is
+/// forgotten, the other one must be used again.
+#[tokio::test]
+async fn a_server_is_used_again_once_the_later_one_at_its_address_is_forgotten() {
+    let mut bed = Bed::new();
+    let running = tokio::spawn(bed.dispatcher.clone().run());
+    bed.write("before", &entry(0, 1, 1, "ready"));
+    bed.write("after", &entry(0, 1, 1, "ready"));
+    bed.revision += 1;
+    let event = ItemEvent::Removed { key: "servers/after".into(), revision: bed.revision };
+    bed.mirror.apply(&[event], bed.revision, Duration::from_millis(50));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(&*bed.slot().expect("a slot").server.row.id, "before");
+    running.abort();
+}
+
 /// A whole copy of the entries comes in no order: which of two at one address is used must not hang on
 /// chance.
 #[tokio::test]
