--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -463,6 +463,34 @@
     }
 }
 
+/// Zones are evacuated in turn, taken back and evacuated again at once: five hundred instances must all have
+/// the last word in half of the bound, and it must cost calls of those that read the store only.
+#[tokio::test(start_paused = true)]
+async fn evacuations_reach_five_hundred_instances_in_half_of_their_bound() {
+    const HALF: Duration = Duration::from_millis(2_500);
+    /// Two calls of each zone's first home for each change, as docs/CAPACITY.md allows: the one that brings it
+    /// and the next watch.
+    const CALLS_A_ZONE: u64 = 2 * 6;
+    let store = MemoryEvents::default();
+    store.put("config", "1");
+    let fleet = Fleet::start(&store, Size::LARGE, Way::Ours);
+    tokio::time::sleep(SETTLE).await;
+    let before: u64 = fleet.views.iter().map(MemoryEvents::calls).sum();
+    for zone in ["z0", "z1"] {
+        let key = format!("config/evacuations/{zone}");
+        store.put(&key, "{}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        store.remove(&key);
+        store.put(&key, "{}");
+    }
+    tokio::time::sleep(HALF).await;
+    let learned = |sink: &&Seen| sink.0.lock().is_some_and(|(seen, _)| seen == store.revision());
+    assert_eq!(fleet.sinks.iter().filter(learned).count(), Size::LARGE.instances);
+    let calls = fleet.views.iter().map(MemoryEvents::calls).sum::<u64>() - before;
+    println!("{calls} calls");
+    assert!(calls <= CALLS_A_ZONE * Size::LARGE.zones as u64, "{calls} calls");
+}
+
 /// Without a loss, a change costs a few calls, however many instances there are.
 #[tokio::test(start_paused = true)]
 async fn a_change_without_a_loss_costs_calls_of_the_watching_instances_only() {
