--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -61,8 +61,7 @@
     ColdShare { homes: Some(homes.to_vec()), own }
 }
 
-/// Instances disagree on who is a home, as after a cut or a restart of all: each of three views may hold
-/// its own homes, and a cold server gets what all of them send.
+/// Parted or restarted instances each take themselves for homes, and crash a cold server together.
 #[test]
 fn three_views_of_the_homes_keep_the_bound_together() {
     common::property(400, |u| {
@@ -95,10 +94,7 @@
     }
 }
 
-/// A cold server whose work is short is free again and again: six homes in a burst send it hundreds of
-/// requests a second, and it crashes.
-///
-/// The pattern: all servers of a service cold, work far shorter than a second, more callers than slots.
+/// Pattern: all cold, short work, more callers than slots; a slot is free again at once, and all send.
 #[test]
 fn a_cold_server_of_short_work_gets_no_more_than_its_bound() {
     let homes: Vec<u64> = (0..6).collect();
@@ -147,8 +143,7 @@
     }
 }
 
-/// A server turns cold unasked, and a request that was given a place there is one too many once its
-/// health answer says so.
+/// A server turns cold unasked between choice and send, and gets one request too many.
 #[test]
 fn a_server_that_turns_cold_after_the_choice_is_no_place_any_more() {
     let mut pool = ServicePool::default();
@@ -190,8 +185,7 @@
     assert!(state.warm((7 + WARMUP_MS) * MS));
 }
 
-/// A zone is given back, and its servers turned cold before anybody heard so: the callers that were
-/// waiting for its slots fall upon them, and they crash.
+/// A zone is given back cold before anybody said so, and its callers crash it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_zone_that_is_given_back_cold_is_not_crashed() {
     let bed = RoutedBed::start(&["a", "a"]).await;
@@ -219,11 +213,7 @@
     assert!((1..=MOST).contains(&server.cold_arrivals_most()), "{}", server.cold_arrivals_most());
 }
 
-/// All servers are back cold, work twice as long as usual and say so, and nearly everybody is refused
-/// beside free slots: the slowness is counted in the pace, once more for being cold, and once more in
-/// the usual times that are learned from it.
-///
-/// The pattern: every server of a service slower than usual for seconds, the aims still to be met.
+/// Pattern: all servers slower than usual; nearly everybody is refused beside free slots.
 #[test]
 fn slowness_of_all_servers_is_counted_once() {
     let mut pool = ServicePool::default();
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -164,8 +164,7 @@
     }
 }
 
-/// Words that come twice, late or not at all, to an instance and to one that relies on it: each ends
-/// with what the operators wrote last, and neither ever goes back to an older word.
+/// A word that comes twice, late or not at all leaves a zone evacuated, or used, against the last one.
 #[test]
 fn whatever_is_lost_the_last_word_on_each_zone_holds() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build();
@@ -251,8 +250,7 @@
     }
 }
 
-/// The operators evacuate a zone, and requests go on reaching it: through an instance of it, one
-/// elsewhere, one that the store turns away, and one that starts meanwhile.
+/// Requests go on reaching an evacuated zone through instances that the store turns away or that start.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_evacuation_is_in_force_at_each_instance_in_half_of_its_bound() {
     let (mut bed, [in_a, in_b]) = two_zones().await;
--- a/tests/load_words.rs
+++ b/tests/load_words.rs
@@ -100,11 +100,7 @@
     }
 }
 
-/// Homes of all zones told each other the pace of each server of theirs, which shifts at nearly every
-/// health check: at 300 instances and 3,000 servers the bytes between zones cost three quarters of what the
-/// callers' answers were worth.
-///
-/// The pattern: neighbours whose load shifts several times a second, and no request that runs.
+/// Pattern: paces that shift with each health check; telling them to all zones cost more than answers earn.
 #[tokio::test(start_paused = true)]
 async fn the_pace_of_servers_does_not_travel_between_zones() {
     let board = board();
--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -443,7 +443,7 @@
     assert_eq!(fleet.sinks.iter().filter(learned).count(), Size::SMALL.instances);
 }
 
-/// In an outage of eight seconds all instances together pay for some two hundred calls that bring nothing.
+/// Each instance goes on paying for calls that an outage of the store leaves unanswered.
 #[tokio::test(start_paused = true)]
 async fn in_an_outage_of_the_store_an_instance_pays_for_next_to_no_call() {
     let store = MemoryEvents::default();
@@ -463,8 +463,7 @@
     }
 }
 
-/// Zones are evacuated in turn, taken back and evacuated again at once: five hundred instances must all have
-/// the last word in half of the bound, and it must cost calls of those that read the store only.
+/// Zones evacuated, taken back and evacuated again at once: some of 500 instances keep an older word.
 #[tokio::test(start_paused = true)]
 async fn evacuations_reach_five_hundred_instances_in_half_of_their_bound() {
     const HALF: Duration = Duration::from_millis(2_500);
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -228,9 +228,7 @@
     });
 }
 
-/// Servers that crashed are back at once under new ids at their addresses, and the entries of those
-/// before stand for seconds: each home sends requests to both, and the addresses answer that they are
-/// not meant; counted twice, the servers also seem to need twice as many homes.
+/// Servers that crashed and are back are listed twice, and half of the requests go to names that are gone.
 #[tokio::test]
 async fn of_two_servers_listed_at_one_address_the_later_one_is_used() {
     let mut bed = Bed::new();
@@ -249,8 +247,7 @@
     assert_eq!(&*bed.slot().expect("a slot").server.row.id, "before");
 }
 
-/// The later of two servers at one address goes with its entry, which may have lapsed only: once it is
-/// forgotten, the other one must be used again.
+/// A server stays passed over for good after the later one at its address lapsed.
 #[tokio::test]
 async fn a_server_is_used_again_once_the_later_one_at_its_address_is_forgotten() {
     let mut bed = Bed::new();
@@ -265,8 +262,7 @@
     running.abort();
 }
 
-/// A whole copy of the entries comes in no order: which of two at one address is used must not hang on
-/// chance.
+/// Which of two servers at one address is used hangs on the order of a copy.
 #[tokio::test]
 async fn a_copy_in_any_order_names_the_later_server() {
     for number in 0..20 {
