Tests take their instances' settings from the bed; a doc comment that was said twice

Found by reading the whole change: tests/evacuation.rs and tests/load_words.rs each wrote the settings that the stand-ins' bed makes (bed_settings, private until now).

--- a/src/gateway/load_share.rs
+++ b/src/gateway/load_share.rs
@@ -113,9 +113,8 @@
         }
     }
 
-    /// The other homes, by incarnation and address: one that starts again has heard nothing. An
-    /// instance that is none still has the requests of callers that keep an old answer, so it tells
-    /// them too.
+    /// The other homes. An instance that is none still has the requests of callers that keep an old
+    /// answer, so it tells them too.
     fn peers(&self) -> HashSet<ToldPeer> {
         let view = self.board.members_view();
         let homes = all_homes(&view, HomesPlan::of(&self.board));
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -26,4 +26,5 @@
 pub use raw_server::RawServer;
 pub use routed_bed::RoutedBed;
 pub use routed_bed::RoutedHost;
+pub use routed_bed::bed_settings;
 pub use routed_bed::two_routes;
--- a/standins/src/routed/routed_bed.rs
+++ b/standins/src/routed/routed_bed.rs
@@ -63,7 +63,12 @@
     }
 }
 
-fn settings(name: &str, zone: &str, zones: &[&str], seeds: &[SocketAddr]) -> Settings {
+/// Settings of an instance of the bed, at ports that the system gives.
+///
+/// # Panics
+/// Never: they are valid.
+#[must_use]
+pub fn bed_settings(name: &str, zone: &str, zones: &[&str], seeds: &[SocketAddr]) -> Settings {
     let text = serde_json::json!({
         "instance": { "name": name, "zone": zone },
         "listen": {
@@ -124,7 +129,7 @@
         let seeds: Vec<SocketAddr> = peers.take(3).collect();
         let view = self.store.for_another();
         view.set_fault(fault);
-        let settings = settings(name, zone, zones, &seeds);
+        let settings = bed_settings(name, zone, zones, &seeds);
         self.hosts.push(RoutedHost::spawn(settings, view.clone()).await);
         self.views.push(view);
     }
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -9,7 +9,6 @@
 use sorrelwick::balance::Ask;
 use sorrelwick::balance::RepeatAllowance;
 use sorrelwick::board::Blackboard;
-use sorrelwick::conf::parse_settings;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::OperatorSink;
@@ -24,6 +23,7 @@
 use standins::routed::PlainDialect;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
+use standins::routed::bed_settings;
 use standins::routed::two_routes;
 
 mod common;
@@ -135,16 +135,7 @@
 }
 
 fn board() -> Arc<Blackboard> {
-    let text = serde_json::json!({
-        "instance": { "name": "i", "zone": "a" },
-        "listen": {
-            "caller": "127.0.0.1:1", "operator": "127.0.0.1:1", "peer": "127.0.0.1:1",
-            "status": "127.0.0.1:1",
-        },
-        "peers": { "secret": "a secret of sixteen" },
-    });
-    let settings = parse_settings("board", &text.to_string()).expect("valid settings");
-    Arc::new(Blackboard::new(settings, 1))
+    Arc::new(Blackboard::new(bed_settings("i", "a", &ZONES, &[]), 1))
 }
 
 fn mirror(dispatcher: &Dispatcher) -> Mirror<OperatorSink<PlainDialect>> {
--- a/tests/load_words.rs
+++ b/tests/load_words.rs
@@ -8,7 +8,6 @@
 use parking_lot::Mutex;
 use sorrelwick::balance::RepeatAllowance;
 use sorrelwick::board::Blackboard;
-use sorrelwick::conf::parse_settings;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::LoadShare;
 use sorrelwick::member::MemberRow;
@@ -21,6 +20,7 @@
 use sorrelwick::peer::PeerReply;
 use sorrelwick::peer::PeerRequest;
 use sorrelwick::peer::encode;
+use standins::routed::bed_settings;
 
 /// Servers of one home's part of a large zone.
 const SERVERS: u16 = 125;
@@ -53,20 +53,10 @@
     fn forget(&self, _: SocketAddr) {}
 }
 
+/// The state of an instance whose zone has two homes.
 fn board() -> Arc<Blackboard> {
-    let text = serde_json::json!({
-        "instance": { "name": "i", "zone": "a" },
-        "listen": {
-            "caller": "127.0.0.1:1", "operator": "127.0.0.1:1", "peer": "127.0.0.1:1",
-            "status": "127.0.0.1:1",
-        },
-        "peers": { "secret": "a secret of sixteen" },
-        "gateway": {
-            "readiness": "127.0.0.1:1", "addresses": "127.0.0.1:1", "store": "127.0.0.1:1",
-            "memory_max_mb": 200.0, "zones": ["a", "b"], "homes_per_zone": 2,
-        },
-    });
-    let settings = parse_settings("board", &text.to_string()).expect("valid settings");
+    let mut settings = bed_settings("i", "a", &["a", "b"], &[]);
+    settings.gateway.as_mut().expect("a gateway").homes_per_zone = 2;
     Arc::new(Blackboard::new(settings, 1))
 }
 
