Sight: limits that backend servers name are read and logged; nothing is decided by them

The lines of the incident did not tell whether an instance had heard a limit, in which answers, or how old the word was. What a server says of itself is read in one place for answers and health checks.

Dispatcher::report goes, its one test says the same by hear().

--- a/src/balance/ask.rs
+++ b/src/balance/ask.rs
@@ -4,6 +4,8 @@
 
 use smallvec::SmallVec;
 
+use crate::limit::RateLimit;
+
 /// What a request needs of a server.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -49,6 +51,10 @@
     pub pace_age_us: Option<u64>,
     /// Whether it was believed cold.
     pub cold: bool,
+    /// The limit that it named; `None` without one.
+    pub limit: Option<RateLimit>,
+    /// Age of the server's last word on that.
+    pub limit_age_us: Option<u64>,
 }
 
 /// A request is not served; when to come back.
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 
 use crate::cold::ColdState;
+use crate::limit::NamedLimit;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
 use crate::model::ServerState;
@@ -120,6 +121,7 @@
     own_pace_percent: u16,
     own_pace_at_us: u64,
     pub(super) cold: ColdState,
+    pub limit: NamedLimit,
     /// Share of ends that were failures, as of `failures_at_us`.
     failures: f64,
     failures_at_us: u64,
@@ -151,6 +153,7 @@
         Self {
             key: server_key(&row),
             cold: ColdState::new(row.warmup_ms, now_us),
+            limit: NamedLimit::default(),
             row,
             full_us: 0,
             full_at_us: now_us,
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -176,7 +176,7 @@
     match line.event.as_str() {
         "send" => format!(
             "send {} to server {} of {}: {} after {} ms (requests there {}, expected {} ms, its \
-             pace known for {}{})",
+             pace known for {}{}{})",
             text("send"),
             text("server"),
             text("service"),
@@ -186,6 +186,7 @@
             text("expected_ms"),
             pace_age(line),
             if line.flag("cold") { ", cold" } else { "" },
+            limit(line),
         ),
         "no-slot" => format!(
             "no slot of {}: {}, {} waiting here, {} slots in use at most; come back after {} ms{}",
@@ -222,6 +223,11 @@
     }
 }
 
+fn limit(line: &LogLine) -> String {
+    let limit_per_s = line.text("limit_per_s");
+    if limit_per_s.is_empty() { limit_per_s } else { format!(", limited to {limit_per_s}/s") }
+}
+
 fn pace_age(line: &LogLine) -> String {
     line.number("pace_age_us").map_or_else(|| "no time".into(), |age_us| format!("{age_us} us"))
 }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -29,6 +29,9 @@
     pub server_id: HeaderName,
     /// Milliseconds for which a backend server stays cold, on health answers of those that are.
     pub cold_left_ms: HeaderName,
+    /// Requests a second, as a decimal number, that a backend server takes from all instances together;
+    /// present while it names such a limit.
+    pub rate_limit: HeaderName,
 }
 
 /// Where the platform's store keeps what the gateway reads and writes.
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -30,7 +30,6 @@
 use crate::cold::ColdRule;
 use crate::cold::ColdShare;
 use crate::evacuation::Evacuations;
-use crate::model::LoadReport;
 use crate::model::ServerRow;
 
 /// How often queues are looked at, while somebody waits, for requests that became late and servers
@@ -249,11 +248,6 @@
         self.state.lock().track(server).map(work)
     }
 
-    /// Takes in the load that a server told.
-    pub fn report(&self, server: &Server, load: LoadReport) {
-        self.with_track(server, |track| track.report(load, now_us()));
-    }
-
     /// Takes in the answer to a health check, and for how long the server says that it is cold.
     pub fn checked(&self, server: &Server, well: bool, cold_left_ms: Option<u64>) {
         self.with_track(server, |track| {
--- /dev/null
+++ b/src/gateway/dispatcher_notices.rs
@@ -0,0 +1,55 @@
+//! What backend servers say of themselves, taken in.
+
+use log::info;
+use log::warn;
+
+use super::dispatcher::Dispatcher;
+use super::server::Server;
+use super::server_notice::ServerNotice;
+use crate::balance::ServerTrack;
+use crate::clock::now_us;
+use crate::errors::Code;
+use crate::limit::Heard;
+use crate::limit::RateLimit;
+
+impl Dispatcher {
+    /// Takes in what a server said of itself.
+    pub fn hear(&self, server: &Server, heard: Heard, notice: ServerNotice) {
+        let mut state = self.state.lock();
+        let Some(track) = state.track(server) else {
+            return;
+        };
+        if let Some(load) = notice.load {
+            track.report(load, now_us());
+        }
+        match notice.limit {
+            Ok(limit) => hear_limit(track, heard, limit),
+            Err(_) => limit_unreadable(track, heard),
+        }
+    }
+}
+
+fn hear_limit(track: &mut ServerTrack, heard: Heard, limit: Option<RateLimit>) {
+    let before = track.limit.limit();
+    if !track.limit.hear(heard, limit, now_us()) {
+        return;
+    }
+    info!(
+        event = "server-limit", server = &*track.row.id, service = &*track.row.service,
+        limit_per_s = limit.map(RateLimit::per_s), before_per_s = before.map(RateLimit::per_s),
+        heard = heard.name(), running = track.own_requests();
+        ""
+    );
+}
+
+/// What the server said before stays in force.
+fn limit_unreadable(track: &mut ServerTrack, heard: Heard) {
+    if !track.limit.hear_unreadable() {
+        return;
+    }
+    warn!(
+        event = "server-limit-unreadable", code = Code::ServerLimitUnreadable.number(),
+        server = &*track.row.id, service = &*track.row.service, heard = heard.name();
+        "{}", Code::ServerLimitUnreadable
+    );
+}
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -22,6 +22,7 @@
 use crate::board::Latency;
 use crate::clock::now_us;
 use crate::errors::Code;
+use crate::limit::RateLimit;
 use crate::quarantine::Denial;
 use crate::quarantine::LOOK_WAIT;
 
@@ -280,7 +281,8 @@
                 event = "send", id = request.id_text(), service = &*request.service,
                 server = &*server.row.id, send = sends, took_ms = took_ms, outcome = result.name(),
                 running = choice.running, expected_ms = choice.expected_ms.round(),
-                pace_age_us = choice.pace_age_us, cold = choice.cold;
+                pace_age_us = choice.pace_age_us, cold = choice.cold,
+                limit_per_s = choice.limit.map(RateLimit::per_s), limit_age_us = choice.limit_age_us;
                 "send ended"
             );
             if let SendResult::Refused { status: StatusCode::MISDIRECTED_REQUEST } = result {
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -4,10 +4,11 @@
 
 use super::Dispatcher;
 use super::server::Server;
+use super::server_notice::ServerNotice;
 use crate::balance::Ask;
 use crate::balance::Choice;
 use crate::balance::SendEnd;
-use crate::model::LoadReport;
+use crate::limit::Heard;
 
 /// A slot of a backend server, given back when it is dropped.
 #[derive(Debug)]
@@ -33,9 +34,9 @@
         self.dispatcher.worse(&self.server, &self.ask, self.choice.expected_ms)
     }
 
-    /// Takes in a load report that came with the answer.
-    pub fn report(&self, load: LoadReport) {
-        self.dispatcher.report(&self.server, load);
+    /// Takes in what the server said of itself in its answer.
+    pub fn hear(&self, notice: ServerNotice) {
+        self.dispatcher.hear(&self.server, Heard::Answer, notice);
     }
 }
 
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -6,6 +6,9 @@
 use super::server_conn::Echo;
 use super::server_conn::ExchangeError;
 use super::server_conn::ServerConn;
+use super::server_notice::ServerNotice;
+use super::server_notice::text;
+use crate::limit::Heard;
 
 /// Asks a server how it is, and takes in its load and pace; tells whether the connection may be
 /// used for the next request.
@@ -25,14 +28,12 @@
     let answer = conn.exchange(head.as_bytes(), &[], echo).await?;
     let mut decoder = answer.decoder();
     while conn.read_body(&mut decoder).await?.is_some() {}
-    let text = |name| answer.headers.get(name).and_then(|value| value.to_str().ok());
+    let text = |name| text(&answer.headers, name);
     if text(&fields.server_id).is_some_and(|id| *id != *server.row.id) {
         dispatcher.displaced(server);
         return Err(ExchangeError::Garbled);
     }
-    if let Some(load) = text(&fields.load).and_then(|text| dialect.parse_load(text)) {
-        dispatcher.report(server, load);
-    }
+    dispatcher.hear(server, Heard::Check, ServerNotice::read(dialect, &answer.headers));
     let cold_left_ms = text(&fields.cold_left_ms).and_then(|text| text.trim().parse().ok());
     dispatcher.checked(server, answer.status.is_success(), cold_left_ms);
     Ok(conn.finish(&answer))
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -24,6 +24,7 @@
 use super::server_conn::Echo;
 use super::server_conn::ExchangeError;
 use super::server_conn::ServerConn;
+use super::server_notice::ServerNotice;
 use crate::balance::SendEnd;
 use crate::quarantine::Denial;
 use crate::quarantine::SendWatch;
@@ -216,9 +217,8 @@
             Echo { field: &fields.request_id, id: request.id.as_ref(), refusal: &fields.not_run };
         let sent = request.head(fields, &grant.server.row.id);
         let head = conn.exchange(&sent, &request.body, echo).await?;
-        let load = head.headers.get(&fields.load).and_then(|value| value.to_str().ok());
-        if let Some(load) = load.and_then(|text| self.dialect.parse_load(text)) {
-            grant.report(load);
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            grant.hear(ServerNotice::read(self.dialect, &head.headers));
         }
         let mut decoder = head.decoder();
         let mut part = self.answer_room.part();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod evacuation;
 pub mod gateway;
 pub mod r#gen;
+pub mod limit;
 pub mod listener;
 pub mod measure;
 pub mod member;
--- /dev/null
+++ b/src/limit/named_limit.rs
@@ -0,0 +1,69 @@
+//! The limit that one server names now.
+
+use super::RateLimit;
+
+/// In what a server's word came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// The answer to a request.
+    Answer,
+    /// The answer to a health check.
+    Check,
+}
+
+impl Heard {
+    /// The name written in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Check => "health-check",
+        }
+    }
+}
+
+/// The last word of one server on its limit; a limit holds for as long as it is named.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct NamedLimit {
+    limit: Option<RateLimit>,
+    /// When `limit` was heard last, or to end.
+    heard_us: u64,
+    /// Whether its health answers ever named a limit; of others, silence says nothing of it.
+    checks_tell: bool,
+    /// Whether the last word could not be read.
+    unreadable: bool,
+}
+
+impl NamedLimit {
+    /// Takes in a word, `None` where none was named; returns whether that changes the limit.
+    pub fn hear(&mut self, heard: Heard, limit: Option<RateLimit>, now_us: u64) -> bool {
+        self.unreadable = false;
+        if heard == Heard::Check {
+            self.checks_tell |= limit.is_some();
+            if !self.checks_tell {
+                return false;
+            }
+        }
+        self.heard_us = now_us;
+        let changed = self.limit != limit;
+        self.limit = limit;
+        changed
+    }
+
+    /// Takes in a word that cannot be read; returns whether it is the first in a row.
+    pub const fn hear_unreadable(&mut self) -> bool {
+        !std::mem::replace(&mut self.unreadable, true)
+    }
+
+    /// The limit in force.
+    #[must_use]
+    pub const fn limit(&self) -> Option<RateLimit> {
+        self.limit
+    }
+
+    /// Age of the last word on the limit in force, in microseconds; `None` without one.
+    #[must_use]
+    pub fn age_us(&self, now_us: u64) -> Option<u64> {
+        self.limit.map(|_| now_us.saturating_sub(self.heard_us))
+    }
+}
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -33,6 +33,7 @@
             not_run: name("not-run"),
             server_id: name("server-id"),
             cold_left_ms: name("cold-left-ms"),
+            rate_limit: name("rate-limit"),
         };
         Self { fields }
     }
--- a/tests/load_words.rs
+++ b/tests/load_words.rs
@@ -10,6 +10,8 @@
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::LoadShare;
+use sorrelwick::gateway::ServerNotice;
+use sorrelwick::limit::Heard;
 use sorrelwick::member::MemberRow;
 use sorrelwick::member::MemberState;
 use sorrelwick::model::LoadReport;
@@ -121,7 +123,9 @@
             dispatcher.note_use(server);
             let slow = (check + number as u64).is_multiple_of(3);
             let pace_percent = if slow { 500 } else { 100 };
-            dispatcher.report(server, LoadReport { running: 0, waiting: 0, pace_percent });
+            let load = LoadReport { running: 0, waiting: 0, pace_percent };
+            let notice = ServerNotice { load: Some(load), limit: Ok(None) };
+            dispatcher.hear(server, Heard::Check, notice);
         }
         tokio::time::sleep(Duration::from_secs(1) / u32::try_from(CHECKS_PER_S).expect("few"))
             .await;
