Red: a server in need goes on getting its usual load

The stand-in names a limit in its answers, and in those to health checks if told so, and takes note of when requests arrive.

--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -23,6 +23,7 @@
 pub use raw_call::raw_call_from;
 pub use raw_server::Behaviour;
 pub use raw_server::LARGE_BYTES;
+pub use raw_server::LimitWord;
 pub use raw_server::RawServer;
 pub use routed_bed::RoutedBed;
 pub use routed_bed::RoutedHost;
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -59,6 +59,15 @@
     AnswerLarge,
 }
 
+/// The limit that a server names.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitWord {
+    /// Requests a second from all instances together.
+    pub per_s: f64,
+    /// Whether answers to health checks name it too.
+    pub in_checks: bool,
+}
+
 #[derive(Debug)]
 struct Shared {
     id: String,
@@ -70,11 +79,14 @@
     crashed_at: Mutex<Vec<tokio::time::Instant>>,
     work: Mutex<Duration>,
     cold: Mutex<Option<ColdSpell>>,
+    limit: Mutex<Option<LimitWord>>,
     pace_percent: AtomicU32,
     /// Ids of the requests that it ran, in order.
     ran: Mutex<Vec<String>>,
     /// Heads of all requests but health checks.
     heads: Mutex<Vec<String>>,
+    /// When these came, in order.
+    arrived_at: Mutex<Vec<tokio::time::Instant>>,
     cancelled: AtomicU32,
     /// Bytes of large answers that were taken from it.
     large_bytes: AtomicU64,
@@ -117,9 +129,11 @@
             crashed_at: Mutex::default(),
             work: Mutex::new(Duration::from_millis(2)),
             cold: Mutex::default(),
+            limit: Mutex::default(),
             pace_percent: AtomicU32::new(100),
             ran: Mutex::default(),
             heads: Mutex::default(),
+            arrived_at: Mutex::default(),
             cancelled: AtomicU32::new(0),
             large_bytes: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
@@ -170,6 +184,17 @@
         self.shared.cold.lock().as_ref().map_or(0, ColdSpell::arrivals_most)
     }
 
+    /// What it names as its limit from now on, in requests a second; `None` for none any more.
+    pub fn name_limit(&self, limit: Option<LimitWord>) {
+        *self.shared.limit.lock() = limit;
+    }
+
+    /// When requests arrived, health checks left out.
+    #[must_use]
+    pub fn arrived_at(&self) -> Vec<tokio::time::Instant> {
+        self.shared.arrived_at.lock().clone()
+    }
+
     /// What it tells of its pace. With 0 it tells no load at all, and health checks wait like
     /// requests until it has nothing to do.
     pub fn pace(&self, percent: u32) {
@@ -338,7 +363,14 @@
     let left = shared.cold.lock().as_ref().and_then(ColdSpell::left);
     let cold =
         left.map_or_else(String::new, |left| format!("{cold_left_ms}: {}\r\n", left.as_millis()));
-    format!("HTTP/1.1 200 OK\r\n{server_id}: {id}\r\n{load}{cold}content-length: 0\r\n\r\n")
+    let limit = limit(shared, true);
+    format!("HTTP/1.1 200 OK\r\n{server_id}: {id}\r\n{load}{cold}{limit}content-length: 0\r\n\r\n")
+}
+
+/// The field that names the limit; nothing without one.
+fn limit(shared: &Shared, check: bool) -> String {
+    let word = shared.limit.lock().filter(|word| !check || word.in_checks);
+    word.map_or_else(String::new, |word| format!("{}: {}\r\n", shared.names.rate_limit, word.per_s))
 }
 
 /// The field that tells the load; nothing for a server that does not tell.
@@ -358,6 +390,7 @@
     late: &mut Option<String>,
 ) -> bool {
     shared.heads.lock().push(head.text.clone());
+    shared.arrived_at.lock().push(tokio::time::Instant::now());
     if shared.cold.lock().as_mut().is_some_and(ColdSpell::arrives) {
         shared.crash.notify_one();
         return false;
@@ -366,7 +399,8 @@
     let id = &head.id;
     if behaviour == Behaviour::Shed {
         let not_run = &shared.names.not_run;
-        let text = format!("HTTP/1.1 503 Busy\r\n{not_run}: 1\r\ncontent-length: 0\r\n\r\n");
+        let limit = limit(shared, false);
+        let text = format!("HTTP/1.1 503 Busy\r\n{not_run}: 1\r\n{limit}content-length: 0\r\n\r\n");
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
     shared.ran.lock().push(id.clone());
@@ -387,7 +421,8 @@
         std::future::pending::<()>().await;
     }
     let FieldNames { request_id, signature, .. } = &shared.names;
-    let fields = format!("{request_id}: {id}\r\n{signature}: s-{id}\r\n{}", load(shared));
+    let (load, limit) = (load(shared), limit(shared, false));
+    let fields = format!("{request_id}: {id}\r\n{signature}: s-{id}\r\n{load}{limit}");
     let whole = format!("HTTP/1.1 200 OK\r\n{fields}content-length: {}\r\n\r\n{id}", id.len());
     let (text, stays) = match behaviour {
         Behaviour::Answer | Behaviour::AnswerEarly => (whole, true),
