What servers in need may get is worked out once for each server and change of the homes

No change of behaviour. The window of starts and the part of each home leave the folder of cold servers, as not only these bear so many requests and no more. A server's part was worked out anew for each of its reports; it is when the server is new, or the homes or rules change. All pools share one list of homes, where each had a copy.

--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -7,6 +7,7 @@
 mod service_pool;
 mod service_queue;
 mod service_times;
+mod start_bounds;
 
 pub use ask::Ask;
 pub use ask::Choice;
@@ -21,3 +22,4 @@
 pub use server_track::server_key;
 pub use service_pool::ServicePool;
 pub use service_times::ServiceTimes;
+pub use start_bounds::StartBounds;
--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use crate::cold::ColdState;
+use super::StartBounds;
 use crate::limit::NamedLimit;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
@@ -120,7 +120,7 @@
     /// The pace that the server told this instance itself.
     own_pace_percent: u16,
     own_pace_at_us: u64,
-    pub(super) cold: ColdState,
+    pub(super) bounds: StartBounds,
     pub limit: NamedLimit,
     /// Share of ends that were failures, as of `failures_at_us`.
     failures: f64,
@@ -152,7 +152,7 @@
     pub fn new(row: ServerRow, now_us: u64) -> Self {
         Self {
             key: server_key(&row),
-            cold: ColdState::new(row.warmup_ms, now_us),
+            bounds: StartBounds::new(row.warmup_ms, now_us),
             limit: NamedLimit::default(),
             row,
             full_us: 0,
@@ -180,7 +180,7 @@
 
     /// Takes over what the platform lists now.
     pub fn relist(&mut self, row: ServerRow, now_us: u64) {
-        self.cold.hear_entry(row.warmup_ms, now_us);
+        self.bounds.cold.hear_entry(row.warmup_ms, now_us);
         self.row = row;
         self.unlisted_at_us = None;
     }
@@ -211,7 +211,7 @@
     /// anybody having said so.
     pub fn readmit(&mut self, warmup_us: u64, now_us: u64) {
         self.withheld.evacuated = false;
-        self.cold.presume(warmup_us, now_us);
+        self.bounds.cold.presume(warmup_us, now_us);
     }
 
     /// Whether another server was listed at its address after it.
@@ -242,12 +242,12 @@
     /// Whether it works at its usual speed, as far as its start is concerned.
     #[must_use]
     pub const fn warm(&self, now_us: u64) -> bool {
-        self.cold.warm(now_us)
+        self.bounds.cold.warm(now_us)
     }
 
     /// Takes in for how long a health answer says that it is cold; `None` where it does not say.
     pub fn hear_cold(&mut self, left_ms: Option<u64>, now_us: u64) {
-        self.cold.hear_health(left_ms, now_us);
+        self.bounds.cold.hear_health(left_ms, now_us);
     }
 
     /// Whether an idle connection is probably there: it answered this instance lately.
@@ -323,7 +323,7 @@
         let running = self.occupancy(now_us) + 1;
         let (full_us, pace) = (self.full_us, self.pace(now_us));
         self.sent.push(Sent { ticket, at_us: now_us, running, full_us, pace });
-        self.cold.start(now_us);
+        self.bounds.start(now_us);
         self.note_full(now_us);
     }
 
@@ -353,7 +353,7 @@
         match end {
             SendEnd::Cancelled => return Some(sent),
             SendEnd::Unsent => {
-                self.cold.take_back(sent.at_us);
+                self.bounds.take_back(sent.at_us);
                 return Some(sent);
             }
             SendEnd::Answered => {
@@ -362,7 +362,7 @@
             }
             SendEnd::Failed | SendEnd::Refused => self.heard_us = now_us,
             SendEnd::Unreachable => {
-                self.cold.take_back(sent.at_us);
+                self.bounds.take_back(sent.at_us);
                 self.pause(now_us);
             }
             SendEnd::Broken => {
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -12,8 +12,8 @@
 use super::ServiceTimes;
 use super::service_queue::Waiting;
 use crate::cold::ColdRule;
-use crate::cold::ColdShare;
 use crate::model::ServerRow;
+use crate::starts::HomeShare;
 
 /// What an answer from another zone costs beyond its own time. Its bytes cost money there, and
 /// its way is longer; 90 ms is some third of the usual work.
@@ -74,7 +74,7 @@
     /// Mean time of all requests; 0 before the first.
     pub(super) mean_ms: f64,
     cold_rule: ColdRule,
-    cold_share: ColdShare,
+    home_share: Arc<HomeShare>,
 }
 
 impl Default for ServicePool {
@@ -92,7 +92,7 @@
             unhindered: ServiceTimes::default(),
             mean_ms: 0.0,
             cold_rule: ColdRule::default(),
-            cold_share: ColdShare::default(),
+            home_share: Arc::default(),
         }
     }
 }
@@ -110,33 +110,30 @@
         let place = self.places.get(&row.id).copied().unwrap_or(self.servers.len());
         match self.servers.get_mut(place) {
             Some(server) if server.row.same_start(&row) => server.relist(row, now_us),
-            Some(server) => *server = ServerTrack::new(row, now_us),
+            Some(_) => self.servers[place] = self.track(row, now_us),
             None => {
                 self.places.insert(Arc::clone(&row.id), place);
-                self.servers.push(ServerTrack::new(row, now_us));
+                self.servers.push(self.track(row, now_us));
             }
         }
-        let starts_max = self.cold_starts_max(self.servers[place].key);
-        let server = &mut self.servers[place];
-        server.cold.set_starts_max(starts_max);
+        &mut self.servers[place]
+    }
+
+    fn track(&self, row: ServerRow, now_us: u64) -> ServerTrack {
+        let mut server = ServerTrack::new(row, now_us);
+        server.bounds.share(self.home_share.part(server.key), self.cold_rule.bound.as_ref());
         server
     }
 
-    /// Takes over what cold servers of the service may get, and who shares that.
-    pub fn share_cold_starts(&mut self, rule: ColdRule, share: &ColdShare) {
+    /// Takes over what cold servers of the service may get, and who shares what servers in need get.
+    pub fn share_starts(&mut self, rule: ColdRule, share: &Arc<HomeShare>) {
         self.cold_rule = rule;
-        self.cold_share = share.clone();
-        for place in 0..self.servers.len() {
-            let starts_max = self.cold_starts_max(self.servers[place].key);
-            self.servers[place].cold.set_starts_max(starts_max);
+        self.home_share = Arc::clone(share);
+        for server in &mut self.servers {
+            server.bounds.share(share.part(server.key), rule.bound.as_ref());
         }
     }
 
-    fn cold_starts_max(&self, server_key: u32) -> u32 {
-        let bound = self.cold_rule.bound.as_ref();
-        bound.map_or(u32::MAX, |bound| self.cold_share.starts_per_s(bound, server_key))
-    }
-
     /// Uses the servers of an availability zone again; returns how many there are.
     pub fn readmit(&mut self, zone: &str, now_us: u64) -> usize {
         let of_zone = self.servers.iter_mut().filter(|server| *server.row.zone == *zone);
@@ -179,7 +176,7 @@
             (occupancy < self.allowed(server, now_us)
                 && may_connect
                 && server.usable(now_us)
-                && server.cold.may_start(now_us))
+                && server.bounds.may_start(now_us))
             .then_some(Room { index, occupancy })
         });
         rooms.collect()
@@ -204,7 +201,7 @@
         let usual_ms = self.typical_ms(ask);
         server.expected_ms(usual_ms, now_us) > expected_ms + SLOWED_SHARE * usual_ms
             || server.occupancy(now_us) > self.allowed(server, now_us)
-            || server.cold.over_started(now_us)
+            || server.bounds.over_started(now_us)
     }
 
     /// Of the servers with room the one that is expected to answer first, if that is soon enough.
--- a/src/cold/cold_bound.rs
+++ b/src/cold/cold_bound.rs
@@ -3,6 +3,9 @@
 /// Views of the homes that may be held at the same time, each with its own homes that start requests
 /// at a cold server: on two sides of a cut, and while homes change. Each keeps to its part.
 const VIEWS_MAX: f64 = 3.0;
+/// The span of the operators' bound, and a margin for requests that take longer than others on their
+/// way, so that starts further apart arrive within one second: a connection and a health check.
+pub const COLD_SPAN_US: u64 = 1_300_000;
 
 /// The operators' bound on what a cold server gets in any second from all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/cold/cold_state.rs
+++ b/src/cold/cold_state.rs
@@ -1,6 +1,4 @@
-//! Whether one server is cold, and what this instance started there lately.
-
-use super::StartWindow;
+//! Whether one server is cold.
 
 /// What is known of one server. Its entry says how long it stays cold, and its health answers do; the
 /// newer word counts.
@@ -13,9 +11,6 @@
     health_told_us: u64,
     /// Whether its health answers ever told that it is cold; one that does not say so is warm then.
     tells_cold: bool,
-    starts: StartWindow,
-    /// Requests that this instance may start there in any second while it is cold.
-    starts_max: u32,
 }
 
 impl ColdState {
@@ -28,8 +23,6 @@
             health_until_us: 0,
             health_told_us: 0,
             tells_cold: false,
-            starts: StartWindow::default(),
-            starts_max: u32::MAX,
         }
     }
 
@@ -61,31 +54,4 @@
     const fn told_warm(&self) -> bool {
         self.tells_cold && self.health_told_us > self.entry_told_us
     }
-
-    /// What this instance may start there in any second while it is cold.
-    pub const fn set_starts_max(&mut self, starts_max: u32) {
-        self.starts_max = starts_max;
-    }
-
-    /// Whether one more request may be started there.
-    #[must_use]
-    pub fn may_start(&self, now_us: u64) -> bool {
-        self.warm(now_us) || self.starts.count(now_us) < self.starts_max
-    }
-
-    /// Whether more was started there than may be while it is cold.
-    #[must_use]
-    pub fn over_started(&self, now_us: u64) -> bool {
-        !self.warm(now_us) && self.starts.count(now_us) > self.starts_max
-    }
-
-    /// Takes note of a start; those at a warm server count too, as it may have turned cold unsaid.
-    pub fn start(&mut self, now_us: u64) {
-        self.starts.start(now_us);
-    }
-
-    /// Takes a start back: nothing was sent.
-    pub fn take_back(&mut self, at_us: u64) {
-        self.starts.take_back(at_us);
-    }
 }
--- a/src/cold/mod.rs
+++ b/src/cold/mod.rs
@@ -3,12 +3,9 @@
 
 mod cold_bound;
 mod cold_rule;
-mod cold_share;
 mod cold_state;
-mod start_window;
 
+pub use cold_bound::COLD_SPAN_US;
 pub use cold_bound::ColdBound;
 pub use cold_rule::ColdRule;
-pub use cold_share::ColdShare;
 pub use cold_state::ColdState;
-pub use start_window::StartWindow;
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -28,9 +28,9 @@
 use crate::balance::ServicePool;
 use crate::clock::now_us;
 use crate::cold::ColdRule;
-use crate::cold::ColdShare;
 use crate::evacuation::Evacuations;
 use crate::model::ServerRow;
+use crate::starts::HomeShare;
 
 /// How often queues are looked at, while somebody waits, for requests that became late and servers
 /// that came back.
@@ -52,7 +52,7 @@
     pub(super) evacuations: Evacuations,
     /// By service.
     pub(super) cold_rules: HashMap<Arc<str>, ColdRule>,
-    pub(super) cold_share: ColdShare,
+    pub(super) home_share: Arc<HomeShare>,
     pub(super) peers: PeersHeard,
     pub(super) in_use: ServersInUse,
     /// Whether any server is unlisted and not forgotten yet.
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -133,14 +133,10 @@
         state.list_version += 1;
         let service = Arc::clone(&row.service);
         let evacuated = state.evacuations.covers(&row.zone);
-        let State { pools, cold_rules, cold_share, .. } = state;
-        let pool = pools.entry(Arc::clone(&service)).or_default();
-        if pool.servers.is_empty() {
-            pool.share_cold_starts(
-                cold_rules.get(&service).copied().unwrap_or_default(),
-                cold_share,
-            );
+        if state.pools.get(&service).is_none_or(|pool| pool.servers.is_empty()) {
+            state.share_starts(&service);
         }
+        let pool = state.pools.entry(Arc::clone(&service)).or_default();
         let track = pool.list(row.clone(), now_us());
         if evacuated {
             track.evacuate();
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -12,7 +12,7 @@
 use crate::balance::RepeatNeed;
 use crate::clock::now_us;
 use crate::cold::ColdRule;
-use crate::cold::ColdShare;
+use crate::starts::HomeShare;
 
 /// This instance's part of the connections that a server accepts; it needs one at least.
 #[expect(
@@ -25,10 +25,17 @@
 }
 
 impl State {
-    fn apply_cold_rules(&mut self) {
-        for (service, pool) in &mut self.pools {
-            let rule = self.cold_rules.get(service).copied().unwrap_or_default();
-            pool.share_cold_starts(rule, &self.cold_share);
+    /// Tells the pool of a service what holds for its servers in need, and who shares that.
+    pub(super) fn share_starts(&mut self, service: &Arc<str>) {
+        let rule = self.cold_rules.get(service).copied().unwrap_or_default();
+        let pool = self.pools.entry(Arc::clone(service)).or_default();
+        pool.share_starts(rule, &self.home_share);
+    }
+
+    fn share_all_starts(&mut self) {
+        let services: Vec<Arc<str>> = self.pools.keys().cloned().collect();
+        for service in services {
+            self.share_starts(&service);
         }
     }
 }
@@ -74,15 +81,15 @@
     pub fn rule_cold_servers(&self, rules: HashMap<Arc<str>, ColdRule>) {
         let mut state = self.state.lock();
         state.cold_rules = rules;
-        state.apply_cold_rules();
+        state.share_all_starts();
     }
 
-    /// Keeps to a part of what cold servers may get.
-    pub fn share_cold_starts(&self, share: ColdShare) {
+    /// Keeps to a part of what servers in need may get.
+    pub fn share_starts(&self, share: HomeShare) {
         let mut state = self.state.lock();
-        if state.cold_share != share {
-            state.cold_share = share;
-            state.apply_cold_rules();
+        if *state.home_share != share {
+            state.home_share = Arc::new(share);
+            state.share_all_starts();
         }
     }
 
--- a/src/gateway/home_planner.rs
+++ b/src/gateway/home_planner.rs
@@ -10,8 +10,8 @@
 use super::homes::HomesPlan;
 use super::homes::all_homes;
 use crate::board::Blackboard;
-use crate::cold::ColdShare;
 use crate::member::MemberRow;
+use crate::starts::HomeShare;
 
 /// Requests a second that callers of a zone may send for each slot of its share of the servers.
 /// Work takes 0.2 to 0.5 s, so this fills most of the slots; more cannot be served for long.
@@ -93,7 +93,7 @@
                 ""
             );
         }
-        self.dispatcher.share_cold_starts(self.cold_share(&basis));
+        self.dispatcher.share_starts(self.home_share(&basis));
         let own = basis.homes.contains(&self.board.incarnation);
         self.dispatcher.share_among(homes.len(), own);
         let part = connection_part(homes.len(), basis.others, own);
@@ -103,13 +103,13 @@
         basis
     }
 
-    /// Who shares what cold servers may get. An instance that knows no other, though there are some,
+    /// Who shares what servers in need may get. An instance that knows no other, though there are some,
     /// may be one of hundreds that start at this moment.
-    fn cold_share(&self, basis: &Basis) -> ColdShare {
+    fn home_share(&self, basis: &Basis) -> HomeShare {
         let alone = basis.homes.len() + basis.others <= 1;
         let others_expected = !self.board.settings.peers.seeds.is_empty();
         let homes = (!alone || !others_expected).then(|| basis.homes.clone());
-        ColdShare { homes, own: self.board.incarnation }
+        HomeShare { homes, own: self.board.incarnation }
     }
 
     /// Requests a second that the homes of one zone must be able to carry.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer;
 pub mod quarantine;
 pub mod route;
+pub mod starts;
 pub mod status;
 pub mod store;
 pub mod task;
--- /dev/null
+++ b/src/starts/start_window.rs
@@ -0,0 +1,31 @@
+//! Requests that were started lately.
+
+use smallvec::SmallVec;
+
+/// When requests were started, in order.
+#[derive(Clone, Debug, Default)]
+pub struct StartWindow {
+    started_us: SmallVec<[u64; 4]>,
+}
+
+impl StartWindow {
+    /// Takes note of a start; what lies further back than `span_us` is forgotten.
+    pub fn start(&mut self, now_us: u64, span_us: u64) {
+        self.started_us.retain(|at_us| *at_us + span_us > now_us);
+        self.started_us.push(now_us);
+    }
+
+    /// Takes back a start at this time: nothing was sent.
+    pub fn take_back(&mut self, at_us: u64) {
+        if let Some(at) = self.started_us.iter().position(|started_us| *started_us == at_us) {
+            self.started_us.remove(at);
+        }
+    }
+
+    /// Starts within the last `span_us`.
+    #[must_use]
+    pub fn count(&self, now_us: u64, span_us: u64) -> u32 {
+        let counts = |at_us: &&u64| **at_us + span_us > now_us;
+        u32::try_from(self.started_us.iter().filter(counts).count()).unwrap_or(u32::MAX)
+    }
+}
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -1,6 +1,7 @@
 //! Cold backend servers: what all instances together send them in a second.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -11,11 +12,11 @@
 use sorrelwick::balance::server_key;
 use sorrelwick::cold::ColdBound;
 use sorrelwick::cold::ColdRule;
-use sorrelwick::cold::ColdShare;
 use sorrelwick::cold::ColdState;
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
+use sorrelwick::starts::HomeShare;
 use standins::routed::CONFIG_KEY;
 use standins::routed::EVACUATIONS_PREFIX;
 use standins::routed::RawServer;
@@ -57,8 +58,8 @@
     }
 }
 
-fn share(homes: &[u64], own: u64) -> ColdShare {
-    ColdShare { homes: Some(homes.to_vec()), own }
+fn share(homes: &[u64], own: u64) -> HomeShare {
+    HomeShare { homes: Some(homes.to_vec()), own }
 }
 
 /// Parted or restarted instances each take themselves for homes, and crash a cold server together.
@@ -75,8 +76,10 @@
         for view in 0..3 {
             let homes: Vec<u64> =
                 (0..u.int_in_range(1..=40)?).map(|home| view * 1_000 + home).collect();
-            sum +=
-                homes.iter().map(|own| share(&homes, *own).starts_per_s(&bound, key)).sum::<u32>();
+            sum += homes
+                .iter()
+                .map(|own| share(&homes, *own).part(key).of(bound.starts_of_view()))
+                .sum::<u32>();
         }
         assert!(f64::from(sum) <= bound.per_s * bound.overage + bound.slack, "{sum}: {bound:?}");
         Ok(())
@@ -88,9 +91,10 @@
 fn the_homes_of_one_view_use_up_its_part() {
     for homes in 1..=40_u64 {
         let homes: Vec<u64> = (0..homes).collect();
-        let sum: u32 = homes.iter().map(|own| share(&homes, *own).starts_per_s(&BOUND, 7)).sum();
+        let sum: u32 =
+            homes.iter().map(|own| share(&homes, *own).part(7).of(BOUND.starts_of_view())).sum();
         assert_eq!(sum, BOUND.starts_of_view());
-        assert_eq!(share(&homes, 1_000).starts_per_s(&BOUND, 7), 0);
+        assert_eq!(share(&homes, 1_000).part(7).of(BOUND.starts_of_view()), 0);
     }
 }
 
@@ -102,7 +106,7 @@
     for own in &homes {
         let mut pool = ServicePool::default();
         let rule = ColdRule { bound: Some(BOUND), warmup_us: WARMUP_MS * MS };
-        pool.share_cold_starts(rule, &share(&homes, *own));
+        pool.share_starts(rule, &Arc::new(share(&homes, *own)));
         pool.list(row("s0", WARMUP_MS), 0);
         pools.push(pool);
     }
@@ -133,7 +137,7 @@
 fn what_was_not_sent_is_not_counted() {
     let mut pool = ServicePool::default();
     let rule = ColdRule { bound: Some(BOUND), warmup_us: WARMUP_MS * MS };
-    pool.share_cold_starts(rule, &share(&[1], 1));
+    pool.share_starts(rule, &Arc::new(share(&[1], 1)));
     pool.list(row("s0", WARMUP_MS), 0);
     for ticket in 1..100 {
         let now_us = ticket * MS;
@@ -148,7 +152,7 @@
 fn a_server_that_turns_cold_after_the_choice_is_no_place_any_more() {
     let mut pool = ServicePool::default();
     let rule = ColdRule { bound: Some(BOUND), warmup_us: WARMUP_MS * MS };
-    pool.share_cold_starts(rule, &share(&[1, 2, 3, 4, 5, 6], 1));
+    pool.share_starts(rule, &Arc::new(share(&[1, 2, 3, 4, 5, 6], 1)));
     pool.list(row("s0", 0), 0);
     let key = server_key(&row("s0", 0));
     for ticket in 0..5 {
