All instances together keep to the limit that a server in need names

Cause: nothing read the field; only the operators' list and own measurements decided what a server gets.

Now a limit is a count of starts over 4.3 s, divided among the homes by the hash that divides the starts at cold servers, so no word between instances is needed. The count is at most what the server takes, and half of what it bears, as two views of the homes may be held while they change. An instance that is no home starts none there.

--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -3,7 +3,6 @@
 use smallvec::SmallVec;
 
 use super::StartBounds;
-use crate::limit::NamedLimit;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
 use crate::model::ServerState;
@@ -120,8 +119,7 @@
     /// The pace that the server told this instance itself.
     own_pace_percent: u16,
     own_pace_at_us: u64,
-    pub(super) bounds: StartBounds,
-    pub limit: NamedLimit,
+    pub bounds: StartBounds,
     /// Share of ends that were failures, as of `failures_at_us`.
     failures: f64,
     failures_at_us: u64,
@@ -153,7 +151,6 @@
         Self {
             key: server_key(&row),
             bounds: StartBounds::new(row.warmup_ms, now_us),
-            limit: NamedLimit::default(),
             row,
             full_us: 0,
             full_at_us: now_us,
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -280,8 +280,8 @@
             expected_ms,
             pace_age_us: server.pace_age_us(now_us),
             cold: !server.warm(now_us),
-            limit: server.limit.limit(),
-            limit_age_us: server.limit.age_us(now_us),
+            limit: server.bounds.limit.limit(),
+            limit_age_us: server.bounds.limit.age_us(now_us),
         }
     }
 
--- a/src/balance/start_bounds.rs
+++ b/src/balance/start_bounds.rs
@@ -3,13 +3,16 @@
 use crate::cold::COLD_SPAN_US;
 use crate::cold::ColdBound;
 use crate::cold::ColdState;
+use crate::limit::LIMIT_SPAN_US;
+use crate::limit::NamedLimit;
 use crate::starts::HomePart;
 use crate::starts::StartWindow;
 
-/// Whether one server is cold, what this instance started there lately, and its part.
+/// Whether one server is cold, or names a limit, what this instance started there lately, and its part.
 #[derive(Clone, Debug)]
 pub struct StartBounds {
     pub cold: ColdState,
+    pub limit: NamedLimit,
     starts: StartWindow,
     part: HomePart,
     /// Requests that this instance may start there in any second while it is cold.
@@ -22,6 +25,7 @@
     pub fn new(warmup_ms: u64, now_us: u64) -> Self {
         Self {
             cold: ColdState::new(warmup_ms, now_us),
+            limit: NamedLimit::default(),
             starts: StartWindow::default(),
             part: HomePart::default(),
             cold_starts_max: u32::MAX,
@@ -34,21 +38,40 @@
         self.cold_starts_max = cold.map_or(u32::MAX, |bound| part.of(bound.starts_of_view()));
     }
 
+    /// The bounds in force: starts, and the span in which there may be so many.
+    fn in_force(&self, now_us: u64) -> impl Iterator<Item = (u32, u64)> {
+        let cold = (!self.cold.warm(now_us)).then_some((self.cold_starts_max, COLD_SPAN_US));
+        let limit = self.limit.limit();
+        let limit = limit.map(|limit| (self.part.of(limit.starts_of_view()), LIMIT_SPAN_US));
+        cold.into_iter().chain(limit)
+    }
+
     /// Whether one more request may be started there.
     #[must_use]
     pub fn may_start(&self, now_us: u64) -> bool {
-        self.cold.warm(now_us) || self.starts.count(now_us, COLD_SPAN_US) < self.cold_starts_max
+        let below = |(most, span_us)| self.starts.count(now_us, span_us) < most;
+        self.in_force(now_us).all(below)
+    }
+
+    /// When one more may be started there, as far as known now; `None` if never.
+    #[must_use]
+    pub fn may_start_at_us(&self, now_us: u64) -> Option<u64> {
+        let below_at = |(most, span_us)| self.starts.below_at_us(most, now_us, span_us);
+        self.in_force(now_us).map(below_at).try_fold(now_us, |latest, at| Some(latest.max(at?)))
     }
 
     /// Whether more was started there than may be.
     #[must_use]
     pub fn over_started(&self, now_us: u64) -> bool {
-        !self.cold.warm(now_us) && self.starts.count(now_us, COLD_SPAN_US) > self.cold_starts_max
+        let over = |(most, span_us)| self.starts.count(now_us, span_us) > most;
+        self.in_force(now_us).any(over)
     }
 
-    /// Takes note of a start; those at a warm server count too, as it may have turned cold unsaid.
+    /// Takes note of a start. Those at a server that is well count too: it may have turned cold
+    /// unsaid, or be about to name a limit.
     pub fn start(&mut self, now_us: u64) {
-        self.starts.start(now_us, COLD_SPAN_US);
+        let limited = self.limit.limit().is_some();
+        self.starts.start(now_us, if limited { LIMIT_SPAN_US } else { COLD_SPAN_US });
     }
 
     /// Takes a start back: nothing was sent.
--- a/src/gateway/dispatcher_notices.rs
+++ b/src/gateway/dispatcher_notices.rs
@@ -30,8 +30,8 @@
 }
 
 fn hear_limit(track: &mut ServerTrack, heard: Heard, limit: Option<RateLimit>) {
-    let before = track.limit.limit();
-    if !track.limit.hear(heard, limit, now_us()) {
+    let before = track.bounds.limit.limit();
+    if !track.bounds.limit.hear(heard, limit, now_us()) {
         return;
     }
     info!(
@@ -44,7 +44,7 @@
 
 /// What the server said before stays in force.
 fn limit_unreadable(track: &mut ServerTrack, heard: Heard) {
-    if !track.limit.hear_unreadable() {
+    if !track.bounds.limit.hear_unreadable() {
         return;
     }
     warn!(
--- a/src/limit/rate_limit.rs
+++ b/src/limit/rate_limit.rs
@@ -9,6 +9,19 @@
     per_s: f64,
 }
 
+/// Span over which instances keep to a limit: limits of about one request a second become whole numbers
+/// of requests in it, which homes can divide. Servers judge four seconds; the rest is for requests that
+/// take longer than others on their way.
+pub const LIMIT_SPAN_US: u64 = 4_300_000;
+const JUDGED_SPAN_S: f64 = 4.0;
+/// By how much a server bears more than its limit over the span that it judges, as a factor and in
+/// requests.
+const OVERAGE: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// Views of the homes that may be held at the same time while homes change; each keeps to its part.
+const VIEWS_MAX: f64 = 2.0;
+const US_PER_S: f64 = 1e6;
+
 /// A text that names no limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitUnreadable;
@@ -19,6 +32,25 @@
     pub const fn per_s(self) -> f64 {
         self.per_s
     }
+
+    /// Requests that the server may get within [`LIMIT_SPAN_US`] from the instances that hold one view
+    /// of the homes: what it takes, but no more than it bears from all views together. At least one,
+    /// or it would never be used, unless it takes none.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "requests of some seconds, never below zero"
+    )]
+    pub fn starts_of_view(self) -> u32 {
+        if self.per_s == 0.0 {
+            return 0;
+        }
+        let taken = self.per_s * LIMIT_SPAN_US as f64 / US_PER_S;
+        let borne = self.per_s.mul_add(OVERAGE * JUDGED_SPAN_S, SLACK) / VIEWS_MAX;
+        taken.min(borne).max(1.0) as u32
+    }
 }
 
 impl FromStr for RateLimit {
--- a/src/starts/start_window.rs
+++ b/src/starts/start_window.rs
@@ -22,6 +22,19 @@
         }
     }
 
+    /// When there will be less than `starts_max` starts within the last `span_us`, if no more come;
+    /// `None` if never.
+    #[must_use]
+    pub fn below_at_us(&self, starts_max: u32, now_us: u64, span_us: u64) -> Option<u64> {
+        let starts_max = usize::try_from(starts_max).unwrap_or(usize::MAX);
+        let last_over = self.started_us.len().checked_sub(starts_max);
+        let Some(last_over) = last_over else {
+            return Some(now_us);
+        };
+        let started_us = self.started_us.get(last_over)?;
+        Some(now_us.max(started_us + span_us))
+    }
+
     /// Starts within the last `span_us`.
     #[must_use]
     pub fn count(&self, now_us: u64, span_us: u64) -> u32 {
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -3,10 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use smallvec::SmallVec;
+use sorrelwick::balance::Ask;
+use sorrelwick::balance::SendEnd;
+use sorrelwick::balance::ServicePool;
+use sorrelwick::cold::ColdRule;
 use sorrelwick::limit::Heard;
 use sorrelwick::limit::LimitUnreadable;
 use sorrelwick::limit::NamedLimit;
 use sorrelwick::limit::RateLimit;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
+use sorrelwick::starts::HomeShare;
 use sorrelwick::task::TaskGuard;
 use standins::routed::CONFIG_KEY;
 use standins::routed::LimitWord;
@@ -15,6 +23,10 @@
 use standins::routed::two_routes;
 use tokio::time::Instant;
 
+mod common;
+
+const MS: u64 = 1_000;
+const SECOND_US: u64 = 1_000_000;
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// The span over which a limit is judged.
 const SPAN: Duration = Duration::from_secs(4);
@@ -68,6 +80,48 @@
     text.parse().expect("a limit")
 }
 
+fn row(id: &str) -> ServerRow {
+    ServerRow {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        warmup_ms: 0,
+        started_ms: 0,
+        sequence: 0,
+    }
+}
+
+fn ask(now_us: u64) -> Ask {
+    Ask {
+        route: "look".into(),
+        priority: 0,
+        aim_ms: 600.0,
+        arrived_us: now_us,
+        spent_us: 0,
+        deadline_us: now_us + 1_500 * MS,
+        avoid: SmallVec::new(),
+    }
+}
+
+/// The pool of one of these homes, with servers of these names.
+fn pool(homes: &[u64], own: u64, servers: &[&str]) -> ServicePool {
+    let mut pool = ServicePool::default();
+    let share = HomeShare { homes: Some(homes.to_vec()), own };
+    pool.share_starts(ColdRule::default(), &Arc::new(share));
+    for id in servers {
+        pool.list(row(id), 0);
+    }
+    pool
+}
+
+fn name_limit(pool: &mut ServicePool, id: &str, text: &str, now_us: u64) {
+    let server = pool.server(id).expect("listed");
+    server.bounds.limit.hear(Heard::Answer, Some(limit(text)), now_us);
+}
+
 /// A field that names no rate is taken for one.
 #[test]
 fn only_a_number_of_requests_a_second_is_a_limit() {
@@ -108,3 +162,70 @@
         assert!(after >= 2, "it is hardly used any more: {after} in {SPAN:?}, {word:?}");
     }
 }
+
+/// While homes change, two views of them are held, and a server in need gets both of their parts.
+#[test]
+fn two_views_of_the_homes_keep_to_what_a_server_bears() {
+    common::property(400, |u| {
+        let per_s = f64::from(u.int_in_range(0..=400)?) / 10.0;
+        let limit: RateLimit = per_s.to_string().parse().expect("a limit");
+        let key: u32 = u.arbitrary()?;
+        let mut sum = 0;
+        for view in 0..2 {
+            let homes: Vec<u64> =
+                (0..u.int_in_range(1..=40)?).map(|home| view * 1_000 + home).collect();
+            let part = |own: &u64| HomeShare { homes: Some(homes.clone()), own: *own }.part(key);
+            sum += homes.iter().map(|own| part(own).of(limit.starts_of_view())).sum::<u32>();
+        }
+        assert!(f64::from(sum) <= borne(per_s), "{sum} of {limit:?}");
+        Ok(())
+    });
+}
+
+/// Pattern: a server in need of short work, more callers than it takes, at six homes. It is used as
+/// much as it says, all the time and no more.
+#[test]
+fn a_limit_is_used_up_by_all_homes_and_not_exceeded() {
+    for text in ["0.5", "1", "1.2", "3", "8"] {
+        let homes: Vec<u64> = (0..6).collect();
+        let mut pools: Vec<ServicePool> =
+            homes.iter().map(|own| pool(&homes, *own, &["s0"])).collect();
+        for pool in &mut pools {
+            name_limit(pool, "s0", text, 0);
+        }
+        let per_s = limit(text).per_s();
+        let mut arrived_us = Vec::new();
+        for now_us in (0..60 * SECOND_US).step_by(5_000) {
+            for (pool, ticket) in pools.iter_mut().zip(now_us..) {
+                let ask = ask(now_us);
+                if let Some(choice) = pool.take(ticket, &ask, "z", now_us, &mut || 0.5) {
+                    arrived_us.push(now_us);
+                    pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + MS);
+                }
+            }
+        }
+        let span_us = u64::try_from(SPAN.as_micros()).expect("some seconds");
+        let within = |end: &u64| {
+            arrived_us.iter().filter(|at| **at <= *end && *end - **at < span_us).count()
+        };
+        let most = arrived_us.iter().map(within).max().unwrap_or(0);
+        #[expect(clippy::cast_precision_loss, reason = "some hundred requests")]
+        let (most, used_per_s) = (most as f64, arrived_us.len() as f64 / 60.0);
+        assert!(most <= borne(per_s), "{most} within {SPAN:?} of {text}");
+        assert!(used_per_s <= 1.1 * per_s, "{used_per_s} a second of {text}");
+        assert!(used_per_s >= 0.75 * per_s, "{used_per_s} a second of {text}");
+    }
+}
+
+/// A request that was given a place at a server in need and not sent takes nothing from its limit.
+#[test]
+fn what_was_not_sent_takes_nothing_of_a_limit() {
+    let mut pool = pool(&[1], 1, &["s0"]);
+    name_limit(&mut pool, "s0", "1", 0);
+    for ticket in 1..100 {
+        let now_us = ticket * MS;
+        let ask = ask(now_us);
+        let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Unsent, now_us);
+    }
+}
