Who cannot be served by servers in need is refused at once

Seen in the test, red before: where all servers of a service name limits and their starts are used up, a request waited until its aim was missed, as the queue was reckoned by slots that nobody may use; and it was told to come back at a time when it would meet the same. Now a request is refused at once when no server may be given any in time, the queue before servers in need is reckoned by the rate that this instance may start there, and the refusal tells when the first of them may be given one again. Cold servers count alike. Unchanged where some server names no limit and may be given work.

--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -1,5 +1,7 @@
 //! The requests that wait for the servers of one service: who waits, who is refused, who is next.
 
+use std::sync::Arc;
+
 use smallvec::SmallVec;
 
 use super::Ask;
@@ -34,6 +36,15 @@
     pub late: bool,
 }
 
+/// What an instance may use of the slots of a service.
+#[derive(Clone, Copy, Debug)]
+struct OwnSlots {
+    /// In the mean; above zero unless all servers are in need.
+    slots: f64,
+    /// Whether all usable servers name limits, and there is any.
+    all_in_need: bool,
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -61,13 +72,13 @@
         if !self.servers.iter().any(may_serve) {
             return Err(self.no_server());
         }
-        let slots = self.slots_in_use(now_us);
         let for_aim_us = self.start_by_us(&ask);
         let late = for_aim_us < now_us;
         let start_by_us = if late { now_us + late_wait_us(&ask) } else { for_aim_us };
         let urgency = if late { u32::MAX } else { ask.priority };
-        let wait_us = self.expected_wait_us(urgency, slots, now_us);
-        if now_us + wait_us > start_by_us {
+        let wait_us = self.expected_wait_us(urgency, now_us);
+        let first_us = self.first_start_us(&ask.avoid, now_us);
+        if first_us.is_none_or(|first_us| first_us.saturating_add(wait_us) > start_by_us) {
             return Err(self.refusal(now_us));
         }
         self.waiting.push(Waiting { ticket, ask, start_by_us, late });
@@ -98,21 +109,51 @@
         for_aim_us.min(ask.deadline_us.saturating_sub(needed_us))
     }
 
-    /// Time until a newcomer of this priority gets a slot: those before it, at the rate at which
-    /// this instance's part of the slots comes free. Other homes have queues of their own, which
-    /// take the rest.
+    /// This instance's part of the slots, as far as it may use them: a server in need takes requests at
+    /// a rate, and so keeps only some of its slots in use.
+    fn own_slots(&self, now_us: u64) -> OwnSlots {
+        let share = self.own_share(now_us);
+        let mean_s = self.mean_ms / 1000.0;
+        let (mut well, mut in_need) = (0.0, 0.0);
+        let mut all_in_need = None;
+        for server in self.usable(now_us) {
+            let slots = f64::from(self.limit.usual(server.row.slots)) * share;
+            let own_per_s = server.bounds.own_starts_per_s();
+            all_in_need = Some(own_per_s.is_some() && all_in_need.unwrap_or(true));
+            match own_per_s {
+                Some(own_per_s) => in_need += slots.min(own_per_s * mean_s),
+                None => well += slots,
+            }
+        }
+        if all_in_need == Some(true) {
+            return OwnSlots { slots: in_need, all_in_need: true };
+        }
+        // With next to no share, one slot of all is still its own.
+        OwnSlots { slots: f64::max(well, 1.0) + in_need, all_in_need: false }
+    }
+
+    /// Time until a newcomer of this priority gets a slot, once a server may be given any: those before
+    /// it, at the rate at which this instance's part of the slots comes free. Other homes have queues
+    /// of their own, which take the rest.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
         clippy::cast_sign_loss,
         reason = "a queue's length and time"
     )]
-    fn expected_wait_us(&self, priority: u32, slots: u32, now_us: u64) -> u64 {
+    fn expected_wait_us(&self, priority: u32, now_us: u64) -> u64 {
         let before = |other: &&Waiting| !other.late && other.ask.priority <= priority;
-        let ahead = self.waiting.iter().filter(before).count() + 1;
-        let own_slots = (f64::from(slots) * self.own_share(now_us)).max(1.0);
-        let per_slot_us = self.mean_ms * 1000.0 / own_slots;
-        (ahead as f64 * per_slot_us) as u64
+        let before = self.waiting.iter().filter(before).count();
+        if self.mean_ms == 0.0 {
+            return 0;
+        }
+        let own = self.own_slots(now_us);
+        // The newcomer needs a slot as well, but not where a rate is what it waits for.
+        let ahead = if own.all_in_need { before } else { before + 1 };
+        if ahead == 0 {
+            return 0;
+        }
+        (ahead as f64 * self.mean_ms * 1000.0 / own.slots) as u64
     }
 
     /// This instance's part of all requests at the servers, or its fair part if that is more.
@@ -137,15 +178,27 @@
         self.servers.iter().any(|server| server.in_service(now_us))
     }
 
-    /// When to come back: once those that wait now are served.
+    /// When a request may be started at any of the servers, as far as those in need are concerned;
+    /// `None` if never.
+    fn first_start_us(&self, avoid: &[Arc<str>], now_us: u64) -> Option<u64> {
+        let servers = self
+            .servers
+            .iter()
+            .filter(|server| server.in_service(now_us) && !avoid.contains(&server.row.id));
+        servers.filter_map(|server| server.bounds.may_start_at_us(now_us)).min()
+    }
+
+    /// When to come back: once those that wait now are served, and a server may be given more.
     #[must_use]
     pub fn refusal(&self, now_us: u64) -> Refusal {
         if !self.any_in_service(now_us) {
             return self.no_server();
         }
         let slots = self.slots_in_use(now_us);
-        let wait_ms = self.expected_wait_us(u32::MAX, slots, now_us) / 1000;
-        let retry_after_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
+        let first_us = self.first_start_us(&[], now_us).unwrap_or(u64::MAX).saturating_sub(now_us);
+        let wait_us = self.expected_wait_us(u32::MAX, now_us);
+        let retry_after_ms =
+            (first_us.saturating_add(wait_us) / 1000).clamp(RETRY_MIN_MS, RETRY_MAX_MS);
         Refusal { no_server: false, retry_after_ms, waiting: self.waiting.len(), slots }
     }
 
--- a/src/balance/start_bounds.rs
+++ b/src/balance/start_bounds.rs
@@ -3,6 +3,7 @@
 use crate::cold::COLD_SPAN_US;
 use crate::cold::ColdBound;
 use crate::cold::ColdState;
+use crate::limit::LIMIT_SPAN_S;
 use crate::limit::LIMIT_SPAN_US;
 use crate::limit::NamedLimit;
 use crate::starts::HomePart;
@@ -60,6 +61,13 @@
         self.in_force(now_us).map(below_at).try_fold(now_us, |latest, at| Some(latest.max(at?)))
     }
 
+    /// Requests a second that this instance may start there; `None` while it names no limit.
+    #[must_use]
+    pub fn own_starts_per_s(&self) -> Option<f64> {
+        let limit = self.limit.limit()?;
+        Some(f64::from(self.part.of(limit.starts_of_view())) / LIMIT_SPAN_S)
+    }
+
     /// Whether more was started there than may be.
     #[must_use]
     pub fn over_started(&self, now_us: u64) -> bool {
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -6,6 +6,7 @@
 
 pub use named_limit::Heard;
 pub use named_limit::NamedLimit;
+pub use rate_limit::LIMIT_SPAN_S;
 pub use rate_limit::LIMIT_SPAN_US;
 pub use rate_limit::LimitUnreadable;
 pub use rate_limit::RateLimit;
--- a/src/limit/rate_limit.rs
+++ b/src/limit/rate_limit.rs
@@ -13,6 +13,8 @@
 /// of requests in it, which homes can divide. Servers judge four seconds; the rest is for requests that
 /// take longer than others on their way.
 pub const LIMIT_SPAN_US: u64 = 4_300_000;
+/// [`LIMIT_SPAN_US`] in seconds.
+pub const LIMIT_SPAN_S: f64 = 4.3;
 const JUDGED_SPAN_S: f64 = 4.0;
 /// By how much a server bears more than its limit over the span that it judges, as a factor and in
 /// requests.
@@ -20,7 +22,6 @@
 const SLACK: f64 = 5.0;
 /// Views of the homes that may be held at the same time while homes change; each keeps to its part.
 const VIEWS_MAX: f64 = 2.0;
-const US_PER_S: f64 = 1e6;
 
 /// A text that names no limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,7 +40,6 @@
     #[must_use]
     #[expect(
         clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
         clippy::cast_sign_loss,
         reason = "requests of some seconds, never below zero"
     )]
@@ -47,7 +47,7 @@
         if self.per_s == 0.0 {
             return 0;
         }
-        let taken = self.per_s * LIMIT_SPAN_US as f64 / US_PER_S;
+        let taken = self.per_s * LIMIT_SPAN_S;
         let borne = self.per_s.mul_add(OVERAGE * JUDGED_SPAN_S, SLACK) / VIEWS_MAX;
         taken.min(borne).max(1.0) as u32
     }
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -9,6 +9,7 @@
 use sorrelwick::balance::ServicePool;
 use sorrelwick::cold::ColdRule;
 use sorrelwick::limit::Heard;
+use sorrelwick::limit::LIMIT_SPAN_US;
 use sorrelwick::limit::LimitUnreadable;
 use sorrelwick::limit::NamedLimit;
 use sorrelwick::limit::RateLimit;
@@ -229,3 +230,44 @@
         pool.finish(&choice.server, ticket, &ask, SendEnd::Unsent, now_us);
     }
 }
+
+/// Pattern: all servers of a service in need, more callers than they take. One that none of them may
+/// begin on in time is told so at once, and when to come back, in place of waiting in vain.
+#[test]
+fn a_request_that_no_server_in_need_may_begin_on_in_time_is_refused_at_once() {
+    let mut pool = pool(&[1], 1, &["s0", "s1"]);
+    for id in ["s0", "s1"] {
+        name_limit(&mut pool, id, "1", 0);
+    }
+    let starts_max = u64::from(2 * limit("1").starts_of_view());
+    for ticket in 0..starts_max {
+        let now_us = 100 * MS * ticket;
+        let ask = ask(now_us);
+        let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
+        pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + 50 * MS);
+    }
+    let now_us = 100 * MS * starts_max;
+    assert!(pool.take(90, &ask(now_us), "z", now_us, &mut || 0.5).is_none());
+    let refused = pool.enqueue(90, ask(now_us), now_us).expect_err("nobody may begin on it");
+    assert!(!refused.no_server);
+    assert!((1_000..=2_000).contains(&refused.retry_after_ms), "{refused:?}");
+    // The first starts lie far enough back a moment later: worth waiting for.
+    let now_us = LIMIT_SPAN_US - 100 * MS;
+    pool.enqueue(91, ask(now_us), now_us).expect("it may begin in time");
+}
+
+/// Pattern: as above. The queue is no longer than what servers in need get through, however many slots
+/// they have.
+#[test]
+fn the_queue_before_servers_in_need_is_as_short_as_their_limits() {
+    let mut pool = pool(&[1], 1, &["s0"]);
+    let warm = ask(0);
+    let choice = pool.take(0, &warm, "z", 0, &mut || 0.5).expect("room");
+    pool.finish(&choice.server, 0, &warm, SendEnd::Answered, 200 * MS);
+    name_limit(&mut pool, "s0", "4", 200 * MS);
+    let now_us = 5 * SECOND_US;
+    let admitted = (1..40).filter(|ticket| pool.enqueue(*ticket, ask(now_us), now_us).is_ok());
+    let admitted = admitted.count();
+    // 400 ms are left to begin, in which it takes between one and two.
+    assert!((1..=2).contains(&admitted), "{admitted} wait");
+}
