A server in need gets its limit, and what it bears beyond it only while no other has room

Now a request beyond the limit goes to such a server when no other has room, up to two thirds of what it bears (half, where there is one home), so that it is kept also when a home is replaced; starts are spread over the span; while others have room, they go first.

--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -27,6 +27,9 @@
 /// Expected times closer than this share of the usual one are told apart by chance, so that
 /// instances that know the same do not all choose the same server.
 const JITTER_SHARE: f64 = 0.05;
+/// What a request more than it takes costs at a server in need, in parts of the usual time: others go
+/// first, also in other zones.
+const USED_UP_FACTOR: f64 = 1.0;
 /// A server that is expected to take longer by this part of the usual time than when it was chosen
 /// is chosen anew.
 const SLOWED_SHARE: f64 = 0.7;
@@ -232,6 +235,9 @@
             let crowded = f64::from(room.occupancy) / f64::from(server.row.slots);
             let mut cost_ms = expected_ms;
             cost_ms += typical_ms * (CROWDED_FACTOR * crowded + JITTER_SHARE * random());
+            if server.bounds.used_up(now_us) {
+                cost_ms += USED_UP_FACTOR * typical_ms;
+            }
             if *server.row.zone != *place.zone {
                 cost_ms += OTHER_ZONE_MS;
             }
--- a/src/balance/start_bounds.rs
+++ b/src/balance/start_bounds.rs
@@ -40,11 +40,30 @@
     }
 
     /// The bounds in force: starts, and the span in which there may be so many.
+    ///
+    /// Starts at a server that names a limit are spread over its span: used up at once, nothing would be
+    /// left for what comes, urgent or not, until the span is over.
     fn in_force(&self, now_us: u64) -> impl Iterator<Item = (u32, u64)> {
         let cold = (!self.cold.warm(now_us)).then_some((self.cold_starts_max, COLD_SPAN_US));
-        let limit = self.limit.limit();
-        let limit = limit.map(|limit| (self.part.of(limit.starts_of_view()), LIMIT_SPAN_US));
-        cold.into_iter().chain(limit)
+        let borne = self.own_starts_borne();
+        let limit = borne.map(|starts| (starts, LIMIT_SPAN_US));
+        let pause = borne.filter(|starts| *starts > 1);
+        let pause = pause.map(|starts| (1, LIMIT_SPAN_US / u64::from(starts)));
+        cold.into_iter().chain(limit).chain(pause)
+    }
+
+    /// Requests that this instance may start there in the span of limits; `None` without a limit.
+    fn own_starts_borne(&self) -> Option<u32> {
+        let limit = self.limit.limit()?;
+        Some(self.part.of(limit.starts_borne(self.part.homes())))
+    }
+
+    /// Whether this instance has started its part of what the server says that it takes. It bears
+    /// somewhat more, which is for when no other server has room.
+    #[must_use]
+    pub fn used_up(&self, now_us: u64) -> bool {
+        let taken = self.limit.limit().map(|limit| self.part.of(limit.starts_taken()));
+        taken.is_some_and(|taken| self.starts.count(now_us, LIMIT_SPAN_US) >= taken)
     }
 
     /// Whether one more request may be started there.
@@ -64,8 +83,7 @@
     /// Requests a second that this instance may start there; `None` while it names no limit.
     #[must_use]
     pub fn own_starts_per_s(&self) -> Option<f64> {
-        let limit = self.limit.limit()?;
-        Some(f64::from(self.part.of(limit.starts_of_view())) / LIMIT_SPAN_S)
+        Some(f64::from(self.own_starts_borne()?) / LIMIT_SPAN_S)
     }
 
     /// Whether more was started there than may be.
--- a/src/limit/rate_limit.rs
+++ b/src/limit/rate_limit.rs
@@ -20,8 +20,9 @@
 /// requests.
 const OVERAGE: f64 = 1.5;
 const SLACK: f64 = 5.0;
-/// Views of the homes that may be held at the same time while homes change; each keeps to its part.
-const VIEWS_MAX: f64 = 2.0;
+/// Part of what a server bears that is used at most, however many homes there are: more than one of
+/// them may be replaced at the same time.
+const BORNE_SHARE_MAX: f64 = 2.0 / 3.0;
 
 /// A text that names no limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,22 +35,29 @@
         self.per_s
     }
 
-    /// Requests that the server may get within [`LIMIT_SPAN_US`] from the instances that hold one view
-    /// of the homes: what it takes, but no more than it bears from all views together. At least one,
-    /// or it would never be used, unless it takes none.
+    /// Requests within [`LIMIT_SPAN_US`] that the server takes; at least one, or it would never be used,
+    /// unless it takes none.
     #[must_use]
+    pub fn starts_taken(self) -> u32 {
+        self.at_least_one(self.per_s * LIMIT_SPAN_S)
+    }
+
+    /// Requests within [`LIMIT_SPAN_US`] that so many homes may start there together while no other
+    /// server has room, so that the server bears it also when one of them is replaced meanwhile.
+    #[must_use]
+    pub fn starts_borne(self, homes: u32) -> u32 {
+        let homes = f64::from(homes.max(1));
+        let share = (homes / (homes + 1.0)).min(BORNE_SHARE_MAX);
+        self.at_least_one(self.per_s.mul_add(OVERAGE * JUDGED_SPAN_S, SLACK) * share)
+    }
+
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "requests of some seconds, never below zero"
     )]
-    pub fn starts_of_view(self) -> u32 {
-        if self.per_s == 0.0 {
-            return 0;
-        }
-        let taken = self.per_s * LIMIT_SPAN_S;
-        let borne = self.per_s.mul_add(OVERAGE * JUDGED_SPAN_S, SLACK) / VIEWS_MAX;
-        taken.min(borne).max(1.0) as u32
+    fn at_least_one(self, starts: f64) -> u32 {
+        if self.per_s == 0.0 { 0 } else { starts.max(1.0) as u32 }
     }
 }
 
--- a/src/starts/home_share.rs
+++ b/src/starts/home_share.rs
@@ -46,6 +46,15 @@
 }
 
 impl HomePart {
+    /// Homes that share the starts, as far as known.
+    #[must_use]
+    pub const fn homes(self) -> u32 {
+        match self {
+            Self::Alone | Self::NoHome => 1,
+            Self::Home { homes, .. } => homes,
+        }
+    }
+
     /// Of so many starts those of this instance; the first homes get what does not divide evenly.
     #[must_use]
     pub fn of(self, starts: u32) -> u32 {
