Sight: a time of rest that a server asks for when it turns a request away is read and logged

Nothing is decided by it. The lines of the incident did not tell whether a refusal asked for rest, or for how long. A line server-rests tells both, code 3020 one that cannot be read.

--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -79,6 +79,7 @@
     ServerOutdated = 3017, "An entry of an earlier start of a backend server came after that of a later one; it is not used.", "None, unless it repeats: then check the clock of that server.";
     EvacuationUnreadable = 3018, "A key that evacuates an availability zone names none.", "Remove the key; write one that ends with the zone's name.";
     ServerLimitUnreadable = 3019, "A backend server names a limit that is no number of requests a second; what it named before stays in force.", "Correct the field that the server sends.";
+    ServerRestUnreadable = 3020, "A backend server that turns a request away asks for a time of rest that is no number of seconds; it is given none.", "Correct the field that the server sends.";
     PeerUnauthenticated = 4001, "A peer did not prove that it knows the shared secret.", "Give all instances the same `peers.secret`.";
     PeerFrame = 4002, "A peer sent a frame that cannot be decoded.", "Check that all instances run compatible versions.";
     PeerFrameTooLarge = 4003, "A peer sent a frame over the limit.", "As for PeerFrame.";
--- a/src/gateway/dispatcher_notices.rs
+++ b/src/gateway/dispatcher_notices.rs
@@ -1,5 +1,7 @@
 //! What backend servers say of themselves, taken in.
 
+use std::time::Duration;
+
 use log::info;
 use log::warn;
 
@@ -26,6 +28,11 @@
             Ok(limit) => hear_limit(track, heard, limit),
             Err(_) => limit_unreadable(track, heard),
         }
+        match notice.rest {
+            Ok(Some(rest)) => hear_rest(track, heard, rest),
+            Ok(None) => {}
+            Err(_) => rest_unreadable(track, heard),
+        }
     }
 }
 
@@ -42,6 +49,22 @@
     );
 }
 
+fn hear_rest(track: &ServerTrack, heard: Heard, rest: Duration) {
+    info!(
+        event = "server-rests", server = &*track.row.id, service = &*track.row.service,
+        rest_ms = rest.as_millis(), heard = heard.name(), running = track.own_requests();
+        "it turned a request away and asks for rest"
+    );
+}
+
+fn rest_unreadable(track: &ServerTrack, heard: Heard) {
+    warn!(
+        event = "server-rest-unreadable", code = Code::ServerRestUnreadable.number(),
+        server = &*track.row.id, service = &*track.row.service, heard = heard.name();
+        "{}", Code::ServerRestUnreadable
+    );
+}
+
 /// What the server said before stays in force.
 fn limit_unreadable(track: &mut ServerTrack, heard: Heard) {
     if !track.bounds.limit.hear_unreadable() {
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -33,7 +33,11 @@
         dispatcher.displaced(server);
         return Err(ExchangeError::Garbled);
     }
-    dispatcher.hear(server, Heard::Check, ServerNotice::read(dialect, &answer.headers));
+    dispatcher.hear(
+        server,
+        Heard::Check,
+        ServerNotice::read(dialect, answer.status, &answer.headers),
+    );
     let cold_left_ms = text(&fields.cold_left_ms).and_then(|text| text.trim().parse().ok());
     dispatcher.checked(server, answer.status.is_success(), cold_left_ms);
     Ok(conn.finish(&answer))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -100,6 +100,7 @@
 pub use server_conn::ExchangeError;
 pub use server_conn::ServerConn;
 pub use server_conns::ServerConns;
+pub use server_notice::RestUnreadable;
 pub use server_notice::ServerNotice;
 pub use sinks::OperatorSink;
 pub use sinks::ServerSink;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -218,7 +218,7 @@
         let sent = request.head(fields, &grant.server.row.id);
         let head = conn.exchange(&sent, &request.body, echo).await?;
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            grant.hear(ServerNotice::read(self.dialect, &head.headers));
+            grant.hear(ServerNotice::read(self.dialect, head.status, &head.headers));
         }
         let mut decoder = head.decoder();
         let mut part = self.answer_room.part();
--- a/src/gateway/server_notice.rs
+++ b/src/gateway/server_notice.rs
@@ -1,7 +1,10 @@
 //! What a backend server says of itself in an answer.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use http::HeaderName;
+use http::StatusCode;
 
 use super::Dialect;
 use crate::limit::LimitUnreadable;
@@ -14,22 +17,41 @@
     pub load: Option<LoadReport>,
     /// `None` where the server names no limit.
     pub limit: Result<Option<RateLimit>, LimitUnreadable>,
+    /// For how long the server, which turned the request away, wants none of this instance; `None` where
+    /// it does not ask for rest.
+    pub rest: Result<Option<Duration>, RestUnreadable>,
 }
 
+/// A time of rest that is no number of seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RestUnreadable;
+
 impl ServerNotice {
     /// Reads the fields of an answer.
     #[must_use]
-    pub fn read<D: Dialect>(dialect: &D, headers: &HeaderMap) -> Self {
+    pub fn read<D: Dialect>(dialect: &D, status: StatusCode, headers: &HeaderMap) -> Self {
         let fields = dialect.fields();
         let load = text(headers, &fields.load).and_then(|text| dialect.parse_load(text));
         let limit = headers.get(&fields.rate_limit).map(|value| {
             let text = value.to_str().map_err(|_| LimitUnreadable)?;
             text.parse()
         });
-        Self { load, limit: limit.transpose() }
+        let turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
+        let rest = if turned_away { rest(headers) } else { Ok(None) };
+        Self { load, limit: limit.transpose(), rest }
     }
 }
 
+/// The time in seconds that an answer asks for, with fractions.
+fn rest(headers: &HeaderMap) -> Result<Option<Duration>, RestUnreadable> {
+    let Some(value) = headers.get(http::header::RETRY_AFTER) else {
+        return Ok(None);
+    };
+    let seconds = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let rest = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    rest.map(Some).ok_or(RestUnreadable)
+}
+
 /// A field's text, if it is there and readable.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok())
