--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -80,6 +80,7 @@
     work: Mutex<Duration>,
     cold: Mutex<Option<ColdSpell>>,
     limit: Mutex<Option<LimitWord>>,
+    rest: Mutex<Option<Duration>>,
     pace_percent: AtomicU32,
     /// Ids of the requests that it ran, in order.
     ran: Mutex<Vec<String>>,
@@ -130,6 +131,7 @@
             work: Mutex::new(Duration::from_millis(2)),
             cold: Mutex::default(),
             limit: Mutex::default(),
+            rest: Mutex::default(),
             pace_percent: AtomicU32::new(100),
             ran: Mutex::default(),
             heads: Mutex::default(),
@@ -189,6 +191,11 @@
         *self.shared.limit.lock() = limit;
     }
 
+    /// For how long it asks for rest where it says that it did not run a request.
+    pub fn ask_rest(&self, rest: Option<Duration>) {
+        *self.shared.rest.lock() = rest;
+    }
+
     /// When requests arrived, health checks left out.
     #[must_use]
     pub fn arrived_at(&self) -> Vec<tokio::time::Instant> {
@@ -400,7 +407,10 @@
     if behaviour == Behaviour::Shed {
         let not_run = &shared.names.not_run;
         let limit = limit(shared, false);
-        let text = format!("HTTP/1.1 503 Busy\r\n{not_run}: 1\r\n{limit}content-length: 0\r\n\r\n");
+        let rest = *shared.rest.lock();
+        let rest = rest.map(|rest| format!("retry-after: {}\r\n", rest.as_secs_f64()));
+        let fields = format!("{not_run}: 1\r\n{limit}{}", rest.unwrap_or_default());
+        let text = format!("HTTP/1.1 503 Busy\r\n{fields}content-length: 0\r\n\r\n");
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
     shared.ran.lock().push(id.clone());
