--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -142,6 +142,8 @@
     evacuated: bool,
     /// Another server was listed at its address after it.
     superseded: bool,
+    /// It said itself that it leaves.
+    leaving: bool,
 }
 
 impl ServerTrack {
@@ -216,6 +218,12 @@
         self.withheld.superseded = superseded;
     }
 
+    /// It says itself that it leaves; returns whether that is news. Of one start that holds to its end,
+    /// whatever the platform lists.
+    pub const fn hear_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.withheld.leaving, true)
+    }
+
     /// Whether it holds its address, as far as the entries tell.
     #[must_use]
     pub const fn holds_address(&self) -> bool {
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -32,6 +32,8 @@
     /// Requests a second, as a decimal number, that a backend server takes from all instances together;
     /// present while it names such a limit.
     pub rate_limit: HeaderName,
+    /// Present on all answers of a backend server that leaves.
+    pub leaving: HeaderName,
 }
 
 /// Where the platform's store keeps what the gateway reads and writes.
--- a/src/gateway/dispatcher_notices.rs
+++ b/src/gateway/dispatcher_notices.rs
@@ -13,6 +13,7 @@
 use crate::errors::Code;
 use crate::limit::Heard;
 use crate::limit::RateLimit;
+use crate::model::ServerState;
 
 impl Dispatcher {
     /// Takes in what a server said of itself.
@@ -28,6 +29,9 @@
             Ok(limit) => hear_limit(track, heard, limit),
             Err(_) => limit_unreadable(track, heard),
         }
+        if notice.leaving {
+            hear_leaving(track, heard);
+        }
         match notice.rest {
             Ok(Some(rest)) => hear_rest(track, heard, rest),
             Ok(None) => {}
@@ -56,6 +60,18 @@
     );
 }
 
+fn hear_leaving(track: &mut ServerTrack, heard: Heard) {
+    if !track.hear_leaving() {
+        return;
+    }
+    info!(
+        event = "server-leaving", server = &*track.row.id, service = &*track.row.service,
+        listed_as_draining = track.row.state == ServerState::Draining, heard = heard.name(),
+        running = track.own_requests();
+        ""
+    );
+}
+
 fn hear_rest(track: &mut ServerTrack, heard: Heard, rest: Duration) {
     track.bounds.rest(rest, now_us());
     info!(
--- a/src/gateway/server_notice.rs
+++ b/src/gateway/server_notice.rs
@@ -11,12 +11,17 @@
 use crate::limit::RateLimit;
 use crate::model::LoadReport;
 
+/// The word of a server that leaves.
+const LEAVES: &str = "1";
+
 /// The words of one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerNotice {
     pub load: Option<LoadReport>,
     /// `None` where the server names no limit.
     pub limit: Result<Option<RateLimit>, LimitUnreadable>,
+    /// Whether it says that it leaves.
+    pub leaving: bool,
     /// For how long the server, which turned the request away, wants none of this instance; `None` where
     /// it does not ask for rest.
     pub rest: Result<Option<Duration>, RestUnreadable>,
@@ -38,7 +43,8 @@
         });
         let turned_away = status == StatusCode::SERVICE_UNAVAILABLE;
         let rest = if turned_away { rest(headers) } else { Ok(None) };
-        Self { load, limit: limit.transpose(), rest }
+        let leaving = text(headers, &fields.leaving).is_some_and(|text| text.trim() == LEAVES);
+        Self { load, limit: limit.transpose(), leaving, rest }
     }
 }
 
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -34,6 +34,7 @@
             server_id: name("server-id"),
             cold_left_ms: name("cold-left-ms"),
             rate_limit: name("rate-limit"),
+            leaving: name("leaving"),
         };
         Self { fields }
     }
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -81,6 +82,7 @@
     cold: Mutex<Option<ColdSpell>>,
     limit: Mutex<Option<LimitWord>>,
     rest: Mutex<Option<Duration>>,
+    leaving: AtomicBool,
     pace_percent: AtomicU32,
     /// Ids of the requests that it ran, in order.
     ran: Mutex<Vec<String>>,
@@ -132,6 +134,7 @@
             cold: Mutex::default(),
             limit: Mutex::default(),
             rest: Mutex::default(),
+            leaving: AtomicBool::new(false),
             pace_percent: AtomicU32::new(100),
             ran: Mutex::default(),
             heads: Mutex::default(),
@@ -191,6 +194,11 @@
         *self.shared.limit.lock() = limit;
     }
 
+    /// It says that it leaves from now on, and goes on serving.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// For how long it asks for rest where it says that it did not run a request.
     pub fn ask_rest(&self, rest: Option<Duration>) {
         *self.shared.rest.lock() = rest;
@@ -370,14 +378,18 @@
     let left = shared.cold.lock().as_ref().and_then(ColdSpell::left);
     let cold =
         left.map_or_else(String::new, |left| format!("{cold_left_ms}: {}\r\n", left.as_millis()));
-    let limit = limit(shared, true);
-    format!("HTTP/1.1 200 OK\r\n{server_id}: {id}\r\n{load}{cold}{limit}content-length: 0\r\n\r\n")
+    let words = words(shared, true);
+    format!("HTTP/1.1 200 OK\r\n{server_id}: {id}\r\n{load}{cold}{words}content-length: 0\r\n\r\n")
 }
 
-/// The field that names the limit; nothing without one.
-fn limit(shared: &Shared, check: bool) -> String {
-    let word = shared.limit.lock().filter(|word| !check || word.in_checks);
-    word.map_or_else(String::new, |word| format!("{}: {}\r\n", shared.names.rate_limit, word.per_s))
+/// The fields by which it names a limit and says that it leaves, as far as it does.
+fn words(shared: &Shared, check: bool) -> String {
+    let names = &shared.names;
+    let limit = shared.limit.lock().filter(|word| !check || word.in_checks);
+    let limit = limit.map(|word| format!("{}: {}\r\n", names.rate_limit, word.per_s));
+    let leaves = shared.leaving.load(Ordering::Relaxed);
+    let leaving = leaves.then(|| format!("{}: 1\r\n", names.leaving));
+    limit.into_iter().chain(leaving).collect()
 }
 
 /// The field that tells the load; nothing for a server that does not tell.
@@ -406,10 +418,10 @@
     let id = &head.id;
     if behaviour == Behaviour::Shed {
         let not_run = &shared.names.not_run;
-        let limit = limit(shared, false);
+        let words = words(shared, false);
         let rest = *shared.rest.lock();
         let rest = rest.map(|rest| format!("retry-after: {}\r\n", rest.as_secs_f64()));
-        let fields = format!("{not_run}: 1\r\n{limit}{}", rest.unwrap_or_default());
+        let fields = format!("{not_run}: 1\r\n{words}{}", rest.unwrap_or_default());
         let text = format!("HTTP/1.1 503 Busy\r\n{fields}content-length: 0\r\n\r\n");
         return stream.write_all(text.as_bytes()).await.is_ok();
     }
@@ -431,8 +443,8 @@
         std::future::pending::<()>().await;
     }
     let FieldNames { request_id, signature, .. } = &shared.names;
-    let (load, limit) = (load(shared), limit(shared, false));
-    let fields = format!("{request_id}: {id}\r\n{signature}: s-{id}\r\n{load}{limit}");
+    let (load, words) = (load(shared), words(shared, false));
+    let fields = format!("{request_id}: {id}\r\n{signature}: s-{id}\r\n{load}{words}");
     let whole = format!("HTTP/1.1 200 OK\r\n{fields}content-length: {}\r\n\r\n{id}", id.len());
     let (text, stays) = match behaviour {
         Behaviour::Answer | Behaviour::AnswerEarly => (whole, true),
--- a/tests/load_words.rs
+++ b/tests/load_words.rs
@@ -124,7 +124,8 @@
             let slow = (check + number as u64).is_multiple_of(3);
             let pace_percent = if slow { 500 } else { 100 };
             let load = LoadReport { running: 0, waiting: 0, pace_percent };
-            let notice = ServerNotice { load: Some(load), limit: Ok(None), rest: Ok(None) };
+            let notice =
+                ServerNotice { load: Some(load), limit: Ok(None), leaving: false, rest: Ok(None) };
             dispatcher.hear(server, Heard::Check, notice);
         }
         tokio::time::sleep(Duration::from_secs(1) / u32::try_from(CHECKS_PER_S).expect("few"))
