A server that says that it leaves gets nothing more, whatever is listed

Cause as with limits and rest: only the platform's list decided, and it lags, or is a report that was on its way.

--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -146,6 +146,12 @@
     leaving: bool,
 }
 
+impl Withheld {
+    const fn any(self) -> bool {
+        self.evacuated || self.superseded || self.leaving
+    }
+}
+
 impl ServerTrack {
     /// A server that was just listed.
     #[must_use]
@@ -233,7 +239,7 @@
     /// Whether it may be given work at all, now or after a pause.
     #[must_use]
     pub fn in_service(&self, now_us: u64) -> bool {
-        self.listed(now_us) && !self.withheld.evacuated && !self.withheld.superseded
+        self.listed(now_us) && !self.withheld.any()
     }
 
     /// Whether it may be given new work.
