--- a/standins/src/backend/behaviour.rs
+++ b/standins/src/backend/behaviour.rs
@@ -13,6 +13,8 @@
     pub failing: AtomicBool,
     /// Answers work with 503 instead of queueing it.
     pub shedding: AtomicBool,
+    /// Answers all work with 503 and asks for so many seconds of rest; 0 changes nothing.
+    pub rest_s: AtomicU32,
     /// Multiplies the time of work; 0 and 1 change nothing.
     pub slow_factor: AtomicU32,
     /// Health says 200 whatever else is true.
--- a/standins/src/backend/record.rs
+++ b/standins/src/backend/record.rs
@@ -16,6 +16,7 @@
 struct Rows {
     runs: Vec<Run>,
     measuring: Vec<Instant>,
+    turned_away: Vec<Instant>,
     crashes: Vec<Instant>,
 }
 
@@ -35,6 +36,16 @@
         self.rows.lock().measuring.push(Instant::now());
     }
 
+    pub(super) fn turned_away(&self) {
+        self.rows.lock().turned_away.push(Instant::now());
+    }
+
+    /// When the server turned a request away and asked for rest.
+    #[must_use]
+    pub fn turns_away(&self) -> Vec<Instant> {
+        self.rows.lock().turned_away.clone()
+    }
+
     pub(super) fn crashed(&self) {
         self.rows.lock().crashes.push(Instant::now());
     }
--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -315,6 +315,13 @@
     if behaviour.failing.load(Ordering::Acquire) {
         return Ok(whole(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()));
     }
+    let rest_s = behaviour.rest_s.load(Ordering::Acquire);
+    if rest_s > 0 {
+        shared.record.turned_away();
+        let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        response.headers_mut().insert(http::header::RETRY_AFTER, rest_s.into());
+        return Ok(response);
+    }
     let busy = shared.slots.available_permits() == 0;
     if busy && behaviour.shedding.load(Ordering::Acquire) {
         return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()));
--- a/tests/server_rests.rs
+++ b/tests/server_rests.rs
@@ -1,6 +1,7 @@
 //! Backend servers that turn requests away and ask for rest.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -11,6 +12,10 @@
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
 use sorrelwick::task::TaskGuard;
+use standins::bed::Bed;
+use standins::bed::BedPlan;
+use standins::bed::until;
+use standins::caller::Call;
 use standins::routed::Behaviour;
 use standins::routed::CONFIG_KEY;
 use standins::routed::RawServer;
@@ -135,3 +140,31 @@
     pool.list(ServerRow { started_ms: 1, ..row("s0") }, MS);
     assert!(pool.take(1, &ask(2 * MS), "z", 2 * MS, &mut || 0.5).is_some());
 }
+
+/// At the product's own interface too, a server that turns requests away is sent to again at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_declared_server_that_asks_for_rest_gets_nothing_until_it_is_over() {
+    let bed = Bed::start(BedPlan { backends: 2, ..BedPlan::default() }).await;
+    bed.create("catalogue").await;
+    let tired = &bed.backends[0];
+    let caller = bed.caller("catalogue", 0);
+    let rest_s = u32::try_from(REST.as_secs()).expect("some seconds");
+    tired.behaviour.rest_s.store(rest_s, Ordering::Release);
+    let calls = tokio::spawn(async move {
+        for number in 0.. {
+            caller.call(&Call::get("/lookup", &format!("n-{number}"))).await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    until("it is used", async || !tired.record.turns_away().is_empty()).await;
+    let asked_at = tired.record.turns_away()[0];
+    tokio::time::sleep_until(asked_at + REST).await;
+    let turned_away = tired.record.turns_away();
+    let resting = turned_away.iter().filter(|at| **at > asked_at + UNDER_WAY);
+    let arrived = resting.filter(|at| **at < asked_at + REST).count();
+    assert!(arrived <= BORNE, "{arrived} in {REST:?} of rest");
+    tired.behaviour.rest_s.store(0, Ordering::Release);
+    let before = tired.record.runs().len();
+    until("it is used again", async || tired.record.runs().len() > before).await;
+    calls.abort();
+}
