A declared server that asks for rest gets nothing from this instance until it is over

Now the refusal's time is kept with the server's load, through a ramp too. The callers' time to come back may have fractions.

--- a/src/decide/server_load.rs
+++ b/src/decide/server_load.rs
@@ -32,6 +32,8 @@
     Answered { latency_us: u64 },
     /// The server declared that it did not run the request.
     Refused,
+    /// As `Refused`, and it wants nothing of this instance for so long.
+    Resting { rest_us: u64 },
     /// Connection fault, truncated answer or a failure status.
     Failed,
     /// The caller left, or another attempt answered first.
@@ -59,6 +61,7 @@
     fails: u32,
     ejections: u32,
     ejected_until_us: u64,
+    rest_until_us: u64,
     ramp_from_us: u64,
     /// In flight from everywhere, as an answer or probe of the server last told.
     reported: u32,
@@ -83,6 +86,7 @@
             fails: 0,
             ejections: 0,
             ejected_until_us: 0,
+            rest_until_us: 0,
             ramp_from_us: 0,
             reported: 0,
             reported_us: 0,
@@ -97,14 +101,14 @@
 
     /// Begins a ramp, with what is in flight still counted: it takes work again after a pause.
     pub fn restart(&mut self, now_us: u64) {
-        let (in_flight, kept) = (self.in_flight, self.kept);
-        *self = Self { kept, in_flight, ..Self::cold(self.slots, now_us) };
+        let Self { in_flight, kept, rest_until_us, .. } = *self;
+        *self = Self { kept, in_flight, rest_until_us, ..Self::cold(self.slots, now_us) };
     }
 
     /// Whether it may be used at all now, whatever its load.
     #[must_use]
     pub fn usable(&self, now_us: u64) -> bool {
-        !self.closed && now_us >= self.ejected_until_us
+        !self.closed && now_us >= self.ejected_until_us.max(self.rest_until_us)
     }
 
     /// Requests that this instance may have in flight there now; at least 1.
@@ -172,12 +176,20 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match finish {
             Finish::Answered { latency_us } => self.answered(latency_us, now_us),
-            Finish::Refused => self.limit = (self.limit * LIMIT_DECREASE).max(1.0),
+            Finish::Refused => self.refused(),
+            Finish::Resting { rest_us } => {
+                self.refused();
+                self.rest_until_us = self.rest_until_us.max(now_us.saturating_add(rest_us));
+            }
             Finish::Failed => self.failed(may_eject, now_us),
             Finish::Cancelled => {}
         }
     }
 
+    fn refused(&mut self) {
+        self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
+    }
+
     fn answered(&mut self, latency_us: u64, now_us: u64) {
         let stale = self.latency_age_us(now_us) > LATENCY_LIFE_US;
         self.answered_us = now_us;
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -12,6 +12,8 @@
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use log::info;
+use log::warn;
 
 use super::Answer;
 use super::AnswerBody;
@@ -173,15 +175,38 @@
 
 /// The server declared by its status that it did not run the request.
 async fn refused(response: Response<Incoming>, slot: Slot, conn: Conn) -> Answer {
-    let after_s = fields::text(response.headers(), "retry-after");
-    let after_s: Option<u64> = after_s.and_then(|text| text.parse().ok());
+    let asked = rest(response.headers(), &slot.upstream.id);
     // The rest of a refusal is of no use, but the connection is only once it is read.
     let rest = http_body_util::Limited::new(response.into_body(), REFUSAL_MAX_BYTES);
     if rest.collect().await.is_ok() {
         conn.give_back();
     }
-    slot.finish(Finish::Refused);
-    Answer::not_run(Code::Refused, after_s.map_or(RETRY_SOON_MS, |s| s.saturating_mul(1000)))
+    let finish = asked.map_or(Finish::Refused, |rest| Finish::Resting { rest_us: micros(rest) });
+    slot.finish(finish);
+    Answer::not_run(Code::Refused, asked.map_or(RETRY_SOON_MS, |rest| micros(rest) / 1000))
+}
+
+/// The time in seconds that a refusal asks to be left alone, if it names one.
+fn rest(headers: &HeaderMap, server: &str) -> Option<Duration> {
+    let text = fields::text(headers, "retry-after")?;
+    let seconds = text.trim().parse().ok();
+    let Some(rest) = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()) else {
+        warn!(
+            event = "server-rest-unreadable", server = server, text = text,
+            code = Code::ServerRestUnreadable.number();
+            "{}", Code::ServerRestUnreadable
+        );
+        return None;
+    };
+    info!(
+        event = "server-rests", server = server, rest_ms = rest.as_millis();
+        "it turned a request away and asks for rest"
+    );
+    Some(rest)
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
 async fn take(
