--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -197,7 +197,8 @@
             return self.no_server();
         }
         let slots = self.slots_in_use(now_us);
-        let first_us = self.first_start_us(&[], now_us).unwrap_or(u64::MAX).saturating_sub(now_us);
+        // Where this instance may never start any, another one may now.
+        let first_us = self.first_start_us(&[], now_us).map_or(0, |first_us| first_us - now_us);
         let wait_us = self.expected_wait_us(u32::MAX, now_us);
         let retry_after_ms =
             (first_us.saturating_add(wait_us) / 1000).clamp(RETRY_MIN_MS, RETRY_MAX_MS);
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -307,3 +307,14 @@
     // 400 ms are left to begin, in which it takes between one and two.
     assert!((1..=2).contains(&admitted), "{admitted} wait");
 }
+
+/// An instance that is no home sends callers away for long, though a home could serve them now.
+#[test]
+fn an_instance_that_may_begin_nothing_refuses_for_a_moment_only() {
+    let mut pool = pool(&[1, 2, 3], 4, &["s0"]);
+    name_limit(&mut pool, "s0", "1", 0);
+    assert!(pool.take(1, &ask(MS), "z", MS, &mut || 0.5).is_none());
+    let refused = pool.enqueue(1, ask(MS), MS).expect_err("it may begin nothing there");
+    assert!(!refused.no_server);
+    assert!(refused.retry_after_ms <= 100, "{refused:?}");
+}
