--- a/src/balance/server_track.rs
+++ b/src/balance/server_track.rs
@@ -2,7 +2,10 @@
 
 use smallvec::SmallVec;
 
+use super::SendEnd;
+use super::ServerHealth;
 use super::StartBounds;
+use super::Withheld;
 use crate::model::LoadReport;
 use crate::model::ServerRow;
 use crate::model::ServerState;
@@ -20,14 +23,6 @@
 /// A request is handed over within so long of being given its place; the server is asked for its pace
 /// in between.
 const HAND_OVER_US: u64 = 30_000;
-/// Weight of one end in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.3;
-/// The share of failures halves in this time without an end, so that a server is tried again.
-const FAILURE_HALF_LIFE_US: f64 = 1_000_000.0;
-/// What a refusal counts as against a failure: nothing ran, and the request goes elsewhere at once.
-/// Counted in full, servers that all shed some of their requests look three times slower than the
-/// aims allow, and requests wait though there are slots.
-const REFUSAL_SAMPLE: f64 = 0.25;
 /// A server that fails all that it gets looks this many times slower, and one more.
 const FAILURE_FACTOR: f64 = 5.0;
 /// Work that takes this many times as long as usual counts as overdue.
@@ -38,15 +33,6 @@
 /// Servers close idle connections after some seconds, and one is not used again for the last quarter
 /// of that time.
 const CONNECTED_US: u64 = 3_000_000;
-/// First pause after a connection could not be opened or broke; doubles with each in a row.
-const PAUSE_US: u64 = 150_000;
-const PAUSE_DOUBLINGS_MAX: u32 = 4;
-/// Health checks without answer in a row before a server counts as gone, and for how long; one
-/// alone is lost by a busy network.
-const MISSES_MAX: u32 = 2;
-const MISSED_PAUSE_US: u64 = 300_000;
-/// Broken connections in a row before the pause: a single reset says little of the server.
-const RESETS_MAX: u32 = 3;
 
 /// A request that this instance has at the server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,27 +47,6 @@
     pub pace: f64,
 }
 
-/// How a send ended, as far as the server is concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SendEnd {
-    /// A whole answer that is no failure.
-    Answered,
-    /// A whole answer that tells of a failure.
-    Failed,
-    /// The server said that it did not run the request.
-    Refused,
-    /// The connection was refused or could not be opened in time.
-    Unreachable,
-    /// The connection broke, or brought bytes that are no answer.
-    Broken,
-    /// No answer in the time that the request had.
-    TimedOut,
-    /// The caller left or another send was faster.
-    Cancelled,
-    /// The server turned out to be no place for the request before it was sent.
-    Unsent,
-}
-
 /// What a peer has at the server.
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
@@ -120,38 +85,12 @@
     own_pace_percent: u16,
     own_pace_at_us: u64,
     pub bounds: StartBounds,
-    /// Share of ends that were failures, as of `failures_at_us`.
-    failures: f64,
-    failures_at_us: u64,
-    breaks: u32,
-    paused_until_us: u64,
-    heard_us: u64,
-    /// Health checks without answer in a row.
-    misses: u32,
-    /// Its health check says that it is not well.
-    unwell: bool,
+    health: ServerHealth,
     /// The platform no longer lists it: not to be used from this time on.
     unlisted_at_us: Option<u64>,
     withheld: Withheld,
 }
 
-/// Why a listed server is given nothing.
-#[derive(Clone, Copy, Debug, Default)]
-struct Withheld {
-    /// Its availability zone is evacuated.
-    evacuated: bool,
-    /// Another server was listed at its address after it.
-    superseded: bool,
-    /// It said itself that it leaves.
-    leaving: bool,
-}
-
-impl Withheld {
-    const fn any(self) -> bool {
-        self.evacuated || self.superseded || self.leaving
-    }
-}
-
 impl ServerTrack {
     /// A server that was just listed.
     #[must_use]
@@ -171,13 +110,7 @@
             pace_at_us: 0,
             own_pace_percent: 0,
             own_pace_at_us: 0,
-            failures: 0.0,
-            failures_at_us: now_us,
-            breaks: 0,
-            paused_until_us: 0,
-            heard_us: now_us,
-            misses: 0,
-            unwell: false,
+            health: ServerHealth::new(now_us),
             unlisted_at_us: None,
             withheld: Withheld::default(),
         }
@@ -247,7 +180,7 @@
     pub fn usable(&self, now_us: u64) -> bool {
         self.row.state == ServerState::Ready
             && self.in_service(now_us)
-            && now_us >= self.paused_until_us
+            && !self.health.paused(now_us)
     }
 
     /// Whether it works at its usual speed, as far as its start is concerned.
@@ -264,7 +197,8 @@
     /// Whether an idle connection is probably there: it answered this instance lately.
     #[must_use]
     pub const fn connected(&self, now_us: u64) -> bool {
-        let answered_us = if self.own_pace_at_us > 0 { self.own_pace_at_us } else { self.heard_us };
+        let answered_us =
+            if self.own_pace_at_us > 0 { self.own_pace_at_us } else { self.health.heard_us() };
         now_us.saturating_sub(answered_us) < CONNECTED_US
     }
 
@@ -361,54 +295,13 @@
         self.note_full(now_us);
         let sent = self.sent.swap_remove(at);
         self.note_full(now_us);
-        match end {
-            SendEnd::Cancelled => return Some(sent),
-            SendEnd::Unsent => {
-                self.bounds.take_back(sent.at_us);
-                return Some(sent);
-            }
-            SendEnd::Answered => {
-                self.breaks = 0;
-                self.heard_us = now_us;
-            }
-            SendEnd::Failed | SendEnd::Refused => self.heard_us = now_us,
-            SendEnd::Unreachable => {
-                self.bounds.take_back(sent.at_us);
-                self.pause(now_us);
-            }
-            SendEnd::Broken => {
-                self.breaks += 1;
-                if self.breaks >= RESETS_MAX {
-                    self.pause(now_us);
-                }
-            }
-            SendEnd::TimedOut => {}
+        if matches!(end, SendEnd::Unsent | SendEnd::Unreachable) {
+            self.bounds.take_back(sent.at_us);
         }
-        let failures = self.failures(now_us);
-        let sample = match end {
-            SendEnd::Answered => 0.0,
-            SendEnd::Refused => REFUSAL_SAMPLE,
-            _ => 1.0,
-        };
-        self.failures = failures + FAILURE_WEIGHT * (sample - failures);
-        self.failures_at_us = now_us;
+        self.health.ended(end, now_us);
         Some(sent)
     }
 
-    fn pause(&mut self, now_us: u64) {
-        let doublings = self.breaks.min(PAUSE_DOUBLINGS_MAX);
-        self.breaks += 1;
-        self.paused_until_us = now_us + (PAUSE_US << doublings);
-    }
-
-    /// Share of failures, fading while nothing ends there: a server that fails at once must not
-    /// look idle and so attract everything.
-    #[expect(clippy::cast_precision_loss, reason = "an age in microseconds")]
-    fn failures(&self, now_us: u64) -> f64 {
-        let age_us = now_us.saturating_sub(self.failures_at_us) as f64;
-        self.failures * (-age_us / FAILURE_HALF_LIFE_US).exp2()
-    }
-
     /// Takes in the load that the server told with an answer.
     pub fn report(&mut self, load: LoadReport, now_us: u64) {
         let total = f64::from(load.running + load.waiting);
@@ -420,7 +313,7 @@
         self.own_pace_at_us = now_us;
         self.pace = f64::from(load.pace_percent) / 100.0;
         self.pace_at_us = now_us;
-        self.heard_us = now_us;
+        self.health.heard(now_us);
         for sent in &mut self.sent {
             if now_us.saturating_sub(sent.at_us) < HAND_OVER_US {
                 sent.pace = self.pace;
@@ -429,18 +322,13 @@
     }
 
     /// Takes in the answer to a health check.
-    pub fn checked(&mut self, well: bool, now_us: u64) {
-        self.unwell = !well;
-        self.misses = 0;
-        self.heard_us = now_us;
+    pub const fn checked(&mut self, well: bool, now_us: u64) {
+        self.health.checked(well, now_us);
     }
 
     /// Takes note that a health check got no answer.
     pub fn unheard(&mut self, now_us: u64) {
-        self.misses += 1;
-        if self.misses >= MISSES_MAX {
-            self.paused_until_us = self.paused_until_us.max(now_us + MISSED_PAUSE_US);
-        }
+        self.health.unheard(now_us);
     }
 
     /// Age of the last word on its pace; `None` for a server that never told it.
@@ -473,8 +361,8 @@
     #[expect(clippy::cast_precision_loss, reason = "ages in microseconds")]
     pub fn expected_ms(&self, typical_ms: f64, now_us: u64) -> f64 {
         let mut expected_ms = self.work_ms(typical_ms, now_us);
-        expected_ms *= 1.0 + FAILURE_FACTOR * self.failures(now_us);
-        if self.unwell {
+        expected_ms *= 1.0 + FAILURE_FACTOR * self.health.failures(now_us);
+        if self.health.unwell() {
             expected_ms *= 2.0;
         }
         let overdue_us = OVERDUE_FACTOR * typical_ms * 1000.0;
@@ -491,7 +379,8 @@
         let Some(oldest_us) = self.sent.iter().map(|sent| sent.at_us).min() else {
             return 0.0;
         };
-        let silent_ms = now_us.saturating_sub(oldest_us.max(self.heard_us)) as f64 / 1000.0;
+        let silent_ms =
+            now_us.saturating_sub(oldest_us.max(self.health.heard_us())) as f64 / 1000.0;
         if silent_ms > SILENT_FACTOR * typical_ms { silent_ms } else { 0.0 }
     }
 }
