--- /dev/null
+++ b/standins/src/routed/pool_parts.rs
@@ -0,0 +1,38 @@
+//! What pools of backend servers are tried with, without network.
+
+use sorrelwick::balance::Ask;
+use sorrelwick::model::ServerRow;
+use sorrelwick::model::ServerState;
+
+const AIM_MS: f64 = 600.0;
+const DEADLINE_US: u64 = 1_500_000;
+
+/// A server of four slots that is ready and warm.
+#[must_use]
+pub fn ready_row(id: &str) -> ServerRow {
+    ServerRow {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        zone: "z".into(),
+        slots: 4,
+        state: ServerState::Ready,
+        warmup_ms: 0,
+        started_ms: 0,
+        sequence: 0,
+    }
+}
+
+/// A request that arrives now, to be answered within 600 ms and at most 1.5 s.
+#[must_use]
+pub fn ask_now(now_us: u64) -> Ask {
+    Ask {
+        route: "look".into(),
+        priority: 0,
+        aim_ms: AIM_MS,
+        arrived_us: now_us,
+        spent_us: 0,
+        deadline_us: now_us + DEADLINE_US,
+        avoid: <_>::default(),
+    }
+}
--- a/tests/cold_servers.rs
+++ b/tests/cold_servers.rs
@@ -5,8 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use smallvec::SmallVec;
-use sorrelwick::balance::Ask;
 use sorrelwick::balance::SendEnd;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::balance::server_key;
@@ -15,12 +13,13 @@
 use sorrelwick::cold::ColdState;
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
-use sorrelwick::model::ServerState;
 use sorrelwick::starts::HomeShare;
 use standins::routed::CONFIG_KEY;
 use standins::routed::EVACUATIONS_PREFIX;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
+use standins::routed::ask_now;
+use standins::routed::ready_row;
 use standins::routed::two_routes;
 
 mod common;
@@ -33,29 +32,7 @@
 const WARMUP_MS: u64 = 3_000;
 
 fn row(id: &str, warmup_ms: u64) -> ServerRow {
-    ServerRow {
-        id: id.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: "z".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        warmup_ms,
-        started_ms: 0,
-        sequence: 0,
-    }
-}
-
-fn ask(now_us: u64) -> Ask {
-    Ask {
-        route: "look".into(),
-        priority: 0,
-        aim_ms: 600.0,
-        arrived_us: now_us,
-        spent_us: 0,
-        deadline_us: now_us + 1_500 * MS,
-        avoid: SmallVec::new(),
-    }
+    ServerRow { warmup_ms, ..ready_row(id) }
 }
 
 fn share(homes: &[u64], own: u64) -> HomeShare {
@@ -114,7 +91,7 @@
     let (mut most, mut all) = (0, 0);
     for now_us in (0..WARMUP_MS * MS).step_by(2_000) {
         for (pool, ticket) in pools.iter_mut().zip(now_us..) {
-            let ask = ask(now_us);
+            let ask = ask_now(now_us);
             let Some(choice) = pool.take(ticket, &ask, "z", now_us, &mut || 0.5) else {
                 continue;
             };
@@ -141,7 +118,7 @@
     pool.list(row("s0", WARMUP_MS), 0);
     for ticket in 1..100 {
         let now_us = ticket * MS;
-        let ask = ask(now_us);
+        let ask = ask_now(now_us);
         let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
         pool.finish(&choice.server, ticket, &ask, SendEnd::Unsent, now_us);
     }
@@ -156,11 +133,11 @@
     pool.list(row("s0", 0), 0);
     let key = server_key(&row("s0", 0));
     for ticket in 0..5 {
-        let ask = ask(MS);
+        let ask = ask_now(MS);
         let choice = pool.take(ticket, &ask, "z", MS, &mut || 0.5).expect("a warm server");
         pool.finish(&choice.server, ticket, &ask, SendEnd::Refused, MS);
     }
-    let asked = ask(2 * MS);
+    let asked = ask_now(2 * MS);
     let choice = pool.take(9, &asked, "z", 2 * MS, &mut || 0.5).expect("a warm server");
     // Its slowness alone would be no reason.
     let expected_ms = 10.0 * choice.expected_ms;
@@ -227,7 +204,7 @@
     let slow = LoadReport { running: 0, waiting: 0, pace_percent: 200 };
     for ticket in 0..400 {
         let now_us = (ticket + 1) * 5 * MS;
-        let ask = ask(now_us);
+        let ask = ask_now(now_us);
         let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5);
         let choice = choice.unwrap_or_else(|| panic!("request {ticket} finds no place"));
         let server = pool.server(&choice.server).expect("listed");
@@ -237,6 +214,6 @@
         assert!(choice.expected_ms < 600.0, "request {ticket}: {choice:?}");
         pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + 440 * MS);
     }
-    let usual_ms = pool.typical_ms(&ask(0));
+    let usual_ms = pool.typical_ms(&ask_now(0));
     assert!((200.0..280.0).contains(&usual_ms), "{usual_ms} ms");
 }
--- a/tests/server_limits.rs
+++ b/tests/server_limits.rs
@@ -3,8 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-use sorrelwick::balance::Ask;
 use sorrelwick::balance::SendEnd;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::cold::ColdRule;
@@ -13,14 +11,14 @@
 use sorrelwick::limit::LimitUnreadable;
 use sorrelwick::limit::NamedLimit;
 use sorrelwick::limit::RateLimit;
-use sorrelwick::model::ServerRow;
-use sorrelwick::model::ServerState;
 use sorrelwick::starts::HomeShare;
 use sorrelwick::task::TaskGuard;
 use standins::routed::CONFIG_KEY;
 use standins::routed::LimitWord;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
+use standins::routed::ask_now;
+use standins::routed::ready_row;
 use standins::routed::two_routes;
 use tokio::time::Instant;
 
@@ -88,39 +86,13 @@
     text.parse().expect("a limit")
 }
 
-fn row(id: &str) -> ServerRow {
-    ServerRow {
-        id: id.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: "z".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        warmup_ms: 0,
-        started_ms: 0,
-        sequence: 0,
-    }
-}
-
-fn ask(now_us: u64) -> Ask {
-    Ask {
-        route: "look".into(),
-        priority: 0,
-        aim_ms: 600.0,
-        arrived_us: now_us,
-        spent_us: 0,
-        deadline_us: now_us + 1_500 * MS,
-        avoid: SmallVec::new(),
-    }
-}
-
 /// The pool of one of these homes, with servers of these names.
 fn pool(homes: &[u64], own: u64, servers: &[&str]) -> ServicePool {
     let mut pool = ServicePool::default();
     let share = HomeShare { homes: Some(homes.to_vec()), own };
     pool.share_starts(ColdRule::default(), &Arc::new(share));
     for id in servers {
-        pool.list(row(id), 0);
+        pool.list(ready_row(id), 0);
     }
     pool
 }
@@ -204,7 +176,7 @@
     let mut started_us = Vec::new();
     for now_us in (0..60 * SECOND_US).step_by(5_000) {
         for (pool, ticket) in pools.iter_mut().zip(now_us..) {
-            let ask = ask(now_us);
+            let ask = ask_now(now_us);
             if let Some(choice) = pool.take(ticket, &ask, "z", now_us, &mut || 0.5) {
                 started_us.push(now_us);
                 pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + MS);
@@ -244,7 +216,7 @@
     let mut of_needy = 0;
     for ticket in 0..400 {
         let now_us = ticket * 50 * MS;
-        let ask = ask(now_us);
+        let ask = ask_now(now_us);
         let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
         of_needy += u32::from(&*choice.server == "s0");
         pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + 40 * MS);
@@ -260,7 +232,7 @@
     name_limit(&mut pool, "s0", "1", 0);
     for ticket in 1..100 {
         let now_us = ticket * MS;
-        let ask = ask(now_us);
+        let ask = ask_now(now_us);
         let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
         pool.finish(&choice.server, ticket, &ask, SendEnd::Unsent, now_us);
     }
@@ -276,20 +248,20 @@
     }
     let now_us = 10 * SECOND_US;
     for ticket in 0..2 {
-        let ask = ask(now_us);
+        let ask = ask_now(now_us);
         let choice = pool.take(ticket, &ask, "z", now_us, &mut || 0.5).expect("room");
         pool.finish(&choice.server, ticket, &ask, SendEnd::Answered, now_us + 50 * MS);
     }
     // The next start is due when the starts of the span, spread evenly, let it.
     let pause_us = LIMIT_SPAN_US / u64::from(limit("1").starts_borne(1));
     let soon_us = now_us + 60 * MS;
-    assert!(pool.take(90, &ask(soon_us), "z", soon_us, &mut || 0.5).is_none());
-    let refused = pool.enqueue(90, ask(soon_us), soon_us).expect_err("nobody may begin on it");
+    assert!(pool.take(90, &ask_now(soon_us), "z", soon_us, &mut || 0.5).is_none());
+    let refused = pool.enqueue(90, ask_now(soon_us), soon_us).expect_err("nobody may begin on it");
     assert!(!refused.no_server);
     let left_ms = (now_us + pause_us - soon_us) / MS;
     assert!((left_ms..=left_ms + 100).contains(&refused.retry_after_ms), "{left_ms}: {refused:?}");
     let later_us = now_us + pause_us - 100 * MS;
-    pool.enqueue(91, ask(later_us), later_us).expect("it may begin in time");
+    pool.enqueue(91, ask_now(later_us), later_us).expect("it may begin in time");
 }
 
 /// Pattern: as above. The queue is no longer than what servers in need get through, however many slots
@@ -297,12 +269,12 @@
 #[test]
 fn the_queue_before_servers_in_need_is_as_short_as_their_limits() {
     let mut pool = pool(&[1], 1, &["s0"]);
-    let warm = ask(0);
+    let warm = ask_now(0);
     let choice = pool.take(0, &warm, "z", 0, &mut || 0.5).expect("room");
     pool.finish(&choice.server, 0, &warm, SendEnd::Answered, 200 * MS);
     name_limit(&mut pool, "s0", "4", 200 * MS);
     let now_us = 5 * SECOND_US;
-    let admitted = (1..40).filter(|ticket| pool.enqueue(*ticket, ask(now_us), now_us).is_ok());
+    let admitted = (1..40).filter(|ticket| pool.enqueue(*ticket, ask_now(now_us), now_us).is_ok());
     let admitted = admitted.count();
     // 400 ms are left to begin, in which it takes between one and two.
     assert!((1..=2).contains(&admitted), "{admitted} wait");
@@ -313,8 +285,8 @@
 fn an_instance_that_may_begin_nothing_refuses_for_a_moment_only() {
     let mut pool = pool(&[1, 2, 3], 4, &["s0"]);
     name_limit(&mut pool, "s0", "1", 0);
-    assert!(pool.take(1, &ask(MS), "z", MS, &mut || 0.5).is_none());
-    let refused = pool.enqueue(1, ask(MS), MS).expect_err("it may begin nothing there");
+    assert!(pool.take(1, &ask_now(MS), "z", MS, &mut || 0.5).is_none());
+    let refused = pool.enqueue(1, ask_now(MS), MS).expect_err("it may begin nothing there");
     assert!(!refused.no_server);
     assert!(refused.retry_after_ms <= 100, "{refused:?}");
 }
--- a/tests/server_rests.rs
+++ b/tests/server_rests.rs
@@ -4,13 +4,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-use sorrelwick::balance::Ask;
 use sorrelwick::balance::SendEnd;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::balance::server_key;
 use sorrelwick::model::ServerRow;
-use sorrelwick::model::ServerState;
 use sorrelwick::task::TaskGuard;
 use standins::bed::Bed;
 use standins::bed::BedPlan;
@@ -20,6 +17,8 @@
 use standins::routed::CONFIG_KEY;
 use standins::routed::RawServer;
 use standins::routed::RoutedBed;
+use standins::routed::ask_now;
+use standins::routed::ready_row;
 use standins::routed::two_routes;
 
 const REST: Duration = Duration::from_secs(3);
@@ -30,32 +29,6 @@
 
 const MS: u64 = 1_000;
 
-fn row(id: &str) -> ServerRow {
-    ServerRow {
-        id: id.into(),
-        service: "s".into(),
-        address: ([127, 0, 0, 1], 1).into(),
-        zone: "z".into(),
-        slots: 4,
-        state: ServerState::Ready,
-        warmup_ms: 0,
-        started_ms: 0,
-        sequence: 0,
-    }
-}
-
-fn ask(now_us: u64) -> Ask {
-    Ask {
-        route: "look".into(),
-        priority: 0,
-        aim_ms: 600.0,
-        arrived_us: now_us,
-        spent_us: 0,
-        deadline_us: now_us + 1_500 * MS,
-        avoid: SmallVec::new(),
-    }
-}
-
 /// Callers at one instance, until dropped.
 fn callers(bed: &Arc<RoutedBed>, line: &'static str) -> Vec<TaskGuard> {
     let caller = |_| {
@@ -105,14 +78,14 @@
 fn while_all_servers_rest_callers_are_told_when_the_first_is_back() {
     let mut pool = ServicePool::default();
     for (id, rest) in [("s0", REST), ("s1", REST / 2)] {
-        pool.list(row(id), 0).bounds.rest(rest, 0);
+        pool.list(ready_row(id), 0).bounds.rest(rest, 0);
     }
-    assert!(pool.take(1, &ask(MS), "z", MS, &mut || 0.5).is_none());
-    let refused = pool.enqueue(1, ask(MS), MS).expect_err("nobody may begin on it in time");
+    assert!(pool.take(1, &ask_now(MS), "z", MS, &mut || 0.5).is_none());
+    let refused = pool.enqueue(1, ask_now(MS), MS).expect_err("nobody may begin on it in time");
     assert!(!refused.no_server);
     assert_eq!(refused.retry_after_ms, 1_499);
     let nearly_us = 1_400 * MS;
-    pool.enqueue(2, ask(nearly_us), nearly_us).expect("one is back in time");
+    pool.enqueue(2, ask_now(nearly_us), nearly_us).expect("one is back in time");
     let (_, choice) = pool.serve_waiting("z", 1_501 * MS, &mut || 0.5).expect("it is back");
     assert_eq!(&*choice.server, "s1");
 }
@@ -121,11 +94,11 @@
 #[test]
 fn a_server_that_begins_to_rest_after_the_choice_is_no_place_any_more() {
     let mut pool = ServicePool::default();
-    pool.list(row("s0"), 0);
-    let (first, second) = (ask(MS), ask(MS));
+    pool.list(ready_row("s0"), 0);
+    let (first, second) = (ask_now(MS), ask_now(MS));
     let choice = pool.take(1, &first, "z", MS, &mut || 0.5).expect("room");
     pool.take(2, &second, "z", MS, &mut || 0.5).expect("room");
-    let key = server_key(&row("s0"));
+    let key = server_key(&ready_row("s0"));
     assert!(!pool.worse("s0", key, &second, choice.expected_ms, 2 * MS));
     pool.finish("s0", 1, &first, SendEnd::Refused, 2 * MS);
     pool.server("s0").expect("listed").bounds.rest(REST, 2 * MS);
@@ -136,9 +109,9 @@
 #[test]
 fn a_later_start_of_a_server_does_not_rest() {
     let mut pool = ServicePool::default();
-    pool.list(row("s0"), 0).bounds.rest(REST, 0);
-    pool.list(ServerRow { started_ms: 1, ..row("s0") }, MS);
-    assert!(pool.take(1, &ask(2 * MS), "z", 2 * MS, &mut || 0.5).is_some());
+    pool.list(ready_row("s0"), 0).bounds.rest(REST, 0);
+    pool.list(ServerRow { started_ms: 1, ..ready_row("s0") }, MS);
+    assert!(pool.take(1, &ask_now(2 * MS), "z", 2 * MS, &mut || 0.5).is_some());
 }
 
 /// At the product's own interface too, a server that turns requests away is sent to again at once.
