A server that leaves is not used again when its entry comes back

Seen in the test, red before: an instance forgets a server whose entry is gone, and its word that it leaves with it; its entry came back, as after an outage of the store, and it got a request again (1 more than before; none is allowed). The word is remembered with the latest start that is known of each server, a minute longer than the server itself.

--- a/src/gateway/dispatcher_notices.rs
+++ b/src/gateway/dispatcher_notices.rs
@@ -29,14 +29,15 @@
             Ok(limit) => hear_limit(track, heard, limit),
             Err(_) => limit_unreadable(track, heard),
         }
-        if notice.leaving {
-            hear_leaving(track, heard);
-        }
         match notice.rest {
             Ok(Some(rest)) => hear_rest(track, heard, rest),
             Ok(None) => {}
             Err(_) => rest_unreadable(track, heard),
         }
+        if notice.leaving {
+            hear_leaving(track, heard);
+            state.starts.said_to_leave(&server.row);
+        }
     }
 
     /// Whether a server asked this instance for rest.
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -133,6 +133,7 @@
         state.list_version += 1;
         let service = Arc::clone(&row.service);
         let evacuated = state.evacuations.covers(&row.zone);
+        let leaving = state.starts.leaves(row);
         if state.pools.get(&service).is_none_or(|pool| pool.servers.is_empty()) {
             state.share_starts(&service);
         }
@@ -141,6 +142,9 @@
         if evacuated {
             track.evacuate();
         }
+        if leaving {
+            track.hear_leaving();
+        }
         state.claim(row);
         self.serve_waiting(state, &service, undelivered);
     }
--- a/src/gateway/server_starts.rs
+++ b/src/gateway/server_starts.rs
@@ -24,6 +24,8 @@
     started_ms: u64,
     sequence: u64,
     heard_us: u64,
+    /// Whether this start said itself that it leaves.
+    leaving: bool,
     /// When the server was forgotten otherwise; `None` while it is known.
     gone_us: Option<u64>,
 }
@@ -73,10 +75,25 @@
     fn note(&mut self, row: &ServerRow, now_us: u64) {
         let ServerRow { started_ms, sequence, .. } = *row;
         self.held.remove(&row.id);
-        let latest = Latest { started_ms, sequence, heard_us: now_us, gone_us: None };
+        let leaving = self.leaves(row);
+        let latest = Latest { started_ms, sequence, heard_us: now_us, leaving, gone_us: None };
         self.latest.insert(Arc::clone(&row.id), latest);
     }
 
+    /// The start that a row is of said itself that it leaves.
+    pub(super) fn said_to_leave(&mut self, row: &ServerRow) {
+        let latest = self.latest.get_mut(&row.id);
+        if let Some(latest) = latest.filter(|latest| latest.started_ms == row.started_ms) {
+            latest.leaving = true;
+        }
+    }
+
+    /// Whether the start that a row is of said itself that it leaves, as far as it is remembered.
+    pub(super) fn leaves(&self, row: &ServerRow) -> bool {
+        let latest = self.latest.get(&row.id);
+        latest.is_some_and(|latest| latest.leaving && latest.started_ms == row.started_ms)
+    }
+
     /// The entry of a server was removed, and a held row with it.
     pub(super) fn removed(&mut self, id: &str) {
         self.held.remove(id);
--- a/tests/server_leaves.rs
+++ b/tests/server_leaves.rs
@@ -61,3 +61,31 @@
     until("its next start is used", || !next.ran().is_empty()).await;
     drop(callers);
 }
+
+/// The entry of a server that leaves lapses and comes back, as after an outage of the platform's store, and
+/// the server is taken for one that stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_leaves_is_not_forgotten_to_leave_when_its_entry_comes_back() {
+    let bed = Arc::new(RoutedBed::start(&["a"]).await);
+    let (leaving, stays) = (RawServer::spawn("s1").await, RawServer::spawn("s2").await);
+    bed.store.put(CONFIG_KEY, &two_routes(1));
+    bed.store.put("servers/s1", &leaving.entry("parts", "a", 4, "ready"));
+    bed.store.put("servers/s2", &stays.entry("parts", "a", 4, "ready"));
+    bed.settle().await;
+    let callers = callers(&bed);
+    until("both are used", || !leaving.ran().is_empty() && !stays.ran().is_empty()).await;
+    leaving.leave();
+    tokio::time::sleep(DRAIN / 2).await;
+    let known = leaving.arrived_at().len();
+    bed.store.remove("servers/s1");
+    // By then it is forgotten.
+    tokio::time::sleep(DRAIN).await;
+    bed.store.put("servers/s1", &leaving.entry("parts", "a", 4, "ready"));
+    tokio::time::sleep(DRAIN / 2).await;
+    assert_eq!(
+        leaving.arrived_at().len(),
+        known,
+        "it got requests after it had said that it leaves"
+    );
+    drop(callers);
+}
