--- a/src/gateway/dispatcher_notices.rs
+++ b/src/gateway/dispatcher_notices.rs
@@ -11,8 +11,8 @@
 use crate::balance::ServerTrack;
 use crate::clock::now_us;
 use crate::errors::Code;
-use crate::limit::Heard;
 use crate::limit::RateLimit;
+use crate::model::Heard;
 use crate::model::ServerState;
 
 impl Dispatcher {
@@ -54,7 +54,7 @@
         return;
     }
     info!(
-        event = "server-limit", server = &*track.row.id, service = &*track.row.service,
+        event = "server-rate-limit", server = &*track.row.id, service = &*track.row.service,
         limit_per_s = limit.map(RateLimit::per_s), before_per_s = before.map(RateLimit::per_s),
         heard = heard.name(), running = track.own_requests();
         ""
@@ -96,7 +96,7 @@
         return;
     }
     warn!(
-        event = "server-limit-unreadable", code = Code::ServerLimitUnreadable.number(),
+        event = "server-rate-limit-unreadable", code = Code::ServerLimitUnreadable.number(),
         server = &*track.row.id, service = &*track.row.service, heard = heard.name();
         "{}", Code::ServerLimitUnreadable
     );
--- a/src/gateway/grant.rs
+++ b/src/gateway/grant.rs
@@ -8,7 +8,7 @@
 use crate::balance::Ask;
 use crate::balance::Choice;
 use crate::balance::SendEnd;
-use crate::limit::Heard;
+use crate::model::Heard;
 
 /// A slot of a backend server, given back when it is dropped.
 #[derive(Debug)]
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -8,7 +8,7 @@
 use super::server_conn::ServerConn;
 use super::server_notice::ServerNotice;
 use super::server_notice::text;
-use crate::limit::Heard;
+use crate::model::Heard;
 
 /// Asks a server how it is, and takes in its load and pace; tells whether the connection may be
 /// used for the next request.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -4,7 +4,6 @@
 mod named_limit;
 mod rate_limit;
 
-pub use named_limit::Heard;
 pub use named_limit::NamedLimit;
 pub use rate_limit::LIMIT_SPAN_S;
 pub use rate_limit::LIMIT_SPAN_US;
--- a/src/limit/named_limit.rs
+++ b/src/limit/named_limit.rs
@@ -1,26 +1,7 @@
 //! The limit that one server names now.
 
 use super::RateLimit;
-
-/// In what a server's word came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Heard {
-    /// The answer to a request.
-    Answer,
-    /// The answer to a health check.
-    Check,
-}
-
-impl Heard {
-    /// The name written in logs.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Answer => "answer",
-            Self::Check => "health-check",
-        }
-    }
-}
+use crate::model::Heard;
 
 /// The last word of one server on its limit; a limit holds for as long as it is named.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/limit/rate_limit.rs
+++ b/src/limit/rate_limit.rs
@@ -2,13 +2,6 @@
 
 use std::str::FromStr;
 
-/// Requests a second that a backend server takes from all instances together.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-pub struct RateLimit {
-    /// Finite, and not below zero.
-    per_s: f64,
-}
-
 /// Span over which instances keep to a limit: limits of about one request a second become whole numbers
 /// of requests in it, which homes can divide. Servers judge four seconds; the rest is for requests that
 /// take longer than others on their way.
@@ -24,6 +17,13 @@
 /// them may be replaced at the same time.
 const BORNE_SHARE_MAX: f64 = 2.0 / 3.0;
 
+/// Requests a second that a backend server takes from all instances together.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RateLimit {
+    /// Finite, and not below zero.
+    per_s: f64,
+}
+
 /// A text that names no limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LimitUnreadable;
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,6 +3,7 @@
 
 mod backend_server;
 mod check;
+mod heard;
 mod load_report;
 mod request_kind;
 mod server_row;
@@ -12,6 +13,7 @@
 pub use backend_server::BackendServer;
 pub use check::BACKEND_SERVERS_MAX;
 pub use check::check_service;
+pub use heard::Heard;
 pub use load_report::LoadReport;
 pub use request_kind::RequestKind;
 pub use server_row::ServerRow;
--- a/tests/server_leaves.rs
+++ b/tests/server_leaves.rs
@@ -28,6 +28,28 @@
     (0..4).map(caller).collect()
 }
 
+/// One instance and two servers in use, of which one is to leave.
+struct Scene {
+    bed: Arc<RoutedBed>,
+    leaving: RawServer,
+    _stays: RawServer,
+    callers: Vec<TaskGuard>,
+}
+
+impl Scene {
+    async fn start() -> Self {
+        let bed = Arc::new(RoutedBed::start(&["a"]).await);
+        let (leaving, stays) = (RawServer::spawn("s1").await, RawServer::spawn("s2").await);
+        bed.store.put(CONFIG_KEY, &two_routes(1));
+        bed.store.put("servers/s1", &leaving.entry("parts", "a", 4, "ready"));
+        bed.store.put("servers/s2", &stays.entry("parts", "a", 4, "ready"));
+        bed.settle().await;
+        let callers = callers(&bed);
+        until("both are used", || !leaving.ran().is_empty() && !stays.ran().is_empty()).await;
+        Self { bed, leaving, _stays: stays, callers }
+    }
+}
+
 async fn until(what: &str, reached: impl Fn() -> bool) {
     let by = Instant::now() + Duration::from_secs(5);
     while !reached() {
@@ -39,14 +61,7 @@
 /// The platform's list does not tell in time that a server leaves, and what it gets then is lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_says_that_it_leaves_gets_nothing_more_whatever_is_listed() {
-    let bed = Arc::new(RoutedBed::start(&["a"]).await);
-    let (leaving, stays) = (RawServer::spawn("s1").await, RawServer::spawn("s2").await);
-    bed.store.put(CONFIG_KEY, &two_routes(1));
-    bed.store.put("servers/s1", &leaving.entry("parts", "a", 4, "ready"));
-    bed.store.put("servers/s2", &stays.entry("parts", "a", 4, "ready"));
-    bed.settle().await;
-    let callers = callers(&bed);
-    until("both are used", || !leaving.ran().is_empty() && !stays.ran().is_empty()).await;
+    let Scene { bed, leaving, _stays, callers } = Scene::start().await;
     leaving.leave();
     let left_at = Instant::now();
     // A report that was on its way says that it is ready.
@@ -66,14 +81,7 @@
 /// the server is taken for one that stays.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_leaves_is_not_forgotten_to_leave_when_its_entry_comes_back() {
-    let bed = Arc::new(RoutedBed::start(&["a"]).await);
-    let (leaving, stays) = (RawServer::spawn("s1").await, RawServer::spawn("s2").await);
-    bed.store.put(CONFIG_KEY, &two_routes(1));
-    bed.store.put("servers/s1", &leaving.entry("parts", "a", 4, "ready"));
-    bed.store.put("servers/s2", &stays.entry("parts", "a", 4, "ready"));
-    bed.settle().await;
-    let callers = callers(&bed);
-    until("both are used", || !leaving.ran().is_empty() && !stays.ran().is_empty()).await;
+    let Scene { bed, leaving, _stays, callers } = Scene::start().await;
     leaving.leave();
     tokio::time::sleep(DRAIN / 2).await;
     let known = leaving.arrived_at().len();
