--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -256,6 +256,11 @@
     async fn read_snapshot(&self) -> Result<bool, StoreError> {
         let asked_us = boot_us();
         let (items, read_at) = self.read_pages(Freshness::Latest).await?;
+        info!(
+            event = "snapshot-read", prefix = self.prefix, items = items.len(),
+            revision = read_at, known_revision = self.mirror.revision();
+            ""
+        );
         self.mirror.replace(&items, read_at, self.outage.expiry_grace());
         self.mirror.record_proof(asked_us);
         self.snapshot_needed.store(false, Ordering::Release);
@@ -301,6 +306,10 @@
     pub(super) fn apply_watched(&self, watched: WatchResult, revision: u64, asked_us: u64) -> bool {
         match watched {
             WatchResult::HistoryLost => {
+                info!(
+                    event = "history-lost", prefix = self.prefix, revision = revision;
+                    "the store does not have the events after this revision"
+                );
                 self.snapshot_needed.store(true, Ordering::Release);
                 false
             }
