--- a/standins/src/routed/memory_event_store.rs
+++ b/standins/src/routed/memory_event_store.rs
@@ -19,6 +19,8 @@
 const PAGE_ITEMS: usize = 50;
 /// Time after which a client abandons a call without a response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time that an answer takes to its client.
+const ROUND_TRIP: Duration = Duration::from_millis(1);
 
 /// Fault that the store simulates for one client.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -45,6 +47,13 @@
     revision: u64,
 }
 
+/// What a store held at one moment.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Item>,
+    revision: u64,
+}
+
 /// One client's handle of the store, with its own fault and call counts.
 #[derive(Clone, Debug)]
 pub struct MemoryEventStore {
@@ -126,6 +135,24 @@
         state.stale_items = Some(state.items.clone());
     }
 
+    /// A copy of the current state, for [`MemoryEventStore::restore`].
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.lock();
+        StoreCopy { items: state.items.clone(), revision: state.revision }
+    }
+
+    /// Replaces the state by an earlier copy, as after the loss of the store's disks: what was
+    /// written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock();
+        state.items.clone_from(&copy.items);
+        state.revision = copy.revision;
+        state.history.retain(|event| event.revision() <= copy.revision);
+        drop(state);
+        self.changed.send_replace(copy.revision);
+    }
+
     /// Discards all events so far; a watch from before them reports lost history.
     pub fn compact_history(&self) {
         let mut state = self.state.lock();
@@ -154,7 +181,7 @@
 
     fn events_after(&self, prefix: &str, after: u64) -> Option<WatchResult> {
         let state = self.state.lock();
-        if after < state.compacted_revision {
+        if after < state.compacted_revision || after > state.revision {
             return Some(WatchResult::HistoryLost);
         }
         let has_prefix = |event: &&ItemEvent| match event {
@@ -208,6 +235,10 @@
         let mut fault = self.fault.subscribe();
         loop {
             if let Some(result) = self.events_after(prefix, revision) {
+                if result == WatchResult::HistoryLost {
+                    // Otherwise a client that asks in a loop would stop the paused clock.
+                    tokio::time::sleep(ROUND_TRIP).await;
+                }
                 return Ok(result);
             }
             tokio::select! {
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -22,6 +22,7 @@
 pub use gateway_fleet::two_routes;
 pub use member_parts::member_row;
 pub use memory_event_store::MemoryEventStore;
+pub use memory_event_store::StoreCopy;
 pub use memory_event_store::StoreFault;
 pub use memory_links::MemoryLinks;
 pub use plain_dialect::CONFIG_KEY;
--- /dev/null
+++ b/tests/store_restored.rs
@@ -0,0 +1,120 @@
+//! A store that comes back from an earlier copy: what was written since is gone, and revisions are
+//! given out again. In paused time, on an in-memory store.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use sorrelwick::board::Blackboard;
+use sorrelwick::conf::parse_settings;
+use sorrelwick::gateway::Follower;
+use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::Sink;
+use sorrelwick::peer::Feed;
+use sorrelwick::peer::Links;
+use sorrelwick::store::Item;
+use standins::routed::FleetSize;
+use standins::routed::LastWrite;
+use standins::routed::MemoryEventStore;
+use standins::routed::RelayFleet;
+use standins::routed::StoreFault;
+
+/// Time limit for applying a change, from its acknowledgement by the store.
+const APPLY_MAX: Duration = Duration::from_secs(2);
+/// Time before the first fault, in which all instances settle.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// How long the store is away before it comes back from a copy.
+const OUTAGE: Duration = Duration::from_millis(2_600);
+
+/// The latest value of each key.
+#[derive(Clone, Debug, Default)]
+struct Values(Arc<Mutex<BTreeMap<String, Vec<u8>>>>);
+
+impl Sink for Values {
+    fn written(&mut self, item: &Item) {
+        self.0.lock().insert(item.key.clone(), item.value.clone());
+    }
+
+    fn removed(&mut self, key: &str, _: Duration) {
+        self.0.lock().remove(key);
+    }
+}
+
+/// Starts a lone instance that follows the configuration in `store`.
+fn follow(store: &MemoryEventStore) -> Values {
+    let text = r#"{ instance: { name: "a1", zone: "z" } }"#;
+    let board = Arc::new(Blackboard::new(parse_settings("t", text).expect("valid"), 1));
+    let values = Values::default();
+    let mirror = Arc::new(Mirror::new(values.clone()));
+    let links = Links::new("a secret of sixteen");
+    let follower = Follower::new(store.clone(), links, board, mirror, Feed::Config, "config");
+    tokio::spawn(follower.run());
+    values
+}
+
+fn set_faults(clients: &[MemoryEventStore], fault: StoreFault) {
+    for client in clients {
+        client.set_fault(fault);
+    }
+}
+
+fn paid_calls(clients: &[MemoryEventStore]) -> u64 {
+    clients.iter().map(|client| client.calls() - client.cheap_calls()).sum()
+}
+
+/// Guards against instances that ignore changes after a restore because they know higher revisions
+/// from before it, and against watchers that read everything again and again meanwhile.
+#[tokio::test(start_paused = true)]
+async fn changes_after_restore_reach_every_instance_in_time() {
+    let store = MemoryEventStore::default();
+    store.put("config", "1");
+    let fleet = RelayFleet::start(&store, FleetSize::SMALL);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let copy = store.copy();
+    for version in 2..8 {
+        store.put("config", &version.to_string());
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    set_faults(&fleet.store_clients, StoreFault::Busy);
+    tokio::time::sleep(OUTAGE).await;
+    store.restore(&copy);
+    set_faults(&fleet.store_clients, StoreFault::None);
+    let calls_before = paid_calls(&fleet.store_clients);
+    store.put("config", "7");
+    tokio::time::sleep(APPLY_MAX).await;
+    store.put("config", "8");
+    tokio::time::sleep(APPLY_MAX).await;
+    let learned =
+        |sink: &&LastWrite| sink.0.lock().is_some_and(|(seen, _)| seen == store.revision());
+    let learned = fleet.sinks.iter().filter(learned).count();
+    assert_eq!(learned, FleetSize::SMALL.instances);
+    // One reading of everything for each watcher, and the watches of two changes and four seconds.
+    let calls = paid_calls(&fleet.store_clients) - calls_before;
+    assert!(calls <= 3 * 8, "{calls} calls");
+}
+
+/// Guards against a watch that resumes after the restored store has passed the revision that it
+/// asks from: it would miss the changes before that revision.
+#[tokio::test(start_paused = true)]
+async fn changes_below_known_revision_are_not_missed_after_restore() {
+    let store = MemoryEventStore::default();
+    store.put("config", "1");
+    let values = follow(&store);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let copy = store.copy();
+    store.put("config", "2");
+    store.put("config", "3");
+    tokio::time::sleep(SETTLE_TIME).await;
+    store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(OUTAGE).await;
+    store.restore(&copy);
+    for key in ["config", "config/a", "config/b", "config/c"] {
+        store.put(key, "4");
+    }
+    store.set_fault(StoreFault::None);
+    tokio::time::sleep(APPLY_MAX).await;
+    let expected =
+        ["config", "config/a", "config/b", "config/c"].map(|key| (key.to_owned(), b"4".to_vec()));
+    assert_eq!(*values.0.lock(), BTreeMap::from(expected));
+}
