--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -20,6 +20,7 @@
 use super::EventRing;
 use super::Latencies;
 use super::MembersView;
+use super::StoreEra;
 use crate::catalog::Catalog;
 use crate::clock::now_ms;
 use crate::conf::Settings;
@@ -64,6 +65,7 @@
     pub counters: Counters,
     pub latencies: Latencies,
     pub events: EventRing,
+    pub store_era: StoreEra,
     /// Notified when a request starts to wait for a slot, here or at another home of the service.
     pub queue_formed: Notify,
     /// The published members. The write lock is held while changes are taken from the member table
@@ -130,6 +132,7 @@
             counters: Counters::default(),
             latencies: Latencies::default(),
             events: EventRing::default(),
+            store_era: StoreEra::default(),
             queue_formed: Notify::new(),
             view: RwLock::default(),
             services: ArcSwap::default(),
@@ -239,6 +242,13 @@
         }
     }
 
+    /// Records the era of the platform's store, as an answer of the store or of a peer states it.
+    pub fn record_store_era(&self, era: u64) {
+        if let Some(before) = self.store_era.record(era) {
+            self.record_event(EventKind::StoreRestored { before, era });
+        }
+    }
+
     /// Requests per second that this instance can carry.
     #[must_use]
     pub fn own_capacity_per_s(&self) -> u32 {
--- a/src/board/events.rs
+++ b/src/board/events.rs
@@ -66,6 +66,11 @@
     },
     /// The platform's store answers again.
     StoreBack,
+    /// The platform's store came back from an earlier copy.
+    StoreRestored {
+        before: u64,
+        era: u64,
+    },
 }
 
 impl EventKind {
@@ -105,6 +110,9 @@
             Self::ShardLost { shard } => ("shard-lost", shard.to_string()),
             Self::StoreLost { why } => ("store-lost", why.clone()),
             Self::StoreBack => ("store-back", String::new()),
+            Self::StoreRestored { before, era } => {
+                ("store-restored", format!("era {era} after {before}"))
+            }
         }
     }
 }
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod latencies;
 mod members_view;
+mod store_era;
 
 pub use blackboard::Blackboard;
 pub use blackboard::InFlightGuard;
@@ -19,3 +20,4 @@
 pub use latencies::Latency;
 pub use members_view::MembersView;
 pub use members_view::compare_rank;
+pub use store_era::StoreEra;
--- a/src/gateway/feed_source.rs
+++ b/src/gateway/feed_source.rs
@@ -10,6 +10,7 @@
 use crate::peer::PeerClient;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::store::Revision;
 
 /// A peer's answer to a feed request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -46,7 +47,7 @@
         &self,
         peer: SocketAddr,
         feed: Feed,
-        after: Option<u64>,
+        after: Option<Revision>,
         hold: Duration,
         within: Duration,
     ) -> impl Future<Output = Option<FeedAnswer>> + Send;
@@ -57,7 +58,7 @@
         &self,
         peer: SocketAddr,
         feed: Feed,
-        after: Option<u64>,
+        after: Option<Revision>,
         hold: Duration,
         within: Duration,
     ) -> Option<FeedAnswer> {
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -11,6 +11,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -37,6 +38,7 @@
 use crate::store::Freshness;
 use crate::store::Item;
 use crate::store::ItemEvent;
+use crate::store::Revision;
 use crate::store::StoreError;
 use crate::store::WatchResult;
 
@@ -66,6 +68,20 @@
 /// peers after its initial load. A watch is paid for like any other call.
 const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// The result of a call to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Poll {
+    /// The mirror has what the store has, after some changes if `changed`.
+    UpToDate { changed: bool },
+    /// The store no longer has the events after the mirror's revision: all keys must be read.
+    Behind,
+}
+
+/// The error of an answer that was under way while the store was restored.
+fn answer_outdated() -> StoreError {
+    StoreError::ResponseLost("the answer is from before the store was restored".into())
+}
+
 /// The error of a watch that was abandoned because the store failed a health check.
 fn watch_interrupted() -> StoreError {
     StoreError::ResponseLost("no answer to a check while a watch waited".into())
@@ -88,6 +104,8 @@
     /// Whether the store has discarded the history after the mirror's revision, so that all keys
     /// must be read.
     snapshot_needed: AtomicBool,
+    /// Watches since the last successful one that found the history lost.
+    history_losses: AtomicU32,
     /// Relays that are temporarily not asked.
     pub(super) relay_cooldowns: Mutex<RelayCooldowns>,
     /// When this instance last needed the full mirror, on the clock of [`now_us`].
@@ -125,6 +143,7 @@
             stale_max: apply_max / STALE_MAX_DIVISOR,
             outage: StoreOutage::default(),
             snapshot_needed: AtomicBool::new(false),
+            history_losses: AtomicU32::new(0),
             relay_cooldowns: Mutex::default(),
             last_needed_us: AtomicU64::new(0),
             proof_schedule,
@@ -196,12 +215,21 @@
     pub(super) async fn sync_from_store(&self) {
         let started_us = now_us();
         match self.poll_store().await {
-            Ok(changed) => {
+            Ok(Poll::UpToDate { changed }) => {
                 self.record_store_success();
                 if changed {
                     tokio::time::sleep(self.batch_pause).await;
                 }
             }
+            Ok(Poll::Behind) => {
+                // All keys are read at once, but not in a loop if that does not help.
+                let losses = self.history_losses.fetch_add(1, Ordering::AcqRel);
+                if losses > 0 {
+                    let pause_ms =
+                        (REFUSED_BACKOFF_MS << losses.min(6)).min(REFUSED_BACKOFF_MAX_MS);
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                }
+            }
             Err(error) => self.back_off(&error, started_us).await,
         }
     }
@@ -235,49 +263,79 @@
         tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
     }
 
-    /// Calls the store once; returns whether there was a change.
+    /// Calls the store once.
     ///
     /// After a failure it first checks that the store serves this instance again: such a check
     /// costs a tenth of a call.
-    async fn poll_store(&self) -> Result<bool, StoreError> {
+    async fn poll_store(&self) -> Result<Poll, StoreError> {
         if self.outage.is_ongoing() {
-            self.store.check_alive().await?;
+            let era = self.store.check_alive().await?;
+            self.check_era(era)?;
         }
         match self.mirror.revision() {
-            Some(revision) if !self.snapshot_needed.load(Ordering::Acquire) => {
-                self.watch_store(revision).await
-            }
+            Some(revision) if !self.needs_snapshot(revision) => self.watch_store(revision).await,
             _ => self.read_snapshot().await,
         }
     }
 
+    /// Whether the events after `revision` are not enough.
+    fn needs_snapshot(&self, revision: Revision) -> bool {
+        let restored = self.board.store_era.latest().is_some_and(|era| era > revision.era);
+        restored || self.snapshot_needed.load(Ordering::Acquire)
+    }
+
+    /// Records the era of an answer of the store.
+    ///
+    /// # Errors
+    /// Fails if the store was restored since.
+    pub(super) fn check_era(&self, era: u64) -> Result<(), StoreError> {
+        self.board.record_store_era(era);
+        if self.board.store_era.latest() > Some(era) { Err(answer_outdated()) } else { Ok(()) }
+    }
+
+    /// How long a key that is missing now may be so only because of an outage or a restore.
+    pub(super) fn missing_key_grace(&self) -> Duration {
+        self.outage.expiry_grace().max(self.board.store_era.repeat_time_left())
+    }
+
+    /// Records that the mirror holds everything that the store had acknowledged at `at_us`, unless
+    /// the store may still lack some of it after a restore.
+    pub(super) fn record_proof(&self, at_us: u64) {
+        self.mirror.record_proof(at_us);
+    }
+
     /// Reads all keys. The pages are not a consistent snapshot, so the mirror takes the revision of
     /// the first page and the next watch starts there.
-    async fn read_snapshot(&self) -> Result<bool, StoreError> {
+    async fn read_snapshot(&self) -> Result<Poll, StoreError> {
         let asked_us = boot_us();
         let (items, read_at) = self.read_pages(Freshness::Latest).await?;
         info!(
-            event = "snapshot-read", prefix = self.prefix, items = items.len(),
-            revision = read_at, known_revision = self.mirror.revision();
+            event = "snapshot-read", prefix = self.prefix, items = items.len(), era = read_at.era,
+            revision = read_at.number,
+            known_revision = self.mirror.revision().map(|revision| revision.number);
             ""
         );
-        self.mirror.replace(&items, read_at, self.outage.expiry_grace());
-        self.mirror.record_proof(asked_us);
+        self.mirror.replace(&items, read_at, self.missing_key_grace());
+        self.record_proof(asked_us);
         self.snapshot_needed.store(false, Ordering::Release);
-        Ok(false)
+        Ok(Poll::UpToDate { changed: false })
     }
 
     /// Returns all keys and the store's revision when the first page was read.
     pub(super) async fn read_pages(
         &self,
         freshness: Freshness,
-    ) -> Result<(Vec<Item>, u64), StoreError> {
+    ) -> Result<(Vec<Item>, Revision), StoreError> {
         let mut items: Vec<Item> = Vec::new();
-        let mut read_at = None;
+        let mut read_at: Option<Revision> = None;
         loop {
             let after = items.last().map(|item| item.key.clone());
             let page = self.store.list_page(self.prefix, after.as_deref(), freshness).await?;
+            self.check_era(page.revision.era)?;
             let at = *read_at.get_or_insert(page.revision);
+            if at.era != page.revision.era {
+                return Err(answer_outdated());
+            }
             let last = !page.has_more || page.items.is_empty();
             items.extend(page.items.into_iter().map(|item| self.mirror.redacted(item)));
             if last {
@@ -286,8 +344,8 @@
         }
     }
 
-    /// Watches the store for events after `revision`; returns whether there was one.
-    async fn watch_store(&self, revision: u64) -> Result<bool, StoreError> {
+    /// Watches the store for events after `revision`.
+    async fn watch_store(&self, revision: Revision) -> Result<Poll, StoreError> {
         // After a failure the watch must return at once: a failing store would hold it for the full
         // wait.
         let wait = if self.outage.is_ongoing() { Duration::ZERO } else { WATCH_TIMEOUT };
@@ -296,30 +354,37 @@
         let watched = tokio::select! {
             watched = self.store.events(self.prefix, revision, wait) => watched?,
             () = self.mirror.wait_for_interrupt() => return Err(watch_interrupted()),
+            // A watch from before the restore waits for revisions that may come late, or never.
+            () = self.board.store_era.wait_beyond(revision.era) => return Ok(Poll::Behind),
         };
         drop(watching);
-        Ok(self.apply_watched(watched, revision, asked_us))
+        self.apply_watched(watched, revision, asked_us)
     }
 
-    /// Applies the result of a watch from `revision` that was sent at `asked_us`; returns whether
-    /// there was a change.
-    pub(super) fn apply_watched(&self, watched: WatchResult, revision: u64, asked_us: u64) -> bool {
-        match watched {
-            WatchResult::HistoryLost => {
-                info!(
-                    event = "history-lost", prefix = self.prefix, revision = revision;
-                    "the store does not have the events after this revision"
-                );
-                self.snapshot_needed.store(true, Ordering::Release);
-                false
-            }
-            WatchResult::Events { events, revision: upto } => {
+    /// Applies the result of a watch from `revision` that was sent at `asked_us`.
+    pub(super) fn apply_watched(
+        &self,
+        watched: WatchResult,
+        revision: Revision,
+        asked_us: u64,
+    ) -> Result<Poll, StoreError> {
+        if let WatchResult::Events { events, revision: upto } = watched {
+            self.check_era(upto.era)?;
+            if upto.era == revision.era {
                 let events = events.into_iter().map(|event| self.mirror.redacted_event(event));
                 let events: Vec<ItemEvent> = events.collect();
                 self.mirror.apply(&events, upto.max(revision), self.outage.expiry_grace());
-                self.mirror.record_proof(asked_us);
-                !events.is_empty()
+                self.record_proof(asked_us);
+                self.history_losses.store(0, Ordering::Release);
+                return Ok(Poll::UpToDate { changed: !events.is_empty() });
             }
         }
+        info!(
+            event = "history-lost", prefix = self.prefix, era = revision.era,
+            revision = revision.number;
+            "the store does not have the events after this revision"
+        );
+        self.snapshot_needed.store(true, Ordering::Release);
+        Ok(Poll::Behind)
     }
 }
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -176,7 +176,7 @@
         }
         let polled = self.poll_peers(feed, fallback_peers(&self.board), REQUEST_TIMEOUT).await;
         if !polled.fresh && self.mirror.age() >= self.stale_max {
-            self.mirror.replace(&[], self.mirror.revision().unwrap_or(0), Duration::ZERO);
+            self.mirror.replace(&[], self.mirror.revision().unwrap_or_default(), Duration::ZERO);
             self.mirror.reset(false);
         }
         tokio::time::sleep(POLL_PAUSE).await;
@@ -250,12 +250,23 @@
 
     /// Applies a peer's answer; returns whether the peer's mirror is fresh.
     pub(super) fn apply_answer(&self, answer: FeedAnswer) -> bool {
-        let grace = self.outage.expiry_grace();
+        let Some(upto) = answer.reply.revision() else {
+            return false;
+        };
+        self.board.record_store_era(upto.era);
         match answer.reply {
-            FeedReply::Events { events, revision } => self.mirror.apply(&events, revision, grace),
-            FeedReply::Snapshot { items, revision } => self.mirror.replace(&items, revision, grace),
+            FeedReply::Events { events, revision } => {
+                self.mirror.apply(&events, revision, self.outage.expiry_grace());
+            }
+            FeedReply::Snapshot { items, revision } => {
+                self.mirror.replace(&items, revision, self.missing_key_grace());
+            }
             FeedReply::Unknown => return false,
         }
+        // What the peer had confirmed or proved before the store was restored says nothing of now.
+        if self.board.store_era.latest() > Some(upto.era) {
+            return false;
+        }
         // Instances that hold the server list compute the demand themselves.
         if self.feed == Feed::Config
             && answer.zone_demand_per_s > 0
@@ -264,7 +275,7 @@
             self.board.set_zone_demand_per_s(answer.zone_demand_per_s);
         }
         if let Some(proved_us) = answer.proved_us {
-            self.mirror.record_proof(proved_us);
+            self.record_proof(proved_us);
         }
         let age_us = u64::try_from(answer.age.as_micros()).unwrap_or(u64::MAX);
         self.mirror.record_confirmation(now_us().saturating_sub(age_us));
--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -117,6 +117,7 @@
     async fn read_stale(&self) -> Result<Vec<Item>, StoreError> {
         if self.feed == Feed::Servers {
             let page = self.store.list_page(self.prefix, None, Freshness::Stale).await?;
+            self.check_era(page.revision.era)?;
             return Ok(page.items.into_iter().map(|item| self.mirror.redacted(item)).collect());
         }
         Ok(self.read_pages(Freshness::Stale).await?.0)
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -21,6 +21,7 @@
 use crate::peer::Packed;
 use crate::store::Item;
 use crate::store::ItemEvent;
+use crate::store::Revision;
 
 /// Number of events kept for peers that ask for changes; a peer that missed more gets all keys.
 const RECENT_EVENTS_MAX: usize = 256;
@@ -47,11 +48,13 @@
         Vec::new()
     }
 
-    /// Called before the changes of one batch; [`Sink::end_batch`] follows them.
-    fn begin_batch(&mut self) {}
+    /// Called before the changes of one batch; [`Sink::end_batch`] follows them. `restored` tells
+    /// that the batch is the content of a store that came back from an earlier copy: each item may
+    /// be older than what was known before.
+    fn begin_batch(&mut self, _restored: bool) {}
 
     /// Called after all changes of a batch, which ends at `revision`.
-    fn end_batch(&mut self, _revision: u64) {}
+    fn end_batch(&mut self, _revision: Revision) {}
 }
 
 /// The keys below one prefix, as last read from the store or a peer. It passes each change to its
@@ -61,9 +64,9 @@
     pub(super) state: Mutex<MirrorState<K>>,
     /// Revision up to which the mirror is complete, for tasks that wait for it. `None` before the
     /// first load: 0 is a valid revision, that of a store to which nothing was ever written.
-    revision: watch::Sender<Option<u64>>,
+    revision: watch::Sender<Option<Revision>>,
     /// The last revision at which any sample changed.
-    pub(super) sample_revision: watch::Sender<u64>,
+    pub(super) sample_revision: watch::Sender<Revision>,
     age: Arc<MirrorAge>,
     /// Number of watches that are waiting in the store for the next change.
     active_watches: AtomicU32,
@@ -89,9 +92,9 @@
     /// The events after `recent_after`, in order.
     recent: VecDeque<ItemEvent>,
     /// Revision after which `recent` is complete.
-    recent_after: u64,
+    recent_after: Revision,
     /// Revision up to which the mirror is complete; `None` before the first load.
-    pub(super) revision: Option<u64>,
+    pub(super) revision: Option<Revision>,
     /// Whether the mirror follows all keys, not just a sample.
     pub(super) full: bool,
     /// The samples that are served, by zone hash.
@@ -104,7 +107,7 @@
 #[derive(Debug, Default)]
 struct ReplyCache {
     /// By the revision that the peer already has.
-    events: HashMap<u64, Packed<Vec<ItemEvent>>>,
+    events: HashMap<Revision, Packed<Vec<ItemEvent>>>,
     all_items: Option<Packed<Vec<Item>>>,
 }
 
@@ -120,7 +123,7 @@
             sink,
             items: HashMap::new(),
             recent: VecDeque::new(),
-            recent_after: 0,
+            recent_after: Revision::default(),
             revision: None,
             full: true,
             samples: HashMap::new(),
@@ -130,7 +133,7 @@
         Self {
             state: Mutex::new(state),
             revision,
-            sample_revision: watch::Sender::new(0),
+            sample_revision: watch::Sender::new(Revision::default()),
             age,
             active_watches: AtomicU32::new(0),
             interrupts: Notify::new(),
@@ -167,10 +170,12 @@
         WatchGuard(&self.active_watches)
     }
 
-    /// Records that the store answered this instance at `at_us`. This confirms the mirror only
-    /// while a watch is waiting: between two watches, changes may be missed.
-    pub fn record_store_reply(&self, at_us: u64) {
-        if self.active_watches.load(Ordering::Acquire) > 0 {
+    /// Records that the store, in its era `era`, answered this instance at `at_us`. This confirms the
+    /// mirror only while a watch is waiting: between two watches, changes may be missed. A watch from
+    /// a revision of an earlier era may miss changes too.
+    pub fn record_store_reply(&self, at_us: u64, era: u64) {
+        let same_era = self.revision().is_some_and(|revision| revision.era == era);
+        if same_era && self.active_watches.load(Ordering::Acquire) > 0 {
             self.record_confirmation(at_us);
         }
     }
@@ -200,7 +205,7 @@
 
     /// Revision up to which the mirror is complete; `None` before the first load.
     #[must_use]
-    pub fn revision(&self) -> Option<u64> {
+    pub fn revision(&self) -> Option<Revision> {
         self.state.lock().revision
     }
 
@@ -227,9 +232,9 @@
     }
 
     /// Applies the events between a revision that the mirror had reached and `upto`.
-    pub fn apply(&self, events: &[ItemEvent], upto: u64, grace: Duration) {
+    pub fn apply(&self, events: &[ItemEvent], upto: Revision, grace: Duration) {
         let mut state = self.state.lock();
-        state.sink.begin_batch();
+        state.sink.begin_batch(false);
         for event in events {
             match event {
                 ItemEvent::Written(item) => state.written(item),
@@ -246,17 +251,22 @@
     /// removes those that no longer exist. They are not served to other instances.
     pub fn apply_provisional(&self, items: &[Item]) {
         let mut state = self.state.lock();
-        state.sink.begin_batch();
+        state.sink.begin_batch(false);
         for item in by_revision(items) {
             state.written(item);
+            // Old contents of a restored store may come with its new era. Any load replaces them.
+            if let Some(known) = state.items.get_mut(&item.key).filter(|known| *known == item) {
+                known.revision = Revision::default();
+            }
         }
-        state.sink.end_batch(0);
+        state.sink.end_batch(Revision::default());
     }
 
     /// Replaces the content by all keys, as they were read at revision `read_at` or later.
-    pub fn replace(&self, items: &[Item], read_at: u64, grace: Duration) {
+    pub fn replace(&self, items: &[Item], read_at: Revision, grace: Duration) {
         let mut state = self.state.lock();
-        state.sink.begin_batch();
+        let restored = state.revision.is_some_and(|known| known.era < read_at.era);
+        state.sink.begin_batch(restored);
         for item in by_revision(items) {
             state.written(item);
         }
@@ -275,13 +285,13 @@
         // The events up to this revision were not seen individually. If this read is older than the
         // mirror, the events since then must not be lost either, so peers get all keys.
         state.recent.clear();
-        state.recent_after = state.revision.unwrap_or(0);
+        state.recent_after = state.revision.unwrap_or_default();
         drop(state);
         self.notify_waiters(read_at);
     }
 
     /// Notifies waiting tasks of the revision that the mirror has reached.
-    fn notify_waiters(&self, upto: u64) {
+    fn notify_waiters(&self, upto: Revision) {
         if let Some(changed) = self.state.lock().refresh_samples() {
             self.sample_revision.send_replace(changed);
         }
@@ -290,7 +300,7 @@
     }
 
     /// Returns the changes after revision `after`, and their age; waits up to `wait` for some.
-    pub async fn serve(&self, after: Option<u64>, wait: Duration) -> FeedResponse {
+    pub async fn serve(&self, after: Option<Revision>, wait: Duration) -> FeedResponse {
         let asked_us = boot_us();
         let mut revision_rx = self.revision.subscribe();
         // A peer that already has data must learn in time when this mirror stops being fresh.
@@ -332,8 +342,8 @@
 
 impl<K: Sink> MirrorState<K> {
     /// Advances the revision up to which the mirror is complete, and drops cached replies.
-    fn advance_to(&mut self, upto: u64) {
-        self.revision = Some(self.revision.unwrap_or(0).max(upto));
+    fn advance_to(&mut self, upto: Revision) {
+        self.revision = Some(self.revision.unwrap_or_default().max(upto));
         self.reply_cache = ReplyCache::default();
     }
 
@@ -349,7 +359,7 @@
 
     /// Whether the mirror already includes the change at `revision`. Without this check, a late
     /// answer would restore what was removed since.
-    fn covers(&self, revision: u64) -> bool {
+    fn covers(&self, revision: Revision) -> bool {
         self.revision.is_some_and(|complete| revision <= complete)
     }
 
@@ -365,7 +375,7 @@
     }
 
     /// Applies a removal unless the mirror has it or a newer write.
-    fn removed(&mut self, key: &str, revision: u64, grace: Duration) {
+    fn removed(&mut self, key: &str, revision: Revision, grace: Duration) {
         let older = self.items.get(key).is_some_and(|known| known.revision <= revision);
         if self.covers(revision) || !older {
             return;
@@ -376,7 +386,7 @@
     }
 
     /// The events after `after` if they are still kept, otherwise all items.
-    fn changes_since(&mut self, after: Option<u64>) -> FeedReply {
+    fn changes_since(&mut self, after: Option<Revision>) -> FeedReply {
         let Some(revision) = self.revision.filter(|_| self.full) else {
             return FeedReply::Unknown;
         };
@@ -388,7 +398,7 @@
         }
     }
 
-    fn events_after(&mut self, after: u64) -> Packed<Vec<ItemEvent>> {
+    fn events_after(&mut self, after: Revision) -> Packed<Vec<ItemEvent>> {
         if let Some(known) = self.reply_cache.events.get(&after) {
             return known.clone();
         }
--- a/src/gateway/mirror_sample.rs
+++ b/src/gateway/mirror_sample.rs
@@ -11,13 +11,14 @@
 use crate::peer::FeedResponse;
 use crate::peer::Packed;
 use crate::store::Item;
+use crate::store::Revision;
 
 /// The sample for one zone.
 #[derive(Debug)]
 pub(super) struct Sample {
     items: Packed<Vec<Item>>,
     /// Revision at which the sample last changed.
-    changed_at: u64,
+    changed_at: Revision,
 }
 
 impl<K: Sink> Mirror<K> {
@@ -26,7 +27,7 @@
     pub async fn serve_sample(
         &self,
         zone: u64,
-        after: Option<u64>,
+        after: Option<Revision>,
         wait: Duration,
     ) -> FeedResponse {
         let asked_us = boot_us();
@@ -61,7 +62,7 @@
     }
 
     /// Redraws all samples in use; returns the current revision if one changed.
-    pub(super) fn refresh_samples(&mut self) -> Option<u64> {
+    pub(super) fn refresh_samples(&mut self) -> Option<Revision> {
         let revision = self.revision?;
         let zones: Vec<u64> = self.samples.keys().copied().collect();
         let mut any = None;
@@ -78,7 +79,7 @@
     }
 
     /// The sample for a zone, or no events if it is unchanged since `after`.
-    fn sample_reply(&mut self, zone: u64, after: Option<u64>) -> FeedReply {
+    fn sample_reply(&mut self, zone: u64, after: Option<Revision>) -> FeedReply {
         let revision = self.revision;
         let (Some(sample), Some(revision)) = (self.sample(zone), revision) else {
             return FeedReply::Unknown;
--- a/src/gateway/proof_schedule.rs
+++ b/src/gateway/proof_schedule.rs
@@ -9,6 +9,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use log::warn;
+
 use super::feed_source::FeedSource;
 use super::follower::Follower;
 use super::mirror::Sink;
@@ -84,7 +86,9 @@
         match self.store.events(self.prefix, revision, Duration::ZERO).await {
             Ok(watched) => {
                 self.board.record_store_result(None);
-                self.apply_watched(watched, revision, asked_us);
+                if let Err(error) = self.apply_watched(watched, revision, asked_us) {
+                    warn!(event = "proof-unusable", why = error.to_string().as_str(); "");
+                }
             }
             Err(error) => self.board.record_store_result(Some(error.to_string())),
         }
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -65,7 +65,9 @@
         let (prefix, name) = (self.dialect.store_keys().suspects_prefix, first.fingerprint);
         let value = serde_json::to_vec(rows).map_err(|err| StoreError::Refused(err.to_string()))?;
         let lease = self.store.open_lease(LEASE_TTL).await?;
-        if self.store.write_leased(&format!("{prefix}{name}"), &value, lease).await? {
+        self.board.record_store_era(lease.era);
+        let written = self.store.write_leased(&format!("{prefix}{name}"), &value, lease).await?;
+        if lease.is_confirmed_by(written) {
             return Ok(());
         }
         Err(StoreError::Refused("the lease ended at once".into()))
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -10,6 +10,7 @@
 use super::homes::HomesPlan;
 use super::homes::is_home;
 use crate::board::Blackboard;
+use crate::store::EraLease;
 use crate::store::EventStore;
 use crate::store::Freshness;
 use crate::store::Roster;
@@ -37,12 +38,14 @@
 
 impl<D: Dialect, S: EventStore> Registry<D, S> {
     /// Writes the entry of this instance; returns its lease.
-    async fn register(&self) -> Result<u64, StoreError> {
+    async fn register(&self) -> Result<EraLease, StoreError> {
         let lease = self.store.open_lease(LEASE_TTL).await?;
+        self.board.record_store_era(lease.era);
         let prefix = self.dialect.store_keys().instances_prefix;
         let key = format!("{prefix}{}", self.board.settings.instance.name);
         let address = self.board.settings.listen.peer.to_string();
-        if self.store.write_leased(&key, address.as_bytes(), lease).await? {
+        let written = self.store.write_leased(&key, address.as_bytes(), lease).await?;
+        if lease.is_confirmed_by(written) {
             return Ok(lease);
         }
         Err(StoreError::Refused("the lease ended at once".into()))
@@ -68,13 +71,14 @@
         }
     }
 
-    /// Renews the lease until the store reports that it ended.
-    async fn renew_until_expired(&self, lease: u64) {
+    /// Renews the lease until the store reports that it ended, or was restored: the entry may be
+    /// missing then, and the lease's id may have been given to another.
+    async fn renew_until_expired(&self, lease: EraLease) {
         loop {
             tokio::time::sleep(RENEW_INTERVAL).await;
             match self.store.renew_lease(lease).await {
-                Ok(true) => {}
-                Ok(false) => return,
+                Ok(era) if lease.is_confirmed_by(era) => {}
+                Ok(_) => return,
                 Err(error) => warn!(event = "renewal-failed", why = error.to_string().as_str(); ""),
             }
         }
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -22,6 +22,7 @@
 use crate::errors::Code;
 use crate::model::ServerRow;
 use crate::store::Item;
+use crate::store::Revision;
 use crate::workspace::WorkspaceTable;
 
 /// Number of unreadable entries that are remembered as logged; beyond it, some are logged again.
@@ -81,19 +82,6 @@
         self.board.set_evacuated_zones(self.dispatcher.evacuated_zones());
     }
 
-    /// Ends the evacuation of a zone.
-    fn readmit(&self, zone: &str) {
-        let Some(change) = self.dispatcher.readmit(zone) else {
-            return;
-        };
-        info!(
-            event = "zone-readmitted", zone = zone, servers = change.servers,
-            lasted_ms = change.lasted_us / 1000;
-            "its servers are used again"
-        );
-        self.board.set_evacuated_zones(self.dispatcher.evacuated_zones());
-    }
-
     /// The rate limits and warm-up times of cold servers, by service.
     fn cold_policies(&self, table: &RouteTable) -> HashMap<Arc<str>, ColdPolicy> {
         let gateway = self.board.settings.gateway.as_ref();
@@ -117,7 +105,7 @@
             Err(why) => {
                 error!(
                     event = "config-unreadable", code = Code::ConfigUnreadable.number(),
-                    revision = item.revision, why = why.as_str();
+                    revision = item.revision.number, why = why.as_str();
                     "{}", Code::ConfigUnreadable
                 );
                 self.age.set_outdated(true);
@@ -135,7 +123,7 @@
             event = "config-in-force", version = parsed.table.version,
             before = previous.unwrap_or(0), routes = parsed.table.route_count(),
             workspaces = parsed.table.workspaces.as_ref().map(WorkspaceTable::len),
-            faults = parsed.faults.len(), revision = item.revision;
+            faults = parsed.faults.len(), revision = item.revision.number;
             "configuration changed"
         );
         self.dispatcher.set_cold_policies(self.cold_policies(&parsed.table));
@@ -155,18 +143,31 @@
         if item.key == self.dialect.store_keys().config {
             self.apply_config(item);
         } else if let Some(zone) = self.evacuated_zone(&item.key) {
-            self.evacuate(zone, item.revision);
+            self.evacuate(zone, item.revision.number);
         }
     }
 
     fn removed(&mut self, key: &str, _: Duration) {
         match self.evacuated_zone(key) {
-            Some(zone) => self.readmit(zone),
+            Some(zone) => readmit(&self.dispatcher, &self.board, zone),
             None => info!(event = "config-removed", key = key; "the last version stays in use"),
         }
     }
 }
 
+/// Ends the evacuation of a zone.
+fn readmit(dispatcher: &Dispatcher, board: &Blackboard, zone: &str) {
+    let Some(change) = dispatcher.readmit(zone) else {
+        return;
+    };
+    info!(
+        event = "zone-readmitted", zone = zone, servers = change.servers,
+        lasted_ms = change.lasted_us / 1000;
+        "its servers are used again"
+    );
+    board.set_evacuated_zones(dispatcher.evacuated_zones());
+}
+
 /// Passes backend servers to the dispatcher.
 #[derive(Debug)]
 pub struct ServerSink<D> {
@@ -241,7 +242,7 @@
             item.key.strip_prefix(self.dialect.store_keys().servers_prefix).unwrap_or(&item.key);
         let row = match self.decode(id, &item.value) {
             Ok(row) => row,
-            Err(why) => return self.reject(id, why, item.revision),
+            Err(why) => return self.reject(id, why, item.revision.number),
         };
         self.unreadable.remove(id);
         if self.count_change(1, 0) {
@@ -249,7 +250,7 @@
                 event = "server-listed", server = id, service = &*row.service,
                 address = row.address.to_string().as_str(), zone = &*row.zone,
                 draining = row.is_draining(), warmup_ms = row.warmup_ms, started_ms = row.started_ms,
-                revision = item.revision;
+                revision = item.revision.number;
                 ""
             );
         }
@@ -271,16 +272,16 @@
         ids.iter().map(|id| format!("{prefix}{id}")).collect()
     }
 
-    fn begin_batch(&mut self) {
+    fn begin_batch(&mut self, _restored: bool) {
         self.batch = Some(BatchCounts::default());
     }
 
-    fn end_batch(&mut self, revision: u64) {
+    fn end_batch(&mut self, revision: Revision) {
         let batch = self.batch.take().unwrap_or_default();
         if !batch.logs_each() {
             info!(
                 event = "servers-changed", listed = batch.listed,
-                unlisted = batch.unlisted, revision = revision;
+                unlisted = batch.unlisted, revision = revision.number;
                 "summary of a large batch of changes"
             );
         }
--- a/src/gateway/store_check.rs
+++ b/src/gateway/store_check.rs
@@ -31,9 +31,10 @@
         }
         let started_us = now_us();
         let alive = tokio::time::timeout(CHECK_TIMEOUT, store.check_alive()).await;
-        if matches!(alive, Ok(Ok(()))) {
-            first.record_store_reply(started_us);
-            second.record_store_reply(started_us);
+        if let Ok(Ok(era)) = alive {
+            board.record_store_era(era);
+            first.record_store_reply(started_us, era);
+            second.record_store_reply(started_us, era);
         } else {
             first.interrupt_watches();
             second.interrupt_watches();
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -14,6 +14,7 @@
 use crate::quarantine::SuspectRecord;
 use crate::store::Item;
 use crate::store::ItemEvent;
+use crate::store::Revision;
 
 /// Load of one home of a service, sent to its other homes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,9 +80,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedReply {
     /// All events after the requested revision, up to `revision`.
-    Events { events: Packed<Vec<ItemEvent>>, revision: u64 },
+    Events { events: Packed<Vec<ItemEvent>>, revision: Revision },
     /// A snapshot of all items at `revision`.
-    Snapshot { items: Packed<Vec<Item>>, revision: u64 },
+    Snapshot { items: Packed<Vec<Item>>, revision: Revision },
     /// The responder does not have that part.
     Unknown,
 }
@@ -110,7 +111,6 @@
     /// Asks for the configuration summary unless the receiver's configuration has this digest.
     Digest { digest: u64 },
     /// Configuration changes; merging them is idempotent.
-    /// Configuration changes; merging them is idempotent.
     Changes(Vec<(String, VersionedService)>),
     /// Asks for the configuration of these services.
     Fetch(Vec<String>),
@@ -126,7 +126,7 @@
     ServerLoads(ServerLoads),
     /// Long poll for changes after a revision; the receiver holds it for up to `hold_ms` while
     /// there are none.
-    Feed { feed: Feed, after: Option<u64>, hold_ms: u64 },
+    Feed { feed: Feed, after: Option<Revision>, hold_ms: u64 },
     /// Records of requests suspected of crashing servers. The receiver answers with those of them
     /// that it holds in another state and, if `complete` says that these are all the sender has,
     /// with any others too.
@@ -185,6 +185,15 @@
 }
 
 impl FeedReply {
+    /// The revision that the requester has after applying the reply; `None` if unknown.
+    #[must_use]
+    pub const fn revision(&self) -> Option<Revision> {
+        match self {
+            Self::Events { revision, .. } | Self::Snapshot { revision, .. } => Some(*revision),
+            Self::Unknown => None,
+        }
+    }
+
     /// Number of its bytes that are already compressed.
     fn packed_bytes(&self) -> usize {
         match self {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -6,9 +6,11 @@
 mod http_client;
 mod memory_store;
 mod platform;
+mod revision;
 
 pub use any_store::AnyStore;
 pub use consul_store::ConsulStore;
+pub use event_store::EraLease;
 pub use event_store::EventStore;
 pub use event_store::Freshness;
 pub use event_store::Item;
@@ -25,3 +27,4 @@
 pub use platform::RosterEntry;
 pub use platform::Store;
 pub use platform::StoreError;
+pub use revision::Revision;
--- a/standins/src/routed/memory_event_store.rs
+++ b/standins/src/routed/memory_event_store.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use sorrelwick::store::EraLease;
 use sorrelwick::store::EventStore;
 use sorrelwick::store::Freshness;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
 use sorrelwick::store::Page;
+use sorrelwick::store::Revision;
 use sorrelwick::store::StoreError;
 use sorrelwick::store::WatchResult;
 use tokio::sync::watch;
@@ -44,7 +46,17 @@
     history: Vec<ItemEvent>,
     /// Events up to this revision are no longer available.
     compacted_revision: u64,
-    revision: u64,
+    revision: Revision,
+    /// The key of each open lease; empty until one is written.
+    leases: BTreeMap<u64, String>,
+    last_lease: u64,
+}
+
+impl State {
+    fn next_revision(&mut self) -> Revision {
+        self.revision.number += 1;
+        self.revision
+    }
 }
 
 /// What a store held at one moment.
@@ -52,13 +64,15 @@
 pub struct StoreCopy {
     items: BTreeMap<String, Item>,
     revision: u64,
+    leases: BTreeMap<u64, String>,
+    last_lease: u64,
 }
 
 /// One client's handle of the store, with its own fault and call counts.
 #[derive(Clone, Debug)]
 pub struct MemoryEventStore {
     state: Arc<Mutex<State>>,
-    changed: Arc<watch::Sender<u64>>,
+    changed: Arc<watch::Sender<Revision>>,
     fault: Arc<watch::Sender<StoreFault>>,
     calls: Arc<AtomicU64>,
     cheap_calls: Arc<AtomicU64>,
@@ -68,7 +82,7 @@
     fn default() -> Self {
         Self {
             state: Arc::default(),
-            changed: Arc::new(watch::Sender::new(0)),
+            changed: Arc::new(watch::Sender::new(Revision::default())),
             fault: Arc::new(watch::Sender::new(StoreFault::None)),
             calls: Arc::default(),
             cheap_calls: Arc::default(),
@@ -109,8 +123,7 @@
     /// Writes a key, as operators and backend servers do.
     pub fn put(&self, key: &str, value: &str) {
         let mut state = self.state.lock();
-        state.revision += 1;
-        let revision = state.revision;
+        let revision = state.next_revision();
         let item = Item { key: key.into(), value: value.as_bytes().to_vec(), revision };
         state.items.insert(key.into(), item.clone());
         state.history.push(ItemEvent::Written(item));
@@ -121,8 +134,7 @@
     /// Removes a key.
     pub fn remove(&self, key: &str) {
         let mut state = self.state.lock();
-        state.revision += 1;
-        let revision = state.revision;
+        let revision = state.next_revision();
         state.items.remove(key);
         state.history.push(ItemEvent::Removed { key: key.into(), revision });
         drop(state);
@@ -139,30 +151,55 @@
     #[must_use]
     pub fn copy(&self) -> StoreCopy {
         let state = self.state.lock();
-        StoreCopy { items: state.items.clone(), revision: state.revision }
+        StoreCopy {
+            items: state.items.clone(),
+            revision: state.revision.number,
+            leases: state.leases.clone(),
+            last_lease: state.last_lease,
+        }
     }
 
     /// Replaces the state by an earlier copy, as after the loss of the store's disks: what was
-    /// written since is gone, and its revisions are given out again.
+    /// written since is gone, leases too, and revisions and lease ids are given out again.
     pub fn restore(&self, copy: &StoreCopy) {
         let mut state = self.state.lock();
+        let era = state.revision.era + 1;
         state.items.clone_from(&copy.items);
-        state.revision = copy.revision;
-        state.history.retain(|event| event.revision() <= copy.revision);
+        for item in state.items.values_mut() {
+            item.revision.era = era;
+        }
+        state.revision = Revision::new(era, copy.revision);
+        state.history.clear();
+        state.compacted_revision = copy.revision;
+        state.leases.clone_from(&copy.leases);
+        state.last_lease = copy.last_lease;
+        let revision = state.revision;
         drop(state);
-        self.changed.send_replace(copy.revision);
+        self.changed.send_replace(revision);
+    }
+
+    /// The value of a key.
+    #[must_use]
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.state.lock().items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Number of keys below a prefix.
+    #[must_use]
+    pub fn count_keys(&self, prefix: &str) -> usize {
+        self.state.lock().items.keys().filter(|key| key.starts_with(prefix)).count()
     }
 
     /// Discards all events so far; a watch from before them reports lost history.
     pub fn compact_history(&self) {
         let mut state = self.state.lock();
-        state.compacted_revision = state.revision;
+        state.compacted_revision = state.revision.number;
         state.history.clear();
     }
 
     /// The revision of the last change.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.state.lock().revision
     }
 
@@ -181,7 +218,7 @@
 
     fn events_after(&self, prefix: &str, after: u64) -> Option<WatchResult> {
         let state = self.state.lock();
-        if after < state.compacted_revision || after > state.revision {
+        if after < state.compacted_revision || after > state.revision.number {
             return Some(WatchResult::HistoryLost);
         }
         let has_prefix = |event: &&ItemEvent| match event {
@@ -189,7 +226,7 @@
             ItemEvent::Removed { key, .. } => key.starts_with(prefix),
         };
         let newer =
-            state.history.iter().filter(|event| event.revision() > after).filter(has_prefix);
+            state.history.iter().filter(|event| event.revision().number > after).filter(has_prefix);
         let events: Vec<ItemEvent> = newer.cloned().collect();
         let revision = state.revision;
         (!events.is_empty()).then_some(WatchResult::Events { events, revision })
@@ -221,7 +258,7 @@
     async fn events(
         &self,
         prefix: &str,
-        revision: u64,
+        revision: Revision,
         wait: Duration,
     ) -> Result<WatchResult, StoreError> {
         let until = tokio::time::Instant::now() + wait;
@@ -234,7 +271,7 @@
         let mut changed = self.changed.subscribe();
         let mut fault = self.fault.subscribe();
         loop {
-            if let Some(result) = self.events_after(prefix, revision) {
+            if let Some(result) = self.events_after(prefix, revision.number) {
                 if result == WatchResult::HistoryLost {
                     // Otherwise a client that asks in a loop would stop the paused clock.
                     tokio::time::sleep(ROUND_TRIP).await;
@@ -250,30 +287,49 @@
                     return Err(StoreError::ResponseLost("cut".into()));
                 }
                 () = tokio::time::sleep_until(until) => {
+                    let revision = self.revision();
                     return Ok(WatchResult::Events { events: Vec::new(), revision });
                 }
             }
         }
     }
 
-    async fn check_alive(&self) -> Result<(), StoreError> {
+    async fn check_alive(&self) -> Result<u64, StoreError> {
         self.cheap_calls.fetch_add(1, Ordering::Relaxed);
-        self.begin_call().await
+        self.begin_call().await?;
+        Ok(self.revision().era)
     }
 
-    async fn open_lease(&self, _: Duration) -> Result<u64, StoreError> {
+    async fn open_lease(&self, _: Duration) -> Result<EraLease, StoreError> {
         self.begin_call().await?;
-        Ok(1)
+        let mut state = self.state.lock();
+        state.last_lease += 1;
+        let lease = EraLease { id: state.last_lease, era: state.revision.era };
+        state.leases.insert(lease.id, String::new());
+        Ok(lease)
     }
 
-    async fn renew_lease(&self, _: u64) -> Result<bool, StoreError> {
+    async fn renew_lease(&self, lease: EraLease) -> Result<Option<u64>, StoreError> {
         self.begin_call().await?;
-        Ok(true)
+        let state = self.state.lock();
+        Ok(state.leases.contains_key(&lease.id).then_some(state.revision.era))
     }
 
-    async fn write_leased(&self, key: &str, value: &[u8], _: u64) -> Result<bool, StoreError> {
+    async fn write_leased(
+        &self,
+        key: &str,
+        value: &[u8],
+        lease: EraLease,
+    ) -> Result<Option<u64>, StoreError> {
         self.begin_call().await?;
+        let mut state = self.state.lock();
+        let Some(written) = state.leases.get_mut(&lease.id) else {
+            return Ok(None);
+        };
+        key.clone_into(written);
+        let era = state.revision.era;
+        drop(state);
         self.put(key, &String::from_utf8_lossy(value));
-        Ok(true)
+        Ok(Some(era))
     }
 }
--- a/standins/src/routed/relay_fleet.rs
+++ b/standins/src/routed/relay_fleet.rs
@@ -20,6 +20,7 @@
 use sorrelwick::member::MemberState;
 use sorrelwick::peer::Feed;
 use sorrelwick::store::Item;
+use sorrelwick::store::Revision;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
@@ -50,7 +51,7 @@
 
 /// Sink that keeps the revision and time of the last write that an instance received.
 #[derive(Clone, Debug, Default)]
-pub struct LastWrite(pub Arc<Mutex<Option<(u64, Instant)>>>);
+pub struct LastWrite(pub Arc<Mutex<Option<(Revision, Instant)>>>);
 
 impl Sink for LastWrite {
     fn written(&mut self, item: &Item) {
@@ -103,7 +104,7 @@
         &self,
         peer: SocketAddr,
         _: Feed,
-        after: Option<u64>,
+        after: Option<Revision>,
         hold: Duration,
         within: Duration,
     ) -> Option<FeedAnswer> {
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -17,6 +17,7 @@
 use sorrelwick::peer::FeedReply;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
+use sorrelwick::store::Revision;
 use standins::routed::CONFIG_KEY;
 use standins::routed::EVACUATIONS_PREFIX;
 use standins::routed::GatewayFleet;
@@ -177,7 +178,7 @@
         let mut seen = 0;
         for _ in 0..u.int_in_range(1..=30)? {
             let zone = *u.choose(&ZONES)?;
-            let revision = events.len() as u64 + 1;
+            let revision = Revision::new(0, events.len() as u64 + 1);
             events.push(if written.remove(zone) {
                 ItemEvent::Removed { key: key(zone), revision }
             } else {
@@ -191,7 +192,7 @@
             if u.ratio(1, 3)? {
                 // Late events that are known already.
                 let from = u.int_in_range(0..=seen)?;
-                relay.apply(&events[from..seen], seen as u64, Duration::ZERO);
+                relay.apply(&events[from..seen], Revision::new(0, seen as u64), Duration::ZERO);
             }
             if u.ratio(1, 2)? {
                 let after = follower.revision();
@@ -199,7 +200,7 @@
                 apply_reply(reply, &follower);
             }
         }
-        relay.apply(&events[seen..], events.len() as u64, Duration::ZERO);
+        relay.apply(&events[seen..], Revision::new(0, events.len() as u64), Duration::ZERO);
         let reply = runtime.block_on(relay.serve(follower.revision(), Duration::ZERO)).reply;
         apply_reply(reply, &follower);
         for dispatcher in [&first, &second] {
@@ -221,7 +222,7 @@
     let mirror = mirror(&dispatcher);
     for (number, zone) in ["", "a/b", "nowhere", "b"].into_iter().enumerate() {
         let value = [0xff, 0x00].to_vec();
-        let revision = number as u64 + 1;
+        let revision = Revision::new(0, number as u64 + 1);
         let written = ItemEvent::Written(Item { key: key(zone), value, revision });
         mirror.apply(&[written], revision, Duration::ZERO);
     }
--- a/tests/first_copy.rs
+++ b/tests/first_copy.rs
@@ -14,6 +14,7 @@
 use sorrelwick::peer::Feed;
 use sorrelwick::peer::FeedReply;
 use sorrelwick::store::Item;
+use sorrelwick::store::Revision;
 use standins::routed::MemoryEventStore;
 use standins::routed::MemoryLinks;
 use standins::routed::StoreFault;
@@ -134,9 +135,10 @@
     let began = tokio::time::Instant::now();
     let read = async {
         pass(20).await;
-        mirror.replace(&[], 0, Duration::ZERO);
+        mirror.replace(&[], Revision::default(), Duration::ZERO);
     };
     let (response, ()) = tokio::join!(asked, read);
-    assert_eq!(response.reply, FeedReply::Snapshot { items: Vec::new().into(), revision: 0 });
+    let revision = Revision::default();
+    assert_eq!(response.reply, FeedReply::Snapshot { items: Vec::new().into(), revision });
     assert!(began.elapsed() < Duration::from_millis(30), "{:?}", began.elapsed());
 }
--- a/tests/key_revocation.rs
+++ b/tests/key_revocation.rs
@@ -6,6 +6,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use sorrelwick::store::Revision;
 use standins::routed::FleetSize;
 use standins::routed::InstanceFault;
 use standins::routed::MemoryEventStore;
@@ -26,7 +27,7 @@
 
 /// Revisions of the configuration, with the times at which the store acknowledged them.
 #[derive(Debug, Default)]
-struct Versions(Vec<(u64, Instant)>);
+struct Versions(Vec<(Revision, Instant)>);
 
 impl Versions {
     fn write(&mut self, store: &MemoryEventStore) {
@@ -35,9 +36,9 @@
     }
 
     /// Oldest revision that an instance which accepts keys may have at `now`.
-    fn required_revision(&self, now: Instant) -> u64 {
+    fn required_revision(&self, now: Instant) -> Revision {
         let overdue = self.0.iter().filter(|(_, at)| now.duration_since(*at) > REVOCATION_BOUND);
-        overdue.map(|(revision, _)| *revision).max().unwrap_or(0)
+        overdue.map(|(revision, _)| *revision).max().unwrap_or_default()
     }
 }
 
@@ -109,10 +110,10 @@
                 continue;
             }
             accepting += 1;
-            let known = sink.0.lock().map_or(0, |(revision, _)| revision);
+            let known = sink.0.lock().map_or_else(Revision::default, |(revision, _)| revision);
             assert!(
                 known >= required,
-                "seed {seed}: instance {at} has revision {known}, must have {required}"
+                "seed {seed}: instance {at} has revision {known:?}, must have {required:?}"
             );
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -26,6 +26,7 @@
 use sorrelwick::quarantine::Fingerprints;
 use sorrelwick::quarantine::run_suspect_gossip;
 use sorrelwick::store::Item;
+use sorrelwick::store::Revision;
 use sorrelwick::store::Roster;
 use sorrelwick::store::RosterEntry;
 use sorrelwick::store::StoreError;
@@ -505,7 +506,7 @@
     let seconds = began.elapsed().as_secs();
     tokio::time::sleep(Duration::from_secs(2)).await;
     let known = fleet.instances.iter().filter_map(|one| one.mirror.revision());
-    let known: Vec<u64> = known.collect();
+    let known: Vec<Revision> = known.collect();
     assert_eq!(known.len(), count, "{count}: an instance knows no server");
     assert!(known.iter().all(|known| *known >= revision), "{count}: an instance missed a change");
     HolderCost {
--- a/tests/mirror_schedules.rs
+++ b/tests/mirror_schedules.rs
@@ -10,6 +10,7 @@
 use sorrelwick::peer::FeedReply;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
+use sorrelwick::store::Revision;
 
 mod common;
 
@@ -17,8 +18,8 @@
 /// newer one.
 #[derive(Clone, Debug, Default)]
 struct RecordingSink {
-    values: Arc<Mutex<BTreeMap<String, u64>>>,
-    newest: Arc<Mutex<BTreeMap<String, u64>>>,
+    values: Arc<Mutex<BTreeMap<String, Revision>>>,
+    newest: Arc<Mutex<BTreeMap<String, Revision>>>,
     regressed: Arc<Mutex<bool>>,
 }
 
@@ -66,7 +67,7 @@
             match u.int_in_range(0..=5)? {
                 0..=2 => {
                     let key = format!("k{}", u.int_in_range(0..=4)?);
-                    let revision = store.events.len() as u64 + 1;
+                    let revision = Revision::new(0, store.events.len() as u64 + 1);
                     let there = store.items(store.events.len()).contains_key(&key);
                     store.events.push(if there && u.ratio(1, 3)? {
                         ItemEvent::Removed { key, revision }
@@ -76,24 +77,24 @@
                 }
                 3 => {
                     // Events from a revision that the mirror has reached, delivered late or twice.
-                    let from = u.int_in_range(0..=mirror.revision().unwrap_or(0))?;
+                    let from = u.int_in_range(0..=mirror.revision().unwrap_or_default().number)?;
                     let upto = u.int_in_range(from..=store.events.len() as u64)?;
                     let part = &store.events[event_index(from)..event_index(upto)];
-                    mirror.apply(part, upto, Duration::ZERO);
+                    mirror.apply(part, Revision::new(0, upto), Duration::ZERO);
                 }
                 4 => {
                     // A read of any age.
                     let read_at = u.int_in_range(0..=store.events.len())?;
                     let items: Vec<Item> = store.items(read_at).into_values().collect();
-                    relay.replace(&items, read_at as u64, Duration::ZERO);
+                    relay.replace(&items, Revision::new(0, read_at as u64), Duration::ZERO);
                 }
                 _ => sync_from_relay(&relay, &mirror),
             }
         }
         let all = store.events.len();
-        let from = event_index(mirror.revision().unwrap_or(0));
-        mirror.apply(&store.events[from.min(all)..], all as u64, Duration::ZERO);
-        let expected: BTreeMap<String, u64> =
+        let from = event_index(mirror.revision().unwrap_or_default().number);
+        mirror.apply(&store.events[from.min(all)..], Revision::new(0, all as u64), Duration::ZERO);
+        let expected: BTreeMap<String, Revision> =
             store.items(all).into_iter().map(|(key, item)| (key, item.revision)).collect();
         assert_eq!(*sink.values.lock(), expected);
         assert!(!*sink.regressed.lock());
--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -80,7 +80,7 @@
                 continue;
             }
         }
-        let revision = mirror.revision().unwrap_or(0);
+        let revision = mirror.revision().unwrap_or_default();
         match store.events("config", revision, Duration::from_secs(4)).await {
             Ok(WatchResult::Events { events, revision }) => {
                 mirror.apply(&events, revision, Duration::ZERO);
--- a/tests/relay_size.rs
+++ b/tests/relay_size.rs
@@ -9,6 +9,7 @@
 use sorrelwick::peer::PeerReply;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
+use sorrelwick::store::Revision;
 
 /// A change every 5.8 s (15,000 per day) at 5 KB per second for control traffic.
 const CHANGE_MAX_BYTES: usize = 29_000;
@@ -34,7 +35,7 @@
         })
         .collect();
     let value = serde_json::json!({ "version": version, "routes": routes }).to_string();
-    Item { key: "config".into(), value: value.into_bytes(), revision: version }
+    Item { key: "config".into(), value: value.into_bytes(), revision: Revision::new(0, version) }
 }
 
 /// Guards against slow transfers of a large configuration. With two thousand routes, each change is
@@ -44,9 +45,9 @@
 #[tokio::test]
 async fn large_config_change_is_sent_in_few_bytes() {
     let mirror = Mirror::new(NoSink);
-    mirror.replace(&[configuration(1)], 1, Duration::ZERO);
-    mirror.replace(&[configuration(2)], 2, Duration::ZERO);
-    let response = mirror.serve(Some(1), Duration::ZERO).await;
+    mirror.replace(&[configuration(1)], Revision::new(0, 1), Duration::ZERO);
+    mirror.replace(&[configuration(2)], Revision::new(0, 2), Duration::ZERO);
+    let response = mirror.serve(Some(Revision::new(0, 1)), Duration::ZERO).await;
     assert!(!matches!(response.reply, FeedReply::Unknown));
     let message = PeerReply::Feed(response);
     let bytes = sorrelwick::peer::encode(&message).len();
@@ -65,23 +66,23 @@
         "zone": "burnaby", "slots": 4, "state": "ready", "started_ms": revision, "warmup_ms": 3_000,
     });
     let key = format!("servers/i-{number:010x}");
-    Item { key, value: value.to_string().into_bytes(), revision }
+    Item { key, value: value.to_string().into_bytes(), revision: Revision::new(0, revision) }
 }
 
 /// Time that a home takes to apply `CHANGES` and to serve them to `others` peers.
 async fn time_to_serve(others: usize) -> Duration {
     let mirror = Mirror::new(NoSink);
     let servers: Vec<Item> = (0..SERVERS).map(|number| server(number, 1)).collect();
-    mirror.replace(&servers, 1, Duration::ZERO);
+    mirror.replace(&servers, Revision::new(0, 1), Duration::ZERO);
     let mut shortest = Duration::MAX;
     for run in 0..RUNS {
         let before = 1 + run * CHANGES as u64;
         let change = |at| ItemEvent::Written(server(at, before + 1 + at as u64));
         let changes: Vec<ItemEvent> = (0..CHANGES).map(change).collect();
         let began = Instant::now();
-        mirror.apply(&changes, before + CHANGES as u64, Duration::ZERO);
+        mirror.apply(&changes, Revision::new(0, before + CHANGES as u64), Duration::ZERO);
         for _ in 0..others {
-            let response = mirror.serve(Some(before), Duration::ZERO).await;
+            let response = mirror.serve(Some(Revision::new(0, before)), Duration::ZERO).await;
             let message = PeerReply::Feed(response);
             assert!(sorrelwick::peer::encode(&message).len() > 1_000);
         }
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -14,6 +14,7 @@
 use sorrelwick::peer::ServerLoads;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
+use sorrelwick::store::Revision;
 use standins::routed::PlainDialect;
 
 mod common;
@@ -22,7 +23,7 @@
 struct Bed {
     dispatcher: Dispatcher,
     mirror: Mirror<ServerSink<PlainDialect>>,
-    revision: u64,
+    revision: Revision,
 }
 
 impl Bed {
@@ -30,18 +31,18 @@
         let allowance = RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 10.0 };
         let dispatcher = Dispatcher::new("z", allowance);
         let mirror = Mirror::new(ServerSink::new(PlainDialect::default(), dispatcher.clone()));
-        Self { dispatcher, mirror, revision: 0 }
+        Self { dispatcher, mirror, revision: Revision::default() }
     }
 
     fn write(&mut self, id: &str, value: &[u8]) {
-        self.revision += 1;
+        self.revision.number += 1;
         let (key, revision) = (format!("servers/{id}"), self.revision);
         let event = ItemEvent::Written(Item { key, value: value.to_vec(), revision });
         self.mirror.apply(&[event], revision, Duration::ZERO);
     }
 
     fn remove(&mut self, id: &str) {
-        self.revision += 1;
+        self.revision.number += 1;
         let event = ItemEvent::Removed { key: format!("servers/{id}"), revision: self.revision };
         self.mirror.apply(&[event], self.revision, Duration::ZERO);
     }
@@ -260,7 +261,7 @@
     let running = tokio::spawn(bed.dispatcher.clone().run());
     bed.write("before", &entry(0, 1, 1, "ready"));
     bed.write("after", &entry(0, 1, 1, "ready"));
-    bed.revision += 1;
+    bed.revision.number += 1;
     let event = ItemEvent::Removed { key: "servers/after".into(), revision: bed.revision };
     bed.mirror.apply(&[event], bed.revision, Duration::from_millis(50));
     tokio::time::sleep(Duration::from_millis(1_200)).await;
@@ -277,9 +278,13 @@
         let item = |id: &str, revision| Item {
             key: format!("servers/{id}"),
             value: entry(0, 1, 1, "ready"),
-            revision,
+            revision: Revision::new(0, revision),
         };
-        bed.mirror.replace(&[item(&ids[1], 2), item(&ids[0], 1)], 2, Duration::ZERO);
+        bed.mirror.replace(
+            &[item(&ids[1], 2), item(&ids[0], 1)],
+            Revision::new(0, 2),
+            Duration::ZERO,
+        );
         assert_eq!(*bed.try_acquire().expect("a free slot").server.row.id, *ids[1]);
     }
 }
