A restored store proves no configuration until its writers repeated their writes

A key that was revoked in a version which the restored store has lost could be accepted past its limit: an instance that read the restored store counted its older configuration as proved up to date. The test found a renewed proof on the code before.

--- a/src/board/store_era.rs
+++ b/src/board/store_era.rs
@@ -50,11 +50,24 @@
         *self.latest.borrow()
     }
 
-    /// Returns once a later era than `era` is known.
-    pub async fn wait_beyond(&self, era: u64) {
+    /// Returns an era once one is known.
+    pub async fn wait_known(&self) -> u64 {
+        self.wait_for(|_| true).await
+    }
+
+    /// Returns the latest era once it is later than `era`.
+    pub async fn wait_beyond(&self, era: u64) -> u64 {
+        self.wait_for(|latest| latest > era).await
+    }
+
+    async fn wait_for(&self, accepts: impl Fn(u64) -> bool) -> u64 {
         let mut latest_rx = self.latest.subscribe();
-        // The sender lives as long as `self`.
-        let _ = latest_rx.wait_for(|latest| latest.is_some_and(|latest| latest > era)).await;
+        let latest = latest_rx.wait_for(|latest| latest.is_some_and(&accepts)).await;
+        match latest.ok().and_then(|latest| *latest) {
+            Some(era) => era,
+            // The sender lives as long as `self`.
+            None => std::future::pending().await,
+        }
     }
 
     /// How much longer something that is missing in the store may be so only because its writer has
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -301,7 +301,9 @@
     /// Records that the mirror holds everything that the store had acknowledged at `at_us`, unless
     /// the store may still lack some of it after a restore.
     pub(super) fn record_proof(&self, at_us: u64) {
-        self.mirror.record_proof(at_us);
+        if self.board.store_era.is_complete_at(at_us) {
+            self.mirror.record_proof(at_us);
+        }
     }
 
     /// Reads all keys. The pages are not a consistent snapshot, so the mirror takes the revision of
@@ -355,7 +357,7 @@
             watched = self.store.events(self.prefix, revision, wait) => watched?,
             () = self.mirror.wait_for_interrupt() => return Err(watch_interrupted()),
             // A watch from before the restore waits for revisions that may come late, or never.
-            () = self.board.store_era.wait_beyond(revision.era) => return Ok(Poll::Behind),
+            _ = self.board.store_era.wait_beyond(revision.era) => return Ok(Poll::Behind),
         };
         drop(watching);
         self.apply_watched(watched, revision, asked_us)
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -7,7 +7,6 @@
 
 use parking_lot::Mutex;
 use sorrelwick::board::Blackboard;
-use sorrelwick::conf::parse_settings;
 use sorrelwick::gateway::Follower;
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::Sink;
@@ -19,6 +18,8 @@
 use standins::routed::MemoryEventStore;
 use standins::routed::RelayFleet;
 use standins::routed::StoreFault;
+use standins::routed::fleet_settings;
+use tokio::time::Instant;
 
 /// Time limit for applying a change, from its acknowledgement by the store.
 const APPLY_MAX: Duration = Duration::from_secs(2);
@@ -41,10 +42,14 @@
     }
 }
 
+/// The board of an instance that knows no other.
+fn lone_board() -> Arc<Blackboard> {
+    Arc::new(Blackboard::new(fleet_settings("a1", "z", &["z"], &[]), 1))
+}
+
 /// Starts a lone instance that follows the configuration in `store`.
 fn follow(store: &MemoryEventStore) -> Values {
-    let text = r#"{ instance: { name: "a1", zone: "z" } }"#;
-    let board = Arc::new(Blackboard::new(parse_settings("t", text).expect("valid"), 1));
+    let board = lone_board();
     let values = Values::default();
     let mirror = Arc::new(Mirror::new(values.clone()));
     let links = Links::new("a secret of sixteen");
@@ -118,3 +123,34 @@
         ["config", "config/a", "config/b", "config/c"].map(|key| (key.to_owned(), b"4".to_vec()));
     assert_eq!(*values.0.lock(), BTreeMap::from(expected));
 }
+
+/// Guards against accepting a revoked key for longer than the limit: a restored store may have lost
+/// the revocation until the operators repeat it, so reading it proves nothing.
+#[tokio::test(start_paused = true)]
+async fn configuration_is_not_proved_until_writers_repeated_their_writes() {
+    const REPEAT_TIME: Duration = Duration::from_secs(2);
+    let store = MemoryEventStore::default();
+    store.put("config", "1");
+    let size = FleetSize { key_revocation_ms: Some(5_000), ..FleetSize::SMALL };
+    let fleet = RelayFleet::start(&store, size);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let copy = store.copy();
+    store.put("config", "2");
+    tokio::time::sleep(SETTLE_TIME).await;
+    set_faults(&fleet.store_clients, StoreFault::Busy);
+    tokio::time::sleep(OUTAGE).await;
+    store.restore(&copy);
+    let restored = Instant::now();
+    set_faults(&fleet.store_clients, StoreFault::None);
+    while restored.elapsed() < REPEAT_TIME {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for mirror in &fleet.net.mirrors {
+            assert!(mirror.proof_age().is_none_or(|age| age >= restored.elapsed()));
+        }
+    }
+    store.put("config", "2");
+    tokio::time::sleep(REPEAT_TIME).await;
+    let ages = fleet.net.mirrors.iter().filter_map(|mirror| mirror.proof_age());
+    let proved = ages.filter(|age| *age < REPEAT_TIME).count();
+    assert_eq!(proved, FleetSize::SMALL.instances);
+}
