Register again at once after a restore of the store

The entry by which newcomers find an instance was gone for up to 20 s after a restore; a lease id that was given out again made the renewal succeed on another's lease. A lease carries its era, and a later era ends it. The test found no entry three seconds after the restore on the code before.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -75,7 +75,11 @@
     /// missing then, and the lease's id may have been given to another.
     async fn renew_until_expired(&self, lease: EraLease) {
         loop {
-            tokio::time::sleep(RENEW_INTERVAL).await;
+            let due = tokio::time::sleep(RENEW_INTERVAL);
+            tokio::select! {
+                () = due => {}
+                _ = self.board.store_era.wait_beyond(lease.era) => return,
+            }
             match self.store.renew_lease(lease).await {
                 Ok(era) if lease.is_confirmed_by(era) => {}
                 Ok(_) => return,
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -9,13 +9,16 @@
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Follower;
 use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::Registry;
 use sorrelwick::gateway::Sink;
 use sorrelwick::peer::Feed;
 use sorrelwick::peer::Links;
+use sorrelwick::store::EventStore;
 use sorrelwick::store::Item;
 use standins::routed::FleetSize;
 use standins::routed::LastWrite;
 use standins::routed::MemoryEventStore;
+use standins::routed::PlainDialect;
 use standins::routed::RelayFleet;
 use standins::routed::StoreFault;
 use standins::routed::fleet_settings;
@@ -124,6 +127,27 @@
     assert_eq!(*values.0.lock(), BTreeMap::from(expected));
 }
 
+/// Guards against instances that newcomers do not find for a renewal interval: the restored store
+/// has lost their entry and given their lease's id to another.
+#[tokio::test(start_paused = true)]
+async fn instance_registers_again_after_restore() {
+    let store = MemoryEventStore::default();
+    let board = lone_board();
+    let dialect = PlainDialect::default();
+    let registry = Registry { dialect, store: store.clone(), board: Arc::clone(&board) };
+    let copy = store.copy();
+    tokio::spawn(registry.run());
+    tokio::time::sleep(SETTLE_TIME * 2).await;
+    assert_eq!(store.count_keys("instances/"), 1);
+    store.restore(&copy);
+    let other = store.new_client();
+    let taken = other.open_lease(Duration::from_mins(1)).await.expect("the store answers");
+    other.write_leased("other", b"1", taken).await.expect("the store answers");
+    board.record_store_era(taken.era);
+    tokio::time::sleep(SETTLE_TIME * 2).await;
+    assert_eq!(store.count_keys("instances/"), 1);
+}
+
 /// Guards against accepting a revoked key for longer than the limit: a restored store may have lost
 /// the revocation until the operators repeat it, so reading it proves nothing.
 #[tokio::test(start_paused = true)]
