Write the quarantined requests again after a restore of the store

They are written once, by the instance that finds them. After a restore that lost them and a restart of all instances, requests that crash servers would be served again.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -223,6 +223,7 @@
             // At the first start of the fleet the store holds no quarantine records yet.
             tasks.spawn(quarantine_store.clone().load_when_first_home());
         }
+        tasks.spawn(quarantine_store.clone().rewrite_after_restores());
         tasks.spawn(quarantine_store.run_writer());
         let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
         tasks.spawn(registry.clone().run());
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -10,6 +10,7 @@
 use super::Dialect;
 use super::homes::HomesPlan;
 use super::homes::is_home;
+use super::relays::watcher_index;
 use crate::board::Blackboard;
 use crate::quarantine::SuspectRecord;
 use crate::store::EventStore;
@@ -47,6 +48,23 @@
         }
     }
 
+    /// Writes all quarantined requests again each time the store came back from an earlier copy,
+    /// until the process ends. Every instance knows them, so one of them suffices.
+    pub async fn rewrite_after_restores(self) {
+        let mut era = self.board.store_era.wait_known().await;
+        loop {
+            era = self.board.store_era.wait_beyond(era).await;
+            if watcher_index(&self.board) != Some(0) {
+                continue;
+            }
+            let mut rows = self.board.quarantine.records();
+            rows.retain(SuspectRecord::is_quarantined);
+            if !rows.is_empty() {
+                self.write_with_retries(&rows).await;
+            }
+        }
+    }
+
     async fn write_with_retries(&self, rows: &[SuspectRecord]) {
         for _ in 0..WRITE_ATTEMPTS_MAX {
             match self.write(rows).await {
--- a/src/quarantine/suspect_record.rs
+++ b/src/quarantine/suspect_record.rs
@@ -50,6 +50,12 @@
         self.crashes.last().map_or(self.settled_level, |last| last.level)
     }
 
+    /// Whether the request is quarantined, or was until its last quarantine ran out.
+    #[must_use]
+    pub const fn is_quarantined(&self) -> bool {
+        self.quarantine_count > self.release_count
+    }
+
     /// Time of the last change on this process's monotonic clock.
     #[must_use]
     pub const fn last_change_us(&self, now_us: u64) -> u64 {
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -6,13 +6,18 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use smallvec::SmallVec;
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Follower;
 use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::QuarantineStore;
 use sorrelwick::gateway::Registry;
 use sorrelwick::gateway::Sink;
 use sorrelwick::peer::Feed;
 use sorrelwick::peer::Links;
+use sorrelwick::quarantine::FingerprintScope;
+use sorrelwick::quarantine::Fingerprints;
+use sorrelwick::quarantine::SuspectRecord;
 use sorrelwick::store::EventStore;
 use sorrelwick::store::Item;
 use standins::routed::FleetSize;
@@ -50,6 +55,21 @@
     Arc::new(Blackboard::new(fleet_settings("a1", "z", &["z"], &[]), 1))
 }
 
+/// The record of a request that is quarantined.
+fn quarantined_record() -> SuspectRecord {
+    let caller = std::net::Ipv4Addr::LOCALHOST;
+    let fingerprints = Fingerprints::of(caller.into(), "shop.example", "GET", "/look/a", b"");
+    SuspectRecord {
+        fingerprint: fingerprints.in_scope(FingerprintScope::Exact),
+        service: 1,
+        crashes: SmallVec::new(),
+        settled_level: 3,
+        quarantine_count: 1,
+        release_count: 0,
+        age_ms: 0,
+    }
+}
+
 /// Starts a lone instance that follows the configuration in `store`.
 fn follow(store: &MemoryEventStore) -> Values {
     let board = lone_board();
@@ -178,3 +198,24 @@
     let proved = ages.filter(|age| *age < REPEAT_TIME).count();
     assert_eq!(proved, FleetSize::SMALL.instances);
 }
+
+/// Guards against serving again, after a restart of all instances, requests that crash servers: the
+/// restored store has lost the quarantine.
+#[tokio::test(start_paused = true)]
+async fn quarantine_is_written_again_after_restore() {
+    let store = MemoryEventStore::default();
+    let board = lone_board();
+    let dialect = PlainDialect::default();
+    let kept = QuarantineStore { dialect, store: store.clone(), board: Arc::clone(&board) };
+    board.record_store_era(0);
+    let copy = store.copy();
+    tokio::spawn(kept.clone().run_writer());
+    tokio::spawn(kept.rewrite_after_restores());
+    board.quarantine.merge(&[quarantined_record()]);
+    tokio::time::sleep(SETTLE_TIME).await;
+    store.restore(&copy);
+    assert_eq!(store.count_keys("suspects/"), 0);
+    board.record_store_era(1);
+    tokio::time::sleep(SETTLE_TIME).await;
+    assert_eq!(store.count_keys("suspects/"), 1);
+}
