An evacuation that a restored store has lost holds until it is repeated

Requests went to an evacuated zone from the restore of the store until the operators wrote the evacuation again, since a key that a reading lacks counted as removed. It is doubted for the time that writers need, and ends only then; a removal that the store reports ends it at once, as before. The test found no zone evacuated after the restore on the code before.

--- a/src/evacuation/evacuations.rs
+++ b/src/evacuation/evacuations.rs
@@ -3,36 +3,59 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// The evacuation of one zone.
+#[derive(Clone, Copy, Debug)]
+struct Evacuation {
+    since_us: u64,
+    /// Whether it may have ended; it holds until that is certain.
+    doubted: bool,
+}
+
 /// Evacuated zones, and since when this instance knows of each. A zone is only a name: it can be
 /// evacuated before it has any backend server.
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
-    since_us: BTreeMap<Arc<str>, u64>,
+    by_zone: BTreeMap<Arc<str>, Evacuation>,
 }
 
 impl Evacuations {
-    /// Starts the evacuation of a zone; returns `false` if it was already evacuated.
+    /// Starts the evacuation of a zone; returns `false` if it was already evacuated. An evacuation
+    /// that may have ended has not.
     pub fn begin(&mut self, zone: &str, now_us: u64) -> bool {
-        if self.contains(zone) {
+        if let Some(evacuation) = self.by_zone.get_mut(zone) {
+            evacuation.doubted = false;
             return false;
         }
-        self.since_us.insert(zone.into(), now_us);
+        self.by_zone.insert(zone.into(), Evacuation { since_us: now_us, doubted: false });
         true
     }
 
     /// Ends an evacuation; returns its start in microseconds.
     pub fn end(&mut self, zone: &str) -> Option<u64> {
-        self.since_us.remove(zone)
+        self.by_zone.remove(zone).map(|evacuation| evacuation.since_us)
+    }
+
+    /// Records that an evacuation may have ended.
+    pub fn doubt(&mut self, zone: &str) {
+        if let Some(evacuation) = self.by_zone.get_mut(zone) {
+            evacuation.doubted = true;
+        }
+    }
+
+    /// Whether the zone is evacuated, but that may have ended.
+    #[must_use]
+    pub fn is_doubted(&self, zone: &str) -> bool {
+        self.by_zone.get(zone).is_some_and(|evacuation| evacuation.doubted)
     }
 
     /// Whether a zone is evacuated.
     #[must_use]
     pub fn contains(&self, zone: &str) -> bool {
-        self.since_us.contains_key(zone)
+        self.by_zone.contains_key(zone)
     }
 
     /// The evacuated zones, sorted by name.
     pub fn zones(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.since_us.keys()
+        self.by_zone.keys()
     }
 }
--- a/src/gateway/dispatcher_zones.rs
+++ b/src/gateway/dispatcher_zones.rs
@@ -53,6 +53,17 @@
         Some(change)
     }
 
+    /// Records that the evacuation of a zone may have ended.
+    pub fn doubt_evacuation(&self, zone: &str) {
+        self.state.lock().evacuations.doubt(zone);
+    }
+
+    /// Whether the evacuation of a zone may have ended and was not begun again since.
+    #[must_use]
+    pub fn is_evacuation_doubted(&self, zone: &str) -> bool {
+        self.state.lock().evacuations.is_doubted(zone)
+    }
+
     /// The evacuated zones.
     #[must_use]
     pub fn evacuated_zones(&self) -> Vec<Arc<str>> {
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -82,6 +82,20 @@
         self.board.set_evacuated_zones(self.dispatcher.evacuated_zones());
     }
 
+    /// Ends the evacuation of a zone after `grace`, unless the operators have repeated it by then:
+    /// a restored store may have lost it.
+    fn readmit_unless_repeated(&self, zone: &str, grace: Duration) {
+        self.dispatcher.doubt_evacuation(zone);
+        let (dispatcher, board) = (self.dispatcher.clone(), Arc::clone(&self.board));
+        let zone = zone.to_owned();
+        tokio::spawn(async move {
+            tokio::time::sleep(grace).await;
+            if dispatcher.is_evacuation_doubted(&zone) {
+                readmit(&dispatcher, &board, &zone);
+            }
+        });
+    }
+
     /// The rate limits and warm-up times of cold servers, by service.
     fn cold_policies(&self, table: &RouteTable) -> HashMap<Arc<str>, ColdPolicy> {
         let gateway = self.board.settings.gateway.as_ref();
@@ -147,9 +161,10 @@
         }
     }
 
-    fn removed(&mut self, key: &str, _: Duration) {
+    fn removed(&mut self, key: &str, grace: Duration) {
         match self.evacuated_zone(key) {
-            Some(zone) => readmit(&self.dispatcher, &self.board, zone),
+            Some(zone) if grace.is_zero() => readmit(&self.dispatcher, &self.board, zone),
+            Some(zone) => self.readmit_unless_repeated(zone, grace),
             None => info!(event = "config-removed", key = key; "the last version stays in use"),
         }
     }
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -164,6 +164,26 @@
     }
 }
 
+/// Guards against using an evacuated zone because a restored store has lost its evacuation until the
+/// operators repeat it.
+#[tokio::test(start_paused = true)]
+async fn evacuation_lost_by_restore_holds_until_it_is_repeated() {
+    const GRACE: Duration = Duration::from_millis(500);
+    let dispatcher = dispatcher();
+    let mirror = mirror(&dispatcher);
+    let evacuation =
+        |zone: &str, revision| Item { key: key(zone), value: b"{}".to_vec(), revision };
+    let before = [evacuation("a", Revision::new(0, 4)), evacuation("b", Revision::new(0, 5))];
+    mirror.replace(&before, Revision::new(0, 5), Duration::ZERO);
+    mirror.replace(&[], Revision::new(1, 3), GRACE);
+    assert_eq!(dispatcher.evacuated_zones(), ["a".into(), "b".into()]);
+    tokio::time::sleep(GRACE / 2).await;
+    let repeated = Revision::new(1, 4);
+    mirror.apply(&[ItemEvent::Written(evacuation("a", repeated))], repeated, Duration::ZERO);
+    tokio::time::sleep(GRACE).await;
+    assert_eq!(dispatcher.evacuated_zones(), ["a".into()]);
+}
+
 /// Guards against a zone staying evacuated, or in use, contrary to the last write, because events
 /// were duplicated, delayed or lost.
 #[test]
