A server that left is not used while only a restored store lists it

A restored store lists servers again that were removed since the copy was made. One that had reported draining was held already, by its sequence number; one whose entry was removed without that word got requests again until its entry expired. An entry of a removed server that is not newer than the removed one is held for five seconds when it comes with a restored store: a server that runs reports anew within that time, the entry of one that does not run expires.

--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -121,6 +121,15 @@
         self.apply_row(&mut state, &row, &mut undelivered);
     }
 
+    /// Lists a server as a restored store has it: a server that was removed since is not listed
+    /// again unless its entry lasts.
+    pub fn list_restored_server(&self, row: ServerRow) {
+        let held = self.state.lock().starts.hold_if_gone(&row, now_us());
+        if !held {
+            self.list_server(row);
+        }
+    }
+
     /// Applies the row of a server. A restarted server has no memory of its earlier requests, so
     /// its connections, slots, slowdown and failures are discarded here as well.
     fn apply_row(
--- a/src/gateway/server_starts.rs
+++ b/src/gateway/server_starts.rs
@@ -74,6 +74,20 @@
         Some(row)
     }
 
+    /// Holds the row of a server that was removed, unless it is newer than the removed one; returns
+    /// whether it did. A removal that a restored store has lost shows by no sequence number.
+    pub(super) fn hold_if_gone(&mut self, row: &ServerRow, now_us: u64) -> bool {
+        let gone = self.latest.get(&row.id).is_some_and(|latest| {
+            let last = (latest.started_ms, latest.sequence);
+            latest.gone_us.is_some() && (row.started_ms, row.sequence) <= last
+        });
+        if gone {
+            let held = HeldRow { row: row.clone(), since_us: now_us };
+            self.held.insert(Arc::clone(&row.id), held);
+        }
+        gone
+    }
+
     fn record(&mut self, row: &ServerRow, now_us: u64) {
         let ServerRow { started_ms, sequence, .. } = *row;
         self.held.remove(&row.id);
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -193,6 +193,8 @@
     unreadable: HashMap<String, String>,
     /// Counts of the current batch; `None` outside a batch.
     batch: Option<BatchCounts>,
+    /// Whether the current batch is the content of a restored store.
+    restored: bool,
 }
 
 /// Numbers of changes in the current batch.
@@ -213,7 +215,7 @@
     /// Creates a sink that lists servers in `dispatcher`.
     #[must_use]
     pub fn new(dialect: D, dispatcher: Dispatcher) -> Self {
-        Self { dialect, dispatcher, unreadable: HashMap::new(), batch: None }
+        Self { dialect, dispatcher, unreadable: HashMap::new(), batch: None, restored: false }
     }
 
     /// Decodes and validates the entry of a server.
@@ -269,7 +271,11 @@
                 ""
             );
         }
-        self.dispatcher.list_server(row);
+        if self.restored {
+            self.dispatcher.list_restored_server(row);
+        } else {
+            self.dispatcher.list_server(row);
+        }
     }
 
     fn removed(&mut self, key: &str, grace: Duration) {
@@ -287,11 +293,13 @@
         ids.iter().map(|id| format!("{prefix}{id}")).collect()
     }
 
-    fn begin_batch(&mut self, _restored: bool) {
+    fn begin_batch(&mut self, restored: bool) {
         self.batch = Some(BatchCounts::default());
+        self.restored = restored;
     }
 
     fn end_batch(&mut self, revision: Revision) {
+        self.restored = false;
         let batch = self.batch.take().unwrap_or_default();
         if !batch.logs_each() {
             info!(
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -288,3 +288,30 @@
         assert_eq!(*bed.try_acquire().expect("a free slot").server.row.id, *ids[1]);
     }
 }
+
+/// Guards against sending requests to a server that has left: a restored store lists it again until
+/// its entry expires.
+#[tokio::test(start_paused = true)]
+async fn removed_server_is_not_used_while_restored_store_lists_it() {
+    /// An entry that is not renewed is removed before.
+    const ENTRY_HELD: Duration = Duration::from_secs(5);
+    let mut bed = Bed::new();
+    let running = tokio::spawn(bed.dispatcher.clone().run());
+    bed.write("a", &entry(1_000, 4, 81, "ready"));
+    bed.remove("a");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let item = |sequence, number| Item {
+        key: "servers/a".into(),
+        value: entry(1_000, sequence, 81, "ready"),
+        revision: Revision::new(1, number),
+    };
+    bed.mirror.replace(&[item(4, 1)], Revision::new(1, 1), Duration::ZERO);
+    assert!(bed.try_acquire().is_none());
+    // The server runs after all and reports anew.
+    let event = ItemEvent::Written(item(5, 2));
+    bed.mirror.apply(&[event], Revision::new(1, 2), Duration::ZERO);
+    assert!(bed.try_acquire().is_some());
+    tokio::time::sleep(ENTRY_HELD * 2).await;
+    assert!(bed.try_acquire().is_some());
+    running.abort();
+}
