Write back committed services that a restored store has lost; no revision twice

The product's own interface: a change right after a restore of the store got a revision that all instances knew already for the change that was lost, so it was accepted and never in force; and what the store had lost was gone for instances that start later. Rows in force were committed once, so the committer writes the known row back before it applies an edit, and watchers write back what a listing lacks, by compare-and-swap on what they read.

--- a/src/catalog/committer.rs
+++ b/src/catalog/committer.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use log::warn;
 use uuid::Uuid;
 
 use super::watcher::SERVICES_PREFIX;
@@ -78,6 +79,10 @@
     CodedError::new(Code::StoreUnreachable, err.to_string())
 }
 
+fn encode(row: &VersionedService) -> Result<Vec<u8>, CodedError> {
+    serde_json::to_vec(row).map_err(|err| CodedError::new(Code::ServiceInvalid, err.to_string()))
+}
+
 fn not_found(what: &str) -> EditError {
     CodedError::new(Code::NotFound, format!("{what} does not exist")).into()
 }
@@ -129,7 +134,8 @@
     }
 
     /// Commits `edit` under the id `change_id`. A call may be repeated with the same id after an
-    /// error.
+    /// error. `known` is the row in force; if the store was restored and lacks it, it is written
+    /// back first, so that no revision is given to two changes.
     ///
     /// # Errors
     /// `Conflict` with the current row, `NotFound`, `ServiceInvalid`, `StoreUnreachable` if nothing
@@ -139,9 +145,14 @@
         name: &str,
         edit: &Edit,
         change_id: Uuid,
+        known: Option<&VersionedService>,
     ) -> Result<VersionedService, EditError> {
         for _ in 0..ATTEMPTS_MAX {
             let current = self.read(name).await.map_err(|err| unreachable(&err))?;
+            if let Some(lost) = known.filter(|known| known.revision > current.revision()) {
+                self.write_back(name, lost, current.index).await?;
+                continue;
+            }
             if let Some(row) = &current.row
                 && row.contains_change(change_id)
             {
@@ -155,6 +166,23 @@
         Err(CodedError::new(Code::Conflict, "others keep changing this service").into())
     }
 
+    /// Writes a committed row that the store has lost, if the key still has `index`. Whether it did
+    /// shows at the next reading.
+    pub(super) async fn write_back(
+        &self,
+        name: &str,
+        lost: &VersionedService,
+        index: u64,
+    ) -> Result<(), CodedError> {
+        warn!(event = "service-written-back", service = name, revision = lost.revision;
+            "the store has lost a committed revision");
+        let value = encode(lost)?;
+        match self.store.put_if(&format!("{SERVICES_PREFIX}{name}"), &value, index).await {
+            Ok(_) | Err(StoreError::ResponseLost(_)) => Ok(()),
+            Err(err) => Err(unreachable(&err)),
+        }
+    }
+
     /// One compare-and-swap; `None` if another change came first and the edit must be retried.
     async fn write(
         &self,
@@ -174,8 +202,7 @@
             check_service(service)?;
         }
         let row = VersionedService::next(current.row.as_ref(), change_id, service);
-        let value = serde_json::to_vec(&row)
-            .map_err(|err| CodedError::new(Code::ServiceInvalid, err.to_string()))?;
+        let value = encode(&row)?;
         let path = format!("{SERVICES_PREFIX}{name}");
         match self.store.put_if(&path, &value, current.index).await {
             Ok(true) => Ok(Some(row)),
--- a/src/catalog/watcher.rs
+++ b/src/catalog/watcher.rs
@@ -1,5 +1,6 @@
 //! Watches the store, on a few instances of each zone.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::Committer;
 use super::ServiceRows;
 use super::spread::merge_rows;
 use super::spread::push_rows;
@@ -14,6 +16,7 @@
 use crate::model::VersionedService;
 use crate::peer::Links;
 use crate::store::Entry;
+use crate::store::Listing;
 use crate::store::Store;
 
 /// Prefix of the services' keys in the store.
@@ -55,6 +58,30 @@
     tokio::time::sleep(Duration::from_millis(ms + jitter_ms)).await;
 }
 
+/// Writes back the committed rows that a listing of all services lacks: the store was restored from
+/// an earlier copy. A row that the store got since the listing is not overwritten, nor one that
+/// cannot be read.
+async fn write_back_lost_rows<S: Store>(board: &Blackboard, store: &S, listing: &Listing) {
+    let listed: HashMap<&str, &Entry> =
+        listing.entries.iter().map(|entry| (entry.key.as_str(), entry)).collect();
+    let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
+    let summary: Vec<(String, u64)> =
+        rows.into_iter().map(|(name, row)| (name, row.revision)).collect();
+    let lost = board.catalog.lock().rows_newer_than(&summary);
+    let committer = Committer::new(store.clone());
+    for (name, row) in lost {
+        let index = match listed.get(format!("{SERVICES_PREFIX}{name}").as_str()) {
+            Some(entry) if decode_entry(entry).is_none() => continue,
+            Some(entry) => entry.index,
+            None => 0,
+        };
+        if let Err(error) = committer.write_back(&name, &row, index).await {
+            // The next listing lacks the row too.
+            board.record_store_result(Some(error.to_string()));
+        }
+    }
+}
+
 /// Watches the store and pushes changes to the instances of the zone.
 pub async fn run_watcher<S: Store>(board: Arc<Blackboard>, store: S, links: Links) {
     let wait_ms = board.settings.platform.as_ref().map_or(10_000, |p| p.watch_wait_ms);
@@ -72,6 +99,9 @@
             sleep_with_jitter(WATCH_RETRY_MS).await;
             continue;
         };
+        if listing.index != index {
+            write_back_lost_rows(&board, &store, &listing).await;
+        }
         // A lower index means that the store was replaced or restored: list all entries again.
         index = if listing.index < index { 0 } else { listing.index };
         let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
--- a/src/operator/operator_service.rs
+++ b/src/operator/operator_service.rs
@@ -64,7 +64,8 @@
         change: &str,
     ) -> Result<Response<wire::PutServiceResponse>, Status> {
         let change_id = parse_change_id(change)?;
-        let committed = self.committer.commit(name, edit, change_id).await;
+        let known = self.row(name);
+        let committed = self.committer.commit(name, edit, change_id, known.as_ref()).await;
         let catalog_row: VersionedService =
             committed.map_err(|err| status_from_edit_error(&err))?;
         let current = Some(versioned_to_wire(&catalog_row));
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -6,4 +6,5 @@
 pub use server::Platform;
 pub use server::Switches;
 pub use state::ListedMachine;
+pub use state::PlatformCopy;
 pub use state::PlatformState;
--- a/standins/src/platform/state.rs
+++ b/standins/src/platform/state.rs
@@ -28,6 +28,13 @@
     pub session: Option<String>,
 }
 
+/// What the store held at one moment.
+#[derive(Clone, Debug)]
+pub struct PlatformCopy {
+    index: u64,
+    kv: BTreeMap<String, KeyRow>,
+}
+
 #[derive(Debug)]
 struct Session {
     ttl: Duration,
@@ -90,6 +97,25 @@
         self.rows.lock().lists.insert(name.into(), machines);
     }
 
+    /// A copy of the keys, for [`PlatformState::restore`].
+    #[must_use]
+    pub fn copy(&self) -> PlatformCopy {
+        let rows = self.rows.lock();
+        PlatformCopy { index: rows.index, kv: rows.kv.clone() }
+    }
+
+    /// Replaces the keys by an earlier copy, as after the loss of the store's disks: what was
+    /// written since is gone, all sessions too, and indexes are given out again.
+    pub fn restore(&self, copy: &PlatformCopy) {
+        let mut rows = self.rows.lock();
+        rows.index = copy.index;
+        rows.kv.clone_from(&copy.kv);
+        rows.kv.retain(|_, row| row.session.is_none());
+        rows.sessions.clear();
+        drop(rows);
+        self.notify_watchers();
+    }
+
     pub(super) fn list(&self, name: &str) -> Vec<ListedMachine> {
         self.rows.lock().lists.get(name).cloned().unwrap_or_default()
     }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -8,6 +8,9 @@
 use sorrelwick::catalog::Catalog;
 use sorrelwick::errors::Code;
 use sorrelwick::model::VersionedService;
+use sorrelwick::store::AnyStore;
+use sorrelwick::store::Entry;
+use sorrelwick::store::Store;
 use standins::bed::TestBed;
 use standins::bed::TestBedPlan;
 use standins::bed::wait_until;
@@ -106,7 +109,6 @@
 async fn a_lost_response_is_resolved_by_reading_back() {
     use sorrelwick::catalog::Committer;
     use sorrelwick::catalog::Edit;
-    use sorrelwick::store::AnyStore;
     let bed = TestBed::start(TestBedPlan { instances: 1, ..TestBedPlan::default() }).await;
     let settings = &bed.boards()[0].settings;
     let committer = Committer::new(AnyStore::open(settings.platform.as_ref()));
@@ -116,19 +118,22 @@
         // shard.
         bed.platform().switches.responses_to_drop.store(1, Ordering::Release);
         let edit = Edit::Put { service, expected };
-        let row = committer.commit("resolved", &edit, Uuid::new_v4()).await.expect("resolved");
+        let row =
+            committer.commit("resolved", &edit, Uuid::new_v4(), None).await.expect("resolved");
         assert_eq!(row.revision, expected + 1);
     }
     // A later change by another operator does not undo ours.
     let mine = Uuid::new_v4();
     let edit = Edit::Budget { per_s: 1 };
-    committer.commit("resolved", &edit, mine).await.expect("accepted");
+    committer.commit("resolved", &edit, mine, None).await.expect("accepted");
     committer
-        .commit("resolved", &Edit::Budget { per_s: 2 }, Uuid::new_v4())
+        .commit("resolved", &Edit::Budget { per_s: 2 }, Uuid::new_v4(), None)
         .await
         .expect("accepted");
-    let again =
-        committer.commit("resolved", &edit, mine).await.expect("the change was committed before");
+    let again = committer
+        .commit("resolved", &edit, mine, None)
+        .await
+        .expect("the change was committed before");
     assert_eq!((again.revision, again.service.map(|s| s.measuring_budget_per_s)), (7, Some(2)));
 }
 
@@ -210,6 +215,53 @@
     assert!(watching.try_join_next().is_none(), "an observer saw a revision go down");
 }
 
+/// Guards against a service that an accepted change created or changed and that a restored store has
+/// lost: the store must get it back, for instances that start later.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restored_store_gets_lost_changes_back() {
+    let mut bed = TestBed::start(TestBedPlan::default()).await;
+    let mut service = bed.create_service("orders").await;
+    let copy = bed.state.copy();
+    service.timeout_ms = 1_234;
+    bed.put_service(0, &service, 1).await.expect("accepted");
+    bed.create_service("filings").await;
+    bed.wait_until_applied("orders", 2).await;
+    bed.stop_platform();
+    bed.state.restore(&copy);
+    bed.start_platform().await;
+    let settings = bed.boards()[0].settings.clone();
+    let store = AnyStore::open(settings.platform.as_ref());
+    wait_until("the store has both services again", async || {
+        let orders = store.get("sorrelwick/services/orders").await;
+        let filings = store.get("sorrelwick/services/filings").await;
+        let has = |entry: &Option<Entry>, text: &str| {
+            entry.as_ref().is_some_and(|entry| String::from_utf8_lossy(&entry.value).contains(text))
+        };
+        orders.is_ok_and(|entry| has(&entry, "1234")) && filings.is_ok_and(|entry| entry.is_some())
+    })
+    .await;
+}
+
+/// Guards against a change that is accepted and never in force: a restored store has lost the
+/// revision before it, so its revision would be one that the instances already know.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_right_after_a_restore_gets_a_new_revision() {
+    let mut bed = TestBed::start(TestBedPlan::default()).await;
+    let mut service = bed.create_service("orders").await;
+    let copy = bed.state.copy();
+    service.timeout_ms = 1_234;
+    bed.put_service(0, &service, 1).await.expect("accepted");
+    bed.wait_until_applied("orders", 2).await;
+    // No watcher notices this restore before the change.
+    bed.state.restore(&copy);
+    bed.operator(1).set_budget("orders", 7).await.expect("accepted");
+    let took = bed.wait_until_applied("orders", 3).await;
+    assert!(took < PROPAGATION_MAX, "{took:?}");
+    let row = bed.boards()[2].catalog.lock().get("orders").cloned().expect("in force");
+    let in_force = row.service.map(|service| (service.timeout_ms, service.measuring_budget_per_s));
+    assert_eq!(in_force, Some((1_234, 7)));
+}
+
 /// Guards against rows of a deleted service that arrive late from a peer and restore it, after
 /// which a new service of the same name is created.
 #[tokio::test(flavor = "multi_thread")]
