A plain key whose claim a restored store has lost does not run again

The product's own interface: an order with a plain key ran twice when the store came back from a copy older than its claim, since the repeat claimed the key anew at another instance (the test saw two runs). A new claim is now also told to the two instances that follow its hash on the ring of incarnations; who knows an earlier owner names it, and the request goes there. Two messages a claim, whatever the size of the fleet; a witness that does not answer is passed over after 200 ms, so the guard fails only where the store was restored and both witnesses of the key are gone or others than before.

--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -71,6 +71,7 @@
     loop {
         tokio::time::sleep(CLEANUP_INTERVAL).await;
         board.outcomes.expire(board.incarnation);
+        board.claim_witnesses.expire();
         for state in board.services().values() {
             let servers = state.runtime.slot_queue.declared_servers().into_iter();
             for server in servers.filter(|server| server.upstream.needs_maintenance()) {
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -28,6 +28,7 @@
 use crate::member::MemberRow;
 use crate::member::MemberState;
 use crate::member::MemberTable;
+use crate::outcome::ClaimWitnesses;
 use crate::outcome::OutcomeTable;
 use crate::quarantine::Quarantine;
 use crate::route::ServiceState;
@@ -60,6 +61,8 @@
     /// The configuration, written by the catalog controllers.
     pub catalog: Mutex<Catalog>,
     pub outcomes: OutcomeTable,
+    /// Claims on keys that this instance remembers for others.
+    pub claim_witnesses: ClaimWitnesses,
     /// Requests that are rejected because they crash servers.
     pub quarantine: Quarantine,
     pub counters: Counters,
@@ -122,12 +125,14 @@
     pub fn new(settings: Settings, incarnation: u64) -> Self {
         let members = MemberTable::new(own_row(&settings, incarnation), now_ms());
         let outcomes = OutcomeTable::new(incarnation, &settings.outcomes);
+        let claim_witnesses = ClaimWitnesses::new(&settings.outcomes);
         let board = Self {
             settings,
             incarnation,
             members: Mutex::new(members),
             catalog: Mutex::default(),
             outcomes,
+            claim_witnesses,
             quarantine: Quarantine::default(),
             counters: Counters::default(),
             latencies: Latencies::default(),
--- a/src/board/members_view.rs
+++ b/src/board/members_view.rs
@@ -99,6 +99,13 @@
         self.position(incarnation).ok().map(|at| &self.rows[at])
     }
 
+    /// The first members that may answer from a place on the ring of incarnations on.
+    pub fn ring_from(&self, place: u64) -> impl Iterator<Item = &Arc<MemberRow>> {
+        let at = self.position(place).unwrap_or_else(|at| at);
+        let (before, after) = self.rows.split_at(at);
+        after.iter().chain(before).filter(|row| row.state.may_answer())
+    }
+
     /// The zones that have members which accept work.
     pub fn zones(&self) -> impl Iterator<Item = &str> {
         self.by_zone.keys().map(String::as_str)
--- a/src/outcome/idempotency_key.rs
+++ b/src/outcome/idempotency_key.rs
@@ -1,5 +1,8 @@
 //! Idempotency keys, and the prefix that binds a key to one instance.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::errors::Code;
 use crate::errors::CodedError;
 
@@ -11,7 +14,7 @@
 const EPOCH_DIGITS_MAX: usize = 10;
 
 /// Names the only process that may run the key, and when the prefix was issued.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct KeyPrefix {
     pub incarnation: u64,
     /// Epochs from the start of that process to the issue of the prefix; may be too small, but
--- a/src/outcome/mod.rs
+++ b/src/outcome/mod.rs
@@ -2,11 +2,14 @@
 //!
 //! A key is owned by an incarnation: one process of an instance, from its start to its stop.
 
+mod claim_witnesses;
 mod claims;
 mod idempotency_key;
 mod recorded_outcome;
 mod table;
 
+pub use claim_witnesses::ClaimWitnesses;
+pub use claim_witnesses::claim_hash;
 pub use claims::claim;
 pub use idempotency_key::IdempotencyKey;
 pub use idempotency_key::KEY_MAX_BYTES;
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -10,6 +10,7 @@
 use crate::member::MemberRequest;
 use crate::member::MemberRow;
 use crate::model::VersionedService;
+use crate::outcome::KeyPrefix;
 use crate::outcome::OwnerSnapshot;
 use crate::quarantine::SuspectRecord;
 use crate::store::Item;
@@ -133,6 +134,12 @@
     Suspects { records: Vec<SuspectRecord>, complete: bool },
     /// Asks for tokens of a workspace's quota, in millitokens.
     QuotaTokens { workspace: String, wanted_millitokens: u32 },
+    /// The sender has claimed a plain idempotency key; the receiver remembers it.
+    WitnessClaim {
+        /// See [`crate::outcome::claim_hash`].
+        claim: u128,
+        owner: KeyPrefix,
+    },
     /// Recorded outcomes of an instance that stops; the receiver becomes the owner of its
     /// idempotency keys.
     HandOver {
@@ -178,6 +185,8 @@
     FreeSlots(u32),
     /// Response to a feed request.
     Feed(FeedResponse),
+    /// Who claimed the key first, as far as the responder knows.
+    ClaimOwner(KeyPrefix),
     /// Tokens that the responder gives away, in millitokens.
     QuotaTokens(u32),
     /// The request was not served; contains a result code.
--- a/src/route/keyed.rs
+++ b/src/route/keyed.rs
@@ -3,8 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::warn;
+use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use super::Answer;
 use super::ProxyRequest;
@@ -12,19 +15,29 @@
 use super::ServiceState;
 use crate::board::Counter;
 use crate::errors::Code;
+use crate::member::MemberRow;
 use crate::outcome::IdempotencyKey;
 use crate::outcome::KeyDecision;
 use crate::outcome::KeyPrefix;
 use crate::outcome::RecordedOutcome;
 use crate::outcome::RunGuard;
 use crate::outcome::claim;
+use crate::outcome::claim_hash;
 use crate::peer::ForwardStage;
+use crate::peer::PeerClient;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
 
 /// Retry delay for the caller, in milliseconds, if the owner's outcome table is full.
 const TABLE_FULL_RETRY_AFTER_MS: u64 = 1_000;
 /// Retry delay for the caller, in milliseconds, if the key's owner is unknown or cannot be reached.
 const OWNER_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Instances that remember a claim beside the store.
+const CLAIM_WITNESSES: usize = 2;
+/// Time limit for their answers.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(200);
+
 fn owner_unreachable() -> Answer {
     Answer { retry_after_ms: OWNER_RETRY_AFTER_MS, ..Answer::unknown(Code::KeyOwnerUnreachable) }
 }
@@ -64,7 +77,51 @@
         let own = KeyPrefix { incarnation, epoch };
         let remaining = Duration::from_micros(proxy_request.remaining_us());
         let claimed = claim(&self.store, &proxy_request.service, &key.text, own);
-        tokio::time::timeout(remaining, claimed).await.ok().flatten()
+        let owner = tokio::time::timeout(remaining, claimed).await.ok().flatten()?;
+        if owner != own {
+            return Some(owner);
+        }
+        let within = WITNESS_TIMEOUT.min(Duration::from_micros(proxy_request.remaining_us()));
+        let claim = claim_hash(&proxy_request.service, &key.text);
+        Some(self.first_claimant(claim, own, within).await)
+    }
+
+    /// Records a new claim at its witnesses; returns its first owner as they know it. A witness that
+    /// does not answer is passed over: the store's word holds unless it was restored.
+    async fn first_claimant(&self, claim: u128, own: KeyPrefix, within: Duration) -> KeyPrefix {
+        let view = self.board.members_view();
+        let place = u64::try_from(claim >> 64).unwrap_or(0);
+        let mut asked = JoinSet::new();
+        for witness in view.ring_from(place).take(CLAIM_WITNESSES) {
+            let (router, witness) = (self.clone(), Arc::clone(witness));
+            asked.spawn(async move { router.ask_witness(&witness, claim, own, within).await });
+        }
+        let owners: SmallVec<[KeyPrefix; CLAIM_WITNESSES]> =
+            asked.join_all().await.into_iter().flatten().collect();
+        let earlier = owners.into_iter().find(|owner| owner.incarnation != own.incarnation);
+        if let Some(owner) = earlier {
+            warn!(event = "claim-lost-by-store", owner = owner.to_string().as_str();
+                "the key belongs to the instance that claimed it before the store was restored");
+        }
+        earlier.unwrap_or(own)
+    }
+
+    /// The owner of a claim as one witness knows it; `None` without an answer.
+    async fn ask_witness(
+        &self,
+        witness: &MemberRow,
+        claim: u128,
+        own: KeyPrefix,
+        within: Duration,
+    ) -> Option<KeyPrefix> {
+        if witness.incarnation == self.board.incarnation {
+            return Some(self.board.claim_witnesses.record(claim, own));
+        }
+        let request = PeerRequest::WitnessClaim { claim, owner: own };
+        match self.links.call(witness.peer_address, &request, within).await {
+            Ok(PeerReply::ClaimOwner(owner)) => Some(owner),
+            _ => None,
+        }
     }
 
     /// Forwards the request to the process that answers for the keys of `incarnation`: the owner
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -106,6 +106,25 @@
     assert!(ran >= 60, "most requests must run despite lost answers: {ran}");
 }
 
+/// Guards against an order that runs twice because a restored store has lost the claim on its plain
+/// key: its repeat at another instance claims the key anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_keys_run_once_over_a_restore_of_the_store() {
+    let mut bed = TestBed::start(TestBedPlan::default()).await;
+    bed.create_service("orders").await;
+    let caller = bed.caller("orders", 0);
+    let addresses = bed.caller_addresses();
+    let copy = bed.state.copy();
+    let call = order("lost-claim").with_key("plain-lost-claim");
+    let first = caller.call_at(addresses[0], &call).await;
+    bed.stop_platform();
+    bed.state.restore(&copy);
+    bed.start_platform().await;
+    let second = caller.call_at(addresses[1], &call).await;
+    let answers = HashMap::from([("lost-claim".to_owned(), vec![first, second])]);
+    assert_at_most_once(&bed, &answers);
+}
+
 /// While the store is down, the repeat of an order with a plain key that ran before must neither
 /// get `not-run` nor run again. A new plain key cannot be claimed and does not run. Keys with a
 /// prefix do not need the store.
