Failing test: a shard of the measuring budget held twice over a restore of the store

A holder goes on using its shard until its next renewal, up to a third of the lease's time; the restored store gives the shard to another at once.

--- a/tests/measuring_budget.rs
+++ b/tests/measuring_budget.rs
@@ -1,9 +1,13 @@
 //! Guarantee: the probes of a service stay within its measuring budget in every second.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use sorrelwick::board::Blackboard;
+use sorrelwick::board::EventKind;
+use sorrelwick::conf::MeasuringSettings;
 use sorrelwick::measure::TokenBuckets;
 use sorrelwick::measure::tokens_of_shard;
 use sorrelwick::model::Preference;
@@ -168,3 +172,33 @@
     assert_eq!(counts.len(), 200);
     assert!(bed.backends.iter().all(|backend| backend.record.probe_times().is_empty()));
 }
+
+/// Guards against probes beyond the budget because two instances hold the same shard: a restored
+/// store has lost the lease of the first, which goes on using it.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_shard_is_held_twice_over_a_restore_of_the_store() {
+    let measuring = MeasuringSettings { shards: 1, ..MeasuringSettings::default() };
+    let plan =
+        TestBedPlan { instances: 2, measuring, lease_ttl_ms: 3_000, ..TestBedPlan::default() };
+    let bed = TestBed::start(plan).await;
+    let copy = bed.state.copy();
+    let holds = |board: &Arc<Blackboard>| {
+        let events = board.events.after(0);
+        let last = events.iter().rev().find_map(|event| match event.kind {
+            EventKind::ShardTaken { .. } => Some(true),
+            EventKind::ShardLost { .. } => Some(false),
+            _ => None,
+        });
+        last == Some(true)
+    };
+    wait_until("the shard is held", async || bed.boards().iter().any(holds)).await;
+    for _ in 0..5 {
+        bed.state.restore(&copy);
+        let since = std::time::Instant::now();
+        while since.elapsed() < Duration::from_secs(3) {
+            let holders = bed.boards().iter().filter(|board| holds(board)).count();
+            assert!(holders <= 1, "{holders} instances hold the only shard");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
