--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -183,6 +183,27 @@
     StoreMirrors { config_age, config, servers }
 }
 
+/// Starts the tasks that keep quarantined requests in the store.
+fn spawn_quarantine_store<D: Dialect, S: EventStore>(
+    tasks: &mut JoinSet<()>,
+    dialect: &D,
+    store: &S,
+    board: &Arc<Blackboard>,
+    first_start: bool,
+) {
+    let quarantine_store = QuarantineStore {
+        dialect: dialect.clone(),
+        store: store.clone(),
+        board: Arc::clone(board),
+    };
+    if !first_start {
+        // At the first start of the fleet the store holds no quarantine records yet.
+        tasks.spawn(quarantine_store.clone().load_when_first_home());
+    }
+    tasks.spawn(quarantine_store.clone().rewrite_after_restores());
+    tasks.spawn(quarantine_store.run_writer());
+}
+
 impl Gateway {
     /// Binds all listeners and starts the background tasks. A port 0 in the settings is replaced by
     /// the port that the system assigned.
@@ -214,17 +235,7 @@
         let (config_ref, servers_ref) = (Arc::clone(&config), Arc::clone(&servers));
         let check = run_store_check(store.clone(), Arc::clone(&board), config_ref, servers_ref);
         tasks.spawn(check);
-        let quarantine_store = QuarantineStore {
-            dialect: dialect.clone(),
-            store: store.clone(),
-            board: Arc::clone(&board),
-        };
-        if !gateway.first_start {
-            // At the first start of the fleet the store holds no quarantine records yet.
-            tasks.spawn(quarantine_store.clone().load_when_first_home());
-        }
-        tasks.spawn(quarantine_store.clone().rewrite_after_restores());
-        tasks.spawn(quarantine_store.run_writer());
+        spawn_quarantine_store(&mut tasks, &dialect, &store, &board, gateway.first_start);
         let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
         tasks.spawn(registry.clone().run());
         tasks.spawn(run_failure_detector(Arc::clone(&board), links.clone()));
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -369,9 +369,14 @@
         if self.covers(item.revision) || !newer {
             return;
         }
-        self.items.insert(item.key.clone(), item.clone());
+        let before = self.items.insert(item.key.clone(), item.clone());
         self.push_recent(ItemEvent::Written(item.clone()));
-        self.sink.written(item);
+        // The sink has the value already if only a provisional item is confirmed.
+        let confirms =
+            |before: Item| before.revision == Revision::default() && before.value == item.value;
+        if !before.is_some_and(confirms) {
+            self.sink.written(item);
+        }
     }
 
     /// Applies a removal unless the mirror has it or a newer write.
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -246,7 +246,7 @@
 /// revision before it, so its revision would be one that the instances already know.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_right_after_a_restore_gets_a_new_revision() {
-    let mut bed = TestBed::start(TestBedPlan::default()).await;
+    let bed = TestBed::start(TestBedPlan::default()).await;
     let mut service = bed.create_service("orders").await;
     let copy = bed.state.copy();
     service.timeout_ms = 1_234;
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -20,6 +20,7 @@
 use sorrelwick::quarantine::SuspectRecord;
 use sorrelwick::store::EventStore;
 use sorrelwick::store::Item;
+use sorrelwick::store::Revision;
 use standins::routed::FleetSize;
 use standins::routed::LastWrite;
 use standins::routed::MemoryEventStore;
@@ -147,6 +148,23 @@
     assert_eq!(*values.0.lock(), BTreeMap::from(expected));
 }
 
+/// Guards against a first reading that outranks the store: a replica of a restored store may answer
+/// with old contents and the new era.
+#[test]
+fn stale_read_of_restored_store_is_replaced_by_load() {
+    let values = Values::default();
+    let mirror = Mirror::new(values.clone());
+    let item = |key: &str, value: &str, number| Item {
+        key: key.into(),
+        value: value.into(),
+        revision: Revision::new(1, number),
+    };
+    mirror.apply_provisional(&[item("config", "lost", 43), item("config/a", "lost", 42)]);
+    mirror.replace(&[item("config", "restored", 40)], Revision::new(1, 41), Duration::ZERO);
+    let expected = [("config".to_owned(), b"restored".to_vec())];
+    assert_eq!(*values.0.lock(), BTreeMap::from(expected));
+}
+
 /// Guards against instances that newcomers do not find for a renewal interval: the restored store
 /// has lost their entry and given their lease's id to another.
 #[tokio::test(start_paused = true)]
