A shard of the measuring budget is not held twice over a restore of the store

An acquisition and each renewal are now also told to the two instances that follow the shard's hash on the ring of incarnations; a shard that another may still use is given back. Two messages a renewal, whatever the size of the fleet.

--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -117,7 +117,13 @@
         tasks.spawn(run_joiner(Arc::clone(&board), store.clone(), links.clone()));
         tasks.spawn(run_watcher(Arc::clone(&board), store.clone(), links.clone()));
         tasks.spawn(run_repair(Arc::clone(&board), links.clone()));
-        tasks.spawn(run_shard(Arc::clone(&board), store.clone(), shard.clone(), buckets.clone()));
+        tasks.spawn(run_shard(
+            Arc::clone(&board),
+            store.clone(),
+            links.clone(),
+            shard.clone(),
+            buckets.clone(),
+        ));
         tasks.spawn(run_prober(router.clone(), buckets, shard));
         tasks.spawn(run_roster(Arc::clone(&board), store, links.clone()));
         tasks.spawn(run_queues(router.clone()));
--- a/src/app/daemon_peer_service.rs
+++ b/src/app/daemon_peer_service.rs
@@ -121,6 +121,9 @@
                 PeerReply::Suspects(board.quarantine.merge_and_diff(&records, complete))
             }
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
+            PeerRequest::WitnessShard { shard, holder, valid_ms } => {
+                PeerReply::ShardConfirmed(board.shard_witnesses.record(shard, holder, valid_ms))
+            }
             PeerRequest::WitnessClaim { claim, owner } => {
                 PeerReply::ClaimOwner(board.claim_witnesses.record(claim, owner))
             }
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -24,6 +24,7 @@
 use crate::catalog::Catalog;
 use crate::clock::now_ms;
 use crate::conf::Settings;
+use crate::measure::ShardWitnesses;
 use crate::member::MemberChange;
 use crate::member::MemberRow;
 use crate::member::MemberState;
@@ -63,6 +64,8 @@
     pub outcomes: OutcomeTable,
     /// Claims on keys that this instance remembers for others.
     pub claim_witnesses: ClaimWitnesses,
+    /// Holders of shards that this instance remembers for others.
+    pub shard_witnesses: ShardWitnesses,
     /// Requests that are rejected because they crash servers.
     pub quarantine: Quarantine,
     pub counters: Counters,
@@ -133,6 +136,7 @@
             catalog: Mutex::default(),
             outcomes,
             claim_witnesses,
+            shard_witnesses: ShardWitnesses::default(),
             quarantine: Quarantine::default(),
             counters: Counters::default(),
             latencies: Latencies::default(),
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -5,6 +5,7 @@
 mod prober;
 mod roster;
 mod shard;
+mod shard_witnesses;
 mod token_buckets;
 
 pub use grants::grant_tokens;
@@ -13,5 +14,6 @@
 pub use roster::run_roster;
 pub use shard::Shard;
 pub use shard::run_shard;
+pub use shard_witnesses::ShardWitnesses;
 pub use token_buckets::TokenBuckets;
 pub use token_buckets::tokens_of_shard;
--- a/src/measure/shard.rs
+++ b/src/measure/shard.rs
@@ -13,9 +13,11 @@
 use rand::RngExt;
 
 use super::TokenBuckets;
+use super::shard_witnesses::confirm_shard;
 use crate::board::Blackboard;
 use crate::board::EventKind;
 use crate::clock::now_ms;
+use crate::peer::Links;
 use crate::store::Lease;
 use crate::store::Store;
 
@@ -75,8 +77,9 @@
 
 /// Acquires a free shard; `None` if none of those tried was free, or the store failed.
 async fn acquire_shard<S: Store>(
-    board: &Blackboard,
+    board: &Arc<Blackboard>,
     store: &S,
+    links: &Links,
     shard: &Shard,
     ttl_ms: u64,
 ) -> Option<Lease> {
@@ -93,6 +96,8 @@
         let acquired = store.acquire(&path, value.as_bytes(), &lease).await;
         board.record_store_result(acquired.as_ref().err().map(ToString::to_string));
         match acquired {
+            // A restored store may have lost the lease of an instance that still uses the shard.
+            Ok(true) if !confirm_shard(board, links, number, usable_ms(ttl_ms)).await => break,
             Ok(true) => {
                 shard.hold(number, requested_ms + usable_ms(ttl_ms));
                 board.record_event(EventKind::ShardTaken { shard: number });
@@ -109,8 +114,9 @@
 
 /// Renews the lease until it is lost.
 async fn renew_until_lost<S: Store>(
-    board: &Blackboard,
+    board: &Arc<Blackboard>,
     store: &S,
+    links: &Links,
     shard: &Shard,
     lease: &Lease,
     ttl_ms: u64,
@@ -122,7 +128,12 @@
         board.record_store_result(renewed.as_ref().err().map(ToString::to_string));
         let number = shard.current(requested_ms);
         match (renewed, number) {
-            (Ok(true), Some(number)) => shard.hold(number, requested_ms + usable_ms(ttl_ms)),
+            (Ok(true), Some(number)) => {
+                if !confirm_shard(board, links, number, usable_ms(ttl_ms)).await {
+                    return;
+                }
+                shard.hold(number, requested_ms + usable_ms(ttl_ms));
+            }
             (Err(_), Some(_)) => {}
             // The lease has expired, by the answer of the store or by this process's clock.
             _ => return,
@@ -137,14 +148,15 @@
 pub async fn run_shard<S: Store>(
     board: Arc<Blackboard>,
     store: S,
+    links: Links,
     shard: Shard,
     buckets: TokenBuckets,
 ) {
     let ttl_ms = board.settings.platform.as_ref().map_or(10_000, |p| p.lease_ttl_ms);
     let mut pause_ms = RETRY_PAUSE_MIN_MS;
     loop {
-        if let Some(lease) = acquire_shard(&board, &store, &shard, ttl_ms).await {
-            renew_until_lost(&board, &store, &shard, &lease, ttl_ms).await;
+        if let Some(lease) = acquire_shard(&board, &store, &links, &shard, ttl_ms).await {
+            renew_until_lost(&board, &store, &links, &shard, &lease, ttl_ms).await;
             if let Some(number) = shard.release() {
                 board.record_event(EventKind::ShardLost { shard: number });
             }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -134,6 +134,8 @@
     Suspects { records: Vec<SuspectRecord>, complete: bool },
     /// Asks for tokens of a workspace's quota, in millitokens.
     QuotaTokens { workspace: String, wanted_millitokens: u32 },
+    /// The sender holds a shard of the measuring budgets for `valid_ms`; the receiver remembers it.
+    WitnessShard { shard: u32, holder: u64, valid_ms: u64 },
     /// The sender has claimed a plain idempotency key; the receiver remembers it.
     WitnessClaim {
         /// See [`crate::outcome::claim_hash`].
@@ -185,6 +187,8 @@
     FreeSlots(u32),
     /// Response to a feed request.
     Feed(FeedResponse),
+    /// Whether the responder knows no other holder of the shard.
+    ShardConfirmed(bool),
     /// Who claimed the key first, as far as the responder knows.
     ClaimOwner(KeyPrefix),
     /// Tokens that the responder gives away, in millitokens.
