Peers hand on the newest configuration that they know over a restore of the store

An instance that started between a restore and the operators' next write got the older version of the restored copy from its peers, which themselves went by the newer one. A mirror keeps the newer value under the restored key's revision until the store has a newer one.

--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -43,6 +43,12 @@
     /// time.
     fn removed(&mut self, key: &str, grace: Duration);
 
+    /// Whether an item of a restored store is an older state than the one applied before. The mirror
+    /// then keeps the known value for its peers until the writer repeats it.
+    fn is_outdated(&self, _item: &Item) -> bool {
+        false
+    }
+
     /// Keys of a sample that suffices for instances of this zone that rarely serve requests.
     fn sample_keys(&self, _zone: u64) -> Vec<String> {
         Vec::new()
@@ -268,7 +274,11 @@
         let restored = state.revision.is_some_and(|known| known.era < read_at.era);
         state.sink.begin_batch(restored);
         for item in by_revision(items) {
-            state.written(item);
+            if restored && state.sink.is_outdated(item) {
+                state.keep_known(item);
+            } else {
+                state.written(item);
+            }
         }
         let read: std::collections::HashSet<&str> =
             items.iter().map(|item| item.key.as_str()).collect();
@@ -379,6 +389,14 @@
         }
     }
 
+    /// Keeps the known value of a key that a restored store has in an older state.
+    fn keep_known(&mut self, item: &Item) {
+        match self.items.get_mut(&item.key) {
+            Some(known) => known.revision = item.revision,
+            None => self.written(item),
+        }
+    }
+
     /// Applies a removal unless the mirror has it or a newer write.
     fn removed(&mut self, key: &str, revision: Revision, grace: Duration) {
         let older = self.items.get(key).is_some_and(|known| known.revision <= revision);
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -147,6 +147,16 @@
 }
 
 impl<D: Dialect> Sink for OperatorSink<D> {
+    fn is_outdated(&self, item: &Item) -> bool {
+        let known = self.table.load();
+        let Some(known) = known.as_ref().filter(|_| item.key == self.dialect.store_keys().config)
+        else {
+            return false;
+        };
+        let parsed = self.dialect.decode_config(&item.value, Some(known));
+        parsed.is_ok_and(|parsed| parsed.table.version < known.version)
+    }
+
     fn redact(&self, item: &mut Item) {
         if item.key == self.dialect.store_keys().config {
             item.value = self.dialect.redact_config(std::mem::take(&mut item.value));
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -7,20 +7,26 @@
 
 use parking_lot::Mutex;
 use smallvec::SmallVec;
+use sorrelwick::balance::RetryAllowance;
 use sorrelwick::board::Blackboard;
+use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::Follower;
 use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::OperatorSink;
 use sorrelwick::gateway::QuarantineStore;
 use sorrelwick::gateway::Registry;
 use sorrelwick::gateway::Sink;
 use sorrelwick::peer::Feed;
+use sorrelwick::peer::FeedReply;
 use sorrelwick::peer::Links;
 use sorrelwick::quarantine::FingerprintScope;
 use sorrelwick::quarantine::Fingerprints;
 use sorrelwick::quarantine::SuspectRecord;
 use sorrelwick::store::EventStore;
 use sorrelwick::store::Item;
+use sorrelwick::store::ItemEvent;
 use sorrelwick::store::Revision;
+use standins::routed::CONFIG_KEY;
 use standins::routed::FleetSize;
 use standins::routed::LastWrite;
 use standins::routed::MemoryEventStore;
@@ -28,6 +34,7 @@
 use standins::routed::RelayFleet;
 use standins::routed::StoreFault;
 use standins::routed::fleet_settings;
+use standins::routed::two_routes;
 use tokio::time::Instant;
 
 /// Time limit for applying a change, from its acknowledgement by the store.
@@ -37,6 +44,9 @@
 /// How long the store is away before it comes back from a copy.
 const OUTAGE: Duration = Duration::from_millis(2_600);
 
+const ALLOWANCE: RetryAllowance =
+    RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 10.0 };
+
 /// The latest value of each key.
 #[derive(Clone, Debug, Default)]
 struct Values(Arc<Mutex<BTreeMap<String, Vec<u8>>>>);
@@ -148,6 +158,35 @@
     assert_eq!(*values.0.lock(), BTreeMap::from(expected));
 }
 
+/// Guards against instances that start right after a restore and go by an older configuration than
+/// all others: what a peer hands on is the newest that it knows.
+#[tokio::test(start_paused = true)]
+async fn peers_hand_on_newest_configuration_over_restore() {
+    let mirror = Mirror::new(OperatorSink {
+        dialect: PlainDialect::default(),
+        table: Arc::default(),
+        board: lone_board(),
+        dispatcher: Dispatcher::new("z", ALLOWANCE),
+        age: Arc::default(),
+    });
+    let version = |version, revision| Item {
+        key: CONFIG_KEY.into(),
+        value: two_routes(version).into_bytes(),
+        revision,
+    };
+    let (lost, restored) = (Revision::new(0, 9), Revision::new(1, 4));
+    mirror.replace(&[version(5, lost)], lost, Duration::ZERO);
+    mirror.replace(&[version(3, restored)], restored, Duration::ZERO);
+    let reply = mirror.serve(None, Duration::ZERO).await.reply;
+    let items = vec![version(5, restored)].into();
+    assert_eq!(reply, FeedReply::Snapshot { items, revision: restored });
+    let next = Revision::new(1, 5);
+    mirror.apply(&[ItemEvent::Written(version(6, next))], next, Duration::ZERO);
+    let reply = mirror.serve(Some(restored), Duration::ZERO).await.reply;
+    let events = vec![ItemEvent::Written(version(6, next))].into();
+    assert_eq!(reply, FeedReply::Events { events, revision: next });
+}
+
 /// Guards against a first reading that outranks the store: a replica of a restored store may answer
 /// with old contents and the new era.
 #[test]
