Readmit a zone at once after an outage; each doubt of an evacuation counts for itself

Since the grace for evacuations that a restored store has lost, a removal by the operators that came soon after a plain outage would have been held back for up to 2.4 s, by the grace of expired leases: what operators write has none. And a second restore within that time would have ended an evacuation by the first one's clock.

--- a/src/evacuation/evacuations.rs
+++ b/src/evacuation/evacuations.rs
@@ -3,12 +3,16 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// One occasion to doubt whether an evacuation still holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Doubt(u64);
+
 /// The evacuation of one zone.
 #[derive(Clone, Copy, Debug)]
 struct Evacuation {
     since_us: u64,
-    /// Whether it may have ended; it holds until that is certain.
-    doubted: bool,
+    /// The latest doubt whether it has ended; `None` if it certainly has not.
+    doubt: Option<Doubt>,
 }
 
 /// Evacuated zones, and since when this instance knows of each. A zone is only a name: it can be
@@ -16,6 +20,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     by_zone: BTreeMap<Arc<str>, Evacuation>,
+    last_doubt: Doubt,
 }
 
 impl Evacuations {
@@ -23,10 +28,10 @@
     /// that may have ended has not.
     pub fn begin(&mut self, zone: &str, now_us: u64) -> bool {
         if let Some(evacuation) = self.by_zone.get_mut(zone) {
-            evacuation.doubted = false;
+            evacuation.doubt = None;
             return false;
         }
-        self.by_zone.insert(zone.into(), Evacuation { since_us: now_us, doubted: false });
+        self.by_zone.insert(zone.into(), Evacuation { since_us: now_us, doubt: None });
         true
     }
 
@@ -36,16 +41,18 @@
     }
 
     /// Records that an evacuation may have ended.
-    pub fn doubt(&mut self, zone: &str) {
+    pub fn doubt(&mut self, zone: &str) -> Doubt {
+        self.last_doubt.0 += 1;
         if let Some(evacuation) = self.by_zone.get_mut(zone) {
-            evacuation.doubted = true;
+            evacuation.doubt = Some(self.last_doubt);
         }
+        self.last_doubt
     }
 
-    /// Whether the zone is evacuated, but that may have ended.
+    /// Whether nothing was learned of an evacuation since a doubt.
     #[must_use]
-    pub fn is_doubted(&self, zone: &str) -> bool {
-        self.by_zone.get(zone).is_some_and(|evacuation| evacuation.doubted)
+    pub fn is_doubted(&self, zone: &str, doubt: Doubt) -> bool {
+        self.by_zone.get(zone).is_some_and(|evacuation| evacuation.doubt == Some(doubt))
     }
 
     /// Whether a zone is evacuated.
--- a/src/evacuation/mod.rs
+++ b/src/evacuation/mod.rs
@@ -2,4 +2,5 @@
 
 mod evacuations;
 
+pub use evacuations::Doubt;
 pub use evacuations::Evacuations;
--- a/src/gateway/dispatcher_zones.rs
+++ b/src/gateway/dispatcher_zones.rs
@@ -4,6 +4,7 @@
 
 use super::dispatcher::Dispatcher;
 use crate::clock::now_us;
+use crate::evacuation::Doubt;
 
 /// The effect of an evacuation or of its end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -54,14 +55,15 @@
     }
 
     /// Records that the evacuation of a zone may have ended.
-    pub fn doubt_evacuation(&self, zone: &str) {
-        self.state.lock().evacuations.doubt(zone);
+    #[must_use]
+    pub fn doubt_evacuation(&self, zone: &str) -> Doubt {
+        self.state.lock().evacuations.doubt(zone)
     }
 
-    /// Whether the evacuation of a zone may have ended and was not begun again since.
+    /// Whether nothing was learned of the evacuation of a zone since a doubt.
     #[must_use]
-    pub fn is_evacuation_doubted(&self, zone: &str) -> bool {
-        self.state.lock().evacuations.is_doubted(zone)
+    pub fn is_evacuation_doubted(&self, zone: &str, doubt: Doubt) -> bool {
+        self.state.lock().evacuations.is_doubted(zone, doubt)
     }
 
     /// The evacuated zones.
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -293,9 +293,18 @@
         if self.board.store_era.latest() > Some(era) { Err(answer_outdated()) } else { Ok(()) }
     }
 
+    /// How long a removed key may be so only because its lease expired in an outage. What operators
+    /// write has no lease.
+    pub(super) fn expiry_grace(&self) -> Duration {
+        match self.feed {
+            Feed::Config => Duration::ZERO,
+            Feed::Servers | Feed::SomeServers { .. } => self.outage.expiry_grace(),
+        }
+    }
+
     /// How long a key that is missing now may be so only because of an outage or a restore.
     pub(super) fn missing_key_grace(&self) -> Duration {
-        self.outage.expiry_grace().max(self.board.store_era.repeat_time_left())
+        self.expiry_grace().max(self.board.store_era.repeat_time_left())
     }
 
     /// Records that the mirror holds everything that the store had acknowledged at `at_us`, unless
@@ -375,7 +384,7 @@
             if upto.era == revision.era {
                 let events = events.into_iter().map(|event| self.mirror.redacted_event(event));
                 let events: Vec<ItemEvent> = events.collect();
-                self.mirror.apply(&events, upto.max(revision), self.outage.expiry_grace());
+                self.mirror.apply(&events, upto.max(revision), self.expiry_grace());
                 self.record_proof(asked_us);
                 self.history_losses.store(0, Ordering::Release);
                 return Ok(Poll::UpToDate { changed: !events.is_empty() });
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -256,7 +256,7 @@
         self.board.record_store_era(upto.era);
         match answer.reply {
             FeedReply::Events { events, revision } => {
-                self.mirror.apply(&events, revision, self.outage.expiry_grace());
+                self.mirror.apply(&events, revision, self.expiry_grace());
             }
             FeedReply::Snapshot { items, revision } => {
                 self.mirror.replace(&items, revision, self.missing_key_grace());
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -85,12 +85,12 @@
     /// Ends the evacuation of a zone after `grace`, unless the operators have repeated it by then:
     /// a restored store may have lost it.
     fn readmit_unless_repeated(&self, zone: &str, grace: Duration) {
-        self.dispatcher.doubt_evacuation(zone);
+        let doubt = self.dispatcher.doubt_evacuation(zone);
         let (dispatcher, board) = (self.dispatcher.clone(), Arc::clone(&self.board));
         let zone = zone.to_owned();
         tokio::spawn(async move {
             tokio::time::sleep(grace).await;
-            if dispatcher.is_evacuation_doubted(&zone) {
+            if dispatcher.is_evacuation_doubted(&zone, doubt) {
                 readmit(&dispatcher, &board, &zone);
             }
         });
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -30,12 +30,16 @@
 
 /// Starts a lone instance that follows the servers of `store`.
 fn follow(store: &MemoryEventStore) -> Removals {
+    follow_feed(store, Feed::Servers, "servers/")
+}
+
+fn follow_feed(store: &MemoryEventStore, feed: Feed, prefix: &'static str) -> Removals {
     let text = r#"{ instance: { name: "a1", zone: "z" } }"#;
     let board = Arc::new(Blackboard::new(parse_settings("t", text).expect("valid"), 1));
     let removals = Removals::default();
     let mirror = Arc::new(Mirror::new(removals.clone()));
     let links = Links::new("a secret of sixteen");
-    let follower = Follower::new(store.clone(), links, board, mirror, Feed::Servers, "servers/");
+    let follower = Follower::new(store.clone(), links, board, mirror, feed, prefix);
     tokio::spawn(follower.run());
     removals
 }
@@ -91,3 +95,20 @@
     let removed = removals.0.lock().clone();
     assert_eq!(removed, [("servers/s1".to_owned(), Duration::ZERO)]);
 }
+
+/// Guards against a zone that stays evacuated after an outage although the operators readmitted it:
+/// what they write has no lease that could have expired.
+#[tokio::test(start_paused = true)]
+async fn removal_by_operators_gets_no_grace_after_outage() {
+    let store = MemoryEventStore::default();
+    store.put("operators/evacuations/z", "{}");
+    let removals = follow_feed(&store, Feed::Config, "operators/");
+    pass(1_000).await;
+    store.set_fault(StoreFault::Busy);
+    pass(6_000).await;
+    store.remove("operators/evacuations/z");
+    store.set_fault(StoreFault::None);
+    pass(2_000).await;
+    let removed = removals.0.lock().clone();
+    assert_eq!(removed, [("operators/evacuations/z".to_owned(), Duration::ZERO)]);
+}
