--- a/src/app/daemon_peer_service.rs
+++ b/src/app/daemon_peer_service.rs
@@ -16,6 +16,7 @@
 use crate::measure::grant_tokens;
 use crate::member::handle_indirect_ping;
 use crate::member::handle_member_request;
+use crate::member::handle_witness_request;
 use crate::outcome::OwnerSnapshot;
 use crate::peer::ForwardHead;
 use crate::peer::ForwardReplyHead;
@@ -121,11 +122,8 @@
                 PeerReply::Suspects(board.quarantine.merge_and_diff(&records, complete))
             }
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
-            PeerRequest::WitnessShard { shard, holder, valid_ms } => {
-                PeerReply::ShardConfirmed(board.shard_witnesses.record(shard, holder, valid_ms))
-            }
-            PeerRequest::WitnessClaim { claim, owner } => {
-                PeerReply::ClaimOwner(board.claim_witnesses.record(claim, owner))
+            PeerRequest::Witness(request) => {
+                PeerReply::Witness(handle_witness_request(board, request))
             }
             // Only gateways exchange these.
             PeerRequest::ServerLoads(_)
--- a/src/board/store_era.rs
+++ b/src/board/store_era.rs
@@ -7,10 +7,7 @@
 use tokio::sync::watch;
 
 use crate::clock::boot_us;
-
-/// Time after a restore, in microseconds, in which the writers repeat what the store has lost; they
-/// need up to two seconds.
-const REPEAT_TIME_US: u64 = 2_400_000;
+use crate::store::REWRITE_TIME_US;
 
 /// The latest known era, and until when its contents may lack what was written before it.
 #[derive(Debug)]
@@ -36,7 +33,7 @@
                 return false;
             }
             if latest.is_some() {
-                self.complete_us.store(boot_us() + REPEAT_TIME_US, Ordering::Release);
+                self.complete_us.store(boot_us() + REWRITE_TIME_US, Ordering::Release);
             }
             restored_after = latest.replace(era);
             true
--- a/src/catalog/watcher.rs
+++ b/src/catalog/watcher.rs
@@ -1,6 +1,7 @@
 //! Watches the store, on a few instances of each zone.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,21 +62,28 @@
 /// Writes back the committed rows that a listing of all services lacks: the store was restored from
 /// an earlier copy. A row that the store got since the listing is not overwritten, nor one that
 /// cannot be read.
-async fn write_back_lost_rows<S: Store>(board: &Blackboard, store: &S, listing: &Listing) {
-    let listed: HashMap<&str, &Entry> =
-        listing.entries.iter().map(|entry| (entry.key.as_str(), entry)).collect();
-    let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
+async fn write_back_lost_rows<S: Store>(
+    board: &Blackboard,
+    store: &S,
+    listing: &Listing,
+    rows: &ServiceRows,
+) {
     let summary: Vec<(String, u64)> =
-        rows.into_iter().map(|(name, row)| (name, row.revision)).collect();
+        rows.iter().map(|(name, row)| (name.clone(), row.revision)).collect();
     let lost = board.catalog.lock().rows_newer_than(&summary);
+    if lost.is_empty() {
+        return;
+    }
+    let readable: HashSet<&str> = rows.iter().map(|(name, _)| name.as_str()).collect();
+    let listed: HashMap<&str, u64> =
+        listing.entries.iter().map(|entry| (entry.key.as_str(), entry.index)).collect();
     let committer = Committer::new(store.clone());
     for (name, row) in lost {
-        let index = match listed.get(format!("{SERVICES_PREFIX}{name}").as_str()) {
-            Some(entry) if decode_entry(entry).is_none() => continue,
-            Some(entry) => entry.index,
-            None => 0,
-        };
-        if let Err(error) = committer.write_back(&name, &row, index).await {
+        let index = listed.get(format!("{SERVICES_PREFIX}{name}").as_str()).copied();
+        if index.is_some() && !readable.contains(name.as_str()) {
+            continue;
+        }
+        if let Err(error) = committer.write_back(&name, &row, index.unwrap_or(0)).await {
             // The next listing lacks the row too.
             board.record_store_result(Some(error.to_string()));
         }
@@ -99,12 +107,12 @@
             sleep_with_jitter(WATCH_RETRY_MS).await;
             continue;
         };
+        let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
         if listing.index != index {
-            write_back_lost_rows(&board, &store, &listing).await;
+            write_back_lost_rows(&board, &store, &listing, &rows).await;
         }
         // A lower index means that the store was replaced or restored: list all entries again.
         index = if listing.index < index { 0 } else { listing.index };
-        let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
         if rows.len() < listing.entries.len() {
             warn!(
                 "{} services in the store are invalid and were skipped",
--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -77,6 +77,11 @@
     Behind,
 }
 
+/// The backoff after this many failures in a row.
+fn refused_backoff_ms(failures: u32) -> u64 {
+    (REFUSED_BACKOFF_MS << failures.min(6)).min(REFUSED_BACKOFF_MAX_MS)
+}
+
 /// The error of an answer that was under way while the store was restored.
 fn answer_outdated() -> StoreError {
     StoreError::ResponseLost("the answer is from before the store was restored".into())
@@ -225,9 +230,7 @@
                 // All keys are read at once, but not in a loop if that does not help.
                 let losses = self.history_losses.fetch_add(1, Ordering::AcqRel);
                 if losses > 0 {
-                    let pause_ms =
-                        (REFUSED_BACKOFF_MS << losses.min(6)).min(REFUSED_BACKOFF_MAX_MS);
-                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    tokio::time::sleep(Duration::from_millis(refused_backoff_ms(losses))).await;
                 }
             }
             Err(error) => self.back_off(&error, started_us).await,
@@ -255,9 +258,7 @@
         }
         let pause_ms = match error {
             StoreError::Unreachable(_) => UNREACHABLE_BACKOFF_MS,
-            StoreError::ResponseLost(_) | StoreError::Refused(_) => {
-                (REFUSED_BACKOFF_MS << failures.min(6)).min(REFUSED_BACKOFF_MAX_MS)
-            }
+            StoreError::ResponseLost(_) | StoreError::Refused(_) => refused_backoff_ms(failures),
         };
         let jitter_ms = rand::rng().random_range(0..=pause_ms / 4);
         tokio::time::sleep(Duration::from_millis(pause_ms + jitter_ms)).await;
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -250,19 +250,19 @@
 
     /// Applies a peer's answer; returns whether the peer's mirror is fresh.
     pub(super) fn apply_answer(&self, answer: FeedAnswer) -> bool {
-        let Some(upto) = answer.reply.revision() else {
-            return false;
-        };
-        self.board.record_store_era(upto.era);
-        match answer.reply {
+        let upto = match answer.reply {
             FeedReply::Events { events, revision } => {
+                self.board.record_store_era(revision.era);
                 self.mirror.apply(&events, revision, self.expiry_grace());
+                revision
             }
             FeedReply::Snapshot { items, revision } => {
+                self.board.record_store_era(revision.era);
                 self.mirror.replace(&items, revision, self.missing_key_grace());
+                revision
             }
             FeedReply::Unknown => return false,
-        }
+        };
         // What the peer had confirmed or proved before the store was restored says nothing of now.
         if self.board.store_era.latest() > Some(upto.era) {
             return false;
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -201,20 +201,20 @@
     /// Current unreadable entries by id, with the parse error. Each is logged once per error,
     /// however often its writer repeats it.
     unreadable: HashMap<String, String>,
-    /// Counts of the current batch; `None` outside a batch.
-    batch: Option<BatchCounts>,
-    /// Whether the current batch is the content of a restored store.
-    restored: bool,
+    /// `None` outside a batch.
+    batch: Option<Batch>,
 }
 
-/// Numbers of changes in the current batch.
+/// The current batch and the numbers of its changes.
 #[derive(Clone, Copy, Debug, Default)]
-struct BatchCounts {
+struct Batch {
+    /// Whether it is the content of a restored store.
+    restored: bool,
     listed: usize,
     unlisted: usize,
 }
 
-impl BatchCounts {
+impl Batch {
     /// Whether the latest change is still logged individually.
     const fn logs_each(self) -> bool {
         self.listed + self.unlisted <= BATCH_LINES_MAX
@@ -225,7 +225,7 @@
     /// Creates a sink that lists servers in `dispatcher`.
     #[must_use]
     pub fn new(dialect: D, dispatcher: Dispatcher) -> Self {
-        Self { dialect, dispatcher, unreadable: HashMap::new(), batch: None, restored: false }
+        Self { dialect, dispatcher, unreadable: HashMap::new(), batch: None }
     }
 
     /// Decodes and validates the entry of a server.
@@ -281,7 +281,7 @@
                 ""
             );
         }
-        if self.restored {
+        if self.batch.is_some_and(|batch| batch.restored) {
             self.dispatcher.list_restored_server(row);
         } else {
             self.dispatcher.list_server(row);
@@ -304,12 +304,10 @@
     }
 
     fn begin_batch(&mut self, restored: bool) {
-        self.batch = Some(BatchCounts::default());
-        self.restored = restored;
+        self.batch = Some(Batch { restored, ..Batch::default() });
     }
 
     fn end_batch(&mut self, revision: Revision) {
-        self.restored = false;
         let batch = self.batch.take().unwrap_or_default();
         if !batch.logs_each() {
             info!(
--- a/src/gateway/store_outage.rs
+++ b/src/gateway/store_outage.rs
@@ -7,10 +7,7 @@
 use std::time::Duration;
 
 use crate::clock::now_us;
-
-/// Grace, in microseconds from the start of the last failed call, for entries that expired during
-/// an outage: their writers restore them within two seconds of the store's return.
-const EXPIRY_GRACE_US: u64 = 2_400_000;
+use crate::store::REWRITE_TIME_US;
 
 /// Consecutive failed calls, and when the last of them began.
 #[derive(Debug, Default)]
@@ -58,6 +55,6 @@
         if failed_us == 0 {
             return Duration::ZERO;
         }
-        Duration::from_micros((failed_us + EXPIRY_GRACE_US).saturating_sub(now_us()))
+        Duration::from_micros((failed_us + REWRITE_TIME_US).saturating_sub(now_us()))
     }
 }
--- a/src/measure/shard_witnesses.rs
+++ b/src/measure/shard_witnesses.rs
@@ -1,29 +1,18 @@
 //! Which shards are held, as instances remember it for each other.
-//!
-//! The platform's store may come back from an earlier copy that lacks a lease. It would give the
-//! shard to another instance while the first still uses it, so a few instances are told of each
-//! acquisition and renewal.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::task::JoinSet;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::board::Blackboard;
 use crate::clock::now_ms;
-use crate::member::MemberRow;
+use crate::member::WitnessReply;
+use crate::member::WitnessRequest;
+use crate::member::ask_witnesses;
 use crate::peer::Links;
-use crate::peer::PeerClient;
-use crate::peer::PeerReply;
-use crate::peer::PeerRequest;
-
-/// Instances that remember who holds a shard.
-const WITNESSES: usize = 2;
-/// Time limit for their answers.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Who holds a shard, and until when by this process's clock.
 #[derive(Clone, Copy, Debug)]
@@ -54,38 +43,16 @@
 }
 
 /// Tells the witnesses of a shard that this instance uses it for `valid_ms`; returns whether none
-/// of them knows another holder. One that does not answer is passed over.
+/// of them knows another holder.
 pub(super) async fn confirm_shard(
     board: &Arc<Blackboard>,
     links: &Links,
     shard: u32,
     valid_ms: u64,
 ) -> bool {
-    let view = board.members_view();
-    let mut asked = JoinSet::new();
-    for witness in view.ring_from(xxh3_64(&shard.to_le_bytes())).take(WITNESSES) {
-        let (board, links) = (Arc::clone(board), links.clone());
-        let witness = Arc::clone(witness);
-        asked.spawn(async move { ask(&board, &links, &witness, shard, valid_ms).await });
-    }
-    asked.join_all().await.into_iter().flatten().all(|confirmed| confirmed)
-}
-
-/// The answer of one witness.
-async fn ask(
-    board: &Blackboard,
-    links: &Links,
-    witness: &MemberRow,
-    shard: u32,
-    valid_ms: u64,
-) -> Option<bool> {
-    let holder = board.incarnation;
-    if witness.incarnation == holder {
-        return Some(board.shard_witnesses.record(shard, holder, valid_ms));
-    }
-    let request = PeerRequest::WitnessShard { shard, holder, valid_ms };
-    match links.call(witness.peer_address, &request, ANSWER_TIMEOUT).await {
-        Ok(PeerReply::ShardConfirmed(confirmed)) => Some(confirmed),
-        _ => None,
-    }
+    let place = xxh3_64(&shard.to_le_bytes());
+    let request = WitnessRequest::Shard { shard, holder: board.incarnation, valid_ms };
+    let within = Duration::from_millis(valid_ms);
+    let replies = ask_witnesses(board, links, place, request, within).await;
+    !replies.contains(&WitnessReply::ShardConfirmed(false))
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -13,6 +13,7 @@
 mod row;
 mod suspicion_timer;
 mod table;
+mod witnesses;
 
 pub use announce::announce;
 pub use announce::announce_targets;
@@ -30,3 +31,7 @@
 pub use suspicion_timer::SuspicionTimer;
 pub use table::MemberChange;
 pub use table::MemberTable;
+pub use witnesses::WitnessReply;
+pub use witnesses::WitnessRequest;
+pub use witnesses::ask_witnesses;
+pub use witnesses::handle_witness_request;
--- a/src/outcome/claim_witnesses.rs
+++ b/src/outcome/claim_witnesses.rs
@@ -1,7 +1,4 @@
 //! Claims on plain keys, as instances remember them for each other.
-//!
-//! The platform's store may come back from an earlier copy that lacks a claim. The key could then be
-//! claimed again and run twice, so each claim is also recorded at a few instances.
 
 use std::collections::HashMap;
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,8 +9,9 @@
 use super::Packed;
 use crate::member::MemberRequest;
 use crate::member::MemberRow;
+use crate::member::WitnessReply;
+use crate::member::WitnessRequest;
 use crate::model::VersionedService;
-use crate::outcome::KeyPrefix;
 use crate::outcome::OwnerSnapshot;
 use crate::quarantine::SuspectRecord;
 use crate::store::Item;
@@ -134,14 +135,8 @@
     Suspects { records: Vec<SuspectRecord>, complete: bool },
     /// Asks for tokens of a workspace's quota, in millitokens.
     QuotaTokens { workspace: String, wanted_millitokens: u32 },
-    /// The sender holds a shard of the measuring budgets for `valid_ms`; the receiver remembers it.
-    WitnessShard { shard: u32, holder: u64, valid_ms: u64 },
-    /// The sender has claimed a plain idempotency key; the receiver remembers it.
-    WitnessClaim {
-        /// See [`crate::outcome::claim_hash`].
-        claim: u128,
-        owner: KeyPrefix,
-    },
+    /// Asks the receiver to remember a claim or a lease of the sender.
+    Witness(WitnessRequest),
     /// Recorded outcomes of an instance that stops; the receiver becomes the owner of its
     /// idempotency keys.
     HandOver {
@@ -187,10 +182,7 @@
     FreeSlots(u32),
     /// Response to a feed request.
     Feed(FeedResponse),
-    /// Whether the responder knows no other holder of the shard.
-    ShardConfirmed(bool),
-    /// Who claimed the key first, as far as the responder knows.
-    ClaimOwner(KeyPrefix),
+    Witness(WitnessReply),
     /// Tokens that the responder gives away, in millitokens.
     QuotaTokens(u32),
     /// The request was not served; contains a result code.
@@ -198,15 +190,6 @@
 }
 
 impl FeedReply {
-    /// The revision that the requester has after applying the reply; `None` if unknown.
-    #[must_use]
-    pub const fn revision(&self) -> Option<Revision> {
-        match self {
-            Self::Events { revision, .. } | Self::Snapshot { revision, .. } => Some(*revision),
-            Self::Unknown => None,
-        }
-    }
-
     /// Number of its bytes that are already compressed.
     fn packed_bytes(&self) -> usize {
         match self {
--- a/src/route/keyed.rs
+++ b/src/route/keyed.rs
@@ -4,10 +4,8 @@
 use std::time::Duration;
 
 use log::warn;
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 
 use super::Answer;
 use super::ProxyRequest;
@@ -15,7 +13,9 @@
 use super::ServiceState;
 use crate::board::Counter;
 use crate::errors::Code;
-use crate::member::MemberRow;
+use crate::member::WitnessReply;
+use crate::member::WitnessRequest;
+use crate::member::ask_witnesses;
 use crate::outcome::IdempotencyKey;
 use crate::outcome::KeyDecision;
 use crate::outcome::KeyPrefix;
@@ -24,20 +24,12 @@
 use crate::outcome::claim;
 use crate::outcome::claim_hash;
 use crate::peer::ForwardStage;
-use crate::peer::PeerClient;
-use crate::peer::PeerReply;
-use crate::peer::PeerRequest;
 
 /// Retry delay for the caller, in milliseconds, if the owner's outcome table is full.
 const TABLE_FULL_RETRY_AFTER_MS: u64 = 1_000;
 /// Retry delay for the caller, in milliseconds, if the key's owner is unknown or cannot be reached.
 const OWNER_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Instances that remember a claim beside the store.
-const CLAIM_WITNESSES: usize = 2;
-/// Time limit for their answers.
-const WITNESS_TIMEOUT: Duration = Duration::from_millis(200);
-
 fn owner_unreachable() -> Answer {
     Answer { retry_after_ms: OWNER_RETRY_AFTER_MS, ..Answer::unknown(Code::KeyOwnerUnreachable) }
 }
@@ -81,24 +73,22 @@
         if owner != own {
             return Some(owner);
         }
-        let within = WITNESS_TIMEOUT.min(Duration::from_micros(proxy_request.remaining_us()));
+        let within = Duration::from_micros(proxy_request.remaining_us());
         let claim = claim_hash(&proxy_request.service, &key.text);
         Some(self.first_claimant(claim, own, within).await)
     }
 
-    /// Records a new claim at its witnesses; returns its first owner as they know it. A witness that
-    /// does not answer is passed over: the store's word holds unless it was restored.
+    /// Tells the witnesses of a new claim; returns its first owner as they know it.
     async fn first_claimant(&self, claim: u128, own: KeyPrefix, within: Duration) -> KeyPrefix {
-        let view = self.board.members_view();
         let place = u64::try_from(claim >> 64).unwrap_or(0);
-        let mut asked = JoinSet::new();
-        for witness in view.ring_from(place).take(CLAIM_WITNESSES) {
-            let (router, witness) = (self.clone(), Arc::clone(witness));
-            asked.spawn(async move { router.ask_witness(&witness, claim, own, within).await });
-        }
-        let owners: SmallVec<[KeyPrefix; CLAIM_WITNESSES]> =
-            asked.join_all().await.into_iter().flatten().collect();
-        let earlier = owners.into_iter().find(|owner| owner.incarnation != own.incarnation);
+        let request = WitnessRequest::Claim { claim, owner: own };
+        let replies = ask_witnesses(&self.board, &self.links, place, request, within).await;
+        let earlier = replies.into_iter().find_map(|reply| match reply {
+            WitnessReply::Owner(owner) => {
+                Some(owner).filter(|owner| owner.incarnation != own.incarnation)
+            }
+            WitnessReply::ShardConfirmed(_) => None,
+        });
         if let Some(owner) = earlier {
             warn!(event = "claim-lost-by-store", owner = owner.to_string().as_str();
                 "the key belongs to the instance that claimed it before the store was restored");
@@ -106,24 +96,6 @@
         earlier.unwrap_or(own)
     }
 
-    /// The owner of a claim as one witness knows it; `None` without an answer.
-    async fn ask_witness(
-        &self,
-        witness: &MemberRow,
-        claim: u128,
-        own: KeyPrefix,
-        within: Duration,
-    ) -> Option<KeyPrefix> {
-        if witness.incarnation == self.board.incarnation {
-            return Some(self.board.claim_witnesses.record(claim, own));
-        }
-        let request = PeerRequest::WitnessClaim { claim, owner: own };
-        match self.links.call(witness.peer_address, &request, within).await {
-            Ok(PeerReply::ClaimOwner(owner)) => Some(owner),
-            _ => None,
-        }
-    }
-
     /// Forwards the request to the process that answers for the keys of `incarnation`: the owner
     /// or its successor.
     async fn forward_to_owner(&self, proxy_request: &ProxyRequest, incarnation: u64) -> Answer {
--- a/src/store/event_store.rs
+++ b/src/store/event_store.rs
@@ -35,6 +35,10 @@
     }
 }
 
+/// Time after an outage or a restore of the store, in microseconds, after which what is still missing
+/// is gone: the writers write again what it has lost within two seconds of its return.
+pub const REWRITE_TIME_US: u64 = 2_400_000;
+
 /// Required freshness of a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -16,6 +16,7 @@
 pub use event_store::Item;
 pub use event_store::ItemEvent;
 pub use event_store::Page;
+pub use event_store::REWRITE_TIME_US;
 pub use event_store::WatchResult;
 pub use http_client::HttpClient;
 pub use http_client::HttpReply;
--- a/standins/src/routed/memory_event_store.rs
+++ b/standins/src/routed/memory_event_store.rs
@@ -1,6 +1,7 @@
 //! An in-memory event store with injectable faults; clones share its state.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -47,8 +48,7 @@
     /// Events up to this revision are no longer available.
     compacted_revision: u64,
     revision: Revision,
-    /// The key of each open lease; empty until one is written.
-    leases: BTreeMap<u64, String>,
+    leases: BTreeSet<u64>,
     last_lease: u64,
 }
 
@@ -64,7 +64,7 @@
 pub struct StoreCopy {
     items: BTreeMap<String, Item>,
     revision: u64,
-    leases: BTreeMap<u64, String>,
+    leases: BTreeSet<u64>,
     last_lease: u64,
 }
 
@@ -305,14 +305,14 @@
         let mut state = self.state.lock();
         state.last_lease += 1;
         let lease = EraLease { id: state.last_lease, era: state.revision.era };
-        state.leases.insert(lease.id, String::new());
+        state.leases.insert(lease.id);
         Ok(lease)
     }
 
     async fn renew_lease(&self, lease: EraLease) -> Result<Option<u64>, StoreError> {
         self.begin_call().await?;
         let state = self.state.lock();
-        Ok(state.leases.contains_key(&lease.id).then_some(state.revision.era))
+        Ok(state.leases.contains(&lease.id).then_some(state.revision.era))
     }
 
     async fn write_leased(
@@ -322,11 +322,10 @@
         lease: EraLease,
     ) -> Result<Option<u64>, StoreError> {
         self.begin_call().await?;
-        let mut state = self.state.lock();
-        let Some(written) = state.leases.get_mut(&lease.id) else {
+        let state = self.state.lock();
+        if !state.leases.contains(&lease.id) {
             return Ok(None);
-        };
-        key.clone_into(written);
+        }
         let era = state.revision.era;
         drop(state);
         self.put(key, &String::from_utf8_lossy(value));
