A request waits for a slot as long as its caller's deadline permits

Callers saw 503 with code 2102, "no slot would be free before the deadline", with 19.9 s of their 20 s left: whole_answer::late_hedged_response_reaches_no_caller beside load, 10 of 10 runs of its file with five copies at once, 158 to 461 of 1,000 lookups refused. Cause: admission capped every wait at 500 ms (WAIT_MAX_US), whatever the deadline, and gave the cap out as the deadline. Evidence: a trace of each refusal; of 2,144 in one run 1,713 were TooLate with an expected wait of 504 to 3,289 ms and 431 had waited for 500 ms, all with more than 19.4 s left. Now the deadline alone decides, less two median service times: with one reserved, half of the admitted requests would run into their deadlines at a server. A request that returns to the front of the queue is no longer judged by those behind it. Each refusal is logged with what it was decided on (request-rejected), which the own interface did not do. Failing first: decisions::request_waits_while_its_deadline_permits and decisions::admitted_request_keeps_time_to_be_served.

--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -1,15 +1,15 @@
 //! Admission control for requests that find no free slot.
 
-/// Longest wait for a slot, however late the deadline, in microseconds. A longer queue only turns
-/// overload into latency for the admitted requests.
-const WAIT_MAX_US: u64 = 500_000;
+/// Time reserved for the service of a request, in median service times. With only one left, half
+/// of the requests would run into their deadlines while a server works on them.
+const RESERVED_MEDIANS: u64 = 2;
 /// Minimum retry-after time. While no server takes requests, callers are told 20 times as long.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
 /// The queue of one service on one instance, as far as known.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueView {
-    /// Queued requests.
+    /// Requests queued ahead of this one.
     pub waiting: usize,
     /// Maximum number of queued requests.
     pub waiting_max: usize,
@@ -41,7 +41,7 @@
     },
 }
 
-/// Expected time until the queued requests and one more get their slots, in microseconds.
+/// Expected time until the requests ahead and this one get their slots, in microseconds.
 #[expect(
     clippy::cast_precision_loss,
     clippy::cast_possible_truncation,
@@ -53,7 +53,8 @@
     ((view.waiting + 1) as f32 * per_slot) as u64
 }
 
-/// Decides on a request that found no free slot.
+/// Decides on a request that found no free slot. It may wait for as long as its caller's deadline
+/// permits; one that could not run in time is refused at once.
 #[must_use]
 pub fn decide_admission(view: &QueueView) -> Admission {
     let wait_us = expected_wait_us(view);
@@ -69,8 +70,8 @@
         clippy::cast_sign_loss,
         reason = "a median of microseconds is small and positive"
     )]
-    let work_us = view.median_service_us as u64;
-    let at_most_us = view.remaining_us.saturating_sub(work_us).min(WAIT_MAX_US);
+    let median_us = view.median_service_us as u64;
+    let at_most_us = view.remaining_us.saturating_sub(RESERVED_MEDIANS * median_us);
     if wait_us > at_most_us || at_most_us == 0 {
         return Admission::TooLate { retry_after_ms };
     }
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -22,6 +22,7 @@
 use crate::board::Counter;
 use crate::board::EventKind;
 use crate::decide::Admission;
+use crate::decide::QueueView;
 use crate::decide::RetryView;
 use crate::decide::ServerScope;
 use crate::decide::may_retry;
@@ -70,6 +71,28 @@
     }
 }
 
+/// Logs why a request is not admitted to the queue.
+fn log_rejection(proxy_request: &ProxyRequest, answer: &Answer, view: &QueueView) {
+    info!(
+        event = "request-rejected", id = proxy_request.id().as_ref(),
+        service = proxy_request.service.as_str(), code = answer.code.number(),
+        waiting = view.waiting, slots = view.slots, median_us = view.median_service_us,
+        remaining_us = view.remaining_us, retry_after_ms = answer.retry_after_ms;
+        "no slot would be free in time"
+    );
+}
+
+/// Logs that no slot became free for a queued request in time.
+fn log_wait_timeout(proxy_request: &ProxyRequest, answer: &Answer, waited: Duration) {
+    info!(
+        event = "request-rejected", id = proxy_request.id().as_ref(),
+        service = proxy_request.service.as_str(), code = answer.code.number(),
+        waited_ms = waited.as_millis(), remaining_us = proxy_request.remaining_us(),
+        retry_after_ms = answer.retry_after_ms;
+        "no slot became free in time"
+    );
+}
+
 /// The answer that came first, or the other attempt's if the first one is unusable.
 async fn first_useful(answer: Answer, other: impl Future<Output = Answer>) -> Answer {
     if !needs_retry(&answer) {
@@ -232,8 +255,10 @@
                 proxy_request.remaining_us(),
             ) {
                 EnqueueResult::Queued { offer, max_wait } => (offer, max_wait),
-                EnqueueResult::Rejected(admission) => {
-                    return Target::Rejected(rejection(admission));
+                EnqueueResult::Rejected { admission, view } => {
+                    let answer = rejection(admission);
+                    log_rejection(proxy_request, &answer, &view);
+                    return Target::Rejected(answer);
                 }
             };
             match tokio::time::timeout(max_wait, offer).await {
@@ -245,10 +270,9 @@
                     position = QueuePosition::Front;
                 }
                 _ => {
-                    return Target::Rejected(Answer::not_run(
-                        Code::DeadlineInQueue,
-                        DEFAULT_RETRY_AFTER_MS,
-                    ));
+                    let answer = Answer::not_run(Code::DeadlineInQueue, DEFAULT_RETRY_AFTER_MS);
+                    log_wait_timeout(proxy_request, &answer, max_wait);
+                    return Target::Rejected(answer);
                 }
             }
         }
--- a/src/route/slot_queue.rs
+++ b/src/route/slot_queue.rs
@@ -53,7 +53,8 @@
         offer: oneshot::Receiver<Offer>,
         max_wait: Duration,
     },
-    Rejected(Admission),
+    /// The request is rejected, because of what `view` shows.
+    Rejected { admission: Admission, view: QueueView },
 }
 
 /// The state of one backend server, for probes and connection maintenance.
@@ -185,8 +186,12 @@
     ) -> EnqueueResult {
         let mut state = self.state.lock();
         state.waiting.retain(|waiter| !waiter.sender.is_closed());
+        let ahead = match position {
+            QueuePosition::Back => state.waiting.len(),
+            QueuePosition::Front => 0,
+        };
         let view = QueueView {
-            waiting: state.waiting.len(),
+            waiting: ahead,
             waiting_max: state.queue_max,
             slots: state.pool.usable_slots(scope, tried, now_us()),
             median_service_us: state.pool.median_service_us(),
@@ -194,7 +199,7 @@
         };
         let max_wait = match decide_admission(&view) {
             Admission::Wait { at_most_us } => Duration::from_micros(at_most_us),
-            refusal => return EnqueueResult::Rejected(refusal),
+            admission => return EnqueueResult::Rejected { admission, view },
         };
         let (sender, offer) = oneshot::channel();
         let waiter = Waiter { scope, tried: tried.into(), sender };
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -194,6 +194,35 @@
     });
 }
 
+/// Guards against refusing a request "for its deadline" whose caller would wait much longer than the
+/// queue takes.
+#[test]
+fn request_waits_while_its_deadline_permits() {
+    let view = QueueView {
+        waiting: 59,
+        waiting_max: 1_000,
+        slots: 4,
+        median_service_us: 50_000.0,
+        remaining_us: 20_000_000,
+    };
+    let admission = decide_admission(&view);
+    assert_eq!(admission, Admission::Wait { at_most_us: 19_900_000 });
+}
+
+/// Guards against requests that wait until hardly any time is left to serve them: half of them
+/// would run into their deadlines at a server, with an unknown outcome.
+#[test]
+fn admitted_request_keeps_time_to_be_served() {
+    let view = QueueView {
+        waiting: 0,
+        waiting_max: 1_000,
+        slots: 4,
+        median_service_us: 50_000.0,
+        remaining_us: 110_000,
+    };
+    assert!(matches!(decide_admission(&view), Admission::TooLate { .. }));
+}
+
 /// Acquiring and releasing a slot does not allocate.
 #[test]
 fn selection_does_not_allocate() {
