Send what is queued of a broken response before its stream is reset

A keyed request was answered as if its owner could not be reached, and an idempotent one ran again at another home. Cause: the home ended a broken body with a reset, which discards what the stream still has queued, its head among it. Bytes on such a stream now tell when they have left its queue, and the reset waits for that, 2 s at most, so that a peer that does not read holds nothing. Trailers in place of the reset were weighed: an instance of an older version would take the truncated body for complete. Elsewhere: this is the only reset that the code sends. If hyper learns of the error before it wrote the head to the caller, the caller's connection closes without a head; it sees a broken response either way. Failing first: peer_responses::head_of_a_broken_response_arrives_before_the_reset (ResponseLost).

--- a/src/peer/listener.rs
+++ b/src/peer/listener.rs
@@ -28,6 +28,8 @@
 use super::link::read_chunk;
 use super::link::read_message;
 use super::link::read_prefixed;
+use super::queued_bytes::QueuedBytes;
+use super::queued_bytes::SendQueue;
 use crate::route::AnswerBody;
 use crate::task::TaskGuard;
 
@@ -37,6 +39,8 @@
 const AUTH_TIMEOUT: Duration = Duration::from_secs(2);
 /// HTTP/2 flow-control window of one stream; that of a connection is four times as large.
 const WINDOW_BYTES: u32 = 1 << 20;
+/// Longest wait for a truncated response to be sent before its stream is reset.
+const RESET_DELAY_MAX: Duration = Duration::from_secs(2);
 
 /// Serves messages of peers.
 pub trait PeerService: Clone + Send + Sync + 'static {
@@ -108,7 +112,7 @@
     }
     let mut builder = h2::server::Builder::new();
     builder.initial_window_size(WINDOW_BYTES).initial_connection_window_size(4 * WINDOW_BYTES);
-    let Ok(mut connection) = builder.handshake::<_, Bytes>(stream).await else {
+    let Ok(mut connection) = builder.handshake::<_, QueuedBytes>(stream).await else {
         return;
     };
     while let Some(Ok((request, respond))) = connection.accept().await {
@@ -120,7 +124,7 @@
 /// Serves one message by its path; a message that cannot be served gets status 400.
 async fn serve_stream<S: PeerService>(
     request: Request<RecvStream>,
-    mut respond: SendResponse<Bytes>,
+    mut respond: SendResponse<QueuedBytes>,
     service: S,
 ) {
     let path = request.uri().path().to_owned();
@@ -138,27 +142,27 @@
     }
 }
 
-fn send_ok(respond: &mut SendResponse<Bytes>) -> Option<SendStream<Bytes>> {
+fn send_ok(respond: &mut SendResponse<QueuedBytes>) -> Option<SendStream<QueuedBytes>> {
     respond.send_response(Response::new(()), false).ok()
 }
 
 /// Serves a control message; `None` if it is malformed.
 async fn serve_control<S: PeerService>(
     body: &mut RecvStream,
-    respond: &mut SendResponse<Bytes>,
+    respond: &mut SendResponse<QueuedBytes>,
     service: &S,
 ) -> Option<()> {
     let bytes = read_message(body).await?;
     let request: PeerRequest = decode(&bytes).ok()?;
     let reply = service.handle_control(request).await;
     let mut stream = send_ok(respond)?;
-    stream.send_data(Bytes::from(encode(&reply)), true).ok()
+    stream.send_data(Bytes::from(encode(&reply)).into(), true).ok()
 }
 
 /// Serves a forwarded request; `None` if it is malformed or its body is too large.
 async fn serve_forward<S: PeerService>(
     mut body: RecvStream,
-    respond: &mut SendResponse<Bytes>,
+    respond: &mut SendResponse<QueuedBytes>,
     service: &S,
 ) -> Option<()> {
     let (head, first): (ForwardHead, Bytes) = read_prefixed(&mut body).await?;
@@ -181,30 +185,43 @@
     let mut frame = BytesMut::with_capacity(4 + encoded.len());
     frame.extend_from_slice(&length_prefix(encoded.len()));
     frame.extend_from_slice(&encoded);
-    stream.send_data(frame.freeze(), false).ok()?;
-    send_body(&mut stream, body).await;
+    let queue = SendQueue::new();
+    stream.send_data(queue.track(frame.freeze()), false).ok()?;
+    send_body(&mut stream, queue, body).await;
     Some(())
 }
 
 /// Sends a body; a truncated one ends with a stream reset, so that it cannot be taken for complete.
-async fn send_body(stream: &mut SendStream<Bytes>, mut body: AnswerBody) {
+async fn send_body(stream: &mut SendStream<QueuedBytes>, queue: SendQueue, mut body: AnswerBody) {
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else {
-            stream.send_reset(h2::Reason::INTERNAL_ERROR);
+            reset_when_sent(stream, queue).await;
             return;
         };
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
-        if send_chunk(stream, bytes).await.is_none() {
+        if send_chunk(stream, &queue, bytes).await.is_none() {
             return;
         }
     }
-    let _ = stream.send_data(Bytes::new(), true);
+    let _ = stream.send_data(Bytes::new().into(), true);
+}
+
+/// Resets a stream once all that is queued on it has been sent. A reset discards the queue: the
+/// other instance would not even receive the head of the response, and take it for lost.
+async fn reset_when_sent(stream: &mut SendStream<QueuedBytes>, queue: SendQueue) {
+    // If the peer does not read, the reset must not wait for it.
+    let _ = tokio::time::timeout(RESET_DELAY_MAX, queue.wait_until_empty()).await;
+    stream.send_reset(h2::Reason::INTERNAL_ERROR);
 }
 
 /// Sends one chunk as flow control permits; `None` if the stream is closed.
-async fn send_chunk(stream: &mut SendStream<Bytes>, mut bytes: Bytes) -> Option<()> {
+async fn send_chunk(
+    stream: &mut SendStream<QueuedBytes>,
+    queue: &SendQueue,
+    mut bytes: Bytes,
+) -> Option<()> {
     while !bytes.is_empty() {
         stream.reserve_capacity(bytes.len());
         // `poll_capacity` only reports newly assigned capacity; check for existing capacity first.
@@ -213,7 +230,7 @@
             granted = std::future::poll_fn(|cx| stream.poll_capacity(cx)).await?.ok()?;
         }
         let part = bytes.split_to(granted.min(bytes.len()));
-        stream.send_data(part, false).ok()?;
+        stream.send_data(queue.track(part), false).ok()?;
     }
     Some(())
 }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod packed;
 mod peer_client;
+mod queued_bytes;
 
 pub use forward::ForwardHead;
 pub use forward::ForwardReply;
--- a/src/route/slot_queue.rs
+++ b/src/route/slot_queue.rs
@@ -49,10 +49,7 @@
 #[derive(Debug)]
 pub enum EnqueueResult {
     /// The request waits for `offer`, at most for `max_wait`.
-    Queued {
-        offer: oneshot::Receiver<Offer>,
-        max_wait: Duration,
-    },
+    Queued { offer: oneshot::Receiver<Offer>, max_wait: Duration },
     /// The request is rejected, because of what `view` shows.
     Rejected { admission: Admission, view: QueueView },
 }
--- /dev/null
+++ b/tests/peer_responses.rs
@@ -0,0 +1,121 @@
+//! Responses that one instance receives for another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use parking_lot::Mutex;
+use sorrelwick::errors::Code;
+use sorrelwick::peer::ForwardHead;
+use sorrelwick::peer::ForwardReplyHead;
+use sorrelwick::peer::ForwardStage;
+use sorrelwick::peer::Links;
+use sorrelwick::peer::PeerListener;
+use sorrelwick::peer::PeerReply;
+use sorrelwick::peer::PeerRequest;
+use sorrelwick::peer::PeerService;
+use sorrelwick::quarantine::Fingerprints;
+use sorrelwick::route::AnswerBody;
+use sorrelwick::route::Outcome;
+
+const PIPE_BYTES: usize = 64 << 10;
+const HALF: &[u8] = b"half of a response";
+
+/// A body that yields [`HALF`] and then, without a pause, an error.
+async fn broken_body() -> AnswerBody {
+    let (near, far) = tokio::io::duplex(PIPE_BYTES);
+    tokio::spawn(async move {
+        let mut connection = h2::server::handshake(far).await.expect("a connection");
+        let (_, mut respond) = connection.accept().await.expect("a request").expect("no error");
+        let mut stream = respond.send_response(Response::new(()), false).expect("open");
+        stream.send_data(Bytes::from_static(HALF), false).expect("open");
+        tokio::spawn(async move { connection.accept().await.is_none() });
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        stream.send_reset(h2::Reason::INTERNAL_ERROR);
+    });
+    let (mut sender, connection) = h2::client::handshake(near).await.expect("a connection");
+    tokio::spawn(connection);
+    let (response, _) = sender.send_request(Request::new(()), true).expect("a stream");
+    let rest = response.await.expect("a response").into_body();
+    // The half and the reset arrive meanwhile.
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    AnswerBody::Peer { first: Bytes::new(), rest }
+}
+
+/// Answers one forwarded request with a prepared body.
+#[derive(Clone)]
+struct PreparedResponse(Arc<Mutex<Option<AnswerBody>>>);
+
+impl PeerService for PreparedResponse {
+    async fn handle_control(&self, _: PeerRequest) -> PeerReply {
+        PeerReply::Failed(Code::PeerFrame.number())
+    }
+
+    async fn handle_forward(&self, _: ForwardHead, _: Bytes) -> (ForwardReplyHead, AnswerBody) {
+        let head = ForwardReplyHead {
+            outcome: Outcome::Ran,
+            code: Code::Ok.number(),
+            retry_after_ms: 0,
+            status: 200,
+            headers: Vec::new(),
+            body_bytes: None,
+            free_slots: 1,
+        };
+        (head, self.0.lock().take().expect("one request"))
+    }
+
+    fn body_limit_bytes(&self) -> usize {
+        PIPE_BYTES
+    }
+
+    fn connection_refused(&self, from: SocketAddr, why: &str) {
+        panic!("{from} refused: {why}");
+    }
+}
+
+fn request_head() -> ForwardHead {
+    ForwardHead {
+        service: "portal".into(),
+        fingerprints: Fingerprints::of(
+            std::net::Ipv4Addr::LOCALHOST.into(),
+            "portal",
+            "GET",
+            "/",
+            b"",
+        ),
+        method: "GET".into(),
+        target: "/".into(),
+        headers: Vec::new(),
+        key: None,
+        idempotent: true,
+        stage: ForwardStage::Home,
+        remaining_us: 1_000_000,
+    }
+}
+
+/// Guards against losing the head and first part of a response that breaks off: the stream was
+/// reset while they were still queued, so the other instance took the whole response for lost.
+#[tokio::test]
+async fn head_of_a_broken_response_arrives_before_the_reset() {
+    let links = Links::new("");
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let service = PreparedResponse(Arc::new(Mutex::new(Some(broken_body().await))));
+    let _listener = PeerListener::spawn(listener, links.secret().into(), service);
+    let reply = links.forward(address, &request_head(), &Bytes::new()).await.expect("the head");
+    assert_eq!(reply.head.status, 200);
+    let mut body = AnswerBody::Peer { first: reply.first, rest: reply.rest };
+    let mut received = Vec::new();
+    let ended = loop {
+        match body.frame().await {
+            Some(Ok(frame)) => received.extend(frame.into_data().expect("only data")),
+            end => break end,
+        }
+    };
+    assert_eq!(received, HALF);
+    assert!(matches!(ended, Some(Err(_))), "a broken body looks complete");
+}
