--- a/standins/src/backend/server.rs
+++ b/standins/src/backend/server.rs
@@ -204,9 +204,7 @@
     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
 }
 
-/// Delay between the first half of the body and the error, so that the half is sent. It starts at the
-/// second poll: started with the response, it could expire on a busy machine before the half was
-/// written, and closing the connection then dropped that half.
+/// Delay between the first half of the body and the error, so that the half is sent.
 const TRUNCATE_DELAY: Duration = Duration::from_millis(5);
 
 /// A body that ends with an error halfway.
@@ -241,8 +239,14 @@
         if let Some(bytes) = self.first_half.take() {
             return std::task::Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        let delay = || Box::pin(tokio::time::sleep(TRUNCATE_DELAY));
-        self.delay.get_or_insert_with(delay).as_mut().poll(cx).map(|()| Some(Err(TruncatedError)))
+        if let Some(delay) = &mut self.delay {
+            return delay.as_mut().poll(cx).map(|()| Some(Err(TruncatedError)));
+        }
+        // The server writes what it has only once the body is pending; on a busy machine the delay
+        // may have passed by now, and the error would discard head and half.
+        self.delay = Some(Box::pin(tokio::time::sleep(TRUNCATE_DELAY)));
+        cx.waker().wake_by_ref();
+        std::task::Poll::Pending
     }
 
     fn size_hint(&self) -> SizeHint {
