Crashes of one outage pause a request once, not longer with each copy

Callers saw a page refused with retry-after 35.6 s right after a power loss of all servers: crashing_requests::requests_in_flight_during_a_power_loss_are_served_again, 1 of 128 runs with sixteen copies at once on. Cause: a retry ran on a server that lost power a few milliseconds after the others, so its crash counted as a second level, and the page was paused, as nothing else was answered. Each further copy that was under way then found the pause standing and made it three times as long: 4, 12, 36 s within ten milliseconds. Evidence: the log of the red run, in which the instance denies the page with 35.594 s left 500 ms after the outage (4 x 3 x 3 s = 36). While a pause lasts nothing is sent, so a crash recorded in it is one of the outage before it, and changes nothing; only a crash after a pause makes the next one longer. Failing first: suspects::crashes_of_one_outage_do_not_prolong_the_pause.

--- a/src/quarantine/suspect_request.rs
+++ b/src/quarantine/suspect_request.rs
@@ -240,6 +240,10 @@
             self.discard_crashes_up_to(self.level());
             return true;
         }
+        if now_us < self.paused_until_us {
+            // A crash of the outage that led to the pause; only one after a pause makes it longer.
+            return false;
+        }
         let pause = FIRST_PAUSE * PAUSE_GROWTH_FACTOR.pow(self.pause_count.min(PAUSE_GROWTHS_MAX));
         self.pause_count = self.pause_count.saturating_add(1);
         self.paused_until_us = now_us + u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -152,6 +152,27 @@
     assert!(paused.record_crash(crash, true, now_us), "only this request crashes servers now");
 }
 
+/// A request that is paused because servers crashed under its copies in one outage.
+fn paused_by_outage(now_us: u64) -> SuspectRequest {
+    let mut paused = new_suspect(FingerprintScope::Exact);
+    for (server, level) in [(1, 1), (2, 1), (3, 2), (4, 2), (5, 2)] {
+        let crash = Crash { level, server, variant: 0 };
+        assert!(!paused.record_crash(crash, false, now_us));
+    }
+    paused
+}
+
+/// Guards against a page that is refused for half a minute after a power loss: each copy that was
+/// under way when the pause began made it three times as long.
+#[test]
+fn crashes_of_one_outage_do_not_prolong_the_pause() {
+    let now_us = MINUTE_US;
+    let SendPolicy::Blocked { remaining } = paused_by_outage(now_us).send_policy(now_us) else {
+        panic!("the request is not paused");
+    };
+    assert_eq!(remaining, Duration::from_secs(4));
+}
+
 #[test]
 fn expired_record_is_not_merged() {
     let now_us = sorrelwick::clock::now_us();
