A response at another instance ends the pause of a request

Cause: a response clears the page of the crashes known when it was sent. The instance that got it drops its pause; the others learn of the cleared crashes by gossip, drop the crashes, and kept the pause that those had caused. Failing first: suspects::response_at_another_instance_ends_the_pause.

--- a/src/quarantine/suspect_request.rs
+++ b/src/quarantine/suspect_request.rs
@@ -190,9 +190,7 @@
         }
         let before = (self.settled_level, self.release_count);
         self.release_count = self.quarantine_count;
-        self.discard_crashes_up_to(known_level);
-        self.pause_count = 0;
-        self.paused_until_us = 0;
+        self.settle(known_level);
         before != (self.settled_level, self.release_count)
     }
 
@@ -201,6 +199,13 @@
         self.paused_until_us = 0;
     }
 
+    /// The request did not cause the crashes up to `level`, so they give no reason for a pause.
+    fn settle(&mut self, level: u16) {
+        self.discard_crashes_up_to(level);
+        self.pause_count = 0;
+        self.paused_until_us = 0;
+    }
+
     fn discard_crashes_up_to(&mut self, level: u16) {
         self.settled_level = self.settled_level.max(level);
         let settled_level = self.settled_level;
@@ -255,7 +260,9 @@
     pub fn merge(&mut self, record: &SuspectRecord, others_served: bool, now_us: u64) -> bool {
         self.quarantine_count = self.quarantine_count.max(record.quarantine_count);
         self.release_count = self.release_count.max(record.release_count);
-        self.discard_crashes_up_to(record.settled_level);
+        if record.settled_level > self.settled_level {
+            self.settle(record.settled_level);
+        }
         let mut new = false;
         for crash in &record.crashes {
             new |= self.add_crash(*crash);
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -173,6 +173,18 @@
     assert_eq!(remaining, Duration::from_secs(4));
 }
 
+/// Guards against a page that one instance refuses while another one serves it: the response
+/// cleared the page of the crashes there, and the first instance learned that but kept its pause.
+#[test]
+fn response_at_another_instance_ends_the_pause() {
+    let now_us = MINUTE_US;
+    let mut paused = paused_by_outage(now_us);
+    let mut serving = paused.clone();
+    assert!(serving.record_response(serving.level(), now_us));
+    let _ = paused.merge(&record_of(&serving, now_us), false, now_us);
+    assert_eq!(paused.send_policy(now_us), SendPolicy::Unrestricted);
+}
+
 #[test]
 fn expired_record_is_not_merged() {
     let now_us = sorrelwick::clock::now_us();
