Responses from before an outage no longer quarantine what ran in it

Cause: a request whose crashes span two levels is quarantined only if other requests of the service got responses meanwhile. "Meanwhile" began when the instance first heard of the request, minutes before: a page that had been cleared after the first outage took the responses between both outages for responses during the second. The time now begins with the first crash that still counts, after all earlier ones were cleared. While a quarantine stands it does not begin anew, so that one crash after the block still renews it. Failing first: suspects::responses_before_an_outage_do_not_quarantine_what_ran_in_it (599.99 s).

--- a/src/quarantine/quarantine.rs
+++ b/src/quarantine/quarantine.rs
@@ -36,8 +36,8 @@
     suspect: SuspectRequest,
     /// Sends by this instance that are in flight.
     sends_in_flight: u32,
-    /// When this instance learned of the request.
-    known_since_us: u64,
+    /// When this instance learned of the first crash that still counts.
+    crashing_since_us: u64,
     /// Hash of the name of the service it was last sent to.
     service_hash: u32,
 }
@@ -47,6 +47,15 @@
         SuspectRecord { service: self.service_hash, ..self.suspect.record(fingerprint, now_us) }
     }
 
+    /// Whether other requests of the service got responses while servers crashed under this one.
+    /// Responses from before an outage do not count: in it, all requests look the same.
+    fn others_served(&mut self, last_response_us: Option<u64>, now_us: u64) -> bool {
+        if self.suspect.is_cleared() {
+            self.crashing_since_us = now_us;
+        }
+        last_response_us.is_some_and(|at| at > self.crashing_since_us)
+    }
+
     fn denial(&self, now_us: u64) -> Option<Denial> {
         match self.suspect.send_policy(now_us) {
             SendPolicy::Blocked { remaining } => Some(Denial::Quarantined { remaining }),
@@ -112,7 +121,7 @@
         let new = || Entry {
             suspect: SuspectRequest::new(fingerprint.scope, last_change_us),
             sends_in_flight: 0,
-            known_since_us: now_us,
+            crashing_since_us: now_us,
             service_hash: 0,
         };
         self.entries.entry(fingerprint).or_insert_with(new)
@@ -139,7 +148,7 @@
                 Crash { level: known.level.saturating_add(1), server: server_hash, variant };
             let last_response_us = self.last_response_us.get(&admitted_send.service_hash).copied();
             let entry = self.entry_or_insert(fingerprint, now_us, now_us);
-            let others_served = last_response_us.is_some_and(|at| at > entry.known_since_us);
+            let others_served = entry.others_served(last_response_us, now_us);
             entry.service_hash = admitted_send.service_hash;
             if entry.suspect.record_crash(crash, others_served, now_us) {
                 quarantined.push(fingerprint);
@@ -180,7 +189,7 @@
         };
         let last_response_us = self.last_response_us.get(&record.service).copied();
         let entry = self.entry_or_insert(record.fingerprint, record.last_change_us(now_us), now_us);
-        let others_served = last_response_us.is_some_and(|at| at > entry.known_since_us);
+        let others_served = entry.others_served(last_response_us, now_us);
         entry.service_hash = record.service;
         let suspect = &mut entry.suspect;
         let was_blocked = blocked(suspect);
--- a/src/quarantine/suspect_request.rs
+++ b/src/quarantine/suspect_request.rs
@@ -105,6 +105,12 @@
         self.quarantine_count > self.release_count
     }
 
+    /// Whether no crash counts against the request.
+    #[must_use]
+    pub fn is_cleared(&self) -> bool {
+        self.crashes.is_empty() && !self.quarantined()
+    }
+
     fn block_duration(&self) -> Duration {
         let growths = self.quarantine_count.saturating_sub(1).min(BLOCK_GROWTHS_MAX);
         FIRST_BLOCK * BLOCK_GROWTH_FACTOR.pow(u32::from(growths))
--- a/tests/suspects.rs
+++ b/tests/suspects.rs
@@ -285,6 +285,33 @@
     }
 }
 
+/// Guards against a page that is refused for ten minutes after a second power loss of all servers:
+/// responses between both outages were taken for a sign that other requests are served during it.
+#[test]
+fn responses_before_an_outage_do_not_quarantine_what_ran_in_it() {
+    let quarantine = Quarantine::default();
+    let (page, other) = (fingerprints(1, "/look/page"), fingerprints(1, "/look/other"));
+    let admit = |fingerprints| quarantine.admit(fingerprints, "parts").expect("not quarantined");
+    for outage in 0..3 {
+        let copies: Vec<_> = (0..4).map(|_| admit(&page)).collect();
+        copies.iter().zip(0..).for_each(|(copy, server)| copy.record_crash(10 * outage + server));
+        drop(copies);
+        let repeat = admit(&page);
+        repeat.record_crash(10 * outage + 9);
+        drop(repeat);
+        let Some(Denial::Quarantined { remaining }) = quarantine.denial(&page) else {
+            panic!("outage {outage}: the page is not paused");
+        };
+        assert!(remaining <= Duration::from_secs(4), "outage {outage}: refused for {remaining:?}");
+        // The servers are back.
+        std::thread::sleep(Duration::from_millis(1));
+        admit(&other).record_response();
+        admit(&page).record_response();
+        std::thread::sleep(Duration::from_millis(1));
+        admit(&other).record_response();
+    }
+}
+
 /// Guards against several copies of a suspect request in flight at one instance at the same time.
 #[test]
 fn suspect_request_is_sent_one_at_a_time() {
