The failure detector slows down while answers are slow

Callers are sent to other homes and lose what is in flight when a live instance is given up. Cause: a feedback. Pings time out after a fixed time on a machine short of processor time; each suspicion costs indirect pings, gossip, a refutation and new connections, which delay more answers; and a suspect has a fixed time for a word that takes several hops of equally late gossip. Now each instance keeps its last 15 round trips, and the interval and timeout of pings and the timeout of suspicions grow with their median, 8 times at most: fewer messages while they cost most. The median ignores a few slow members. With quick answers, all times are as before. Tests: pace::slow_answers_stretch_all_times_alike_and_within_bounds and its neighbours.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -29,6 +29,7 @@
 use crate::member::MemberRow;
 use crate::member::MemberState;
 use crate::member::MemberTable;
+use crate::member::Pace;
 use crate::outcome::ClaimWitnesses;
 use crate::outcome::OutcomeTable;
 use crate::quarantine::Quarantine;
@@ -59,6 +60,8 @@
     pub incarnation: u64,
     /// The member table, written by the membership controllers.
     pub members: Mutex<MemberTable>,
+    /// How long pings and suspicions last at the moment.
+    pub pace: Mutex<Pace>,
     /// The configuration, written by the catalog controllers.
     pub catalog: Mutex<Catalog>,
     pub outcomes: OutcomeTable,
@@ -129,10 +132,12 @@
         let members = MemberTable::new(own_row(&settings, incarnation), now_ms());
         let outcomes = OutcomeTable::new(incarnation, &settings.outcomes);
         let claim_witnesses = ClaimWitnesses::new(&settings.outcomes);
+        let pace = Pace::new(settings.peers.ping_timeout_ms);
         let board = Self {
             settings,
             incarnation,
             members: Mutex::new(members),
+            pace: Mutex::new(pace),
             catalog: Mutex::default(),
             outcomes,
             claim_witnesses,
--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -32,6 +32,8 @@
 const SUSPECTS_EXCHANGE_INTERVAL_MIN_MS: u64 = 400;
 /// Members that are asked for an indirect ping.
 const INDIRECT_PINGS: usize = 2;
+/// Ping timeouts that the members asked for an indirect ping have for their answers.
+const INDIRECT_TIMEOUTS: u32 = 2;
 
 /// In which data a peer agrees with this instance, by comparison of digests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,13 +44,13 @@
     suspect_requests: bool,
 }
 
-/// Pings a member; `None` if it did not answer.
+/// Pings a member; `None` if it did not answer within `timeout`.
 async fn ping<L: PeerClient>(
     board: &Blackboard,
     links: &L,
     target: &MemberRow,
+    timeout: Duration,
 ) -> Option<PeerAgreement> {
-    let timeout = Duration::from_millis(board.settings.peers.ping_timeout_ms);
     let request = {
         let mut members = board.members.lock();
         PeerRequest::Member(MemberRequest::Ping {
@@ -72,22 +74,52 @@
     Some(PeerAgreement { members, suspect_requests: board.quarantine.digest() == suspects_digest })
 }
 
-/// Pings a member through others; returns whether one of them reached it.
-async fn indirect_ping<L: PeerClient>(board: &Blackboard, links: &L, target: &MemberRow) -> bool {
-    let timeout = Duration::from_millis(board.settings.peers.ping_timeout_ms * 2);
+/// What the members answered that were asked to ping another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum IndirectPing {
+    /// One of them reached it.
+    Reached,
+    /// None of them reached it.
+    NotReached,
+    /// None of them answered, so the fault may be on this side.
+    NoAnswer,
+}
+
+/// Pings a member through others.
+async fn indirect_ping<L: PeerClient>(
+    board: &Blackboard,
+    links: &L,
+    target: &MemberRow,
+    timeout: Duration,
+) -> IndirectPing {
     let helpers = board.members.lock().indirect_pingers(target.incarnation, INDIRECT_PINGS);
+    if helpers.is_empty() {
+        return IndirectPing::NotReached;
+    }
     let mut calls = tokio::task::JoinSet::new();
     for helper in helpers {
         let links = links.clone();
         let request = PeerRequest::IndirectPing { target: target.peer_address };
         calls.spawn(async move { links.call(helper.peer_address, &request, timeout).await });
     }
+    let mut result = IndirectPing::NoAnswer;
     while let Some(reply) = calls.join_next().await {
-        if matches!(reply, Ok(Ok(PeerReply::Reached(true)))) {
-            return true;
+        match reply {
+            Ok(Ok(PeerReply::Reached(true))) => return IndirectPing::Reached,
+            Ok(Ok(_)) => result = IndirectPing::NotReached,
+            _ => {}
         }
     }
-    false
+    result
+}
+
+/// The result of checking one member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Check {
+    /// It answered this instance.
+    Answered(PeerAgreement),
+    /// It answered another member, or did not.
+    Indirect(IndirectPing),
 }
 
 /// Pings members in turn and synchronizes with those whose digests differ.
@@ -102,30 +134,77 @@
 }
 
 impl<L: PeerClient> FailureDetector<L> {
-    /// Pings one member, directly and then indirectly; makes it a suspect if both fail.
+    /// The timeout of a ping as it applies at the moment.
+    fn ping_timeout(&self) -> Duration {
+        self.board.pace.lock().stretch(self.board.settings.peers.ping_timeout_ms)
+    }
+
+    /// Pings one member, directly and then also through others.
+    async fn check(&self, target: &MemberRow) -> Check {
+        let timeout = self.ping_timeout();
+        let rest = timeout * INDIRECT_TIMEOUTS;
+        let direct = ping(&self.board, &self.links, target, timeout + rest);
+        tokio::pin!(direct);
+        let in_time = tokio::time::timeout(timeout, &mut direct).await;
+        if let Ok(Some(agreement)) = in_time {
+            return Check::Answered(agreement);
+        }
+        // An answer that comes late is an answer.
+        tokio::select! {
+            Some(agreement) = &mut direct, if in_time.is_err() => Check::Answered(agreement),
+            result = indirect_ping(&self.board, &self.links, target, rest) => {
+                Check::Indirect(result)
+            }
+        }
+    }
+
+    /// Checks one member; makes it a suspect if it can't be reached.
     async fn check_member(self, target: MemberRow) {
         let started_ms = now_ms();
-        match ping(&self.board, &self.links, &target).await {
-            Some(agreement) => {
-                if !agreement.suspect_requests {
-                    self.exchange_suspects_if_due(target.peer_address).await;
-                }
-                if !agreement.members {
-                    self.sync_members_if_due(target.peer_address).await;
-                }
+        let time_limit = self.ping_timeout() * (1 + INDIRECT_TIMEOUTS);
+        let result = self.check(&target).await;
+        let elapsed_ms = now_ms() - started_ms;
+        match result {
+            Check::Answered(agreement) => {
+                self.board.pace.lock().record(elapsed_ms);
+                self.synchronize(target.peer_address, agreement).await;
             }
-            // This instance was stalled itself; the reply may have arrived unread.
-            None if is_late(now_ms() - started_ms, self.board.settings.peers.ping_timeout_ms) => {}
-            None => {
-                if !indirect_ping(&self.board, &self.links, &target).await
-                    && self.board.members.lock().suspect(target.incarnation, now_ms())
-                {
-                    self.board.publish_members();
+            Check::Indirect(IndirectPing::Reached) => {}
+            Check::Indirect(result) => {
+                if result == IndirectPing::NoAnswer {
+                    self.board.pace.lock().record(elapsed_ms);
+                }
+                // If this instance was stalled itself, the answer may have arrived unread.
+                let limit_ms = u64::try_from(time_limit.as_millis()).unwrap_or(u64::MAX);
+                if !is_late(elapsed_ms, limit_ms) {
+                    self.suspect(&target).await;
                 }
             }
         }
     }
 
+    /// Makes a member a suspect, and tells it so: gossip alone may take longer to reach it, and its
+    /// refutation to come back, than the suspicion lasts.
+    async fn suspect(&self, target: &MemberRow) {
+        if !self.board.members.lock().suspect(target.incarnation, now_ms()) {
+            return;
+        }
+        self.board.publish_members();
+        let timeout_ms = self.board.settings.peers.suspect_timeout_ms;
+        let timeout = self.board.pace.lock().stretch(timeout_ms);
+        ping(&self.board, &self.links, target, timeout).await;
+    }
+
+    /// Synchronizes with a peer what it does not agree on.
+    async fn synchronize(&self, peer: SocketAddr, agreement: PeerAgreement) {
+        if !agreement.suspect_requests {
+            self.exchange_suspects_if_due(peer).await;
+        }
+        if !agreement.members {
+            self.sync_members_if_due(peer).await;
+        }
+    }
+
     /// Exchanges records of suspect requests, unless the last exchange was too recent.
     async fn exchange_suspects_if_due(&self, peer: SocketAddr) {
         let now = now_ms();
@@ -161,6 +240,8 @@
     let mut suspicion = SuspicionTimer::new(board.settings.peers.suspect_timeout_ms, now_ms());
     loop {
         tokio::time::sleep(suspicion.tick_interval()).await;
+        let timeout = board.pace.lock().stretch(board.settings.peers.suspect_timeout_ms);
+        suspicion.set_timeout(timeout);
         let dead = suspicion.tick(&mut board.members.lock(), now_ms());
         if !dead.is_empty() {
             board.publish_members();
@@ -191,6 +272,7 @@
         let FailureDetector { board, links, .. } = &detector;
         loop {
             ticks.tick().await;
+            ticks.reset_after(board.pace.lock().stretch(interval_ms));
             let target = board.members.lock().next_ping_target();
             if let Some(target) = target {
                 tokio::spawn(detector.clone().check_member(target));
--- a/src/member/handlers.rs
+++ b/src/member/handlers.rs
@@ -1,7 +1,6 @@
 //! Handlers of membership requests from peers.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use super::MemberRequest;
 use super::MemberRow;
@@ -102,7 +101,7 @@
     links: &L,
     target: SocketAddr,
 ) -> PeerReply {
-    let timeout = Duration::from_millis(board.settings.peers.ping_timeout_ms);
+    let timeout = board.pace.lock().stretch(board.settings.peers.ping_timeout_ms);
     PeerReply::Reached(links.call(target, &ping_without_gossip(board), timeout).await.is_ok())
 }
 
--- a/src/member/suspicion_timer.rs
+++ b/src/member/suspicion_timer.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Changes how long a suspect has to refute the suspicion, current suspects included.
+    pub fn set_timeout(&mut self, timeout: Duration) {
+        self.timeout_ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+    }
+
     /// Declares suspects dead whose timeout has passed; returns their peer addresses.
     pub fn tick(&mut self, members: &mut MemberTable, now_ms: u64) -> Vec<SocketAddr> {
         let elapsed_ms = now_ms.saturating_sub(self.last_tick_ms);
--- /dev/null
+++ b/tests/pace.rs
@@ -0,0 +1,46 @@
+//! How the failure detector adapts to slow answers.
+
+use std::time::Duration;
+
+use sorrelwick::member::Pace;
+
+const PING_TIMEOUT_MS: u64 = 200;
+const SUSPECT_TIMEOUT_MS: u64 = 600;
+
+fn pace_after(round_trips_ms: impl IntoIterator<Item = u64>) -> Pace {
+    let mut pace = Pace::new(PING_TIMEOUT_MS);
+    round_trips_ms.into_iter().for_each(|round_trip_ms| pace.record(round_trip_ms));
+    pace
+}
+
+#[test]
+fn quick_answers_leave_the_configured_times() {
+    let pace = pace_after((0..100).map(|at| at % 20));
+    assert_eq!(pace.stretch(PING_TIMEOUT_MS), Duration::from_millis(PING_TIMEOUT_MS));
+    assert_eq!(pace.stretch(SUSPECT_TIMEOUT_MS), Duration::from_millis(SUSPECT_TIMEOUT_MS));
+}
+
+/// Guards against the feedback in which a fleet short of processor time suspects its live members:
+/// each suspicion costs messages that delay further answers.
+#[test]
+fn slow_answers_stretch_all_times_alike_and_within_bounds() {
+    let slow = pace_after([100; 15]);
+    assert_eq!(slow.stretch(PING_TIMEOUT_MS), Duration::from_millis(4 * PING_TIMEOUT_MS));
+    assert_eq!(slow.stretch(SUSPECT_TIMEOUT_MS), Duration::from_millis(4 * SUSPECT_TIMEOUT_MS));
+    let stuck = pace_after([60_000; 15]);
+    assert_eq!(stuck.stretch(SUSPECT_TIMEOUT_MS), Duration::from_millis(8 * SUSPECT_TIMEOUT_MS));
+}
+
+/// Guards against one slow member that delays the detection of all others.
+#[test]
+fn a_few_slow_members_do_not_stretch_the_times() {
+    let pace = pace_after((0..100).map(|at| if at % 3 == 0 { 600 } else { 5 }));
+    assert_eq!(pace.stretch(SUSPECT_TIMEOUT_MS), Duration::from_millis(SUSPECT_TIMEOUT_MS));
+}
+
+#[test]
+fn times_return_to_normal_with_quick_answers() {
+    let mut pace = pace_after([500; 15]);
+    (0..8).for_each(|_| pace.record(5));
+    assert_eq!(pace.stretch(SUSPECT_TIMEOUT_MS), Duration::from_millis(SUSPECT_TIMEOUT_MS));
+}
