Suspects that only others reported get more time

Each instance timed each suspicion out by itself, so a suspect had to be heard by the latest of nineteen. Now one that could not reach the suspect itself judges after the configured time, as before; one that only heard of it waits three times as long, in case the others have ended. A death is told on as quickly as a suspicion is, so detection takes no longer. Failing first: membership::a_suspect_that_others_reported_gets_more_time.

--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -21,6 +21,9 @@
 /// Each changed row is gossiped this many times per doubling of the member count. An instance that
 /// misses it is found to differ by a peer's digest and gets it by anti-entropy.
 const GOSSIP_SENDS_PER_DOUBLING: u32 = 1;
+/// A suspect that only others reported is declared dead after this many timeouts, in case those
+/// that could not reach it have ended themselves.
+const REPORTED_TIMEOUT_FACTOR: u64 = 3;
 /// Maximum size of the table; further members are rejected, so that a faulty peer cannot exhaust
 /// memory.
 const MEMBERS_MAX: usize = 5_000;
@@ -34,9 +37,16 @@
     started_ms: u64,
     /// When the member entered its current state.
     state_since_ms: u64,
+    /// Whether this instance failed to reach the member itself. Set only for suspects.
+    suspected_here: bool,
 }
 
 impl MemberEntry {
+    /// An entry whose member enters the state of `row` now.
+    const fn new(row: MemberRow, started_ms: u64, now_ms: u64) -> Self {
+        Self { row, started_ms, state_since_ms: now_ms, suspected_here: false }
+    }
+
     /// The row with its current uptime.
     fn row_at(&self, now_ms: u64) -> MemberRow {
         MemberRow { uptime_ms: now_ms.saturating_sub(self.started_ms), ..self.row.clone() }
@@ -80,8 +90,10 @@
     digest: MembersDigest,
     /// Members whose rows are still to be gossiped.
     gossip_queue: GossipQueue,
-    /// Suspects, as (time of the suspicion, incarnation).
+    /// Suspects that this instance could not reach, as (time of the suspicion, incarnation).
     suspects: BTreeSet<(u64, u64)>,
+    /// Suspects that only others reported, likewise.
+    reported_suspects: BTreeSet<(u64, u64)>,
     /// Dead and left members, as (time of that change, incarnation).
     tombstones: BTreeSet<(u64, u64)>,
     /// Members that changed since changes were last taken.
@@ -108,11 +120,12 @@
             digest: MembersDigest::default(),
             gossip_queue: GossipQueue::default(),
             suspects: BTreeSet::new(),
+            reported_suspects: BTreeSet::new(),
             tombstones: BTreeSet::new(),
             changed: BTreeSet::new(),
             ping_count: 0,
         };
-        table.insert(MemberEntry { row: own, started_ms: now_ms, state_since_ms: now_ms }, 0);
+        table.insert(MemberEntry::new(own, now_ms, now_ms), 0);
         table
     }
 
@@ -127,7 +140,9 @@
         }
         self.gossip_queue.set(incarnation, sends);
         if entry.row.state == MemberState::Suspect {
-            self.suspects.insert((entry.state_since_ms, incarnation));
+            let suspects =
+                if entry.suspected_here { &mut self.suspects } else { &mut self.reported_suspects };
+            suspects.insert((entry.state_since_ms, incarnation));
         }
         if !entry.row.state.may_answer() {
             self.tombstones.insert((entry.state_since_ms, incarnation));
@@ -144,6 +159,7 @@
         self.ring.set_present(incarnation, false);
         self.gossip_queue.set(incarnation, 0);
         self.suspects.remove(&(entry.state_since_ms, incarnation));
+        self.reported_suspects.remove(&(entry.state_since_ms, incarnation));
         self.tombstones.remove(&(entry.state_since_ms, incarnation));
         if let Some(at_address) = self.by_peer_address.get_mut(&entry.row.peer_address) {
             at_address.retain(|other| *other != incarnation);
@@ -262,7 +278,7 @@
             None if full => return false,
             None => self.supersede_predecessor(row, now_ms),
         }
-        self.insert(MemberEntry { row: row.clone(), started_ms, state_since_ms: now_ms }, sends);
+        self.insert(MemberEntry::new(row.clone(), started_ms, now_ms), sends);
         true
     }
 
@@ -275,10 +291,7 @@
         }
         let generation = row.generation + 1;
         let row = MemberRow { generation, ..own.row.clone() };
-        self.insert(
-            MemberEntry { row, started_ms: own.started_ms, state_since_ms: now_ms },
-            self.gossip_sends(),
-        );
+        self.insert(MemberEntry::new(row, own.started_ms, now_ms), self.gossip_sends());
         true
     }
 
@@ -297,10 +310,7 @@
                 continue;
             };
             let row = MemberRow { state: MemberState::Dead, ..entry.row.clone() };
-            self.insert(
-                MemberEntry { row, started_ms: entry.started_ms, state_since_ms: now_ms },
-                0,
-            );
+            self.insert(MemberEntry::new(row, entry.started_ms, now_ms), 0);
         }
     }
 
@@ -309,15 +319,29 @@
         let own = &self.entries[&self.own_incarnation];
         let generation = own.row.generation + 1;
         let row = MemberRow { generation, state, successor, ..own.row.clone() };
-        self.insert(
-            MemberEntry { row, started_ms: own.started_ms, state_since_ms: now_ms },
-            self.gossip_sends(),
-        );
+        self.insert(MemberEntry::new(row, own.started_ms, now_ms), self.gossip_sends());
     }
 
-    /// Marks a member that did not answer as a suspect; returns whether the table changed.
+    /// Marks a member that this instance could not reach as a suspect; returns whether it was not
+    /// so marked before.
     pub fn suspect(&mut self, incarnation: u64, now_ms: u64) -> bool {
-        self.downgrade(incarnation, MemberState::Suspect, now_ms)
+        let newly_suspect = self.downgrade(incarnation, MemberState::Suspect, now_ms);
+        self.confirm_suspicion(incarnation, now_ms) || newly_suspect
+    }
+
+    /// Records that this instance could not reach a suspect either; returns whether that is new.
+    fn confirm_suspicion(&mut self, incarnation: u64, now_ms: u64) -> bool {
+        let Some(entry) = self.entries.get_mut(&incarnation) else {
+            return false;
+        };
+        if entry.row.state != MemberState::Suspect || entry.suspected_here {
+            return false;
+        }
+        self.reported_suspects.remove(&(entry.state_since_ms, incarnation));
+        entry.suspected_here = true;
+        entry.state_since_ms = now_ms;
+        self.suspects.insert((now_ms, incarnation));
+        true
     }
 
     /// Moves a member to a worse state and gossips it; returns whether the table changed.
@@ -333,17 +357,20 @@
             return false;
         }
         let row = MemberRow { state, ..entry.row.clone() };
-        self.insert(
-            MemberEntry { row, started_ms: entry.started_ms, state_since_ms: now_ms },
-            self.gossip_sends(),
-        );
+        self.insert(MemberEntry::new(row, entry.started_ms, now_ms), self.gossip_sends());
         true
     }
 
     /// Declares suspects dead whose timeout has passed and removes expired tombstones. Returns the
     /// peer addresses of those declared dead.
+    ///
+    /// A suspect that only others reported gets more time: those that could not reach it also see
+    /// first that it answers again. The more instances judge by the word of others, the more likely
+    /// one of them has not read its refutation in time.
     pub fn expire_suspects(&mut self, suspect_timeout_ms: u64, now_ms: u64) -> Vec<SocketAddr> {
-        let dead = entries_older_than(&self.suspects, suspect_timeout_ms, now_ms);
+        let reported_timeout_ms = suspect_timeout_ms * REPORTED_TIMEOUT_FACTOR;
+        let mut dead = entries_older_than(&self.suspects, suspect_timeout_ms, now_ms);
+        dead.extend(entries_older_than(&self.reported_suspects, reported_timeout_ms, now_ms));
         for incarnation in &dead {
             self.downgrade(*incarnation, MemberState::Dead, now_ms);
         }
@@ -359,7 +386,7 @@
     /// Whether any member is a suspect.
     #[must_use]
     pub fn has_suspects(&self) -> bool {
-        !self.suspects.is_empty()
+        !self.suspects.is_empty() || !self.reported_suspects.is_empty()
     }
 
     /// Extends the timeout of current suspects by `stalled_ms`, for which this instance was
@@ -368,11 +395,14 @@
         if stalled_ms == 0 {
             return;
         }
-        for (since_ms, incarnation) in std::mem::take(&mut self.suspects) {
-            let since_ms = (since_ms + stalled_ms).min(now_ms);
-            if let Some(entry) = self.entries.get_mut(&incarnation) {
-                entry.state_since_ms = since_ms;
-                self.suspects.insert((since_ms, incarnation));
+        let entries = &mut self.entries;
+        for suspects in [&mut self.suspects, &mut self.reported_suspects] {
+            for (since_ms, incarnation) in std::mem::take(suspects) {
+                let since_ms = (since_ms + stalled_ms).min(now_ms);
+                if let Some(entry) = entries.get_mut(&incarnation) {
+                    entry.state_since_ms = since_ms;
+                    suspects.insert((since_ms, incarnation));
+                }
             }
         }
     }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -78,6 +78,25 @@
     assert_eq!(row_of_frozen(&other).expect("known").state, MemberState::Alive);
 }
 
+/// Guards against a live member that is declared dead by those who only heard that others suspect
+/// it: the more judge by hearsay, the more likely one of them reads its refutation too late.
+#[test]
+fn a_suspect_that_others_reported_gets_more_time() {
+    let mut table = MemberTable::new(row(1, 0, MemberState::Alive), 0);
+    assert!(table.merge(&row(2, 0, MemberState::Suspect), 0));
+    assert!(table.expire_suspects(100, 299).is_empty());
+    assert_eq!(table.expire_suspects(100, 300).len(), 1, "those who reported it may have ended");
+
+    let mut table = MemberTable::new(row(1, 0, MemberState::Alive), 0);
+    assert!(table.merge(&row(2, 0, MemberState::Suspect), 0));
+    assert!(table.suspect(2, 50), "this instance can't reach it either");
+    assert!(!table.suspect(2, 60));
+    table.extend_suspicion(10, 70);
+    assert!(table.expire_suspects(100, 159).is_empty());
+    assert_eq!(table.expire_suspects(100, 160).len(), 1);
+    assert!(!table.has_suspects());
+}
+
 /// Guards against a leaving instance that stops answering and becomes a suspect, to which work is
 /// sent.
 #[test]
