--- a/src/member/witnesses.rs
+++ b/src/member/witnesses.rs
@@ -83,6 +83,9 @@
             }
         });
     }
-    replies.extend(asked.join_all().await.into_iter().flatten());
+    while let Some(reply) = asked.join_next().await {
+        // A call that was cancelled, because the process ends, brought no reply either.
+        replies.extend(reply.ok().flatten());
+    }
     replies
 }
