Long waits are for bursts: in a lasting queue a request waits half a second at most

That is the latency which the cap of 500 ms was for. Now a request waits to its deadline while the queue is at most half as old as that wait would be, which is a burst; in an older queue the cap holds. Left: callers of one service with very different deadlines share one queue, and the patient ones may fill it for as long as half of their patience, while impatient ones are refused at once. Test first: decisions::request_does_not_wait_long_in_a_lasting_queue.

--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -28,6 +28,7 @@
     c.bench_function("admit", |b| {
         let view = QueueView {
             waiting: 10,
+            queue_age_us: 5_000,
             waiting_max: 1_000,
             slots: 120,
             median_service_us: 900.0,
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -3,6 +3,11 @@
 /// Time reserved for the service of a request, in median service times. With only one left, half
 /// of the requests would run into their deadlines while a server works on them.
 const RESERVED_MEDIANS: u64 = 2;
+/// A queue that has lasted for more than this part of the time that a request may wait is no burst:
+/// waiting would only add latency, as the same number of requests is served either way.
+const BURST_SHARE: u64 = 2;
+/// Longest wait in a queue that is no burst, in microseconds.
+const LASTING_QUEUE_WAIT_MAX_US: u64 = 500_000;
 /// Minimum retry-after time. While no server takes requests, callers are told 20 times as long.
 const RETRY_AFTER_MIN_MS: u64 = 50;
 
@@ -11,6 +16,8 @@
 pub struct QueueView {
     /// Requests queued ahead of this one.
     pub waiting: usize,
+    /// Time since the queue was last empty, in microseconds.
+    pub queue_age_us: u64,
     /// Maximum number of queued requests.
     pub waiting_max: usize,
     /// Slots of the usable servers, free or not.
@@ -53,8 +60,8 @@
     ((view.waiting + 1) as f32 * per_slot) as u64
 }
 
-/// Decides on a request that found no free slot. It may wait for as long as its caller's deadline
-/// permits; one that could not run in time is refused at once.
+/// Decides on a request that found no free slot. In a burst it may wait for as long as its caller's
+/// deadline permits; one that could not run in time is refused at once.
 #[must_use]
 pub fn decide_admission(view: &QueueView) -> Admission {
     let wait_us = expected_wait_us(view);
@@ -71,7 +78,10 @@
         reason = "a median of microseconds is small and positive"
     )]
     let median_us = view.median_service_us as u64;
-    let at_most_us = view.remaining_us.saturating_sub(RESERVED_MEDIANS * median_us);
+    let until_deadline_us = view.remaining_us.saturating_sub(RESERVED_MEDIANS * median_us);
+    let is_burst = view.queue_age_us <= until_deadline_us / BURST_SHARE;
+    let at_most_us =
+        if is_burst { until_deadline_us } else { until_deadline_us.min(LASTING_QUEUE_WAIT_MAX_US) };
     if wait_us > at_most_us || at_most_us == 0 {
         return Admission::TooLate { retry_after_ms };
     }
--- a/src/route/slot_queue.rs
+++ b/src/route/slot_queue.rs
@@ -77,6 +77,7 @@
             pool: SlotPool::new(Vec::new(), seed),
             servers: Vec::new(),
             waiting: VecDeque::new(),
+            queued_since_us: 0,
             queue_max,
             preference: Preference::default(),
         };
@@ -148,6 +149,7 @@
         }
         let (sender, offer) = oneshot::channel();
         let tried = SmallVec::from_slice(&[first_index]);
+        state.join_queue(now_us());
         state.waiting.push_front(Waiter { scope, tried, sender });
         self.dispatch_slots(state);
         Some(offer)
@@ -181,16 +183,19 @@
         position: QueuePosition,
         remaining_us: u64,
     ) -> EnqueueResult {
+        let now = now_us();
         let mut state = self.state.lock();
         state.waiting.retain(|waiter| !waiter.sender.is_closed());
+        let queue_age_us = state.join_queue(now);
         let ahead = match position {
             QueuePosition::Back => state.waiting.len(),
             QueuePosition::Front => 0,
         };
         let view = QueueView {
             waiting: ahead,
+            queue_age_us,
             waiting_max: state.queue_max,
-            slots: state.pool.usable_slots(scope, tried, now_us()),
+            slots: state.pool.usable_slots(scope, tried, now),
             median_service_us: state.pool.median_service_us(),
             remaining_us,
         };
--- a/src/route/slot_queue_state.rs
+++ b/src/route/slot_queue_state.rs
@@ -61,6 +61,8 @@
     pub servers: Vec<ServerRow>,
     /// The longest waiting request is first.
     pub waiting: VecDeque<Waiter>,
+    /// When a request last joined an empty queue.
+    pub queued_since_us: u64,
     /// Most requests that may wait.
     pub queue_max: usize,
     pub preference: Preference,
@@ -117,4 +119,12 @@
         load.closed = after != 0;
         before != after
     }
+
+    /// Records that a request joins the queue now; returns the age of the queue in microseconds.
+    pub fn join_queue(&mut self, now_us: u64) -> u64 {
+        if self.waiting.is_empty() {
+            self.queued_since_us = now_us;
+        }
+        now_us.saturating_sub(self.queued_since_us)
+    }
 }
--- a/standins/src/trial/world.rs
+++ b/standins/src/trial/world.rs
@@ -51,6 +51,8 @@
     pub pool: SlotPool,
     pub in_flight: Vec<u32>,
     pub queue: VecDeque<usize>,
+    /// When a request last joined an empty queue.
+    pub queued_since_us: u64,
     /// Requests that wait for a slot for a hedged attempt; served before the queue.
     pub overdue: VecDeque<usize>,
     pub free_slot_reports: Vec<(u32, u64)>,
@@ -114,6 +116,7 @@
                 pool: SlotPool::new(loads.collect(), scene.seed + at as u64),
                 in_flight: vec![0; servers.len()],
                 queue: VecDeque::new(),
+                queued_since_us: 0,
                 overdue: VecDeque::new(),
                 free_slot_reports: vec![(0, 0); count],
                 round_robin_turn: at as u64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -176,6 +176,7 @@
     property(500, |u| {
         let view = QueueView {
             waiting: u.int_in_range(0..=2_000)?,
+            queue_age_us: u.int_in_range(0..=2_000_000)?,
             waiting_max: 1_000,
             slots: u.int_in_range(0..=100)?,
             median_service_us: f32::from(u.arbitrary::<u16>()?),
@@ -197,9 +198,10 @@
 /// Guards against refusing a request "for its deadline" whose caller would wait much longer than the
 /// queue takes.
 #[test]
-fn request_waits_while_its_deadline_permits() {
+fn request_waits_in_a_burst_while_its_deadline_permits() {
     let view = QueueView {
         waiting: 59,
+        queue_age_us: 3_000_000,
         waiting_max: 1_000,
         slots: 4,
         median_service_us: 50_000.0,
@@ -209,12 +211,30 @@
     assert_eq!(admission, Admission::Wait { at_most_us: 19_900_000 });
 }
 
+/// Guards against overload that outlasts its cause: with patient callers, a queue that never empties
+/// would grow to their deadlines, and serve no more requests for it.
+#[test]
+fn request_does_not_wait_long_in_a_lasting_queue() {
+    let view = QueueView {
+        waiting: 59,
+        queue_age_us: 11_000_000,
+        waiting_max: 1_000,
+        slots: 4,
+        median_service_us: 50_000.0,
+        remaining_us: 20_000_000,
+    };
+    assert!(matches!(decide_admission(&view), Admission::TooLate { .. }));
+    let short = QueueView { waiting: 9, ..view };
+    assert_eq!(decide_admission(&short), Admission::Wait { at_most_us: 500_000 });
+}
+
 /// Guards against requests that wait until hardly any time is left to serve them: half of them
 /// would run into their deadlines at a server, with an unknown outcome.
 #[test]
 fn admitted_request_keeps_time_to_be_served() {
     let view = QueueView {
         waiting: 0,
+        queue_age_us: 0,
         waiting_max: 1_000,
         slots: 4,
         median_service_us: 50_000.0,
