The first answers of a burst are not extrapolated far

Cause, from a trace of each refusal: a queue 0.8 s old, 109 waiting for 4 slots, a median of 679 ms from the first few answers, while connections were opened: 18.7 s expected, 18.6 s left, refused as known to be too late. All that waited were served within 3 s. An estimate reaches at most ten times as far as the queue has lasted.

--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -6,6 +6,9 @@
 /// A queue that has lasted for more than this part of the time that a request may wait is no burst:
 /// waiting would only add latency, as the same number of requests is served either way.
 const BURST_SHARE: u64 = 2;
+/// A wait is estimated at most this many times as long as the queue has lasted. The first answers
+/// in a burst may have been slow for reasons that pass, such as new connections.
+const EXTRAPOLATION_MAX: u64 = 10;
 /// Longest wait in a queue that is no burst, in microseconds.
 const LASTING_QUEUE_WAIT_MAX_US: u64 = 500_000;
 /// Minimum retry-after time. While no server takes requests, callers are told 20 times as long.
@@ -82,7 +85,8 @@
     let is_burst = view.queue_age_us <= until_deadline_us / BURST_SHARE;
     let at_most_us =
         if is_burst { until_deadline_us } else { until_deadline_us.min(LASTING_QUEUE_WAIT_MAX_US) };
-    if wait_us > at_most_us || at_most_us == 0 {
+    let known_wait_us = wait_us.min(view.queue_age_us.saturating_mul(EXTRAPOLATION_MAX));
+    if known_wait_us > at_most_us || at_most_us == 0 {
         return Admission::TooLate { retry_after_ms };
     }
     Admission::Wait { at_most_us }
