A peer that lacks rows does not show that this instance has them all

Cause: catching up ended with a synchronization that brought at most six rows, also if the peer brought none because it had started later itself, and the next synchronization by ping then waited for 0.6 to 1.2 s. What counts now is in how many rows both tables differ, whoever lacks them. Failing first: membership::a_peer_that_lacks_rows_does_not_count_as_agreeing (Some(1) for Some(21)).

--- a/src/member/anti_entropy.rs
+++ b/src/member/anti_entropy.rs
@@ -70,8 +70,11 @@
     (wanted, to_send.collect())
 }
 
-/// Synchronizes member tables with a peer; returns the number of rows received, `None` if the peer
-/// did not answer.
+/// Synchronizes member tables with a peer; returns the number of rows in which they differed, `None`
+/// if the peer did not answer.
+///
+/// Rows that only the peer lacked count as well: a peer that knows less cannot tell whether this
+/// instance knows all.
 pub async fn sync_members<L: PeerClient>(
     board: &Blackboard,
     links: &L,
@@ -86,7 +89,8 @@
         return None;
     };
     let (wanted, rows) = rows_to_exchange(&board.members.lock(), &buckets, &fingerprints);
-    if wanted.is_empty() && rows.is_empty() {
+    let differing = wanted.len().max(rows.len());
+    if differing == 0 {
         return Some(0);
     }
     let request = PeerRequest::Member(MemberRequest::Exchange { wanted, rows });
@@ -101,5 +105,5 @@
         // If this call is lost, the next synchronization finds the same difference.
         let _ = links.call(peer, &request, SYNC_TIMEOUT).await;
     }
-    Some(rows.len())
+    Some(differing)
 }
--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -224,10 +224,10 @@
         }
         let pause_ms = rand::rng().random_range(SYNC_INTERVAL_MIN_MS..=2 * SYNC_INTERVAL_MIN_MS);
         self.next_sync_ms.store(now + pause_ms, Ordering::Release);
-        let received = sync_members(&self.board, &self.links, peer).await;
-        if received.is_some_and(|rows| rows > GOSSIP_ROWS_MAX) {
-            // More rows than gossip carries: the fleet is starting. This instance now holds rows
-            // that others lack, so it synchronizes again soon.
+        let differing = sync_members(&self.board, &self.links, peer).await;
+        if differing.is_some_and(|rows| rows > GOSSIP_ROWS_MAX) {
+            // More rows than gossip carries: the fleet is starting. Others may lack rows that this
+            // instance holds, or know more, so it synchronizes again soon.
             let next_ms = now_ms() + SYNC_INTERVAL_MIN_MS / 4;
             self.next_sync_ms.store(next_ms, Ordering::Release);
         }
--- a/src/member/joiner.rs
+++ b/src/member/joiner.rs
@@ -39,7 +39,7 @@
 const CATCH_UP_ROUNDS_MAX: u32 = 5;
 /// Pause between two synchronizations after a join.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(100);
-/// Catching up ends with a synchronization that brings at most this many rows; gossip brings the
+/// Catching up ends with a peer whose table differs in at most this many rows; gossip brings the
 /// rest.
 const CAUGHT_UP_ROWS_MAX: usize = 6;
 /// Join requests started in one round.
@@ -111,7 +111,7 @@
         true
     }
 
-    /// Synchronizes with random peers until a synchronization brings few rows.
+    /// Synchronizes with random peers until one differs in few rows.
     ///
     /// While a fleet starts, the instances that answer joins know only those that came before, and
     /// requests fail as long as instances advertise different homes to callers. The instance that
@@ -121,8 +121,8 @@
             let Some(peer) = self.random_peer(contact) else {
                 return;
             };
-            let received = sync_members(&self.board, &self.links, peer).await;
-            if received.is_some_and(|rows| rows <= CAUGHT_UP_ROWS_MAX) {
+            let differing = sync_members(&self.board, &self.links, peer).await;
+            if differing.is_some_and(|rows| rows <= CAUGHT_UP_ROWS_MAX) {
                 return;
             }
             tokio::time::sleep(CATCH_UP_PAUSE).await;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1,6 +1,8 @@
 //! Membership: discovery, suspicion, refutation and death of instances.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sorrelwick::board::Blackboard;
 use sorrelwick::board::Counter;
@@ -10,6 +12,12 @@
 use sorrelwick::member::MemberRow;
 use sorrelwick::member::MemberState;
 use sorrelwick::member::MemberTable;
+use sorrelwick::member::handle_member_request;
+use sorrelwick::member::sync_members;
+use sorrelwick::peer::PeerClient;
+use sorrelwick::peer::PeerError;
+use sorrelwick::peer::PeerReply;
+use sorrelwick::peer::PeerRequest;
 use standins::bed::TestBed;
 use standins::bed::TestBedPlan;
 use standins::bed::wait_until;
@@ -153,6 +161,44 @@
     });
 }
 
+/// Calls the handler of another instance directly.
+#[derive(Clone)]
+struct DirectLink(Arc<Blackboard>);
+
+impl PeerClient for DirectLink {
+    async fn call(
+        &self,
+        _: SocketAddr,
+        request: &PeerRequest,
+        _: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let PeerRequest::Member(request) = request.clone() else {
+            return Err(PeerError::NotSent);
+        };
+        Ok(handle_member_request(&self.0, request))
+    }
+
+    fn close_idle(&self) {}
+
+    fn drop_link(&self, _: SocketAddr) {}
+}
+
+/// Guards against an instance that takes itself for caught up because a peer that started later
+/// had nothing to tell it: it named other homes than the rest for a second and more.
+#[tokio::test]
+async fn a_peer_that_lacks_rows_does_not_count_as_agreeing() {
+    let settings =
+        sorrelwick::conf::parse_settings("d", sorrelwick::conf::DEFAULTS).expect("valid");
+    let (own, late) = (Blackboard::new(settings.clone(), 1), Blackboard::new(settings, 2));
+    for incarnation in 10..30 {
+        own.members.lock().merge(&row(incarnation, 0, MemberState::Alive), 0);
+    }
+    let links = DirectLink(Arc::new(late));
+    let peer = SocketAddr::from(([127, 0, 0, 1], 1));
+    assert_eq!(sync_members(&own, &links, peer).await, Some(21));
+    assert_eq!(sync_members(&own, &links, peer).await, Some(0));
+}
+
 /// Guards against a published snapshot that lacks a member: an instance hears of several others at
 /// once on several connections; of two tasks that publish at once, the one with the older rows
 /// stored its snapshot last, and nothing corrected it until the next change.
