--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -118,11 +118,12 @@
     pub secret: String,
     /// Peer addresses to join through, in addition to the platform's list of instances.
     pub seeds: Vec<SocketAddr>,
-    /// Time between two pings of the failure detector.
+    /// Time between two pings of the failure detector; up to twice as long while answers are slow.
     pub ping_interval_ms: u64,
-    /// How long a ping waits for its reply.
+    /// How long a ping waits for its reply; up to eight times as long while answers are slow.
     pub ping_timeout_ms: u64,
-    /// How long a suspected member may refute the suspicion before it is declared dead.
+    /// How long a suspected member may refute the suspicion before it is declared dead; longer while
+    /// answers are slow, or if only others could not reach it.
     pub suspect_timeout_ms: u64,
     /// How often the platform's list is read for unknown instances once some peers are known.
     pub list_interval_ms: u64,
