A ping over a silent connection times out though others reach the member

A call that is cut short does not count as timed out, and a link opens a new connection only after two timed-out calls in a row, so a connection that had gone silent stayed, and requests forwarded over it would be lost until their deadlines. The direct ping now runs in a task of its own to its end. Its timeout is worked out once for a check.

--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use tokio::task::JoinHandle;
 
 use super::MemberRequest;
 use super::MemberRow;
@@ -118,7 +119,7 @@
 enum Check {
     /// It answered this instance.
     Answered(PeerAgreement),
-    /// It answered another member, or did not.
+    /// It did not answer this instance; the result of pings through others.
     Indirect(IndirectPing),
 }
 
@@ -134,35 +135,39 @@
 }
 
 impl<L: PeerClient> FailureDetector<L> {
-    /// The timeout of a ping as it applies at the moment.
-    fn ping_timeout(&self) -> Duration {
-        self.board.pace.lock().stretch(self.board.settings.peers.ping_timeout_ms)
+    /// Pings a member in a task of its own. A call that is cut short does not count as timed out, so
+    /// its connection would never be replaced if it went silent.
+    fn spawn_ping(
+        &self,
+        target: &MemberRow,
+        timeout: Duration,
+    ) -> JoinHandle<Option<PeerAgreement>> {
+        let (detector, target) = (self.clone(), target.clone());
+        tokio::spawn(async move { ping(&detector.board, &detector.links, &target, timeout).await })
     }
 
-    /// Pings one member, directly and then also through others.
-    async fn check(&self, target: &MemberRow) -> Check {
-        let timeout = self.ping_timeout();
+    /// Pings one member, directly and, if it does not answer within `timeout`, through others.
+    async fn check(&self, target: &MemberRow, timeout: Duration) -> Check {
         let rest = timeout * INDIRECT_TIMEOUTS;
-        let direct = ping(&self.board, &self.links, target, timeout + rest);
-        tokio::pin!(direct);
+        let mut direct = self.spawn_ping(target, timeout + rest);
         let in_time = tokio::time::timeout(timeout, &mut direct).await;
-        if let Ok(Some(agreement)) = in_time {
+        if let Ok(Ok(Some(agreement))) = in_time {
             return Check::Answered(agreement);
         }
         // An answer that comes late is an answer.
         tokio::select! {
-            Some(agreement) = &mut direct, if in_time.is_err() => Check::Answered(agreement),
+            Ok(Some(agreement)) = &mut direct, if in_time.is_err() => Check::Answered(agreement),
             result = indirect_ping(&self.board, &self.links, target, rest) => {
                 Check::Indirect(result)
             }
         }
     }
 
-    /// Checks one member; makes it a suspect if it can't be reached.
+    /// Checks one member; makes it a suspect if neither this instance nor another one reaches it.
     async fn check_member(self, target: MemberRow) {
         let started_ms = now_ms();
-        let time_limit = self.ping_timeout() * (1 + INDIRECT_TIMEOUTS);
-        let result = self.check(&target).await;
+        let timeout = self.board.pace.lock().stretch(self.board.settings.peers.ping_timeout_ms);
+        let result = self.check(&target, timeout).await;
         let elapsed_ms = now_ms() - started_ms;
         match result {
             Check::Answered(agreement) => {
@@ -175,6 +180,7 @@
                     self.board.pace.lock().record(elapsed_ms);
                 }
                 // If this instance was stalled itself, the answer may have arrived unread.
+                let time_limit = timeout * (1 + INDIRECT_TIMEOUTS);
                 let limit_ms = u64::try_from(time_limit.as_millis()).unwrap_or(u64::MAX);
                 if !is_late(elapsed_ms, limit_ms) {
                     self.suspect(&target).await;
