Suspicions in a type of their own, without a flag that the sets already hold

MemberEntry::suspected_here said what membership of one of the two sets says, and a branch of insert on it could not be taken. No behaviour changes.

--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -13,6 +13,7 @@
 mod ring;
 mod row;
 mod suspicion_timer;
+mod suspicions;
 mod table;
 mod witnesses;
 
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -15,15 +15,15 @@
 use super::gossip_queue::GossipQueue;
 use super::ring::Ring;
 use super::row::fingerprint;
+use super::suspicions::MembersBySince;
+use super::suspicions::Suspicions;
+use super::suspicions::older_than;
 
 /// How long a dead or left member stays in the table, so that a late message cannot bring it back.
 const TOMBSTONE_TTL_MS: u64 = 600_000;
 /// Each changed row is gossiped this many times per doubling of the member count. An instance that
 /// misses it is found to differ by a peer's digest and gets it by anti-entropy.
 const GOSSIP_SENDS_PER_DOUBLING: u32 = 1;
-/// A suspect that only others reported is declared dead after this many timeouts, in case those
-/// that could not reach it have ended themselves.
-const REPORTED_TIMEOUT_FACTOR: u64 = 3;
 /// Maximum size of the table; further members are rejected, so that a faulty peer cannot exhaust
 /// memory.
 const MEMBERS_MAX: usize = 5_000;
@@ -37,14 +37,12 @@
     started_ms: u64,
     /// When the member entered its current state.
     state_since_ms: u64,
-    /// Whether this instance failed to reach the member itself. Set only for suspects.
-    suspected_here: bool,
 }
 
 impl MemberEntry {
     /// An entry whose member enters the state of `row` now.
     const fn new(row: MemberRow, started_ms: u64, now_ms: u64) -> Self {
-        Self { row, started_ms, state_since_ms: now_ms, suspected_here: false }
+        Self { row, started_ms, state_since_ms: now_ms }
     }
 
     /// The row with its current uptime.
@@ -90,24 +88,15 @@
     digest: MembersDigest,
     /// Members whose rows are still to be gossiped.
     gossip_queue: GossipQueue,
-    /// Suspects that this instance could not reach, as (time of the suspicion, incarnation).
-    suspects: BTreeSet<(u64, u64)>,
-    /// Suspects that only others reported, likewise.
-    reported_suspects: BTreeSet<(u64, u64)>,
-    /// Dead and left members, as (time of that change, incarnation).
-    tombstones: BTreeSet<(u64, u64)>,
+    suspicions: Suspicions,
+    /// Dead and left members.
+    tombstones: MembersBySince,
     /// Members that changed since changes were last taken.
     changed: BTreeSet<u64>,
     /// Pings sent so far.
     ping_count: usize,
 }
 
-/// The incarnations whose time is at least `least_ms` ago, the oldest first.
-fn entries_older_than(since: &BTreeSet<(u64, u64)>, least_ms: u64, now_ms: u64) -> Vec<u64> {
-    let old = |entry: &&(u64, u64)| now_ms.saturating_sub(entry.0) >= least_ms;
-    since.iter().take_while(old).map(|(_, incarnation)| *incarnation).collect()
-}
-
 impl MemberTable {
     /// A table that holds only this instance's own row.
     #[must_use]
@@ -119,9 +108,8 @@
             ring: Ring::default(),
             digest: MembersDigest::default(),
             gossip_queue: GossipQueue::default(),
-            suspects: BTreeSet::new(),
-            reported_suspects: BTreeSet::new(),
-            tombstones: BTreeSet::new(),
+            suspicions: Suspicions::default(),
+            tombstones: MembersBySince::new(),
             changed: BTreeSet::new(),
             ping_count: 0,
         };
@@ -140,9 +128,7 @@
         }
         self.gossip_queue.set(incarnation, sends);
         if entry.row.state == MemberState::Suspect {
-            let suspects =
-                if entry.suspected_here { &mut self.suspects } else { &mut self.reported_suspects };
-            suspects.insert((entry.state_since_ms, incarnation));
+            self.suspicions.insert(entry.state_since_ms, incarnation);
         }
         if !entry.row.state.may_answer() {
             self.tombstones.insert((entry.state_since_ms, incarnation));
@@ -158,8 +144,7 @@
         self.digest.remove(&entry.row);
         self.ring.set_present(incarnation, false);
         self.gossip_queue.set(incarnation, 0);
-        self.suspects.remove(&(entry.state_since_ms, incarnation));
-        self.reported_suspects.remove(&(entry.state_since_ms, incarnation));
+        self.suspicions.remove(entry.state_since_ms, incarnation);
         self.tombstones.remove(&(entry.state_since_ms, incarnation));
         if let Some(at_address) = self.by_peer_address.get_mut(&entry.row.peer_address) {
             at_address.retain(|other| *other != incarnation);
@@ -334,14 +319,11 @@
         let Some(entry) = self.entries.get_mut(&incarnation) else {
             return false;
         };
-        if entry.row.state != MemberState::Suspect || entry.suspected_here {
-            return false;
+        let confirmed = self.suspicions.confirm(entry.state_since_ms, incarnation, now_ms);
+        if confirmed {
+            entry.state_since_ms = now_ms;
         }
-        self.reported_suspects.remove(&(entry.state_since_ms, incarnation));
-        entry.suspected_here = true;
-        entry.state_since_ms = now_ms;
-        self.suspects.insert((now_ms, incarnation));
-        true
+        confirmed
     }
 
     /// Moves a member to a worse state and gossips it; returns whether the table changed.
@@ -363,18 +345,12 @@
 
     /// Declares suspects dead whose timeout has passed and removes expired tombstones. Returns the
     /// peer addresses of those declared dead.
-    ///
-    /// A suspect that only others reported gets more time: those that could not reach it also see
-    /// first that it answers again. The more instances judge by the word of others, the more likely
-    /// one of them has not read its refutation in time.
     pub fn expire_suspects(&mut self, suspect_timeout_ms: u64, now_ms: u64) -> Vec<SocketAddr> {
-        let reported_timeout_ms = suspect_timeout_ms * REPORTED_TIMEOUT_FACTOR;
-        let mut dead = entries_older_than(&self.suspects, suspect_timeout_ms, now_ms);
-        dead.extend(entries_older_than(&self.reported_suspects, reported_timeout_ms, now_ms));
+        let dead = self.suspicions.timed_out(suspect_timeout_ms, now_ms);
         for incarnation in &dead {
             self.downgrade(*incarnation, MemberState::Dead, now_ms);
         }
-        for incarnation in entries_older_than(&self.tombstones, TOMBSTONE_TTL_MS, now_ms) {
+        for incarnation in older_than(&self.tombstones, TOMBSTONE_TTL_MS, now_ms) {
             if incarnation != self.own_incarnation {
                 self.remove(incarnation);
                 self.changed.insert(incarnation);
@@ -386,7 +362,7 @@
     /// Whether any member is a suspect.
     #[must_use]
     pub fn has_suspects(&self) -> bool {
-        !self.suspects.is_empty() || !self.reported_suspects.is_empty()
+        !self.suspicions.is_empty()
     }
 
     /// Extends the timeout of current suspects by `stalled_ms`, for which this instance was
@@ -395,14 +371,9 @@
         if stalled_ms == 0 {
             return;
         }
-        let entries = &mut self.entries;
-        for suspects in [&mut self.suspects, &mut self.reported_suspects] {
-            for (since_ms, incarnation) in std::mem::take(suspects) {
-                let since_ms = (since_ms + stalled_ms).min(now_ms);
-                if let Some(entry) = entries.get_mut(&incarnation) {
-                    entry.state_since_ms = since_ms;
-                    suspects.insert((since_ms, incarnation));
-                }
+        for (since_ms, incarnation) in self.suspicions.delay(stalled_ms, now_ms) {
+            if let Some(entry) = self.entries.get_mut(&incarnation) {
+                entry.state_since_ms = since_ms;
             }
         }
     }
