--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -266,8 +266,6 @@
 /// suspicion counts only the time in which this instance was able to receive.
 pub async fn run_failure_detector<L: PeerClient>(board: Arc<Blackboard>, links: L) {
     let interval_ms = board.settings.peers.ping_interval_ms;
-    let mut ticks = tokio::time::interval(Duration::from_millis(interval_ms));
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let detector = FailureDetector {
         board,
         links,
@@ -277,13 +275,13 @@
     let ping_loop = async {
         let FailureDetector { board, links, .. } = &detector;
         loop {
-            ticks.tick().await;
-            ticks.reset_after(board.pace.lock().stretch_interval(interval_ms));
             let target = board.members.lock().next_ping_target();
             if let Some(target) = target {
                 tokio::spawn(detector.clone().check_member(target));
             }
             links.close_idle();
+            let interval = board.pace.lock().stretch_interval(interval_ms);
+            tokio::time::sleep(interval).await;
         }
     };
     tokio::join!(ping_loop, expire_suspects(&detector));
