--- a/src/quarantine/quarantine.rs
+++ b/src/quarantine/quarantine.rs
@@ -48,11 +48,7 @@
     }
 
     /// Whether other requests of the service got responses while servers crashed under this one.
-    /// Responses from before an outage do not count: in it, all requests look the same.
-    fn others_served(&mut self, last_response_us: Option<u64>, now_us: u64) -> bool {
-        if self.suspect.is_cleared() {
-            self.crashing_since_us = now_us;
-        }
+    fn others_served(&self, last_response_us: Option<u64>) -> bool {
         last_response_us.is_some_and(|at| at > self.crashing_since_us)
     }
 
@@ -108,7 +104,9 @@
         keys.into_iter().filter_map(record).collect()
     }
 
-    /// Entry of a request; a new one gets `last_change_us` as the time of its last change.
+    /// Entry of a request under which a server crashed; a new one gets `last_change_us` as the time of
+    /// its last change. If no earlier crash counts, responses count from now on: in an outage all
+    /// requests look the same, and a response from before it shows nothing.
     fn entry_or_insert(
         &mut self,
         fingerprint: Fingerprint,
@@ -124,7 +122,11 @@
             crashing_since_us: now_us,
             service_hash: 0,
         };
-        self.entries.entry(fingerprint).or_insert_with(new)
+        let entry = self.entries.entry(fingerprint).or_insert_with(new);
+        if entry.suspect.is_cleared() {
+            entry.crashing_since_us = now_us;
+        }
+        entry
     }
 
     fn denial(&self, fingerprints: &Fingerprints, now_us: u64) -> Option<Denial> {
@@ -148,7 +150,7 @@
                 Crash { level: known.level.saturating_add(1), server: server_hash, variant };
             let last_response_us = self.last_response_us.get(&admitted_send.service_hash).copied();
             let entry = self.entry_or_insert(fingerprint, now_us, now_us);
-            let others_served = entry.others_served(last_response_us, now_us);
+            let others_served = entry.others_served(last_response_us);
             entry.service_hash = admitted_send.service_hash;
             if entry.suspect.record_crash(crash, others_served, now_us) {
                 quarantined.push(fingerprint);
@@ -189,7 +191,7 @@
         };
         let last_response_us = self.last_response_us.get(&record.service).copied();
         let entry = self.entry_or_insert(record.fingerprint, record.last_change_us(now_us), now_us);
-        let others_served = entry.others_served(last_response_us, now_us);
+        let others_served = entry.others_served(last_response_us);
         entry.service_hash = record.service;
         let suspect = &mut entry.suspect;
         let was_blocked = blocked(suspect);
