--- a/src/route/slot_queue.rs
+++ b/src/route/slot_queue.rs
@@ -19,6 +19,7 @@
 use crate::clock::now_us;
 use crate::decide::Admission;
 use crate::decide::AttemptOutcome;
+use crate::decide::QueueAge;
 use crate::decide::QueueView;
 use crate::decide::ServerScope;
 use crate::decide::SlotPool;
@@ -77,7 +78,7 @@
             pool: SlotPool::new(Vec::new(), seed),
             servers: Vec::new(),
             waiting: VecDeque::new(),
-            queued_since_us: 0,
+            age: QueueAge::default(),
             queue_max,
             preference: Preference::default(),
         };
@@ -149,7 +150,8 @@
         }
         let (sender, offer) = oneshot::channel();
         let tried = SmallVec::from_slice(&[first_index]);
-        state.join_queue(now_us());
+        let queue_is_empty = state.waiting.is_empty();
+        state.age.join(queue_is_empty, now_us());
         state.waiting.push_front(Waiter { scope, tried, sender });
         self.dispatch_slots(state);
         Some(offer)
@@ -186,7 +188,8 @@
         let now = now_us();
         let mut state = self.state.lock();
         state.waiting.retain(|waiter| !waiter.sender.is_closed());
-        let queue_age_us = state.join_queue(now);
+        let queue_is_empty = state.waiting.is_empty();
+        let queue_age_us = state.age.join(queue_is_empty, now);
         let ahead = match position {
             QueuePosition::Back => state.waiting.len(),
             QueuePosition::Front => 0,
--- a/src/route/slot_queue_state.rs
+++ b/src/route/slot_queue_state.rs
@@ -9,6 +9,7 @@
 use super::Upstream;
 use super::slot::Offer;
 use crate::clock::now_us;
+use crate::decide::QueueAge;
 use crate::decide::ServerLoad;
 use crate::decide::ServerScope;
 use crate::decide::SlotPool;
@@ -61,8 +62,7 @@
     pub servers: Vec<ServerRow>,
     /// The longest waiting request is first.
     pub waiting: VecDeque<Waiter>,
-    /// When a request last joined an empty queue.
-    pub queued_since_us: u64,
+    pub age: QueueAge,
     /// Most requests that may wait.
     pub queue_max: usize,
     pub preference: Preference,
@@ -119,12 +119,4 @@
         load.closed = after != 0;
         before != after
     }
-
-    /// Records that a request joins the queue now; returns the age of the queue in microseconds.
-    pub fn join_queue(&mut self, now_us: u64) -> u64 {
-        if self.waiting.is_empty() {
-            self.queued_since_us = now_us;
-        }
-        now_us.saturating_sub(self.queued_since_us)
-    }
 }
--- a/standins/src/trial/model.rs
+++ b/standins/src/trial/model.rs
@@ -282,12 +282,10 @@
 
     fn enqueue(&mut self, home: usize, request: usize) {
         let waited = self.now_us - self.requests[request].due_us;
-        if self.homes[home].queue.is_empty() {
-            self.homes[home].queued_since_us = self.now_us;
-        }
+        let queue_is_empty = self.homes[home].queue.is_empty();
         let view = QueueView {
             waiting: self.homes[home].queue.len(),
-            queue_age_us: self.now_us - self.homes[home].queued_since_us,
+            queue_age_us: self.homes[home].queue_age.join(queue_is_empty, self.now_us),
             waiting_max: QUEUE_MAX,
             slots: self.homes[home].pool.usable_slots(ServerScope::Own, &[], self.now_us),
             median_service_us: self.homes[home].pool.median_service_us(),
--- a/standins/src/trial/world.rs
+++ b/standins/src/trial/world.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use sorrelwick::decide::HomeCandidate;
+use sorrelwick::decide::QueueAge;
 use sorrelwick::decide::ServerLoad;
 use sorrelwick::decide::SlotPool;
 use sorrelwick::decide::assign_keepers;
@@ -51,8 +52,7 @@
     pub pool: SlotPool,
     pub in_flight: Vec<u32>,
     pub queue: VecDeque<usize>,
-    /// When a request last joined an empty queue.
-    pub queued_since_us: u64,
+    pub queue_age: QueueAge,
     /// Requests that wait for a slot for a hedged attempt; served before the queue.
     pub overdue: VecDeque<usize>,
     pub free_slot_reports: Vec<(u32, u64)>,
@@ -116,7 +116,7 @@
                 pool: SlotPool::new(loads.collect(), scene.seed + at as u64),
                 in_flight: vec![0; servers.len()],
                 queue: VecDeque::new(),
-                queued_since_us: 0,
+                queue_age: QueueAge::default(),
                 overdue: VecDeque::new(),
                 free_slot_reports: vec![(0, 0); count],
                 round_robin_turn: at as u64,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -195,34 +195,29 @@
     });
 }
 
+/// A queue of four slots in which a patient request arrives.
+const PATIENT: QueueView = QueueView {
+    waiting: 59,
+    queue_age_us: 3_000_000,
+    waiting_max: 1_000,
+    slots: 4,
+    median_service_us: 50_000.0,
+    remaining_us: 20_000_000,
+};
+
 /// Guards against refusing a request "for its deadline" whose caller would wait much longer than the
 /// queue takes.
 #[test]
 fn request_waits_in_a_burst_while_its_deadline_permits() {
-    let view = QueueView {
-        waiting: 59,
-        queue_age_us: 3_000_000,
-        waiting_max: 1_000,
-        slots: 4,
-        median_service_us: 50_000.0,
-        remaining_us: 20_000_000,
-    };
-    let admission = decide_admission(&view);
-    assert_eq!(admission, Admission::Wait { at_most_us: 19_900_000 });
+    assert_eq!(decide_admission(&PATIENT), Admission::Wait { at_most_us: 19_900_000 });
 }
 
 /// Guards against refusing a patient request by what the first answers of a burst took, while
 /// connections were opened: 0.7 s in place of the usual 60 ms.
 #[test]
 fn first_answers_of_a_burst_are_not_extrapolated_far() {
-    let young = QueueView {
-        waiting: 109,
-        queue_age_us: 800_000,
-        waiting_max: 1_000,
-        slots: 4,
-        median_service_us: 680_000.0,
-        remaining_us: 20_000_000,
-    };
+    let young =
+        QueueView { waiting: 109, queue_age_us: 800_000, median_service_us: 680_000.0, ..PATIENT };
     assert!(matches!(decide_admission(&young), Admission::Wait { .. }));
     let older = QueueView { queue_age_us: 4_000_000, ..young };
     assert!(matches!(decide_admission(&older), Admission::TooLate { .. }));
@@ -232,16 +227,9 @@
 /// would grow to their deadlines, and serve no more requests for it.
 #[test]
 fn request_does_not_wait_long_in_a_lasting_queue() {
-    let view = QueueView {
-        waiting: 59,
-        queue_age_us: 11_000_000,
-        waiting_max: 1_000,
-        slots: 4,
-        median_service_us: 50_000.0,
-        remaining_us: 20_000_000,
-    };
-    assert!(matches!(decide_admission(&view), Admission::TooLate { .. }));
-    let short = QueueView { waiting: 9, ..view };
+    let lasting = QueueView { queue_age_us: 11_000_000, ..PATIENT };
+    assert!(matches!(decide_admission(&lasting), Admission::TooLate { .. }));
+    let short = QueueView { waiting: 9, ..lasting };
     assert_eq!(decide_admission(&short), Admission::Wait { at_most_us: 500_000 });
 }
 
@@ -249,15 +237,8 @@
 /// would run into their deadlines at a server, with an unknown outcome.
 #[test]
 fn admitted_request_keeps_time_to_be_served() {
-    let view = QueueView {
-        waiting: 0,
-        queue_age_us: 0,
-        waiting_max: 1_000,
-        slots: 4,
-        median_service_us: 50_000.0,
-        remaining_us: 100_000,
-    };
-    assert!(matches!(decide_admission(&view), Admission::TooLate { .. }));
+    let last_moment = QueueView { waiting: 0, queue_age_us: 0, remaining_us: 100_000, ..PATIENT };
+    assert!(matches!(decide_admission(&last_moment), Admission::TooLate { .. }));
 }
 
 /// Acquiring and releasing a slot does not allocate.
