--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -154,7 +154,7 @@
         if let Ok(Ok(Some(agreement))) = in_time {
             return Check::Answered(agreement);
         }
-        // An answer that comes late is an answer.
+        // A late answer shows that the member is alive, too.
         tokio::select! {
             Ok(Some(agreement)) = &mut direct, if in_time.is_err() => Check::Answered(agreement),
             result = indirect_ping(&self.board, &self.links, target, rest) => {
--- a/tests/pace.rs
+++ b/tests/pace.rs
@@ -14,6 +14,7 @@
     pace
 }
 
+/// Guards against a healthy fleet that detects deaths later than configured.
 #[test]
 fn quick_answers_leave_the_configured_times() {
     let pace = pace_after((0..100).map(|at| at % 20));
@@ -40,6 +41,7 @@
     assert_eq!(pace.stretch(SUSPECT_TIMEOUT_MS), Duration::from_millis(SUSPECT_TIMEOUT_MS));
 }
 
+/// Guards against an instance that detects deaths late for long after an overload has ended.
 #[test]
 fn times_return_to_normal_with_quick_answers() {
     let mut pace = pace_after([500; 15]);
