--- a/standins/src/routed/gateway_fleet.rs
+++ b/standins/src/routed/gateway_fleet.rs
@@ -15,11 +15,15 @@
 use super::MemoryEventStore;
 use super::PlainDialect;
 use super::RawResponse;
+use super::RawServer;
+use super::ServerPaths;
 use super::StoreFault;
 use super::raw_call;
 use super::raw_call_from;
 
 const SECRET: &str = "a secret of sixteen";
+/// Slots of a listed server.
+const SLOTS: u32 = 4;
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 const READY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -28,6 +32,8 @@
 pub struct GatewayFleet {
     pub store: MemoryEventStore,
     pub store_clients: Vec<MemoryEventStore>,
+    /// Each instance's paths to the backend servers.
+    pub paths: Vec<Arc<ServerPaths>>,
     pub instances: Vec<FleetInstance>,
 }
 
@@ -39,10 +45,10 @@
 }
 
 impl FleetInstance {
-    async fn spawn(settings: Settings, store: MemoryEventStore) -> Self {
+    async fn spawn(settings: Settings, dialect: PlainDialect, store: MemoryEventStore) -> Self {
         let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
         let runtime = runtime.expect("a runtime");
-        let spawned = runtime.spawn(Gateway::spawn(settings, PlainDialect::default(), store)).await;
+        let spawned = runtime.spawn(Gateway::spawn(settings, dialect, store)).await;
         Self { gateway: spawned.expect("no panic").expect("the instance starts"), runtime }
     }
 
@@ -105,7 +111,8 @@
     /// If an instance does not start.
     pub async fn start(zones: &[&str]) -> Self {
         let store = MemoryEventStore::default();
-        let mut fleet = Self { store, store_clients: Vec::new(), instances: Vec::new() };
+        let (store_clients, paths, instances) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fleet = Self { store, store_clients, paths, instances };
         for (number, zone) in zones.iter().enumerate() {
             fleet.add(&format!("i{number}"), zone, zones).await;
         }
@@ -136,8 +143,19 @@
         let client = self.store.new_client();
         client.set_fault(fault);
         let settings = fleet_settings(name, zone, zones, &seeds);
-        self.instances.push(FleetInstance::spawn(settings, client.clone()).await);
+        let paths = Arc::new(ServerPaths::default());
+        let dialect = PlainDialect::with_paths(Arc::clone(&paths));
+        self.instances.push(FleetInstance::spawn(settings, dialect, client.clone()).await);
         self.store_clients.push(client);
+        self.paths.push(paths);
+    }
+
+    /// Lists a server that each instance reaches through a path of its own.
+    pub async fn list_server(&self, server: &RawServer, id: &str, service: &str, zone: &str) {
+        for paths in &self.paths {
+            paths.add(server.address).await;
+        }
+        self.store.put(&format!("servers/{id}"), &server.entry(service, zone, SLOTS, "ready"));
     }
 
     /// The blackboard of the instance at index `at`.
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -12,6 +12,7 @@
 mod raw_call;
 mod raw_server;
 mod relay_fleet;
+mod server_paths;
 
 pub use cold_phase::ColdPhase;
 pub use crash_rule::CrashRule;
@@ -45,3 +46,5 @@
 pub use relay_fleet::RelayPeers;
 pub use relay_fleet::peer_address;
 pub use relay_fleet::random_faults;
+pub use server_paths::PathFault;
+pub use server_paths::ServerPaths;
--- a/standins/src/routed/plain_dialect.rs
+++ b/standins/src/routed/plain_dialect.rs
@@ -1,6 +1,7 @@
 //! A dialect for tests, with a plain name for each header, key and path.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::HeaderName;
@@ -11,6 +12,8 @@
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
 
+use super::ServerPaths;
+
 /// Store key of the configuration.
 pub const CONFIG_KEY: &str = "operators/config";
 /// Prefix of the store keys of zone evacuations.
@@ -20,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub struct PlainDialect {
     header_names: HeaderNames,
+    /// The paths through which the instance reaches the servers.
+    paths: Arc<ServerPaths>,
 }
 
 impl Default for PlainDialect {
@@ -39,7 +44,15 @@
             rate_limit: name("rate-limit"),
             draining: name("leaving"),
         };
-        Self { header_names }
+        Self { header_names, paths: Arc::default() }
+    }
+}
+
+impl PlainDialect {
+    /// The dialect of an instance that reaches the servers through `paths`.
+    #[must_use]
+    pub fn with_paths(paths: Arc<ServerPaths>) -> Self {
+        Self { paths, ..Self::default() }
     }
 }
 
@@ -65,7 +78,8 @@
 
     fn decode_server(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
         let row: ServerRow = serde_json::from_slice(value).map_err(|err| err.to_string())?;
-        Ok(ServerRow { id: id.into(), ..row })
+        let address = self.paths.route(row.address);
+        Ok(ServerRow { id: id.into(), address, ..row })
     }
 
     /// Parses `running,waiting,slots,slowdown_percent`.
