--- a/src/app/daemon_peer_service.rs
+++ b/src/app/daemon_peer_service.rs
@@ -128,6 +128,7 @@
             // Only gateways exchange these.
             PeerRequest::ServerLoads(_)
             | PeerRequest::Feed { .. }
+            | PeerRequest::ReachesServers { .. }
             | PeerRequest::QuotaTokens { .. } => PeerReply::Failed(Code::PeerFrame.number()),
         }
     }
--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -28,6 +28,7 @@
 use crate::gateway::Dispatcher;
 use crate::gateway::Follower;
 use crate::gateway::Forwarder;
+use crate::gateway::GatewayServerChecker;
 use crate::gateway::HomePlanner;
 use crate::gateway::LoadReporter;
 use crate::gateway::MemoryBudget;
@@ -52,6 +53,8 @@
 use crate::peer::PeerListener;
 use crate::quarantine::run_suspect_gossip;
 use crate::quota::Quotas;
+use crate::reach::ReachAnswerer;
+use crate::reach::ReachMonitor;
 use crate::status::StatusListener;
 use crate::store::EventStore;
 
@@ -266,6 +269,19 @@
             table: Arc::clone(&table),
             quotas: Arc::clone(&quotas),
         };
+        let server_checker = GatewayServerChecker::new(
+            dialect.clone(),
+            Arc::clone(&board),
+            dispatcher.clone(),
+            Arc::clone(&table),
+        );
+        let reach_monitor = ReachMonitor::new(
+            Arc::clone(&board),
+            Arc::clone(dispatcher.reach()),
+            server_checker.clone(),
+            links.clone(),
+        );
+        tasks.spawn(reach_monitor.run());
         let quota_limiter = QuotaLimiter {
             board: Arc::clone(&board),
             links: links.clone(),
@@ -281,6 +297,7 @@
             config,
             servers,
             quota_limiter: quota_limiter.clone(),
+            reach_answerer: ReachAnswerer::new(Arc::clone(dispatcher.reach()), server_checker),
         };
         let forwarder = Forwarder {
             dialect: dialect.clone(),
--- a/src/app/gateway_peer_service.rs
+++ b/src/app/gateway_peer_service.rs
@@ -12,6 +12,7 @@
 use crate::errors::Code;
 use crate::gateway::Dialect;
 use crate::gateway::Dispatcher;
+use crate::gateway::GatewayServerChecker;
 use crate::gateway::Mirror;
 use crate::gateway::OperatorSink;
 use crate::gateway::QuotaLimiter;
@@ -26,6 +27,7 @@
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::peer::PeerService;
+use crate::reach::ReachAnswerer;
 use crate::route::Answer;
 use crate::route::AnswerBody;
 
@@ -41,9 +43,10 @@
     pub config: Arc<Mirror<OperatorSink<D>>>,
     pub servers: Arc<Mirror<ServerSink<D>>>,
     pub quota_limiter: QuotaLimiter<Links>,
+    pub reach_answerer: ReachAnswerer<GatewayServerChecker<D>>,
 }
 
-impl<D> Clone for GatewayPeerService<D> {
+impl<D: Clone> Clone for GatewayPeerService<D> {
     fn clone(&self) -> Self {
         Self {
             board: Arc::clone(&self.board),
@@ -52,6 +55,7 @@
             config: Arc::clone(&self.config),
             servers: Arc::clone(&self.servers),
             quota_limiter: self.quota_limiter.clone(),
+            reach_answerer: self.reach_answerer.clone(),
         }
     }
 }
@@ -85,6 +89,9 @@
             PeerRequest::QuotaTokens { workspace, wanted_millitokens } => {
                 PeerReply::QuotaTokens(self.quota_limiter.lend(&workspace, wanted_millitokens))
             }
+            PeerRequest::ReachesServers { services } => {
+                PeerReply::ReachesServers(self.reach_answerer.answer(&services).await)
+            }
             _ => PeerReply::Failed(Code::PeerFrame.number()),
         }
     }
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -120,11 +120,39 @@
         operator_address: settings.listen.operator,
         peer_address: settings.listen.peer,
         capacity_per_s: settings.instance.capacity_per_s(),
+        reaches_servers: true,
         uptime_ms: 0,
         successor: None,
     }
 }
 
+/// Logs which members became isolated from the backend servers, or reach them again.
+fn log_reach_changes(before: &MembersView, changes: &[MemberChange]) {
+    let updated = changes.iter().filter_map(|change| match change {
+        MemberChange::Updated(row) => Some(row),
+        MemberChange::Removed(_) => None,
+    });
+    let changed = updated.filter(|row| {
+        let known = before.row(row.incarnation).is_none_or(|known| known.reaches_servers);
+        known != row.reaches_servers
+    });
+    let (mut isolated, mut back) = (Vec::new(), Vec::new());
+    for row in changed {
+        let names = if row.reaches_servers { &mut back } else { &mut isolated };
+        names.push(row.name.as_str());
+    }
+    if isolated.is_empty() && back.is_empty() {
+        return;
+    }
+    isolated.truncate(MEMBERS_LOGGED_MAX);
+    back.truncate(MEMBERS_LOGGED_MAX);
+    info!(
+        event = "members-reach", isolated = isolated.join(" ").as_str(),
+        back = back.join(" ").as_str();
+        "members that lost their paths to the backend servers, or have them again"
+    );
+}
+
 impl Blackboard {
     /// The state of an instance that starts now.
     #[must_use]
@@ -182,6 +210,7 @@
             return;
         }
         self.record_member_changes(&view, &changes);
+        log_reach_changes(&view, &changes);
         let current = Arc::make_mut(&mut view);
         for change in changes {
             current.apply(change);
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -30,6 +30,8 @@
 use crate::cold::ColdPolicy;
 use crate::evacuation::Evacuations;
 use crate::model::ServerRow;
+use crate::reach::ReachEvidence;
+use crate::reach::ServerReach;
 use crate::starts::HomeSet;
 
 /// Interval at which the queues, while not empty, are checked for expired requests and for servers
@@ -86,6 +88,7 @@
     /// Ticket of the next request, by which pools identify it.
     next_ticket: Arc<AtomicU64>,
     pub(super) state: Arc<Mutex<DispatcherState>>,
+    reach: Arc<ServerReach>,
     /// Slots in use.
     granted_slots: Arc<AtomicUsize>,
     /// Notified when the number of slots in use rises from zero.
@@ -126,12 +129,26 @@
             budget_sharers: Arc::new(AtomicUsize::new(1)),
             next_ticket: Arc::default(),
             state: Arc::default(),
+            reach: Arc::default(),
             granted_slots: Arc::default(),
             became_busy: Arc::default(),
             enqueued: Arc::default(),
         }
     }
 
+    /// What this instance knows about its paths to the servers.
+    #[must_use]
+    pub const fn reach(&self) -> &Arc<ServerReach> {
+        &self.reach
+    }
+
+    /// Adds evidence on the path to a server.
+    pub fn record_reach(&self, server: &Server, evidence: ReachEvidence) {
+        let service = &server.row.service;
+        let servers = self.state.lock().pools.get(service).map_or(1, |pool| pool.servers.len());
+        self.reach.record(service, server.key, evidence, servers);
+    }
+
     fn allocate_ticket(&self) -> u64 {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
@@ -256,6 +273,12 @@
             }
         }
         self.serve_waiting(&mut state, service, &mut undelivered);
+        drop(state);
+        match outcome {
+            SendOutcome::Unreachable => self.record_reach(server, ReachEvidence::ConnectFailed),
+            SendOutcome::Broken => self.record_reach(server, ReachEvidence::NoResponse),
+            _ => {}
+        }
     }
 
     /// Applies `work` to the state of a server; `None` if the server is no longer known.
@@ -302,6 +325,7 @@
     /// Records that a server did not respond to a health check.
     pub fn record_check_timeout(&self, server: &Server) {
         self.with_tracked_server(server, |tracked| tracked.record_check_timeout(now_us()));
+        self.record_reach(server, ReachEvidence::NoResponse);
     }
 
     /// Whether no request of this instance is running at any server.
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -191,6 +191,27 @@
         ids.filter_map(|id| state.servers.get(id).cloned()).collect()
     }
 
+    /// Services of which any server may be used.
+    #[must_use]
+    pub fn services_with_servers(&self) -> Vec<Arc<str>> {
+        let state = self.state.lock();
+        let in_service = |tracked: &TrackedServer| tracked.in_service(now_us());
+        let with_servers =
+            state.pools.iter().filter(|(_, pool)| pool.servers.iter().any(in_service));
+        with_servers.map(|(service, _)| Arc::clone(service)).collect()
+    }
+
+    /// The servers of a service that may be used, whether or not they respond.
+    #[must_use]
+    pub fn servers_in_service(&self, service: &str) -> Vec<Arc<Server>> {
+        let state = self.state.lock();
+        let tracked = state.pools.get(service).into_iter().flat_map(|pool| &pool.servers);
+        let in_service = tracked.filter(|tracked| {
+            tracked.in_service(now_us()) && !tracked.start_limits.in_cooldown(now_us())
+        });
+        in_service.filter_map(|tracked| state.servers.get(&tracked.row.id).cloned()).collect()
+    }
+
     /// Whether any server is known.
     #[must_use]
     pub fn has_servers(&self) -> bool {
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -27,6 +27,7 @@
     let matcher =
         ResponseMatcher { id_header: &names.request_id, id: None, not_run_header: &names.not_run };
     let response = conn.exchange(head.as_bytes(), &[], matcher).await?;
+    dispatcher.record_reach(server, conn.response_evidence());
     let mut decoder = response.decoder();
     while conn.read_body(&mut decoder).await?.is_some() {}
     let header = |name| header_text(&response.headers, name);
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -229,6 +229,7 @@
         };
         let sent = request.encode_head(names, &grant.server.row.id);
         let head = conn.exchange(&sent, &request.body, matcher).await?;
+        self.dispatcher.record_reach(&grant.server, conn.response_evidence());
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             grant.record_notice(ServerNotice::read(self.dialect, head.status, &head.headers));
         }
--- /dev/null
+++ b/src/gateway/server_checker.rs
@@ -0,0 +1,96 @@
+//! Checks a few backend servers over new connections.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use tokio::task::JoinSet;
+
+use super::Dialect;
+use super::caller_handler::CurrentRouteTable;
+use super::dispatcher::Dispatcher;
+use super::health_check::check_health;
+use super::server::Server;
+use crate::board::Blackboard;
+use crate::board::Counter;
+use crate::reach::CheckResult;
+use crate::reach::ReachEvidence;
+use crate::reach::ServerChecker;
+
+/// Servers of a service that are checked at once.
+const SERVERS_CHECKED: usize = 6;
+/// Timeout of a check, its connection included.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
+/// Checks servers of the gateway. Clones share state.
+#[derive(Clone, Debug)]
+pub struct GatewayServerChecker<D> {
+    dialect: D,
+    board: Arc<Blackboard>,
+    dispatcher: Dispatcher,
+    table: CurrentRouteTable,
+}
+
+impl<D: Dialect> GatewayServerChecker<D> {
+    /// A checker of the servers that `dispatcher` knows.
+    #[must_use]
+    pub fn new(
+        dialect: D,
+        board: Arc<Blackboard>,
+        dispatcher: Dispatcher,
+        table: CurrentRouteTable,
+    ) -> Self {
+        Self { dialect, board, dispatcher, table }
+    }
+
+    /// Opens a connection to a server and sends a health check; returns whether it responded.
+    async fn check_server(self, server: Arc<Server>, path: Arc<str>) -> bool {
+        self.board.counters.add(Counter::Probes);
+        self.dispatcher.record_use(&server);
+        let checked = async {
+            let mut conn = server.conns.open_new(CHECK_TIMEOUT).await.ok()?;
+            let keep = check_health(&self.dialect, &self.dispatcher, &server, &mut conn, &path);
+            if keep.await.ok()? {
+                server.conns.put_back(conn);
+            }
+            Some(())
+        };
+        let reached = matches!(tokio::time::timeout(CHECK_TIMEOUT, checked).await, Ok(Some(())));
+        if !reached {
+            self.dispatcher.record_reach(&server, ReachEvidence::ConnectFailed);
+        }
+        reached
+    }
+}
+
+impl<D: Dialect> ServerChecker for GatewayServerChecker<D> {
+    fn services(&self) -> Vec<Arc<str>> {
+        let table = self.table.load();
+        let declared = table.as_ref().map(|table| &table.services);
+        let with_servers = self.dispatcher.services_with_servers();
+        let is_declared =
+            |service: &Arc<str>| declared.is_some_and(|services| services.contains_key(service));
+        with_servers.into_iter().filter(is_declared).collect()
+    }
+
+    async fn check(&self, service: &str) -> CheckResult {
+        let table = self.table.load_full();
+        let config = table.as_ref().and_then(|table| table.services.get(service));
+        let Some(path) = config.map(|config| Arc::from(config.health_path.as_str())) else {
+            return CheckResult::default();
+        };
+        let servers = self.dispatcher.servers_in_service(service);
+        let mut checks = JoinSet::new();
+        for server in servers.sample(&mut rand::rng(), SERVERS_CHECKED) {
+            checks.spawn(self.clone().check_server(Arc::clone(server), Arc::clone(&path)));
+        }
+        let mut result = CheckResult::default();
+        while let Some(reached) = checks.join_next().await {
+            if matches!(reached, Ok(true)) {
+                result.reached += 1;
+            } else {
+                result.failed += 1;
+            }
+        }
+        result
+    }
+}
--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -19,6 +19,7 @@
 use super::framing::BodyDecoder;
 use super::framing::Framing;
 use crate::clock::now_us;
+use crate::reach::ReachEvidence;
 
 /// Free space in the input buffer before each read.
 const READ_BYTES: usize = 16 << 10;
@@ -100,6 +101,8 @@
     /// Bytes received and not consumed yet.
     input: BytesMut,
     idle_since_us: u64,
+    /// Whether the connection has carried no exchange yet.
+    is_new: bool,
     /// Idle timeout of the server.
     keep_alive: Duration,
     _open_guard: OpenConnGuard,
@@ -144,6 +147,7 @@
             stream,
             input,
             idle_since_us: now_us(),
+            is_new: true,
             keep_alive: KEEP_ALIVE_DEFAULT,
             _open_guard: open,
         })
@@ -166,6 +170,12 @@
         fresh && quiet && self.input.is_empty()
     }
 
+    /// What a response on this connection shows about the path to the server.
+    #[must_use]
+    pub const fn response_evidence(&self) -> ReachEvidence {
+        if self.is_new { ReachEvidence::RespondedOnNewConnection } else { ReachEvidence::Responded }
+    }
+
     /// Sends a request and reads the response head. The body is sent concurrently, since a server
     /// may respond before it has read all of it.
     ///
@@ -227,6 +237,7 @@
     /// Ends the exchange and returns whether the connection can be kept.
     pub fn finish(&mut self, head: &ResponseHead) -> bool {
         self.idle_since_us = now_us();
+        self.is_new = false;
         self.keep_alive = keep_alive(&head.headers).unwrap_or(KEEP_ALIVE_DEFAULT);
         head.keeps_open && self.is_reusable()
     }
--- a/src/gateway/server_conn_pool.rs
+++ b/src/gateway/server_conn_pool.rs
@@ -72,6 +72,14 @@
         if let Some(conn) = self.take_idle() {
             return Ok(conn);
         }
+        self.open_new(timeout).await
+    }
+
+    /// Opens a new connection.
+    ///
+    /// # Errors
+    /// As [`Self::take`].
+    pub async fn open_new(&self, timeout: Duration) -> std::io::Result<ServerConn> {
         let open_max = self.open_max.load(Ordering::Acquire);
         let Some(open) = OpenConnGuard::try_new(&self.open, open_max) else {
             return Err(ErrorKind::QuotaExceeded.into());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer;
 pub mod quarantine;
 pub mod quota;
+pub mod reach;
 pub mod route;
 pub mod starts;
 pub mod status;
--- a/src/member/row.rs
+++ b/src/member/row.rs
@@ -69,6 +69,8 @@
     pub peer_address: SocketAddr,
     /// Requests per second that its processor and network link can carry.
     pub capacity_per_s: u32,
+    /// Whether it reaches backend servers; `false` only while other instances do and it does not.
+    pub reaches_servers: bool,
     /// Uptime when the row was sent; never more than the true uptime.
     pub uptime_ms: u64,
     /// Incarnation of the member that owns its idempotency keys after it left.
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -307,6 +307,14 @@
         self.insert(MemberEntry::new(row, own.started_ms, now_ms), self.gossip_sends());
     }
 
+    /// Changes whether this instance reaches backend servers, and gossips it.
+    pub fn set_own_reach(&mut self, reaches_servers: bool, now_ms: u64) {
+        let own = &self.entries[&self.own_incarnation];
+        let generation = own.row.generation + 1;
+        let row = MemberRow { generation, reaches_servers, ..own.row.clone() };
+        self.insert(MemberEntry::new(row, own.started_ms, now_ms), self.gossip_sends());
+    }
+
     /// Marks a member that this instance could not reach as a suspect; returns whether it was not
     /// so marked before.
     pub fn suspect(&mut self, incarnation: u64, now_ms: u64) -> bool {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -135,6 +135,8 @@
     Suspects { records: Vec<SuspectRecord>, complete: bool },
     /// Asks for tokens of a workspace's quota, in millitokens.
     QuotaTokens { workspace: String, wanted_millitokens: u32 },
+    /// Asks whether the receiver reaches backend servers of these services.
+    ReachesServers { services: Vec<String> },
     /// Asks the receiver to remember a claim or a lease of the sender.
     Witness(WitnessRequest),
     /// Recorded outcomes of an instance that stops; the receiver becomes the owner of its
@@ -183,6 +185,8 @@
     /// Response to a feed request.
     Feed(FeedResponse),
     Witness(WitnessReply),
+    /// For each service, whether the responder reaches its backend servers.
+    ReachesServers(Vec<bool>),
     /// Tokens that the responder gives away, in millitokens.
     QuotaTokens(u32),
     /// The request was not served; contains a result code.
--- /dev/null
+++ b/src/reach/check_result.rs
@@ -0,0 +1,19 @@
+//! The result of checks of some servers of one service.
+
+/// Failed checks for each successful one from which on the servers count as lost.
+const LOST_RATIO: usize = 3;
+
+/// How many of the checked servers were reached.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CheckResult {
+    pub reached: usize,
+    pub failed: usize,
+}
+
+impl CheckResult {
+    /// Whether hardly any of the servers can be reached.
+    #[must_use]
+    pub const fn is_lost(self) -> bool {
+        self.failed > 0 && self.reached * LOST_RATIO <= self.failed
+    }
+}
--- /dev/null
+++ b/src/reach/reach_monitor.rs
@@ -0,0 +1,290 @@
+//! Decides whether this instance has lost the backend servers, and tells the other instances.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use rand::seq::SliceRandom;
+use tokio::task::JoinSet;
+
+use super::CheckResult;
+use super::ReturnHold;
+use super::ServerChecker;
+use super::ServerReach;
+use crate::board::Blackboard;
+use crate::clock::now_ms;
+use crate::clock::now_us;
+use crate::member::MemberRow;
+use crate::member::announce;
+use crate::peer::PeerClient;
+use crate::peer::PeerReply;
+use crate::peer::PeerRequest;
+
+/// Interval of checks while any service is lost or in doubt.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval at which the other members of the zone are looked at.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Instances that are asked in one round whether they reach the servers.
+const ASKED_PER_ROUND: usize = 4;
+/// Timeout of such a question. The other instance may have to check the servers first.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long another instance's word that it reaches the servers counts. After that, the servers may
+/// have failed for all.
+const CONFIRMED_US: u64 = 1_500_000;
+/// Servers that responded within this time need no check, in microseconds.
+const FRESH_US: u64 = 1_000_000;
+/// Successful rounds in a row after which a service is no longer lost.
+const ROUNDS_TO_RECOVER: u32 = 2;
+
+/// What the monitor knows about one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServiceVerdict {
+    lost: bool,
+    /// Rounds in a row in which the servers were reached.
+    rounds_reached: u32,
+    /// When another instance last said that it reaches the servers.
+    confirmed_at_us: Option<u64>,
+}
+
+impl ServiceVerdict {
+    fn is_confirmed(&self, now_us: u64) -> bool {
+        self.confirmed_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) <= CONFIRMED_US)
+    }
+
+    /// Applies the result of a round of checks.
+    fn update(&mut self, result: CheckResult, now_us: u64) {
+        if result.is_lost() {
+            self.rounds_reached = 0;
+            self.lost = self.is_confirmed(now_us);
+        } else if result.reached > 0 {
+            self.rounds_reached += 1;
+            self.lost &= self.rounds_reached < ROUNDS_TO_RECOVER;
+        }
+    }
+}
+
+/// Checks servers when they are in doubt or lost, and keeps [`ServerReach`] and the row of this
+/// instance up to date.
+#[derive(Debug)]
+pub struct ReachMonitor<C, L> {
+    board: Arc<Blackboard>,
+    reach: Arc<ServerReach>,
+    checker: C,
+    links: L,
+    verdicts: HashMap<Arc<str>, ServiceVerdict>,
+    hold: ReturnHold,
+    /// Since when servers of all services are reached again, while this instance is isolated.
+    back_since_us: Option<u64>,
+}
+
+impl<C: ServerChecker, L: PeerClient> ReachMonitor<C, L> {
+    /// A monitor of an instance that is assumed to reach its servers.
+    #[must_use]
+    pub fn new(board: Arc<Blackboard>, reach: Arc<ServerReach>, checker: C, links: L) -> Self {
+        let (verdicts, hold) = (HashMap::new(), ReturnHold::default());
+        Self { board, reach, checker, links, verdicts, hold, back_since_us: None }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            if self.is_active() {
+                tokio::time::sleep(CHECK_INTERVAL).await;
+            } else {
+                let _ = tokio::time::timeout(IDLE_INTERVAL, self.reach.wait_for_doubt()).await;
+            }
+            if self.is_active() || !self.reach.in_doubt().is_empty() || self.neighbor_isolated() {
+                self.run_round().await;
+            }
+        }
+    }
+
+    /// Whether any service is lost, or this instance is still announced as isolated.
+    fn is_active(&self) -> bool {
+        !self.reach.lost().is_empty() || !self.announced_reaching()
+    }
+
+    /// Whether the others are told that this instance reaches servers.
+    fn announced_reaching(&self) -> bool {
+        self.board.members.lock().own_row(now_ms()).reaches_servers
+    }
+
+    /// Whether an instance of this zone is isolated, and this one may be too without having noticed,
+    /// since it has no requests.
+    fn neighbor_isolated(&self) -> bool {
+        let view = self.board.members_view();
+        let zone = &self.board.settings.instance.zone;
+        let isolated = view.ranked(zone).iter().any(|row| !row.reaches_servers);
+        let unproved = |service: &Arc<str>| !self.reach.responded_within(service, FRESH_US);
+        isolated && self.checker.services().iter().any(unproved)
+    }
+
+    /// Checks the servers of all services and asks other instances about those that seem lost.
+    async fn run_round(&mut self) {
+        let services = self.checker.services();
+        self.verdicts.retain(|service, _| services.contains(service));
+        let doubted = self.reach.in_doubt();
+        for (service, evidence) in &doubted {
+            info!(
+                event = "servers-in-doubt", service = &**service, reached = evidence.reached,
+                failed = evidence.failed;
+                "servers do not respond; they are checked over new connections"
+            );
+        }
+        let asks_early = !doubted.is_empty() && !self.all_confirmed(&services);
+        let (results, mut confirmed) = tokio::join!(
+            check_all(&self.checker, &services),
+            ask(asks_early, &self.board, &self.links, &services),
+        );
+        self.record_confirmed(&services, &confirmed);
+        let any_lost = results.iter().any(|result| result.is_lost());
+        if any_lost && !asks_early && !self.all_confirmed(&services) {
+            confirmed = ask(true, &self.board, &self.links, &services).await;
+            self.record_confirmed(&services, &confirmed);
+        }
+        for (service, result) in services.iter().zip(results) {
+            self.update_verdict(service, result);
+        }
+        let lost: Vec<Arc<str>> = services
+            .iter()
+            .filter(|service| self.verdicts.get(*service).is_some_and(|verdict| verdict.lost))
+            .cloned()
+            .collect();
+        let isolated = !services.is_empty() && lost.len() == services.len();
+        self.reach.set_lost(lost);
+        self.announce_reach(isolated).await;
+    }
+
+    /// Whether another instance recently said of each service that it reaches the servers.
+    fn all_confirmed(&self, services: &[Arc<str>]) -> bool {
+        services.iter().all(|service| {
+            // Asked again while the word still counts, so that it does not lapse in between.
+            let verdict = self.verdicts.get(service);
+            verdict.is_some_and(|verdict| verdict.is_confirmed(now_us() + CONFIRMED_US / 2))
+        })
+    }
+
+    fn record_confirmed(&mut self, services: &[Arc<str>], confirmed: &[bool]) {
+        for (service, _) in services.iter().zip(confirmed).filter(|(_, reached)| **reached) {
+            let verdict = self.verdicts.entry(Arc::clone(service)).or_default();
+            verdict.confirmed_at_us = Some(now_us());
+        }
+    }
+
+    fn update_verdict(&mut self, service: &Arc<str>, result: CheckResult) {
+        let verdict = self.verdicts.entry(Arc::clone(service)).or_default();
+        let before = verdict.lost;
+        verdict.update(result, now_us());
+        let confirmed_age_us = verdict.confirmed_at_us.map(|at_us| now_us().saturating_sub(at_us));
+        if before != verdict.lost || result.is_lost() {
+            info!(
+                event = "servers-checked", service = &**service, reached = result.reached,
+                failed = result.failed, lost = verdict.lost, lost_before = before,
+                confirmed_age_us = confirmed_age_us;
+                "lost: only this instance does not reach the servers"
+            );
+        }
+    }
+
+    /// Tells the other instances when this one becomes isolated, and when it has reached servers for
+    /// long enough again.
+    async fn announce_reach(&mut self, isolated: bool) {
+        let announced_reaching = self.announced_reaching();
+        if isolated {
+            self.back_since_us = None;
+        }
+        let reaching = match (isolated, announced_reaching) {
+            (true, true) => {
+                self.hold.record_loss(now_us());
+                false
+            }
+            (false, false) => {
+                let back_since_us = *self.back_since_us.get_or_insert(now_us());
+                if now_us().saturating_sub(back_since_us) < self.hold.hold_us() {
+                    return;
+                }
+                true
+            }
+            _ => return,
+        };
+        info!(
+            event = "reach-announced", reaches_servers = reaching,
+            hold_ms = self.hold.hold_us() / 1000;
+            "tells the other instances whether this one reaches backend servers"
+        );
+        self.board.members.lock().set_own_reach(reaching, now_ms());
+        self.board.publish_members();
+        announce(&self.board, &self.links).await;
+    }
+}
+
+/// Checks servers of all services at the same time.
+async fn check_all<C: ServerChecker>(checker: &C, services: &[Arc<str>]) -> Vec<CheckResult> {
+    let mut checks = JoinSet::new();
+    for (index, service) in services.iter().enumerate() {
+        let (checker, service) = (checker.clone(), Arc::clone(service));
+        checks.spawn(async move { (index, checker.check(&service).await) });
+    }
+    let mut results = vec![CheckResult::default(); services.len()];
+    while let Some(Ok((index, result))) = checks.join_next().await {
+        results[index] = result;
+    }
+    results
+}
+
+/// Instances to ask: first one of each zone that others are sent to, which knows without a check,
+/// then any.
+fn choose_asked(board: &Blackboard) -> Vec<Arc<MemberRow>> {
+    let view = board.members_view();
+    let may_help =
+        |row: &&Arc<MemberRow>| row.incarnation != board.incarnation && row.reaches_servers;
+    let first = view.zones().filter_map(|zone| view.ranked(zone).iter().find(may_help));
+    let mut asked: Vec<Arc<MemberRow>> = first.cloned().collect();
+    let mut rng = rand::rng();
+    asked.shuffle(&mut rng);
+    asked.truncate(ASKED_PER_ROUND / 2);
+    let at = rand::RngExt::random(&mut rng);
+    let others = view.ring_from(at).filter(may_help);
+    for row in others.take(2 * ASKED_PER_ROUND) {
+        if asked.len() < ASKED_PER_ROUND
+            && !asked.iter().any(|other| other.incarnation == row.incarnation)
+        {
+            asked.push(Arc::clone(row));
+        }
+    }
+    asked
+}
+
+/// Asks a few instances which of the services' servers they reach; empty if `wanted` is not set.
+async fn ask<L: PeerClient>(
+    wanted: bool,
+    board: &Blackboard,
+    links: &L,
+    services: &[Arc<str>],
+) -> Vec<bool> {
+    if !wanted {
+        return Vec::new();
+    }
+    let names: Vec<String> = services.iter().map(|service| service.to_string()).collect();
+    let mut calls = JoinSet::new();
+    for row in choose_asked(board) {
+        let (links, services) = (links.clone(), names.clone());
+        calls.spawn(async move {
+            let request = PeerRequest::ReachesServers { services };
+            links.call(row.peer_address, &request, ASK_TIMEOUT).await
+        });
+    }
+    let mut reached = vec![false; services.len()];
+    while let Some(reply) = calls.join_next().await {
+        if let Ok(Ok(PeerReply::ReachesServers(theirs))) = reply {
+            for (reached, theirs) in reached.iter_mut().zip(theirs) {
+                *reached |= theirs;
+            }
+        }
+        if reached.iter().all(|reached| *reached) {
+            break;
+        }
+    }
+    reached
+}
--- a/standins/src/routed/member_parts.rs
+++ b/standins/src/routed/member_parts.rs
@@ -26,6 +26,7 @@
         operator_address: address,
         peer_address: address,
         capacity_per_s: 100,
+        reaches_servers: true,
         uptime_ms: 5,
         successor: None,
     }
--- a/standins/src/routed/relay_fleet.rs
+++ b/standins/src/routed/relay_fleet.rs
@@ -146,6 +146,7 @@
         operator_address: peer_address(at),
         peer_address: peer_address(at),
         capacity_per_s,
+        reaches_servers: true,
         uptime_ms: 1_000,
         successor: None,
     }
--- a/tests/control_cost.rs
+++ b/tests/control_cost.rs
@@ -136,6 +136,7 @@
         operator_address: address,
         peer_address: address,
         capacity_per_s: 100,
+        reaches_servers: true,
         uptime_ms: 1_000,
         successor: None,
     }
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -23,6 +23,7 @@
         operator_address: address,
         peer_address: address,
         capacity_per_s,
+        reaches_servers: true,
         uptime_ms: 1,
         successor: None,
     })
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -76,6 +76,7 @@
         operator_address: peer,
         peer_address: peer,
         capacity_per_s: 500,
+        reaches_servers: true,
         uptime_ms: 1,
         successor: None,
     }
