Callers are not sent to instances without a path to the backend servers

Cause: homes follow from membership, capacity and name, and nothing that an instance learns on its way to the servers reached what others decide. Fix: the member's own row says whether it reaches servers, and the homes of a zone are its first instances that do; if a zone has none, it borrows as it does without instances; if no instance does, homes stay as they are.

--- a/src/board/members_view.rs
+++ b/src/board/members_view.rs
@@ -117,11 +117,18 @@
         self.by_zone.get(zone).map_or(&[], Vec::as_slice)
     }
 
-    /// Up to `most` members of other zones that accept work, in the order of [`compare_rank`].
+    /// Up to `most` members of other zones that accept work and qualify, in the order of
+    /// [`compare_rank`].
     #[must_use]
-    pub fn ranked_in_other_zones(&self, zone: &str, most: usize) -> Vec<&Arc<MemberRow>> {
+    pub fn ranked_in_other_zones(
+        &self,
+        zone: &str,
+        most: usize,
+        qualifies: impl Fn(&MemberRow) -> bool,
+    ) -> Vec<&Arc<MemberRow>> {
         let others = self.by_zone.iter().filter(|(other, _)| *other != zone);
-        let first = others.flat_map(|(_, ranked)| ranked.iter().take(most));
+        let first =
+            others.flat_map(|(_, ranked)| ranked.iter().filter(|row| qualifies(row)).take(most));
         let mut first: Vec<&Arc<MemberRow>> = first.collect();
         first.sort_by(|a, b| compare_rank(a, b));
         first.truncate(most);
--- a/src/gateway/homes.rs
+++ b/src/gateway/homes.rs
@@ -22,18 +22,20 @@
     pub homes_min: usize,
     /// Requests per second that the homes of a zone must be able to carry together.
     pub demand_per_s: u32,
+    /// Whether homes must reach backend servers, unless no instance does.
+    pub needs_servers: bool,
 }
 
 impl HomesPlan {
     /// Only the first instance of each zone: the one that does the tasks that a zone needs done
     /// once.
-    pub const FIRST_ONLY: Self = Self { homes_min: 1, demand_per_s: 0 };
+    pub const FIRST_ONLY: Self = Self { homes_min: 1, demand_per_s: 0, needs_servers: false };
 
     /// The current plan.
     #[must_use]
     pub fn of(board: &Blackboard) -> Self {
         let homes_min = board.settings.gateway.as_ref().map_or(1, |gateway| gateway.homes_per_zone);
-        Self { homes_min, demand_per_s: board.zone_demand_per_s() }
+        Self { homes_min, demand_per_s: board.zone_demand_per_s(), needs_servers: true }
     }
 
     /// Whether this number of homes with this total capacity is enough.
@@ -50,11 +52,25 @@
 /// other zones.
 #[must_use]
 pub fn homes_of_zone(view: &MembersView, zone: &str, plan: HomesPlan) -> Homes {
+    let homes = first_homes(view, zone, plan, |row| row.reaches_servers || !plan.needs_servers);
+    // If no instance reaches servers, one is as good as another.
+    if homes.is_empty() { first_homes(view, zone, plan, |_| true) } else { homes }
+}
+
+/// The first instances, in rank order, that qualify.
+fn first_homes(
+    view: &MembersView,
+    zone: &str,
+    plan: HomesPlan,
+    qualifies: impl Fn(&MemberRow) -> bool,
+) -> Homes {
     let mut homes = Homes::new();
     let mut carried_per_s = 0_u32;
     // Evaluated only if the zone has too few instances.
-    let elsewhere = std::iter::once_with(|| view.ranked_in_other_zones(zone, HOMES_MAX)).flatten();
-    for row in view.ranked(zone).iter().chain(elsewhere) {
+    let elsewhere =
+        std::iter::once_with(|| view.ranked_in_other_zones(zone, HOMES_MAX, &qualifies)).flatten();
+    let in_zone = view.ranked(zone).iter().filter(|row| qualifies(row));
+    for row in in_zone.chain(elsewhere) {
         if plan.is_met(homes.len(), carried_per_s) {
             break;
         }
--- a/src/gateway/server_list_holders.rs
+++ b/src/gateway/server_list_holders.rs
@@ -23,7 +23,7 @@
     let view = board.members_view();
     let zone = &board.settings.instance.zone;
     let holders = homes_of_zone(&view, zone, plan).len() + STANDBYS_PER_ZONE;
-    let zone_holders = view.ranked(zone).iter().take(holders);
+    let zone_holders = view.ranked(zone).iter().filter(|row| row.reaches_servers).take(holders);
     let own = board.incarnation;
     let is_zone_holder = zone_holders.into_iter().any(|row| row.incarnation == own);
     // Another zone may have borrowed this instance as a home.
--- a/src/reach/server_reach.rs
+++ b/src/reach/server_reach.rs
@@ -51,7 +51,7 @@
     pub fn in_doubt(&self) -> Vec<(Arc<str>, CheckResult)> {
         let mut trackers = self.trackers.lock();
         let doubted = trackers.iter_mut().filter_map(|(service, tracker)| {
-            tracker.in_doubt(now_us()).then(|| (Arc::clone(service), tracker.counts()))
+            tracker.in_doubt(now_us()).then(|| (Arc::clone(service), tracker.counts(now_us())))
         });
         doubted.collect()
     }
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -48,7 +48,11 @@
 fn largest_instances_become_homes_until_demand_is_met() {
     let rows = mixed_fleet();
     let homes = |demand_per_s| {
-        homes_of_zone(&MembersView::from_rows(&rows), "a", HomesPlan { homes_min: 1, demand_per_s })
+        homes_of_zone(
+            &MembersView::from_rows(&rows),
+            "a",
+            HomesPlan { homes_min: 1, demand_per_s, needs_servers: true },
+        )
     };
     assert_eq!(names(&homes(0)), ["a-8"]);
     assert_eq!(names(&homes(500)), ["a-8"]);
@@ -66,7 +70,7 @@
     let homes = homes_of_zone(
         &MembersView::from_rows(&rows),
         "a",
-        HomesPlan { homes_min: 1, demand_per_s: 100 },
+        HomesPlan { homes_min: 1, demand_per_s: 100, needs_servers: true },
     );
     assert_eq!(names(&homes), ["a-10", "a-11"]);
 }
@@ -82,7 +86,8 @@
             let capacity_per_s = u.int_in_range(1..=500)?;
             rows.push(row(&format!("i-{number}"), zone, capacity_per_s, MemberState::Alive));
         }
-        let plan = HomesPlan { homes_min: 1, demand_per_s: u.int_in_range(0..=2_000)? };
+        let demand_per_s = u.int_in_range(0..=2_000)?;
+        let plan = HomesPlan { homes_min: 1, demand_per_s, needs_servers: true };
         let mut turned = rows.clone();
         turned.rotate_left(u.int_in_range(0..=rows.len() - 1)?);
         for zone in ["a", "b", "c"] {
--- a/tests/large_fleet.rs
+++ b/tests/large_fleet.rs
@@ -290,7 +290,7 @@
     let fleet = Fleet::start(500, 2).await;
     let homes = |one: &Instance| -> BTreeSet<u64> {
         let view = one.board.members_view();
-        let plan = HomesPlan { homes_min: 2, demand_per_s: 0 };
+        let plan = HomesPlan { homes_min: 2, demand_per_s: 0, needs_servers: true };
         let zones: Vec<&str> = view.zones().collect();
         let all = zones.iter().flat_map(|zone| homes_of_zone(&view, zone, plan));
         all.map(|row| row.incarnation).collect()
