Requests at an instance without a path to the servers are forwarded to one that has them

What callers saw: an instance that had lost its paths to all servers refused every request (1 of 507 served), though other homes had free slots; callers keep an address answer up to three times as long as it says, and open connections longer. Cause: on routes an instance sent to servers only; the path over another instance was refused by design. Fix: while the servers of a service are lost here and reached elsewhere, a request goes to a home that reaches them, once: that one routes it by a configuration that is not older, checks its key again by its hash, and applies quarantine, evacuation, attempts and the repeat budget as for its own callers. Not run is said only where no instance accepted it; a reply that is lost is unknown.

--- a/src/app/daemon_peer_service.rs
+++ b/src/app/daemon_peer_service.rs
@@ -18,6 +18,7 @@
 use crate::member::handle_member_request;
 use crate::member::handle_witness_request;
 use crate::outcome::OwnerSnapshot;
+use crate::peer::FixedRoom;
 use crate::peer::ForwardHead;
 use crate::peer::ForwardReplyHead;
 use crate::peer::LoadNote;
@@ -90,6 +91,10 @@
 }
 
 impl PeerService for DaemonPeerService {
+    type ForwardHead = ForwardHead;
+    type Body = AnswerBody;
+    type Room = FixedRoom;
+
     async fn handle_control(&self, request: PeerRequest) -> PeerReply {
         let board = &self.router.board;
         match request {
@@ -150,8 +155,8 @@
         (answer.reply_head(free), answer.body)
     }
 
-    fn body_limit_bytes(&self) -> usize {
-        self.router.board.settings.requests.body_limit_bytes
+    fn body_room(&self) -> FixedRoom {
+        FixedRoom { free_bytes: self.router.board.settings.requests.body_limit_bytes }
     }
 
     fn connection_refused(&self, from: SocketAddr, why: &str) {
--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -35,6 +35,8 @@
 use crate::gateway::Mirror;
 use crate::gateway::MirrorAge;
 use crate::gateway::OperatorSink;
+use crate::gateway::PeerForwardHandler;
+use crate::gateway::PeerForwarder;
 use crate::gateway::Prober;
 use crate::gateway::QuarantineStore;
 use crate::gateway::QuotaLimiter;
@@ -290,6 +292,22 @@
         };
         tasks.spawn(planner.run());
         tasks.spawn(load_reporter.run());
+        let response_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
+        let body_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
+        let peer_forwarder = PeerForwarder {
+            board: Arc::clone(&board),
+            links: links.clone(),
+            api_key: dialect.header_names().api_key.clone(),
+            response_memory: Arc::clone(&response_memory),
+        };
+        let forwarder = Forwarder {
+            dialect: dialect.clone(),
+            board: Arc::clone(&board),
+            dispatcher: dispatcher.clone(),
+            admission: admission.clone(),
+            response_memory,
+            peer_forwarder,
+        };
         let peers = GatewayPeerService {
             board: Arc::clone(&board),
             links: links.clone(),
@@ -297,16 +315,9 @@
             config,
             servers,
             quota_limiter: quota_limiter.clone(),
+            forward_handler: PeerForwardHandler::new(forwarder.clone(), Arc::clone(&body_memory)),
             reach_answerer: ReachAnswerer::new(Arc::clone(dispatcher.reach()), server_checker),
         };
-        let forwarder = Forwarder {
-            dialect: dialect.clone(),
-            board: Arc::clone(&board),
-            dispatcher,
-            admission: admission.clone(),
-            response_memory: Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR)),
-        };
-        let body_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
         let spent_time = Arc::new(SpentTimeEstimator::default());
         let callers = CallerHandler { forwarder, body_memory, spent_time, quota_limiter };
         let readiness =
--- a/src/app/gateway_peer_service.rs
+++ b/src/app/gateway_peer_service.rs
@@ -13,23 +13,24 @@
 use crate::gateway::Dialect;
 use crate::gateway::Dispatcher;
 use crate::gateway::GatewayServerChecker;
+use crate::gateway::MemoryReservation;
 use crate::gateway::Mirror;
 use crate::gateway::OperatorSink;
+use crate::gateway::PeerForwardHandler;
+use crate::gateway::PeerForwardHead;
 use crate::gateway::QuotaLimiter;
+use crate::gateway::ReplyBody;
 use crate::gateway::ServerSink;
 use crate::member::handle_indirect_ping;
 use crate::member::handle_member_request;
 use crate::peer::Feed;
 use crate::peer::FeedResponse;
-use crate::peer::ForwardHead;
 use crate::peer::ForwardReplyHead;
 use crate::peer::Links;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::peer::PeerService;
 use crate::reach::ReachAnswerer;
-use crate::route::Answer;
-use crate::route::AnswerBody;
 
 /// Longest time that a long poll of a peer is held open, whatever the peer asks for.
 const LONG_POLL_MAX: Duration = Duration::from_secs(5);
@@ -43,6 +44,7 @@
     pub config: Arc<Mirror<OperatorSink<D>>>,
     pub servers: Arc<Mirror<ServerSink<D>>>,
     pub quota_limiter: QuotaLimiter<Links>,
+    pub forward_handler: PeerForwardHandler<D>,
     pub reach_answerer: ReachAnswerer<GatewayServerChecker<D>>,
 }
 
@@ -55,12 +57,17 @@
             config: Arc::clone(&self.config),
             servers: Arc::clone(&self.servers),
             quota_limiter: self.quota_limiter.clone(),
+            forward_handler: self.forward_handler.clone(),
             reach_answerer: self.reach_answerer.clone(),
         }
     }
 }
 
 impl<D: Dialect> PeerService for GatewayPeerService<D> {
+    type ForwardHead = PeerForwardHead;
+    type Body = ReplyBody;
+    type Room = MemoryReservation;
+
     async fn handle_control(&self, request: PeerRequest) -> PeerReply {
         match request {
             PeerRequest::Member(request) => handle_member_request(&self.board, request),
@@ -96,14 +103,16 @@
         }
     }
 
-    /// Gateways never forward callers' requests to each other, so this is refused.
-    async fn handle_forward(&self, _: ForwardHead, _: Bytes) -> (ForwardReplyHead, AnswerBody) {
-        let answer = Answer::not_run(Code::PeerFrame, 0);
-        (answer.reply_head(0), answer.body)
+    async fn handle_forward(
+        &self,
+        head: PeerForwardHead,
+        body: Bytes,
+    ) -> (ForwardReplyHead, ReplyBody) {
+        self.forward_handler.handle(head, body).await
     }
 
-    fn body_limit_bytes(&self) -> usize {
-        0
+    fn body_room(&self) -> MemoryReservation {
+        self.forward_handler.body_room()
     }
 
     fn connection_refused(&self, from: SocketAddr, why: &str) {
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -58,6 +58,7 @@
     KeyClosed = 2112, "The configuration of the key's workspace cannot be read, so the key may have been revoked.", "Correct the workspace that the log line names; come back after the time given.";
     ConfigurationUnproved = 2113, "This instance cannot confirm that its configuration is recent enough to serve the request, or to reject it for good.", "Come back after the time given, at another instance; check that the store is reachable.";
     QuotaSpent = 2114, "The workspace sends more than its quota, over all instances together.", "Come back after the time given; raise the quota.";
+    PeerDeclined = 2115, "No instance that reaches the backend servers takes the request, and this one does not reach them.", "Come back after the time given.";
     AnswerLost = 2201, "The connection was lost after the request was sent; it may have run.", "Repeat with the same key if there is one; else ask the backing system.";
     AnswerTruncated = 2202, "The answer was cut short by the backend server.", "As for AnswerLost.";
     DeadlineAfterDispatch = 2203, "The deadline passed while the backend server worked; it may have run.", "Repeat with the same key, or allow more time.";
@@ -91,6 +92,12 @@
 }
 
 impl Code {
+    /// The code with this number.
+    #[must_use]
+    pub fn from_number(number: u16) -> Option<Self> {
+        TABLE.iter().map(|row| row.0).find(|code| code.number() == number)
+    }
+
     /// The number in the `sorrelwick-code` header and in the documentation.
     #[must_use]
     pub const fn number(self) -> u16 {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
+
 use super::Caller;
+use super::Route;
 use super::RouteTable;
 use super::caller_handler::CurrentRouteTable;
 use super::mirror_age::MirrorAge;
@@ -34,6 +37,10 @@
     key_revocation: Option<Duration>,
 }
 
+/// Retry delay, in milliseconds, while no configuration is loaded. The first one arrives within a
+/// second.
+pub(super) const NO_CONFIG_RETRY_MS: u64 = 300;
+
 fn stale_config_reply() -> LocalReply {
     LocalReply::not_run(Code::ConfigurationUnproved, STALE_CONFIG_RETRY_MS)
 }
@@ -101,6 +108,22 @@
         rejection
     }
 
+    /// The current route table and the route for a host and path.
+    ///
+    /// # Errors
+    /// The reply if there is no table, or no such route in it.
+    pub fn find_route(
+        &self,
+        host: &str,
+        path: &str,
+    ) -> Result<(Arc<RouteTable>, Arc<Route>), LocalReply> {
+        let table = self.table(NO_CONFIG_RETRY_MS)?;
+        let no_route = || LocalReply::rejected(StatusCode::NOT_FOUND, Code::NoRoute);
+        let found = table.find_route(host, path).cloned();
+        let route = found.ok_or_else(|| self.reject_or_retry(no_route()))?;
+        Ok((table, route))
+    }
+
     /// The current route table. `retry_after_ms` is the caller's retry delay if there is none.
     ///
     /// # Errors
--- a/src/gateway/caller.rs
+++ b/src/gateway/caller.rs
@@ -25,22 +25,22 @@
 }
 
 /// The hash of the request's key; `None` unless the header occurs exactly once and is not empty.
-fn single_key(headers: &HeaderMap, name: &HeaderName) -> Option<KeyHash> {
+pub(super) fn single_key(headers: &HeaderMap, name: &HeaderName) -> Option<KeyHash> {
     let mut values = headers.get_all(name).iter();
     let value = values.next().filter(|value| !value.is_empty())?;
     values.next().is_none().then(|| KeyHash::of(value.as_bytes()))
 }
 
 impl Caller {
-    /// Identifies the caller; `None` if the route or configuration requires no key.
+    /// Identifies the caller by the hash of its key; `None` if the route or configuration requires
+    /// no key.
     ///
     /// # Errors
     /// The final reply if the key is missing or unknown, or if its workspace is unreadable.
     pub fn authenticate(
         table: &RouteTable,
         route: &Route,
-        headers: &HeaderMap,
-        key_name: &HeaderName,
+        key: Option<KeyHash>,
     ) -> Result<Option<Self>, LocalReply> {
         let Some(workspaces) = &table.workspaces else {
             return Ok(None);
@@ -48,7 +48,7 @@
         if route.key_exempt {
             return Ok(None);
         }
-        let key = single_key(headers, key_name).ok_or_else(LocalReply::key_rejected)?;
+        let key = key.ok_or_else(LocalReply::key_rejected)?;
         match workspaces.access(key) {
             Some(KeyAccess::Granted(workspace)) => {
                 Ok(Some(Self { workspace: Arc::clone(workspace), key }))
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Hash of the caller's key.
+    #[must_use]
+    pub const fn key(&self) -> KeyHash {
+        self.key
+    }
+
     /// Whether the key still belongs to the same workspace.
     #[must_use]
     pub fn still_authenticated(&self, table: &RouteTable) -> bool {
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -19,8 +19,11 @@
 use super::Caller;
 use super::CallerLimits;
 use super::Dialect;
+use super::RequestOrigin;
 use super::Route;
 use super::RouteTable;
+use super::admission::NO_CONFIG_RETRY_MS;
+use super::caller::single_key;
 use super::forward_request::ForwardRequest;
 use super::forwarder::Forwarder;
 use super::memory_budget::MemoryBudget;
@@ -31,7 +34,6 @@
 use super::reply::ReplyBody;
 use super::spent_time_estimator::SpentTimeEstimator;
 use crate::board::Counter;
-use crate::board::Latency;
 use crate::board::Phase;
 use crate::clock::now_us;
 use crate::errors::Code;
@@ -41,9 +43,6 @@
 use crate::peer::Links;
 use crate::quarantine::Fingerprints;
 
-/// Retry delay, in milliseconds, while no configuration is loaded. The first one arrives within a
-/// second.
-const NO_CONFIG_RETRY_MS: u64 = 300;
 /// Retry delay, in milliseconds, while request bodies fill the memory reserved for them.
 const BODY_MEMORY_RETRY_MS: u64 = 500;
 
@@ -76,12 +75,10 @@
         parts: &http::request::Parts,
     ) -> Result<(Arc<Route>, Option<Caller>), LocalReply> {
         let admission = &self.forwarder.admission;
-        let table = admission.table(NO_CONFIG_RETRY_MS)?;
-        let found = table.find_route(request_host(parts), parts.uri.path()).cloned();
-        let no_route = || LocalReply::rejected(StatusCode::NOT_FOUND, Code::NoRoute);
-        let route = found.ok_or_else(|| admission.reject_or_retry(no_route()))?;
+        let (table, route) = admission.find_route(request_host(parts), parts.uri.path())?;
         let names = self.forwarder.dialect.header_names();
-        let caller = Caller::authenticate(&table, &route, &parts.headers, &names.api_key)
+        let key = single_key(&parts.headers, &names.api_key);
+        let caller = Caller::authenticate(&table, &route, key)
             .map_err(|rejection| admission.reject_or_retry(rejection))?;
         if caller.is_some() {
             admission.check_freshness()?;
@@ -122,6 +119,7 @@
         };
         Ok(ForwardRequest {
             id: parts.headers.get(&names.request_id).cloned(),
+            origin: RequestOrigin::Caller,
             fingerprints: fingerprints(&parts, &body),
             path_and_query: path_and_query(&parts).to_owned(),
             method: parts.method,
@@ -149,7 +147,7 @@
                 if reply.not_run() {
                     request.quota.refund();
                 }
-                self.log_request(&request, &reply);
+                self.forwarder.log_request(&request, &reply);
                 reply
             }
             Err(rejection) => {
@@ -179,20 +177,6 @@
     fn config_version(&self) -> u64 {
         self.current_table().as_ref().map_or(0, |table| table.version)
     }
-
-    fn log_request(&self, request: &ForwardRequest, reply: &Reply) {
-        let took = Duration::from_micros(now_us().saturating_sub(request.arrived_us));
-        self.forwarder.board.latencies.record(Latency::Request, took, reply.code.name());
-        info!(
-            event = "request", id = request.id_text(), route = request.route.name.as_str(),
-            workspace = request.caller.as_ref().map(|caller| &*caller.workspace.name),
-            service = &*request.service, version = self.config_version(),
-            status = reply.status.as_u16(), code = reply.code.number(),
-            took_ms = took.as_millis(), spent_before_ms = request.spent_before_us / 1000,
-            allowed_ms = request.deadline_us.saturating_sub(request.arrived_us) / 1000;
-            "request completed"
-        );
-    }
 }
 
 fn request_host(parts: &http::request::Parts) -> &str {
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -12,6 +12,7 @@
 use super::Caller;
 use super::HeaderNames;
 use super::QuotaToken;
+use super::RequestOrigin;
 use super::Route;
 use super::Server;
 use crate::balance::RequestSpec;
@@ -25,6 +26,7 @@
 #[derive(Debug)]
 pub struct ForwardRequest {
     pub id: Option<HeaderValue>,
+    pub origin: RequestOrigin,
     /// Identify repetitions of the same request, whatever its id.
     pub fingerprints: Fingerprints,
     pub method: Method,
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -13,6 +13,8 @@
 use super::forward_request::ForwardRequest;
 use super::grant::Grant;
 use super::memory_budget::MemoryBudget;
+use super::peer_forwarder::PeerForwardResult;
+use super::peer_forwarder::PeerForwarder;
 use super::reply::LocalReply;
 use super::reply::Reply;
 use super::send::SendResult;
@@ -44,6 +46,8 @@
 /// no work was done, other servers may have free slots, and the caller's latency target still
 /// applies.
 const REFUSED_RETRY_MS: u64 = 20;
+/// Retry delay, in milliseconds, if no instance with a path to the servers takes the request.
+const NO_PEER_RETRY_MS: u64 = 200;
 /// Retry delay, in milliseconds, if no slot became free before the deadline.
 const QUEUE_TIMEOUT_RETRY_MS: u64 = 150;
 
@@ -56,6 +60,7 @@
     pub admission: Admission,
     /// Memory for buffered responses.
     pub response_memory: Arc<MemoryBudget>,
+    pub peer_forwarder: PeerForwarder,
 }
 
 /// What has been tried for one request so far.
@@ -71,20 +76,26 @@
     unfit: u32,
     /// Whether an earlier attempt may have run, so that a refusal would be untrue.
     may_have_run: bool,
+    /// Whether the request has been counted towards the retry budget.
+    counted: bool,
 }
 
 impl<D: Dialect> Forwarder<D> {
     /// Forwards a request and returns the final reply.
     pub async fn forward(&self, request: &ForwardRequest) -> Reply {
-        self.dispatcher.count_request(&request.service);
-        let mut attempts = Attempts::default();
+        let mut attempts = Attempts::of(request);
         loop {
             if let Some(denial) = self.board.quarantine.denial(&request.fingerprints) {
                 return self.denied_reply(request, &attempts, denial).into();
             }
-            let grant = match self.acquire(request, &attempts).await {
-                Ok(grant) => grant,
-                Err(reply) => return reply.into(),
+            if request.origin.may_forward() && self.dispatcher.reach().is_lost(&request.service) {
+                return self.forward_to_peer(request, &attempts).await;
+            }
+            self.count(request, &mut attempts);
+            let grant = match self.acquire_or_lose(request, &attempts).await {
+                Some(Ok(grant)) => grant,
+                Some(Err(reply)) => return reply.into(),
+                None => continue,
             };
             if let Err(reply) = self.admission.check_caller(request.caller.as_ref()) {
                 return attempts.rejected(reply).into();
@@ -97,6 +108,66 @@
         }
     }
 
+    /// Counts the request towards the retry budget, at one instance only.
+    fn count(&self, request: &ForwardRequest, attempts: &mut Attempts) {
+        if !std::mem::replace(&mut attempts.counted, true) {
+            self.dispatcher.count_request(&request.service);
+        }
+    }
+
+    /// Forwards a request to an instance that reaches the servers, which this one does not.
+    async fn forward_to_peer(&self, request: &ForwardRequest, attempts: &Attempts) -> Reply {
+        let forwarder = &self.peer_forwarder;
+        let Attempts { sends, counted, .. } = *attempts;
+        match forwarder.forward(request, self.config_version(), sends, counted).await {
+            PeerForwardResult::Replied(reply) if reply.not_run() && attempts.may_have_run => {
+                LocalReply::unknown(Code::AnswerLost).into()
+            }
+            PeerForwardResult::Replied(reply) => reply,
+            PeerForwardResult::Lost(code) => LocalReply::unknown(code).into(),
+            PeerForwardResult::Declined => {
+                attempts.not_run(Code::PeerDeclined, NO_PEER_RETRY_MS).into()
+            }
+        }
+    }
+
+    /// As [`Self::acquire`]; `None` if the servers are lost while the request waits.
+    async fn acquire_or_lose(
+        &self,
+        request: &ForwardRequest,
+        attempts: &Attempts,
+    ) -> Option<Result<Grant, LocalReply>> {
+        let acquire = self.acquire(request, attempts);
+        if !request.origin.may_forward() {
+            return Some(acquire.await);
+        }
+        tokio::select! {
+            biased;
+            acquired = acquire => Some(acquired),
+            () = self.dispatcher.reach().wait_until_lost(&request.service) => None,
+        }
+    }
+
+    fn config_version(&self) -> u64 {
+        self.admission.table.load().as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Logs the end of a request.
+    pub(super) fn log_request(&self, request: &ForwardRequest, reply: &Reply) {
+        let took = Duration::from_micros(now_us().saturating_sub(request.arrived_us));
+        self.board.latencies.record(Latency::Request, took, reply.code.name());
+        info!(
+            event = "request", id = request.id_text(), route = request.route.name.as_str(),
+            workspace = request.caller.as_ref().map(|caller| &*caller.workspace.name),
+            service = &*request.service, version = self.config_version(),
+            status = reply.status.as_u16(), code = reply.code.number(),
+            from_caller = request.origin.may_forward(),
+            took_ms = took.as_millis(), spent_before_ms = request.spent_before_us / 1000,
+            allowed_ms = request.deadline_us.saturating_sub(request.arrived_us) / 1000;
+            "request completed"
+        );
+    }
+
     /// Waits for a slot, or returns the reply that none is available.
     async fn acquire(
         &self,
@@ -334,6 +405,13 @@
 }
 
 impl Attempts {
+    /// The attempts made before the request arrived here.
+    fn of(request: &ForwardRequest) -> Self {
+        let origin = request.origin;
+        let (sends, counted) = (origin.earlier_sends(), origin.is_counted());
+        Self { sends, counted, ..Self::default() }
+    }
+
     /// Returns a reply of this instance, or an unknown outcome if an earlier attempt may have run.
     fn rejected(&self, reply: LocalReply) -> LocalReply {
         if self.may_have_run { LocalReply::unknown(Code::AnswerLost) } else { reply }
@@ -357,7 +435,7 @@
 
 fn server_reply(response: ServerResponse) -> Reply {
     let ServerResponse { status, headers, body } = response;
-    Reply { status, headers, body, code: Code::Ok }
+    Reply { status, headers, body, code: Code::Ok, retry_after_ms: None }
 }
 
 const fn lost_code(result: &SendResult) -> Code {
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -17,6 +17,7 @@
 use super::memory_budget::MemoryReservation;
 use super::server_conn::ExchangeError;
 use crate::errors::Code;
+use crate::peer::PeerBody;
 use crate::task::TaskGuard;
 
 /// The body of a reply.
@@ -26,6 +27,8 @@
     Empty,
     /// A complete body, whose memory stays reserved until the caller has received it.
     Buffered { bytes: Option<Bytes>, _reservation: MemoryReservation },
+    /// A body that another instance sends, passed on as it arrives.
+    Peer { body: PeerBody, bytes: Option<u64> },
     /// A body too large for the buffer, passed on as it arrives. An error closes the caller's
     /// connection, so that a truncated body never looks complete.
     Streamed {
@@ -57,6 +60,9 @@
             Self::Buffered { bytes, .. } => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
+            Self::Peer { body, .. } => {
+                body.poll_bytes(cx).map_ok(Frame::data).map_err(|_| ExchangeError::Truncated)
+            }
             Self::Streamed { chunks, .. } => {
                 chunks.poll_recv(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
@@ -73,8 +79,9 @@
             Self::Buffered { bytes, .. } => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Streamed { bytes: Some(bytes), .. } => SizeHint::with_exact(*bytes),
-            Self::Streamed { bytes: None, .. } => SizeHint::default(),
+            Self::Streamed { bytes, .. } | Self::Peer { bytes, .. } => {
+                bytes.map_or_else(SizeHint::default, SizeHint::with_exact)
+            }
         }
     }
 }
@@ -87,6 +94,8 @@
     pub body: ReplyBody,
     /// `Ok` for a backend server's response, otherwise the reason for this instance's own reply.
     pub code: Code,
+    /// Retry delay in milliseconds, of a reply to a request that did not run.
+    pub retry_after_ms: Option<u64>,
 }
 
 /// Statuses that guarantee to callers that the request did not run and will not.
@@ -149,7 +158,13 @@
         if let Some(value) = seconds.and_then(|seconds| format!("{seconds:.3}").parse().ok()) {
             headers.insert(http::header::RETRY_AFTER, value);
         }
-        Self { status: local.status, headers, body: ReplyBody::Empty, code: local.code }
+        Self {
+            status: local.status,
+            headers,
+            body: ReplyBody::Empty,
+            code: local.code,
+            retry_after_ms: local.retry_after_ms,
+        }
     }
 }
 
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -191,6 +191,11 @@
         self.service.is_some() || !self.targets.is_empty()
     }
 
+    /// The services that requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.service.iter().chain(self.targets.iter().map(|target| &target.service))
+    }
+
     /// Selects a service by a random number from 0 to 1 (exclusive); `None` only if the route names
     /// no service.
     #[must_use]
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -42,7 +42,7 @@
 /// milliseconds.
 const PREFLIGHT_TIMEOUT: Duration = Duration::from_millis(25);
 /// Responses up to this size are buffered completely, so that a truncated one can still be retried.
-const BUFFER_MAX_BYTES: usize = 256 << 10;
+pub(super) const BUFFER_MAX_BYTES: usize = 256 << 10;
 /// Chunks of a streamed response that are read ahead of the caller: one is written while the next
 /// arrives. A slow caller holds no more memory than these, however large the response is.
 const STREAM_CHUNKS_AHEAD: usize = 1;
--- a/src/peer/forward.rs
+++ b/src/peer/forward.rs
@@ -1,11 +1,10 @@
 //! A request that one instance forwards to another, and the response.
 
-use bytes::Bytes;
-use h2::RecvStream;
 use serde::Deserialize;
 use serde::Serialize;
 
 use super::Message;
+use super::PeerBody;
 use crate::quarantine::Fingerprints;
 use crate::route::Outcome;
 
@@ -63,10 +62,7 @@
 #[derive(Debug)]
 pub struct ForwardReply {
     pub head: ForwardReplyHead,
-    /// Body bytes received together with the head.
-    pub first: Bytes,
-    /// The rest of the body.
-    pub rest: RecvStream,
+    pub body: PeerBody,
 }
 
 impl Message for ForwardHead {}
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -16,9 +16,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 
-use super::ForwardHead;
 use super::ForwardReply;
 use super::ForwardReplyHead;
+use super::Message;
+use super::PeerBody;
 use super::PeerReply;
 use super::auth;
 use super::decode;
@@ -116,12 +117,13 @@
         Ok(ready)
     }
 
-    /// Sends `body` on a new stream and returns the response body once the response headers have
-    /// arrived.
+    /// Sends a message and the body that follows it on a new stream, and returns the response body
+    /// once the response headers have arrived.
     async fn send_request(
         &self,
         secret: &str,
         path: &str,
+        message: Bytes,
         body: Bytes,
         connect_timeout: Duration,
     ) -> Result<RecvStream, PeerError> {
@@ -131,7 +133,10 @@
         let request = request.map_err(|_| PeerError::NotSent)?;
         let sent = sender.send_request(request, false);
         let (response, mut stream) = sent.map_err(|_| PeerError::NotSent)?;
-        stream.send_data(body, true).map_err(|_| PeerError::ResponseLost)?;
+        stream.send_data(message, body.is_empty()).map_err(|_| PeerError::ResponseLost)?;
+        if !body.is_empty() {
+            stream.send_data(body, true).map_err(|_| PeerError::ResponseLost)?;
+        }
         let response = response.await.map_err(|_| PeerError::ResponseLost)?;
         if response.status() != StatusCode::OK {
             return Err(PeerError::Refused(Code::PeerFrame.number()));
@@ -147,7 +152,8 @@
         timeout: Duration,
     ) -> Result<PeerReply, PeerError> {
         let exchange = async {
-            let mut answer = self.send_request(secret, "/control", request, timeout).await?;
+            let mut answer =
+                self.send_request(secret, "/control", request, Bytes::new(), timeout).await?;
             let bytes = read_message(&mut answer).await.ok_or(PeerError::ResponseLost)?;
             decode::<PeerReply>(&bytes).map_err(|_| PeerError::ResponseLost)
         };
@@ -167,20 +173,20 @@
     pub(super) async fn forward(
         &self,
         secret: &str,
-        head: &ForwardHead,
+        head: &impl Message,
         body: &Bytes,
         connect_timeout: Duration,
     ) -> Result<ForwardReply, PeerError> {
         self.last_used_us.store(now_us(), Ordering::Relaxed);
         let encoded = encode(head);
-        let mut frame = BytesMut::with_capacity(LENGTH_PREFIX_BYTES + encoded.len() + body.len());
+        let mut frame = BytesMut::with_capacity(LENGTH_PREFIX_BYTES + encoded.len());
         frame.extend_from_slice(&length_prefix(encoded.len()));
         frame.extend_from_slice(&encoded);
-        frame.extend_from_slice(body);
-        let mut rest = self.send_request(secret, "/pass", frame.freeze(), connect_timeout).await?;
+        let (frame, body) = (frame.freeze(), body.clone());
+        let mut rest = self.send_request(secret, "/pass", frame, body, connect_timeout).await?;
         let (head, first) =
             read_prefixed::<ForwardReplyHead>(&mut rest).await.ok_or(PeerError::ResponseLost)?;
-        Ok(ForwardReply { head, first, rest })
+        Ok(ForwardReply { head, body: PeerBody::new(first, rest) })
     }
 }
 
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use parking_lot::Mutex;
 
-use super::ForwardHead;
 use super::ForwardReply;
+use super::Message;
 use super::PeerClient;
 use super::PeerError;
 use super::PeerReply;
@@ -69,7 +69,7 @@
     pub async fn forward(
         &self,
         address: SocketAddr,
-        head: &ForwardHead,
+        head: &impl Message,
         body: &Bytes,
     ) -> Result<ForwardReply, PeerError> {
         self.link(address).forward(&self.secret, head, body, CONNECT_TIMEOUT).await
--- a/src/peer/listener.rs
+++ b/src/peer/listener.rs
@@ -13,15 +13,17 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt;
+use hyper::body::Body;
+use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 
-use super::ForwardHead;
 use super::ForwardReplyHead;
 use super::PeerReply;
 use super::PeerRequest;
 use super::auth;
+use super::body_room::BodyRoom;
 use super::decode;
 use super::encode;
 use super::link::length_prefix;
@@ -30,7 +32,6 @@
 use super::link::read_prefixed;
 use super::queued_bytes::QueuedBytes;
 use super::queued_bytes::SendQueue;
-use crate::route::AnswerBody;
 use crate::task::TaskGuard;
 
 /// Maximum number of connections from peers; further ones are closed.
@@ -44,18 +45,25 @@
 
 /// Serves messages of peers.
 pub trait PeerService: Clone + Send + Sync + 'static {
+    /// Head of the requests that other instances forward.
+    type ForwardHead: DeserializeOwned + Send;
+    /// Body of the responses to them.
+    type Body: Body<Data = Bytes, Error: Send> + Send + Unpin;
+    /// Memory for the body of one such request.
+    type Room: BodyRoom;
+
     /// Answers a control message.
     fn handle_control(&self, request: PeerRequest) -> impl Future<Output = PeerReply> + Send;
 
     /// Runs a forwarded request.
     fn handle_forward(
         &self,
-        head: ForwardHead,
+        head: Self::ForwardHead,
         body: Bytes,
-    ) -> impl Future<Output = (ForwardReplyHead, AnswerBody)> + Send;
+    ) -> impl Future<Output = (ForwardReplyHead, Self::Body)> + Send;
 
-    /// Maximum body size of a forwarded request.
-    fn body_limit_bytes(&self) -> usize;
+    /// Memory for the body of a forwarded request, held until it has been served.
+    fn body_room(&self) -> Self::Room;
 
     /// Called for each rejected connection.
     fn connection_refused(&self, from: SocketAddr, why: &str);
@@ -165,13 +173,18 @@
     respond: &mut SendResponse<QueuedBytes>,
     service: &S,
 ) -> Option<()> {
-    let (head, first): (ForwardHead, Bytes) = read_prefixed(&mut body).await?;
+    let (head, first): (S::ForwardHead, Bytes) = read_prefixed(&mut body).await?;
+    let mut room = service.body_room();
+    if !room.try_grow(first.len()) {
+        return None;
+    }
     let mut whole = BytesMut::from(first);
     while let Some(chunk) = read_chunk(&mut body).await {
-        whole.extend_from_slice(&chunk.ok()?);
-        if whole.len() > service.body_limit_bytes() {
+        let chunk = chunk.ok()?;
+        if !room.try_grow(chunk.len()) {
             return None;
         }
+        whole.extend_from_slice(&chunk);
     }
     // The forwarding instance resets the stream when its caller has disconnected or another attempt
     // has answered first; dropping the work releases its slot.
@@ -192,8 +205,21 @@
 }
 
 /// Sends a body; a truncated one ends with a stream reset, so that it cannot be taken for complete.
-async fn send_body(stream: &mut SendStream<QueuedBytes>, queue: SendQueue, mut body: AnswerBody) {
-    while let Some(frame) = body.frame().await {
+///
+/// The forwarding instance resets the stream when its caller has disconnected; dropping the body
+/// ends the request at its server.
+async fn send_body<B>(stream: &mut SendStream<QueuedBytes>, queue: SendQueue, mut body: B)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    loop {
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            _ = std::future::poll_fn(|cx| stream.poll_reset(cx)) => return,
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         let Ok(frame) = frame else {
             reset_when_sent(stream, queue).await;
             return;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,6 +1,7 @@
 //! Communication between instances: authenticated HTTP/2 connections that carry `bincode` messages.
 
 mod auth;
+mod body_room;
 mod forward;
 mod frame;
 mod link;
@@ -8,9 +9,12 @@
 mod listener;
 mod message;
 mod packed;
+mod peer_body;
 mod peer_client;
 mod queued_bytes;
 
+pub use body_room::BodyRoom;
+pub use body_room::FixedRoom;
 pub use forward::ForwardHead;
 pub use forward::ForwardReply;
 pub use forward::ForwardReplyHead;
@@ -35,4 +39,5 @@
 pub use message::ServerLoads;
 pub use message::zone_hash;
 pub use packed::Packed;
+pub use peer_body::PeerBody;
 pub use peer_client::PeerClient;
--- a/src/route/answer.rs
+++ b/src/route/answer.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use h2::RecvStream;
 use http::HeaderMap;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -28,6 +27,7 @@
 use crate::outcome::RecordedOutcome;
 use crate::peer::ForwardReply;
 use crate::peer::ForwardReplyHead;
+use crate::peer::PeerBody;
 use crate::peer::PeerError;
 use crate::quarantine::PendingSend;
 
@@ -125,21 +125,8 @@
     Buffered(Bytes),
     /// Streamed from a backend server.
     Upstream(Box<UpstreamBody>),
-    /// Streamed from another instance; `first` came with the head of the answer.
-    Peer { first: Bytes, rest: RecvStream },
-}
-
-impl AnswerBody {
-    fn poll_peer(
-        rest: &mut RecvStream,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Bytes, BodyError>>> {
-        let polled = rest.poll_data(cx);
-        if let Poll::Ready(Some(Ok(bytes))) = &polled {
-            let _ = rest.flow_control().release_capacity(bytes.len());
-        }
-        polled.map_err(BodyError::Peer)
-    }
+    /// Streamed from another instance.
+    Peer(PeerBody),
 }
 
 impl Body for AnswerBody {
@@ -166,12 +153,7 @@
                 }
                 polled.map_err(BodyError::Upstream)
             }
-            Self::Peer { first, .. } if !first.is_empty() => {
-                Poll::Ready(Some(Ok(Frame::data(std::mem::take(first)))))
-            }
-            Self::Peer { rest, .. } => {
-                Self::poll_peer(rest, cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Self::Peer(body) => body.poll_bytes(cx).map_ok(Frame::data).map_err(BodyError::Peer),
         }
     }
 
@@ -180,7 +162,7 @@
             Self::Buffered(bytes) => bytes.is_empty(),
             // The slot is released only by the poll that reads the end of the body.
             Self::Upstream(_) => false,
-            Self::Peer { first, rest } => first.is_empty() && rest.is_end_stream(),
+            Self::Peer(body) => body.is_end_stream(),
         }
     }
 
@@ -188,7 +170,7 @@
         match self {
             Self::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
             Self::Upstream(body) => body.incoming.size_hint(),
-            Self::Peer { .. } => SizeHint::default(),
+            Self::Peer(_) => SizeHint::default(),
         }
     }
 }
@@ -332,7 +314,7 @@
     pub async fn from_peer(reply: ForwardReply, buffer_bytes: usize) -> Result<Self, PeerError> {
         let head = reply.head;
         let small = head.body_bytes.filter(|bytes| *bytes <= buffer_bytes as u64);
-        let streamed = AnswerBody::Peer { first: reply.first, rest: reply.rest };
+        let streamed = AnswerBody::Peer(reply.body);
         let body = match small {
             Some(expected) => {
                 let buffered =
@@ -344,10 +326,9 @@
             }
             None => streamed,
         };
-        let known = crate::errors::TABLE.iter().find(|row| row.0.number() == head.code);
         Ok(Self {
             outcome: head.outcome,
-            code: known.map_or(Code::PeerFrame, |row| row.0),
+            code: Code::from_number(head.code).unwrap_or(Code::PeerFrame),
             retry_after_ms: head.retry_after_ms,
             status: StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY),
             headers: fields::header_map(&head.headers),
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -28,6 +28,7 @@
 pub use fields::ADDRESSES_PATH;
 pub use fields::BACKEND_STATE;
 pub use fields::DRAINING;
+pub use fields::header_map;
 pub use fields::is_hop_by_hop;
 pub use placement::Placement;
 pub use placement::rebuild_services;
--- a/tests/peer_responses.rs
+++ b/tests/peer_responses.rs
@@ -10,10 +10,12 @@
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use sorrelwick::errors::Code;
+use sorrelwick::peer::FixedRoom;
 use sorrelwick::peer::ForwardHead;
 use sorrelwick::peer::ForwardReplyHead;
 use sorrelwick::peer::ForwardStage;
 use sorrelwick::peer::Links;
+use sorrelwick::peer::PeerBody;
 use sorrelwick::peer::PeerListener;
 use sorrelwick::peer::PeerReply;
 use sorrelwick::peer::PeerRequest;
@@ -43,7 +45,7 @@
     let rest = response.await.expect("a response").into_body();
     // The half and the reset arrive meanwhile.
     tokio::time::sleep(Duration::from_millis(50)).await;
-    AnswerBody::Peer { first: Bytes::new(), rest }
+    AnswerBody::Peer(PeerBody::new(Bytes::new(), rest))
 }
 
 /// Answers one forwarded request with a prepared body.
@@ -51,6 +53,10 @@
 struct PreparedResponse(Arc<Mutex<Option<AnswerBody>>>);
 
 impl PeerService for PreparedResponse {
+    type ForwardHead = ForwardHead;
+    type Body = AnswerBody;
+    type Room = FixedRoom;
+
     async fn handle_control(&self, _: PeerRequest) -> PeerReply {
         PeerReply::Failed(Code::PeerFrame.number())
     }
@@ -68,8 +74,8 @@
         (head, self.0.lock().take().expect("one request"))
     }
 
-    fn body_limit_bytes(&self) -> usize {
-        PIPE_BYTES
+    fn body_room(&self) -> FixedRoom {
+        FixedRoom { free_bytes: PIPE_BYTES }
     }
 
     fn connection_refused(&self, from: SocketAddr, why: &str) {
@@ -108,7 +114,7 @@
     let _listener = PeerListener::spawn(listener, links.secret().into(), service);
     let reply = links.forward(address, &request_head(), &Bytes::new()).await.expect("the head");
     assert_eq!(reply.head.status, 200);
-    let mut body = AnswerBody::Peer { first: reply.first, rest: reply.rest };
+    let mut body = AnswerBody::Peer(reply.body);
     let mut received = Vec::new();
     let ended = loop {
         match body.frame().await {
--- a/tests/server_partition.rs
+++ b/tests/server_partition.rs
@@ -22,7 +22,7 @@
 /// A fleet with servers of both services in each zone.
 struct Bed {
     fleet: GatewayFleet,
-    parts: Vec<RawServer>,
+    _parts: Vec<RawServer>,
     orders: Vec<RawServer>,
 }
 
@@ -41,7 +41,7 @@
         }
         fleet.store.put(CONFIG_KEY, &two_routes(1));
         fleet.wait_until_ready().await;
-        let bed = Self { fleet, parts, orders };
+        let bed = Self { fleet, _parts: parts, orders };
         for at in 0..ZONES.len() {
             bed.until_served(at).await;
         }
