--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -188,6 +188,54 @@
     StoreMirrors { config_age, config, servers }
 }
 
+/// The parts that forward requests, to backend servers or to another instance.
+fn new_forwarder<D: Dialect>(
+    dialect: &D,
+    board: &Arc<Blackboard>,
+    links: &Links,
+    dispatcher: &Dispatcher,
+    admission: &Admission,
+    response_memory: Arc<MemoryBudget>,
+) -> Forwarder<D> {
+    let peer_forwarder = PeerForwarder {
+        board: Arc::clone(board),
+        links: links.clone(),
+        api_key: dialect.header_names().api_key.clone(),
+        response_memory: Arc::clone(&response_memory),
+    };
+    Forwarder {
+        dialect: dialect.clone(),
+        board: Arc::clone(board),
+        dispatcher: dispatcher.clone(),
+        admission: admission.clone(),
+        response_memory,
+        peer_forwarder,
+    }
+}
+
+/// Starts the task that finds out whether this instance has lost the backend servers. Returns what
+/// answers others that have.
+fn spawn_reach_monitor<D: Dialect>(
+    tasks: &mut JoinSet<()>,
+    dialect: &D,
+    board: &Arc<Blackboard>,
+    links: &Links,
+    table: &CurrentRouteTable,
+    dispatcher: &Dispatcher,
+) -> ReachAnswerer<GatewayServerChecker<D>> {
+    let checker = GatewayServerChecker::new(
+        dialect.clone(),
+        Arc::clone(board),
+        dispatcher.clone(),
+        Arc::clone(table),
+    );
+    let reach = dispatcher.reach();
+    let monitor =
+        ReachMonitor::new(Arc::clone(board), Arc::clone(reach), checker.clone(), links.clone());
+    tasks.spawn(monitor.run());
+    ReachAnswerer::new(Arc::clone(reach), checker)
+}
+
 /// Starts the tasks that keep quarantined requests in the store.
 fn spawn_quarantine_store<D: Dialect, S: EventStore>(
     tasks: &mut JoinSet<()>,
@@ -271,19 +319,8 @@
             table: Arc::clone(&table),
             quotas: Arc::clone(&quotas),
         };
-        let server_checker = GatewayServerChecker::new(
-            dialect.clone(),
-            Arc::clone(&board),
-            dispatcher.clone(),
-            Arc::clone(&table),
-        );
-        let reach_monitor = ReachMonitor::new(
-            Arc::clone(&board),
-            Arc::clone(dispatcher.reach()),
-            server_checker.clone(),
-            links.clone(),
-        );
-        tasks.spawn(reach_monitor.run());
+        let reach_answerer =
+            spawn_reach_monitor(&mut tasks, &dialect, &board, &links, &table, &dispatcher);
         let quota_limiter = QuotaLimiter {
             board: Arc::clone(&board),
             links: links.clone(),
@@ -292,22 +329,10 @@
         };
         tasks.spawn(planner.run());
         tasks.spawn(load_reporter.run());
-        let response_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
         let body_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
-        let peer_forwarder = PeerForwarder {
-            board: Arc::clone(&board),
-            links: links.clone(),
-            api_key: dialect.header_names().api_key.clone(),
-            response_memory: Arc::clone(&response_memory),
-        };
-        let forwarder = Forwarder {
-            dialect: dialect.clone(),
-            board: Arc::clone(&board),
-            dispatcher: dispatcher.clone(),
-            admission: admission.clone(),
-            response_memory,
-            peer_forwarder,
-        };
+        let response_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
+        let forwarder =
+            new_forwarder(&dialect, &board, &links, &dispatcher, &admission, response_memory);
         let peers = GatewayPeerService {
             board: Arc::clone(&board),
             links: links.clone(),
@@ -316,7 +341,7 @@
             servers,
             quota_limiter: quota_limiter.clone(),
             forward_handler: PeerForwardHandler::new(forwarder.clone(), Arc::clone(&body_memory)),
-            reach_answerer: ReachAnswerer::new(Arc::clone(dispatcher.reach()), server_checker),
+            reach_answerer,
         };
         let spent_time = Arc::new(SpentTimeEstimator::default());
         let callers = CallerHandler { forwarder, body_memory, spent_time, quota_limiter };
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -132,12 +132,12 @@
         MemberChange::Updated(row) => Some(row),
         MemberChange::Removed(_) => None,
     });
-    let changed = updated.filter(|row| {
+    let with_new_reach = updated.filter(|row| {
         let known = before.row(row.incarnation).is_none_or(|known| known.reaches_servers);
         known != row.reaches_servers
     });
     let (mut isolated, mut back) = (Vec::new(), Vec::new());
-    for row in changed {
+    for row in with_new_reach {
         let names = if row.reaches_servers { &mut back } else { &mut isolated };
         names.push(row.name.as_str());
     }
--- a/src/gateway/server_checker.rs
+++ b/src/gateway/server_checker.rs
@@ -17,8 +17,6 @@
 use crate::reach::ReachEvidence;
 use crate::reach::ServerChecker;
 
-/// Servers of a service that are checked at once.
-const SERVERS_CHECKED: usize = 6;
 /// Timeout of a check, its connection included.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 /// Checks servers of the gateway. Clones share state.
@@ -72,7 +70,7 @@
         with_servers.into_iter().filter(is_declared).collect()
     }
 
-    async fn check(&self, service: &str) -> CheckResult {
+    async fn check(&self, service: &str, servers_max: usize) -> CheckResult {
         let table = self.table.load_full();
         let config = table.as_ref().and_then(|table| table.services.get(service));
         let Some(path) = config.map(|config| Arc::from(config.health_path.as_str())) else {
@@ -80,7 +78,7 @@
         };
         let servers = self.dispatcher.servers_in_service(service);
         let mut checks = JoinSet::new();
-        for server in servers.sample(&mut rand::rng(), SERVERS_CHECKED) {
+        for server in servers.sample(&mut rand::rng(), servers_max) {
             checks.spawn(self.clone().check_server(Arc::clone(server), Arc::clone(&path)));
         }
         let mut result = CheckResult::default();
--- a/src/reach/reach_answerer.rs
+++ b/src/reach/reach_answerer.rs
@@ -16,6 +16,9 @@
 /// A check answers further questions for this long, so that many questions cost few checks.
 const SHARED_CHECK_US: u64 = 100_000;
 
+/// Servers checked to answer a question.
+const SERVERS_CHECKED: usize = 3;
+
 /// The last check that was made for other instances, by service.
 type SharedChecks = HashMap<Arc<str>, (u64, CheckResult)>;
 
@@ -61,7 +64,7 @@
         let mut shared = self.shared_checks.lock().await;
         let result = match shared.get(&service) {
             Some((at_us, result)) if now_us().saturating_sub(*at_us) < SHARED_CHECK_US => *result,
-            _ => self.checker.check(&service).await,
+            _ => self.checker.check(&service, SERVERS_CHECKED).await,
         };
         shared.insert(service, (now_us(), result));
         result.reached > 0 && !result.is_lost()
--- a/src/reach/reach_monitor.rs
+++ b/src/reach/reach_monitor.rs
@@ -21,8 +21,14 @@
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
-/// Interval of checks while any service is lost or in doubt.
-const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Shortest interval of checks while any service is lost; doubles with each check that changes
+/// nothing.
+const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(250);
+const CHECK_INTERVAL_DOUBLINGS_MAX: u32 = 2;
+/// Servers of each service that are checked in a round.
+const SERVERS_CHECKED: usize = 6;
+/// The same for an instance that has no reason to doubt its own paths.
+const SERVERS_CHECKED_AS_NEIGHBOR: usize = 2;
 /// Interval at which the other members of the zone are looked at.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Instances that are asked in one round whether they reach the servers.
@@ -33,7 +39,7 @@
 /// have failed for all.
 const CONFIRMED_US: u64 = 1_500_000;
 /// Servers that responded within this time need no check, in microseconds.
-const FRESH_US: u64 = 1_000_000;
+const FRESH_US: u64 = 2_000_000;
 /// Successful rounds in a row after which a service is no longer lost.
 const ROUNDS_TO_RECOVER: u32 = 2;
 
@@ -76,6 +82,8 @@
     hold: ReturnHold,
     /// Since when servers of all services are reached again, while this instance is isolated.
     back_since_us: Option<u64>,
+    /// Rounds in a row after which the same services were lost as before.
+    unchanged_rounds: u32,
 }
 
 impl<C: ServerChecker, L: PeerClient> ReachMonitor<C, L> {
@@ -83,19 +91,33 @@
     #[must_use]
     pub fn new(board: Arc<Blackboard>, reach: Arc<ServerReach>, checker: C, links: L) -> Self {
         let (verdicts, hold) = (HashMap::new(), ReturnHold::default());
-        Self { board, reach, checker, links, verdicts, hold, back_since_us: None }
+        Self {
+            board,
+            reach,
+            checker,
+            links,
+            verdicts,
+            hold,
+            back_since_us: None,
+            unchanged_rounds: 0,
+        }
     }
 
     /// Runs until the process ends.
     pub async fn run(mut self) {
         loop {
             if self.is_active() {
-                tokio::time::sleep(CHECK_INTERVAL).await;
+                let doublings = self.unchanged_rounds.min(CHECK_INTERVAL_DOUBLINGS_MAX);
+                tokio::time::sleep(CHECK_INTERVAL_MIN * (1 << doublings)).await;
             } else {
                 let _ = tokio::time::timeout(IDLE_INTERVAL, self.reach.wait_for_doubt()).await;
             }
-            if self.is_active() || !self.reach.in_doubt().is_empty() || self.neighbor_isolated() {
+            if self.is_active() || !self.reach.in_doubt().is_empty() {
                 self.run_round().await;
+            } else if self.neighbor_isolated() {
+                // A failure leaves evidence, which starts a round.
+                check_all(&self.checker, &self.checker.services(), SERVERS_CHECKED_AS_NEIGHBOR)
+                    .await;
             }
         }
     }
@@ -125,7 +147,8 @@
         let services = self.checker.services();
         self.verdicts.retain(|service, _| services.contains(service));
         let doubted = self.reach.in_doubt();
-        for (service, evidence) in &doubted {
+        let newly_doubted = doubted.iter().filter(|(service, _)| !self.reach.is_lost(service));
+        for (service, evidence) in newly_doubted {
             info!(
                 event = "servers-in-doubt", service = &**service, reached = evidence.reached,
                 failed = evidence.failed;
@@ -134,7 +157,7 @@
         }
         let asks_early = !doubted.is_empty() && !self.all_confirmed(&services);
         let (results, mut confirmed) = tokio::join!(
-            check_all(&self.checker, &services),
+            check_all(&self.checker, &services, SERVERS_CHECKED),
             ask(asks_early, &self.board, &self.links, &services),
         );
         self.record_confirmed(&services, &confirmed);
@@ -152,6 +175,10 @@
             .cloned()
             .collect();
         let isolated = !services.is_empty() && lost.len() == services.len();
+        let recovering =
+            self.verdicts.values().any(|verdict| verdict.lost && verdict.rounds_reached > 0);
+        let unchanged = *lost == *self.reach.lost() && !recovering;
+        self.unchanged_rounds = if unchanged { self.unchanged_rounds + 1 } else { 0 };
         self.reach.set_lost(lost);
         self.announce_reach(isolated).await;
     }
@@ -177,7 +204,7 @@
         let before = verdict.lost;
         verdict.update(result, now_us());
         let confirmed_age_us = verdict.confirmed_at_us.map(|at_us| now_us().saturating_sub(at_us));
-        if before != verdict.lost || result.is_lost() {
+        if before != verdict.lost || (result.is_lost() && !before) {
             info!(
                 event = "servers-checked", service = &**service, reached = result.reached,
                 failed = result.failed, lost = verdict.lost, lost_before = before,
@@ -220,11 +247,15 @@
 }
 
 /// Checks servers of all services at the same time.
-async fn check_all<C: ServerChecker>(checker: &C, services: &[Arc<str>]) -> Vec<CheckResult> {
+async fn check_all<C: ServerChecker>(
+    checker: &C,
+    services: &[Arc<str>],
+    servers_max: usize,
+) -> Vec<CheckResult> {
     let mut checks = JoinSet::new();
     for (index, service) in services.iter().enumerate() {
         let (checker, service) = (checker.clone(), Arc::clone(service));
-        checks.spawn(async move { (index, checker.check(&service).await) });
+        checks.spawn(async move { (index, checker.check(&service, servers_max).await) });
     }
     let mut results = vec![CheckResult::default(); services.len()];
     while let Some(Ok((index, result))) = checks.join_next().await {
@@ -266,7 +297,7 @@
     if !wanted {
         return Vec::new();
     }
-    let names: Vec<String> = services.iter().map(|service| service.to_string()).collect();
+    let names: Vec<String> = services.iter().map(ToString::to_string).collect();
     let mut calls = JoinSet::new();
     for row in choose_asked(board) {
         let (links, services) = (links.clone(), names.clone());
--- a/src/reach/server_checker.rs
+++ b/src/reach/server_checker.rs
@@ -9,6 +9,7 @@
     /// The services that have backend servers.
     fn services(&self) -> Vec<Arc<str>>;
 
-    /// Opens new connections to a few servers of a service and sends a health check on each.
-    fn check(&self, service: &str) -> impl Future<Output = CheckResult> + Send;
+    /// Opens new connections to up to `servers_max` servers of a service, chosen at random, and
+    /// sends a health check on each.
+    fn check(&self, service: &str, servers_max: usize) -> impl Future<Output = CheckResult> + Send;
 }
