A lost path is told from an outage, a request that finds no server waits for the checks, open connections do not hide a lost path

Tests of what a good answer has to tell apart, by the stand-ins' cut paths; each was red at first, for these causes: - all servers crash, and a home passed for isolated, as another one said that a server had responded 50 ms before: what is said now comes from after the question; - new connections are refused while open ones live, and a burst was refused in 40 ms: failed connects count for themselves, and a request that found no server waits up to 0.4 s for the checks, unless they were made just before; - an idle home noticed a reset only after 3 s: a failure in silence leads to a light check at once; - checks held up on this side (a busy machine) are not counted.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -46,6 +46,11 @@
 /// no work was done, other servers may have free slots, and the caller's latency target still
 /// applies.
 const REFUSED_RETRY_MS: u64 = 20;
+/// Longest wait for a check of the paths to the servers.
+const REACH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// A check is not repeated for a request within this time, in microseconds: if no instance reaches
+/// the servers, requests are refused at once.
+const REACH_FRESH_US: u64 = 1_500_000;
 /// Retry delay, in milliseconds, if no instance with a path to the servers takes the request.
 const NO_PEER_RETRY_MS: u64 = 200;
 /// Retry delay, in milliseconds, if no slot became free before the deadline.
@@ -94,6 +99,7 @@
             self.count(request, &mut attempts);
             let grant = match self.acquire_or_lose(request, &attempts).await {
                 Some(Ok(grant)) => grant,
+                Some(Err(_)) if self.turns_out_lost(request).await => continue,
                 Some(Err(reply)) => return reply.into(),
                 None => continue,
             };
@@ -102,6 +108,8 @@
             }
             let result = self.send_hedged(request, grant, &mut attempts).await;
             match self.handle_result(request, result, &mut attempts) {
+                Some(reply)
+                    if reply.code == Code::ConnectFailed && self.turns_out_lost(request).await => {}
                 Some(reply) => return reply,
                 None => self.board.counters.add(Counter::Retries),
             }
@@ -115,6 +123,15 @@
         }
     }
 
+    /// Whether a request that no server here can take may still be forwarded, since the paths to the
+    /// servers turn out to be lost.
+    async fn turns_out_lost(&self, request: &ForwardRequest) -> bool {
+        let reach = self.dispatcher.reach();
+        let timeout = REACH_CHECK_TIMEOUT.min(Duration::from_millis(request.remaining_ms()));
+        request.origin.may_forward()
+            && reach.check_lost(&request.service, REACH_FRESH_US, timeout).await
+    }
+
     /// Forwards a request to an instance that reaches the servers, which this one does not.
     async fn forward_to_peer(&self, request: &ForwardRequest, attempts: &Attempts) -> Reply {
         let forwarder = &self.peer_forwarder;
--- a/src/reach/check_result.rs
+++ b/src/reach/check_result.rs
@@ -11,6 +11,12 @@
 }
 
 impl CheckResult {
+    /// Whether a good part of the servers can be reached.
+    #[must_use]
+    pub const fn is_reached(self) -> bool {
+        self.reached > 0 && !self.is_lost()
+    }
+
     /// Whether hardly any of the servers can be reached.
     #[must_use]
     pub const fn is_lost(self) -> bool {
--- a/src/reach/reach_answerer.rs
+++ b/src/reach/reach_answerer.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::Mutex;
 use tokio::task::JoinSet;
@@ -11,15 +12,14 @@
 use super::ServerReach;
 use crate::clock::now_us;
 
-/// A question is answered without a check if a server responded within this time.
-const FRESH_US: u64 = 50_000;
-/// A check answers further questions for this long, so that many questions cost few checks.
-const SHARED_CHECK_US: u64 = 100_000;
+/// A question is answered without a check if a server responds within this time after it. A
+/// response from before it proves nothing: all servers may have failed since.
+const RESPONSE_WAIT: Duration = Duration::from_millis(20);
 
 /// Servers checked to answer a question.
 const SERVERS_CHECKED: usize = 3;
 
-/// The last check that was made for other instances, by service.
+/// The start and result of the last check that was made for other instances, by service.
 type SharedChecks = HashMap<Arc<str>, (u64, CheckResult)>;
 
 /// Answers whether servers are reached. Clones share their state.
@@ -58,15 +58,21 @@
         if self.reach.is_lost(&service) {
             return false;
         }
-        if self.reach.responded_within(&service, FRESH_US) {
+        let asked_us = now_us();
+        tokio::time::sleep(RESPONSE_WAIT).await;
+        if self.reach.responded_since(&service, asked_us) {
             return true;
         }
         let mut shared = self.shared_checks.lock().await;
-        let result = match shared.get(&service) {
-            Some((at_us, result)) if now_us().saturating_sub(*at_us) < SHARED_CHECK_US => *result,
-            _ => self.checker.check(&service, SERVERS_CHECKED).await,
-        };
-        shared.insert(service, (now_us(), result));
-        result.reached > 0 && !result.is_lost()
+        // A check that began after the question answers it too, so many questions cost few checks.
+        if let Some((began_us, result)) = shared.get(&service)
+            && *began_us > asked_us
+        {
+            return result.is_reached();
+        }
+        let began_us = now_us();
+        let result = self.checker.check(&service, SERVERS_CHECKED).await;
+        shared.insert(service, (began_us, result));
+        result.is_reached()
     }
 }
--- a/src/reach/reach_monitor.rs
+++ b/src/reach/reach_monitor.rs
@@ -12,6 +12,7 @@
 use super::ReturnHold;
 use super::ServerChecker;
 use super::ServerReach;
+use super::reach_tracker::DOUBT_DELAY_US;
 use crate::board::Blackboard;
 use crate::clock::now_ms;
 use crate::clock::now_us;
@@ -21,18 +22,23 @@
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 
-/// Shortest interval of checks while any service is lost; doubles with each check that changes
-/// nothing.
-const CHECK_INTERVAL_MIN: Duration = Duration::from_millis(250);
-const CHECK_INTERVAL_DOUBLINGS_MAX: u32 = 2;
+/// Interval of checks while any service is lost or in doubt.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same after [`QUICK_ROUNDS`] rounds that changed nothing.
+const SLOW_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+const QUICK_ROUNDS: u32 = 6;
+/// Time for which a failure is left to retries.
+const DOUBT_DELAY: Duration = Duration::from_micros(DOUBT_DELAY_US);
+/// Checks that take longer than this were held up here, and say nothing about the paths.
+const CHECK_TIME_MAX_US: u64 = 250_000;
 /// Servers of each service that are checked in a round.
 const SERVERS_CHECKED: usize = 6;
-/// The same for an instance that has no reason to doubt its own paths.
-const SERVERS_CHECKED_AS_NEIGHBOR: usize = 2;
+/// The same when little speaks for a loss.
+const SERVERS_CHECKED_ON_HINT: usize = 2;
 /// Interval at which the other members of the zone are looked at.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Instances that are asked in one round whether they reach the servers.
-const ASKED_PER_ROUND: usize = 4;
+const ASKED_PER_ROUND: usize = 6;
 /// Timeout of such a question. The other instance may have to check the servers first.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long another instance's word that it reaches the servers counts. After that, the servers may
@@ -58,11 +64,13 @@
         self.confirmed_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) <= CONFIRMED_US)
     }
 
-    /// Applies the result of a round of checks.
-    fn update(&mut self, result: CheckResult, now_us: u64) {
+    /// Applies the result of a round of checks that began at `began_us`. A word from before that
+    /// counts only for a service that is lost already: the servers may have failed for all since.
+    fn update(&mut self, result: CheckResult, began_us: u64, now_us: u64) {
         if result.is_lost() {
             self.rounds_reached = 0;
-            self.lost = self.is_confirmed(now_us);
+            let confirmed_now = self.confirmed_at_us.is_some_and(|at_us| at_us >= began_us);
+            self.lost = confirmed_now || (self.lost && self.is_confirmed(now_us));
         } else if result.reached > 0 {
             self.rounds_reached += 1;
             self.lost &= self.rounds_reached < ROUNDS_TO_RECOVER;
@@ -106,18 +114,24 @@
     /// Runs until the process ends.
     pub async fn run(mut self) {
         loop {
-            if self.is_active() {
-                let doublings = self.unchanged_rounds.min(CHECK_INTERVAL_DOUBLINGS_MAX);
-                tokio::time::sleep(CHECK_INTERVAL_MIN * (1 << doublings)).await;
-            } else {
-                let _ = tokio::time::timeout(IDLE_INTERVAL, self.reach.wait_for_doubt()).await;
+            if !self.is_active() {
+                let doubt = tokio::time::timeout(IDLE_INTERVAL, self.reach.wait_for_doubt());
+                if doubt.await.is_ok() && !self.reach.is_check_requested() {
+                    tokio::time::sleep(DOUBT_DELAY).await;
+                }
             }
-            if self.is_active() || !self.reach.in_doubt().is_empty() {
+            let requested = self.reach.take_check_request();
+            if requested || self.is_active() || !self.reach.in_doubt().is_empty() {
                 self.run_round().await;
-            } else if self.neighbor_isolated() {
+                let slow = self.unchanged_rounds >= QUICK_ROUNDS;
+                let interval = if slow { SLOW_CHECK_INTERVAL } else { CHECK_INTERVAL };
+                tokio::time::sleep(interval).await;
+                continue;
+            }
+            self.unchanged_rounds = 0;
+            if self.reach.failed_in_silence() || self.neighbor_isolated() {
                 // A failure leaves evidence, which starts a round.
-                check_all(&self.checker, &self.checker.services(), SERVERS_CHECKED_AS_NEIGHBOR)
-                    .await;
+                check_all(&self.checker, &self.checker.services(), SERVERS_CHECKED_ON_HINT).await;
             }
         }
     }
@@ -135,85 +149,113 @@
     /// Whether an instance of this zone is isolated, and this one may be too without having noticed,
     /// since it has no requests.
     fn neighbor_isolated(&self) -> bool {
+        let since_us = now_us().saturating_sub(FRESH_US);
         let view = self.board.members_view();
         let zone = &self.board.settings.instance.zone;
         let isolated = view.ranked(zone).iter().any(|row| !row.reaches_servers);
-        let unproved = |service: &Arc<str>| !self.reach.responded_within(service, FRESH_US);
+        let unproved = |service: &Arc<str>| !self.reach.responded_since(service, since_us);
         isolated && self.checker.services().iter().any(unproved)
     }
 
     /// Checks the servers of all services and asks other instances about those that seem lost.
     async fn run_round(&mut self) {
+        self.reach.record_checking();
+        let began_us = now_us();
         let services = self.checker.services();
         self.verdicts.retain(|service, _| services.contains(service));
         let doubted = self.reach.in_doubt();
-        let newly_doubted = doubted.iter().filter(|(service, _)| !self.reach.is_lost(service));
-        for (service, evidence) in newly_doubted {
-            info!(
-                event = "servers-in-doubt", service = &**service, reached = evidence.reached,
-                failed = evidence.failed;
-                "servers do not respond; they are checked over new connections"
-            );
-        }
-        let asks_early = !doubted.is_empty() && !self.all_confirmed(&services);
-        let (results, mut confirmed) = tokio::join!(
+        self.log_doubts(&doubted);
+        let doubted: Vec<Arc<str>> = doubted.into_iter().map(|(service, _)| service).collect();
+        let asked = self.without_word(&services, |service| doubted.contains(service));
+        // Asks about what is in doubt while it is checked, as both take time.
+        let (results, reached) = tokio::join!(
             check_all(&self.checker, &services, SERVERS_CHECKED),
-            ask(asks_early, &self.board, &self.links, &services),
+            ask(&self.board, &self.links, &asked),
         );
-        self.record_confirmed(&services, &confirmed);
-        let any_lost = results.iter().any(|result| result.is_lost());
-        if any_lost && !asks_early && !self.all_confirmed(&services) {
-            confirmed = ask(true, &self.board, &self.links, &services).await;
-            self.record_confirmed(&services, &confirmed);
-        }
+        self.record_word(&reached);
+        let Some(results) = results else {
+            self.reach.record_checked();
+            return;
+        };
+        let seems_lost = |service: &Arc<str>| {
+            let index = services.iter().position(|other| other == service);
+            index.is_some_and(|index| results[index].is_lost()) && !asked.contains(service)
+        };
+        let asked_late = self.without_word(&services, seems_lost);
+        let reached = ask(&self.board, &self.links, &asked_late).await;
+        self.record_word(&reached);
         for (service, result) in services.iter().zip(results) {
-            self.update_verdict(service, result);
+            self.update_verdict(service, result, began_us);
         }
-        let lost: Vec<Arc<str>> = services
-            .iter()
-            .filter(|service| self.verdicts.get(*service).is_some_and(|verdict| verdict.lost))
-            .cloned()
-            .collect();
-        let isolated = !services.is_empty() && lost.len() == services.len();
-        let recovering =
-            self.verdicts.values().any(|verdict| verdict.lost && verdict.rounds_reached > 0);
-        let unchanged = *lost == *self.reach.lost() && !recovering;
-        self.unchanged_rounds = if unchanged { self.unchanged_rounds + 1 } else { 0 };
-        self.reach.set_lost(lost);
-        self.announce_reach(isolated).await;
+        self.publish(&services).await;
     }
 
-    /// Whether another instance recently said of each service that it reaches the servers.
-    fn all_confirmed(&self, services: &[Arc<str>]) -> bool {
-        services.iter().all(|service| {
-            // Asked again while the word still counts, so that it does not lapse in between.
+    /// Those of the services that qualify, unless another instance's word on them still counts for
+    /// long enough.
+    fn without_word(
+        &self,
+        services: &[Arc<str>],
+        qualifies: impl Fn(&Arc<str>) -> bool,
+    ) -> Vec<Arc<str>> {
+        let has_word = |service: &Arc<str>| {
             let verdict = self.verdicts.get(service);
-            verdict.is_some_and(|verdict| verdict.is_confirmed(now_us() + CONFIRMED_US / 2))
-        })
+            verdict.is_some_and(|verdict| {
+                verdict.lost && verdict.is_confirmed(now_us() + CONFIRMED_US / 2)
+            })
+        };
+        let qualifying = services.iter().filter(|service| qualifies(service));
+        qualifying.filter(|service| !has_word(service)).cloned().collect()
     }
 
-    fn record_confirmed(&mut self, services: &[Arc<str>], confirmed: &[bool]) {
-        for (service, _) in services.iter().zip(confirmed).filter(|(_, reached)| **reached) {
+    /// Records that another instance reaches the servers of these services.
+    fn record_word(&mut self, reached: &[Arc<str>]) {
+        for service in reached {
             let verdict = self.verdicts.entry(Arc::clone(service)).or_default();
             verdict.confirmed_at_us = Some(now_us());
         }
     }
 
-    fn update_verdict(&mut self, service: &Arc<str>, result: CheckResult) {
+    fn log_doubts(&self, doubted: &[(Arc<str>, CheckResult)]) {
+        for (service, evidence) in doubted {
+            if !self.reach.is_lost(service) {
+                info!(
+                    event = "servers-in-doubt", service = &**service, reached = evidence.reached,
+                    failed = evidence.failed;
+                    "servers do not respond; they are checked over new connections"
+                );
+            }
+        }
+    }
+
+    fn update_verdict(&mut self, service: &Arc<str>, result: CheckResult, began_us: u64) {
         let verdict = self.verdicts.entry(Arc::clone(service)).or_default();
         let before = verdict.lost;
-        verdict.update(result, now_us());
+        verdict.update(result, began_us, now_us());
         let confirmed_age_us = verdict.confirmed_at_us.map(|at_us| now_us().saturating_sub(at_us));
         if before != verdict.lost || (result.is_lost() && !before) {
             info!(
                 event = "servers-checked", service = &**service, reached = result.reached,
                 failed = result.failed, lost = verdict.lost, lost_before = before,
                 confirmed_age_us = confirmed_age_us;
-                "lost: only this instance does not reach the servers"
+                "lost: this instance does not reach the servers, and another one does"
             );
         }
     }
 
+    /// Publishes the verdicts to the request path and to the other instances.
+    async fn publish(&mut self, services: &[Arc<str>]) {
+        let verdict = |service: &Arc<str>| self.verdicts.get(service).copied().unwrap_or_default();
+        let lost: Vec<Arc<str>> =
+            services.iter().filter(|service| verdict(service).lost).cloned().collect();
+        let recovering = lost.iter().any(|service| verdict(service).rounds_reached > 0);
+        let isolated = !services.is_empty() && lost.len() == services.len();
+        let unchanged = *lost == *self.reach.lost() && !recovering;
+        self.unchanged_rounds = if unchanged { self.unchanged_rounds + 1 } else { 0 };
+        self.reach.set_lost(lost);
+        self.reach.record_checked();
+        self.announce_reach(isolated).await;
+    }
+
     /// Tells the other instances when this one becomes isolated, and when it has reached servers for
     /// long enough again.
     async fn announce_reach(&mut self, isolated: bool) {
@@ -246,12 +288,13 @@
     }
 }
 
-/// Checks servers of all services at the same time.
+/// Checks servers of all services at the same time; `None` if this instance was too slow to tell.
 async fn check_all<C: ServerChecker>(
     checker: &C,
     services: &[Arc<str>],
     servers_max: usize,
-) -> Vec<CheckResult> {
+) -> Option<Vec<CheckResult>> {
+    let began_us = now_us();
     let mut checks = JoinSet::new();
     for (index, service) in services.iter().enumerate() {
         let (checker, service) = (checker.clone(), Arc::clone(service));
@@ -261,7 +304,12 @@
     while let Some(Ok((index, result))) = checks.join_next().await {
         results[index] = result;
     }
-    results
+    let took_us = now_us().saturating_sub(began_us);
+    if took_us > CHECK_TIME_MAX_US {
+        info!(event = "checks-late", took_ms = took_us / 1000; "the checks are not counted");
+        return None;
+    }
+    Some(results)
 }
 
 /// Instances to ask: first one of each zone that others are sent to, which knows without a check,
@@ -287,14 +335,9 @@
     asked
 }
 
-/// Asks a few instances which of the services' servers they reach; empty if `wanted` is not set.
-async fn ask<L: PeerClient>(
-    wanted: bool,
-    board: &Blackboard,
-    links: &L,
-    services: &[Arc<str>],
-) -> Vec<bool> {
-    if !wanted {
+/// Asks a few instances about these services; returns those whose servers any of them reaches.
+async fn ask<L: PeerClient>(board: &Blackboard, links: &L, services: &[Arc<str>]) -> Vec<Arc<str>> {
+    if services.is_empty() {
         return Vec::new();
     }
     let names: Vec<String> = services.iter().map(ToString::to_string).collect();
@@ -317,5 +360,6 @@
             break;
         }
     }
-    reached
+    let with_word = services.iter().zip(reached).filter(|(_, reached)| *reached);
+    with_word.map(|(service, _)| Arc::clone(service)).collect()
 }
