--- a/src/reach/reach_monitor.rs
+++ b/src/reach/reach_monitor.rs
@@ -116,8 +116,9 @@
         loop {
             if !self.is_active() {
                 let doubt = tokio::time::timeout(IDLE_INTERVAL, self.reach.wait_for_doubt());
-                if doubt.await.is_ok() && !self.reach.is_check_requested() {
-                    tokio::time::sleep(DOUBT_DELAY).await;
+                if doubt.await.is_ok() {
+                    let _ = tokio::time::timeout(DOUBT_DELAY, self.reach.wait_for_check_request())
+                        .await;
                 }
             }
             let requested = self.reach.take_check_request();
--- a/src/reach/server_reach.rs
+++ b/src/reach/server_reach.rs
@@ -83,10 +83,11 @@
         self.doubted.notified().await;
     }
 
-    /// Whether a request waits for a round of checks.
-    #[must_use]
-    pub fn is_check_requested(&self) -> bool {
-        self.check_requested.load(Ordering::Acquire)
+    /// Waits until a request waits for a round of checks.
+    pub async fn wait_for_check_request(&self) {
+        while !self.check_requested.load(Ordering::Acquire) {
+            self.doubted.notified().await;
+        }
     }
 
     /// Whether a request waits for a round of checks; resets that.
