Own interface: an instance without paths to the servers is neither home nor keeper

The same cause at the product's own interface: homes and keepers of servers followed from membership alone, so a keeper that lost its servers kept their slots, and nobody else might use them. Attempts, probes and connections that are opened leave evidence now; the same monitor decides, with checks that only open connections (probes are limited by the budget). Placement leaves isolated members out unless all are; such an instance forwards to a home by the way that it had.

Red without the change of the placement: isolated_daemon::isolated_instance_is_neither_home_nor_keeper and ..::callers_of_isolated_home_are_served_by_other_homes (waits in vain). The evidence itself is tested with servers that are all gone. A cut of one instance's paths over real sockets is not tested there: all instances of the bed share the servers' addresses.

--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -17,6 +17,7 @@
 use crate::conf::Settings;
 use crate::errors::Code;
 use crate::errors::CodedError;
+use crate::measure::DaemonServerChecker;
 use crate::measure::Shard;
 use crate::measure::TokenBuckets;
 use crate::measure::run_prober;
@@ -28,6 +29,8 @@
 use crate::peer::Links;
 use crate::peer::PeerListener;
 use crate::quarantine::run_suspect_gossip;
+use crate::reach::ReachAnswerer;
+use crate::reach::ReachMonitor;
 use crate::route::CallerListener;
 use crate::route::Router;
 use crate::route::run_placement;
@@ -104,10 +107,15 @@
             Router { board: Arc::clone(&board), links: links.clone(), store: store.clone() };
         let shard = Shard::default();
         let buckets = TokenBuckets::default();
+        let checker = DaemonServerChecker { router: router.clone() };
+        let reach = Arc::clone(&board.reach);
+        let reach_monitor =
+            ReachMonitor::new(Arc::clone(&board), reach, checker.clone(), links.clone());
         let peer_service = DaemonPeerService {
             router: router.clone(),
             shard: shard.clone(),
             buckets: buckets.clone(),
+            reach_answerer: ReachAnswerer::new(Arc::clone(&board.reach), checker.clone()),
         };
         let secret: Arc<str> = links.secret().into();
         let mut tasks = JoinSet::new();
@@ -128,6 +136,7 @@
         tasks.spawn(run_roster(Arc::clone(&board), store, links.clone()));
         tasks.spawn(run_queues(router.clone()));
         tasks.spawn(run_cleanup(Arc::clone(&board)));
+        tasks.spawn(reach_monitor.run());
         board.record_event(EventKind::Started);
         Ok(Self {
             _peers: PeerListener::spawn(peers, secret, peer_service),
--- a/src/app/daemon_peer_service.rs
+++ b/src/app/daemon_peer_service.rs
@@ -10,6 +10,7 @@
 use crate::catalog::merge_rows;
 use crate::clock::now_ms;
 use crate::errors::Code;
+use crate::measure::DaemonServerChecker;
 use crate::measure::Shard;
 use crate::measure::TokenBuckets;
 use crate::measure::apply_platform_list;
@@ -26,6 +27,7 @@
 use crate::peer::PeerRequest;
 use crate::peer::PeerService;
 use crate::peer::split_rows;
+use crate::reach::ReachAnswerer;
 use crate::route::AnswerBody;
 use crate::route::CloseReason;
 use crate::route::ProxyRequest;
@@ -38,6 +40,7 @@
     pub router: Router,
     pub shard: Shard,
     pub buckets: TokenBuckets,
+    pub reach_answerer: ReachAnswerer<DaemonServerChecker>,
 }
 
 impl DaemonPeerService {
@@ -126,6 +129,9 @@
             PeerRequest::Suspects { records, complete } => {
                 PeerReply::Suspects(board.quarantine.merge_and_diff(&records, complete))
             }
+            PeerRequest::ReachesServers { services } => {
+                PeerReply::ReachesServers(self.reach_answerer.answer(&services).await)
+            }
             PeerRequest::HandOver { part, last } => self.adopt(part, last),
             PeerRequest::Witness(request) => {
                 PeerReply::Witness(handle_witness_request(board, request))
@@ -133,7 +139,6 @@
             // Only gateways exchange these.
             PeerRequest::ServerLoads(_)
             | PeerRequest::Feed { .. }
-            | PeerRequest::ReachesServers { .. }
             | PeerRequest::QuotaTokens { .. } => PeerReply::Failed(Code::PeerFrame.number()),
         }
     }
--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -280,6 +280,7 @@
         let board = Arc::new(Blackboard::new(settings, rand::rng().random::<u64>()));
         let table: CurrentRouteTable = Arc::new(ArcSwapOption::empty());
         let dispatcher = Dispatcher::new(&zone, retry_allowance(&gateway));
+        let dispatcher = dispatcher.with_reach(Arc::clone(&board.reach));
         dispatcher.set_home_count(initial_home_count(&gateway), true);
 
         let mut tasks = JoinSet::new();
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -33,6 +33,7 @@
 use crate::outcome::ClaimWitnesses;
 use crate::outcome::OutcomeTable;
 use crate::quarantine::Quarantine;
+use crate::reach::ServerReach;
 use crate::route::ServiceState;
 
 /// The active services, by name.
@@ -71,6 +72,8 @@
     pub shard_witnesses: ShardWitnesses,
     /// Requests that are rejected because they crash servers.
     pub quarantine: Quarantine,
+    /// What this instance knows about its paths to the backend servers.
+    pub reach: Arc<ServerReach>,
     pub counters: Counters,
     pub latencies: Latencies,
     pub events: EventRing,
@@ -171,6 +174,7 @@
             claim_witnesses,
             shard_witnesses: ShardWitnesses::default(),
             quarantine: Quarantine::default(),
+            reach: Arc::default(),
             counters: Counters::default(),
             latencies: Latencies::default(),
             events: EventRing::default(),
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Records evidence on the paths to the servers in `reach`.
+    #[must_use]
+    pub fn with_reach(self, reach: Arc<ServerReach>) -> Self {
+        Self { reach, ..self }
+    }
+
     /// What this instance knows about its paths to the servers.
     #[must_use]
     pub const fn reach(&self) -> &Arc<ServerReach> {
--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -4,6 +4,7 @@
 mod grants;
 mod prober;
 mod roster;
+mod server_checker;
 mod shard;
 mod shard_witnesses;
 mod token_buckets;
@@ -12,6 +13,7 @@
 pub use prober::run_prober;
 pub use roster::apply_platform_list;
 pub use roster::run_roster;
+pub use server_checker::DaemonServerChecker;
 pub use shard::Shard;
 pub use shard::run_shard;
 pub use shard_witnesses::ShardWitnesses;
--- a/src/measure/prober.rs
+++ b/src/measure/prober.rs
@@ -22,6 +22,7 @@
 use crate::peer::PeerClient;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::reach::ReachEvidence;
 use crate::route::BACKEND_STATE;
 use crate::route::CloseReason;
 use crate::route::DRAINING;
@@ -50,12 +51,22 @@
     Some((best.upstream.id.clone(), best.upstream))
 }
 
-/// Returns the status of the health answer, and whether the server announced that it is leaving.
+/// The answer to a probe.
+struct HealthAnswer {
+    status: StatusCode,
+    /// Whether the server announced that it is leaving.
+    leaving: bool,
+    /// What it shows about the path to the server.
+    evidence: ReachEvidence,
+}
+
+/// Sends a probe.
 async fn call_health_path(
     path: &str,
     upstream: &Arc<crate::route::Upstream>,
-) -> Option<(StatusCode, bool)> {
-    let mut conn = upstream.checkout(Freshness::Any).await?;
+) -> Option<HealthAnswer> {
+    let mut conn = upstream.checkout(Freshness::Any).await.ok()?;
+    let evidence = conn.response_evidence();
     let request = Request::get(path)
         .header("host", upstream.address.to_string())
         .body(Full::new(Bytes::new()))
@@ -66,7 +77,7 @@
     let status = response.status();
     Limited::new(response.into_body(), ANSWER_MAX_BYTES).collect().await.ok()?;
     conn.return_to_pool();
-    Some((status, leaving))
+    Some(HealthAnswer { status, leaving, evidence })
 }
 
 /// Probes a server. Health answers are unreliable: one may close a server, but reopens it only if
@@ -79,9 +90,11 @@
 ) {
     router.board.counters.add(Counter::Probes);
     let health_call = call_health_path(&state.spec.health_path, upstream);
-    let Ok(Some((status, leaving))) = tokio::time::timeout(PROBE_TIMEOUT, health_call).await else {
-        return;
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, health_call).await.ok().flatten();
+    let Some(HealthAnswer { status, leaving, evidence }) = answer else {
+        return router.record_reach(state, upstream, ReachEvidence::NoResponse);
     };
+    router.record_reach(state, upstream, evidence);
     let slot_queue = &state.runtime.slot_queue;
     let closed = leaving || !status.is_success();
     if slot_queue.set_closed(id, CloseReason::SelfReported, closed) {
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -17,6 +17,7 @@
 
 use super::Answer;
 use super::AnswerBody;
+use super::CheckoutError;
 use super::Freshness;
 use super::PooledConn;
 use super::ProxyRequest;
@@ -28,6 +29,7 @@
 use crate::model::Service;
 use crate::quarantine::AdmittedSend;
 use crate::quarantine::PendingSend;
+use crate::reach::ReachEvidence;
 
 /// Retry delay for the caller, in milliseconds, if nothing better is known.
 const DEFAULT_RETRY_AFTER_MS: u64 = 100;
@@ -42,11 +44,20 @@
     pub answer: Answer,
     /// The answer had `x-backend-state: draining`.
     pub leaving: bool,
+    /// What the attempt shows about the path to the server.
+    pub evidence: Option<ReachEvidence>,
+}
+
+impl AttemptResult {
+    /// The result of an attempt that the server did not respond to.
+    const fn without_response(answer: Answer) -> Self {
+        Self { answer, leaving: false, evidence: Some(ReachEvidence::NoResponse) }
+    }
 }
 
 impl From<Answer> for AttemptResult {
     fn from(answer: Answer) -> Self {
-        Self { answer, leaving: false }
+        Self { answer, leaving: false, evidence: None }
     }
 }
 
@@ -99,10 +110,13 @@
     let freshness = if proxy_request.idempotent { Freshness::Any } else { Freshness::Recent };
     let upstream = Arc::clone(&slot.upstream);
     let conn = match tokio::time::timeout(remaining, upstream.checkout(freshness)).await {
-        Ok(Some(conn)) => conn,
-        Ok(None) => {
+        Ok(Ok(conn)) => conn,
+        Ok(Err(error)) => {
             slot.release(AttemptOutcome::Failed);
-            return Answer::not_run(Code::ConnectFailed, UNREACHABLE_RETRY_AFTER_MS).into();
+            let answer = Answer::not_run(Code::ConnectFailed, UNREACHABLE_RETRY_AFTER_MS);
+            let failed = error == CheckoutError::Unreachable;
+            let evidence = failed.then_some(ReachEvidence::ConnectFailed);
+            return AttemptResult { answer, leaving: false, evidence };
         }
         Err(_) => return Answer::not_run(Code::DeadlineInQueue, DEFAULT_RETRY_AFTER_MS).into(),
     };
@@ -132,28 +146,33 @@
                 slot.release(AttemptOutcome::Failed);
                 // hyper returns the message only if no byte of it was written.
                 let unsent = err.take_message().is_some();
-                return if unsent {
-                    Answer::not_run(Code::ConnectFailed, DEFAULT_RETRY_AFTER_MS).into()
+                let answer = if unsent {
+                    Answer::not_run(Code::ConnectFailed, DEFAULT_RETRY_AFTER_MS)
                 } else {
-                    Answer::unknown(Code::AnswerLost).into()
+                    Answer::unknown(Code::AnswerLost)
                 };
+                return AttemptResult::without_response(answer);
+            }
+            Err(_) => {
+                let answer = Answer::unknown(Code::DeadlineAfterDispatch);
+                return AttemptResult::without_response(answer);
             }
-            Err(_) => return Answer::unknown(Code::DeadlineAfterDispatch).into(),
         };
+    let evidence = Some(conn.response_evidence());
     let report = ServerReport::parse(response.headers());
     report.apply(&slot);
     let leaving = report.leaving;
     if spec.refusal_statuses.contains(&response.status().as_u16()) {
         let answer = handle_refusal(response, slot, conn).await;
-        return AttemptResult { answer, leaving };
+        return AttemptResult { answer, leaving, evidence };
     }
     if !has_delimited_body(&response, &proxy_request.method) {
         slot.release(AttemptOutcome::Failed);
-        return AttemptResult { answer: Answer::unknown(Code::AnswerTruncated), leaving };
+        return AttemptResult { answer: Answer::unknown(Code::AnswerTruncated), leaving, evidence };
     }
     let answer =
         receive_answer(proxy_request, response, slot, conn, buffer_bytes, pending_send).await;
-    AttemptResult { answer, leaving }
+    AttemptResult { answer, leaving, evidence }
 }
 
 /// What the headers of an answer report about its server.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -41,6 +41,7 @@
 pub use slot::Slot;
 pub use slot_queue::SlotQueue;
 pub use slot_queue_state::CloseReason;
+pub use upstream::CheckoutError;
 pub use upstream::Freshness;
 pub use upstream::PooledConn;
 pub use upstream::Upstream;
--- a/src/route/placement.rs
+++ b/src/route/placement.rs
@@ -30,8 +30,12 @@
     /// `zone`.
     #[must_use]
     pub fn decide(service: &Service, members: &[Arc<MemberRow>], own: u64, zone: &str) -> Self {
-        let available: Vec<&Arc<MemberRow>> =
+        let mut available: Vec<&Arc<MemberRow>> =
             members.iter().filter(|row| row.state.accepts_work()).collect();
+        // If no instance reaches servers, one is as good as another.
+        if available.iter().any(|row| row.reaches_servers) {
+            available.retain(|row| row.reaches_servers);
+        }
         let candidates: Vec<HomeCandidate<'_>> = available
             .iter()
             .map(|row| HomeCandidate { incarnation: row.incarnation, zone: &row.zone })
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -13,6 +13,7 @@
 use super::Router;
 use super::ServiceState;
 use super::Slot;
+use super::Upstream;
 use super::attempt::AttemptResult;
 use super::attempt::attempt;
 use super::attempt::is_server_failure;
@@ -34,6 +35,7 @@
 use crate::peer::PeerRequest;
 use crate::quarantine::CRASH_CHECK_WAIT;
 use crate::quarantine::Denial;
+use crate::reach::ReachEvidence;
 
 /// Added to the deadline of a forwarded request, so that the other instance's final answer arrives
 /// before this instance gives up and answers `unknown`.
@@ -374,8 +376,11 @@
             }
         };
         let upstream = Arc::clone(&slot.upstream);
-        let AttemptResult { answer, leaving } =
+        let AttemptResult { answer, leaving, evidence } =
             attempt(proxy_request, &state.spec, slot, buffer_bytes, &admitted_send).await;
+        if let Some(evidence) = evidence {
+            self.record_reach(state, &upstream, evidence);
+        }
         if leaving {
             self.handle_leaving_server(state, &upstream.id);
         }
@@ -389,6 +394,13 @@
         answer
     }
 
+    /// Records what an attempt or a probe shows about the path to a server.
+    pub fn record_reach(&self, state: &ServiceState, upstream: &Upstream, evidence: ReachEvidence) {
+        let servers = state.spec.backend_servers.len();
+        let service: Arc<str> = state.spec.name.as_str().into();
+        self.board.reach.record(&service, upstream.id_hash, evidence, servers);
+    }
+
     /// Closes a server that announced that it is leaving, and notifies the co-homes.
     fn handle_leaving_server(&self, state: &ServiceState, server: &str) {
         let reason = super::CloseReason::SelfReported;
--- a/src/route/upstream.rs
+++ b/src/route/upstream.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock::now_ms;
+use crate::reach::ReachEvidence;
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -78,9 +79,26 @@
 pub struct PooledConn {
     pub sender: SendRequest<Full<Bytes>>,
     upstream: Arc<Upstream>,
+    /// Whether it was opened for this attempt.
+    is_new: bool,
+}
+
+/// Why there is no connection to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CheckoutError {
+    /// This instance has as many open as it may have.
+    TooManyOpen,
+    /// None could be opened in time.
+    Unreachable,
 }
 
 impl PooledConn {
+    /// What a response on this connection shows about the path to the server.
+    #[must_use]
+    pub const fn response_evidence(&self) -> ReachEvidence {
+        if self.is_new { ReachEvidence::RespondedOnNewConnection } else { ReachEvidence::Responded }
+    }
+
     /// Returns the connection to the pool for the next request.
     pub fn return_to_pool(self) {
         let idle = IdleConn { sender: self.sender, idle_since_ms: now_ms() };
@@ -169,7 +187,7 @@
         if has_recent || !self.recently_used() {
             return;
         }
-        if let Ok(Some(sender)) = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await {
+        if let Ok(sender) = self.connect(CONNECT_TIMEOUT).await {
             // Below the recently used ones, so that it stays a spare.
             self.idle.lock().insert(0, IdleConn { sender, idle_since_ms: now_ms() });
         }
@@ -177,31 +195,50 @@
 
     /// A connection that is ready for a request: the most recently used idle one, or a new one.
     ///
-    /// `None` if none can be opened; no byte of a request has been sent then.
-    pub async fn checkout(self: &Arc<Self>, freshness: Freshness) -> Option<PooledConn> {
+    /// # Errors
+    /// Why none can be opened; no byte of a request has been sent then.
+    pub async fn checkout(
+        self: &Arc<Self>,
+        freshness: Freshness,
+    ) -> Result<PooledConn, CheckoutError> {
         self.last_used_ms.store(now_ms(), Ordering::Relaxed);
         while let Some(mut sender) = self.pop_idle(freshness) {
             if sender.ready().await.is_ok() {
-                return Some(PooledConn { sender, upstream: Arc::clone(self) });
+                return Ok(PooledConn { sender, upstream: Arc::clone(self), is_new: false });
             }
         }
-        let sender = tokio::time::timeout(CONNECT_TIMEOUT, self.connect()).await.ok()??;
-        Some(PooledConn { sender, upstream: Arc::clone(self) })
+        self.open_new(CONNECT_TIMEOUT).await
     }
 
-    /// Opens a connection; `None` if that fails or this instance has too many open.
-    async fn connect(&self) -> Option<SendRequest<Full<Bytes>>> {
-        let permit = self.acquire_permit()?;
-        let stream = TcpStream::connect(self.address).await.ok()?;
-        let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    /// A new connection.
+    ///
+    /// # Errors
+    /// As [`Self::checkout`].
+    pub async fn open_new(
+        self: &Arc<Self>,
+        timeout: Duration,
+    ) -> Result<PooledConn, CheckoutError> {
+        let sender = self.connect(timeout).await?;
+        Ok(PooledConn { sender, upstream: Arc::clone(self), is_new: true })
+    }
+
+    /// Opens a connection.
+    async fn connect(&self, timeout: Duration) -> Result<SendRequest<Full<Bytes>>, CheckoutError> {
+        let permit = self.acquire_permit().ok_or(CheckoutError::TooManyOpen)?;
+        let opened = tokio::time::timeout(timeout, async {
+            let stream = TcpStream::connect(self.address).await.ok()?;
+            let _ = stream.set_nodelay(true);
+            http1::handshake(TokioIo::new(stream)).await.ok()
+        });
+        let opened = opened.await.ok().flatten();
+        let (sender, connection) = opened.ok_or(CheckoutError::Unreachable)?;
         self.opened_total.fetch_add(1, Ordering::Relaxed);
         tokio::spawn(async move {
             // An error also reaches the attempt that uses the connection.
             let _ = connection.await;
             drop(permit);
         });
-        Some(sender)
+        Ok(sender)
     }
 
     /// Counts a new connection, if this instance's share of the server's connections allows one.
