While servers are lost, only two homes are asked again, and others if these do not reach them

Answering a question costs an instance without requests three new connections a service; six were asked about each second by each isolated instance. Now the first of two zones are asked, which answer by their traffic.

--- a/src/reach/reach_answerer.rs
+++ b/src/reach/reach_answerer.rs
@@ -14,7 +14,7 @@
 
 /// A question is answered without a check if a server responds within this time after it. A
 /// response from before it proves nothing: all servers may have failed since.
-const RESPONSE_WAIT: Duration = Duration::from_millis(20);
+const RESPONSE_WAIT: Duration = Duration::from_millis(30);
 
 /// Servers checked to answer a question.
 const SERVERS_CHECKED: usize = 3;
--- a/src/reach/reach_monitor.rs
+++ b/src/reach/reach_monitor.rs
@@ -39,11 +39,13 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Instances that are asked in one round whether they reach the servers.
 const ASKED_PER_ROUND: usize = 6;
+/// The first of these, which have requests and so need no checks to answer.
+const ASKED_FIRST: usize = 2;
 /// Timeout of such a question. The other instance may have to check the servers first.
 const ASK_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long another instance's word that it reaches the servers counts. After that, the servers may
 /// have failed for all.
-const CONFIRMED_US: u64 = 1_500_000;
+const CONFIRMED_US: u64 = 2_000_000;
 /// Servers that responded within this time need no check, in microseconds.
 const FRESH_US: u64 = 2_000_000;
 /// Successful rounds in a row after which a service is no longer lost.
@@ -169,10 +171,8 @@
         let doubted: Vec<Arc<str>> = doubted.into_iter().map(|(service, _)| service).collect();
         let asked = self.without_word(&services, |service| doubted.contains(service));
         // Asks about what is in doubt while it is checked, as both take time.
-        let (results, reached) = tokio::join!(
-            check_all(&self.checker, &services, SERVERS_CHECKED),
-            ask(&self.board, &self.links, &asked),
-        );
+        let (results, reached) =
+            tokio::join!(check_all(&self.checker, &services, SERVERS_CHECKED), self.ask(&asked),);
         self.record_word(&reached);
         let Some(results) = results else {
             self.reach.record_checked();
@@ -183,7 +183,7 @@
             index.is_some_and(|index| results[index].is_lost()) && !asked.contains(service)
         };
         let asked_late = self.without_word(&services, seems_lost);
-        let reached = ask(&self.board, &self.links, &asked_late).await;
+        let reached = self.ask(&asked_late).await;
         self.record_word(&reached);
         for (service, result) in services.iter().zip(results) {
             self.update_verdict(service, result, began_us);
@@ -208,6 +208,12 @@
         qualifying.filter(|service| !has_word(service)).cloned().collect()
     }
 
+    /// Asks other instances about these services; returns those whose servers any of them reaches.
+    async fn ask(&self, services: &[Arc<str>]) -> Vec<Arc<str>> {
+        let known = services.iter().all(|service| self.reach.is_lost(service));
+        ask(&self.board, &self.links, services, known).await
+    }
+
     /// Records that another instance reaches the servers of these services.
     fn record_word(&mut self, reached: &[Arc<str>]) {
         for service in reached {
@@ -323,7 +329,7 @@
     let mut asked: Vec<Arc<MemberRow>> = first.cloned().collect();
     let mut rng = rand::rng();
     asked.shuffle(&mut rng);
-    asked.truncate(ASKED_PER_ROUND / 2);
+    asked.truncate(ASKED_FIRST);
     let at = rand::RngExt::random(&mut rng);
     let others = view.ring_from(at).filter(may_help);
     for row in others.take(2 * ASKED_PER_ROUND) {
@@ -337,17 +343,42 @@
 }
 
 /// Asks a few instances about these services; returns those whose servers any of them reaches.
-async fn ask<L: PeerClient>(board: &Blackboard, links: &L, services: &[Arc<str>]) -> Vec<Arc<str>> {
+///
+/// If all services are `known` to be lost, the others are only asked if the first do not reach them.
+async fn ask<L: PeerClient>(
+    board: &Blackboard,
+    links: &L,
+    services: &[Arc<str>],
+    known: bool,
+) -> Vec<Arc<str>> {
     if services.is_empty() {
         return Vec::new();
     }
+    let asked = choose_asked(board);
+    if !known {
+        return ask_all(links, &asked, services).await;
+    }
+    let (first, others) = asked.split_at(ASKED_FIRST.min(asked.len()));
+    let reached = ask_all(links, first, services).await;
+    if reached.len() == services.len() {
+        return reached;
+    }
+    ask_all(links, others, services).await
+}
+
+/// Asks all of these instances at the same time.
+async fn ask_all<L: PeerClient>(
+    links: &L,
+    asked: &[Arc<MemberRow>],
+    services: &[Arc<str>],
+) -> Vec<Arc<str>> {
     let names: Vec<String> = services.iter().map(ToString::to_string).collect();
     let mut calls = JoinSet::new();
-    for row in choose_asked(board) {
-        let (links, services) = (links.clone(), names.clone());
+    for row in asked {
+        let (links, services, address) = (links.clone(), names.clone(), row.peer_address);
         calls.spawn(async move {
             let request = PeerRequest::ReachesServers { services };
-            links.call(row.peer_address, &request, ASK_TIMEOUT).await
+            links.call(address, &request, ASK_TIMEOUT).await
         });
     }
     let mut reached = vec![false; services.len()];
