All connections in use are no lost path

An instance that is no home may open one connection to each server; with that in use, its checks counted as failed. They count as nothing now.

--- a/src/gateway/server_checker.rs
+++ b/src/gateway/server_checker.rs
@@ -1,5 +1,6 @@
 //! Checks a few backend servers over new connections.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,20 +41,25 @@
         Self { dialect, board, dispatcher, table }
     }
 
-    /// Opens a connection to a server and sends a health check; returns whether it responded.
-    async fn check_server(self, server: Arc<Server>, path: Arc<str>) -> bool {
+    /// Opens a connection to a server and sends a health check; returns whether it responded, or
+    /// `None` if all connections that this instance may open are in use.
+    async fn check_server(self, server: Arc<Server>, path: Arc<str>) -> Option<bool> {
         self.board.counters.add(Counter::Probes);
         self.dispatcher.record_use(&server);
         let checked = async {
-            let mut conn = server.conns.open_new(CHECK_TIMEOUT).await.ok()?;
+            let mut conn = match server.conns.open_new(CHECK_TIMEOUT).await {
+                Ok(conn) => conn,
+                Err(err) => return (err.kind() != ErrorKind::QuotaExceeded).then_some(false),
+            };
             let keep = check_health(&self.dialect, &self.dispatcher, &server, &mut conn, &path);
-            if keep.await.ok()? {
+            let keep = keep.await;
+            if matches!(keep, Ok(true)) {
                 server.conns.put_back(conn);
             }
-            Some(())
+            Some(keep.is_ok())
         };
-        let reached = matches!(tokio::time::timeout(CHECK_TIMEOUT, checked).await, Ok(Some(())));
-        if !reached {
+        let reached = tokio::time::timeout(CHECK_TIMEOUT, checked).await.unwrap_or(Some(false));
+        if reached == Some(false) {
             self.dispatcher.record_reach(&server, ReachEvidence::ConnectFailed);
         }
         reached
@@ -83,10 +89,10 @@
         }
         let mut result = CheckResult::default();
         while let Some(reached) = checks.join_next().await {
-            if matches!(reached, Ok(true)) {
-                result.reached += 1;
-            } else {
-                result.failed += 1;
+            match reached {
+                Ok(Some(true)) => result.reached += 1,
+                Ok(Some(false)) => result.failed += 1,
+                _ => {}
             }
         }
         result
--- a/tests/reach_monitor.rs
+++ b/tests/reach_monitor.rs
@@ -6,9 +6,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
+use sorrelwick::balance::RetryAllowance;
 use sorrelwick::board::Blackboard;
 use sorrelwick::clock::now_ms;
+use sorrelwick::gateway::Dispatcher;
+use sorrelwick::gateway::GatewayServerChecker;
+use sorrelwick::gateway::RouteTable;
+use sorrelwick::model::ServerRow;
 use sorrelwick::peer::PeerClient;
 use sorrelwick::peer::PeerError;
 use sorrelwick::peer::PeerReply;
@@ -20,8 +26,12 @@
 use sorrelwick::reach::ReturnHold;
 use sorrelwick::reach::ServerChecker;
 use sorrelwick::task::TaskGuard;
+use standins::routed::PlainDialect;
+use standins::routed::RawServer;
 use standins::routed::fleet_settings;
 use standins::routed::member_row;
+use standins::routed::ready_row;
+use standins::routed::two_routes;
 
 const SERVERS: usize = 8;
 const WITHIN: Duration = Duration::from_secs(3);
@@ -270,3 +280,30 @@
     hold.record_loss(200_000_000);
     assert_eq!(hold.hold_us(), 1_000_000);
 }
+
+/// Guards against taking servers for lost because all connections that this instance may open to
+/// them are in use, as on an instance that is not a home.
+#[tokio::test]
+async fn connections_in_use_are_no_lost_paths() {
+    let table = RouteTable::parse(two_routes(1).as_bytes(), None).expect("readable").table;
+    let services = table.services.clone();
+    let allowance = RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 60.0 };
+    let dispatcher = Dispatcher::new("a", allowance);
+    let raw = RawServer::spawn("p0").await;
+    dispatcher.list_server(ServerRow {
+        address: raw.address,
+        service: "parts".into(),
+        ..ready_row("p0")
+    });
+    dispatcher.set_connection_share(&services, 0.0);
+    let board = Arc::new(Blackboard::new(fleet_settings("own", "a", &["a"], &[]), 1));
+    let table = Arc::new(ArcSwapOption::from_pointee(table));
+    let dialect = PlainDialect::default();
+    let checker = GatewayServerChecker::new(dialect, board, dispatcher.clone(), table);
+    assert_eq!(checker.check("parts", 6).await, CheckResult { reached: 1, failed: 0 });
+    let server = Arc::clone(&dispatcher.servers()[0]);
+    let in_use = server.conns.take(WITHIN).await.expect("the only connection");
+    assert_eq!(checker.check("parts", 6).await, CheckResult::default());
+    assert!(!dispatcher.reach().failed_in_silence());
+    drop(in_use);
+}
