--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -88,7 +88,7 @@
     /// Ticket of the next request, by which pools identify it.
     next_ticket: Arc<AtomicU64>,
     pub(super) state: Arc<Mutex<DispatcherState>>,
-    reach: Arc<ServerReach>,
+    pub(super) reach: Arc<ServerReach>,
     /// Slots in use.
     granted_slots: Arc<AtomicUsize>,
     /// Notified when the number of slots in use rises from zero.
@@ -136,25 +136,6 @@
         }
     }
 
-    /// Records evidence on the paths to the servers in `reach`.
-    #[must_use]
-    pub fn with_reach(self, reach: Arc<ServerReach>) -> Self {
-        Self { reach, ..self }
-    }
-
-    /// What this instance knows about its paths to the servers.
-    #[must_use]
-    pub const fn reach(&self) -> &Arc<ServerReach> {
-        &self.reach
-    }
-
-    /// Adds evidence on the path to a server.
-    pub fn record_reach(&self, server: &Server, evidence: ReachEvidence) {
-        let service = &server.row.service;
-        let servers = self.state.lock().pools.get(service).map_or(1, |pool| pool.servers.len());
-        self.reach.record(service, server.key, evidence, servers);
-    }
-
     fn allocate_ticket(&self) -> u64 {
         self.next_ticket.fetch_add(1, Ordering::Relaxed)
     }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -5,15 +5,14 @@
 
 use http::StatusCode;
 use log::info;
-use smallvec::SmallVec;
 
 use super::Admission;
 use super::Dialect;
+use super::attempts::Attempts;
 use super::dispatcher::Dispatcher;
 use super::forward_request::ForwardRequest;
 use super::grant::Grant;
 use super::memory_budget::MemoryBudget;
-use super::peer_forwarder::PeerForwardResult;
 use super::peer_forwarder::PeerForwarder;
 use super::reply::LocalReply;
 use super::reply::Reply;
@@ -46,13 +45,6 @@
 /// no work was done, other servers may have free slots, and the caller's latency target still
 /// applies.
 const REFUSED_RETRY_MS: u64 = 20;
-/// Longest wait for a check of the paths to the servers.
-const REACH_CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// A check is not repeated for a request within this time, in microseconds: if no instance reaches
-/// the servers, requests are refused at once.
-const REACH_FRESH_US: u64 = 1_500_000;
-/// Retry delay, in milliseconds, if no instance with a path to the servers takes the request.
-const NO_PEER_RETRY_MS: u64 = 200;
 /// Retry delay, in milliseconds, if no slot became free before the deadline.
 const QUEUE_TIMEOUT_RETRY_MS: u64 = 150;
 
@@ -68,23 +60,6 @@
     pub peer_forwarder: PeerForwarder,
 }
 
-/// What has been tried for one request so far.
-#[derive(Debug, Default)]
-struct Attempts {
-    /// Servers that are not to be chosen again.
-    servers: SmallVec<[Arc<str>; 4]>,
-    /// Number of servers that the request was sent to.
-    sends: u32,
-    /// Number of servers that no connection could be opened to.
-    unreachable: u32,
-    /// Number of servers that were chosen but found unfit; see [`SendResult::Unfit`].
-    unfit: u32,
-    /// Whether an earlier attempt may have run, so that a refusal would be untrue.
-    may_have_run: bool,
-    /// Whether the request has been counted towards the retry budget.
-    counted: bool,
-}
-
 impl<D: Dialect> Forwarder<D> {
     /// Forwards a request and returns the final reply.
     pub async fn forward(&self, request: &ForwardRequest) -> Reply {
@@ -123,52 +98,6 @@
         }
     }
 
-    /// Whether a request that no server here can take may still be forwarded, since the paths to the
-    /// servers turn out to be lost.
-    async fn turns_out_lost(&self, request: &ForwardRequest) -> bool {
-        let reach = self.dispatcher.reach();
-        let timeout = REACH_CHECK_TIMEOUT.min(Duration::from_millis(request.remaining_ms()));
-        request.origin.may_forward()
-            && reach.check_lost(&request.service, REACH_FRESH_US, timeout).await
-    }
-
-    /// Forwards a request to an instance that reaches the servers, which this one does not.
-    async fn forward_to_peer(&self, request: &ForwardRequest, attempts: &Attempts) -> Reply {
-        let forwarder = &self.peer_forwarder;
-        let Attempts { sends, counted, .. } = *attempts;
-        match forwarder.forward(request, self.config_version(), sends, counted).await {
-            PeerForwardResult::Replied(reply) if reply.not_run() && attempts.may_have_run => {
-                LocalReply::unknown(Code::AnswerLost).into()
-            }
-            PeerForwardResult::Replied(reply) => reply,
-            PeerForwardResult::Lost(code) => LocalReply::unknown(code).into(),
-            PeerForwardResult::Declined => {
-                attempts.not_run(Code::PeerDeclined, NO_PEER_RETRY_MS).into()
-            }
-        }
-    }
-
-    /// As [`Self::acquire`]; `None` if the servers are lost while the request waits.
-    async fn acquire_or_lose(
-        &self,
-        request: &ForwardRequest,
-        attempts: &Attempts,
-    ) -> Option<Result<Grant, LocalReply>> {
-        let acquire = self.acquire(request, attempts);
-        if !request.origin.may_forward() {
-            return Some(acquire.await);
-        }
-        tokio::select! {
-            biased;
-            acquired = acquire => Some(acquired),
-            () = self.dispatcher.reach().wait_until_lost(&request.service) => None,
-        }
-    }
-
-    fn config_version(&self) -> u64 {
-        self.admission.table.load().as_ref().map_or(0, |table| table.version)
-    }
-
     /// Logs the end of a request.
     pub(super) fn log_request(&self, request: &ForwardRequest, reply: &Reply) {
         let took = Duration::from_micros(now_us().saturating_sub(request.arrived_us));
@@ -186,7 +115,7 @@
     }
 
     /// Waits for a slot, or returns the reply that none is available.
-    async fn acquire(
+    pub(super) async fn acquire(
         &self,
         request: &ForwardRequest,
         attempts: &Attempts,
@@ -421,26 +350,6 @@
     }
 }
 
-impl Attempts {
-    /// The attempts made before the request arrived here.
-    fn of(request: &ForwardRequest) -> Self {
-        let origin = request.origin;
-        let (sends, counted) = (origin.earlier_sends(), origin.is_counted());
-        Self { sends, counted, ..Self::default() }
-    }
-
-    /// Returns a reply of this instance, or an unknown outcome if an earlier attempt may have run.
-    fn rejected(&self, reply: LocalReply) -> LocalReply {
-        if self.may_have_run { LocalReply::unknown(Code::AnswerLost) } else { reply }
-    }
-
-    /// A refusal, or an unknown outcome if an earlier attempt may have run: that the latest attempt
-    /// did not run says nothing about the earlier one.
-    fn not_run(&self, code: Code, retry_after_ms: u64) -> LocalReply {
-        self.rejected(LocalReply::not_run(code, retry_after_ms))
-    }
-}
-
 /// Whether a result is final, so that the other attempt can be cancelled.
 fn is_conclusive(result: &SendResult) -> bool {
     match result {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,12 +6,14 @@
 
 mod address_claims;
 mod admission;
+mod attempts;
 mod caller;
 mod caller_handler;
 mod dialect;
 mod dispatcher;
 mod dispatcher_notices;
 mod dispatcher_peers;
+mod dispatcher_reach;
 mod dispatcher_servers;
 mod dispatcher_shares;
 mod dispatcher_zones;
@@ -21,6 +23,7 @@
 mod follower_start;
 mod forward_request;
 mod forwarder;
+mod forwarder_peers;
 mod framing;
 mod grant;
 mod health_check;
--- a/src/gateway/server_checker.rs
+++ b/src/gateway/server_checker.rs
@@ -88,12 +88,8 @@
             checks.spawn(self.clone().check_server(Arc::clone(server), Arc::clone(&path)));
         }
         let mut result = CheckResult::default();
-        while let Some(reached) = checks.join_next().await {
-            match reached {
-                Ok(Some(true)) => result.reached += 1,
-                Ok(Some(false)) => result.failed += 1,
-                _ => {}
-            }
+        while let Some(checked) = checks.join_next().await {
+            result.record(checked.unwrap_or(Some(false)));
         }
         result
     }
--- a/src/measure/server_checker.rs
+++ b/src/measure/server_checker.rs
@@ -59,11 +59,7 @@
         }
         let mut result = CheckResult::default();
         while let Some(checked) = checks.join_next().await {
-            match checked {
-                Ok(Some(true)) => result.reached += 1,
-                Ok(Some(false)) => result.failed += 1,
-                _ => {}
-            }
+            result.record(checked.unwrap_or(Some(false)));
         }
         result
     }
--- a/src/reach/check_result.rs
+++ b/src/reach/check_result.rs
@@ -11,6 +11,15 @@
 }
 
 impl CheckResult {
+    /// Counts a check; `None` is one that could not be made.
+    pub const fn record(&mut self, reached: Option<bool>) {
+        match reached {
+            Some(true) => self.reached += 1,
+            Some(false) => self.failed += 1,
+            None => {}
+        }
+    }
+
     /// Whether a good part of the servers can be reached.
     #[must_use]
     pub const fn is_reached(self) -> bool {
--- a/src/reach/mod.rs
+++ b/src/reach/mod.rs
@@ -13,6 +13,8 @@
 mod return_hold;
 mod server_checker;
 mod server_reach;
+mod service_verdict;
+mod survey;
 
 pub use check_result::CheckResult;
 pub use reach_answerer::ReachAnswerer;
--- a/src/reach/reach_monitor.rs
+++ b/src/reach/reach_monitor.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use log::info;
-use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 
 use super::CheckResult;
@@ -13,14 +12,14 @@
 use super::ServerChecker;
 use super::ServerReach;
 use super::reach_tracker::DOUBT_DELAY_US;
+use super::service_verdict::CONFIRMED_US;
+use super::service_verdict::ServiceVerdict;
+use super::survey::ask;
 use crate::board::Blackboard;
 use crate::clock::now_ms;
 use crate::clock::now_us;
-use crate::member::MemberRow;
 use crate::member::announce;
 use crate::peer::PeerClient;
-use crate::peer::PeerReply;
-use crate::peer::PeerRequest;
 
 /// Interval of checks while any service is lost or in doubt.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
@@ -37,49 +36,8 @@
 const SERVERS_CHECKED_ON_HINT: usize = 2;
 /// Interval at which the other members of the zone are looked at.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Instances that are asked in one round whether they reach the servers.
-const ASKED_PER_ROUND: usize = 6;
-/// The first of these, which have requests and so need no checks to answer.
-const ASKED_FIRST: usize = 2;
-/// Timeout of such a question. The other instance may have to check the servers first.
-const ASK_TIMEOUT: Duration = Duration::from_millis(300);
-/// How long another instance's word that it reaches the servers counts. After that, the servers may
-/// have failed for all.
-const CONFIRMED_US: u64 = 2_000_000;
 /// Servers that responded within this time need no check, in microseconds.
 const FRESH_US: u64 = 2_000_000;
-/// Successful rounds in a row after which a service is no longer lost.
-const ROUNDS_TO_RECOVER: u32 = 2;
-
-/// What the monitor knows about one service.
-#[derive(Clone, Copy, Debug, Default)]
-struct ServiceVerdict {
-    lost: bool,
-    /// Rounds in a row in which the servers were reached.
-    rounds_reached: u32,
-    /// When another instance last said that it reaches the servers.
-    confirmed_at_us: Option<u64>,
-}
-
-impl ServiceVerdict {
-    fn is_confirmed(&self, now_us: u64) -> bool {
-        self.confirmed_at_us.is_some_and(|at_us| now_us.saturating_sub(at_us) <= CONFIRMED_US)
-    }
-
-    /// Applies the result of a round of checks that began at `began_us`. A word from before that
-    /// counts only for a service that is lost already: the servers may have failed for all since.
-    fn update(&mut self, result: CheckResult, began_us: u64, now_us: u64) {
-        if result.is_lost() {
-            self.rounds_reached = 0;
-            let confirmed_now = self.confirmed_at_us.is_some_and(|at_us| at_us >= began_us);
-            self.lost = confirmed_now || (self.lost && self.is_confirmed(now_us));
-        } else if result.reached > 0 {
-            self.rounds_reached += 1;
-            self.lost &= self.rounds_reached < ROUNDS_TO_RECOVER;
-        }
-    }
-}
-
 /// Checks servers when they are in doubt or lost, and keeps [`ServerReach`] and the row of this
 /// instance up to date.
 #[derive(Debug)]
@@ -318,80 +276,3 @@
     }
     Some(results)
 }
-
-/// Instances to ask: first one of each zone that others are sent to, which knows without a check,
-/// then any.
-fn choose_asked(board: &Blackboard) -> Vec<Arc<MemberRow>> {
-    let view = board.members_view();
-    let may_help =
-        |row: &&Arc<MemberRow>| row.incarnation != board.incarnation && row.reaches_servers;
-    let first = view.zones().filter_map(|zone| view.ranked(zone).iter().find(may_help));
-    let mut asked: Vec<Arc<MemberRow>> = first.cloned().collect();
-    let mut rng = rand::rng();
-    asked.shuffle(&mut rng);
-    asked.truncate(ASKED_FIRST);
-    let at = rand::RngExt::random(&mut rng);
-    let others = view.ring_from(at).filter(may_help);
-    for row in others.take(2 * ASKED_PER_ROUND) {
-        if asked.len() < ASKED_PER_ROUND
-            && !asked.iter().any(|other| other.incarnation == row.incarnation)
-        {
-            asked.push(Arc::clone(row));
-        }
-    }
-    asked
-}
-
-/// Asks a few instances about these services; returns those whose servers any of them reaches.
-///
-/// If all services are `known` to be lost, the others are only asked if the first do not reach them.
-async fn ask<L: PeerClient>(
-    board: &Blackboard,
-    links: &L,
-    services: &[Arc<str>],
-    known: bool,
-) -> Vec<Arc<str>> {
-    if services.is_empty() {
-        return Vec::new();
-    }
-    let asked = choose_asked(board);
-    if !known {
-        return ask_all(links, &asked, services).await;
-    }
-    let (first, others) = asked.split_at(ASKED_FIRST.min(asked.len()));
-    let reached = ask_all(links, first, services).await;
-    if reached.len() == services.len() {
-        return reached;
-    }
-    ask_all(links, others, services).await
-}
-
-/// Asks all of these instances at the same time.
-async fn ask_all<L: PeerClient>(
-    links: &L,
-    asked: &[Arc<MemberRow>],
-    services: &[Arc<str>],
-) -> Vec<Arc<str>> {
-    let names: Vec<String> = services.iter().map(ToString::to_string).collect();
-    let mut calls = JoinSet::new();
-    for row in asked {
-        let (links, services, address) = (links.clone(), names.clone(), row.peer_address);
-        calls.spawn(async move {
-            let request = PeerRequest::ReachesServers { services };
-            links.call(address, &request, ASK_TIMEOUT).await
-        });
-    }
-    let mut reached = vec![false; services.len()];
-    while let Some(reply) = calls.join_next().await {
-        if let Ok(Ok(PeerReply::ReachesServers(theirs))) = reply {
-            for (reached, theirs) in reached.iter_mut().zip(theirs) {
-                *reached |= theirs;
-            }
-        }
-        if reached.iter().all(|reached| *reached) {
-            break;
-        }
-    }
-    let with_word = services.iter().zip(reached).filter(|(_, reached)| *reached);
-    with_word.map(|(service, _)| Arc::clone(service)).collect()
-}
