--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -17,7 +17,7 @@
     pub(super) sends: u32,
     /// Number of servers that no connection could be opened to.
     pub(super) unreachable: u32,
-    /// Number of servers that were chosen but found unfit; see [`SendResult::Unfit`].
+    /// Number of servers that were chosen but found unfit; see [`super::send::SendResult::Unfit`].
     pub(super) unfit: u32,
     /// Whether an earlier attempt may have run, so that a refusal would be untrue.
     pub(super) may_have_run: bool,
--- a/tests/server_partition.rs
+++ b/tests/server_partition.rs
@@ -36,6 +36,11 @@
 
 impl Bed {
     async fn start() -> Self {
+        Self::start_within(START_MAX).await
+    }
+
+    /// Starts a fleet each of whose instances serves within a time.
+    async fn start_within(start_max: Duration) -> Self {
         let fleet = GatewayFleet::start(&ZONES).await;
         let (mut parts, mut orders) = (Vec::new(), Vec::new());
         for number in 0..SERVERS_PER_SERVICE {
@@ -51,17 +56,17 @@
         fleet.wait_until_ready().await;
         let bed = Self { fleet, parts, orders };
         for at in 0..ZONES.len() {
-            bed.until_served(at).await;
+            bed.until_served(at, start_max).await;
         }
         bed
     }
 
-    async fn until_served(&self, at: usize) {
+    async fn until_served(&self, at: usize, start_max: Duration) {
         let since = Instant::now();
         while self.call(at, "GET /look/a", "warm").await != 200
             || self.call(at, "POST /order/a", "warm").await != 200
         {
-            assert!(since.elapsed() < START_MAX, "instance {at} does not serve");
+            assert!(since.elapsed() < start_max, "instance {at} does not serve");
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
@@ -169,7 +174,7 @@
     }
     assert_eq!(bed.forwarded(), 0);
     tokio::time::sleep(CONTACT / 2).await;
-    bed.until_served(0).await;
+    bed.until_served(0, START_MAX).await;
 }
 
 /// Guards against giving up a home that has lost one service only, and against refusing the
@@ -284,3 +289,9 @@
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Guards against instances of a new fleet that refuse requests long after they are ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn instances_of_a_new_fleet_serve_soon_after_their_start() {
+    Bed::start_within(CONTACT).await;
+}
