--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -11,7 +11,6 @@
 use super::daemon::bind_listener;
 use super::daemon::record_bound_address;
 use super::gateway_peer_service::GatewayPeerService;
-use crate::balance::RetryAllowance;
 use crate::board::Blackboard;
 use crate::board::EventKind;
 use crate::board::Phase;
@@ -57,6 +56,7 @@
 use crate::quota::Quotas;
 use crate::reach::ReachAnswerer;
 use crate::reach::ReachMonitor;
+use crate::retry::RetryAllowance;
 use crate::status::StatusListener;
 use crate::store::EventStore;
 
@@ -345,7 +345,8 @@
             reach_answerer,
         };
         let spent_time = Arc::new(SpentTimeEstimator::default());
-        let callers = CallerHandler { forwarder, body_memory, spent_time, quota_limiter };
+        let refused = Arc::default();
+        let callers = CallerHandler { forwarder, body_memory, spent_time, refused, quota_limiter };
         let readiness =
             ReadinessHandler { dialect: dialect.clone(), board: Arc::clone(&board), table };
         let addresses = AddressHandler { dialect, board: Arc::clone(&board), admission };
--- a/src/balance/mod.rs
+++ b/src/balance/mod.rs
@@ -3,7 +3,6 @@
 mod available_server;
 mod concurrency_limit;
 mod request_spec;
-mod retry_budget;
 mod send_outcome;
 mod server_exclusion;
 mod server_health;
@@ -18,9 +17,6 @@
 pub use request_spec::Refusal;
 pub use request_spec::RequestSpec;
 pub use request_spec::ServerChoice;
-pub use retry_budget::RetryAllowance;
-pub use retry_budget::RetryBudget;
-pub use retry_budget::RetryNeed;
 pub use send_outcome::SendOutcome;
 pub use server_exclusion::ServerExclusion;
 pub use server_health::ServerHealth;
--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -5,7 +5,6 @@
 
 use super::ConcurrencyLimit;
 use super::RequestSpec;
-use super::RetryBudget;
 use super::SendOutcome;
 use super::ServerChoice;
 use super::ServerSubset;
@@ -17,6 +16,7 @@
 use crate::model::ServerRow;
 use crate::model::ServerState;
 use crate::peer::zone_hash;
+use crate::retry::RetryBudget;
 use crate::starts::HomeSet;
 
 /// Added cost of a server in another zone: traffic between zones costs money, and the route is
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -7,13 +7,16 @@
 use arc_swap::Guard;
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
 use http_body::Body;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use log::info;
+use parking_lot::Mutex;
 use rand::RngExt;
 
 use super::Caller;
@@ -42,6 +45,9 @@
 use crate::listener::Handler;
 use crate::peer::Links;
 use crate::quarantine::Fingerprints;
+use crate::retry::EarlierAttempt;
+use crate::retry::RefusedRequests;
+use crate::retry::RequestHash;
 
 /// Retry delay, in milliseconds, while request bodies fill the memory reserved for them.
 const BODY_MEMORY_RETRY_MS: u64 = 500;
@@ -56,6 +62,8 @@
     /// Memory for request bodies.
     pub body_memory: Arc<MemoryBudget>,
     pub spent_time: Arc<SpentTimeEstimator>,
+    /// Refused requests whose callers may come back.
+    pub refused: Arc<Mutex<RefusedRequests>>,
     pub quota_limiter: QuotaLimiter<Links>,
 }
 
@@ -91,6 +99,7 @@
         &self,
         request: Request<Incoming>,
         arrived_us: u64,
+        earlier: Option<EarlierAttempt>,
         reservation: &mut MemoryReservation,
     ) -> Result<ForwardRequest, LocalReply> {
         let (parts, incoming) = request.into_parts();
@@ -101,9 +110,12 @@
             parts.headers.get(&names.timeout_ms).and_then(|value| value.to_str().ok());
         let caller_timeout_ms = timeout_text.and_then(|text| text.trim().parse::<u64>().ok());
         let timeout_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-        let spent_before_us = caller_timeout_ms.map_or(0, |caller_timeout_ms| {
+        let estimated_us = caller_timeout_ms.map_or(0, |caller_timeout_ms| {
             self.spent_time.spent_ms(&route.name, caller_timeout_ms)
         }) * 1000;
+        let known_us =
+            earlier.map_or(0, |earlier| arrived_us.saturating_sub(earlier.first_arrived_us));
+        let spent_before_us = estimated_us.max(known_us);
         let deadline_us = arrived_us + timeout_ms * 1000;
         let remaining = Duration::from_micros(deadline_us.saturating_sub(now_us()));
         let body_bytes_max = self.current_limits().body_bytes_max;
@@ -131,17 +143,40 @@
             health_path: self.health_path(&service),
             service,
             arrived_us,
+            earlier,
             spent_before_us,
             deadline_us,
         })
     }
 
+    /// Remembers a request that its caller may retry.
+    fn record_refusal(
+        &self,
+        hash: RequestHash,
+        arrived_us: u64,
+        earlier: Option<EarlierAttempt>,
+        reply: &Reply,
+    ) {
+        if !reply.not_run() || reply.retry_after_ms.is_none() {
+            return;
+        }
+        let attempt = EarlierAttempt {
+            first_arrived_us: earlier.map_or(arrived_us, |earlier| earlier.first_arrived_us),
+            refused_us: now_us(),
+            refusals: earlier.map_or(0, |earlier| earlier.refusals) + 1,
+        };
+        self.refused.lock().record(hash, attempt);
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Reply {
         let arrived_us = now_us();
         let names = self.forwarder.dialect.header_names();
         let id = request.headers().get(&names.request_id).cloned();
+        let hash = request_hash(&request);
+        let earlier = self.refused.lock().take(hash, arrived_us);
         let mut reservation = self.body_memory.reservation();
-        let mut reply = match self.read_request(request, arrived_us, &mut reservation).await {
+        let read = self.read_request(request, arrived_us, earlier, &mut reservation).await;
+        let mut reply = match read {
             Ok(request) => {
                 let reply = self.forwarder.forward(&request).await;
                 if reply.not_run() {
@@ -160,6 +195,7 @@
                 rejection.into()
             }
         };
+        self.record_refusal(hash, arrived_us, earlier, &reply);
         if reply.code != Code::Ok
             && let Some(id) = id
         {
@@ -180,8 +216,19 @@
 }
 
 fn request_host(parts: &http::request::Parts) -> &str {
-    let header = parts.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-    parts.uri.host().or(header).unwrap_or("")
+    host(&parts.uri, &parts.headers)
+}
+
+fn host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let header = headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    uri.host().or(header).unwrap_or("")
+}
+
+fn request_hash(request: &Request<Incoming>) -> RequestHash {
+    let caller = CallerAddress::of(request.extensions());
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    let host = host(request.uri(), request.headers());
+    RequestHash::of(caller, host, request.method().as_str(), target)
 }
 
 /// The path and query of a request.
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -21,7 +21,6 @@
 use super::servers_in_use::ServersInUse;
 use crate::balance::Refusal;
 use crate::balance::RequestSpec;
-use crate::balance::RetryAllowance;
 use crate::balance::SendOutcome;
 use crate::balance::ServerChoice;
 use crate::balance::ServicePool;
@@ -32,6 +31,7 @@
 use crate::model::ServerRow;
 use crate::reach::ReachEvidence;
 use crate::reach::ServerReach;
+use crate::retry::RetryAllowance;
 use crate::starts::HomeSet;
 
 /// Interval at which the queues, while not empty, are checked for expired requests and for servers
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -8,11 +8,11 @@
 use super::ServiceConfig;
 use super::dispatcher::Dispatcher;
 use super::dispatcher::DispatcherState;
-use crate::balance::RetryAllowance;
-use crate::balance::RetryNeed;
 use crate::balance::ServerSubset;
 use crate::clock::now_us;
 use crate::cold::ColdPolicy;
+use crate::retry::RetryAllowance;
+use crate::retry::RetryNeed;
 use crate::starts::HomeSet;
 
 /// This instance's share of the connections that a server accepts; at least one.
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -16,10 +16,11 @@
 use super::Route;
 use super::Server;
 use crate::balance::RequestSpec;
-use crate::balance::RetryNeed;
 use crate::clock::now_us;
 use crate::quarantine::FailedSend;
 use crate::quarantine::Fingerprints;
+use crate::retry::EarlierAttempt;
+use crate::retry::RetryNeed;
 use crate::route::is_hop_by_hop;
 
 /// A request with everything that each attempt to send it needs.
@@ -43,6 +44,8 @@
     /// Path of the service's health check.
     pub health_path: Option<String>,
     pub arrived_us: u64,
+    /// The attempt of the same caller that was refused before; `None` for a first attempt.
+    pub earlier: Option<EarlierAttempt>,
     /// Estimated time that the caller spent on earlier attempts, in microseconds.
     pub spent_before_us: u64,
     /// The caller's deadline or the end of the route's timeout, whichever comes first.
@@ -64,11 +67,15 @@
     }
 
     /// Whether the caller can still retry if this instance does not. Callers retry once, after a
-    /// refusal or if the request is idempotent; time spent on earlier attempts shows that this is
-    /// that retry.
+    /// refusal or if the request is idempotent; a remembered refusal, or time spent on earlier
+    /// attempts, shows that this is that retry.
     #[must_use]
     pub const fn retry_need(&self) -> RetryNeed {
-        if self.spent_before_us == 0 { RetryNeed::CallerCanRetry } else { RetryNeed::LastChance }
+        if self.spent_before_us == 0 && self.earlier.is_none() {
+            RetryNeed::CallerCanRetry
+        } else {
+            RetryNeed::LastChance
+        }
     }
 
     /// The request id as text, for logs.
--- a/src/gateway/peer_forward_handler.rs
+++ b/src/gateway/peer_forward_handler.rs
@@ -160,6 +160,7 @@
             service,
             health_path,
             arrived_us: now_us().saturating_sub(head.elapsed_us),
+            earlier: None,
             spent_before_us: head.spent_before_us,
             deadline_us: now_us() + head.remaining_us,
         })
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod reach;
+pub mod retry;
 pub mod route;
 pub mod starts;
 pub mod status;
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::Extensions;
 use http::Request;
 use http::Response;
 use http::request::Parts;
@@ -49,7 +50,13 @@
     /// The address of a request that came from a listener; the unspecified address for any other.
     #[must_use]
     pub fn from_parts(parts: &Parts) -> IpAddr {
-        let known = parts.extensions.get::<Self>();
+        Self::of(&parts.extensions)
+    }
+
+    /// As [`Self::from_parts`], of the extensions of a request.
+    #[must_use]
+    pub fn of(extensions: &Extensions) -> IpAddr {
+        let known = extensions.get::<Self>();
         known.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |caller| caller.0)
     }
 }
--- /dev/null
+++ b/src/retry/mod.rs
@@ -0,0 +1,13 @@
+//! Retries as a scarce good: which requests get the retries that the budget allows, and which
+//! callers have come back after a refusal; no I/O.
+
+mod refused_requests;
+mod request_hash;
+mod retry_budget;
+
+pub use refused_requests::EarlierAttempt;
+pub use refused_requests::RefusedRequests;
+pub use request_hash::RequestHash;
+pub use retry_budget::RetryAllowance;
+pub use retry_budget::RetryBudget;
+pub use retry_budget::RetryNeed;
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -15,15 +15,15 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use sorrelwick::balance::RequestSpec;
-use sorrelwick::balance::RetryAllowance;
-use sorrelwick::balance::RetryBudget;
-use sorrelwick::balance::RetryNeed;
 use sorrelwick::balance::SendOutcome;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::model::LoadReport;
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
 use sorrelwick::peer::ServerLoadRow;
+use sorrelwick::retry::RetryAllowance;
+use sorrelwick::retry::RetryBudget;
+use sorrelwick::retry::RetryNeed;
 
 mod common;
 
--- a/tests/control_cost.rs
+++ b/tests/control_cost.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use sorrelwick::balance::RequestSpec;
-use sorrelwick::balance::RetryAllowance;
 use sorrelwick::balance::ServicePool;
 use sorrelwick::board::Blackboard;
 use sorrelwick::conf::parse_settings;
@@ -20,6 +19,7 @@
 use sorrelwick::model::ServerState;
 use sorrelwick::peer::ServerLoadRow;
 use sorrelwick::peer::ServerLoads;
+use sorrelwick::retry::RetryAllowance;
 
 const RETRY_ALLOWANCE: RetryAllowance =
     RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 10.0 };
--- a/tests/evacuation.rs
+++ b/tests/evacuation.rs
@@ -7,7 +7,6 @@
 
 use arc_swap::ArcSwapOption;
 use sorrelwick::balance::RequestSpec;
-use sorrelwick::balance::RetryAllowance;
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::Mirror;
@@ -15,6 +14,7 @@
 use sorrelwick::model::ServerRow;
 use sorrelwick::model::ServerState;
 use sorrelwick::peer::FeedReply;
+use sorrelwick::retry::RetryAllowance;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
 use sorrelwick::store::Revision;
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -7,7 +7,6 @@
 
 use parking_lot::Mutex;
 use sorrelwick::balance::RequestSpec;
-use sorrelwick::balance::RetryAllowance;
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::LoadReporter;
@@ -23,6 +22,7 @@
 use sorrelwick::peer::PeerReply;
 use sorrelwick::peer::PeerRequest;
 use sorrelwick::peer::encode;
+use sorrelwick::retry::RetryAllowance;
 use standins::routed::fleet_settings;
 
 /// Servers in one home's partition of a large zone.
--- a/tests/reach_monitor.rs
+++ b/tests/reach_monitor.rs
@@ -8,7 +8,6 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use sorrelwick::balance::RetryAllowance;
 use sorrelwick::board::Blackboard;
 use sorrelwick::clock::now_ms;
 use sorrelwick::gateway::Dispatcher;
@@ -25,6 +24,7 @@
 use sorrelwick::reach::ReachTracker;
 use sorrelwick::reach::ReturnHold;
 use sorrelwick::reach::ServerChecker;
+use sorrelwick::retry::RetryAllowance;
 use sorrelwick::task::TaskGuard;
 use standins::routed::PlainDialect;
 use standins::routed::RawServer;
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -5,13 +5,13 @@
 
 use arbtest::arbitrary::Arbitrary;
 use sorrelwick::balance::RequestSpec;
-use sorrelwick::balance::RetryAllowance;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::Grant;
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::ServerSink;
 use sorrelwick::peer::ServerLoadRow;
 use sorrelwick::peer::ServerLoads;
+use sorrelwick::retry::RetryAllowance;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
 use sorrelwick::store::Revision;
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -7,7 +7,6 @@
 
 use parking_lot::Mutex;
 use smallvec::SmallVec;
-use sorrelwick::balance::RetryAllowance;
 use sorrelwick::board::Blackboard;
 use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::Follower;
@@ -22,6 +21,7 @@
 use sorrelwick::quarantine::FingerprintScope;
 use sorrelwick::quarantine::Fingerprints;
 use sorrelwick::quarantine::SuspectRecord;
+use sorrelwick::retry::RetryAllowance;
 use sorrelwick::store::EventStore;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
