--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -23,7 +23,7 @@
 
 use super::feed_source::FeedSource;
 use super::mirror::Mirror;
-use super::mirror::Sink;
+use super::mirror_sink::Sink;
 use super::proof_schedule::ProofSchedule;
 use super::relay_cooldowns::RelayCooldowns;
 use super::relays::is_watcher;
@@ -57,9 +57,6 @@
 const REFUSED_BACKOFF_MAX_MS: u64 = 1_000;
 /// Backoff after a connection that could not be opened; these attempts are free.
 const UNREACHABLE_BACKOFF_MS: u64 = 100;
-/// A mirror that was confirmed complete within this time is *fresh*, and peers may rely on it. If a
-/// peer's mirror is older, the store may be rejecting the peer while it serves this instance.
-pub const FRESH_AGE_MAX: Duration = Duration::from_millis(900);
 /// Divides the shortest time limit for a change, too. The quotient is the age of the mirror at
 /// which an instance stops waiting for peers and calls the store; the remaining time covers the
 /// call, its connection and a last poll of peers.
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -9,9 +9,9 @@
 
 use super::feed_source::FeedAnswer;
 use super::feed_source::FeedSource;
-use super::follower::FRESH_AGE_MAX;
 use super::follower::Follower;
-use super::mirror::Sink;
+use super::mirror_age::FRESH_AGE_MAX;
+use super::mirror_sink::Sink;
 use super::relays::PeerAddresses;
 use super::relays::all_readers;
 use super::relays::fallback_peers;
--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -14,7 +14,7 @@
 
 use super::feed_source::FeedSource;
 use super::follower::Follower;
-use super::mirror::Sink;
+use super::mirror_sink::Sink;
 use super::relays::PeerAddresses;
 use super::relays::fallback_peers;
 use super::relays::reader_index;
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -1,8 +1,7 @@
 //! An in-memory copy of the keys below one prefix of the platform's store, which other instances
 //! can read.
 
-use std::collections::HashMap;
-use std::collections::VecDeque;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -12,57 +11,17 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use super::follower::FRESH_AGE_MAX;
+use super::mirror_age::FRESH_AGE_MAX;
 use super::mirror_age::MirrorAge;
-use super::mirror_sample::Sample;
+use super::mirror_sink::Sink;
+use super::mirror_state::MirrorState;
 use crate::clock::boot_us;
 use crate::peer::FeedReply;
 use crate::peer::FeedResponse;
-use crate::peer::Packed;
 use crate::store::Item;
 use crate::store::ItemEvent;
 use crate::store::Revision;
 
-/// Number of events kept for peers that ask for changes; a peer that missed more gets all keys.
-const RECENT_EVENTS_MAX: usize = 256;
-/// Number of starting revisions for which the reply is cached; nearly all peers ask from the last
-/// one or two.
-const CACHED_REPLIES_MAX: usize = 8;
-
-/// Receives the changes of a mirror.
-pub trait Sink: Send + 'static {
-    /// Removes from an item what must not be kept or passed on. Called once for each item read from
-    /// the store.
-    fn redact(&self, _item: &mut Item) {}
-
-    /// Called when a key was written.
-    fn written(&mut self, item: &Item);
-
-    /// Called when a key was removed. If `grace` is not zero, the key may be missing only because
-    /// its writer's lease expired during a store outage; the writer then restores it within that
-    /// time.
-    fn removed(&mut self, key: &str, grace: Duration);
-
-    /// Whether an item of a restored store is an older state than the one applied before. The mirror
-    /// then keeps the known value for its peers until the writer repeats it.
-    fn is_outdated(&self, _item: &Item) -> bool {
-        false
-    }
-
-    /// Keys of a sample that suffices for instances of this zone that rarely serve requests.
-    fn sample_keys(&self, _zone: u64) -> Vec<String> {
-        Vec::new()
-    }
-
-    /// Called before the changes of one batch; [`Sink::end_batch`] follows them. `restored` tells
-    /// that the batch is the content of a store that came back from an earlier copy: each item may
-    /// be older than what was known before.
-    fn begin_batch(&mut self, _restored: bool) {}
-
-    /// Called after all changes of a batch, which ends at `revision`.
-    fn end_batch(&mut self, _revision: Revision) {}
-}
-
 /// The keys below one prefix, as last read from the store or a peer. It passes each change to its
 /// sink once, and never an older one after a newer one.
 #[derive(Debug)]
@@ -90,33 +49,6 @@
     }
 }
 
-/// The content of a mirror.
-#[derive(Debug)]
-pub(super) struct MirrorState<K> {
-    pub(super) sink: K,
-    pub(super) items: HashMap<String, Item>,
-    /// The events after `recent_after`, in order.
-    recent: VecDeque<ItemEvent>,
-    /// Revision after which `recent` is complete.
-    recent_after: Revision,
-    /// Revision up to which the mirror is complete; `None` before the first load.
-    pub(super) revision: Option<Revision>,
-    /// Whether the mirror follows all keys, not just a sample.
-    pub(super) full: bool,
-    /// The samples that are served, by zone hash.
-    pub(super) samples: HashMap<u64, Sample>,
-    /// Replies cached since the last change; valid only at `revision`.
-    reply_cache: ReplyCache,
-}
-
-/// Replies at one revision, shared by all peers that ask for the same.
-#[derive(Debug, Default)]
-struct ReplyCache {
-    /// By the revision that the peer already has.
-    events: HashMap<Revision, Packed<Vec<ItemEvent>>>,
-    all_items: Option<Packed<Vec<Item>>>,
-}
-
 impl<K: Sink> Mirror<K> {
     /// Creates an empty mirror.
     pub fn new(sink: K) -> Self {
@@ -125,20 +57,9 @@
 
     /// Creates an empty mirror that records its age in `age`.
     pub fn with_age(sink: K, age: Arc<MirrorAge>) -> Self {
-        let state = MirrorState {
-            sink,
-            items: HashMap::new(),
-            recent: VecDeque::new(),
-            recent_after: Revision::default(),
-            revision: None,
-            full: true,
-            samples: HashMap::new(),
-            reply_cache: ReplyCache::default(),
-        };
-        let revision = watch::Sender::new(None);
         Self {
-            state: Mutex::new(state),
-            revision,
+            state: Mutex::new(MirrorState::new(sink)),
+            revision: watch::Sender::new(None),
             sample_revision: watch::Sender::new(Revision::default()),
             age,
             active_watches: AtomicU32::new(0),
@@ -160,13 +81,7 @@
     /// Discards the revision, so that the next load replaces the content, and switches between all
     /// keys (`full`) and a sample. A sample is not served to other instances.
     pub fn reset(&self, full: bool) {
-        let mut state = self.state.lock();
-        state.full = full;
-        state.recent.clear();
-        state.revision = None;
-        state.reply_cache = ReplyCache::default();
-        state.samples.clear();
-        drop(state);
+        self.state.lock().reset(full);
         self.revision.send_replace(None);
     }
 
@@ -280,8 +195,7 @@
                 state.written(item);
             }
         }
-        let read: std::collections::HashSet<&str> =
-            items.iter().map(|item| item.key.as_str()).collect();
+        let read: HashSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         let missing = state
             .items
             .values()
@@ -292,10 +206,8 @@
         }
         state.sink.end_batch(read_at);
         state.advance_to(read_at);
-        // The events up to this revision were not seen individually. If this read is older than the
-        // mirror, the events since then must not be lost either, so peers get all keys.
-        state.recent.clear();
-        state.recent_after = state.revision.unwrap_or_default();
+        // If this read is older than the mirror, the events since then must not be lost either.
+        state.forget_recent();
         drop(state);
         self.notify_waiters(read_at);
     }
@@ -349,95 +261,3 @@
     items.sort_unstable_by_key(|item| item.revision);
     items
 }
-
-impl<K: Sink> MirrorState<K> {
-    /// Advances the revision up to which the mirror is complete, and drops cached replies.
-    fn advance_to(&mut self, upto: Revision) {
-        self.revision = Some(self.revision.unwrap_or_default().max(upto));
-        self.reply_cache = ReplyCache::default();
-    }
-
-    /// Appends an event to the recent ones, dropping the oldest when they are too many.
-    fn push_recent(&mut self, event: ItemEvent) {
-        if self.recent.len() == RECENT_EVENTS_MAX
-            && let Some(dropped) = self.recent.pop_front()
-        {
-            self.recent_after = self.recent_after.max(dropped.revision());
-        }
-        self.recent.push_back(event);
-    }
-
-    /// Whether the mirror already includes the change at `revision`. Without this check, a late
-    /// answer would restore what was removed since.
-    fn covers(&self, revision: Revision) -> bool {
-        self.revision.is_some_and(|complete| revision <= complete)
-    }
-
-    /// Applies a write unless the mirror has it or a newer one.
-    fn written(&mut self, item: &Item) {
-        let newer = self.items.get(&item.key).is_none_or(|known| known.revision < item.revision);
-        if self.covers(item.revision) || !newer {
-            return;
-        }
-        let before = self.items.insert(item.key.clone(), item.clone());
-        self.push_recent(ItemEvent::Written(item.clone()));
-        // The sink has the value already if only a provisional item is confirmed.
-        let confirms =
-            |before: Item| before.revision == Revision::default() && before.value == item.value;
-        if !before.is_some_and(confirms) {
-            self.sink.written(item);
-        }
-    }
-
-    /// Keeps the known value of a key that a restored store has in an older state.
-    fn keep_known(&mut self, item: &Item) {
-        match self.items.get_mut(&item.key) {
-            Some(known) => known.revision = item.revision,
-            None => self.written(item),
-        }
-    }
-
-    /// Applies a removal unless the mirror has it or a newer write.
-    fn removed(&mut self, key: &str, revision: Revision, grace: Duration) {
-        let older = self.items.get(key).is_some_and(|known| known.revision <= revision);
-        if self.covers(revision) || !older {
-            return;
-        }
-        self.items.remove(key);
-        self.push_recent(ItemEvent::Removed { key: key.to_owned(), revision });
-        self.sink.removed(key, grace);
-    }
-
-    /// The events after `after` if they are still kept, otherwise all items.
-    fn changes_since(&mut self, after: Option<Revision>) -> FeedReply {
-        let Some(revision) = self.revision.filter(|_| self.full) else {
-            return FeedReply::Unknown;
-        };
-        match after {
-            Some(after) if after >= self.recent_after => {
-                FeedReply::Events { events: self.events_after(after), revision }
-            }
-            _ => FeedReply::Snapshot { items: self.all_items(), revision },
-        }
-    }
-
-    fn events_after(&mut self, after: Revision) -> Packed<Vec<ItemEvent>> {
-        if let Some(known) = self.reply_cache.events.get(&after) {
-            return known.clone();
-        }
-        let newer = self.recent.iter().filter(|event| event.revision() > after);
-        let events: Packed<Vec<ItemEvent>> = newer.cloned().collect::<Vec<_>>().into();
-        // A request that timed out without changes gets an empty list, mostly at a revision of its
-        // own; caching those would waste the few entries.
-        if !events.is_empty() && self.reply_cache.events.len() < CACHED_REPLIES_MAX {
-            self.reply_cache.events.insert(after, events.clone());
-        }
-        events
-    }
-
-    fn all_items(&mut self) -> Packed<Vec<Item>> {
-        let items = &self.items;
-        let all = || items.values().cloned().collect::<Vec<_>>().into();
-        self.reply_cache.all_items.get_or_insert_with(all).clone()
-    }
-}
--- a/src/gateway/mirror_age.rs
+++ b/src/gateway/mirror_age.rs
@@ -8,6 +8,10 @@
 use crate::clock::boot_us;
 use crate::clock::now_us;
 
+/// A mirror that was confirmed complete within this time is *fresh*, and peers may rely on it. If a
+/// peer's mirror is older, the store may be rejecting the peer while it serves this instance.
+pub(super) const FRESH_AGE_MAX: Duration = Duration::from_millis(900);
+
 /// The age of one mirror. *Confirmed* means that no known change was missing, as judged by this
 /// instance or the peer that it synced from; *proved* means that the store itself was asked at or
 /// after that time.
--- a/src/gateway/mirror_sample.rs
+++ b/src/gateway/mirror_sample.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use super::follower::FRESH_AGE_MAX;
 use super::mirror::Mirror;
-use super::mirror::MirrorState;
-use super::mirror::Sink;
+use super::mirror_age::FRESH_AGE_MAX;
+use super::mirror_sink::Sink;
+use super::mirror_state::MirrorState;
 use crate::clock::boot_us;
 use crate::peer::FeedReply;
 use crate::peer::FeedResponse;
--- a/src/gateway/proof_schedule.rs
+++ b/src/gateway/proof_schedule.rs
@@ -13,7 +13,7 @@
 
 use super::feed_source::FeedSource;
 use super::follower::Follower;
-use super::mirror::Sink;
+use super::mirror_sink::Sink;
 use super::relays::watcher_index;
 use crate::clock::boot_us;
 use crate::store::EventStore;
--- a/src/gateway/store_check.rs
+++ b/src/gateway/store_check.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::mirror::Mirror;
-use super::mirror::Sink;
+use super::mirror_sink::Sink;
 use super::relays::is_watcher;
 use crate::board::Blackboard;
 use crate::clock::now_us;
