--- a/src/gateway/server_checker.rs
+++ b/src/gateway/server_checker.rs
@@ -87,10 +87,6 @@
         for server in servers.sample(&mut rand::rng(), servers_max) {
             checks.spawn(self.clone().check_server(Arc::clone(server), Arc::clone(&path)));
         }
-        let mut result = CheckResult::default();
-        while let Some(checked) = checks.join_next().await {
-            result.record(checked.unwrap_or(Some(false)));
-        }
-        result
+        CheckResult::collect(checks).await
     }
 }
--- a/src/measure/server_checker.rs
+++ b/src/measure/server_checker.rs
@@ -57,10 +57,6 @@
             let upstream = Arc::clone(&server.upstream);
             checks.spawn(self.clone().check_server(Arc::clone(&state), upstream));
         }
-        let mut result = CheckResult::default();
-        while let Some(checked) = checks.join_next().await {
-            result.record(checked.unwrap_or(Some(false)));
-        }
-        result
+        CheckResult::collect(checks).await
     }
 }
--- a/src/reach/check_result.rs
+++ b/src/reach/check_result.rs
@@ -1,5 +1,7 @@
 //! The result of checks of some servers of one service.
 
+use tokio::task::JoinSet;
+
 /// Failed checks for each successful one from which on the servers count as lost.
 const LOST_RATIO: usize = 3;
 
@@ -11,6 +13,15 @@
 }
 
 impl CheckResult {
+    /// Waits for all checks and counts them; one that panicked has failed.
+    pub async fn collect(mut checks: JoinSet<Option<bool>>) -> Self {
+        let mut result = Self::default();
+        while let Some(checked) = checks.join_next().await {
+            result.record(checked.unwrap_or(Some(false)));
+        }
+        result
+    }
+
     /// Counts a check; `None` is one that could not be made.
     pub const fn record(&mut self, reached: Option<bool>) {
         match reached {
