--- a/src/reach/check_result.rs
+++ b/src/reach/check_result.rs
@@ -23,7 +23,7 @@
     }
 
     /// Counts a check; `None` is one that could not be made.
-    pub const fn record(&mut self, reached: Option<bool>) {
+    const fn record(&mut self, reached: Option<bool>) {
         match reached {
             Some(true) => self.reached += 1,
             Some(false) => self.failed += 1,
