Retries are given by rank while the budget is short

Cause: first attempts had a quarter of the retry budget and the rest waited for last attempts, many of which were not recognized or never came; priority played no part.

Change: RetryRank orders what asks for a retry: last attempts of callers, callers that can come back, hedges; within these by priority, then by the latency target. RetryBudget::try_spend keeps for the ranks before what they are expected to ask for up to each moment of a window, less what is free again by then; expected from asks seen, refusals of first attempts, the share of callers that come back (RefusedRequests) and of requests rejected now. A denial says why, in one line (retry-denied) and a counter. Hedges get what no rank before them is expected to need, and half of the budget at most.

tests/balance.rs is adapted to the signature only.

--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -29,6 +29,7 @@
     Attempts = "attempts", "Attempts on backend servers.";
     Retries = "retries", "Attempts after a first one that failed.";
     Hedges = "hedges", "Second attempts beside a slow first one.";
+    RetriesDenied = "retries_denied", "Retries and hedges that the retry budget did not allow.";
     Queued = "queued", "Requests that waited for a slot.";
     Spilled = "spilled", "Requests passed to a co-home that had slots free.";
     Passed = "passed", "Requests passed to another instance, answered.";
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -165,7 +165,9 @@
             refused_us: now_us(),
             refusals: earlier.map_or(0, |earlier| earlier.refusals) + 1,
         };
-        self.refused.lock().record(hash, attempt);
+        let mut refused = self.refused.lock();
+        refused.record(hash, attempt);
+        self.forwarder.dispatcher.set_return_share(refused.return_share());
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Reply {
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -85,6 +85,8 @@
     pub(super) retry_allowance: RetryAllowance,
     /// Number of homes among which the slack of the retry budget is divided.
     pub(super) budget_sharers: Arc<AtomicUsize>,
+    /// Part of the refused callers that come back, as bits of a float.
+    pub(super) return_share: Arc<AtomicU64>,
     /// Ticket of the next request, by which pools identify it.
     next_ticket: Arc<AtomicU64>,
     pub(super) state: Arc<Mutex<DispatcherState>>,
@@ -127,6 +129,7 @@
             zone: zone.into(),
             retry_allowance,
             budget_sharers: Arc::new(AtomicUsize::new(1)),
+            return_share: Arc::new(AtomicU64::new(1.0_f64.to_bits())),
             next_ticket: Arc::default(),
             state: Arc::default(),
             reach: Arc::default(),
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -12,7 +12,8 @@
 use crate::clock::now_us;
 use crate::cold::ColdPolicy;
 use crate::retry::RetryAllowance;
-use crate::retry::RetryNeed;
+use crate::retry::RetryDenial;
+use crate::retry::RetryRank;
 use crate::starts::HomeSet;
 
 /// This instance's share of the connections that a server accepts; at least one.
@@ -124,12 +125,21 @@
         servers.map(|tracked| tracked.row.slots).sum()
     }
 
-    /// Takes one retry from the budget of a service; `false` if none is left.
-    #[must_use]
-    pub fn spend_retry(&self, service: &str, need: RetryNeed) -> bool {
+    /// Sets which part of the refused callers come back.
+    pub fn set_return_share(&self, share: f64) {
+        self.return_share.store(share.to_bits(), Ordering::Release);
+    }
+
+    /// Takes one retry from the budget of a service.
+    ///
+    /// # Errors
+    /// If none is left for requests of this rank.
+    pub fn spend_retry(&self, service: &Arc<str>, rank: RetryRank) -> Result<(), RetryDenial> {
         let mut state = self.state.lock();
         let allowance = self.own_retry_allowance();
-        let pool = state.pools.get_mut(service);
-        pool.is_some_and(|pool| pool.retry_budget.try_spend(&allowance, need, now_us()))
+        let pool = state.pools.entry(Arc::clone(service)).or_default();
+        pool.retry_budget
+            .set_return_share(f64::from_bits(self.return_share.load(Ordering::Acquire)));
+        pool.retry_budget.try_spend(&allowance, rank, now_us())
     }
 }
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -20,7 +20,7 @@
 use crate::quarantine::FailedSend;
 use crate::quarantine::Fingerprints;
 use crate::retry::EarlierAttempt;
-use crate::retry::RetryNeed;
+use crate::retry::RetryClass;
 use crate::route::is_hop_by_hop;
 
 /// A request with everything that each attempt to send it needs.
@@ -66,15 +66,23 @@
         self.deadline_us.saturating_sub(now_us()) / 1000
     }
 
+    /// Milliseconds since the caller's first attempt, as far as it is known.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "milliseconds until a deadline")]
+    pub fn spent_ms(&self) -> f64 {
+        let elapsed_us = now_us().saturating_sub(self.arrived_us);
+        (elapsed_us + self.spent_before_us) as f64 / 1000.0
+    }
+
     /// Whether the caller can still retry if this instance does not. Callers retry once, after a
     /// refusal or if the request is idempotent; a remembered refusal, or time spent on earlier
     /// attempts, shows that this is that retry.
     #[must_use]
-    pub const fn retry_need(&self) -> RetryNeed {
+    pub const fn retry_class(&self) -> RetryClass {
         if self.spent_before_us == 0 && self.earlier.is_none() {
-            RetryNeed::CallerCanRetry
+            RetryClass::CallerCanRetry
         } else {
-            RetryNeed::LastChance
+            RetryClass::LastAttempt
         }
     }
 
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -27,6 +27,9 @@
 use crate::limit::RateLimit;
 use crate::quarantine::CRASH_CHECK_WAIT;
 use crate::quarantine::Denial;
+use crate::retry::RetryClass;
+use crate::retry::RetryDenial;
+use crate::retry::RetryRank;
 
 /// Unreachable servers after which a request is given up. Each costs a connect timeout.
 const UNREACHABLE_SERVERS_MAX: u32 = 4;
@@ -148,8 +151,8 @@
     }
 
     /// Whether the number of attempts, the remaining time and the retry budget allow another
-    /// attempt.
-    fn may_retry(&self, request: &ForwardRequest, attempts: &Attempts) -> bool {
+    /// attempt of this class.
+    fn may_retry(&self, request: &ForwardRequest, attempts: &Attempts, class: RetryClass) -> bool {
         if attempts.sends >= request.route.attempts_max {
             return false;
         }
@@ -157,7 +160,30 @@
             self.dispatcher.typical_ms(&request.service, &request.spec(&attempts.servers));
         #[expect(clippy::cast_precision_loss, reason = "milliseconds until a deadline")]
         let time_suffices = request.remaining_ms() as f64 > RETRY_MIN_TIME_RATIO * typical_ms;
-        time_suffices && self.dispatcher.spend_retry(&request.service, request.retry_need())
+        if !time_suffices {
+            return false;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "a latency target of a few seconds")]
+        let late = request.spent_ms() + typical_ms > request.route.aim_ms as f64;
+        let rank = RetryRank::new(class, request.priority(), late);
+        let spent = self.dispatcher.spend_retry(&request.service, rank);
+        spent.inspect_err(|denial| self.log_denied_retry(request, rank, denial)).is_ok()
+    }
+
+    /// Counts a denied retry. After a denied retry the request ends, after a denied hedge it goes
+    /// on, so that only the former is logged.
+    fn log_denied_retry(&self, request: &ForwardRequest, rank: RetryRank, denial: &RetryDenial) {
+        self.board.counters.add(Counter::RetriesDenied);
+        if rank.class() == RetryClass::Hedge {
+            return;
+        }
+        info!(
+            event = "retry-denied", id = request.id_text(), service = &*request.service,
+            rank = rank.class().name(), priority = request.priority(), late = rank.is_late(),
+            reason = denial.reason.name(), allowed = denial.allowed, spent = denial.spent,
+            reserved = denial.reserved;
+            "the retry budget allows no further send"
+        );
     }
 
     /// The reply to a request that is not sent because it may crash servers.
@@ -187,17 +213,18 @@
         attempts: &mut Attempts,
     ) -> Option<Reply> {
         let idempotent = request.route.idempotent();
+        let class = request.retry_class();
         match result {
             SendResult::Answered(response) => {
                 let failed = response.status.is_server_error();
-                if failed && idempotent && self.may_retry(request, attempts) {
+                if failed && idempotent && self.may_retry(request, attempts, class) {
                     attempts.may_have_run = true;
                     return None;
                 }
                 Some(server_reply(response))
             }
             SendResult::Refused { status } => {
-                if status != StatusCode::BAD_REQUEST && self.may_retry(request, attempts) {
+                if status != StatusCode::BAD_REQUEST && self.may_retry(request, attempts, class) {
                     return None;
                 }
                 Some(attempts.not_run(Code::NoRepeatLeft, REFUSED_RETRY_MS).into())
@@ -222,7 +249,7 @@
             SendResult::TimedOut => Some(LocalReply::unknown(Code::DeadlineAfterDispatch).into()),
             SendResult::Lost(_) | SendResult::UnprovedRefusal { .. } => {
                 attempts.may_have_run = true;
-                if idempotent && self.may_retry(request, attempts) {
+                if idempotent && self.may_retry(request, attempts, class) {
                     return None;
                 }
                 Some(LocalReply::unknown(lost_code(&result)).into())
@@ -253,7 +280,7 @@
         let Some(spare) = self.dispatcher.try_acquire_spare(&request.service, &spec) else {
             return first.await;
         };
-        if !self.may_retry(request, attempts) {
+        if !self.may_retry(request, attempts, RetryClass::Hedge) {
             return first.await;
         }
         self.board.counters.add(Counter::Hedges);
@@ -279,9 +306,7 @@
             return None;
         }
         let typical_ms = self.dispatcher.typical_ms(&request.service, &request.spec(&[]));
-        let elapsed_us = now_us().saturating_sub(request.arrived_us);
-        let spent_ms = (elapsed_us + request.spent_before_us) as f64 / 1000.0;
-        let target_left_ms = request.route.aim_ms as f64 - spent_ms;
+        let target_left_ms = request.route.aim_ms as f64 - request.spent_ms();
         let after_ms = (target_left_ms - HEDGE_LEAD_RATIO * typical_ms)
             .max(HEDGE_MIN_DELAY_RATIO * typical_ms);
         Some(Duration::from_millis(after_ms as u64))
--- /dev/null
+++ b/src/retry/decayed_count.rs
@@ -0,0 +1,43 @@
+//! Counts recent events.
+
+/// A count below this begins anew with the next event.
+const COUNT_BEGINS: f64 = 0.5;
+/// Memories after which a new rate is believed.
+const LEAST_MEMORIES: f64 = 0.25;
+
+/// A count in which each event loses weight with its age.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct DecayedCount {
+    count: f64,
+    counted_us: u64,
+    /// When the first of the events came that have weight now.
+    began_us: u64,
+}
+
+impl DecayedCount {
+    /// The count now. An event of age `memory_us` has 1/e of its first weight, so that a steady
+    /// rate shows as the events of this time.
+    #[expect(clippy::cast_precision_loss, reason = "times of some seconds")]
+    pub(super) fn value(&self, memory_us: u64, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.counted_us) as f64;
+        self.count * (-age_us / memory_us.max(1) as f64).exp()
+    }
+
+    /// The count that the events since the first one lead to if they go on at their rate.
+    #[expect(clippy::cast_precision_loss, reason = "times of some seconds")]
+    pub(super) fn steady_value(&self, memory_us: u64, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.began_us) as f64;
+        let memories = (age_us / memory_us.max(1) as f64).max(LEAST_MEMORIES);
+        self.value(memory_us, now_us) / (1.0 - (-memories).exp())
+    }
+
+    /// Adds `events`, or the expected number of events.
+    pub(super) fn add(&mut self, events: f64, memory_us: u64, now_us: u64) {
+        let before = self.value(memory_us, now_us);
+        if before < COUNT_BEGINS {
+            self.began_us = now_us;
+        }
+        self.count = before + events;
+        self.counted_us = now_us;
+    }
+}
--- a/src/retry/refused_requests.rs
+++ b/src/retry/refused_requests.rs
@@ -12,6 +12,10 @@
 const REMEMBERED_US: u64 = 5_000_000;
 /// Maximum number of remembered refusals; the oldest are forgotten first.
 const REFUSALS_MAX: usize = 16_384;
+/// Time after a refusal, in microseconds, in which nearly all callers that retry have done so.
+const RETURN_EXPECTED_US: u64 = 1_000_000;
+/// Weight of each caller in the share of those that come back.
+const RETURN_SHARE_WEIGHT: f64 = 1.0 / 64.0;
 
 /// What is known of a request from an attempt that was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,11 +32,32 @@
 ///
 /// Two callers that look alike have one entry each under the same hash; whichever of them comes
 /// first takes the older one.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RefusedRequests {
     by_hash: HashMap<RequestHash, SmallVec<[EarlierAttempt; 1]>>,
     /// All refusals that were recorded, in order, including those whose callers came back.
-    recorded: VecDeque<(u64, RequestHash)>,
+    recorded: VecDeque<Refusal>,
+    /// How many of the oldest refusals in `recorded` are so old that their callers should have come
+    /// back.
+    overdue: usize,
+    /// Moving share of the callers that come back.
+    return_share: f64,
+}
+
+/// A refusal, whether its caller has come back or not.
+#[derive(Clone, Copy, Debug)]
+struct Refusal {
+    at_us: u64,
+    hash: RequestHash,
+    /// Whether it was the caller's first. Callers come back once, so the others tell nothing.
+    first: bool,
+}
+
+impl Default for RefusedRequests {
+    /// No refusals; callers are expected to come back until it shows that they do not.
+    fn default() -> Self {
+        Self { by_hash: HashMap::new(), recorded: VecDeque::new(), overdue: 0, return_share: 1.0 }
+    }
 }
 
 impl RefusedRequests {
@@ -43,7 +68,15 @@
             self.forget_oldest();
         }
         self.by_hash.entry(hash).or_default().push(attempt);
-        self.recorded.push_back((attempt.refused_us, hash));
+        let first = attempt.refusals <= 1;
+        self.recorded.push_back(Refusal { at_us: attempt.refused_us, hash, first });
+        self.judge_overdue(attempt.refused_us);
+    }
+
+    /// Part of the callers that come back after their first refusal, from 0 to 1.
+    #[must_use]
+    pub const fn return_share(&self) -> f64 {
+        self.return_share
     }
 
     /// Removes and returns the refusal that a request follows; `None` for a first attempt.
@@ -54,6 +87,9 @@
         if attempts.is_empty() {
             self.by_hash.remove(&hash);
         }
+        if earlier.is_some_and(|earlier| earlier.refusals <= 1) {
+            self.record_return(true);
+        }
         earlier
     }
 
@@ -70,21 +106,45 @@
     }
 
     fn forget_before(&mut self, before_us: u64) {
-        while self.recorded.front().is_some_and(|(refused_us, _)| *refused_us < before_us) {
+        while self.recorded.front().is_some_and(|refusal| refusal.at_us < before_us) {
             self.forget_oldest();
         }
     }
 
     fn forget_oldest(&mut self) {
-        let Some((refused_us, hash)) = self.recorded.pop_front() else {
+        let Some(oldest) = self.recorded.pop_front() else {
             return;
         };
-        let Some(attempts) = self.by_hash.get_mut(&hash) else {
+        self.overdue = self.overdue.saturating_sub(1);
+        let Some(attempts) = self.by_hash.get_mut(&oldest.hash) else {
             return;
         };
-        attempts.retain(|attempt| attempt.refused_us != refused_us);
+        attempts.retain(|attempt| attempt.refused_us != oldest.at_us);
         if attempts.is_empty() {
-            self.by_hash.remove(&hash);
+            self.by_hash.remove(&oldest.hash);
+        }
+    }
+
+    /// Counts the callers that should have come back by now and have not.
+    fn judge_overdue(&mut self, now_us: u64) {
+        while let Some(refusal) = self.recorded.get(self.overdue).copied()
+            && refusal.at_us + RETURN_EXPECTED_US < now_us
+        {
+            self.overdue += 1;
+            if refusal.first && self.is_pending(&refusal) {
+                self.record_return(false);
+            }
         }
     }
+
+    fn is_pending(&self, refusal: &Refusal) -> bool {
+        let attempts = self.by_hash.get(&refusal.hash);
+        let mut attempts = attempts.into_iter().flatten();
+        attempts.any(|attempt| attempt.refused_us == refusal.at_us)
+    }
+
+    fn record_return(&mut self, returned: bool) {
+        let returned = f64::from(u8::from(returned));
+        self.return_share += RETURN_SHARE_WEIGHT * (returned - self.return_share);
+    }
 }
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -3,6 +3,19 @@
 
 use std::collections::VecDeque;
 
+use super::RetryClass;
+use super::RetryRank;
+use super::retry_demand::RetryDemand;
+
+/// Part of the budget that hedges may hold. Rejected requests find the rest from the first moment
+/// on, before their demand can be expected.
+const HEDGE_SHARE_MAX: f64 = 0.5;
+/// Moments within the next window at which more urgent ranks have to find their retries.
+const HORIZONS: u32 = 8;
+/// Part of a window for which more urgent ranks find their retries at once, also if those that
+/// become free are taken by others.
+const STOCK_WINDOWS: f64 = 1.0 / 16.0;
+
 /// The retry budget that the operators configure for all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAllowance {
@@ -14,21 +27,39 @@
     pub slack_retries: f64,
 }
 
-/// Whether the caller can retry a request if this instance does not.
+/// Why a retry was denied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RetryNeed {
-    /// The caller can still retry, which takes nothing from the budget.
-    CallerCanRetry,
-    /// The caller has retried already or may not retry.
-    LastChance,
+pub enum DenialReason {
+    /// All allowed retries of the window are made.
+    Spent,
+    /// The rest is kept for more urgent ranks, which are expected to need it.
+    Reserved,
 }
 
-/// Fraction of the budget available to requests whose callers can still retry. In a model of 40,000
-/// requests with 4 of 10 sends refused, one request in 12 failed for good if such requests could
-/// use the whole budget, and one in 100 if they could use a half or a fifth.
-const CALLER_CAN_RETRY_SHARE: f64 = 0.25;
+impl DenialReason {
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Spent => "spent",
+            Self::Reserved => "reserved",
+        }
+    }
+}
 
-/// Times of the requests and retries of one service on this instance within the window.
+/// A denied retry, with what it was judged by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDenial {
+    pub reason: DenialReason,
+    /// Retries that this instance may make in the window.
+    pub allowed: f64,
+    /// Retries that it has made.
+    pub spent: usize,
+    /// Retries kept for more urgent ranks.
+    pub reserved: f64,
+}
+
+/// Requests and retries of one service on this instance within the window.
 ///
 /// Each instance applies the ratio to its own requests and has its own part of the slack, so that
 /// the budget holds over all instances without coordination.
@@ -38,36 +69,104 @@
     requests_us: VecDeque<u64>,
     /// Times of the retries, in order.
     retries_us: VecDeque<u64>,
-}
-
-fn remove_before(times_us: &mut VecDeque<u64>, before_us: u64) {
-    while times_us.front().is_some_and(|at| *at < before_us) {
-        times_us.pop_front();
-    }
+    demand: RetryDemand,
 }
 
 impl RetryBudget {
     /// Records a caller's request.
     pub fn record_request(&mut self, allowance: &RetryAllowance, now_us: u64) {
-        remove_before(&mut self.requests_us, now_us.saturating_sub(allowance.window_us));
+        self.forget_before(now_us.saturating_sub(allowance.window_us));
         self.requests_us.push_back(now_us);
+        self.demand.record_request(allowance.window_us, now_us);
+    }
+
+    /// Sets which part of the refused callers come back.
+    pub const fn set_return_share(&mut self, share: f64) {
+        self.demand.return_share = share;
+    }
+
+    /// Takes one retry from the budget.
+    ///
+    /// A rank gets what the ranks before it are not expected to need.
+    ///
+    /// # Errors
+    /// If the budget is spent, or the rest is kept for more urgent ranks.
+    pub fn try_spend(
+        &mut self,
+        allowance: &RetryAllowance,
+        rank: RetryRank,
+        now_us: u64,
+    ) -> Result<(), RetryDenial> {
+        self.forget_before(now_us.saturating_sub(allowance.window_us));
+        let decision = self.decide(allowance, rank, now_us);
+        self.demand.record_ask(rank, decision.is_ok(), allowance.window_us, now_us);
+        decision?;
+        self.retries_us.push_back(now_us);
+        Ok(())
     }
 
-    /// Takes one retry from the budget; returns whether the budget allows it.
     #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
-    pub fn try_spend(&mut self, allowance: &RetryAllowance, need: RetryNeed, now_us: u64) -> bool {
-        let from_us = now_us.saturating_sub(allowance.window_us);
-        remove_before(&mut self.requests_us, from_us);
-        remove_before(&mut self.retries_us, from_us);
-        let allowed = allowance.ratio * self.requests_us.len() as f64 + allowance.slack_retries;
-        let share = match need {
-            RetryNeed::CallerCanRetry => CALLER_CAN_RETRY_SHARE,
-            RetryNeed::LastChance => 1.0,
+    fn decide(
+        &self,
+        allowance: &RetryAllowance,
+        rank: RetryRank,
+        now_us: u64,
+    ) -> Result<(), RetryDenial> {
+        let allowed = self.allowed(allowance, now_us);
+        let spent = self.retries_us.len();
+        let reserved = self.reserved(rank, allowance.window_us, now_us);
+        let denial = |reason| Err(RetryDenial { reason, allowed, spent, reserved });
+        if spent as f64 + 1.0 > allowed {
+            return denial(DenialReason::Spent);
+        }
+        let kept_from_hedges = match rank.class() {
+            RetryClass::Hedge => allowed * (1.0 - HEDGE_SHARE_MAX),
+            _ => 0.0,
         };
-        if self.retries_us.len() as f64 + 1.0 > allowed * share {
-            return false;
+        if spent as f64 + 1.0 + reserved.max(kept_from_hedges) > allowed {
+            return denial(DenialReason::Reserved);
         }
-        self.retries_us.push_back(now_us);
-        true
+        Ok(())
+    }
+
+    /// Retries kept for the ranks before `rank`: what they are expected to ask for up to some
+    /// moment within a window, less what is free again by then.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss,
+        reason = "counts and times of one window"
+    )]
+    fn reserved(&self, rank: RetryRank, window_us: u64, now_us: u64) -> f64 {
+        let expected = self.demand.expected_before(rank, window_us, now_us);
+        let least = expected * STOCK_WINDOWS;
+        let until = (1..=HORIZONS).map(|step| f64::from(step) / f64::from(HORIZONS));
+        let lacking = until.map(|windows| {
+            let until_us = now_us + (windows * window_us as f64) as u64;
+            let free_before_us = until_us.saturating_sub(window_us);
+            let freed = self.retries_us.partition_point(|at_us| *at_us < free_before_us);
+            expected * windows - freed as f64
+        });
+        lacking.fold(least, f64::max)
+    }
+
+    /// Retries that this instance may make in the window that ends now.
+    #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
+    fn allowed(&self, allowance: &RetryAllowance, now_us: u64) -> f64 {
+        let from_us = now_us.saturating_sub(allowance.window_us);
+        let older = self.requests_us.partition_point(|at_us| *at_us < from_us);
+        let requests = self.requests_us.len() - older;
+        allowance.ratio * requests as f64 + allowance.slack_retries
+    }
+
+    fn forget_before(&mut self, before_us: u64) {
+        remove_before(&mut self.requests_us, before_us);
+        remove_before(&mut self.retries_us, before_us);
+    }
+}
+
+fn remove_before(times_us: &mut VecDeque<u64>, before_us: u64) {
+    while times_us.front().is_some_and(|at| *at < before_us) {
+        times_us.pop_front();
     }
 }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -23,7 +23,8 @@
 use sorrelwick::peer::ServerLoadRow;
 use sorrelwick::retry::RetryAllowance;
 use sorrelwick::retry::RetryBudget;
-use sorrelwick::retry::RetryNeed;
+use sorrelwick::retry::RetryClass;
+use sorrelwick::retry::RetryRank;
 
 mod common;
 
@@ -295,7 +296,8 @@
             let budget = &mut budgets[u.int_in_range(0..=homes as usize - 1)?];
             budget.record_request(&allowance, now_us);
             requests.push(now_us);
-            if u.ratio(4, 5)? && budget.try_spend(&allowance, RetryNeed::LastChance, now_us) {
+            let rank = RetryRank::new(RetryClass::LastAttempt, 0, false);
+            if u.ratio(4, 5)? && budget.try_spend(&allowance, rank, now_us).is_ok() {
                 retries.push(now_us);
             }
         }
@@ -419,20 +421,20 @@
     let (mut sent, mut failed, mut retries) = (0_u32, 0_u32, 0_u32);
     for step in 0..40_000_u64 {
         let now_us = 10_000 * MS + step * MS;
-        let fresh = [Some(RetryNeed::CallerCanRetry)];
+        let fresh = [Some(RetryClass::CallerCanRetry)];
         let back = returning.pop_front_if(|due: &mut u64| *due <= now_us);
-        for need in fresh.into_iter().chain([back.map(|_| RetryNeed::LastChance)]).flatten() {
+        for class in fresh.into_iter().chain([back.map(|_| RetryClass::LastAttempt)]).flatten() {
             budget.record_request(&allowance, now_us);
             let mut served = rng.random_range(0.0..1.0) >= 0.4;
-            while !served && budget.try_spend(&allowance, need, now_us) {
+            let rank = RetryRank::new(class, 0, false);
+            while !served && budget.try_spend(&allowance, rank, now_us).is_ok() {
                 retries += 1;
                 served = rng.random_range(0.0..1.0) >= 0.4;
             }
-            match need {
-                RetryNeed::CallerCanRetry => sent += 1,
-                RetryNeed::LastChance => {}
+            if class == RetryClass::CallerCanRetry {
+                sent += 1;
             }
-            if !served && need == RetryNeed::CallerCanRetry {
+            if !served && class == RetryClass::CallerCanRetry {
                 returning.push_back(now_us + 20 * MS);
             } else if !served {
                 failed += 1;
