No retry while nearly all sends are rejected; explain tells whose retry budget was short

Cause: a 503 for want of a retry named neither the budget nor for whom it was kept; retries of what all servers reject spend what would help a second later.

Measured: tests/retry_budget.rs, tests/explain.rs pass, the new ones among them.

--- a/src/balance/service_pool.rs
+++ b/src/balance/service_pool.rs
@@ -373,6 +373,9 @@
         let saturated_share = server.saturated_share(&sent, now_us);
         // A server that is still warming up says nothing about its slots.
         let warm = server.is_warm(now_us);
+        if !matches!(outcome, SendOutcome::Cancelled | SendOutcome::Unsent) {
+            self.retry_budget.record_send(outcome == SendOutcome::Refused, now_us);
+        }
         #[expect(clippy::cast_precision_loss, reason = "a time of some milliseconds")]
         let took_ms = now_us.saturating_sub(sent.sent_at_us) as f64 / 1000.0;
         if matches!(outcome, SendOutcome::Answered | SendOutcome::TimedOut) {
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -203,6 +203,18 @@
             text("retry_after_ms"),
             if line.flag("may_have_run") { "; an earlier send may have run" } else { "" },
         ),
+        "retry-denied" => format!(
+            "no further send to {}: {}; {} of {} retries made here in the window, {} kept (rank \
+             {}, priority {}{})",
+            text("service"),
+            describe_retry_denial(&text("reason")),
+            text("spent"),
+            text("allowed"),
+            text("reserved"),
+            text("rank"),
+            text("priority"),
+            if line.flag("late") { ", late" } else { "" },
+        ),
         "request" => format!(
             "answered {} with code {} after {} ms (route {}, service {}, version {})",
             text("status"),
@@ -229,6 +241,16 @@
     }
 }
 
+/// Describes why a retry was denied.
+fn describe_retry_denial(reason: &str) -> &'static str {
+    match reason {
+        "spent" => "this instance's part of the service's retry budget is spent",
+        "reserved" => "what is left of this instance's part is kept for more urgent requests",
+        "hopeless" => "nearly all sends to the service are rejected",
+        _ => "the reason is not known",
+    }
+}
+
 /// Describes how many servers are rate-limited or in cooldown, if any.
 fn describe_restricted_servers(line: &LogLine) -> String {
     let count = |name: &str| line.number(name).filter(|count| *count > 0);
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -180,9 +180,10 @@
         info!(
             event = "retry-denied", id = request.id_text(), service = &*request.service,
             rank = rank.class().name(), priority = request.priority(), late = rank.is_late(),
-            reason = denial.reason.name(), allowed = denial.allowed, spent = denial.spent,
-            reserved = denial.reserved;
-            "the retry budget allows no further send"
+            reason = denial.reason.name(), allowed = denial.allowed.floor(),
+            spent = denial.spent, reserved = denial.reserved.ceil(),
+            rejected_percent = (100.0 * denial.rejected_share).round();
+            "no further send of a request"
         );
     }
 
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -3,6 +3,7 @@
 
 mod decayed_count;
 mod refused_requests;
+mod rejected_sends;
 mod request_hash;
 mod retry_budget;
 mod retry_demand;
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -5,6 +5,7 @@
 
 use super::RetryClass;
 use super::RetryRank;
+use super::rejected_sends::RejectedSends;
 use super::retry_demand::RetryDemand;
 
 /// Part of the budget that hedges may hold. Rejected requests find the rest from the first moment
@@ -34,6 +35,8 @@
     Spent,
     /// The rest is kept for more urgent ranks, which are expected to need it.
     Reserved,
+    /// Nearly all sends to the service are rejected now.
+    Hopeless,
 }
 
 impl DenialReason {
@@ -43,6 +46,7 @@
         match self {
             Self::Spent => "spent",
             Self::Reserved => "reserved",
+            Self::Hopeless => "hopeless",
         }
     }
 }
@@ -57,6 +61,8 @@
     pub spent: usize,
     /// Retries kept for more urgent ranks.
     pub reserved: f64,
+    /// Part of the sends to the service that is rejected now.
+    pub rejected_share: f64,
 }
 
 /// Requests and retries of one service on this instance within the window.
@@ -70,6 +76,7 @@
     /// Times of the retries, in order.
     retries_us: VecDeque<u64>,
     demand: RetryDemand,
+    rejected_sends: RejectedSends,
 }
 
 impl RetryBudget {
@@ -80,6 +87,11 @@
         self.demand.record_request(allowance.window_us, now_us);
     }
 
+    /// Records the end of a send, and whether the server rejected it.
+    pub fn record_send(&mut self, rejected: bool, now_us: u64) {
+        self.rejected_sends.record(rejected, now_us);
+    }
+
     /// Sets which part of the refused callers come back.
     pub const fn set_return_share(&mut self, share: f64) {
         self.demand.return_share = share;
@@ -90,7 +102,7 @@
     /// A rank gets what the ranks before it are not expected to need.
     ///
     /// # Errors
-    /// If the budget is spent, or the rest is kept for more urgent ranks.
+    /// If the budget is spent, the rest is kept for more urgent ranks, or the retry would not help.
     pub fn try_spend(
         &mut self,
         allowance: &RetryAllowance,
@@ -115,7 +127,11 @@
         let allowed = self.allowed(allowance, now_us);
         let spent = self.retries_us.len();
         let reserved = self.reserved(rank, allowance.window_us, now_us);
-        let denial = |reason| Err(RetryDenial { reason, allowed, spent, reserved });
+        let rejected_share = self.rejected_sends.share(now_us);
+        let denial = |reason| Err(RetryDenial { reason, allowed, spent, reserved, rejected_share });
+        if self.rejected_sends.is_hopeless(now_us) {
+            return denial(DenialReason::Hopeless);
+        }
         if spent as f64 + 1.0 > allowed {
             return denial(DenialReason::Spent);
         }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -116,3 +116,22 @@
     assert!(explanation.contains("pace known for 1200 us, cold)"), "{explanation}");
     assert!(explanation.contains("no other server may be used"), "{explanation}");
 }
+
+/// Guards against a refusal for want of a retry that does not tell whose budget was short, or for
+/// whom the rest was kept.
+#[test]
+fn a_denied_retry_is_explained_by_the_budget_that_was_short() {
+    const LOGS: &str = r#"
+{"event":"send","instance":"a-1","id":"look-1","send":1,"server":"i-9","service":"desk","outcome":"refused","took_ms":1,"running":0,"expected_ms":180.5,"time":"2026-12-02T10:00:03.000000000+00:00"}
+{"event":"retry-denied","instance":"a-1","id":"look-1","service":"desk","rank":"last-attempt","priority":2,"late":true,"reason":"reserved","allowed":60.0,"spent":52,"reserved":9.0,"rejected_percent":55.0,"time":"2026-12-02T10:00:03.100000000+00:00"}
+{"event":"retry-denied","instance":"b-1","id":"look-1","service":"desk","rank":"last-attempt","priority":0,"late":false,"reason":"spent","allowed":60.0,"spent":60,"reserved":0.0,"rejected_percent":55.0,"time":"2026-12-02T10:00:03.200000000+00:00"}
+"#;
+    let explanation = text(&explain(&["look-1"], LOGS).stdout);
+    for part in [
+        "a-1  no further send to desk: what is left of this instance's part is kept for more urgent",
+        "52 of 60.0 retries made here in the window, 9.0 kept (rank last-attempt, priority 2, late)",
+        "b-1  no further send to desk: this instance's part of the service's retry budget is spent",
+    ] {
+        assert!(explanation.contains(part), "no '{part}' in:\n{explanation}");
+    }
+}
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -253,6 +253,26 @@
     assert!(!spend(hedge));
 }
 
+/// Guards against retries that are made while all servers reject everything, so that none are left
+/// when they accept requests again.
+#[test]
+fn no_retry_is_made_while_servers_reject_everything() {
+    let mut budget = RetryBudget::default();
+    let last = RetryRank::new(RetryClass::LastAttempt, 0, false);
+    let mut now_us = WINDOW_US;
+    let mut denial_after = |accepted_one_in: u64| {
+        for at in 0..400 {
+            now_us += 10 * MS;
+            budget.record_request(&ALLOWANCE, now_us);
+            budget.record_send(at % accepted_one_in != 0, now_us);
+        }
+        budget.try_spend(&ALLOWANCE, last, now_us).err().map(|denial| denial.reason)
+    };
+    assert_eq!(denial_after(400), Some(DenialReason::Hopeless));
+    assert_eq!(denial_after(10), None, "one of ten sends is accepted");
+    assert_eq!(denial_after(1), None, "the servers accept everything again");
+}
+
 /// Guards against amplified outages: over any number of instances, whatever ranks ask, retries
 /// within a window exceed the ratio and the slack.
 #[test]
