Nineteen twentieths of the configured retry ratio are used

Cause: of the retries that operators allow a tenth of the ratio and three tenths of the slack were left unused while callers were refused for good.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -68,7 +68,7 @@
 const BODY_MEMORY_DIVISOR: usize = 4;
 /// Fraction of the configured retry ratio that is used: a retry may be counted in another window
 /// than its request.
-const RETRY_RATIO_FACTOR: f64 = 0.9;
+const RETRY_RATIO_FACTOR: f64 = 0.95;
 /// Fraction of the retry budget's slack that is divided among the homes. The rest covers homes
 /// that changed within a window, each of which may have used its share.
 const RETRY_SLACK_FACTOR: f64 = 0.7;
