The slack of the retry budget is bounded over all instances, not only over homes

Change: homes share the slack, the others together a fifth of that in addition, each its part.

Measured: tests/retry_budget.rs passes.

Conclusion: the part of the slack that is left covers the addition.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -69,8 +69,9 @@
 /// Fraction of the configured retry ratio that is used: a retry may be counted in another window
 /// than its request.
 const RETRY_RATIO_FACTOR: f64 = 0.95;
-/// Fraction of the retry budget's slack that is divided among the homes. The rest covers homes
-/// that changed within a window, each of which may have used its share.
+/// Fraction of the retry budget's slack that is divided among the homes. The rest covers the other
+/// instances' addition, and homes that changed within a window, each of which may have used its
+/// share.
 const RETRY_SLACK_FACTOR: f64 = 0.7;
 /// How long callers that cache an old address response are served after the stop signal, in
 /// percent of the grace period.
@@ -128,8 +129,7 @@
     }
 }
 
-/// The retry allowance that all homes share. Instances that are not homes get next to no requests,
-/// and the unused part of the slack covers their retries.
+/// The retry allowance that all instances share.
 fn retry_allowance(gateway: &GatewaySettings) -> RetryAllowance {
     RetryAllowance {
         ratio: gateway.repeat_ratio * RETRY_RATIO_FACTOR,
@@ -281,7 +281,7 @@
         let table: CurrentRouteTable = Arc::new(ArcSwapOption::empty());
         let dispatcher = Dispatcher::new(&zone, retry_allowance(&gateway));
         let dispatcher = dispatcher.with_reach(Arc::clone(&board.reach));
-        dispatcher.set_home_count(initial_home_count(&gateway), true);
+        dispatcher.set_home_count(initial_home_count(&gateway), 0, true);
 
         let mut tasks = JoinSet::new();
         let StoreMirrors { config_age, config, servers } =
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -83,8 +83,8 @@
     zone: Arc<str>,
     /// Retry budget of all instances together.
     pub(super) retry_allowance: RetryAllowance,
-    /// Number of homes among which the slack of the retry budget is divided.
-    pub(super) budget_sharers: Arc<AtomicUsize>,
+    /// This instance's part of the slack of the retry budget, as bits of a float.
+    pub(super) retry_slack_share: Arc<AtomicU64>,
     /// Part of the refused callers that come back, as bits of a float.
     pub(super) return_share: Arc<AtomicU64>,
     /// Ticket of the next request, by which pools identify it.
@@ -128,7 +128,7 @@
         Self {
             zone: zone.into(),
             retry_allowance,
-            budget_sharers: Arc::new(AtomicUsize::new(1)),
+            retry_slack_share: Arc::new(AtomicU64::new(1.0_f64.to_bits())),
             return_share: Arc::new(AtomicU64::new(1.0_f64.to_bits())),
             next_ticket: Arc::default(),
             state: Arc::default(),
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -51,12 +51,13 @@
         pool.retry_budget.record_request(&self.retry_allowance, now_us());
     }
 
-    /// Divides the slack of the retry budget among this number of homes, and the slots of all
-    /// servers too if this instance is one of them.
+    /// Divides the slack of the retry budget among the homes and the other instances, and the slots
+    /// of all servers among the homes.
     #[expect(clippy::cast_precision_loss, reason = "a small number of homes")]
-    pub fn set_home_count(&self, homes: usize, is_home: bool) {
+    pub fn set_home_count(&self, homes: usize, others: usize, is_home: bool) {
         let homes = homes.max(1);
-        self.budget_sharers.store(homes, Ordering::Release);
+        let slack_share = RetryAllowance::slack_share(homes, others, is_home);
+        self.retry_slack_share.store(slack_share.to_bits(), Ordering::Release);
         let fair_share = if is_home { 1.0 / homes as f64 } else { 0.0 };
         for pool in self.state.lock().pools.values_mut() {
             pool.fair_share = fair_share;
@@ -105,11 +106,10 @@
     }
 
     /// This instance's share of the retry budget.
-    #[expect(clippy::cast_precision_loss, reason = "a small number of homes")]
     fn own_retry_allowance(&self) -> RetryAllowance {
-        let sharers = self.budget_sharers.load(Ordering::Acquire) as f64;
+        let share = f64::from_bits(self.retry_slack_share.load(Ordering::Acquire));
         RetryAllowance {
-            slack_retries: self.retry_allowance.slack_retries / sharers,
+            slack_retries: self.retry_allowance.slack_retries * share,
             ..self.retry_allowance
         }
     }
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -17,6 +17,10 @@
 /// become free are taken by others.
 const STOCK_WINDOWS: f64 = 1.0 / 16.0;
 
+/// Slack of all instances together that are not homes, as a part of that of the homes. They get few
+/// requests.
+const OTHERS_SLACK: f64 = 0.2;
+
 /// The retry budget that the operators configure for all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAllowance {
@@ -28,6 +32,16 @@
     pub slack_retries: f64,
 }
 
+impl RetryAllowance {
+    /// The part of the slack that one instance has. Homes share the slack; the other instances, of
+    /// which there may be hundreds, share a small addition.
+    #[must_use]
+    #[expect(clippy::cast_precision_loss, reason = "numbers of instances")]
+    pub fn slack_share(homes: usize, others: usize, is_home: bool) -> f64 {
+        if is_home { 1.0 / homes.max(1) as f64 } else { OTHERS_SLACK / others.max(1) as f64 }
+    }
+}
+
 /// Why a retry was denied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DenialReason {
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -312,6 +312,28 @@
     });
 }
 
+/// Guards against hundreds of instances that are no homes and each have as much slack as a home: few
+/// requests reach each of them, but together they made a fourth of all retries.
+#[test]
+fn the_slack_of_all_instances_is_within_the_operators_slack() {
+    const OPERATORS_SLACK: f64 = 214.0;
+    for (homes, others) in [(1, 0), (3, 2), (4, 135), (12, 488)] {
+        let retries = |is_home| {
+            let share = RetryAllowance::slack_share(homes, others, is_home);
+            let allowance =
+                RetryAllowance { slack_retries: 0.7 * OPERATORS_SLACK * share, ..ALLOWANCE };
+            let mut budget = RetryBudget::default();
+            budget.record_request(&allowance, WINDOW_US);
+            let rank = RetryRank::new(RetryClass::LastAttempt, 0, false);
+            let spent =
+                (0..1_000).filter(|_| budget.try_spend(&allowance, rank, WINDOW_US).is_ok());
+            spent.count()
+        };
+        let sum = homes * retries(true) + others * retries(false);
+        assert!(sum as f64 <= OPERATORS_SLACK, "{homes} homes, {others} others: {sum}");
+    }
+}
+
 fn hash(target: &str) -> RequestHash {
     RequestHash::of([127, 0, 0, 1].into(), "h", "GET", target)
 }
