--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -12,7 +12,8 @@
 use crate::clock::now_us;
 use crate::cold::ColdPolicy;
 use crate::retry::RetryAllowance;
-use crate::retry::RetryNeed;
+use crate::retry::RetryDenial;
+use crate::retry::RetryRank;
 use crate::starts::HomeSet;
 
 /// This instance's share of the connections that a server accepts; at least one.
@@ -50,12 +51,13 @@
         pool.retry_budget.record_request(&self.retry_allowance, now_us());
     }
 
-    /// Divides the slack of the retry budget among this number of homes, and the slots of all
-    /// servers too if this instance is one of them.
+    /// Divides the slack of the retry budget among the homes and the other instances, and the slots
+    /// of all servers among the homes.
     #[expect(clippy::cast_precision_loss, reason = "a small number of homes")]
-    pub fn set_home_count(&self, homes: usize, is_home: bool) {
+    pub fn set_home_count(&self, homes: usize, others: usize, is_home: bool) {
         let homes = homes.max(1);
-        self.budget_sharers.store(homes, Ordering::Release);
+        let slack_share = RetryAllowance::slack_share(homes, others, is_home);
+        self.retry_slack_share.store(slack_share.to_bits(), Ordering::Release);
         let fair_share = if is_home { 1.0 / homes as f64 } else { 0.0 };
         for pool in self.state.lock().pools.values_mut() {
             pool.fair_share = fair_share;
@@ -104,11 +106,10 @@
     }
 
     /// This instance's share of the retry budget.
-    #[expect(clippy::cast_precision_loss, reason = "a small number of homes")]
     fn own_retry_allowance(&self) -> RetryAllowance {
-        let sharers = self.budget_sharers.load(Ordering::Acquire) as f64;
+        let share = f64::from_bits(self.retry_slack_share.load(Ordering::Acquire));
         RetryAllowance {
-            slack_retries: self.retry_allowance.slack_retries / sharers,
+            slack_retries: self.retry_allowance.slack_retries * share,
             ..self.retry_allowance
         }
     }
@@ -124,12 +125,21 @@
         servers.map(|tracked| tracked.row.slots).sum()
     }
 
-    /// Takes one retry from the budget of a service; `false` if none is left.
-    #[must_use]
-    pub fn spend_retry(&self, service: &str, need: RetryNeed) -> bool {
+    /// Sets which part of the refused callers come back.
+    pub fn set_return_share(&self, share: f64) {
+        self.return_share.store(share.to_bits(), Ordering::Release);
+    }
+
+    /// Takes one retry from the budget of a service.
+    ///
+    /// # Errors
+    /// If none is left for requests of this rank.
+    pub fn spend_retry(&self, service: &Arc<str>, rank: RetryRank) -> Result<(), RetryDenial> {
         let mut state = self.state.lock();
         let allowance = self.own_retry_allowance();
-        let pool = state.pools.get_mut(service);
-        pool.is_some_and(|pool| pool.retry_budget.try_spend(&allowance, need, now_us()))
+        let pool = state.pools.entry(Arc::clone(service)).or_default();
+        pool.retry_budget
+            .set_return_share(f64::from_bits(self.return_share.load(Ordering::Acquire)));
+        pool.retry_budget.try_spend(&allowance, rank, now_us())
     }
 }
