The first reader of a zone asks the seeds for its first copy, not those that wait for it

Change: the first reader of a zone asks the known seeds and others in turn, and lets none of them hold its request for longer than 50 ms. Result: tests/first_copy.rs first_of_zone_asks_a_seed_while_its_zone_waits, red before.

--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -17,6 +17,7 @@
 use super::mirror::Sink;
 use super::relays::PeerAddresses;
 use super::relays::fallback_peers;
+use super::relays::known_seeds;
 use super::relays::reader_index;
 use super::relays::zone_readers;
 use crate::clock::now_us;
@@ -46,6 +47,8 @@
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// How long a peer may hold the request for the initial data.
 const HOLD_TIME: Duration = Duration::from_millis(400);
+/// The same for a request of the first reader of a zone, for which the rest of the zone may wait.
+const FIRST_READER_HOLD_TIME: Duration = Duration::from_millis(50);
 /// Timeout of that request, which covers a full transfer over a slow link.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause while no peer is known or the peer refused the connection.
@@ -140,23 +143,34 @@
     pub(super) async fn load_from_peers(&self) {
         let mut tries = 0;
         while self.mirror.revision().is_none() {
-            let peers = if tries < SAME_ZONE_TRIES {
-                zone_readers(&self.board)
+            let (peers, hold) = if reader_index(&self.board) == Some(0) {
+                (self.peers_of_first_reader(tries), FIRST_READER_HOLD_TIME)
             } else {
-                PeerAddresses::new()
+                (self.peers_of_others(tries), HOLD_TIME)
             };
             let peers = if peers.is_empty() { fallback_peers(&self.board) } else { peers };
             tries += 1;
             match pick_random(&peers) {
-                Some(peer) => self.load_from(peer).await,
+                Some(peer) => self.load_from(peer, hold).await,
                 None => tokio::time::sleep(NO_PEER_DELAY).await,
             }
         }
     }
 
-    /// Requests a peer's data once.
-    async fn load_from(&self, peer: SocketAddr) {
-        let answer = self.peers.ask(peer, self.feed, None, HOLD_TIME, REQUEST_TIMEOUT).await;
+    /// The peers that the first reader of a zone asks. Those of its zone that have started with it
+    /// wait for it in turn, so it asks the seeds first, which read the store themselves.
+    fn peers_of_first_reader(&self, tries: u32) -> PeerAddresses {
+        if tries.is_multiple_of(2) { known_seeds(&self.board) } else { PeerAddresses::new() }
+    }
+
+    /// The peers that another instance asks.
+    fn peers_of_others(&self, tries: u32) -> PeerAddresses {
+        if tries < SAME_ZONE_TRIES { zone_readers(&self.board) } else { PeerAddresses::new() }
+    }
+
+    /// Requests a peer's data once; the peer may hold the request until it has some.
+    async fn load_from(&self, peer: SocketAddr, hold: Duration) {
+        let answer = self.peers.ask(peer, self.feed, None, hold, REQUEST_TIMEOUT).await;
         match answer {
             Some(answer) => {
                 self.apply_answer(answer);
--- a/src/gateway/relays.rs
+++ b/src/gateway/relays.rs
@@ -65,6 +65,14 @@
     other_addresses(board, readers_of_zone(&board.members_view(), &board.settings.instance.zone))
 }
 
+/// The other instances that are seeds and may answer.
+pub fn known_seeds(board: &Blackboard) -> PeerAddresses {
+    let settings = &board.settings;
+    let members = board.members.lock();
+    let others = settings.peers.seeds.iter().filter(|seed| **seed != settings.listen.peer);
+    others.filter(|seed| members.may_answer_at(**seed)).copied().collect()
+}
+
 /// The other readers of the own zone, and the watchers.
 pub fn fallback_peers(board: &Blackboard) -> PeerAddresses {
     let view = board.members_view();
--- a/tests/first_copy.rs
+++ b/tests/first_copy.rs
@@ -7,10 +7,12 @@
 
 use parking_lot::Mutex;
 use sorrelwick::board::Blackboard;
+use sorrelwick::clock::now_ms;
 use sorrelwick::conf::parse_settings;
 use sorrelwick::gateway::Follower;
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::Sink;
+use sorrelwick::member::MemberRow;
 use sorrelwick::peer::Feed;
 use sorrelwick::peer::FeedReply;
 use sorrelwick::store::Item;
@@ -60,6 +62,61 @@
     in_force
 }
 
+/// An instance of a fleet whose only seed listens on port 7001.
+fn fleet_board(port: u16, zone: &str, incarnation: u64, cores: f64) -> Arc<Blackboard> {
+    let text = serde_json::json!({
+        "instance": { "name": format!("b{port}"), "zone": zone, "cores": cores },
+        "listen": { "peer": format!("127.0.0.1:{port}") },
+        "gateway": {
+            "readiness": "127.0.0.1:0", "addresses": "127.0.0.1:0", "store": "127.0.0.1:1",
+            "memory_max_mb": 200.0, "zones": ["y", "z"],
+        },
+        "peers": { "secret": "a secret of sixteen", "seeds": ["127.0.0.1:7001"] },
+    });
+    let settings = parse_settings("t", &text.to_string()).expect("valid");
+    Arc::new(Blackboard::new(settings, incarnation))
+}
+
+/// Makes all instances known to each other.
+fn introduce(boards: &[&Arc<Blackboard>]) {
+    let rows: Vec<MemberRow> =
+        boards.iter().map(|board| board.members.lock().own_row(now_ms())).collect();
+    for board in boards {
+        for row in &rows {
+            board.members.lock().merge_synced(row, now_ms());
+        }
+        board.publish_members();
+    }
+}
+
+/// Guards against refusing all callers of a zone without a seed after all instances were killed:
+/// its first instance asked another of its zone, which waited for the first one.
+#[tokio::test(start_paused = true)]
+async fn first_of_zone_asks_a_seed_while_its_zone_waits() {
+    let seed = fleet_board(7001, "z", 1, 1.0);
+    let first = fleet_board(7002, "y", 2, 4.0);
+    let second = fleet_board(7003, "y", 3, 2.0);
+    let loaded = Arc::new(Mirror::new(ValuesSink::default()));
+    let links = MemoryLinks::default();
+    let _seed_links = links.add(&seed, Some(Arc::clone(&loaded)), 1_000_000);
+    let waiting = Arc::new(Mirror::new(ValuesSink::default()));
+    let _second_links = links.add(&second, Some(waiting), 1_000_000);
+    introduce(&[&seed, &first, &second]);
+    let item =
+        Item { key: "op/config".into(), value: b"v1".to_vec(), revision: Revision::new(0, 1) };
+    loaded.replace(&[item], Revision::new(0, 1), Duration::ZERO);
+
+    let store = MemoryEventStore::default();
+    store.set_fault(StoreFault::Silent);
+    let in_force = ValuesSink::default();
+    let mirror = Arc::new(Mirror::new(in_force.clone()));
+    let first_links = links.add(&first, Some(Arc::clone(&mirror)), 1_000_000);
+    let follower = Follower::new(store, first_links, first, mirror, Feed::Config, "op/");
+    tokio::spawn(follower.run());
+    pass(50).await;
+    assert_eq!(in_force.keys(), pairs(&[("op/config", "v1")]));
+}
+
 fn pairs(pairs: &[(&str, &str)]) -> Vec<(String, String)> {
     pairs.iter().map(|(key, value)| ((*key).to_owned(), (*value).to_owned())).collect()
 }
