A connection attempt to a peer that is not answered is repeated after 100 ms

Change: opening a connection is repeated each 100 ms within the time limit of the call. Result: tests/peer_links.rs, red before.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -48,6 +48,10 @@
 /// without being closed, while a new one to the same peer works.
 const TIMEOUTS_MAX: u32 = 2;
 
+/// How long one attempt to open a connection may take. A machine that is starting does not answer
+/// the first packet of an attempt, and the kernel sends it again only after a second.
+const OPEN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// A connection to one peer address, shared by all calls to it.
 #[derive(Debug)]
 pub struct Link {
@@ -60,9 +64,20 @@
     last_used_us: AtomicU64,
 }
 
+/// Opens a connection; `None` if the machine refuses it. Attempts that are not answered are
+/// repeated until the caller gives up.
+async fn open(address: SocketAddr) -> Option<TcpStream> {
+    loop {
+        let attempt = tokio::time::timeout(OPEN_ATTEMPT_TIMEOUT, TcpStream::connect(address));
+        if let Ok(opened) = attempt.await {
+            return opened.ok();
+        }
+    }
+}
+
 /// Connects and authenticates; `None` on failure.
 async fn connect(address: SocketAddr, secret: &str) -> Option<SendRequest<Bytes>> {
-    let mut stream = TcpStream::connect(address).await.ok()?;
+    let mut stream = open(address).await?;
     let _ = stream.set_nodelay(true);
     auth::connect(&mut stream, secret).await.ok()?;
     let mut builder = h2::client::Builder::new();
