--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -43,6 +43,7 @@
 use crate::gateway::Registry;
 use crate::gateway::ServerSink;
 use crate::gateway::SpentTimeEstimator;
+use crate::gateway::StartHold;
 use crate::gateway::run_store_check;
 use crate::listener::HttpListener;
 use crate::member::MemberState;
@@ -299,6 +300,7 @@
         let quotas = Arc::new(Quotas::new(gateway.quota_tolerance()));
         let admission = Admission::new(Arc::clone(&table), config_age, &gateway);
         let grace = gateway.grace();
+        let start_hold = Arc::new(StartHold::new(gateway.start_hold()));
         let memory_bytes = gateway.memory_max_bytes();
         let prober = Prober {
             dialect: dialect.clone(),
@@ -346,7 +348,14 @@
         };
         let spent_time = Arc::new(SpentTimeEstimator::default());
         let refused = Arc::default();
-        let callers = CallerHandler { forwarder, body_memory, spent_time, refused, quota_limiter };
+        let callers = CallerHandler {
+            forwarder,
+            body_memory,
+            spent_time,
+            refused,
+            quota_limiter,
+            start_hold,
+        };
         let readiness =
             ReadinessHandler { dialect: dialect.clone(), board: Arc::clone(&board), table };
         let addresses = AddressHandler { dialect, board: Arc::clone(&board), admission };
--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -137,6 +137,7 @@
     let memory_valid = (MEMORY_MIN_MB..=MEMORY_MAX_MB).contains(&gateway.memory_max_mb);
     let memory_allowed = format!("{MEMORY_MIN_MB} to {MEMORY_MAX_MB}");
     faults.require(memory_valid, "gateway.memory_max_mb", memory_allowed);
+    faults.require_range(gateway.start_hold_ms, 0, 5_000, "gateway.start_hold_ms");
     faults.require_range(gateway.zones.len() as u64, 1, 1_000, "gateway.zones");
     faults.require_range(gateway.homes_per_zone as u64, 1, 1_000, "gateway.homes_per_zone");
 }
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -74,6 +74,10 @@
     /// Whether the whole fleet starts for the first time, before any callers exist.
     #[serde(default)]
     pub first_start: bool,
+    /// Age of the process up to which it holds requests that it cannot serve yet, for lack of a
+    /// configuration or of backend servers; 0 refuses them at once.
+    #[serde(default)]
+    pub start_hold_ms: u64,
     /// Number of homes per zone: the instances whose addresses the zone's callers get.
     #[serde(default = "homes_default")]
     pub homes_per_zone: usize,
@@ -144,6 +148,12 @@
         Duration::from_secs_f64(self.repeat_window_s)
     }
 
+    /// Age of the process up to which it holds requests that it cannot serve yet.
+    #[must_use]
+    pub const fn start_hold(&self) -> Duration {
+        Duration::from_millis(self.start_hold_ms)
+    }
+
     /// How much workspaces may exceed their quotas.
     #[must_use]
     pub const fn quota_tolerance(&self) -> QuotaTolerance {
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http::HeaderMap;
+use http::HeaderName;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -36,6 +37,8 @@
 use super::reply::Reply;
 use super::reply::ReplyBody;
 use super::spent_time_estimator::SpentTimeEstimator;
+use super::start_hold::HoldEnd;
+use super::start_hold::StartHold;
 use crate::board::Counter;
 use crate::board::Phase;
 use crate::clock::now_us;
@@ -65,6 +68,7 @@
     /// Refused requests whose callers may come back.
     pub refused: Arc<Mutex<RefusedRequests>>,
     pub quota_limiter: QuotaLimiter<Links>,
+    pub start_hold: Arc<StartHold>,
 }
 
 impl<D: Dialect> CallerHandler<D> {
@@ -94,6 +98,27 @@
         Ok((route, caller))
     }
 
+    /// Whether requests can be admitted and sent to servers.
+    fn can_serve(&self) -> bool {
+        self.forwarder.admission.can_admit() && self.forwarder.dispatcher.has_servers()
+    }
+
+    /// Holds a request while this instance starts and cannot serve it yet.
+    async fn hold_while_starting(&self, parts: &http::request::Parts, arrived_us: u64) {
+        if self.start_hold.is_over() || self.can_serve() {
+            return;
+        }
+        let names = self.forwarder.dialect.header_names();
+        let time_left = caller_timeout_ms(parts, &names.timeout_ms).map(Duration::from_millis);
+        let end = self.start_hold.wait(time_left, || self.can_serve()).await;
+        let id = parts.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
+        info!(
+            event = "request-held", id = id.unwrap_or("-"), ready = end == HoldEnd::Ready,
+            held_ms = now_us().saturating_sub(arrived_us) / 1000;
+            "until the first configuration and servers are known"
+        );
+    }
+
     /// Reads the complete request, within the quota, size and time limits.
     async fn read_request(
         &self,
@@ -103,12 +128,11 @@
         reservation: &mut MemoryReservation,
     ) -> Result<ForwardRequest, LocalReply> {
         let (parts, incoming) = request.into_parts();
+        self.hold_while_starting(&parts, arrived_us).await;
         let (route, caller) = self.admit(&parts)?;
         let quota = self.quota_limiter.acquire(caller.as_ref()).await?;
         let names = self.forwarder.dialect.header_names();
-        let timeout_text =
-            parts.headers.get(&names.timeout_ms).and_then(|value| value.to_str().ok());
-        let caller_timeout_ms = timeout_text.and_then(|text| text.trim().parse::<u64>().ok());
+        let caller_timeout_ms = caller_timeout_ms(&parts, &names.timeout_ms);
         let timeout_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let estimated_us = caller_timeout_ms.map_or(0, |caller_timeout_ms| {
             self.spent_time.spent_ms(&route.name, caller_timeout_ms)
@@ -215,6 +239,12 @@
     }
 }
 
+/// The time that the caller allows from its first attempt to the last, in milliseconds.
+fn caller_timeout_ms(parts: &http::request::Parts, name: &HeaderName) -> Option<u64> {
+    let text = parts.headers.get(name).and_then(|value| value.to_str().ok())?;
+    text.trim().parse().ok()
+}
+
 fn request_host(parts: &http::request::Parts) -> &str {
     host(&parts.uri, &parts.headers)
 }
