--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -25,6 +25,7 @@
 use crate::clock::now_ms;
 use crate::conf::Settings;
 use crate::measure::ShardWitnesses;
+use crate::member::Doubts;
 use crate::member::MemberChange;
 use crate::member::MemberRow;
 use crate::member::MemberState;
@@ -63,6 +64,8 @@
     pub members: Mutex<MemberTable>,
     /// How long pings and suspicions last at the moment.
     pub pace: Mutex<Pace>,
+    /// Peers to which a call failed, to be checked by the failure detector.
+    pub doubts: Doubts,
     /// The configuration, written by the catalog controllers.
     pub catalog: Mutex<Catalog>,
     pub outcomes: OutcomeTable,
@@ -173,6 +176,7 @@
             outcomes,
             claim_witnesses,
             shard_witnesses: ShardWitnesses::default(),
+            doubts: Doubts::default(),
             quarantine: Quarantine::default(),
             reach: Arc::default(),
             counters: Counters::default(),
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -19,6 +19,7 @@
 use super::relays::reader_index;
 use super::relays::relay_addresses;
 use super::server_list_holders::holds_server_list;
+use crate::clock::now_ms;
 use crate::clock::now_us;
 use crate::peer::Feed;
 use crate::peer::FeedReply;
@@ -198,6 +199,7 @@
             }
             let after = self.mirror.revision();
             let Some(answer) = self.peers.ask(peer, feed, after, hold, timeout).await else {
+                self.board.doubts.add(peer, now_ms());
                 self.relay_cooldowns.lock().start(peer, UNRESPONSIVE_COOLDOWN);
                 return false;
             };
--- a/src/gateway/load_reporter.rs
+++ b/src/gateway/load_reporter.rs
@@ -18,6 +18,7 @@
 use super::homes::is_home;
 use super::reported_loads::ReportedLoads;
 use crate::board::Blackboard;
+use crate::clock::now_ms;
 use crate::clock::now_us;
 use crate::member::MemberRow;
 use crate::peer::PeerClient;
@@ -177,6 +178,7 @@
             if self.links.call(peer.address, &request, REPORT_TIMEOUT).await.is_ok() {
                 reported.record_delivered(&loads.rows);
             } else {
+                self.board.doubts.add(peer.address, now_ms());
                 reported.record_maybe_delivered(&loads.rows);
             }
         }
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -217,6 +217,12 @@
         self.by_peer_address.contains_key(&peer)
     }
 
+    /// The members that may answer at this peer address.
+    pub fn rows_at(&self, peer: SocketAddr, now_ms: u64) -> impl Iterator<Item = MemberRow> {
+        let at_address = self.by_peer_address.get(&peer).into_iter().flatten();
+        at_address.filter_map(move |incarnation| self.row(*incarnation, now_ms))
+    }
+
     /// Takes the changes since the last call.
     pub fn take_changes(&mut self, now_ms: u64) -> Vec<MemberChange> {
         let changed = std::mem::take(&mut self.changed);
