How long callers keep an address response is a setting

1 s by default, as before, and never longer than address_keep_max_s: how long callers go on trying an instance that is gone depends on it, and how often they look up.

--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -128,6 +128,7 @@
     let cold_slack_valid = (0.0..=1e6).contains(&gateway.cold_slack);
     faults.require(cold_slack_valid, "gateway.cold_slack", "0 to 1000000");
     faults.require_seconds(gateway.address_keep_max_s, 0.01, "gateway.address_keep_max_s");
+    faults.require_range(gateway.address_keep_ms, 10, DURATION_MAX_MS, "gateway.address_keep_ms");
     let ratio_valid = (0.0..=10.0).contains(&gateway.repeat_ratio);
     faults.require(ratio_valid, "gateway.repeat_ratio", "0 to 10");
     faults.require_seconds(gateway.repeat_window_s, 0.1, "gateway.repeat_window_s");
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -53,8 +53,12 @@
     #[serde(default)]
     pub cold_slack: f64,
     /// Longest time that callers cache an address response.
-    #[serde(default = "address_keep_default")]
+    #[serde(default = "address_keep_max_default")]
     pub address_keep_max_s: f64,
+    /// How long callers are told to cache an address response. An instance that is gone is left out
+    /// of the next response, so this bounds how long callers go on trying it.
+    #[serde(default = "address_keep_default")]
+    pub address_keep_ms: u64,
     /// Retry budget: retries per request, over all instances together, in any window.
     #[serde(default = "repeat_ratio_default")]
     pub repeat_ratio: f64,
@@ -108,10 +112,14 @@
     5_000
 }
 
-const fn address_keep_default() -> f64 {
+const fn address_keep_max_default() -> f64 {
     1.0
 }
 
+const fn address_keep_default() -> u64 {
+    1_000
+}
+
 /// By default, retries during an outage add at most a fifth to the load.
 const fn repeat_ratio_default() -> f64 {
     0.2
@@ -136,10 +144,11 @@
         Duration::from_secs_f64(self.grace_s)
     }
 
-    /// Longest time that callers cache an address response.
+    /// How long callers are told to cache an address response.
     #[must_use]
-    pub fn address_keep_max(&self) -> Duration {
-        Duration::from_secs_f64(self.address_keep_max_s)
+    pub fn address_keep(&self) -> Duration {
+        let longest = Duration::from_secs_f64(self.address_keep_max_s);
+        Duration::from_millis(self.address_keep_ms).min(longest)
     }
 
     /// Length of the retry budget's window.
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -22,10 +22,6 @@
 use crate::listener::ConnLimits;
 use crate::listener::Handler;
 
-/// How long callers may cache an address answer. A failed instance is left out of the next answer,
-/// so this bounds how long callers go on trying it. A shorter time gains little, since detecting
-/// the failure takes most of a second.
-const ADDRESS_TTL: Duration = Duration::from_secs(1);
 /// How long they may cache it while this instance knows no other. It can only name itself then, and
 /// callers would go on using it after the others, which may be the homes, are found.
 const ADDRESS_TTL_ALONE: Duration = Duration::from_millis(200);
@@ -75,10 +71,10 @@
 impl<D: Dialect> AddressHandler<D> {
     fn addresses(&self, zone: &str) -> (Vec<SocketAddr>, Duration) {
         let settings = self.board.settings.gateway.as_ref();
-        let ttl_max = settings.map_or(ADDRESS_TTL, GatewaySettings::address_keep_max);
+        let ttl_max = settings.map_or(ADDRESS_TTL_ALONE, GatewaySettings::address_keep);
         let view = self.board.members_view();
         let homes = homes_of_zone(&view, zone, HomesPlan::of(&self.board));
-        let ttl = if view.running_count() > 1 { ADDRESS_TTL } else { ADDRESS_TTL_ALONE };
+        let ttl = if view.running_count() > 1 { ttl_max } else { ADDRESS_TTL_ALONE };
         let accepts_callers = self.admission.accepts_callers();
         let named =
             homes.iter().filter(|row| accepts_callers || row.incarnation != self.board.incarnation);
