Schedules of quotas take their fleet from a model that other tests can share

Cause: loans of retries need the same instances that stop, restart and lose sight of each other. Change: tests/common/fleet_model.rs holds what tests/quota_schedules.rs had of it; faults have names. Conclusion: nothing is checked differently.

--- a/tests/quota_schedules.rs
+++ b/tests/quota_schedules.rs
@@ -18,27 +18,28 @@
 use sorrelwick::quota::Quotas;
 use sorrelwick::workspace::Workspace;
 
+#[path = "common/fleet_model.rs"]
+mod fleet_model;
+
+use fleet_model::Fault;
+use fleet_model::FleetModel;
+use fleet_model::ZONES;
+
 const TOLERANCE: QuotaTolerance =
     QuotaTolerance { window_s: 5.0, overage_fraction: 0.1, slack_requests: 20.0 };
 /// `TOLERANCE.window_s` in milliseconds.
 const WINDOW_MS: u64 = 5_000;
-/// Number of seeds; `SORRELWICK_SCHEDULES` overrides it.
-const DEFAULT_SEED_COUNT: u64 = 24;
 /// Step of the virtual time.
 const STEP_MS: u64 = 5;
 /// Time from a fault, or its end, until an instance notices it.
 const VIEW_LAG_MS: std::ops::Range<u64> = 100..1_500;
 /// Virtual time per seed.
 const RUN_MS: u64 = 30_000;
-const ZONES: usize = 4;
 
-/// State of an instance, and its quotas as placed by its view of the others.
+/// The quotas of an instance, as placed by its view of the others.
 struct Instance {
-    zone: usize,
+    /// The process that they belong to.
     incarnation: u64,
-    running: bool,
-    /// Partition; instances of the same group reach each other.
-    group: usize,
     quotas: Quotas,
     /// When it next updates its view; `u64::MAX` if nothing changed.
     view_update_at_ms: u64,
@@ -46,17 +47,13 @@
 
 /// All instances, and the load of one workspace.
 struct Model {
+    fleet: FleetModel,
     instances: Vec<Instance>,
-    homes_per_zone: usize,
     workspace: Workspace,
-    rng: Pcg64,
-    now_ms: u64,
     /// Times at which requests were sent to a server.
     sent_at_ms: Vec<u64>,
     /// Number of requests that callers sent to instances.
     received: u64,
-    /// Probability that a message between instances is lost.
-    message_loss: f64,
 }
 
 fn zone_name(zone: usize) -> Arc<str> {
@@ -69,11 +66,9 @@
 
 impl Model {
     fn new(count: usize, homes_per_zone: usize, rate_per_s: f64, seed: u64) -> Self {
+        let fleet = FleetModel::new(count, homes_per_zone, seed);
         let instance = |at: usize| Instance {
-            zone: at % ZONES,
-            incarnation: at as u64 + 1,
-            running: true,
-            group: 0,
+            incarnation: fleet.places[at].incarnation,
             quotas: Quotas::new(TOLERANCE),
             view_update_at_ms: 0,
         };
@@ -86,84 +81,69 @@
         };
         Self {
             instances: (0..count).map(instance).collect(),
-            homes_per_zone,
+            fleet,
             workspace,
-            rng: Pcg64::seed_from_u64(seed),
-            now_ms: 1_000_000,
             sent_at_ms: Vec::new(),
             received: 0,
-            message_loss: 0.0,
         }
     }
 
-    const fn now_us(&self) -> u64 {
-        self.now_ms * 1_000
-    }
-
-    fn reaches(&self, from: usize, to: usize) -> bool {
-        let (from, to) = (&self.instances[from], &self.instances[to]);
-        from.running && to.running && from.group == to.group
-    }
-
-    fn in_zone(&self, zone: usize) -> impl Iterator<Item = usize> {
-        (0..self.instances.len()).filter(move |at| at % ZONES == zone)
-    }
-
-    /// The homes of a zone as seen by an instance.
-    fn homes_seen_by(&self, seen_by: usize, zone: usize) -> Vec<usize> {
-        let seen = self.in_zone(zone).filter(|at| self.reaches(seen_by, *at));
-        seen.take(self.homes_per_zone).collect()
-    }
-
     /// Updates an instance's view to the instances that it reaches now.
     fn update_view(&mut self, at: usize) {
-        let zone = self.instances[at].zone;
-        let seen = self.in_zone(zone).filter(|other| self.reaches(at, *other)).count();
-        let of_zone = self.in_zone(zone).count();
-        let homes = (0..ZONES).flat_map(|zone| self.homes_seen_by(at, zone));
+        let fleet = &self.fleet;
+        let zone = fleet.places[at].zone;
+        let seen = fleet.in_zone(zone).filter(|other| fleet.reaches(at, *other)).count();
+        let of_zone = fleet.in_zone(zone).count();
+        let homes = (0..ZONES).flat_map(|zone| fleet.homes_seen_by(at, zone));
         let home = |at: usize| QuotaHome {
             zone: zone_name(at % ZONES),
-            incarnation: self.instances[at].incarnation,
+            incarnation: fleet.places[at].incarnation,
             peer: address_of_index(at),
         };
         let placement = QuotaPlacement {
             zones: (0..ZONES).map(zone_name).collect(),
             own_zone: zone_name(zone),
-            own_incarnation: self.instances[at].incarnation,
+            own_incarnation: fleet.places[at].incarnation,
             homes: homes.map(home).collect(),
             sees_zone_majority: 2 * seen > of_zone,
         };
-        let now_us = self.now_us();
+        let now_us = self.fleet.now_us();
         self.instances[at].quotas.set_placement(placement, now_us);
         self.instances[at].view_update_at_ms = u64::MAX;
     }
 
+    fn loses_message(&mut self) -> bool {
+        self.fleet.rng.random_bool(self.fleet.message_loss)
+    }
+
     fn schedule_view_updates(&mut self) {
         for at in 0..self.instances.len() {
-            let lag_ms = self.rng.random_range(VIEW_LAG_MS);
-            self.instances[at].view_update_at_ms = self.now_ms + lag_ms;
+            let lag_ms = self.fleet.rng.random_range(VIEW_LAG_MS);
+            self.instances[at].view_update_at_ms = self.fleet.now_ms + lag_ms;
         }
     }
 
-    /// Restarts an instance, which forgets the tokens that it spent.
-    fn restart(&mut self, at: usize) {
-        let instance = &mut self.instances[at];
-        instance.running = true;
-        instance.incarnation += 1_000;
-        instance.quotas = Quotas::new(TOLERANCE);
+    /// Starts the processes of instances that have restarted, which forget the tokens that they spent.
+    fn start_processes(&mut self) {
+        for (instance, place) in self.instances.iter_mut().zip(&self.fleet.places) {
+            if instance.incarnation != place.incarnation {
+                instance.incarnation = place.incarnation;
+                instance.quotas = Quotas::new(TOLERANCE);
+            }
+        }
     }
 
     /// Handles a request that arrives at an instance.
     fn receive_request(&mut self, at: usize) {
         self.received += 1;
-        if self.instances[at].running && self.admit(at) {
-            self.sent_at_ms.push(self.now_ms);
+        if self.fleet.places[at].running && self.admit(at) {
+            self.sent_at_ms.push(self.fleet.now_ms);
         }
     }
 
     /// Takes a token for a request at an instance, or borrows some from the lenders.
     fn admit(&mut self, at: usize) -> bool {
-        let now_us = self.now_us();
+        let now_us = self.fleet.now_us();
         let out_of_tokens = match self.instances[at].quotas.take(&self.workspace, now_us) {
             Ok(()) => return true,
             Err(out_of_tokens) => out_of_tokens,
@@ -173,7 +153,7 @@
             let SocketAddr::V4(v4) = lender else { unreachable!("all addresses are IPv4") };
             let [_, _, high, low] = v4.ip().octets();
             let lender = usize::from(high) << 8 | usize::from(low);
-            if !self.reaches(at, lender) || self.rng.random_bool(self.message_loss) {
+            if !self.fleet.reaches(at, lender) || self.loses_message() {
                 continue;
             }
             let lent = self.instances[lender].quotas.lend(
@@ -181,7 +161,7 @@
                 out_of_tokens.tokens_wanted,
                 now_us,
             );
-            if lent <= 0.0 || self.rng.random_bool(self.message_loss) {
+            if lent <= 0.0 || self.loses_message() {
                 continue;
             }
             let quotas = &self.instances[at].quotas;
@@ -198,28 +178,22 @@
 
     /// Sends `per_s` requests per second from callers of these zones, for `for_ms`.
     fn run_load(&mut self, for_ms: u64, per_s: f64, zones: &[usize]) {
-        let end_ms = self.now_ms + for_ms;
+        let end_ms = self.fleet.now_ms + for_ms;
         let mut due = 0.0;
-        while self.now_ms < end_ms {
+        while self.fleet.now_ms < end_ms {
             for at in 0..self.instances.len() {
-                if self.now_ms >= self.instances[at].view_update_at_ms {
+                if self.fleet.now_ms >= self.instances[at].view_update_at_ms {
                     self.update_view(at);
                 }
             }
             due += per_s * STEP_MS as f64 / 1000.0;
             while due >= 1.0 {
                 due -= 1.0;
-                let zone = zones[self.rng.random_range(0..zones.len())];
-                // A few callers use an outdated address; the others use a home as seen by some
-                // instance.
-                let of_zone: Vec<usize> = self.in_zone(zone).collect();
-                let any = of_zone[self.rng.random_range(0..of_zone.len())];
-                let homes = self.homes_seen_by(any, zone);
-                let stale = homes.is_empty() || self.rng.random_bool(0.02);
-                let at = if stale { any } else { homes[self.rng.random_range(0..homes.len())] };
+                let zone = zones[self.fleet.rng.random_range(0..zones.len())];
+                let at = self.fleet.called_instance(zone);
                 self.receive_request(at);
             }
-            self.now_ms += STEP_MS;
+            self.fleet.now_ms += STEP_MS;
         }
     }
 
@@ -242,68 +216,27 @@
     }
 }
 
-/// Injects a random fault: a partition, stopped instances, a restart, message loss, or recovery
-/// from all.
-fn inject_fault(model: &mut Model) {
-    let count = model.instances.len();
-    match model.rng.random_range(0..5) {
-        0 => {
-            let partitioned_zone = model.rng.random_range(0..ZONES);
-            for instance in &mut model.instances {
-                instance.group = usize::from(instance.zone == partitioned_zone);
-            }
-        }
-        1 => {
-            for at in 0..count {
-                if model.rng.random_bool(0.3) {
-                    model.instances[at].running = false;
-                }
-            }
-        }
-        2 => {
-            // The first home of a zone restarts, as in a rolling restart.
-            let zone = model.rng.random_range(0..ZONES);
-            if let Some(home) = model.homes_seen_by(0, zone).first().copied() {
-                model.restart(home);
-            }
-        }
-        3 => model.message_loss = model.rng.random_range(0.0..0.5),
-        _ => {
-            for at in 0..count {
-                model.instances[at].group = 0;
-                if !model.instances[at].running {
-                    model.restart(at);
-                }
-            }
-        }
-    }
-    model.schedule_view_updates();
-}
-
-fn seed_count() -> u64 {
-    let given = std::env::var("SORRELWICK_SCHEDULES").ok();
-    given.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SEED_COUNT)
-}
-
 /// Guards against a customer getting several times its quota while zones are partitioned, homes
 /// change or messages are lost.
 #[test]
 fn faults_do_not_raise_a_workspace_above_its_bound() {
-    for seed in 0..seed_count() {
+    for seed in 0..fleet_model::seed_count() {
         let mut schedule_rng = Pcg64::seed_from_u64(seed);
         let count = [8, 40, 140, 500][schedule_rng.random_range(0..4)];
         let homes_per_zone = [1, 2, 8][schedule_rng.random_range(0..3)];
         let rate_per_s = [1.5, 12.0, 160.0][schedule_rng.random_range(0..3)];
         let mut model = Model::new(count, homes_per_zone, rate_per_s, seed);
         (0..count).for_each(|at| model.update_view(at));
-        let end_ms = model.now_ms + RUN_MS;
-        while model.now_ms < end_ms {
+        let end_ms = model.fleet.now_ms + RUN_MS;
+        while model.fleet.now_ms < end_ms {
             let for_ms = schedule_rng.random_range(300..4_000);
             let below_quota = schedule_rng.random_bool(0.3);
             let per_s = rate_per_s * if below_quota { 0.6 } else { 7.5 };
             let zones: &[usize] = if schedule_rng.random_bool(0.5) { &[0, 1, 2, 3] } else { &[1] };
             model.run_load(for_ms, per_s, zones);
-            inject_fault(&mut model);
+            model.fleet.inject_fault(&Fault::ALL);
+            model.start_processes();
+            model.schedule_view_updates();
         }
         let (max_sent, allowed) = (model.max_sent_in_window(), model.allowed_in_window());
         assert!(
