Instances that are short of retries borrow from those that have some over

Cause: each instance kept its part of a service's retry budget; while one zone's servers refused, the others' lay idle. Change: retry::RetryLoans (what is lent and borrowed), retry::LenderTurn (whom to ask, and when), PeerRequest::RetryLoan, gateway::RetryBorrower (the task that asks), a log line and counters for loans; the lender counts a loan as spent until its term and a window are over, lends no slack, nothing in its first window and no more than its latest requests allow. Conclusion: loans move the budget and make none; that a new process forgets what the one before it spent is older.

--- a/src/app/daemon_peer_service.rs
+++ b/src/app/daemon_peer_service.rs
@@ -139,7 +139,8 @@
             // Only gateways exchange these.
             PeerRequest::ServerLoads(_)
             | PeerRequest::Feed { .. }
-            | PeerRequest::QuotaTokens { .. } => PeerReply::Failed(Code::PeerFrame.number()),
+            | PeerRequest::QuotaTokens { .. }
+            | PeerRequest::RetryLoan { .. } => PeerReply::Failed(Code::PeerFrame.number()),
         }
     }
 
--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -41,6 +41,7 @@
 use crate::gateway::QuotaLimiter;
 use crate::gateway::ReadinessHandler;
 use crate::gateway::Registry;
+use crate::gateway::RetryBorrower;
 use crate::gateway::ServerSink;
 use crate::gateway::SpentTimeEstimator;
 use crate::gateway::run_store_check;
@@ -330,6 +331,12 @@
         };
         tasks.spawn(planner.run());
         tasks.spawn(load_reporter.run());
+        let retry_borrower = RetryBorrower {
+            board: Arc::clone(&board),
+            links: links.clone(),
+            dispatcher: dispatcher.clone(),
+        };
+        tasks.spawn(retry_borrower.run());
         let body_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
         let response_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
         let forwarder =
--- a/src/app/gateway_peer_service.rs
+++ b/src/app/gateway_peer_service.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use log::info;
 use log::warn;
 
 use crate::board::Blackboard;
@@ -63,6 +64,22 @@
     }
 }
 
+impl<D> GatewayPeerService<D> {
+    /// Lends retries of a service's budget to another instance.
+    fn lend_retries(&self, service: &str, wanted: u32) -> u32 {
+        let loan = self.dispatcher.lend_retries(service, wanted);
+        if loan.granted > 0 {
+            self.board.counters.add_many(Counter::RetriesLent, loan.granted.into());
+            info!(
+                event = "retries-lent", service = service, wanted = wanted, granted = loan.granted,
+                allowed = loan.usage.allowed, spent = loan.usage.spent;
+                ""
+            );
+        }
+        loan.granted
+    }
+}
+
 impl<D: Dialect> PeerService for GatewayPeerService<D> {
     type ForwardHead = PeerForwardHead;
     type Body = ReplyBody;
@@ -96,6 +113,9 @@
             PeerRequest::QuotaTokens { workspace, wanted_millitokens } => {
                 PeerReply::QuotaTokens(self.quota_limiter.lend(&workspace, wanted_millitokens))
             }
+            PeerRequest::RetryLoan { service, wanted } => {
+                PeerReply::RetryLoan(self.lend_retries(&service, wanted))
+            }
             PeerRequest::ReachesServers { services } => {
                 PeerReply::ReachesServers(self.reach_answerer.answer(&services).await)
             }
--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -28,6 +28,9 @@
     Unknown = "outcome_unknown", "Requests whose outcome is not known.";
     Attempts = "attempts", "Attempts on backend servers.";
     Retries = "retries", "Attempts after a first one that failed.";
+    RetryLoanQuestions = "retry_loan_questions", "Questions to other instances for retries.";
+    RetriesBorrowed = "retries_borrowed", "Retries that other instances lent.";
+    RetriesLent = "retries_lent", "Retries lent to other instances.";
     Hedges = "hedges", "Second attempts beside a slow first one.";
     Queued = "queued", "Requests that waited for a slot.";
     Spilled = "spilled", "Requests passed to a co-home that had slots free.";
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -9,7 +9,7 @@
 use super::dispatcher::Dispatcher;
 use super::dispatcher::DispatcherState;
 use crate::balance::ServerSubset;
-use crate::clock::now_us;
+use crate::clock::boot_us;
 use crate::cold::ColdPolicy;
 use crate::retry::RetryAllowance;
 use crate::retry::RetryNeed;
@@ -47,7 +47,7 @@
     pub fn count_request(&self, service: &Arc<str>) {
         let mut state = self.state.lock();
         let pool = state.pools.entry(Arc::clone(service)).or_default();
-        pool.retry_budget.record_request(&self.retry_allowance, now_us());
+        pool.retry_budget.record_request(&self.retry_allowance, boot_us());
     }
 
     /// Divides the slack of the retry budget among this number of homes, and the slots of all
@@ -105,7 +105,7 @@
 
     /// This instance's share of the retry budget.
     #[expect(clippy::cast_precision_loss, reason = "a small number of homes")]
-    fn own_retry_allowance(&self) -> RetryAllowance {
+    pub(super) fn own_retry_allowance(&self) -> RetryAllowance {
         let sharers = self.budget_sharers.load(Ordering::Acquire) as f64;
         RetryAllowance {
             slack_retries: self.retry_allowance.slack_retries / sharers,
@@ -130,6 +130,6 @@
         let mut state = self.state.lock();
         let allowance = self.own_retry_allowance();
         let pool = state.pools.get_mut(service);
-        pool.is_some_and(|pool| pool.retry_budget.try_spend(&allowance, need, now_us()))
+        pool.is_some_and(|pool| pool.retry_budget.try_spend(&allowance, need, boot_us()))
     }
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -146,6 +146,8 @@
         /// Whether this is the last part.
         last: bool,
     },
+    /// Asks for some of the receiver's retry budget for a service.
+    RetryLoan { service: String, wanted: u32 },
 }
 
 /// A reply to a [`PeerRequest`].
@@ -191,6 +193,8 @@
     QuotaTokens(u32),
     /// The request was not served; contains a result code.
     Failed(u16),
+    /// Retries that the responder lends.
+    RetryLoan(u32),
 }
 
 impl FeedReply {
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,13 +1,19 @@
 //! Retries as a scarce good: which requests get the retries that the budget allows, and which
 //! callers have come back after a refusal; no I/O.
 
+mod expiring_count;
+mod lender_turn;
 mod refused_requests;
 mod request_hash;
 mod retry_budget;
+mod retry_loans;
 
+pub use lender_turn::LenderTurn;
 pub use refused_requests::EarlierAttempt;
 pub use refused_requests::RefusedRequests;
 pub use request_hash::RequestHash;
 pub use retry_budget::RetryAllowance;
 pub use retry_budget::RetryBudget;
 pub use retry_budget::RetryNeed;
+pub use retry_budget::RetryUsage;
+pub use retry_loans::RetryLoans;
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -3,6 +3,8 @@
 
 use std::collections::VecDeque;
 
+use super::RetryLoans;
+
 /// The retry budget that the operators configure for all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryAllowance {
@@ -38,6 +40,17 @@
     requests_us: VecDeque<u64>,
     /// Times of the retries, in order.
     retries_us: VecDeque<u64>,
+    /// What other instances have of this budget, and this one of theirs.
+    pub loans: RetryLoans,
+}
+
+/// How much of its budget an instance uses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Retries that it may make in the window that ends now, without borrowed ones.
+    pub allowed: f64,
+    /// Retries that it made in that window, without borrowed ones.
+    pub spent: usize,
 }
 
 fn remove_before(times_us: &mut VecDeque<u64>, before_us: u64) {
@@ -48,9 +61,13 @@
 
 impl RetryBudget {
     /// Records a caller's request.
+    #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
     pub fn record_request(&mut self, allowance: &RetryAllowance, now_us: u64) {
         remove_before(&mut self.requests_us, now_us.saturating_sub(allowance.window_us));
         self.requests_us.push_back(now_us);
+        let RetryAllowance { ratio, window_us, .. } = *allowance;
+        let by_ratio = ratio * self.requests_us.len() as f64;
+        self.loans.record_request(ratio, by_ratio, window_us, now_us);
     }
 
     /// Takes one retry from the budget; returns whether the budget allows it.
@@ -59,15 +76,41 @@
         let from_us = now_us.saturating_sub(allowance.window_us);
         remove_before(&mut self.requests_us, from_us);
         remove_before(&mut self.retries_us, from_us);
-        let allowed = allowance.ratio * self.requests_us.len() as f64 + allowance.slack_retries;
+        let allowed = self.allowed(allowance, now_us);
         let share = match need {
             RetryNeed::CallerCanRetry => CALLER_CAN_RETRY_SHARE,
             RetryNeed::LastChance => 1.0,
         };
         if self.retries_us.len() as f64 + 1.0 > allowed * share {
-            return false;
+            return self.loans.spend_borrowed(need, allowance.window_us, now_us);
         }
         self.retries_us.push_back(now_us);
         true
     }
+
+    /// Retries that this instance may make in the window that ends now.
+    #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
+    fn allowed(&self, allowance: &RetryAllowance, now_us: u64) -> f64 {
+        let own = allowance.ratio * self.requests_us.len() as f64 + allowance.slack_retries;
+        own - self.loans.lent(now_us)
+    }
+
+    /// Lends up to `wanted` retries to another instance, and returns how many.
+    ///
+    /// The slack is not lent: a lender that restarts has its part of it again.
+    pub fn lend(&mut self, allowance: &RetryAllowance, wanted: u32, now_us: u64) -> u32 {
+        let RetryUsage { allowed, spent } = self.usage(allowance, now_us);
+        let spent_since = |from_us| spent - self.retries_us.partition_point(|at| *at < from_us);
+        let demand = self.loans.demand(spent, spent_since, allowance.window_us, now_us);
+        let over = allowed - allowance.slack_retries - demand;
+        self.loans.lend(over, wanted, allowance.window_us, now_us)
+    }
+
+    /// How much of the budget is used.
+    pub fn usage(&mut self, allowance: &RetryAllowance, now_us: u64) -> RetryUsage {
+        let from_us = now_us.saturating_sub(allowance.window_us);
+        remove_before(&mut self.requests_us, from_us);
+        remove_before(&mut self.retries_us, from_us);
+        RetryUsage { allowed: self.allowed(allowance, now_us), spent: self.retries_us.len() }
+    }
 }
--- /dev/null
+++ b/src/retry/retry_loans.rs
@@ -0,0 +1,128 @@
+//! Retries of one service's budget that instances lend each other.
+
+use super::RetryNeed;
+use super::expiring_count::ExpiringCount;
+
+/// Time, in microseconds, for which borrowed retries can be used. It covers a few rounds of asking;
+/// a lender counts them as spent for this much longer than a window.
+const LOAN_TERM_US: u64 = 500_000;
+/// Loans and denials that end within the same slot, in microseconds, are counted together.
+const SLOT_US: u64 = 100_000;
+/// Time, in microseconds, over which the latest demand is measured.
+const RECENT_US: u64 = 1_000_000;
+/// Upper limit of the retries that an instance with few requests keeps ready to lend.
+const LENDABLE_MIN: f64 = 1.0;
+/// Fraction of what an instance has over that one borrower gets, so that the next one finds some.
+const LENT_FRACTION: f64 = 0.5;
+
+/// What an instance lent of its budget for a service, and what it borrowed.
+///
+/// Retries are moved, never created. The borrower counts the term from before it asked, the lender
+/// from when it was asked, so that the lender counts each of them as spent from before it can be
+/// used until a window after it can no longer be.
+#[derive(Debug, Default)]
+pub struct RetryLoans {
+    /// First request of this process for the service; `None` before it.
+    first_request_us: Option<u64>,
+    /// Retries that may be lent now. Each request adds the ratio, up to what about a second adds: a
+    /// budget saved up before a window could be lent when the requests that it came from are gone.
+    lendable: f64,
+    /// Retries that count as spent since they were lent.
+    lent: ExpiringCount,
+    /// Retries that were borrowed and not used.
+    borrowed: ExpiringCount,
+    /// Last attempts that the own budget denied within a window.
+    denied: ExpiringCount,
+    /// Those of them that no question for a loan has taken account of.
+    denied_since_question: u32,
+}
+
+const fn end_of_slot(at_us: u64) -> u64 {
+    at_us.div_ceil(SLOT_US) * SLOT_US
+}
+
+impl RetryLoans {
+    /// Records that a request was received, which allows `ratio` retries; all requests within the
+    /// window allow `by_ratio`.
+    #[expect(clippy::cast_precision_loss, reason = "microseconds of one window")]
+    pub(super) fn record_request(
+        &mut self,
+        ratio: f64,
+        by_ratio: f64,
+        window_us: u64,
+        now_us: u64,
+    ) {
+        self.first_request_us.get_or_insert(now_us);
+        let recent_part = RECENT_US.min(window_us) as f64 / window_us as f64;
+        let lendable_max = (by_ratio * recent_part).max(LENDABLE_MIN);
+        self.lendable = (self.lendable + ratio).min(lendable_max);
+    }
+
+    /// Retries that are lent and count as spent.
+    #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
+    pub(super) fn lent(&self, now_us: u64) -> f64 {
+        self.lent.total(now_us) as f64
+    }
+
+    /// Last attempts that the own budget denied within a window, or at the latest rate would deny
+    /// within one, whichever is more; the same for the own retries, whose numbers are given.
+    #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
+    pub(super) fn demand(
+        &self,
+        spent: usize,
+        spent_since: impl Fn(u64) -> usize,
+        window_us: u64,
+        now_us: u64,
+    ) -> f64 {
+        let in_window = spent as f64 + self.denied.total(now_us) as f64;
+        let recent_us = RECENT_US.min(window_us);
+        let denied_recently = self.denied.total(now_us + window_us - recent_us);
+        let recently = spent_since(now_us.saturating_sub(recent_us)) as f64;
+        let at_latest_rate =
+            (recently + denied_recently as f64) * window_us as f64 / recent_us as f64;
+        in_window.max(at_latest_rate)
+    }
+
+    /// Lends up to `wanted` retries of those that this instance has over, and returns how many.
+    ///
+    /// In the first window of a process none are lent: the process before it may have spent what
+    /// the same callers' requests allow.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "bounded")]
+    pub(super) fn lend(&mut self, over: f64, wanted: u32, window_us: u64, now_us: u64) -> u32 {
+        let whole_window = |first_us| first_us + window_us <= now_us;
+        if !self.first_request_us.is_some_and(whole_window) {
+            return 0;
+        }
+        let available = (over * LENT_FRACTION).min(self.lendable);
+        let granted = available.clamp(0.0, f64::from(wanted)) as u32;
+        if granted > 0 {
+            self.lendable -= f64::from(granted);
+            self.lent.add(granted, end_of_slot(now_us + LOAN_TERM_US + window_us), now_us);
+        }
+        granted
+    }
+
+    /// Records that the own budget denied a retry, and takes a borrowed one if it was a last
+    /// attempt; returns whether there was one.
+    pub(super) fn spend_borrowed(&mut self, need: RetryNeed, window_us: u64, now_us: u64) -> bool {
+        if need != RetryNeed::LastChance {
+            return false;
+        }
+        self.denied.add(1, end_of_slot(now_us + window_us), now_us);
+        self.denied_since_question = self.denied_since_question.saturating_add(1);
+        self.borrowed.take_one(now_us)
+    }
+
+    /// Number of retries to borrow: half as many again as the own budget denied since the last
+    /// call, less those that are left.
+    pub fn take_wanted(&mut self, now_us: u64) -> u32 {
+        let denied = std::mem::take(&mut self.denied_since_question);
+        let left = u32::try_from(self.borrowed.total(now_us)).unwrap_or(u32::MAX);
+        denied.saturating_add(denied.div_ceil(2)).saturating_sub(left)
+    }
+
+    /// Adds retries that another instance lent on a question sent at `asked_us`.
+    pub fn add_borrowed(&mut self, retries: u32, asked_us: u64, now_us: u64) {
+        self.borrowed.add(retries, asked_us + LOAN_TERM_US, now_us);
+    }
+}
