--- a/tests/retry_loans.rs
+++ b/tests/retry_loans.rs
@@ -304,6 +304,18 @@
     }
 }
 
+/// Guards against a process that spends again what the one before it has spent, with and without
+/// loans.
+#[test]
+fn instances_that_restart_stay_within_the_budget_together() {
+    for seed in 0..fleet_model::seed_count() {
+        let [alone, lending] =
+            [false, true].map(|lends| run_schedule(seed, &Fault::ALL, lends).excess());
+        let kept = alone <= 0.0 && lending <= 0.0;
+        assert!(kept, "seed {seed}: {alone} above without loans, {lending} with them");
+    }
+}
+
 /// Part of the whole fleet's budget that is used while the servers of one zone refuse requests.
 fn used_while_one_zone_refuses(lends: bool) -> f64 {
     let mut model = Model::new(12, 3, lends, 5);
