--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -42,7 +42,6 @@
 use crate::gateway::ReadinessHandler;
 use crate::gateway::Registry;
 use crate::gateway::ServerSink;
-use crate::gateway::SpentTimeEstimator;
 use crate::gateway::StartHold;
 use crate::gateway::run_store_check;
 use crate::listener::HttpListener;
@@ -346,13 +345,11 @@
             forward_handler: PeerForwardHandler::new(forwarder.clone(), Arc::clone(&body_memory)),
             reach_answerer,
         };
-        let spent_time = Arc::new(SpentTimeEstimator::default());
-        let refused = Arc::default();
         let callers = CallerHandler {
             forwarder,
             body_memory,
-            spent_time,
-            refused,
+            spent_time: Arc::default(),
+            refused: Arc::default(),
             quota_limiter,
             start_hold,
         };
