An instance that knows no other yet uses no slack of the retry budget

Callers would see nothing; operators a broken retry budget: when all instances restart during an outage of servers, each takes itself for the only home until it knows others, some 0.2 s, and had the whole slack. The ratio of its own requests stays.

--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Leaves this instance without a part of the slack of the retry budget until the homes are
+    /// known: if hundreds start at once, each would take itself for the only one.
+    pub fn withhold_retry_slack(&self) {
+        self.retry_slack_share.store(0.0_f64.to_bits(), Ordering::Release);
+    }
+
     /// Makes each pool prefer the servers of this subset, as currently listed.
     pub fn set_subset(&self, subset: Option<&ServerSubset>) {
         for pool in self.state.lock().pools.values_mut() {
--- a/src/gateway/home_planner.rs
+++ b/src/gateway/home_planner.rs
@@ -151,6 +151,9 @@
         self.dispatcher.set_home_set(self.home_set(&inputs));
         let is_home = inputs.homes.contains(&self.board.incarnation);
         self.dispatcher.set_home_count(homes.len(), inputs.others, is_home);
+        if self.may_lack_members(inputs.homes.len() + inputs.others) {
+            self.dispatcher.withhold_retry_slack();
+        }
         self.dispatcher.set_subset(own_subset(&self.board).as_ref());
         let share = connection_share(homes.len(), inputs.others, is_home);
         if let Some(table) = self.table.load().as_ref() {
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -1,13 +1,25 @@
 //! Which instances are the homes of a zone; without network.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use sorrelwick::board::Blackboard;
 use sorrelwick::board::MembersView;
+use sorrelwick::gateway::CurrentRouteTable;
+use sorrelwick::gateway::Dispatcher;
+use sorrelwick::gateway::HomePlanner;
 use sorrelwick::gateway::HomesPlan;
 use sorrelwick::gateway::all_homes;
 use sorrelwick::gateway::homes_of_zone;
 use sorrelwick::member::MemberRow;
 use sorrelwick::member::MemberState;
+use sorrelwick::quota::QuotaTolerance;
+use sorrelwick::quota::Quotas;
+use sorrelwick::retry::RetryAllowance;
+use sorrelwick::retry::RetryClass;
+use sorrelwick::retry::RetryRank;
+use standins::routed::fleet_settings;
+use standins::routed::member_row;
 
 mod common;
 
@@ -107,3 +119,31 @@
         Ok(())
     });
 }
+
+/// Guards against exceeding the retry budget while all instances restart: each knows no other yet,
+/// and would use the slack of all of them.
+#[tokio::test(start_paused = true)]
+async fn instance_that_knows_no_other_uses_no_retry_slack() {
+    const PLANNED: Duration = Duration::from_secs(1);
+    let seed = ([127, 0, 0, 1], 9).into();
+    let board = Arc::new(Blackboard::new(fleet_settings("i", "z", &["z"], &[seed]), 1));
+    board.publish_members();
+    let allowance = RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 60.0 };
+    let dispatcher = Dispatcher::new("z", allowance);
+    let tolerance = QuotaTolerance { window_s: 5.0, overage_fraction: 0.1, slack_requests: 20.0 };
+    let planner = HomePlanner {
+        board: Arc::clone(&board),
+        dispatcher: dispatcher.clone(),
+        table: CurrentRouteTable::default(),
+        quotas: Arc::new(Quotas::new(tolerance)),
+    };
+    tokio::spawn(planner.run());
+    tokio::time::sleep(PLANNED).await;
+    let rank = RetryRank::new(RetryClass::LastAttempt, 0, false);
+    let service: Arc<str> = "parts".into();
+    assert!(dispatcher.spend_retry(&service, rank).is_err());
+    board.members.lock().merge(&member_row(2), 1_000);
+    board.publish_members();
+    tokio::time::sleep(PLANNED).await;
+    assert!(dispatcher.spend_retry(&service, rank).is_ok());
+}
