Requests held at a start: only what waiting helps, by the route's own servers and deadline, and not while the instance stops

Found by the review of the part: requests that would be rejected for good, or need no proof, took places among the held; the route's timeout was not looked at; held requests outlived the stop signal; nothing_is_held_by_default passed the default itself. Attempts to open a connection to a peer last 100, 200, 400 ms, so that a path with a longer round trip comes about. The setting of how long callers keep an answer is gateway.address_ttl_ms, as requests.address_keep_ms is another.

--- a/src/conf/check.rs
+++ b/src/conf/check.rs
@@ -19,6 +19,9 @@
 const DURATION_MAX_MS: u64 = 3_600_000;
 /// Longest duration of a setting in seconds: one hour.
 const DURATION_MAX_S: f64 = 3_600.0;
+/// Upper limit of the time for which an instance holds requests after its start; callers allow a
+/// few seconds for a request.
+const START_HOLD_MAX_MS: u64 = 5_000;
 /// Least memory limit: with less, there is no room for connections beside the program itself.
 const MEMORY_MIN_MB: f64 = 16.0;
 /// Largest memory limit.
@@ -128,7 +131,7 @@
     let cold_slack_valid = (0.0..=1e6).contains(&gateway.cold_slack);
     faults.require(cold_slack_valid, "gateway.cold_slack", "0 to 1000000");
     faults.require_seconds(gateway.address_keep_max_s, 0.01, "gateway.address_keep_max_s");
-    faults.require_range(gateway.address_keep_ms, 10, DURATION_MAX_MS, "gateway.address_keep_ms");
+    faults.require_range(gateway.address_ttl_ms, 10, DURATION_MAX_MS, "gateway.address_ttl_ms");
     let ratio_valid = (0.0..=10.0).contains(&gateway.repeat_ratio);
     faults.require(ratio_valid, "gateway.repeat_ratio", "0 to 10");
     faults.require_seconds(gateway.repeat_window_s, 0.1, "gateway.repeat_window_s");
@@ -138,7 +141,7 @@
     let memory_valid = (MEMORY_MIN_MB..=MEMORY_MAX_MB).contains(&gateway.memory_max_mb);
     let memory_allowed = format!("{MEMORY_MIN_MB} to {MEMORY_MAX_MB}");
     faults.require(memory_valid, "gateway.memory_max_mb", memory_allowed);
-    faults.require_range(gateway.start_hold_ms, 0, 5_000, "gateway.start_hold_ms");
+    faults.require_range(gateway.start_hold_ms, 0, START_HOLD_MAX_MS, "gateway.start_hold_ms");
     faults.require_range(gateway.zones.len() as u64, 1, 1_000, "gateway.zones");
     faults.require_range(gateway.homes_per_zone as u64, 1, 1_000, "gateway.homes_per_zone");
 }
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -57,8 +57,8 @@
     pub address_keep_max_s: f64,
     /// How long callers are told to cache an address response. An instance that is gone is left out
     /// of the next response, so this bounds how long callers go on trying it.
-    #[serde(default = "address_keep_default")]
-    pub address_keep_ms: u64,
+    #[serde(default = "address_ttl_default")]
+    pub address_ttl_ms: u64,
     /// Retry budget: retries per request, over all instances together, in any window.
     #[serde(default = "repeat_ratio_default")]
     pub repeat_ratio: f64,
@@ -116,7 +116,7 @@
     1.0
 }
 
-const fn address_keep_default() -> u64 {
+const fn address_ttl_default() -> u64 {
     1_000
 }
 
@@ -146,9 +146,9 @@
 
     /// How long callers are told to cache an address response.
     #[must_use]
-    pub fn address_keep(&self) -> Duration {
+    pub fn address_ttl(&self) -> Duration {
         let longest = Duration::from_secs_f64(self.address_keep_max_s);
-        Duration::from_millis(self.address_keep_ms).min(longest)
+        Duration::from_millis(self.address_ttl_ms).min(longest)
     }
 
     /// Length of the retry budget's window.
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -73,15 +73,6 @@
         !keys_required || self.proved_within(PROOF_AGE_UNREADY_RATIO)
     }
 
-    /// Whether a configuration is loaded and fresh enough to accept any key that it requires.
-    #[must_use]
-    pub fn can_admit(&self) -> bool {
-        let table = self.table.load();
-        let no_keys_required = |table: &Arc<RouteTable>| table.workspaces.is_none();
-        table.as_ref().is_some_and(no_keys_required)
-            || table.is_some() && self.check_freshness().is_ok()
-    }
-
     /// Checks that the configuration was proved up to date recently enough to accept any key.
     ///
     /// # Errors
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -37,7 +37,6 @@
 use super::reply::Reply;
 use super::reply::ReplyBody;
 use super::spent_time_estimator::SpentTimeEstimator;
-use super::start_hold::HoldEnd;
 use super::start_hold::StartHold;
 use crate::board::Counter;
 use crate::board::Phase;
@@ -98,24 +97,32 @@
         Ok((route, caller))
     }
 
-    /// Whether requests can be admitted and sent to servers.
-    fn can_serve(&self) -> bool {
-        self.forwarder.admission.can_admit() && self.forwarder.dispatcher.has_servers()
+    /// Whether a request can be served, or can be answered without being served: it is rejected for
+    /// good, or this instance stops.
+    fn can_answer(&self, parts: &http::request::Parts) -> bool {
+        if self.forwarder.board.phase() != Phase::Running {
+            return true;
+        }
+        let dispatcher = &self.forwarder.dispatcher;
+        match self.admit(parts) {
+            Ok((route, _)) => route.services().any(|service| dispatcher.has_servers_of(service)),
+            Err(rejection) => rejection.retry_after_ms.is_none(),
+        }
     }
 
     /// Holds a request while this instance starts and cannot serve it yet.
     async fn hold_while_starting(&self, parts: &http::request::Parts, arrived_us: u64) {
-        if self.start_hold.is_over() || self.can_serve() {
+        if self.start_hold.is_over() || self.can_answer(parts) {
             return;
         }
         let names = self.forwarder.dialect.header_names();
         let time_left = caller_timeout_ms(parts, &names.timeout_ms).map(Duration::from_millis);
-        let end = self.start_hold.wait(time_left, || self.can_serve()).await;
+        let end = self.start_hold.wait(time_left, || self.can_answer(parts)).await;
         let id = parts.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
         info!(
-            event = "request-held", id = id.unwrap_or("-"), ready = end == HoldEnd::Ready,
+            event = "request-held", id = id.unwrap_or("-"), outcome = end.name(),
             held_ms = now_us().saturating_sub(arrived_us) / 1000;
-            "until the first configuration and servers are known"
+            "held while this instance starts"
         );
     }
 
@@ -130,17 +137,20 @@
         let (parts, incoming) = request.into_parts();
         self.hold_while_starting(&parts, arrived_us).await;
         let (route, caller) = self.admit(&parts)?;
-        let quota = self.quota_limiter.acquire(caller.as_ref()).await?;
         let names = self.forwarder.dialect.header_names();
         let caller_timeout_ms = caller_timeout_ms(&parts, &names.timeout_ms);
         let timeout_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let deadline_us = arrived_us + timeout_ms * 1000;
+        if now_us() >= deadline_us {
+            return Err(LocalReply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
+        }
+        let quota = self.quota_limiter.acquire(caller.as_ref()).await?;
         let estimated_us = caller_timeout_ms.map_or(0, |caller_timeout_ms| {
             self.spent_time.spent_ms(&route.name, caller_timeout_ms)
         }) * 1000;
         let known_us =
             earlier.map_or(0, |earlier| arrived_us.saturating_sub(earlier.first_arrived_us));
         let spent_before_us = estimated_us.max(known_us);
-        let deadline_us = arrived_us + timeout_ms * 1000;
         let remaining = Duration::from_micros(deadline_us.saturating_sub(now_us()));
         let body_bytes_max = self.current_limits().body_bytes_max;
         let body =
@@ -241,7 +251,7 @@
     }
 }
 
-/// The time that the caller allows from its first attempt to the last, in milliseconds.
+/// The time that the caller still allows, in milliseconds.
 fn caller_timeout_ms(parts: &http::request::Parts, name: &HeaderName) -> Option<u64> {
     let text = parts.headers.get(name).and_then(|value| value.to_str().ok())?;
     text.trim().parse().ok()
--- a/src/gateway/dispatcher_servers.rs
+++ b/src/gateway/dispatcher_servers.rs
@@ -218,6 +218,13 @@
         !self.state.lock().servers.is_empty()
     }
 
+    /// Whether any server of a service is known.
+    #[must_use]
+    pub fn has_servers_of(&self, service: &str) -> bool {
+        let state = self.state.lock();
+        state.pools.get(service).is_some_and(|pool| !pool.servers.is_empty())
+    }
+
     /// Handles the removal of a server from the platform's list. It may be used for `grace` longer.
     pub fn unlist_server(&self, id: &str, grace: Duration) {
         let mut state = self.state.lock();
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -71,7 +71,7 @@
 impl<D: Dialect> AddressHandler<D> {
     fn addresses(&self, zone: &str) -> (Vec<SocketAddr>, Duration) {
         let settings = self.board.settings.gateway.as_ref();
-        let ttl_max = settings.map_or(ADDRESS_TTL_ALONE, GatewaySettings::address_keep);
+        let ttl_max = settings.map_or(ADDRESS_TTL_ALONE, GatewaySettings::address_ttl);
         let view = self.board.members_view();
         let homes = homes_of_zone(&view, zone, HomesPlan::of(&self.board));
         let ttl = if view.running_count() > 1 { ttl_max } else { ADDRESS_TTL_ALONE };
--- a/src/gateway/start_hold.rs
+++ b/src/gateway/start_hold.rs
@@ -8,16 +8,29 @@
 /// Most requests held at a time; each keeps its head and its caller's connection.
 const HELD_MAX: usize = 512;
 /// How often a held request checks whether it can be served.
-const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// How a held request went on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HoldEnd {
-    /// The instance can serve requests.
+    /// The instance can answer the request.
     Ready,
-    /// The instance has started long ago, the request has used up its share of time, or too many
-    /// others are held.
-    NotReady,
+    /// The instance has run for too long, or the request has used up its share of its time.
+    TimedOut,
+    /// Too many other requests are held.
+    Full,
+}
+
+impl HoldEnd {
+    /// Name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::TimedOut => "timed-out",
+            Self::Full => "full",
+        }
+    }
 }
 
 /// Decides which requests are held, and for how long.
@@ -52,7 +65,7 @@
     /// Waits until `is_ready`, as long as a request with `time_left` may be held.
     pub async fn wait(&self, time_left: Option<Duration>, is_ready: impl Fn() -> bool) -> HoldEnd {
         let Ok(_place) = self.places.try_acquire() else {
-            return HoldEnd::NotReady;
+            return HoldEnd::Full;
         };
         let until = Instant::now() + self.time_max(time_left);
         loop {
@@ -61,7 +74,7 @@
             }
             let now = Instant::now();
             if now >= until {
-                return HoldEnd::NotReady;
+                return HoldEnd::TimedOut;
             }
             tokio::time::sleep_until(until.min(now + CHECK_INTERVAL)).await;
         }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -48,9 +48,10 @@
 /// without being closed, while a new one to the same peer works.
 const TIMEOUTS_MAX: u32 = 2;
 
-/// How long one attempt to open a connection may take. A machine that is starting does not answer
-/// the first packet of an attempt, and the kernel sends it again only after a second.
-const OPEN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long the first attempt to open a connection may take; each further one may take twice as
+/// long. A machine that is starting does not answer the first packet of an attempt, and the kernel
+/// sends it again only after a second.
+const FIRST_OPEN_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A connection to one peer address, shared by all calls to it.
 #[derive(Debug)]
@@ -67,11 +68,12 @@
 /// Opens a connection; `None` if the machine refuses it. Attempts that are not answered are
 /// repeated until the caller gives up.
 async fn open(address: SocketAddr) -> Option<TcpStream> {
+    let mut timeout = FIRST_OPEN_TIMEOUT;
     loop {
-        let attempt = tokio::time::timeout(OPEN_ATTEMPT_TIMEOUT, TcpStream::connect(address));
-        if let Ok(opened) = attempt.await {
+        if let Ok(opened) = tokio::time::timeout(timeout, TcpStream::connect(address)).await {
             return opened.ok();
         }
+        timeout *= 2;
     }
 }
 
--- a/tests/start_hold.rs
+++ b/tests/start_hold.rs
@@ -5,6 +5,7 @@
 
 use sorrelwick::gateway::HoldEnd;
 use sorrelwick::gateway::StartHold;
+use standins::routed::fleet_settings;
 use tokio::time::Instant;
 
 const AGE_MAX: Duration = Duration::from_millis(500);
@@ -38,7 +39,7 @@
     let start_hold = StartHold::new(AGE_MAX);
     let ended =
         hold(&start_hold, Some(Duration::from_millis(100)), Duration::from_millis(60)).await;
-    assert_eq!(ended, (HoldEnd::NotReady, Duration::from_millis(50)));
+    assert_eq!(ended, (HoldEnd::TimedOut, Duration::from_millis(50)));
 }
 
 /// Guards against holding callers throughout an outage of the store: from half a second on, an
@@ -48,7 +49,7 @@
     let start_hold = StartHold::new(AGE_MAX);
     tokio::time::sleep(AGE_MAX).await;
     let ended = hold(&start_hold, None, Duration::from_secs(1)).await;
-    assert_eq!(ended, (HoldEnd::NotReady, Duration::ZERO));
+    assert_eq!(ended, (HoldEnd::TimedOut, Duration::ZERO));
 }
 
 /// Guards against unbounded memory: 2,000 callers at one instance without a configuration.
@@ -65,10 +66,12 @@
     assert_eq!(refused, 2_000 - 512);
 }
 
-/// A deployment whose settings do not ask for it gets its refusals at once, as before.
+/// Guards against holding requests where the settings do not ask for it: they get their refusals at
+/// once.
 #[tokio::test(start_paused = true)]
 async fn nothing_is_held_by_default() {
-    let start_hold = StartHold::new(Duration::ZERO);
+    let settings = fleet_settings("i", "z", &["z"], &[]);
+    let start_hold = StartHold::new(settings.gateway.expect("a gateway").start_hold());
     let ended = hold(&start_hold, None, Duration::from_millis(60)).await;
-    assert_eq!(ended, (HoldEnd::NotReady, Duration::ZERO));
+    assert_eq!(ended, (HoldEnd::TimedOut, Duration::ZERO));
 }
