A queued request is refused by the latest service time, not by that of its arrival

Cause: the latest start of a queued request was fixed when it was queued. Then the route's usual time was still that assumed before the first answer (40 % of the target: 240 ms, 229 after one answer of 20 ms); the request was refused 314 ms later although two dozen answers had shown 20 to 80 ms meanwhile. Change: a latest start that has passed is calculated anew before the request is refused. The line no-slot names how long the request waited, what its target left, and the usual time. New test: red before (refused after 320 ms), green now.

--- a/src/balance/service_queue.rs
+++ b/src/balance/service_queue.rs
@@ -364,6 +364,17 @@
         self.typical_ms(spec) <= spec.target_left_ms(now_us)
     }
 
+    /// Recalculates the latest starts that have passed: the answers since a request was queued may
+    /// have shown that requests of its route take less time than was expected then.
+    fn renew_latest_starts(&mut self, now_us: u64) {
+        let mut queue = std::mem::take(&mut self.queue);
+        for queued in queue.iter_mut().filter(|queued| !queued.late && now_us > queued.start_by_us)
+        {
+            queued.start_by_us = self.start_by_us(&queued.spec);
+        }
+        self.queue = queue;
+    }
+
     /// Removes the requests that cannot be served in time any more, or all if no server is in
     /// service; returns their tickets. A request that waited only because the available servers are
     /// slow is marked as late instead and may use those.
@@ -371,6 +382,7 @@
         if !self.any_in_service(now_us) {
             return self.queue.drain(..).map(|queued| queued.ticket).collect();
         }
+        self.renew_latest_starts(now_us);
         let mut tickets = SmallVec::new();
         let any_available = self.any_available(now_us);
         self.queue.retain_mut(|queued| {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -121,7 +121,8 @@
         attempts: &Attempts,
     ) -> Result<Grant, LocalReply> {
         let remaining = Duration::from_millis(request.remaining_ms());
-        let acquire = self.dispatcher.acquire(&request.service, request.spec(&attempts.servers));
+        let spec = request.spec(&attempts.servers);
+        let acquire = self.dispatcher.acquire(&request.service, spec.clone());
         let began_us = now_us();
         let acquired = tokio::time::timeout(remaining, acquire).await;
         let waited = Duration::from_micros(now_us().saturating_sub(began_us));
@@ -138,6 +139,8 @@
             no_server = refusal.no_server, retry_after_ms = refusal.retry_after_ms,
             waiting = refusal.waiting, slots = refusal.slots,
             in_need = refusal.rate_limited, resting = refusal.in_cooldown,
+            waited_ms = waited.as_millis(), target_left_ms = spec.target_left_ms(now_us()).round(),
+            typical_ms = self.dispatcher.typical_ms(&request.service, &spec).round(),
             sends = attempts.sends, may_have_run = attempts.may_have_run;
             "no slot became free in time"
         );
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -508,3 +508,30 @@
         assert!(greedy.served > 0, "it gets the slots that the others leave");
     }
 }
+
+/// Guards against refusing queued requests by the service time that was assumed when they arrived,
+/// although the answers since then show a much shorter one. The load: a burst right after the start
+/// of a service, whose only slot serves each request in 20 ms.
+#[test]
+fn queued_request_is_refused_by_the_latest_service_time() {
+    const WORK_MS: u64 = 20;
+    const REQUESTS: u64 = 25;
+    let mut pool = pool(1, 1);
+    let first = pool
+        .acquire_slot(0, &spec("look", 2, 600.0, 0), ZONE, 0, &mut fixed_random())
+        .expect("a free server");
+    for ticket in 1..REQUESTS {
+        pool.enqueue(ticket, spec("look", 2, 600.0, 0), 0).expect("queued");
+    }
+    let mut running = (0, first);
+    for number in 1..REQUESTS {
+        let now_us = number * WORK_MS * MS;
+        assert!(pool.expire_queued(now_us).is_empty(), "refused after {} ms", now_us / MS);
+        let (ticket, choice) = running;
+        let spec = spec("look", 2, 600.0, 0);
+        pool.finish_request(&choice.server, ticket, &spec, SendOutcome::Answered, now_us);
+        let (queued, choice) =
+            pool.dispatch_queued(ZONE, now_us, &mut fixed_random()).expect("served");
+        running = (queued.ticket, choice);
+    }
+}
