Callers' heads have their own time limit, from the first byte on

A caller that sent its head byte by byte held a connection for as long as an idle one may: header_timeout_ms of the operators' limits was decoded and never used. The listener now limits the head from its first byte and the idle time before it separately; while a request is handled, reads have no limit there. Tests (tests/caller_timeouts.rs): slow_head_ends_its_connection and changed_header_timeout_holds_for_the_next_connection red with the idle time as the head's limit, as before; the other two guard what must stay.

--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -301,7 +301,8 @@
         let limits = self.current_limits();
         ConnLimits {
             header_bytes_max: limits.header_bytes_max,
-            header_timeout: Duration::from_millis(limits.idle_timeout_ms),
+            header_timeout: Duration::from_millis(limits.header_timeout_ms),
+            idle_timeout: Duration::from_millis(limits.idle_timeout_ms),
         }
     }
 }
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -29,9 +29,11 @@
 /// How long they may cache it while this instance knows no other. It can only name itself then, and
 /// callers would go on using it after the others, which may be the homes, are found.
 const ADDRESS_TTL_ALONE: Duration = Duration::from_millis(200);
+/// Time limit for a request head, and for the idle time before it.
+const TIMEOUT: Duration = Duration::from_secs(30);
 /// Limits of the connections to these handlers.
 const CONN_LIMITS: ConnLimits =
-    ConnLimits { header_bytes_max: 16 << 10, header_timeout: Duration::from_secs(30) };
+    ConnLimits { header_bytes_max: 16 << 10, header_timeout: TIMEOUT, idle_timeout: TIMEOUT };
 
 fn respond(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -15,12 +15,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
+use super::held_body::HeldBody;
+use super::timed_stream::ConnRequests;
+use super::timed_stream::TimedStream;
 use crate::task::TaskGuard;
 
 /// Delay after a failed accept: the process is out of file descriptors, and some are released soon.
@@ -29,7 +31,7 @@
 /// Handles the requests of all connections of a listener.
 pub trait Handler: Clone + Send + Sync + 'static {
     /// The body of its responses.
-    type Body: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + 'static;
+    type Body: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + Unpin + 'static;
 
     /// Handles one request. The future is dropped when the caller disconnects.
     fn handle(
@@ -66,8 +68,10 @@
 pub struct ConnLimits {
     /// Size limit of a request head.
     pub header_bytes_max: usize,
-    /// Time limit for receiving the next request head, including idle time before it.
+    /// Time limit for receiving a request head, from its first byte on.
     pub header_timeout: Duration,
+    /// Time that a connection may be idle before a request.
+    pub idle_timeout: Duration,
 }
 
 /// A running listener.
@@ -135,14 +139,22 @@
         return;
     }
     let limits = handler.limits();
+    let requests = Arc::new(ConnRequests::default());
+    let counted = Arc::clone(&requests);
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
         let handler = handler.clone();
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let in_progress = counted.begin();
+        async move {
+            let response = handler.handle(request).await;
+            Ok::<_, Infallible>(response.map(|body| HeldBody { body, _handled: in_progress }))
+        }
     });
+    let ConnLimits { header_timeout, idle_timeout, .. } = limits;
+    let stream = TimedStream::new(stream, requests, header_timeout, idle_timeout);
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new());
-    builder.header_read_timeout(limits.header_timeout);
+    // The stream has the time limits.
+    builder.header_read_timeout(None);
     builder.max_buf_size(limits.header_bytes_max.max(BUFFER_BYTES_MIN));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP listeners with graceful shutdown.
 
+mod held_body;
 mod http_listener;
+mod timed_stream;
 
 pub use http_listener::CallerAddress;
 pub use http_listener::ConnLimits;
--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -36,6 +36,8 @@
 
 /// A connection that has not sent a complete request head within this time is closed.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
+/// A connection without a request for this long is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Most addresses in a list; several, so that a caller does not depend on a single one.
 const ADDRESSES_MAX: usize = 4;
 /// Largest request head, in bytes.
@@ -57,7 +59,11 @@
     }
 
     fn limits(&self) -> ConnLimits {
-        ConnLimits { header_bytes_max: HEADER_BYTES_MAX, header_timeout: HEADER_TIMEOUT }
+        ConnLimits {
+            header_bytes_max: HEADER_BYTES_MAX,
+            header_timeout: HEADER_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+        }
     }
 }
 
