Instances that are short of a workspace's tokens borrow at a steady pace

Cause: each request without a token asked the holders in turn, and nobody for 100 ms after an empty answer, while holders nobody asked ran over within 0.16 s. Borrowed tokens could be kept for ever.

Change: one task for each short workspace asks the holders at a pace that depends on what they gave; requests wait up to 60 ms. Holders divide by need and lend whole tokens. Loans expire. Full buckets that are not in use are dropped.

The model of tests/quota_schedules.rs asks as the product does; the three tests there keep their assertions. New: use of tokens (three tests), questions a second, dropped buckets, expiry.

Conclusion: the rest of the design (starts, order) is not touched by this.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -21,6 +21,7 @@
 use crate::errors::CodedError;
 use crate::gateway::AddressHandler;
 use crate::gateway::Admission;
+use crate::gateway::Borrowers;
 use crate::gateway::CallerHandler;
 use crate::gateway::CurrentRouteTable;
 use crate::gateway::Dialect;
@@ -327,6 +328,7 @@
             links: links.clone(),
             table: Arc::clone(&table),
             quotas,
+            borrowers: Borrowers::default(),
         };
         tasks.spawn(planner.run());
         tasks.spawn(load_reporter.run());
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -103,6 +103,7 @@
 pub use platform_handlers::ReadinessHandler;
 pub use prober::Prober;
 pub use quarantine_store::QuarantineStore;
+pub use quota_limiter::Borrowers;
 pub use quota_limiter::QuotaLimiter;
 pub use quota_limiter::QuotaToken;
 pub use registry::Registry;
--- a/src/gateway/quota_limiter.rs
+++ b/src/gateway/quota_limiter.rs
@@ -1,10 +1,13 @@
 //! Limits requests to the quota of their workspace.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use log::info;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::Caller;
@@ -16,14 +19,20 @@
 use crate::peer::PeerClient;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
+use crate::quota::BorrowRound;
 use crate::quota::OutOfTokens;
 use crate::quota::Quotas;
+use crate::quota::TOKEN_WAIT_MS;
+use crate::quota::TokenQuestion;
 use crate::workspace::Workspace;
 
 /// Timeout for one instance to lend tokens.
 const LENDER_TIMEOUT: Duration = Duration::from_millis(50);
-/// Timeout for all instances that a request asks for tokens, one after the other.
-const BORROW_TIMEOUT: Duration = Duration::from_millis(120);
+/// Interval between two rounds of questions while this instance is short of tokens. Each lender is
+/// asked less often.
+const BORROW_ROUND_INTERVAL: Duration = Duration::from_millis(10);
+/// How long a request waits for a token.
+const TOKEN_WAIT: Duration = Duration::from_millis(TOKEN_WAIT_MS);
 /// How long a request waits for this instance to discover its peers.
 const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between two checks whether peers have been discovered.
@@ -38,11 +47,28 @@
     /// Returns the token of a request that did not run.
     pub fn refund(&self) {
         if let Some((quotas, workspace)) = &self.0 {
-            quotas.refund(workspace);
+            quotas.refund(workspace, now_us());
         }
     }
 }
 
+/// The workspaces that tokens are being borrowed for, one task each, and the requests that wait for
+/// them.
+#[derive(Clone, Debug, Default)]
+pub struct Borrowers(Arc<Mutex<HashMap<Arc<str>, Arc<Notify>>>>);
+
+/// A request that waits for a token. Counted until it is dropped, as its caller may leave.
+struct Wait<'a> {
+    quotas: &'a Quotas,
+    workspace: &'a Workspace,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.quotas.end_wait(self.workspace);
+    }
+}
+
 /// Takes tokens from workspace quotas, and borrows them from other instances.
 #[derive(Clone, Debug)]
 pub struct QuotaLimiter<L> {
@@ -50,6 +76,7 @@
     pub links: L,
     pub table: CurrentRouteTable,
     pub quotas: Arc<Quotas>,
+    pub borrowers: Borrowers,
 }
 
 #[expect(
@@ -76,19 +103,13 @@
             Ok(()) => return Ok(self.token(workspace)),
             Err(out_of_tokens) => out_of_tokens,
         };
-        let asked = out_of_tokens.lenders.len();
-        let borrowed =
-            tokio::time::timeout(BORROW_TIMEOUT, self.borrow(workspace, &out_of_tokens)).await;
-        if borrowed == Ok(true) {
+        if self.wait_for_token(workspace, out_of_tokens).await {
             return Ok(self.token(workspace));
         }
-        if asked > 0 {
-            self.quotas.record_no_lender(workspace, now_us());
-        }
         self.board.counters.add(Counter::OverQuota);
         info!(
             event = "over-quota", workspace = &*workspace.name, rate_per_s = workspace.rate_per_s,
-            burst = workspace.burst, retry_after_ms = out_of_tokens.retry_after_ms, asked = asked;
+            burst = workspace.burst, retry_after_ms = out_of_tokens.retry_after_ms, waited = out_of_tokens.waits;
             "no token available in time"
         );
         Err(LocalReply::over_quota(out_of_tokens.retry_after_ms))
@@ -107,19 +128,85 @@
         }
     }
 
-    /// Asks the instances that hold tokens, one after the other, until a token is available.
-    async fn borrow(&self, workspace: &Workspace, out_of_tokens: &OutOfTokens) -> bool {
-        for lender in &out_of_tokens.lenders {
-            let tokens = self.request_tokens(*lender, workspace, out_of_tokens.tokens_wanted).await;
-            if tokens <= 0.0 {
-                continue;
-            }
-            self.quotas.add_borrowed(workspace, tokens, now_us());
-            if self.quotas.take(workspace, now_us()).is_ok() {
+    /// Borrows tokens, if no other request has it done already, and waits for one if the request
+    /// may.
+    async fn wait_for_token(&self, workspace: &Arc<Workspace>, out: OutOfTokens) -> bool {
+        let arrivals = self.start_borrowing(workspace);
+        if !out.waits {
+            return false;
+        }
+        let _wait = Wait { quotas: &self.quotas, workspace };
+        let deadline = Instant::now() + TOKEN_WAIT;
+        loop {
+            let arrival = arrivals.notified();
+            if self.quotas.take_waiting(workspace, now_us()) {
                 return true;
             }
+            if tokio::time::timeout_at(deadline, arrival).await.is_err() {
+                return false;
+            }
         }
-        false
+    }
+
+    /// Starts the task that borrows tokens of a workspace, unless it runs. Notifies when there are
+    /// tokens.
+    fn start_borrowing(&self, workspace: &Arc<Workspace>) -> Arc<Notify> {
+        let mut borrowers = self.borrowers.0.lock();
+        if let Some(arrivals) = borrowers.get(&workspace.name) {
+            return Arc::clone(arrivals);
+        }
+        let arrivals = Arc::new(Notify::new());
+        borrowers.insert(Arc::clone(&workspace.name), Arc::clone(&arrivals));
+        tokio::spawn(self.clone().borrow(Arc::clone(&workspace.name), Arc::clone(&arrivals)));
+        arrivals
+    }
+
+    /// Borrows tokens until this instance is no longer short of them.
+    async fn borrow(self, name: Arc<str>, arrivals: Arc<Notify>) {
+        while let Some((workspace, round)) = self.next_round(&name) {
+            if round.has_token {
+                arrivals.notify_waiters();
+            }
+            for question in round.questions {
+                let asked = self.clone().ask(Arc::clone(&workspace), question);
+                let arrivals = Arc::clone(&arrivals);
+                tokio::spawn(async move {
+                    if asked.await {
+                        arrivals.notify_waiters();
+                    }
+                });
+            }
+            tokio::time::sleep(BORROW_ROUND_INTERVAL).await;
+        }
+    }
+
+    /// The next round of questions for a workspace as it is configured now; `None` if no more
+    /// tokens are needed.
+    fn next_round(&self, name: &Arc<str>) -> Option<(Arc<Workspace>, BorrowRound)> {
+        // Under the lock, so that no request relies on a task that has just ended.
+        let mut borrowers = self.borrowers.0.lock();
+        let next = self.workspace(name).and_then(|workspace| {
+            let round = self.quotas.borrow_round(&workspace, now_us());
+            round.short.then_some((workspace, round))
+        });
+        if next.is_none() {
+            borrowers.remove(name);
+        }
+        next
+    }
+
+    fn workspace(&self, name: &str) -> Option<Arc<Workspace>> {
+        let table = self.table.load();
+        let workspace = table.as_ref()?.workspaces.as_ref()?.by_name(name)?;
+        workspace.is_limited().then(|| Arc::clone(workspace))
+    }
+
+    /// Asks a lender for tokens; whether it gave some.
+    async fn ask(self, workspace: Arc<Workspace>, question: TokenQuestion) -> bool {
+        let TokenQuestion { lender, wanted } = question;
+        let tokens = self.request_tokens(lender, &workspace, wanted).await;
+        self.quotas.record_answer(&workspace, lender, tokens, now_us());
+        tokens > 0.0
     }
 
     /// Asks an instance for tokens and returns those that it lends, 0 if there is no response.
@@ -127,7 +214,7 @@
         let workspace = workspace.name.to_string();
         let request =
             PeerRequest::QuotaTokens { workspace, wanted_millitokens: to_millitokens(wanted) };
-        // If there is no response, the next lender is asked.
+        // If there is no response, the tokens are lost.
         match self.links.call(lender, &request, LENDER_TIMEOUT).await {
             Ok(PeerReply::QuotaTokens(milli)) => f64::from(milli) / MILLITOKENS_PER_TOKEN,
             _ => 0.0,
@@ -137,14 +224,11 @@
     /// Lends tokens to another instance, in thousandths of a token.
     #[must_use]
     pub fn lend(&self, workspace: &str, wanted_milli: u32) -> u32 {
-        let table = self.table.load();
-        let workspaces = table.as_ref().and_then(|table| table.workspaces.as_ref());
-        let Some(workspace) = workspaces.and_then(|workspaces| workspaces.by_name(workspace))
-        else {
+        let Some(workspace) = self.workspace(workspace) else {
             return 0;
         };
         to_millitokens(self.quotas.lend(
-            workspace,
+            &workspace,
             f64::from(wanted_milli) / MILLITOKENS_PER_TOKEN,
             now_us(),
         ))
--- a/tests/quota_schedules.rs
+++ b/tests/quota_schedules.rs
@@ -3,9 +3,11 @@
 #![expect(
     clippy::cast_possible_truncation,
     clippy::cast_precision_loss,
+    clippy::cast_sign_loss,
     reason = "a few hundred instances, a few thousand requests"
 )]
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,6 +18,7 @@
 use sorrelwick::quota::QuotaPlacement;
 use sorrelwick::quota::QuotaTolerance;
 use sorrelwick::quota::Quotas;
+use sorrelwick::quota::TOKEN_WAIT_MS;
 use sorrelwick::workspace::Workspace;
 
 const TOLERANCE: QuotaTolerance =
@@ -40,6 +43,10 @@
     /// Partition; instances of the same group reach each other.
     group: usize,
     quotas: Quotas,
+    /// Requests that wait for a token, by the time at which they give up.
+    waiting: VecDeque<u64>,
+    /// Whether it is short of tokens and borrows some.
+    borrows: bool,
     /// When it next updates its view; `u64::MAX` if nothing changed.
     view_update_at_ms: u64,
 }
@@ -57,6 +64,8 @@
     received: u64,
     /// Probability that a message between instances is lost.
     message_loss: f64,
+    /// Questions for tokens that instances sent.
+    questions: u64,
 }
 
 fn zone_name(zone: usize) -> Arc<str> {
@@ -75,6 +84,8 @@
             running: true,
             group: 0,
             quotas: Quotas::new(TOLERANCE),
+            waiting: VecDeque::new(),
+            borrows: false,
             view_update_at_ms: 0,
         };
         let workspace = Workspace {
@@ -93,6 +104,7 @@
             sent_at_ms: Vec::new(),
             received: 0,
             message_loss: 0.0,
+            questions: 0,
         }
     }
 
@@ -151,49 +163,64 @@
         instance.running = true;
         instance.incarnation += 1_000;
         instance.quotas = Quotas::new(TOLERANCE);
+        instance.waiting.clear();
+        instance.borrows = false;
     }
 
     /// Handles a request that arrives at an instance.
     fn receive_request(&mut self, at: usize) {
         self.received += 1;
-        if self.instances[at].running && self.admit(at) {
+        if !self.instances[at].running {
+            return;
+        }
+        let now_us = self.now_us();
+        let Err(out) = self.instances[at].quotas.take(&self.workspace, now_us) else {
             self.sent_at_ms.push(self.now_ms);
+            return;
+        };
+        self.instances[at].borrows = true;
+        if out.waits {
+            let until_ms = self.now_ms + TOKEN_WAIT_MS;
+            self.instances[at].waiting.push_back(until_ms);
         }
     }
 
-    /// Takes a token for a request at an instance, or borrows some from the lenders.
-    fn admit(&mut self, at: usize) -> bool {
+    /// One round of questions of an instance that is short of tokens, and its waiting requests.
+    fn borrow(&mut self, at: usize) {
         let now_us = self.now_us();
-        let out_of_tokens = match self.instances[at].quotas.take(&self.workspace, now_us) {
-            Ok(()) => return true,
-            Err(out_of_tokens) => out_of_tokens,
-        };
-        let asked_lenders = !out_of_tokens.lenders.is_empty();
-        for lender in out_of_tokens.lenders {
-            let SocketAddr::V4(v4) = lender else { unreachable!("all addresses are IPv4") };
-            let [_, _, high, low] = v4.ip().octets();
-            let lender = usize::from(high) << 8 | usize::from(low);
-            if !self.reaches(at, lender) || self.rng.random_bool(self.message_loss) {
-                continue;
-            }
-            let lent = self.instances[lender].quotas.lend(
-                &self.workspace,
-                out_of_tokens.tokens_wanted,
-                now_us,
-            );
-            if lent <= 0.0 || self.rng.random_bool(self.message_loss) {
-                continue;
-            }
+        let round = self.instances[at].quotas.borrow_round(&self.workspace, now_us);
+        for question in round.questions {
+            self.questions += 1;
+            let lent = self.ask(at, question.lender, question.wanted);
             let quotas = &self.instances[at].quotas;
-            quotas.add_borrowed(&self.workspace, lent, now_us);
-            if quotas.take(&self.workspace, now_us).is_ok() {
-                return true;
+            quotas.record_answer(&self.workspace, question.lender, lent, now_us);
+        }
+        let instance = &mut self.instances[at];
+        instance.borrows = round.short;
+        while let Some(until_ms) = instance.waiting.front().copied() {
+            let taken = instance.quotas.take_waiting(&self.workspace, now_us);
+            if taken {
+                self.sent_at_ms.push(self.now_ms);
             }
+            if !taken && until_ms > self.now_ms {
+                break;
+            }
+            instance.waiting.pop_front();
+            instance.quotas.end_wait(&self.workspace);
         }
-        if asked_lenders {
-            self.instances[at].quotas.record_no_lender(&self.workspace, now_us);
+    }
+
+    /// Asks a lender; the question or its answer may be lost.
+    fn ask(&mut self, at: usize, lender: SocketAddr, wanted: f64) -> f64 {
+        let SocketAddr::V4(v4) = lender else { unreachable!("all addresses are IPv4") };
+        let [_, _, high, low] = v4.ip().octets();
+        let lender = usize::from(high) << 8 | usize::from(low);
+        if !self.reaches(at, lender) || self.rng.random_bool(self.message_loss) {
+            return 0.0;
         }
-        false
+        let now_us = self.now_us();
+        let lent = self.instances[lender].quotas.lend(&self.workspace, wanted, now_us);
+        if self.rng.random_bool(self.message_loss) { 0.0 } else { lent }
     }
 
     /// Sends `per_s` requests per second from callers of these zones, for `for_ms`.
@@ -219,6 +246,11 @@
                 let at = if stale { any } else { homes[self.rng.random_range(0..homes.len())] };
                 self.receive_request(at);
             }
+            for at in 0..self.instances.len() {
+                if self.instances[at].running && self.instances[at].borrows {
+                    self.borrow(at);
+                }
+            }
             self.now_ms += STEP_MS;
         }
     }
@@ -341,6 +373,120 @@
     }
 }
 
+/// Fraction of the tokens that callers of these zones get, who ask for `times` their number, and
+/// the questions a second.
+fn use_of_tokens(mut model: Model, zones: &[usize], times: f64) -> (f64, f64) {
+    (0..model.instances.len()).for_each(|at| model.update_view(at));
+    let tokens_per_s = TOLERANCE.tokens_per_s(&model.workspace);
+    model.run_load(2_000, tokens_per_s * times, zones);
+    let (sent, questions) = (model.sent_at_ms.len(), model.questions);
+    let span_s = (300.0 / tokens_per_s).clamp(5.0, 120.0);
+    model.run_load((span_s * 1_000.0) as u64, tokens_per_s * times, zones);
+    let sent = (model.sent_at_ms.len() - sent) as f64;
+    let questions = (model.questions - questions) as f64;
+    assert!(model.max_sent_in_window() as f64 <= model.allowed_in_window());
+    (sent / (span_s * tokens_per_s), questions / span_s)
+}
+
+fn assert_nearly_all_tokens_used(rate_per_s: f64, homes_per_zone: usize, times: f64) {
+    for zones in [&[2][..], &[0, 1, 2, 3], &[0, 0, 0, 0, 0, 0, 1, 2, 3]] {
+        let model = Model::new(140, homes_per_zone, rate_per_s, 11);
+        let (used, questions_per_s) = use_of_tokens(model, zones, times);
+        let load = format!("{rate_per_s}/s, {homes_per_zone} homes, zones {zones:?}");
+        println!("{load}: {used:.3} of the tokens used, {questions_per_s:.0} questions/s");
+        assert!(used >= 0.95, "{load}: {used}");
+    }
+}
+
+/// Guards against tokens running over at holders that the callers of a workspace do not ask, while
+/// others refuse them.
+#[test]
+fn nearly_all_tokens_are_used_wherever_callers_are() {
+    for rate_per_s in [1.5, 12.0, 480.0] {
+        for homes_per_zone in [1, 2] {
+            assert_nearly_all_tokens_used(rate_per_s, homes_per_zone, 5.0);
+        }
+    }
+}
+
+/// Guards against tokens running over when many homes hold a few each.
+#[test]
+fn nearly_all_tokens_are_used_with_many_holders() {
+    for rate_per_s in [1.5, 12.0, 480.0] {
+        assert_nearly_all_tokens_used(rate_per_s, 8, 5.0);
+    }
+}
+
+/// Guards against tokens running over at a workspace with a high rate.
+#[test]
+fn nearly_all_tokens_of_a_high_rate_are_used() {
+    for homes_per_zone in [1, 2, 8] {
+        assert_nearly_all_tokens_used(5_000.0, homes_per_zone, 1.5);
+    }
+}
+
+/// Guards against questions that grow with the number of instances, or with each request. An
+/// instance that gets a few requests by an outdated address asks each holder once for them.
+#[test]
+fn questions_for_tokens_do_not_grow_with_the_fleet_or_the_load() {
+    let questions_per_s = |count, times| {
+        let model = Model::new(count, 1, 480.0, 5);
+        use_of_tokens(model, &[0, 0, 0, 1, 2, 3], times).1
+    };
+    println!("8 instances: {:.0} questions/s", questions_per_s(8, 3.0));
+    let few = questions_per_s(40, 3.0);
+    for count in [140, 500] {
+        let many = questions_per_s(count, 3.0);
+        println!("40 instances: {few:.0} questions/s, {count}: {many:.0}");
+        assert!(many <= few * 1.3, "{count} instances: {many}, 40: {few}");
+    }
+    for times in [3.0, 12.0] {
+        let many = questions_per_s(40, times);
+        // Homes ask the three others at most 20 times a second.
+        let bound = (0.02 * 576.0 * times).mul_add(4.0, 4.0 * 3.0 * 20.0);
+        println!("{times} times the tokens: {many:.0} questions/s of {bound:.0}");
+        assert!(many <= bound, "{times} times the tokens: {many} of {bound}");
+    }
+}
+
+/// Guards against memory that grows with all workspaces that ever had a caller.
+#[test]
+fn buckets_that_are_not_in_use_are_dropped() {
+    let mut model = Model::new(8, 1, 12.0, 5);
+    model.update_view(0);
+    let quotas = &model.instances[0].quotas;
+    for at in 0..10_000 {
+        let workspace = Workspace { name: format!("w{at}").into(), ..model.workspace.clone() };
+        let _ = quotas.take(&workspace, model.now_us());
+    }
+    assert_eq!(quotas.bucket_count(), 10_000);
+    model.now_ms += 10_000;
+    model.instances[0].waiting.clear();
+    model.update_view(0);
+    let left = model.instances[0].quotas.bucket_count();
+    println!("{left} of 10000 buckets left");
+    assert_eq!(left, 0);
+}
+
+/// Guards against an instance that keeps borrowed tokens and spends them in a later window.
+#[test]
+fn borrowed_tokens_expire_unused() {
+    let mut model = Model::new(8, 1, 480.0, 5);
+    model.update_view(0);
+    let (quotas, now_us) = (&model.instances[0].quotas, model.now_us());
+    let lender = address_of_index(1);
+    while quotas.take(&model.workspace, now_us).is_ok() {}
+    quotas.record_answer(&model.workspace, lender, 40.0, now_us);
+    assert!(quotas.take(&model.workspace, now_us).is_ok());
+    let later_us = now_us + 10_000_000;
+    let mut taken = 0;
+    while quotas.take(&model.workspace, later_us).is_ok() {
+        taken += 1;
+    }
+    let own_max = (TOLERANCE.tokens_max(&model.workspace) / ZONES as f64) as usize;
+    assert_eq!(taken, own_max);
+}
+
 /// Guards against instances that start together, know no other instance yet, and each grant the
 /// whole quota.
 #[test]
