Instances that start refill from their start, and requests wait longer for the first tokens

Cause: after a restart of all instances buckets began with 0.075 s of the rate and were refilled only from when the placement was known, while the requests of that time arrived together.

Change: at the first placement buckets are refilled for the time since the process started, at most 0.25 s and at most to the capacity, so that a start gives no more than a full bucket; in the second after it requests wait up to 0.25 s for a token. Initial tokens only in the first 4 s of a process.

Conclusion: the belief that all known instances are new is not needed for this much; a start above one full bucket was not tried.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -15,6 +15,7 @@
 use crate::board::EventKind;
 use crate::board::Phase;
 use crate::clock::now_ms;
+use crate::clock::now_us;
 use crate::conf::GatewaySettings;
 use crate::conf::Settings;
 use crate::errors::Code;
@@ -297,7 +298,7 @@
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
         tasks.spawn(run_suspect_gossip(Arc::clone(&board), links.clone()));
         tasks.spawn(dispatcher.clone().run());
-        let quotas = Arc::new(Quotas::new(gateway.quota_tolerance()));
+        let quotas = Arc::new(Quotas::new(gateway.quota_tolerance(), now_us()));
         let admission = Admission::new(Arc::clone(&table), config_age, &gateway);
         let grace = gateway.grace();
         let memory_bytes = gateway.memory_max_bytes();
--- a/src/gateway/quota_limiter.rs
+++ b/src/gateway/quota_limiter.rs
@@ -22,7 +22,6 @@
 use crate::quota::BorrowRound;
 use crate::quota::OutOfTokens;
 use crate::quota::Quotas;
-use crate::quota::TOKEN_WAIT_MS;
 use crate::quota::TokenQuestion;
 use crate::workspace::Workspace;
 
@@ -31,8 +30,6 @@
 /// Interval between two rounds of questions while this instance is short of tokens. Each lender is
 /// asked less often.
 const BORROW_ROUND_INTERVAL: Duration = Duration::from_millis(10);
-/// How long a request waits for a token.
-const TOKEN_WAIT: Duration = Duration::from_millis(TOKEN_WAIT_MS);
 /// How long a request waits for this instance to discover its peers.
 const PEER_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between two checks whether peers have been discovered.
@@ -109,7 +106,7 @@
         self.board.counters.add(Counter::OverQuota);
         info!(
             event = "over-quota", workspace = &*workspace.name, rate_per_s = workspace.rate_per_s,
-            burst = workspace.burst, retry_after_ms = out_of_tokens.retry_after_ms, waited = out_of_tokens.waits;
+            burst = workspace.burst, retry_after_ms = out_of_tokens.retry_after_ms, waited_ms = out_of_tokens.wait_ms.unwrap_or(0);
             "no token available in time"
         );
         Err(LocalReply::over_quota(out_of_tokens.retry_after_ms))
@@ -132,11 +129,11 @@
     /// may.
     async fn wait_for_token(&self, workspace: &Arc<Workspace>, out: OutOfTokens) -> bool {
         let arrivals = self.start_borrowing(workspace);
-        if !out.waits {
+        let Some(wait_ms) = out.wait_ms else {
             return false;
-        }
+        };
         let _wait = Wait { quotas: &self.quotas, workspace };
-        let deadline = Instant::now() + TOKEN_WAIT;
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let arrival = arrivals.notified();
             if self.quotas.take_waiting(workspace, now_us()) {
--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -19,5 +19,4 @@
 pub use quotas::BorrowRound;
 pub use quotas::OutOfTokens;
 pub use quotas::Quotas;
-pub use quotas::TOKEN_WAIT_MS;
 pub use quotas::TokenQuestion;
--- a/src/quota/quotas.rs
+++ b/src/quota/quotas.rs
@@ -13,8 +13,19 @@
 use super::quota_bucket::QuotaBucket;
 use crate::workspace::Workspace;
 
-/// How long a request waits for a token, in milliseconds.
-pub const TOKEN_WAIT_MS: u64 = 60;
+/// How long a request waits for a token.
+const TOKEN_WAIT_MS: u64 = 60;
+/// How long a request waits for a token soon after the start, when the requests of the time in
+/// which no instance served arrive together.
+const STARTUP_TOKEN_WAIT_MS: u64 = 250;
+/// How long requests wait for longer after the first placement.
+const STARTUP_US: u64 = 1_000_000;
+/// Time before the first placement, but after the start, for which a bucket is refilled at most:
+/// nobody else may have spent these tokens, as this instance was believed to hold them.
+const REFILL_BEFORE_PLACEMENT_MAX_US: u64 = 250_000;
+/// Time after the start in which new buckets have initial tokens. No bucket is dropped as early, or
+/// one dropped and made anew would gain tokens.
+const INITIAL_TOKENS_US: u64 = 4_000_000;
 /// Requests of a workspace that may wait for a token at one instance, whatever its rate.
 const WAITING_MIN: f64 = 2.0;
 /// Interval between two searches for buckets that are not in use.
@@ -29,8 +40,9 @@
 pub struct OutOfTokens {
     /// Time until the next token may be available.
     pub retry_after_ms: u64,
-    /// Whether the request may wait for a token here. It counts as waiting until `Quotas::end_wait`.
-    pub waits: bool,
+    /// How long the request may wait for a token here; `None` if too many wait. It counts as
+    /// waiting until `Quotas::end_wait`.
+    pub wait_ms: Option<u64>,
 }
 
 /// A question to another instance for tokens of a workspace.
@@ -56,43 +68,27 @@
 #[derive(Debug)]
 pub struct Quotas {
     tolerance: QuotaTolerance,
+    /// Start of this instance.
+    started_us: u64,
     state: Mutex<State>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     placement: QuotaPlacement,
-    /// When the placement last changed.
-    placement_changed_us: u64,
+    /// Since when new buckets are refilled: the last change of the placement, or earlier if it is
+    /// the first one.
+    refilled_since_us: u64,
+    /// When the first placement was set.
+    placed_us: Option<u64>,
     /// By name of the workspace; those not in use are dropped.
     buckets: HashMap<Arc<str>, QuotaBucket>,
     idle_checked_us: u64,
-    /// Whether instances have held tokens before: later placements start with empty buckets, or
-    /// those dropped and made anew would gain tokens.
-    placed_before: bool,
 }
 
 impl State {
-    /// Refills the bucket of a workspace, and returns it.
-    fn refilled_bucket(
-        &mut self,
-        workspace: &Workspace,
-        tolerance: &QuotaTolerance,
-        now_us: u64,
-    ) -> &mut QuotaBucket {
-        let tokens_max = tolerance.tokens_max(workspace);
-        let fraction = self.placement.own_fraction(&workspace.name, tokens_max);
-        let tokens_per_s = tolerance.tokens_per_s(workspace);
-        let limits = BucketLimits { fraction, tokens_per_s, tokens_max };
-        let since_us = self.placement_changed_us;
-        let initial =
-            if self.placed_before { 0.0 } else { tolerance.initial_tokens(workspace) * fraction };
-        let bucket = self
-            .buckets
-            .entry(Arc::clone(&workspace.name))
-            .or_insert_with(|| QuotaBucket::new(initial, limits, since_us));
-        bucket.refill(limits, now_us);
-        bucket
+    fn has_started_lately(&self, now_us: u64) -> bool {
+        self.placed_us.is_some_and(|placed_us| now_us.saturating_sub(placed_us) < STARTUP_US)
     }
 
     fn drop_idle(&mut self, now_us: u64) {
@@ -112,8 +108,31 @@
 impl Quotas {
     /// Starts without tokens; there are none until a placement is set.
     #[must_use]
-    pub fn new(tolerance: QuotaTolerance) -> Self {
-        Self { tolerance, state: Mutex::default() }
+    pub fn new(tolerance: QuotaTolerance, started_us: u64) -> Self {
+        Self { tolerance, started_us, state: Mutex::default() }
+    }
+
+    /// Refills the bucket of a workspace, and returns it.
+    fn refilled_bucket<'a>(
+        &self,
+        state: &'a mut State,
+        workspace: &Workspace,
+        now_us: u64,
+    ) -> &'a mut QuotaBucket {
+        let tokens_max = self.tolerance.tokens_max(workspace);
+        let fraction = state.placement.own_fraction(&workspace.name, tokens_max);
+        let tokens_per_s = self.tolerance.tokens_per_s(workspace);
+        let limits = BucketLimits { fraction, tokens_per_s, tokens_max };
+        let starts = now_us.saturating_sub(self.started_us) < INITIAL_TOKENS_US;
+        let initial =
+            if starts { self.tolerance.initial_tokens(workspace) * fraction } else { 0.0 };
+        let since_us = state.refilled_since_us;
+        let bucket = state
+            .buckets
+            .entry(Arc::clone(&workspace.name))
+            .or_insert_with(|| QuotaBucket::new(initial, limits, since_us));
+        bucket.refill(limits, now_us);
+        bucket
     }
 
     /// Sets which instances hold tokens, and drops buckets that are not in use.
@@ -121,9 +140,13 @@
         let mut state = self.state.lock();
         state.drop_idle(now_us);
         if state.placement != placement {
-            state.placed_before |= !state.placement.homes.is_empty();
+            let is_first = state.placed_us.is_none() && !placement.homes.is_empty();
+            if is_first {
+                state.placed_us = Some(now_us);
+            }
+            let before_us = if is_first { REFILL_BEFORE_PLACEMENT_MAX_US } else { 0 };
+            state.refilled_since_us = now_us.saturating_sub(before_us).max(self.started_us);
             state.placement = placement;
-            state.placement_changed_us = now_us;
         }
     }
 
@@ -140,21 +163,26 @@
     /// may be available.
     pub fn take(&self, workspace: &Workspace, now_us: u64) -> Result<(), OutOfTokens> {
         let mut state = self.state.lock();
-        let bucket = state.refilled_bucket(workspace, &self.tolerance, now_us);
+        let wait_ms =
+            if state.has_started_lately(now_us) { STARTUP_TOKEN_WAIT_MS } else { TOKEN_WAIT_MS };
+        let bucket = self.refilled_bucket(&mut state, workspace, now_us);
         bucket.record_demand(now_us);
         if bucket.take(now_us) {
             return Ok(());
         }
         let next_ms = bucket.next_token_ms().unwrap_or(RETRY_AFTER_MIN_MS);
-        let waits = f64::from(bucket.waiting) < waiting_max(&self.tolerance, workspace);
-        bucket.waiting += u32::from(waits);
-        Err(OutOfTokens { retry_after_ms: bounded_retry_after_ms(next_ms), waits })
+        let has_room = f64::from(bucket.waiting) < self.waiting_max(workspace, wait_ms);
+        bucket.waiting += u32::from(has_room);
+        Err(OutOfTokens {
+            retry_after_ms: bounded_retry_after_ms(next_ms),
+            wait_ms: has_room.then_some(wait_ms),
+        })
     }
 
     /// Takes a token for a request that waits; whether there was one.
     pub fn take_waiting(&self, workspace: &Workspace, now_us: u64) -> bool {
         let mut state = self.state.lock();
-        state.refilled_bucket(workspace, &self.tolerance, now_us).take(now_us)
+        self.refilled_bucket(&mut state, workspace, now_us).take(now_us)
     }
 
     /// A request waits no longer, with or without a token.
@@ -183,7 +211,7 @@
         let mut state = self.state.lock();
         let tokens_max = self.tolerance.tokens_max(workspace);
         let lenders = state.placement.lenders(&workspace.name, tokens_max);
-        let bucket = state.refilled_bucket(workspace, &self.tolerance, now_us);
+        let bucket = self.refilled_bucket(&mut state, workspace, now_us);
         if !bucket.is_short(now_us) {
             return BorrowRound::default();
         }
@@ -207,7 +235,7 @@
         now_us: u64,
     ) {
         let mut state = self.state.lock();
-        let bucket = state.refilled_bucket(workspace, &self.tolerance, now_us);
+        let bucket = self.refilled_bucket(&mut state, workspace, now_us);
         bucket.lenders.record_answer(lender, tokens);
         bucket.add_borrowed(tokens, now_us);
     }
@@ -215,7 +243,7 @@
     /// Removes up to `wanted` tokens for another instance to use, and returns how many.
     pub fn lend(&self, workspace: &Workspace, wanted: f64, now_us: u64) -> f64 {
         let mut state = self.state.lock();
-        state.refilled_bucket(workspace, &self.tolerance, now_us).lend(wanted, now_us)
+        self.refilled_bucket(&mut state, workspace, now_us).lend(wanted, now_us)
     }
 
     /// Number of workspaces whose tokens are counted here.
@@ -223,12 +251,12 @@
     pub fn bucket_count(&self) -> usize {
         self.state.lock().buckets.len()
     }
-}
 
-/// Requests of a workspace that may wait at one instance: as many as the whole fleet may serve in
-/// that time.
-#[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
-fn waiting_max(tolerance: &QuotaTolerance, workspace: &Workspace) -> f64 {
-    let wait_s = TOKEN_WAIT_MS as f64 / 1000.0;
-    tolerance.tokens_per_s(workspace).mul_add(wait_s, WAITING_MIN)
+    /// Requests of a workspace that may wait at one instance: as many as the whole fleet may serve
+    /// in that time.
+    #[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
+    fn waiting_max(&self, workspace: &Workspace, wait_ms: u64) -> f64 {
+        let seconds = wait_ms as f64 / 1000.0;
+        self.tolerance.tokens_per_s(workspace).mul_add(seconds, WAITING_MIN)
+    }
 }
--- a/tests/quota_schedules.rs
+++ b/tests/quota_schedules.rs
@@ -18,7 +18,6 @@
 use sorrelwick::quota::QuotaPlacement;
 use sorrelwick::quota::QuotaTolerance;
 use sorrelwick::quota::Quotas;
-use sorrelwick::quota::TOKEN_WAIT_MS;
 use sorrelwick::workspace::Workspace;
 
 const TOLERANCE: QuotaTolerance =
@@ -33,6 +32,10 @@
 const VIEW_LAG_MS: std::ops::Range<u64> = 100..1_500;
 /// Virtual time per seed.
 const RUN_MS: u64 = 30_000;
+/// Virtual time at the start.
+const START_MS: u64 = 1_000_000;
+/// How long a request waits until the placement is known.
+const PLACEMENT_WAIT_MS: u64 = 400;
 const ZONES: usize = 4;
 
 /// State of an instance, and its quotas as placed by its view of the others.
@@ -45,6 +48,8 @@
     quotas: Quotas,
     /// Requests that wait for a token, by the time at which they give up.
     waiting: VecDeque<u64>,
+    /// When requests arrived that wait until the placement is known.
+    arrived_early: Vec<u64>,
     /// Whether it is short of tokens and borrows some.
     borrows: bool,
     /// When it next updates its view; `u64::MAX` if nothing changed.
@@ -83,8 +88,9 @@
             incarnation: at as u64 + 1,
             running: true,
             group: 0,
-            quotas: Quotas::new(TOLERANCE),
+            quotas: Quotas::new(TOLERANCE, START_MS * 1_000 - 250_000),
             waiting: VecDeque::new(),
+            arrived_early: Vec::new(),
             borrows: false,
             view_update_at_ms: 0,
         };
@@ -100,7 +106,7 @@
             homes_per_zone,
             workspace,
             rng: Pcg64::seed_from_u64(seed),
-            now_ms: 1_000_000,
+            now_ms: START_MS,
             sent_at_ms: Vec::new(),
             received: 0,
             message_loss: 0.0,
@@ -148,6 +154,7 @@
         let now_us = self.now_us();
         self.instances[at].quotas.set_placement(placement, now_us);
         self.instances[at].view_update_at_ms = u64::MAX;
+        self.receive_early_requests(at);
     }
 
     fn schedule_view_updates(&mut self) {
@@ -159,28 +166,42 @@
 
     /// Restarts an instance, which forgets the tokens that it spent.
     fn restart(&mut self, at: usize) {
+        let now_us = self.now_us();
         let instance = &mut self.instances[at];
         instance.running = true;
         instance.incarnation += 1_000;
-        instance.quotas = Quotas::new(TOLERANCE);
+        instance.quotas = Quotas::new(TOLERANCE, now_us);
         instance.waiting.clear();
+        instance.arrived_early.clear();
         instance.borrows = false;
     }
 
+    /// Handles the requests that waited until the placement is known.
+    fn receive_early_requests(&mut self, at: usize) {
+        let earliest_ms = self.now_ms - PLACEMENT_WAIT_MS;
+        let arrived = std::mem::take(&mut self.instances[at].arrived_early);
+        for _ in arrived.into_iter().filter(|arrived_ms| *arrived_ms >= earliest_ms) {
+            self.receive_request(at);
+        }
+    }
+
     /// Handles a request that arrives at an instance.
     fn receive_request(&mut self, at: usize) {
-        self.received += 1;
         if !self.instances[at].running {
             return;
         }
         let now_us = self.now_us();
+        if !self.instances[at].quotas.placement_known() {
+            self.instances[at].arrived_early.push(self.now_ms);
+            return;
+        }
         let Err(out) = self.instances[at].quotas.take(&self.workspace, now_us) else {
             self.sent_at_ms.push(self.now_ms);
             return;
         };
         self.instances[at].borrows = true;
-        if out.waits {
-            let until_ms = self.now_ms + TOKEN_WAIT_MS;
+        if let Some(wait_ms) = out.wait_ms {
+            let until_ms = self.now_ms + wait_ms;
             self.instances[at].waiting.push_back(until_ms);
         }
     }
@@ -244,6 +265,7 @@
                 let homes = self.homes_seen_by(any, zone);
                 let stale = homes.is_empty() || self.rng.random_bool(0.02);
                 let at = if stale { any } else { homes[self.rng.random_range(0..homes.len())] };
+                self.received += 1;
                 self.receive_request(at);
             }
             for at in 0..self.instances.len() {
@@ -457,11 +479,12 @@
     let quotas = &model.instances[0].quotas;
     for at in 0..10_000 {
         let workspace = Workspace { name: format!("w{at}").into(), ..model.workspace.clone() };
-        let _ = quotas.take(&workspace, model.now_us());
+        if quotas.take(&workspace, model.now_us()).is_err_and(|out| out.wait_ms.is_some()) {
+            quotas.end_wait(&workspace);
+        }
     }
     assert_eq!(quotas.bucket_count(), 10_000);
     model.now_ms += 10_000;
-    model.instances[0].waiting.clear();
     model.update_view(0);
     let left = model.instances[0].quotas.bucket_count();
     println!("{left} of 10000 buckets left");
@@ -487,6 +510,71 @@
     assert_eq!(taken, own_max);
 }
 
+/// Restarts these instances, which know the others after these times.
+fn restart_all(model: &mut Model, instances: &[usize], view_lag_ms: std::ops::Range<u64>) {
+    for at in instances.iter().copied() {
+        model.restart(at);
+        let lag_ms = model.rng.random_range(view_lag_ms.clone());
+        model.instances[at].view_update_at_ms = model.now_ms + lag_ms;
+    }
+}
+
+/// Guards against refusing callers within their quota after all instances were killed at once.
+#[test]
+fn callers_within_the_quota_are_served_after_all_instances_restart() {
+    for seed in 0..4 {
+        let mut model = Model::new(140, 1, 480.0, seed);
+        (0..140).for_each(|at| model.update_view(at));
+        model.run_load(5_000, 480.0 * 0.7, &[0, 1, 2, 3]);
+        let all: Vec<usize> = (0..140).collect();
+        restart_all(&mut model, &all, 200..380);
+        let (received, sent) = (model.received, model.sent_at_ms.len());
+        model.run_load(2_000, 480.0 * 0.7, &[0, 1, 2, 3]);
+        let (received, sent) = (model.received - received, model.sent_at_ms.len() - sent);
+        println!("seed {seed}: {sent} of {received} sent after the restart");
+        assert!(sent as f64 >= 0.97 * received as f64, "seed {seed}: {sent} of {received}");
+    }
+}
+
+/// Guards against a customer getting more than its quota from instances that have forgotten what
+/// was spent: all at once, twice within a window, one zone, or one after the other.
+#[test]
+fn restarts_do_not_raise_a_workspace_above_its_bound() {
+    for seed in 0..seed_count() {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let homes_per_zone = [1, 2, 8][rng.random_range(0..3)];
+        let rate_per_s = [1.5, 12.0, 480.0][rng.random_range(0..3)];
+        let mut model = Model::new(40, homes_per_zone, rate_per_s, seed);
+        (0..40).for_each(|at| model.update_view(at));
+        let all: Vec<usize> = (0..40).collect();
+        let zone: Vec<usize> = model.in_zone(1).collect();
+        let load = |model: &mut Model, ms| model.run_load(ms, rate_per_s * 7.5, &[0, 1, 2, 3]);
+        // Full buckets are spent at the start of a window, and the restart falls into it.
+        load(&mut model, 4_000);
+        model.now_ms += 2_000;
+        load(&mut model, rng.random_range(300..4_800));
+        match seed % 4 {
+            0 => restart_all(&mut model, &all, 50..450),
+            1 => {
+                restart_all(&mut model, &all, 50..450);
+                load(&mut model, 1_500);
+                restart_all(&mut model, &all, 50..450);
+            }
+            2 => restart_all(&mut model, &zone, 50..1_500),
+            _ => {
+                for at in all {
+                    restart_all(&mut model, &[at], 50..450);
+                    load(&mut model, 100);
+                }
+            }
+        }
+        load(&mut model, 6_000);
+        let (max_sent, allowed) = (model.max_sent_in_window(), model.allowed_in_window());
+        println!("seed {seed}: {max_sent} of {allowed:.0}, {homes_per_zone} homes, {rate_per_s}/s");
+        assert!(max_sent as f64 <= allowed, "seed {seed}: {max_sent} of {allowed}");
+    }
+}
+
 /// Guards against instances that start together, know no other instance yet, and each grant the
 /// whole quota.
 #[test]
