--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -15,12 +15,14 @@
 use crate::board::EventKind;
 use crate::board::Phase;
 use crate::clock::now_ms;
+use crate::clock::now_us;
 use crate::conf::GatewaySettings;
 use crate::conf::Settings;
 use crate::errors::Code;
 use crate::errors::CodedError;
 use crate::gateway::AddressHandler;
 use crate::gateway::Admission;
+use crate::gateway::Borrowers;
 use crate::gateway::CallerHandler;
 use crate::gateway::CurrentRouteTable;
 use crate::gateway::Dialect;
@@ -328,7 +330,7 @@
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
         tasks.spawn(run_suspect_gossip(Arc::clone(&board), links.clone()));
         tasks.spawn(dispatcher.clone().run());
-        let quotas = Arc::new(Quotas::new(gateway.quota_tolerance()));
+        let quotas = Arc::new(Quotas::new(gateway.quota_tolerance(), now_us()));
         let admission = Admission::new(Arc::clone(&table), config_age, &gateway);
         let grace = gateway.grace();
         let start_hold = Arc::new(StartHold::new(gateway.start_hold()));
@@ -350,6 +352,7 @@
             links: links.clone(),
             table: Arc::clone(&table),
             quotas,
+            borrowers: Borrowers::default(),
         };
         let body_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
         let response_memory = Arc::new(MemoryBudget::new(memory_bytes / BODY_MEMORY_DIVISOR));
--- a/tests/homes.rs
+++ b/tests/homes.rs
@@ -135,7 +135,7 @@
         board: Arc::clone(&board),
         dispatcher: dispatcher.clone(),
         table: CurrentRouteTable::default(),
-        quotas: Arc::new(Quotas::new(tolerance)),
+        quotas: Arc::new(Quotas::new(tolerance, 0)),
     };
     tokio::spawn(planner.run());
     tokio::time::sleep(PLANNED).await;
