--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -71,7 +71,7 @@
 const BODY_MEMORY_DIVISOR: usize = 4;
 /// Fraction of the configured retry ratio that is used: a retry may be counted in another window
 /// than its request.
-const RETRY_RATIO_FACTOR: f64 = 0.95;
+const RETRY_RATIO_FACTOR: f64 = 0.9;
 /// Fraction of the retry budget's slack that is divided among the homes. The rest covers the other
 /// instances' addition, and homes that changed within a window, each of which may have used its
 /// share.
@@ -267,7 +267,9 @@
     };
     tasks.spawn(planner.run());
     tasks.spawn(load_reporter.run());
-    tasks.spawn(retry_borrower.run());
+    if board.settings.gateway.as_ref().is_some_and(|gateway| gateway.retry_loans) {
+        tasks.spawn(retry_borrower.run());
+    }
 }
 
 /// Starts the tasks that keep quarantined requests in the store.
--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -32,7 +32,8 @@
     RetriesBorrowed = "retries_borrowed", "Retries that other instances lent.";
     RetriesLent = "retries_lent", "Retries lent to other instances.";
     Hedges = "hedges", "Second attempts beside a slow first one.";
-    RetriesDenied = "retries_denied", "Retries and hedges that the retry budget did not allow.";
+    RetriesDenied = "retries_denied", "Retries that the retry budget did not allow.";
+    HedgesDenied = "hedges_denied", "Hedges that the retry budget did not allow.";
     Queued = "queued", "Requests that waited for a slot.";
     Spilled = "spilled", "Requests passed to a co-home that had slots free.";
     Passed = "passed", "Requests passed to another instance, answered.";
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -246,7 +246,7 @@
     match reason {
         "spent" => "this instance's part of the service's retry budget is spent",
         "reserved" => "what is left of this instance's part is kept for more urgent requests",
-        "hopeless" => "nearly all sends to the service are rejected",
+        "servers-rejecting" => "nearly all sends to the service are rejected",
         _ => "the reason is not known",
     }
 }
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -68,6 +68,9 @@
     /// Retries allowed in a window beyond the ratio.
     #[serde(default)]
     pub repeat_slack: f64,
+    /// Whether instances lend each other retries that they do not need.
+    #[serde(default)]
+    pub retry_loans: bool,
     /// Health checks per second that a server may get from all instances together.
     #[serde(default = "probes_default")]
     pub probes_per_s_max: u32,
--- a/src/gateway/dispatcher.rs
+++ b/src/gateway/dispatcher.rs
@@ -25,7 +25,6 @@
 use crate::balance::ServerChoice;
 use crate::balance::ServicePool;
 use crate::balance::TrackedServer;
-use crate::clock::boot_us;
 use crate::clock::now_us;
 use crate::cold::ColdPolicy;
 use crate::evacuation::Evacuations;
@@ -253,9 +252,6 @@
         if let Some(pool) = state.pools.get_mut(service) {
             let before = pool.concurrency_limit().is_last_slot_enabled(*slots);
             pool.finish_request(id, ticket, spec, outcome, now_us());
-            if !matches!(outcome, SendOutcome::Cancelled | SendOutcome::Unsent) {
-                pool.retry_budget.record_send(outcome == SendOutcome::Refused, boot_us());
-            }
             let after = pool.concurrency_limit().is_last_slot_enabled(*slots);
             if before != after {
                 let (full, below) = pool.concurrency_limit().mean_ratios();
--- a/src/gateway/dispatcher_loans.rs
+++ b/src/gateway/dispatcher_loans.rs
@@ -56,7 +56,8 @@
     /// [`boot_us`].
     pub fn add_borrowed_retries(&self, service: &str, retries: u32, asked_us: u64) {
         if let Some(pool) = self.state.lock().pools.get_mut(service) {
-            pool.retry_budget.loans.add_borrowed(retries, asked_us, boot_us());
+            let loans = &mut pool.retry_budget.loans;
+            loans.add_borrowed(retries, self.retry_allowance.window_us, asked_us, boot_us());
         }
     }
 }
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -176,10 +176,11 @@
     /// Counts a denied retry. After a denied retry the request ends, after a denied hedge it goes
     /// on, so that only the former is logged.
     fn log_denied_retry(&self, request: &ForwardRequest, rank: RetryRank, denial: &RetryDenial) {
-        self.board.counters.add(Counter::RetriesDenied);
         if rank.class() == RetryClass::Hedge {
+            self.board.counters.add(Counter::HedgesDenied);
             return;
         }
+        self.board.counters.add(Counter::RetriesDenied);
         info!(
             event = "retry-denied", id = request.id_text(), service = &*request.service,
             rank = rank.class().name(), priority = request.priority(), late = rank.is_late(),
@@ -346,6 +347,9 @@
                 admitted_send: &admitted_send,
             };
             let result = sender.send(request, grant, health_path.as_deref()).await;
+            if let Some(refused) = result.refusal() {
+                self.dispatcher.record_response(&request.service, refused);
+            }
             let took = Duration::from_micros(now_us().saturating_sub(started_us));
             self.board.latencies.record(Latency::Send, took, result.name());
             let took_ms = took.as_millis();
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -101,6 +101,18 @@
         matches!(self, Self::Lost(_) | Self::TimedOut)
     }
 
+    /// Whether the server refused the request for a reason other than the request itself; `None`
+    /// without a response that tells.
+    #[must_use]
+    pub fn refusal(&self) -> Option<bool> {
+        match self {
+            Self::Refused { status } if *status == StatusCode::BAD_REQUEST => None,
+            Self::Refused { .. } => Some(true),
+            Self::Answered(_) | Self::UnprovedRefusal { .. } => Some(false),
+            _ => None,
+        }
+    }
+
     const fn outcome(&self) -> SendOutcome {
         match self {
             Self::Answered(response) => {
--- a/src/retry/decayed_count.rs
+++ b/src/retry/decayed_count.rs
@@ -1,8 +1,8 @@
 //! Counts recent events.
 
 /// A count below this begins anew with the next event.
-const COUNT_BEGINS: f64 = 0.5;
-/// Memories after which a new rate is believed.
+const COUNT_RESTART_BELOW: f64 = 0.5;
+/// Memories after which a new rate is used.
 const LEAST_MEMORIES: f64 = 0.25;
 
 /// A count in which each event loses weight with its age.
@@ -33,7 +33,7 @@
 
     /// Whether the next event is the first one that has weight.
     pub(super) fn is_over(&self, memory_us: u64, now_us: u64) -> bool {
-        self.value(memory_us, now_us) < COUNT_BEGINS
+        self.value(memory_us, now_us) < COUNT_RESTART_BELOW
     }
 
     /// Adds `events`, or the expected number of events.
--- a/src/retry/lender_turn.rs
+++ b/src/retry/lender_turn.rs
@@ -1,7 +1,7 @@
 //! Whom an instance asks next for retries, and when.
 
-/// Questions in a row that brought nothing after which an instance pauses.
-const IN_VAIN_MAX: u32 = 12;
+/// Answers in a row that granted nothing after which an instance pauses.
+const EMPTY_ANSWERS_MAX: u32 = 12;
 /// First pause, in microseconds; each further one is twice as long.
 const PAUSE_MIN_US: u64 = 500_000;
 /// Longest pause, in microseconds.
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LenderTurn {
     next: usize,
-    asked_in_vain: u32,
+    empty_answers: u32,
     /// Length of the last pause since something was granted; 0 if there was none.
     pause_us: u64,
     paused_until_us: u64,
@@ -37,13 +37,13 @@
             self.next = self.next.wrapping_add(1);
         }
         if granted > 0 {
-            self.asked_in_vain = 0;
+            self.empty_answers = 0;
             self.pause_us = 0;
             return;
         }
-        self.asked_in_vain += 1;
-        if self.asked_in_vain == IN_VAIN_MAX {
-            self.asked_in_vain = 0;
+        self.empty_answers += 1;
+        if self.empty_answers == EMPTY_ANSWERS_MAX {
+            self.empty_answers = 0;
             self.pause_us = (2 * self.pause_us).clamp(PAUSE_MIN_US, PAUSE_MAX_US);
             self.paused_until_us = now_us + self.pause_us;
         }
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -1,4 +1,4 @@
-//! Retries as a scarce good: which requests get the retries that the budget allows, and which
+//! Allocation of the retry budget: which requests get the retries that it allows, and which
 //! callers have come back after a refusal; no I/O.
 
 mod decayed_count;
--- a/src/retry/refused_requests.rs
+++ b/src/retry/refused_requests.rs
@@ -82,12 +82,14 @@
     /// Removes and returns the refusal that a request follows; `None` for a first attempt.
     pub fn take(&mut self, hash: RequestHash, now_us: u64) -> Option<EarlierAttempt> {
         self.forget_before(now_us.saturating_sub(REMEMBERED_US));
+        self.judge_overdue(now_us);
         let attempts = self.by_hash.get_mut(&hash)?;
         let earlier = (!attempts.is_empty()).then(|| attempts.remove(0));
         if attempts.is_empty() {
             self.by_hash.remove(&hash);
         }
-        if earlier.is_some_and(|earlier| earlier.refusals <= 1) {
+        let in_time = |earlier: EarlierAttempt| now_us <= earlier.refused_us + RETURN_EXPECTED_US;
+        if earlier.is_some_and(|earlier| earlier.refusals <= 1 && in_time(earlier)) {
             self.record_return(true);
         }
         earlier
--- a/src/retry/rejected_sends.rs
+++ b/src/retry/rejected_sends.rs
@@ -5,10 +5,10 @@
 /// Time, in microseconds, for which sends are remembered: long enough for a judgment, and short
 /// against the time that callers have.
 const MEMORY_US: u64 = 1_000_000;
-/// Sends from which on their rejected part is believed.
+/// Sends from which on their rejected part is used.
 const SENDS_MIN: f64 = 40.0;
 /// Rejected part of the sends above which one more would be rejected too.
-const HOPELESS_SHARE: f64 = 0.97;
+const USELESS_SHARE: f64 = 0.97;
 
 /// Recent sends to the servers of one service.
 #[derive(Debug, Default)]
@@ -32,7 +32,7 @@
     }
 
     /// Whether another send would be rejected almost certainly.
-    pub(super) fn is_hopeless(&self, now_us: u64) -> bool {
-        self.sends.value(MEMORY_US, now_us) >= SENDS_MIN && self.share(now_us) >= HOPELESS_SHARE
+    pub(super) fn is_useless(&self, now_us: u64) -> bool {
+        self.sends.value(MEMORY_US, now_us) >= SENDS_MIN && self.share(now_us) >= USELESS_SHARE
     }
 }
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -51,7 +51,7 @@
     /// The rest is kept for more urgent ranks, which are expected to need it.
     Reserved,
     /// Nearly all sends to the service are rejected now.
-    Hopeless,
+    ServersRejecting,
 }
 
 impl DenialReason {
@@ -61,7 +61,7 @@
         match self {
             Self::Spent => "spent",
             Self::Reserved => "reserved",
-            Self::Hopeless => "hopeless",
+            Self::ServersRejecting => "servers-rejecting",
         }
     }
 }
@@ -143,7 +143,7 @@
         self.demand.record_ask(rank, decision.is_ok(), allowance.window_us, now_us);
         match decision {
             Ok(()) => self.retries_us.push_back(now_us),
-            Err(denial) if denial.reason == DenialReason::Hopeless => return Err(denial),
+            Err(denial) if denial.reason == DenialReason::ServersRejecting => return Err(denial),
             Err(denial)
                 if !self.loans.spend_borrowed(rank.class(), allowance.window_us, now_us) =>
             {
@@ -166,8 +166,8 @@
         let reserved = self.reserved(rank, allowance.window_us, now_us);
         let rejected_share = self.rejected_sends.share(now_us);
         let denial = |reason| Err(RetryDenial { reason, allowed, spent, reserved, rejected_share });
-        if self.rejected_sends.is_hopeless(now_us) {
-            return denial(DenialReason::Hopeless);
+        if self.rejected_sends.is_useless(now_us) {
+            return denial(DenialReason::ServersRejecting);
         }
         if spent as f64 + 1.0 > allowed {
             return denial(DenialReason::Spent);
--- a/src/retry/retry_loans.rs
+++ b/src/retry/retry_loans.rs
@@ -3,15 +3,17 @@
 use super::RetryClass;
 use super::expiring_count::ExpiringCount;
 
-/// Time, in microseconds, for which borrowed retries can be used. It covers a few rounds of asking;
-/// a lender counts them as spent for this much longer than a window.
-const LOAN_TERM_US: u64 = 500_000;
+/// Longest time, in microseconds, for which borrowed retries can be used. It covers a few rounds of
+/// asking; a lender counts them as spent for this much longer than a window.
+const LOAN_TERM_MAX_US: u64 = 500_000;
+/// Windows for which they can be used at most: the requests that allow them must still count.
+const LOAN_TERM_WINDOW_DIVISOR: u64 = 20;
 /// Loans and denials that end within the same slot, in microseconds, are counted together.
 const SLOT_US: u64 = 100_000;
 /// Time, in microseconds, over which the latest demand is measured.
 const RECENT_US: u64 = 1_000_000;
-/// Upper limit of the retries that an instance with few requests keeps ready to lend.
-const LENDABLE_MIN: f64 = 1.0;
+/// Smallest cap of the retries that an instance keeps ready to lend.
+const LENDABLE_CAP_MIN: f64 = 1.0;
 /// Fraction of what an instance has over that one borrower gets, so that the next one finds some.
 const LENT_FRACTION: f64 = 0.5;
 
@@ -37,6 +39,10 @@
     denied_since_question: u32,
 }
 
+fn loan_term_us(window_us: u64) -> u64 {
+    LOAN_TERM_MAX_US.min(window_us / LOAN_TERM_WINDOW_DIVISOR)
+}
+
 const fn end_of_slot(at_us: u64) -> u64 {
     at_us.div_ceil(SLOT_US) * SLOT_US
 }
@@ -54,7 +60,7 @@
     ) {
         self.first_request_us.get_or_insert(now_us);
         let recent_part = RECENT_US.min(window_us) as f64 / window_us as f64;
-        let lendable_max = (by_ratio * recent_part).max(LENDABLE_MIN);
+        let lendable_max = (by_ratio * recent_part).max(LENDABLE_CAP_MIN);
         self.lendable = (self.lendable + ratio).min(lendable_max);
     }
 
@@ -97,7 +103,11 @@
         let granted = available.clamp(0.0, f64::from(wanted)) as u32;
         if granted > 0 {
             self.lendable -= f64::from(granted);
-            self.lent.add(granted, end_of_slot(now_us + LOAN_TERM_US + window_us), now_us);
+            self.lent.add(
+                granted,
+                end_of_slot(now_us + loan_term_us(window_us) + window_us),
+                now_us,
+            );
         }
         granted
     }
@@ -127,7 +137,7 @@
     }
 
     /// Adds retries that another instance lent on a question sent at `asked_us`.
-    pub fn add_borrowed(&mut self, retries: u32, asked_us: u64, now_us: u64) {
-        self.borrowed.add(retries, asked_us + LOAN_TERM_US, now_us);
+    pub fn add_borrowed(&mut self, retries: u32, window_us: u64, asked_us: u64, now_us: u64) {
+        self.borrowed.add(retries, asked_us + loan_term_us(window_us), now_us);
     }
 }
--- a/tests/retry_budget.rs
+++ b/tests/retry_budget.rs
@@ -53,7 +53,7 @@
     callers: [f64; 3],
     /// Callers refused for good.
     refused: [f64; 3],
-    /// Last attempts that were denied a retry while a tenth of the budget was idle.
+    /// Last attempts that were denied a retry while a fifth of the budget was idle.
     denied_beside_idle: u32,
     /// Moments of a denied retry, in the second half, and the sum of the used parts of the budget
     /// then.
@@ -268,7 +268,7 @@
         }
         budget.try_spend(&ALLOWANCE, last, now_us).err().map(|denial| denial.reason)
     };
-    assert_eq!(denial_after(400), Some(DenialReason::Hopeless));
+    assert_eq!(denial_after(400), Some(DenialReason::ServersRejecting));
     assert_eq!(denial_after(10), None, "one of ten sends is accepted");
     assert_eq!(denial_after(1), None, "the servers accept everything again");
 }
@@ -313,7 +313,7 @@
 }
 
 /// Guards against hundreds of instances that are no homes and each have as much slack as a home: few
-/// requests reach each of them, but together they made a fourth of all retries.
+/// requests reach each of them.
 #[test]
 fn the_slack_of_all_instances_is_within_the_operators_slack() {
     const OPERATORS_SLACK: f64 = 214.0;
--- a/tests/retry_loans.rs
+++ b/tests/retry_loans.rs
@@ -192,7 +192,7 @@
         let asked_us = now_us - self.loan_rng.random_range(ANSWER_MS) * 1_000;
         let (ledger, until_us) = (self.processes[lender].ledger, asked_us + TERM_MS * 1_000);
         let borrower = &mut self.processes[at];
-        borrower.budget.loans.add_borrowed(left, asked_us, now_us);
+        borrower.budget.loans.add_borrowed(left, WINDOW_US, asked_us, now_us);
         borrower.borrowed.push_back(Borrowed { ledger, left, until_us });
         left
     }
@@ -397,7 +397,7 @@
 fn a_loan_is_for_last_attempts_within_its_term() {
     let (mut budget, now_us) = warm_budget();
     spend(&mut budget, 200, now_us);
-    budget.loans.add_borrowed(2, now_us, now_us + 40_000);
+    budget.loans.add_borrowed(2, WINDOW_US, now_us, now_us + 40_000);
     assert!(budget.try_spend(&ALLOWANCE, FIRST_ATTEMPT, now_us + 50_000).is_err());
     assert!(budget.try_spend(&ALLOWANCE, LAST_ATTEMPT, now_us + 50_000).is_ok());
     let after_term_us = now_us + TERM_MS * 1_000 + 1;
