--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -25,7 +25,7 @@
 use crate::clock::now_ms;
 use crate::conf::Settings;
 use crate::measure::ShardWitnesses;
-use crate::member::Doubts;
+use crate::member::FailedCalls;
 use crate::member::MemberChange;
 use crate::member::MemberRow;
 use crate::member::MemberState;
@@ -65,7 +65,7 @@
     /// How long pings and suspicions last at the moment.
     pub pace: Mutex<Pace>,
     /// Peers to which a call failed, to be checked by the failure detector.
-    pub doubts: Doubts,
+    pub failed_calls: FailedCalls,
     /// The configuration, written by the catalog controllers.
     pub catalog: Mutex<Catalog>,
     pub outcomes: OutcomeTable,
@@ -176,7 +176,7 @@
             outcomes,
             claim_witnesses,
             shard_witnesses: ShardWitnesses::default(),
-            doubts: Doubts::default(),
+            failed_calls: FailedCalls::default(),
             quarantine: Quarantine::default(),
             reach: Arc::default(),
             counters: Counters::default(),
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -199,7 +199,7 @@
             }
             let after = self.mirror.revision();
             let Some(answer) = self.peers.ask(peer, feed, after, hold, timeout).await else {
-                self.board.doubts.add(peer, now_ms());
+                self.board.failed_calls.add(peer, now_ms());
                 self.relay_cooldowns.lock().start(peer, UNRESPONSIVE_COOLDOWN);
                 return false;
             };
--- a/src/gateway/load_reporter.rs
+++ b/src/gateway/load_reporter.rs
@@ -178,7 +178,7 @@
             if self.links.call(peer.address, &request, REPORT_TIMEOUT).await.is_ok() {
                 reported.record_delivered(&loads.rows);
             } else {
-                self.board.doubts.add(peer.address, now_ms());
+                self.board.failed_calls.add(peer.address, now_ms());
                 reported.record_maybe_delivered(&loads.rows);
             }
         }
--- a/src/member/doubts.rs
+++ b/src/member/failed_calls.rs
@@ -1,4 +1,4 @@
-//! Peers to which a call failed, and which are checked ahead of their turn.
+//! Calls to peers that failed; the members called are checked ahead of their turn.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -13,20 +13,20 @@
 
 /// Peers that may be gone. Who talks to a peer often learns that first: its connection breaks.
 #[derive(Debug, Default)]
-pub struct Doubts {
-    peers: Mutex<DoubtedPeers>,
+pub struct FailedCalls {
+    peers: Mutex<RecentPeers>,
     added: Notify,
 }
 
 #[derive(Debug, Default)]
-struct DoubtedPeers {
+struct RecentPeers {
     /// Peers still to be checked.
     waiting: VecDeque<SocketAddr>,
     /// When each peer was added, the oldest first; at most [`PEERS_MAX`].
     added: VecDeque<(u64, SocketAddr)>,
 }
 
-impl Doubts {
+impl FailedCalls {
     /// Adds a peer to which a call failed; returns whether it will be checked for that.
     pub fn add(&self, peer: SocketAddr, now_ms: u64) -> bool {
         let mut peers = self.peers.lock();
--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -262,14 +262,14 @@
 }
 
 /// Checks members at once to which a call failed, until the process ends.
-async fn check_doubted<L: PeerClient>(detector: &FailureDetector<L>) {
+async fn check_failed_calls<L: PeerClient>(detector: &FailureDetector<L>) {
     let board = &detector.board;
     loop {
-        let peer = board.doubts.next().await;
+        let peer = board.failed_calls.next().await;
         let targets: Vec<MemberRow> = board.members.lock().rows_at(peer, now_ms()).collect();
         for target in targets.into_iter().filter(|row| row.incarnation != board.incarnation) {
             info!(
-                event = "member-doubted", member = target.name.as_str();
+                event = "member-checked", member = target.name.as_str();
                 "a call to it failed, so it is checked"
             );
             tokio::spawn(detector.clone().check_member(target));
@@ -301,5 +301,5 @@
             tokio::time::sleep(interval).await;
         }
     };
-    tokio::join!(ping_loop, expire_suspects(&detector), check_doubted(&detector));
+    tokio::join!(ping_loop, expire_suspects(&detector), check_failed_calls(&detector));
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -3,7 +3,7 @@
 mod announce;
 mod anti_entropy;
 mod digest;
-mod doubts;
+mod failed_calls;
 mod failure_detector;
 mod gossip_queue;
 mod handlers;
@@ -22,7 +22,7 @@
 pub use announce::announce_targets;
 pub use anti_entropy::sync_members;
 pub use digest::MembersDigest;
-pub use doubts::Doubts;
+pub use failed_calls::FailedCalls;
 pub use failure_detector::run_failure_detector;
 pub use handlers::handle_indirect_ping;
 pub use handlers::handle_member_request;
--- a/tests/failure_detector.rs
+++ b/tests/failure_detector.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use sorrelwick::board::Blackboard;
-use sorrelwick::member::Doubts;
+use sorrelwick::member::FailedCalls;
 use sorrelwick::member::MemberRequest;
 use sorrelwick::member::MemberState;
 use sorrelwick::member::run_failure_detector;
@@ -106,8 +106,8 @@
     let still_there = member_row(8).peer_address;
     let detector = tokio::spawn(run_failure_detector(Arc::clone(&board), LinksWithoutOne { gone }));
     tokio::time::sleep(Duration::from_millis(1)).await;
-    assert!(board.doubts.add(gone, 0));
-    assert!(board.doubts.add(still_there, 0));
+    assert!(board.failed_calls.add(gone, 0));
+    assert!(board.failed_calls.add(still_there, 0));
     tokio::time::sleep(Duration::from_millis(20)).await;
     detector.abort();
     let state = |incarnation| board.members.lock().row(incarnation, 0).expect("known").state;
@@ -117,11 +117,11 @@
 /// Guards against a flood of pings by hundreds of calls that fail at the same time.
 #[test]
 fn checks_of_failed_calls_are_bounded() {
-    let doubts = Doubts::default();
+    let failed_calls = FailedCalls::default();
     let peer = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
-    assert!(doubts.add(peer(1), 1_000));
-    assert!(!doubts.add(peer(1), 1_249), "once per peer in a quarter of a second");
-    assert!(doubts.add(peer(1), 1_250));
-    let added = (2..500).filter(|port| doubts.add(peer(*port), 1_250)).count();
+    assert!(failed_calls.add(peer(1), 1_000));
+    assert!(!failed_calls.add(peer(1), 1_249), "once per peer in a quarter of a second");
+    assert!(failed_calls.add(peer(1), 1_250));
+    let added = (2..500).filter(|port| failed_calls.add(peer(*port), 1_250)).count();
     assert_eq!(added, 15);
 }
