Only a lost connection has a peer checked ahead of its turn

Change: a failed call counts if the peer did not refuse and the call ended before its own time limit; FeedSource::ask returns the error for that. Calls to members that are not alive any more are not recorded. Result: only_a_broken_connection_has_a_peer_checked was red before (a refusal led to a check), green now. relay_schedules and its stand-in only follow the new return type.

--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -1,6 +1,7 @@
 //! Shared state of one instance.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
@@ -210,6 +211,15 @@
         Arc::clone(&self.view.read())
     }
 
+    /// Has a peer checked to which a call failed, unless all that it is known as is believed
+    /// otherwise than alive already.
+    pub fn record_failed_call(&self, peer: SocketAddr) {
+        let now_ms = now_ms();
+        if self.members.lock().is_alive_at(peer, now_ms) {
+            self.failed_calls.add(peer, now_ms);
+        }
+    }
+
     /// Publishes changes of the member table to the request path and logs them.
     pub fn publish_members(&self) {
         let mut view = self.view.write();
--- a/src/gateway/feed_source.rs
+++ b/src/gateway/feed_source.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use crate::clock::boot_us;
+use crate::errors::Code;
 use crate::peer::Feed;
 use crate::peer::FeedReply;
 use crate::peer::FeedResponse;
 use crate::peer::PeerClient;
+use crate::peer::PeerError;
 use crate::peer::PeerReply;
 use crate::peer::PeerRequest;
 use crate::store::Revision;
@@ -42,7 +44,10 @@
 /// Sends feed requests to other instances. Tests implement it with injected faults.
 pub trait FeedSource: Clone + Send + Sync + 'static {
     /// Requests the changes after a revision; the peer may hold the request for up to `hold` until
-    /// there are some. `None` if no answer came `within` that time.
+    /// there are some.
+    ///
+    /// # Errors
+    /// The peer refused, or no answer came `within` that time.
     fn ask(
         &self,
         peer: SocketAddr,
@@ -50,7 +55,7 @@
         after: Option<Revision>,
         hold: Duration,
         within: Duration,
-    ) -> impl Future<Output = Option<FeedAnswer>> + Send;
+    ) -> impl Future<Output = Result<FeedAnswer, PeerError>> + Send;
 }
 
 impl<L: PeerClient> FeedSource for L {
@@ -61,15 +66,13 @@
         after: Option<Revision>,
         hold: Duration,
         within: Duration,
-    ) -> Option<FeedAnswer> {
+    ) -> Result<FeedAnswer, PeerError> {
         let hold_ms = u64::try_from(hold.as_millis()).unwrap_or(0);
         let request = PeerRequest::Feed { feed, after, hold_ms };
         let asked_us = boot_us();
-        // The cause does not matter: the caller asks another instance.
-        let reply = self.call(peer, &request, within).await.ok()?;
-        let PeerReply::Feed(response) = reply else {
-            return None;
+        let PeerReply::Feed(response) = self.call(peer, &request, within).await? else {
+            return Err(PeerError::Refused(Code::PeerFrame.number()));
         };
-        Some(FeedAnswer::of(response, asked_us))
+        Ok(FeedAnswer::of(response, asked_us))
     }
 }
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -6,6 +6,7 @@
 use log::info;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 
 use super::feed_source::FeedAnswer;
 use super::feed_source::FeedSource;
@@ -19,7 +20,6 @@
 use super::relays::reader_index;
 use super::relays::relay_addresses;
 use super::server_list_holders::holds_server_list;
-use crate::clock::now_ms;
 use crate::clock::now_us;
 use crate::peer::Feed;
 use crate::peer::FeedReply;
@@ -198,10 +198,16 @@
                 return false;
             }
             let after = self.mirror.revision();
-            let Some(answer) = self.peers.ask(peer, feed, after, hold, timeout).await else {
-                self.board.failed_calls.add(peer, now_ms());
-                self.relay_cooldowns.lock().start(peer, UNRESPONSIVE_COOLDOWN);
-                return false;
+            let started = Instant::now();
+            let answer = match self.peers.ask(peer, feed, after, hold, timeout).await {
+                Ok(answer) => answer,
+                Err(error) => {
+                    if error.is_connection_lost(started.elapsed(), timeout) {
+                        self.board.record_failed_call(peer);
+                    }
+                    self.relay_cooldowns.lock().start(peer, UNRESPONSIVE_COOLDOWN);
+                    return false;
+                }
             };
             if self.apply_answer(answer) {
                 return true;
@@ -235,7 +241,7 @@
                 .spawn(async move { source.ask(peer, feed, after, Duration::ZERO, timeout).await });
         }
         while let Some(answer) = requests.join_next().await {
-            let Ok(Some(answer)) = answer else {
+            let Ok(Ok(answer)) = answer else {
                 continue;
             };
             let age = answer.age;
--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -172,11 +172,11 @@
     async fn load_from(&self, peer: SocketAddr, hold: Duration) {
         let answer = self.peers.ask(peer, self.feed, None, hold, REQUEST_TIMEOUT).await;
         match answer {
-            Some(answer) => {
+            Ok(answer) => {
                 self.apply_answer(answer);
             }
             // The connection may have been refused at once because the peer does not listen yet.
-            None => tokio::time::sleep(NO_PEER_DELAY).await,
+            Err(_) => tokio::time::sleep(NO_PEER_DELAY).await,
         }
     }
 }
--- a/src/gateway/load_reporter.rs
+++ b/src/gateway/load_reporter.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
 
 use super::dispatcher::Dispatcher;
@@ -18,7 +19,6 @@
 use super::homes::is_home;
 use super::reported_loads::ReportedLoads;
 use crate::board::Blackboard;
-use crate::clock::now_ms;
 use crate::clock::now_us;
 use crate::member::MemberRow;
 use crate::peer::PeerClient;
@@ -175,11 +175,15 @@
             reported_us = now_us();
             let loads = ServerLoads { from: self.board.incarnation, rows };
             let request = PeerRequest::ServerLoads(loads.clone());
-            if self.links.call(peer.address, &request, REPORT_TIMEOUT).await.is_ok() {
-                reported.record_delivered(&loads.rows);
-            } else {
-                self.board.failed_calls.add(peer.address, now_ms());
-                reported.record_maybe_delivered(&loads.rows);
+            let started = Instant::now();
+            match self.links.call(peer.address, &request, REPORT_TIMEOUT).await {
+                Ok(_) => reported.record_delivered(&loads.rows),
+                Err(error) => {
+                    if error.is_connection_lost(started.elapsed(), REPORT_TIMEOUT) {
+                        self.board.record_failed_call(peer.address);
+                    }
+                    reported.record_maybe_delivered(&loads.rows);
+                }
             }
         }
     }
--- a/src/member/table.rs
+++ b/src/member/table.rs
@@ -217,6 +217,12 @@
         self.by_peer_address.contains_key(&peer)
     }
 
+    /// Whether a member at this peer address is alive.
+    #[must_use]
+    pub fn is_alive_at(&self, peer: SocketAddr, now_ms: u64) -> bool {
+        self.rows_at(peer, now_ms).any(|row| row.state == MemberState::Alive)
+    }
+
     /// The members that may answer at this peer address.
     pub fn rows_at(&self, peer: SocketAddr, now_ms: u64) -> impl Iterator<Item = MemberRow> {
         let at_address = self.by_peer_address.get(&peer).into_iter().flatten();
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -44,6 +44,15 @@
     Refused(u16),
 }
 
+impl PeerError {
+    /// Whether the connection could not be opened or broke, for a call that ended after `elapsed`;
+    /// one that used up its `timeout` may only have been slow.
+    #[must_use]
+    pub fn is_connection_lost(self, elapsed: Duration, timeout: Duration) -> bool {
+        !matches!(self, Self::Refused(_)) && elapsed < timeout
+    }
+}
+
 /// The connection is dropped after this many timed-out calls in a row: a connection can go silent
 /// without being closed, while a new one to the same peer works.
 const TIMEOUTS_MAX: u32 = 2;
--- a/standins/src/routed/relay_fleet.rs
+++ b/standins/src/routed/relay_fleet.rs
@@ -19,6 +19,7 @@
 use sorrelwick::member::MemberRow;
 use sorrelwick::member::MemberState;
 use sorrelwick::peer::Feed;
+use sorrelwick::peer::PeerError;
 use sorrelwick::store::Item;
 use sorrelwick::store::Revision;
 use tokio::task::JoinSet;
@@ -107,12 +108,12 @@
         after: Option<Revision>,
         hold: Duration,
         within: Duration,
-    ) -> Option<FeedAnswer> {
+    ) -> Result<FeedAnswer, PeerError> {
         let at = usize::from(peer.port() - 1_000);
         let requested_us = boot_us();
         if self.net.faults.lock()[self.own] == InstanceFault::Isolated {
             tokio::time::sleep(within).await;
-            return None;
+            return Err(PeerError::ResponseLost);
         }
         let response = async {
             let fault = self.net.faults.lock()[at];
@@ -127,11 +128,12 @@
             }
             FeedAnswer::of(self.net.mirrors[at].serve(after, hold).await, requested_us)
         };
-        let response = tokio::time::timeout(within, response).await.ok()?;
+        let response = tokio::time::timeout(within, response).await;
+        let response = response.map_err(|_| PeerError::ResponseLost)?;
         // A response that was under way when the fault began is lost too.
         let reachable =
             !matches!(self.net.faults.lock()[at], InstanceFault::Silent | InstanceFault::Isolated);
-        reachable.then_some(response)
+        reachable.then_some(response).ok_or(PeerError::ResponseLost)
     }
 }
 
--- a/tests/load_reports.rs
+++ b/tests/load_reports.rs
@@ -189,3 +189,60 @@
     assert!(bytes_to(SAME_ZONE_PEER) > 0, "a home of its zone uses the same servers");
     assert_eq!(bytes_to(OTHER_ZONE_PEER), 0);
 }
+
+/// How a call fails.
+#[derive(Clone, Copy, Debug)]
+enum CallFault {
+    Broken,
+    Refused,
+    NotAnswered,
+}
+
+impl PeerClient for CallFault {
+    async fn call(
+        &self,
+        _: SocketAddr,
+        _: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        match self {
+            Self::Broken => Err(PeerError::ResponseLost),
+            Self::Refused => Err(PeerError::Refused(1)),
+            Self::NotAnswered => {
+                tokio::time::sleep(timeout).await;
+                Err(PeerError::ResponseLost)
+            }
+        }
+    }
+
+    fn close_idle(&self) {}
+
+    fn drop_link(&self, _: SocketAddr) {}
+}
+
+/// The first peer to be checked because reports to it fail; `None` if there is none in two seconds.
+async fn peer_checked_under(fault: CallFault) -> Option<SocketAddr> {
+    let board = board();
+    board.members.lock().merge(&member(2, "a", SAME_ZONE_PEER), 1_000);
+    board.publish_members();
+    let allowance = RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 10.0 };
+    let dispatcher = Dispatcher::new("a", allowance);
+    dispatcher.list_server(server(1));
+    let reporter =
+        LoadReporter { board: Arc::clone(&board), links: fault, dispatcher: dispatcher.clone() };
+    let running = tokio::spawn(reporter.run());
+    let grant = dispatcher.try_acquire_spare("parts", &long_spec()).expect("a slot");
+    let checked = tokio::time::timeout(Duration::from_secs(2), board.failed_calls.next()).await;
+    running.abort();
+    drop(grant);
+    checked.ok()
+}
+
+/// Guards against a home that is gone and noticed only in its turn, and against checks that grow
+/// just when answers are slow.
+#[tokio::test(start_paused = true)]
+async fn only_a_broken_connection_has_a_peer_checked() {
+    assert_eq!(peer_checked_under(CallFault::Broken).await, Some(SAME_ZONE_PEER));
+    assert_eq!(peer_checked_under(CallFault::Refused).await, None);
+    assert_eq!(peer_checked_under(CallFault::NotAnswered).await, None);
+}
--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -104,7 +104,7 @@
         let within = Duration::from_millis(800);
         let answer = peers.ask(peer, Feed::Config, after, hold, within).await;
         hold = Duration::ZERO;
-        let Some(FeedAnswer { reply, age, .. }) = answer else {
+        let Ok(FeedAnswer { reply, age, .. }) = answer else {
             continue;
         };
         if let FeedReply::Events { events, revision } = reply {
