Checks after failed calls neither set the pace nor suspect without confirmation

Change: only checks in turn record the pace; a check after a failed call suspects only if another instance confirms; it is made of members that are alive, one of a peer at a time.

--- a/src/member/failed_calls.rs
+++ b/src/member/failed_calls.rs
@@ -22,26 +22,37 @@
 struct RecentPeers {
     /// Peers still to be checked.
     waiting: VecDeque<SocketAddr>,
-    /// When each peer was added, the oldest first; at most [`PEERS_MAX`].
-    added: VecDeque<(u64, SocketAddr)>,
+    /// Peers to be checked, in a check, or checked recently; at most [`PEERS_MAX`].
+    recent: Vec<RecentPeer>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RecentPeer {
+    address: SocketAddr,
+    added_ms: u64,
+    /// Whether its check has ended.
+    checked: bool,
 }
 
 impl FailedCalls {
     /// Adds a peer to which a call failed; returns whether it will be checked for that.
     pub fn add(&self, peer: SocketAddr, now_ms: u64) -> bool {
         let mut peers = self.peers.lock();
-        peers.added.retain(|(added_ms, _)| now_ms.saturating_sub(*added_ms) < CHECK_INTERVAL_MS);
-        if peers.added.len() >= PEERS_MAX || peers.added.iter().any(|(_, added)| *added == peer) {
+        peers.recent.retain(|recent| {
+            !recent.checked || now_ms.saturating_sub(recent.added_ms) < CHECK_INTERVAL_MS
+        });
+        let is_known = peers.recent.iter().any(|recent| recent.address == peer);
+        if is_known || peers.recent.len() >= PEERS_MAX {
             return false;
         }
-        peers.added.push_back((now_ms, peer));
+        peers.recent.push(RecentPeer { address: peer, added_ms: now_ms, checked: false });
         peers.waiting.push_back(peer);
         drop(peers);
         self.added.notify_one();
         true
     }
 
-    /// Waits for the next peer to check.
+    /// Waits for the next peer to check; none is checked again before [`Self::finish`].
     pub async fn next(&self) -> SocketAddr {
         loop {
             if let Some(peer) = self.peers.lock().waiting.pop_front() {
@@ -50,4 +61,12 @@
             self.added.notified().await;
         }
     }
+
+    /// Ends the check of a peer.
+    pub fn finish(&self, peer: SocketAddr) {
+        let mut peers = self.peers.lock();
+        for recent in peers.recent.iter_mut().filter(|recent| recent.address == peer) {
+            recent.checked = true;
+        }
+    }
 }
--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -12,6 +12,7 @@
 
 use super::MemberRequest;
 use super::MemberRow;
+use super::MemberState;
 use super::SuspicionTimer;
 use super::handlers::GOSSIP_ROWS_MAX;
 use super::handlers::merge_gossip;
@@ -79,6 +80,8 @@
 /// What the members answered that were asked to ping another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum IndirectPing {
+    /// No other member could be asked.
+    NobodyAsked,
     /// One of them reached it.
     Reached,
     /// None of them reached it.
@@ -96,7 +99,7 @@
 ) -> IndirectPing {
     let helpers = board.members.lock().indirect_pingers(target.incarnation, INDIRECT_PINGS);
     if helpers.is_empty() {
-        return IndirectPing::NotReached;
+        return IndirectPing::NobodyAsked;
     }
     let mut calls = tokio::task::JoinSet::new();
     for helper in helpers {
@@ -124,6 +127,27 @@
     Indirect(IndirectPing),
 }
 
+/// Why a member is checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CheckReason {
+    /// It is its turn.
+    Turn,
+    /// A call to it failed. Only some members are checked for that, perhaps often, so these checks
+    /// tell neither the usual round trip nor, unconfirmed, that the fault is not on this side.
+    FailedCall,
+}
+
+impl CheckReason {
+    /// Whether a member is made a suspect that this instance did not reach.
+    const fn suspects(self, result: IndirectPing) -> bool {
+        match result {
+            IndirectPing::Reached => false,
+            IndirectPing::NotReached => true,
+            IndirectPing::NobodyAsked | IndirectPing::NoAnswer => matches!(self, Self::Turn),
+        }
+    }
+}
+
 /// Pings members in turn and synchronizes with those whose digests differ.
 #[derive(Clone, Debug)]
 struct FailureDetector<L> {
@@ -165,31 +189,53 @@
     }
 
     /// Checks one member; makes it a suspect if neither this instance nor another one reaches it.
-    async fn check_member(self, target: MemberRow) {
+    async fn check_member(self, target: MemberRow, reason: CheckReason) {
         let started_ms = now_ms();
         let timeout = self.board.pace.lock().stretch(self.board.settings.peers.ping_timeout_ms);
         let result = self.check(&target, timeout).await;
         let elapsed_ms = now_ms() - started_ms;
         match result {
             Check::Answered(agreement) => {
-                self.board.pace.lock().record(elapsed_ms);
+                self.record_pace(reason, elapsed_ms);
                 self.synchronize(target.peer_address, agreement).await;
             }
-            Check::Indirect(IndirectPing::Reached) => {}
             Check::Indirect(result) => {
                 if result == IndirectPing::NoAnswer {
-                    self.board.pace.lock().record(elapsed_ms);
+                    self.record_pace(reason, elapsed_ms);
                 }
                 // If this instance was stalled itself, the answer may have arrived unread.
                 let time_limit = timeout * (1 + INDIRECT_TIMEOUTS);
                 let limit_ms = u64::try_from(time_limit.as_millis()).unwrap_or(u64::MAX);
-                if !is_late(elapsed_ms, limit_ms) {
+                if reason.suspects(result) && !is_late(elapsed_ms, limit_ms) {
                     self.suspect(&target).await;
                 }
             }
         }
     }
 
+    /// Checks the members at an address to which a call failed, as far as they are alive.
+    async fn check_peer(self, peer: SocketAddr) {
+        let targets: Vec<MemberRow> = self.board.members.lock().rows_at(peer, now_ms()).collect();
+        let is_checked = |row: &MemberRow| {
+            row.state == MemberState::Alive && row.incarnation != self.board.incarnation
+        };
+        for target in targets.into_iter().filter(is_checked) {
+            info!(
+                event = "member-checked", member = target.name.as_str();
+                "a call to it failed, so it is checked"
+            );
+            self.clone().check_member(target, CheckReason::FailedCall).await;
+        }
+        self.board.failed_calls.finish(peer);
+    }
+
+    /// Records how long a check took, if it was made in turn.
+    fn record_pace(&self, reason: CheckReason, elapsed_ms: u64) {
+        if reason == CheckReason::Turn {
+            self.board.pace.lock().record(elapsed_ms);
+        }
+    }
+
     /// Makes a member a suspect, and tells it so: gossip alone may take longer to reach it, and its
     /// refutation to come back, than the suspicion lasts.
     async fn suspect(&self, target: &MemberRow) {
@@ -263,17 +309,9 @@
 
 /// Checks members at once to which a call failed, until the process ends.
 async fn check_failed_calls<L: PeerClient>(detector: &FailureDetector<L>) {
-    let board = &detector.board;
     loop {
-        let peer = board.failed_calls.next().await;
-        let targets: Vec<MemberRow> = board.members.lock().rows_at(peer, now_ms()).collect();
-        for target in targets.into_iter().filter(|row| row.incarnation != board.incarnation) {
-            info!(
-                event = "member-checked", member = target.name.as_str();
-                "a call to it failed, so it is checked"
-            );
-            tokio::spawn(detector.clone().check_member(target));
-        }
+        let peer = detector.board.failed_calls.next().await;
+        tokio::spawn(detector.clone().check_peer(peer));
     }
 }
 
@@ -294,7 +332,7 @@
         loop {
             let target = board.members.lock().next_ping_target();
             if let Some(target) = target {
-                tokio::spawn(detector.clone().check_member(target));
+                tokio::spawn(detector.clone().check_member(target, CheckReason::Turn));
             }
             links.close_idle();
             let interval = board.pace.lock().stretch_interval(interval_ms);
