--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -1,6 +1,7 @@
 //! Shared state of one instance.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
@@ -25,7 +26,7 @@
 use crate::clock::now_ms;
 use crate::conf::Settings;
 use crate::measure::ShardWitnesses;
-use crate::member::Doubts;
+use crate::member::FailedCalls;
 use crate::member::MemberChange;
 use crate::member::MemberRow;
 use crate::member::MemberState;
@@ -65,7 +66,7 @@
     /// How long pings and suspicions last at the moment.
     pub pace: Mutex<Pace>,
     /// Peers to which a call failed, to be checked by the failure detector.
-    pub doubts: Doubts,
+    pub failed_calls: FailedCalls,
     /// The configuration, written by the catalog controllers.
     pub catalog: Mutex<Catalog>,
     pub outcomes: OutcomeTable,
@@ -176,7 +177,7 @@
             outcomes,
             claim_witnesses,
             shard_witnesses: ShardWitnesses::default(),
-            doubts: Doubts::default(),
+            failed_calls: FailedCalls::default(),
             quarantine: Quarantine::default(),
             reach: Arc::default(),
             counters: Counters::default(),
@@ -210,6 +211,15 @@
         Arc::clone(&self.view.read())
     }
 
+    /// Has a peer checked to which a call failed, unless all that it is known as is believed
+    /// otherwise than alive already.
+    pub fn record_failed_call(&self, peer: SocketAddr) {
+        let now_ms = now_ms();
+        if self.members.lock().is_alive_at(peer, now_ms) {
+            self.failed_calls.add(peer, now_ms);
+        }
+    }
+
     /// Publishes changes of the member table to the request path and logs them.
     pub fn publish_members(&self) {
         let mut view = self.view.write();
