A test that a relay is checked when a connection to it breaks

Cause: nothing tested that a follower's failed call leads to a check. Change: the stand-in of relays knows a process that has ended.

--- a/standins/src/routed/relay_fleet.rs
+++ b/standins/src/routed/relay_fleet.rs
@@ -70,6 +70,8 @@
     Silent,
     /// Network partition: it reaches no peer, and no peer reaches it.
     Isolated,
+    /// Its process has ended: connections to it break or are refused.
+    Ended,
     /// Delays its responses to peers.
     Slow(Duration),
     /// Its calls to the store fail in this way.
@@ -121,15 +123,16 @@
                 InstanceFault::Silent | InstanceFault::Isolated => {
                     std::future::pending::<()>().await;
                 }
+                InstanceFault::Ended => return Err(PeerError::NotSent),
                 InstanceFault::Slow(delay) => tokio::time::sleep(delay).await,
                 InstanceFault::None | InstanceFault::Store(_) => {
                     tokio::time::sleep(Duration::from_millis(1)).await;
                 }
             }
-            FeedAnswer::of(self.net.mirrors[at].serve(after, hold).await, requested_us)
+            Ok(FeedAnswer::of(self.net.mirrors[at].serve(after, hold).await, requested_us))
         };
         let response = tokio::time::timeout(within, response).await;
-        let response = response.map_err(|_| PeerError::ResponseLost)?;
+        let response = response.map_err(|_| PeerError::ResponseLost)??;
         // A response that was under way when the fault began is lost too.
         let reachable =
             !matches!(self.net.faults.lock()[at], InstanceFault::Silent | InstanceFault::Isolated);
--- a/tests/relay_schedules.rs
+++ b/tests/relay_schedules.rs
@@ -346,3 +346,19 @@
     assert!(outcome.calls <= 3 * (10 + 4), "{} calls", outcome.calls);
     assert!(outcome.took.iter().all(|took| *took < Duration::from_millis(700)));
 }
+
+/// Guards against a relay whose process has ended, and which the failure detector learns of only in
+/// its turn, though those that sync from it see their connections break.
+#[tokio::test(start_paused = true)]
+async fn relay_is_checked_when_a_connection_to_it_breaks() {
+    let store = MemoryEventStore::default();
+    store.put("config", "1");
+    let fleet = RelayFleet::start(&store, FleetSize::SMALL);
+    tokio::time::sleep(SETTLE_TIME).await;
+    let follower = &fleet.boards[FleetSize::SMALL.instances - FleetSize::SMALL.zones];
+    let next = || tokio::time::timeout(Duration::from_secs(2), follower.failed_calls.next());
+    assert!(next().await.is_err(), "no call has failed yet");
+    let relay = (FleetSize::SMALL.instances - FleetSize::SMALL.zones) % FleetSize::SMALL.zones;
+    fleet.net.faults.lock()[relay] = InstanceFault::Ended;
+    assert_eq!(next().await, Ok(peer_address(relay)));
+}
