As many requests wait for a token as the instance has tokens for, not the whole fleet

Change: the bound follows the tokens taken here lately; soon after the start, where these say nothing, it stays. tests/quota_schedules.rs passes as it is.

--- a/src/quota/quota_bucket.rs
+++ b/src/quota/quota_bucket.rs
@@ -56,6 +56,8 @@
     used_us: u64,
     /// Requests of callers here.
     demand: RecentRate,
+    /// Tokens that callers' requests took here.
+    taken: RecentRate,
     /// Tokens that other instances asked for.
     asked: RecentRate,
     /// Until when tokens are borrowed; renewed by each request that finds none.
@@ -75,6 +77,7 @@
             refilled_us: since_us,
             used_us: since_us,
             demand: RecentRate::default(),
+            taken: RecentRate::default(),
             asked: RecentRate::default(),
             short_until_us: 0,
             waiting: 0,
@@ -113,16 +116,21 @@
 
     /// Takes one token, if there is one.
     pub(super) fn take(&mut self, now_us: u64) -> bool {
-        if self.borrowed.take() {
-            return true;
+        let from_own = !self.borrowed.take();
+        if from_own && self.tokens < 1.0 {
+            self.extend_shortage(now_us);
+            return false;
         }
-        let available = self.tokens >= 1.0;
-        if available {
+        if from_own {
             self.tokens -= 1.0;
-        } else {
-            self.extend_shortage(now_us);
         }
-        available
+        self.taken.record(1.0, now_us);
+        true
+    }
+
+    /// Tokens per second that requests got here lately.
+    pub(super) fn supply_per_s(&self, now_us: u64) -> f64 {
+        self.taken.per_s(now_us)
     }
 
     fn extend_shortage(&mut self, now_us: u64) {
--- a/src/quota/quotas.rs
+++ b/src/quota/quotas.rs
@@ -163,15 +163,20 @@
     /// may be available.
     pub fn take(&self, workspace: &Workspace, now_us: u64) -> Result<(), OutOfTokens> {
         let mut state = self.state.lock();
-        let wait_ms =
-            if state.has_started_lately(now_us) { STARTUP_TOKEN_WAIT_MS } else { TOKEN_WAIT_MS };
+        let started_lately = state.has_started_lately(now_us);
+        let wait_ms = if started_lately { STARTUP_TOKEN_WAIT_MS } else { TOKEN_WAIT_MS };
         let bucket = self.refilled_bucket(&mut state, workspace, now_us);
         bucket.record_demand(now_us);
         if bucket.take(now_us) {
             return Ok(());
         }
         let next_ms = bucket.next_token_ms().unwrap_or(RETRY_AFTER_MIN_MS);
-        let has_room = f64::from(bucket.waiting) < self.waiting_max(workspace, wait_ms);
+        let supply_per_s = if started_lately {
+            self.tolerance.tokens_per_s(workspace)
+        } else {
+            bucket.supply_per_s(now_us)
+        };
+        let has_room = f64::from(bucket.waiting) < waiting_max(supply_per_s, wait_ms);
         bucket.waiting += u32::from(has_room);
         Err(OutOfTokens {
             retry_after_ms: bounded_retry_after_ms(next_ms),
@@ -251,12 +256,11 @@
     pub fn bucket_count(&self) -> usize {
         self.state.lock().buckets.len()
     }
+}
 
-    /// Requests of a workspace that may wait at one instance: as many as the whole fleet may serve
-    /// in that time.
-    #[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
-    fn waiting_max(&self, workspace: &Workspace, wait_ms: u64) -> f64 {
-        let seconds = wait_ms as f64 / 1000.0;
-        self.tolerance.tokens_per_s(workspace).mul_add(seconds, WAITING_MIN)
-    }
+/// Requests that may wait at one instance: as many as it has tokens for in that time. How many that
+/// will be is not known soon after the start; the whole fleet's rate bounds it then.
+#[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
+fn waiting_max(supply_per_s: f64, wait_ms: u64) -> f64 {
+    supply_per_s.mul_add(wait_ms as f64 / 1000.0, WAITING_MIN)
 }
