Retry budget: names and comments that made a newcomer stumble

A match guard that spent a borrowed retry is a plain condition now; spend_borrowed, which also records a denial, is replace_denied. SLOT_US had the glossary's word for room on a server. Twice two ranks of a priority were a bare 2. STOCK_WINDOWS, is_over and over said what they are by a figure of speech. The share of hedges was said to be what hedges hold; it bounds all retries before a hedge.

--- a/src/retry/refused_requests.rs
+++ b/src/retry/refused_requests.rs
@@ -7,14 +7,13 @@
 
 use super::RequestHash;
 
-/// Time after a refusal, in microseconds, in which a retry is recognized. Callers come back within
-/// a third of the time that they have left.
+/// Time after a refusal, in microseconds, in which its caller's retry is recognized.
 const REMEMBERED_US: u64 = 5_000_000;
 /// Maximum number of remembered refusals; the oldest are forgotten first.
 const REFUSALS_MAX: usize = 16_384;
 /// Time after a refusal, in microseconds, in which nearly all callers that retry have done so.
 const RETURN_EXPECTED_US: u64 = 1_000_000;
-/// Weight of each caller in the share of those that come back.
+/// Weight of the latest caller in the moving share of those that come back.
 const RETURN_SHARE_WEIGHT: f64 = 1.0 / 64.0;
 
 /// What is known of a request from an attempt that was refused.
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -9,15 +9,15 @@
 use super::rejected_sends::RejectedSends;
 use super::retry_demand::RetryDemand;
 
-/// Part of the budget that hedges may hold. Rejected requests find the rest from the first moment
-/// on, before their demand can be expected.
+/// Part of the budget up to which hedges are allowed, whatever it was spent on. The rest is there
+/// for rejected requests from the first of them on, before their demand can be estimated.
 const HEDGE_SHARE_MAX: f64 = 0.5;
-/// Moments within the next window at which more urgent ranks have to find their retries.
+/// Number of moments within the next window until which the reserve for more urgent ranks is to
+/// last.
 const HORIZONS: u32 = 8;
-/// Part of a window for which more urgent ranks find their retries at once, also if those that
-/// become free are taken by others.
-const STOCK_WINDOWS: f64 = 1.0 / 16.0;
-
+/// Least reserve for more urgent ranks, in windows of their expected demand. Retries that become
+/// free later cannot be relied on alone, since less urgent requests may take them at once.
+const RESERVE_MIN_WINDOWS: f64 = 1.0 / 16.0;
 /// Slack of all instances together that are not homes, as a part of that of the homes. They get few
 /// requests.
 const OTHERS_SLACK: f64 = 0.2;
@@ -112,8 +112,8 @@
         self.forget_before(now_us.saturating_sub(allowance.window_us));
         self.requests_us.push_back(now_us);
         self.demand.record_request(allowance.window_us, now_us);
-        let by_ratio = allowance.ratio * self.requests_us.len() as f64;
-        self.loans.record_request(allowance.ratio, by_ratio, allowance.window_us, now_us);
+        let allowed_by_ratio = allowance.ratio * self.requests_us.len() as f64;
+        self.loans.record_request(allowance.ratio, allowed_by_ratio, allowance.window_us, now_us);
     }
 
     /// Records the end of a send, and whether the server rejected it.
@@ -126,7 +126,7 @@
         self.demand.return_share = share;
     }
 
-    /// Takes one retry from the budget.
+    /// Takes one retry from the budget, or a borrowed one if the budget denies it.
     ///
     /// A rank gets what the ranks before it are not expected to need.
     ///
@@ -141,17 +141,15 @@
         self.forget_before(now_us.saturating_sub(allowance.window_us));
         let decision = self.decide(allowance, rank, now_us);
         self.demand.record_ask(rank, decision.is_ok(), allowance.window_us, now_us);
-        match decision {
-            Ok(()) => self.retries_us.push_back(now_us),
-            Err(denial) if denial.reason == DenialReason::ServersRejecting => return Err(denial),
-            Err(denial)
-                if !self.loans.spend_borrowed(rank.class(), allowance.window_us, now_us) =>
-            {
-                return Err(denial);
-            }
-            Err(_) => {}
+        let Err(denial) = decision else {
+            self.retries_us.push_back(now_us);
+            return Ok(());
+        };
+        let would_help = denial.reason != DenialReason::ServersRejecting;
+        if would_help && self.loans.replace_denied(rank.class(), allowance.window_us, now_us) {
+            return Ok(());
         }
-        Ok(())
+        Err(denial)
     }
 
     #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
@@ -182,8 +180,9 @@
         Ok(())
     }
 
-    /// Retries kept for the ranks before `rank`: what they are expected to ask for up to some
-    /// moment within a window, less what is free again by then.
+    /// Retries kept for the ranks before `rank`: what they are expected to ask for until a moment
+    /// within the next window, less the retries that leave the window by then; the most over several
+    /// such moments.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
@@ -192,7 +191,7 @@
     )]
     fn reserved(&self, rank: RetryRank, window_us: u64, now_us: u64) -> f64 {
         let expected = self.demand.expected_before(rank, window_us, now_us);
-        let least = expected * STOCK_WINDOWS;
+        let least = expected * RESERVE_MIN_WINDOWS;
         let until = (1..=HORIZONS).map(|step| f64::from(step) / f64::from(HORIZONS));
         let lacking = until.map(|windows| {
             let until_us = now_us + (windows * window_us as f64) as u64;
@@ -219,8 +218,8 @@
         let RetryUsage { allowed, spent } = self.usage(allowance, now_us);
         let spent_since = |from_us| spent - self.retries_us.partition_point(|at| *at < from_us);
         let demand = self.loans.demand(spent, spent_since, allowance.window_us, now_us);
-        let over = allowed - allowance.slack_retries - demand;
-        self.loans.lend(over, wanted, allowance.window_us, now_us)
+        let surplus = allowed - allowance.slack_retries - demand;
+        self.loans.lend(surplus, wanted, allowance.window_us, now_us)
     }
 
     /// How much of the budget is used.
--- a/src/retry/retry_demand.rs
+++ b/src/retry/retry_demand.rs
@@ -1,4 +1,4 @@
-//! Expects how many retries each rank will ask for, from what is seen now.
+//! Estimates how many retries each rank will ask for.
 
 use std::ops::Range;
 
@@ -7,15 +7,15 @@
 use super::decayed_count::DecayedCount;
 use super::retry_rank::PRIORITIES;
 
-/// Windows of the budget that events are remembered for: demand is known early within a window,
-/// and still from enough requests.
+/// Time for which events are remembered, in windows of the budget: short enough to know the demand
+/// early in a window, and long enough to know it from many requests.
 const MEMORY_WINDOWS: f64 = 0.125;
-/// The latest events are remembered for this part of the time.
+/// The latest events are remembered for that time divided by this.
 const LATEST_DIVISOR: u64 = 4;
 /// Requests that are assumed to have been accepted beside the latest ones, so that one rejection of
 /// few requests tells little.
 const UNREJECTED_PRIOR: f64 = 4.0;
-/// Standard deviations by which a count exceeds its expectation if that is not by chance.
+/// Standard deviations by which a count must exceed its expectation to count as more than chance.
 const NOISE_DEVIATIONS: f64 = 2.0;
 
 /// What the requests of one service ask of its retry budget.
@@ -26,7 +26,7 @@
 pub(super) struct RetryDemand {
     /// Requests that arrived.
     requests: DecayedCount,
-    /// Retries of rejected requests that were asked for.
+    /// Retries that were asked for, other than hedges: a send of the request was rejected or failed.
     rejected: DecayedCount,
     /// The latest requests since servers began to reject some, and the latest rejected ones, which
     /// show first that they do.
@@ -34,7 +34,7 @@
     latest_rejected: DecayedCount,
     /// Retries that were asked for, by rank.
     asked: [DecayedCount; RetryRank::COUNT],
-    /// First attempts that were refused, or are expected to be after their retry, by priority.
+    /// First attempts that were refused, or are expected to be in spite of their retry, by priority.
     refused_first: [DecayedCount; PRIORITIES],
     /// Part of the refused callers that come back, from 0 to 1.
     pub(super) return_share: f64,
@@ -86,7 +86,7 @@
         }
         self.rejected.add(1.0, memory_us, now_us);
         let latest_us = memory_us / LATEST_DIVISOR;
-        if self.latest_rejected.is_over(latest_us, now_us) {
+        if self.latest_rejected.is_negligible(latest_us, now_us) {
             self.latest_requests = DecayedCount::default();
         }
         self.latest_rejected.add(1.0, latest_us, now_us);
@@ -138,7 +138,7 @@
     fn last_attempts(&self, priority: usize, memory_us: u64, now_us: u64) -> f64 {
         let refused = self.refused_first[priority].steady_value(memory_us, now_us);
         let returning = refused * self.return_share * self.rejected_share(memory_us, now_us);
-        let asked = self.asked(2 * priority..2 * priority + 2, memory_us, now_us);
+        let asked = self.asked(RetryRank::last_attempts(priority), memory_us, now_us);
         let chance = NOISE_DEVIATIONS * returning.max(1.0).sqrt();
         if asked > returning + chance { asked } else { returning }
     }
--- a/src/retry/retry_loans.rs
+++ b/src/retry/retry_loans.rs
@@ -6,15 +6,18 @@
 /// Longest time, in microseconds, for which borrowed retries can be used. It covers a few rounds of
 /// asking; a lender counts them as spent for this much longer than a window.
 const LOAN_TERM_MAX_US: u64 = 500_000;
-/// Windows for which they can be used at most: the requests that allow them must still count.
+/// Borrowed retries can be used for the window divided by this at most: the requests that allow
+/// them must still count.
 const LOAN_TERM_WINDOW_DIVISOR: u64 = 20;
-/// Loans and denials that end within the same slot, in microseconds, are counted together.
-const SLOT_US: u64 = 100_000;
+/// Times of expiry are rounded up to a multiple of this, in microseconds, so that loans and denials
+/// that expire at about the same time are counted together.
+const EXPIRY_STEP_US: u64 = 100_000;
 /// Time, in microseconds, over which the latest demand is measured.
 const RECENT_US: u64 = 1_000_000;
 /// Smallest cap of the retries that an instance keeps ready to lend.
 const LENDABLE_CAP_MIN: f64 = 1.0;
-/// Fraction of what an instance has over that one borrower gets, so that the next one finds some.
+/// Fraction of an instance's surplus that it lends to one borrower at a time, so that the next one
+/// gets some.
 const LENT_FRACTION: f64 = 0.5;
 
 /// What an instance lent of its budget for a service, and what it borrowed.
@@ -35,7 +38,7 @@
     borrowed: ExpiringCount,
     /// Last attempts that the own budget denied within a window.
     denied: ExpiringCount,
-    /// Those of them that no question for a loan has taken account of.
+    /// Last attempts that the own budget denied since the last question for a loan.
     denied_since_question: u32,
 }
 
@@ -43,24 +46,24 @@
     LOAN_TERM_MAX_US.min(window_us / LOAN_TERM_WINDOW_DIVISOR)
 }
 
-const fn end_of_slot(at_us: u64) -> u64 {
-    at_us.div_ceil(SLOT_US) * SLOT_US
+const fn round_up_expiry_us(at_us: u64) -> u64 {
+    at_us.div_ceil(EXPIRY_STEP_US) * EXPIRY_STEP_US
 }
 
 impl RetryLoans {
     /// Records that a request was received, which allows `ratio` retries; all requests within the
-    /// window allow `by_ratio`.
+    /// window allow `allowed_by_ratio`.
     #[expect(clippy::cast_precision_loss, reason = "microseconds of one window")]
     pub(super) fn record_request(
         &mut self,
         ratio: f64,
-        by_ratio: f64,
+        allowed_by_ratio: f64,
         window_us: u64,
         now_us: u64,
     ) {
         self.first_request_us.get_or_insert(now_us);
         let recent_part = RECENT_US.min(window_us) as f64 / window_us as f64;
-        let lendable_max = (by_ratio * recent_part).max(LENDABLE_CAP_MIN);
+        let lendable_max = (allowed_by_ratio * recent_part).max(LENDABLE_CAP_MIN);
         self.lendable = (self.lendable + ratio).min(lendable_max);
     }
 
@@ -70,8 +73,11 @@
         self.lent.total(now_us) as f64
     }
 
-    /// Last attempts that the own budget denied within a window, or at the latest rate would deny
-    /// within one, whichever is more; the same for the own retries, whose numbers are given.
+    /// Retries that this instance needs itself within a window: those that it made and the last
+    /// attempts that its own budget denied. Both are counted within the last window, or at the
+    /// latest rate if that is more.
+    ///
+    /// `spent` retries were made in the last window; `spent_since` counts those since a time.
     #[expect(clippy::cast_precision_loss, reason = "counts of one window")]
     pub(super) fn demand(
         &self,
@@ -89,32 +95,33 @@
         in_window.max(at_latest_rate)
     }
 
-    /// Lends up to `wanted` retries of those that this instance has over, and returns how many.
+    /// Lends up to `wanted` retries of the `surplus` that this instance does not need itself, and
+    /// returns how many.
     ///
     /// In the first window of a process none are lent: the process before it may have spent what
     /// the same callers' requests allow.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "bounded")]
-    pub(super) fn lend(&mut self, over: f64, wanted: u32, window_us: u64, now_us: u64) -> u32 {
+    pub(super) fn lend(&mut self, surplus: f64, wanted: u32, window_us: u64, now_us: u64) -> u32 {
         let whole_window = |first_us| first_us + window_us <= now_us;
         if !self.first_request_us.is_some_and(whole_window) {
             return 0;
         }
-        let available = (over * LENT_FRACTION).min(self.lendable);
+        let available = (surplus * LENT_FRACTION).min(self.lendable);
         let granted = available.clamp(0.0, f64::from(wanted)) as u32;
         if granted > 0 {
             self.lendable -= f64::from(granted);
             self.lent.add(
                 granted,
-                end_of_slot(now_us + loan_term_us(window_us) + window_us),
+                round_up_expiry_us(now_us + loan_term_us(window_us) + window_us),
                 now_us,
             );
         }
         granted
     }
 
-    /// Records that the own budget denied a retry, and takes a borrowed one if it was a last
-    /// attempt; returns whether there was one.
-    pub(super) fn spend_borrowed(
+    /// Records that the own budget denied a retry, and takes a borrowed one in its place if it was a
+    /// last attempt; returns whether there was one.
+    pub(super) fn replace_denied(
         &mut self,
         class: RetryClass,
         window_us: u64,
@@ -123,7 +130,7 @@
         if class != RetryClass::LastAttempt {
             return false;
         }
-        self.denied.add(1, end_of_slot(now_us + window_us), now_us);
+        self.denied.add(1, round_up_expiry_us(now_us + window_us), now_us);
         self.denied_since_question = self.denied_since_question.saturating_add(1);
         self.borrowed.take_one(now_us)
     }
--- a/src/retry/retry_rank.rs
+++ b/src/retry/retry_rank.rs
@@ -1,9 +1,13 @@
 //! The order in which requests get retries while the budget is short.
 
+use std::ops::Range;
+
 /// Priorities that are told apart; all later ones are alike.
 pub(super) const PRIORITIES: usize = 4;
-/// Ranks of each class: by priority, and by whether the latency target can be met.
-const RANKS_PER_CLASS: usize = PRIORITIES * 2;
+/// Ranks of each priority in a class: by whether the latency target can be met.
+const RANKS_PER_PRIORITY: usize = 2;
+/// Ranks of each class.
+const RANKS_PER_CLASS: usize = PRIORITIES * RANKS_PER_PRIORITY;
 
 /// Why a request is sent again, most urgent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,6 +49,12 @@
     /// Position of the first rank whose callers can still retry.
     pub(super) const FIRST_ATTEMPTS: usize = RANKS_PER_CLASS;
 
+    /// Positions of the ranks of last attempts with a priority, which is given by its position.
+    pub(super) const fn last_attempts(priority_index: usize) -> Range<usize> {
+        let first = priority_index * RANKS_PER_PRIORITY;
+        first..first + RANKS_PER_PRIORITY
+    }
+
     /// The rank of a request; `late` if it misses its latency target anyway.
     #[must_use]
     pub const fn new(class: RetryClass, priority: u32, late: bool) -> Self {
@@ -65,7 +75,8 @@
 
     /// Position among all ranks, from 0.
     pub(super) fn index(self) -> usize {
-        self.class as usize * RANKS_PER_CLASS + self.priority_index() * 2 + usize::from(self.late)
+        let first_of_class = self.class as usize * RANKS_PER_CLASS;
+        first_of_class + self.priority_index() * RANKS_PER_PRIORITY + usize::from(self.late)
     }
 
     /// Position of the priority among those that are told apart.
