Members, listeners, first copies: comments and names that made a newcomer stumble

HeldBody is CountedBody: held requests are another thing. Comments began with "the same", "that request" or "they" after what they referred to had moved away; one said that a head's time limit includes the idle time.

--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -45,11 +45,11 @@
 /// Interval of the store calls of an instance that is not a reader, after the first one. During a
 /// store outage each is paid for and brings nothing, and the readers pass on what they read.
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(2);
-/// How long a peer may hold the request for the initial data.
+/// How long a peer may hold a request for the initial data.
 const HOLD_TIME: Duration = Duration::from_millis(400);
-/// The same for a request of the first reader of a zone, for which the rest of the zone may wait.
+/// How long it may hold that of the first reader of a zone, for which the rest of the zone may wait.
 const FIRST_READER_HOLD_TIME: Duration = Duration::from_millis(50);
-/// Timeout of that request, which covers a full transfer over a slow link.
+/// Timeout of a request for the initial data, which covers a full transfer over a slow link.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause while no peer is known or the peer refused the connection.
 const NO_PEER_DELAY: Duration = Duration::from_millis(50);
@@ -157,13 +157,14 @@
         }
     }
 
-    /// The peers that the first reader of a zone asks. Those of its zone that have started with it
-    /// wait for it in turn, so it asks the seeds first, which read the store themselves.
+    /// The peers that the first reader of a zone asks; empty for the fallback peers. Instances of its
+    /// zone that have started with it wait for it themselves, so it asks the seeds, which read the
+    /// store, at every other try, the first included.
     fn peers_of_first_reader(&self, tries: u32) -> PeerAddresses {
         if tries.is_multiple_of(2) { known_seeds(&self.board) } else { PeerAddresses::new() }
     }
 
-    /// The peers that another instance asks.
+    /// The peers that any other instance asks; empty for the fallback peers.
     fn peers_of_others(&self, tries: u32) -> PeerAddresses {
         if tries < SAME_ZONE_TRIES { zone_readers(&self.board) } else { PeerAddresses::new() }
     }
--- a/src/gateway/platform_handlers.rs
+++ b/src/gateway/platform_handlers.rs
@@ -22,14 +22,18 @@
 use crate::listener::ConnLimits;
 use crate::listener::Handler;
 
-/// How long they may cache it while this instance knows no other. It can only name itself then, and
-/// callers would go on using it after the others, which may be the homes, are found.
+/// How long callers may cache an address response while this instance knows no other. It can only
+/// name itself then, and callers would go on using it after the others, which may be the homes, are
+/// found.
 const ADDRESS_TTL_ALONE: Duration = Duration::from_millis(200);
 /// Time limit for a request head, and for the idle time before it.
-const TIMEOUT: Duration = Duration::from_secs(30);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(30);
 /// Limits of the connections to these handlers.
-const CONN_LIMITS: ConnLimits =
-    ConnLimits { header_bytes_max: 16 << 10, header_timeout: TIMEOUT, idle_timeout: TIMEOUT };
+const CONN_LIMITS: ConnLimits = ConnLimits {
+    header_bytes_max: 16 << 10,
+    header_timeout: REQUEST_TIMEOUT,
+    idle_timeout: REQUEST_TIMEOUT,
+};
 
 fn respond(status: StatusCode, body: Vec<u8>) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/src/listener/held_body.rs
+++ b/src/listener/counted_body.rs
@@ -1,4 +1,4 @@
-//! A response body that keeps its request counted as handled.
+//! A response body during which its request counts as handled.
 
 use std::pin::Pin;
 use std::task::Context;
@@ -10,14 +10,14 @@
 
 use super::timed_stream::HandledRequest;
 
-/// A body whose request is handled until the body is dropped.
+/// A body whose request counts as handled until the body is dropped.
 #[derive(Debug)]
-pub(super) struct HeldBody<B> {
+pub(super) struct CountedBody<B> {
     pub(super) body: B,
     pub(super) _handled: HandledRequest,
 }
 
-impl<B: Body + Unpin> Body for HeldBody<B> {
+impl<B: Body + Unpin> Body for CountedBody<B> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -20,7 +20,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
-use super::held_body::HeldBody;
+use super::counted_body::CountedBody;
 use super::timed_stream::ConnRequests;
 use super::timed_stream::TimedStream;
 use crate::task::TaskGuard;
@@ -144,16 +144,16 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
         let handler = handler.clone();
-        let in_progress = counted.begin();
+        let handled = counted.begin();
         async move {
             let response = handler.handle(request).await;
-            Ok::<_, Infallible>(response.map(|body| HeldBody { body, _handled: in_progress }))
+            Ok::<_, Infallible>(response.map(|body| CountedBody { body, _handled: handled }))
         }
     });
     let ConnLimits { header_timeout, idle_timeout, .. } = limits;
     let stream = TimedStream::new(stream, requests, header_timeout, idle_timeout);
     let mut builder = http1::Builder::new();
-    // The stream has the time limits.
+    // `TimedStream` enforces the time limits.
     builder.header_read_timeout(None);
     builder.max_buf_size(limits.header_bytes_max.max(BUFFER_BYTES_MIN));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -1,6 +1,6 @@
 //! HTTP listeners with graceful shutdown.
 
-mod held_body;
+mod counted_body;
 mod http_listener;
 mod timed_stream;
 
--- a/src/listener/timed_stream.rs
+++ b/src/listener/timed_stream.rs
@@ -1,4 +1,4 @@
-//! The stream of a caller's connection, with limits on the time between requests.
+//! The stream of a connection, with limits on the time for a request head and between requests.
 
 use std::io;
 use std::io::ErrorKind;
@@ -28,7 +28,7 @@
     reader: Mutex<Option<Waker>>,
 }
 
-/// A request that is handled until this is dropped with its response.
+/// A request that counts as handled until this is dropped, with the body of its response.
 #[derive(Debug)]
 pub(super) struct HandledRequest(Arc<ConnRequests>);
 
@@ -65,7 +65,7 @@
     requests: Arc<ConnRequests>,
     header_timeout: Duration,
     idle_timeout: Duration,
-    /// When the idle time or the head that is being received ends.
+    /// End of the idle time or, once a head has begun, of the time for it.
     deadline: Pin<Box<Sleep>>,
     /// Whether a part of the next head has arrived.
     head_begun: bool,
--- a/src/member/failed_calls.rs
+++ b/src/member/failed_calls.rs
@@ -11,7 +11,8 @@
 /// Most peers remembered; if more fail at once, the rest are checked in turn.
 const PEERS_MAX: usize = 16;
 
-/// Peers that may be gone. Who talks to a peer often learns that first: its connection breaks.
+/// Peers that may be gone: an instance that talks to a peer often notices first, since its
+/// connection breaks.
 #[derive(Debug, Default)]
 pub struct FailedCalls {
     peers: Mutex<RecentPeers>,
@@ -35,7 +36,8 @@
 }
 
 impl FailedCalls {
-    /// Adds a peer to which a call failed; returns whether it will be checked for that.
+    /// Adds a peer to which a call failed; returns `false` if a check of it is due, under way or
+    /// recent already, or if there are too many.
     pub fn add(&self, peer: SocketAddr, now_ms: u64) -> bool {
         let mut peers = self.peers.lock();
         peers.recent.retain(|recent| {
--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -132,13 +132,14 @@
 enum CheckReason {
     /// It is its turn.
     Turn,
-    /// A call to it failed. Only some members are checked for that, perhaps often, so these checks
-    /// tell neither the usual round trip nor, unconfirmed, that the fault is not on this side.
+    /// A call to it failed. Such checks concern few members, perhaps often, so their round trips are
+    /// not typical of the fleet. The fault may be this instance's own, so another one must confirm
+    /// it.
     FailedCall,
 }
 
 impl CheckReason {
-    /// Whether a member is made a suspect that this instance did not reach.
+    /// Whether a member that this instance did not reach becomes a suspect.
     const fn suspects(self, result: IndirectPing) -> bool {
         match result {
             IndirectPing::Reached => false,
@@ -188,7 +189,8 @@
         }
     }
 
-    /// Checks one member; makes it a suspect if neither this instance nor another one reaches it.
+    /// Checks one member; makes it a suspect if neither this instance nor another one reaches it, as
+    /// far as the reason for the check allows.
     async fn check_member(self, target: MemberRow, reason: CheckReason) {
         let started_ms = now_ms();
         let timeout = self.board.pace.lock().stretch(self.board.settings.peers.ping_timeout_ms);
@@ -213,7 +215,7 @@
         }
     }
 
-    /// Checks the members at an address to which a call failed, as far as they are alive.
+    /// Checks the members at an address to which a call failed, if they are believed to be alive.
     async fn check_peer(self, peer: SocketAddr) {
         let targets: Vec<MemberRow> = self.board.members.lock().rows_at(peer, now_ms()).collect();
         let is_checked = |row: &MemberRow| {
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -45,8 +45,8 @@
 }
 
 impl PeerError {
-    /// Whether the connection could not be opened or broke, for a call that ended after `elapsed`;
-    /// one that used up its `timeout` may only have been slow.
+    /// Whether the call failed because the connection could not be opened or broke. A call whose
+    /// `elapsed` time reached its `timeout` may only have been slow.
     #[must_use]
     pub fn is_connection_lost(self, elapsed: Duration, timeout: Duration) -> bool {
         !matches!(self, Self::Refused(_)) && elapsed < timeout
@@ -74,8 +74,8 @@
     last_used_us: AtomicU64,
 }
 
-/// Opens a connection; `None` if the machine refuses it. Attempts that are not answered are
-/// repeated until the caller gives up.
+/// Opens a connection; `None` if the attempt fails, as when the machine refuses it. Attempts that
+/// are not answered are repeated until the future is dropped.
 async fn open(address: SocketAddr) -> Option<TcpStream> {
     let mut timeout = FIRST_OPEN_TIMEOUT;
     loop {
--- a/src/route/caller_listener.rs
+++ b/src/route/caller_listener.rs
@@ -34,7 +34,8 @@
 use crate::peer::ForwardStage;
 use crate::quarantine::Fingerprints;
 
-/// A connection that has not sent a complete request head within this time is closed.
+/// A connection that has not sent a complete request head within this time of its first byte is
+/// closed.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(30);
 /// A connection without a request for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
