Quotas, start hold, handler of callers: names and comments that made a newcomer stumble

add_borrowed of a bucket also took refunds; it is add_expiring. has_started_lately looked at the first placement, not at the start. Return values were given as "whether" without a verb. The path of a request was taken from its URI in two places. Why a held request may be past its deadline was not said.

--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -142,6 +142,7 @@
         let timeout_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let deadline_us = arrived_us + timeout_ms * 1000;
         if now_us() >= deadline_us {
+            // It was held past its deadline, since the route's timeout was not known then.
             return Err(LocalReply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
         }
         let quota = self.quota_limiter.acquire(caller.as_ref()).await?;
@@ -167,7 +168,7 @@
             id: parts.headers.get(&names.request_id).cloned(),
             origin: RequestOrigin::Caller,
             fingerprints: fingerprints(&parts, &body),
-            path_and_query: path_and_query(&parts).to_owned(),
+            path_and_query: path_and_query(&parts.uri).to_owned(),
             method: parts.method,
             headers: parts.headers,
             body,
@@ -268,14 +269,13 @@
 
 fn request_hash(request: &Request<Incoming>) -> RequestHash {
     let caller = CallerAddress::of(request.extensions());
-    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
     let host = host(request.uri(), request.headers());
-    RequestHash::of(caller, host, request.method().as_str(), target)
+    RequestHash::of(caller, host, request.method().as_str(), path_and_query(request.uri()))
 }
 
 /// The path and query of a request.
-fn path_and_query(parts: &http::request::Parts) -> &str {
-    parts.uri.path_and_query().map_or("/", |value| value.as_str())
+fn path_and_query(uri: &Uri) -> &str {
+    uri.path_and_query().map_or("/", |value| value.as_str())
 }
 
 fn fingerprints(parts: &http::request::Parts, body: &[u8]) -> Fingerprints {
@@ -284,7 +284,7 @@
         caller,
         request_host(parts),
         parts.method.as_str(),
-        path_and_query(parts),
+        path_and_query(&parts.uri),
         body,
     )
 }
--- a/src/gateway/forward_request.rs
+++ b/src/gateway/forward_request.rs
@@ -74,9 +74,9 @@
         (elapsed_us + self.spent_before_us) as f64 / 1000.0
     }
 
-    /// Whether the caller can still retry if this instance does not. Callers retry once, after a
-    /// refusal or if the request is idempotent; a remembered refusal, or time spent on earlier
-    /// attempts, shows that this is that retry.
+    /// The class of a retry of this request, by whether its caller can still retry itself. Callers
+    /// retry once, after a refusal or if the request is idempotent; a remembered refusal, or time
+    /// spent on earlier attempts, shows that this is that retry.
     #[must_use]
     pub const fn retry_class(&self) -> RetryClass {
         if self.spent_before_us == 0 && self.earlier.is_none() {
--- a/src/gateway/quota_limiter.rs
+++ b/src/gateway/quota_limiter.rs
@@ -49,8 +49,8 @@
     }
 }
 
-/// The workspaces that tokens are being borrowed for, one task each, and the requests that wait for
-/// them.
+/// The workspaces for which a task borrows tokens, by name; each notifies the requests that wait for
+/// one.
 #[derive(Clone, Debug, Default)]
 pub struct Borrowers(Arc<Mutex<HashMap<Arc<str>, Arc<Notify>>>>);
 
@@ -106,7 +106,8 @@
         self.board.counters.add(Counter::OverQuota);
         info!(
             event = "over-quota", workspace = &*workspace.name, rate_per_s = workspace.rate_per_s,
-            burst = workspace.burst, retry_after_ms = out_of_tokens.retry_after_ms, waited_ms = out_of_tokens.wait_ms.unwrap_or(0);
+            burst = workspace.burst, retry_after_ms = out_of_tokens.retry_after_ms,
+            waited_ms = out_of_tokens.wait_ms.unwrap_or(0);
             "no token available in time"
         );
         Err(LocalReply::over_quota(out_of_tokens.retry_after_ms))
@@ -125,11 +126,10 @@
         }
     }
 
-    /// Borrows tokens, if no other request has it done already, and waits for one if the request
-    /// may.
-    async fn wait_for_token(&self, workspace: &Arc<Workspace>, out: OutOfTokens) -> bool {
+    /// Starts to borrow tokens, and waits for one if the request may; returns whether it got one.
+    async fn wait_for_token(&self, workspace: &Arc<Workspace>, out_of_tokens: OutOfTokens) -> bool {
         let arrivals = self.start_borrowing(workspace);
-        let Some(wait_ms) = out.wait_ms else {
+        let Some(wait_ms) = out_of_tokens.wait_ms else {
             return false;
         };
         let _wait = Wait { quotas: &self.quotas, workspace };
@@ -145,8 +145,8 @@
         }
     }
 
-    /// Starts the task that borrows tokens of a workspace, unless it runs. Notifies when there are
-    /// tokens.
+    /// Starts the task that borrows tokens of a workspace, unless it runs. Returns what it notifies
+    /// when there are tokens.
     fn start_borrowing(&self, workspace: &Arc<Workspace>) -> Arc<Notify> {
         let mut borrowers = self.borrowers.0.lock();
         if let Some(arrivals) = borrowers.get(&workspace.name) {
@@ -192,13 +192,14 @@
         next
     }
 
+    /// A workspace as it is configured now; `None` if it has no quota.
     fn workspace(&self, name: &str) -> Option<Arc<Workspace>> {
         let table = self.table.load();
         let workspace = table.as_ref()?.workspaces.as_ref()?.by_name(name)?;
         workspace.is_limited().then(|| Arc::clone(workspace))
     }
 
-    /// Asks a lender for tokens; whether it gave some.
+    /// Asks a lender for tokens; returns whether it gave some.
     async fn ask(self, workspace: Arc<Workspace>, question: TokenQuestion) -> bool {
         let TokenQuestion { lender, wanted } = question;
         let tokens = self.request_tokens(lender, &workspace, wanted).await;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -101,8 +101,8 @@
         matches!(self, Self::Lost(_) | Self::TimedOut)
     }
 
-    /// Whether the server refused the request for a reason other than the request itself; `None`
-    /// without a response that tells.
+    /// Whether the server is proved to have refused the request for a reason other than the request
+    /// itself; `None` if its response does not tell, or there is none.
     #[must_use]
     pub fn refusal(&self) -> Option<bool> {
         match self {
--- a/src/gateway/start_hold.rs
+++ b/src/gateway/start_hold.rs
@@ -10,12 +10,13 @@
 /// How often a held request checks whether it can be served.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How a held request went on.
+/// How the hold of a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HoldEnd {
     /// The instance can answer the request.
     Ready,
-    /// The instance has run for too long, or the request has used up its share of its time.
+    /// The instance is too old to hold requests, or the request was held for as long as its timeout
+    /// allows.
     TimedOut,
     /// Too many other requests are held.
     Full,
@@ -43,13 +44,13 @@
 }
 
 impl StartHold {
-    /// Creates the hold of an instance that starts now; none if `age_max` is zero.
+    /// Creates the hold of an instance that starts now; holds nothing if `age_max` is zero.
     #[must_use]
     pub fn new(age_max: Duration) -> Self {
         Self { started: Instant::now(), age_max, places: Semaphore::new(HELD_MAX) }
     }
 
-    /// Whether no request is held any more.
+    /// Whether the instance is too old to hold requests.
     #[must_use]
     pub fn is_over(&self) -> bool {
         self.started.elapsed() >= self.age_max
--- a/src/quota/borrowed_tokens.rs
+++ b/src/quota/borrowed_tokens.rs
@@ -31,7 +31,7 @@
         self.newer += tokens;
     }
 
-    /// Takes one token, if there is one, the oldest first.
+    /// Takes one token, if there is one, from the oldest; returns whether there was one.
     pub(super) fn take(&mut self) -> bool {
         if self.count() < 1.0 {
             return false;
--- a/src/quota/quota_bucket.rs
+++ b/src/quota/quota_bucket.rs
@@ -4,15 +4,17 @@
 use super::lender_schedule::LenderSchedule;
 use super::recent_rate::RecentRate;
 
-/// Span in seconds that an instance that is short borrows for, and that a lender keeps tokens for.
+/// Time, in seconds, for whose requests an instance that is short borrows tokens, and a lender keeps
+/// some.
 const DEMAND_SPAN_S: f64 = 0.05;
-/// Seconds of the workspace's whole rate that one round of questions asks for at most.
+/// Most tokens that one round of questions asks for, in seconds of the workspace's whole rate.
 const BORROW_SPAN_MAX_S: f64 = 0.1;
 /// How long an instance goes on borrowing after a request found no token.
 const SHORT_US: u64 = 300_000;
 /// Minimum term of borrowed tokens.
 const LOAN_TERM_MIN_US: u64 = 100_000;
-/// Tokens at the workspace's whole rate within the term of borrowed tokens, for low rates.
+/// Least number of tokens that the workspace's whole rate gives within the term of borrowed tokens,
+/// which is longer at low rates.
 const LOAN_TERM_TOKENS: f64 = 3.0;
 /// Time without requests and questions after which a full bucket is dropped.
 const IDLE_US: u64 = 5_000_000;
@@ -48,6 +50,7 @@
 pub(super) struct QuotaBucket {
     /// Whole and partial tokens of this instance's own fraction.
     tokens: f64,
+    /// Tokens that expire: borrowed ones, and those of requests that did not run.
     borrowed: BorrowedTokens,
     limits: BucketLimits,
     /// Time of the last refill.
@@ -58,7 +61,7 @@
     demand: RecentRate,
     /// Tokens that other instances asked for.
     asked: RecentRate,
-    /// Until when tokens are borrowed; renewed by each request that finds none.
+    /// Until when tokens are borrowed; extended by each request that finds none.
     short_until_us: u64,
     /// Requests that wait for a token.
     pub(super) waiting: u32,
@@ -138,8 +141,9 @@
         self.tokens >= 1.0 || self.borrowed.count() >= 1.0
     }
 
-    /// Adds tokens that another instance lent, or that a request did not need.
-    pub(super) fn add_borrowed(&mut self, tokens: f64, now_us: u64) {
+    /// Adds tokens that another instance lent, or that a request did not need; they expire like
+    /// borrowed ones.
+    pub(super) fn add_expiring(&mut self, tokens: f64, now_us: u64) {
         self.borrowed.add(tokens);
         self.used_us = now_us;
     }
--- a/src/quota/quotas.rs
+++ b/src/quota/quotas.rs
@@ -15,18 +15,19 @@
 
 /// How long a request waits for a token.
 const TOKEN_WAIT_MS: u64 = 60;
-/// How long a request waits for a token soon after the start, when the requests of the time in
-/// which no instance served arrive together.
+/// How long a request waits for a token soon after the first placement, when those requests arrive
+/// together that came while no instance served.
 const STARTUP_TOKEN_WAIT_MS: u64 = 250;
-/// How long requests wait for longer after the first placement.
+/// Time after the first placement in which requests wait longer.
 const STARTUP_US: u64 = 1_000_000;
-/// Time before the first placement, but after the start, for which a bucket is refilled at most:
-/// nobody else may have spent these tokens, as this instance was believed to hold them.
+/// Longest time between the start and the first placement for which a bucket is refilled. No other
+/// instance spends the tokens of that time, as the others take this one for their holder.
 const REFILL_BEFORE_PLACEMENT_MAX_US: u64 = 250_000;
-/// Time after the start in which new buckets have initial tokens. No bucket is dropped as early, or
-/// one dropped and made anew would gain tokens.
+/// Time after the start in which new buckets have initial tokens. It is shorter than the time after
+/// which a bucket is dropped, or one that is dropped and created again would gain tokens.
 const INITIAL_TOKENS_US: u64 = 4_000_000;
-/// Requests of a workspace that may wait for a token at one instance, whatever its rate.
+/// Requests of a workspace that may wait for a token at one instance, whatever its rate; a higher
+/// rate allows more.
 const WAITING_MIN: f64 = 2.0;
 /// Interval between two searches for buckets that are not in use.
 const IDLE_CHECK_INTERVAL_US: u64 = 1_000_000;
@@ -87,7 +88,8 @@
 }
 
 impl State {
-    fn has_started_lately(&self, now_us: u64) -> bool {
+    /// Whether the first placement was set recently.
+    fn was_first_placed_recently(&self, now_us: u64) -> bool {
         self.placed_us.is_some_and(|placed_us| now_us.saturating_sub(placed_us) < STARTUP_US)
     }
 
@@ -123,9 +125,9 @@
         let fraction = state.placement.own_fraction(&workspace.name, tokens_max);
         let tokens_per_s = self.tolerance.tokens_per_s(workspace);
         let limits = BucketLimits { fraction, tokens_per_s, tokens_max };
-        let starts = now_us.saturating_sub(self.started_us) < INITIAL_TOKENS_US;
+        let has_initial = now_us.saturating_sub(self.started_us) < INITIAL_TOKENS_US;
         let initial =
-            if starts { self.tolerance.initial_tokens(workspace) * fraction } else { 0.0 };
+            if has_initial { self.tolerance.initial_tokens(workspace) * fraction } else { 0.0 };
         let since_us = state.refilled_since_us;
         let bucket = state
             .buckets
@@ -163,8 +165,11 @@
     /// may be available.
     pub fn take(&self, workspace: &Workspace, now_us: u64) -> Result<(), OutOfTokens> {
         let mut state = self.state.lock();
-        let wait_ms =
-            if state.has_started_lately(now_us) { STARTUP_TOKEN_WAIT_MS } else { TOKEN_WAIT_MS };
+        let wait_ms = if state.was_first_placed_recently(now_us) {
+            STARTUP_TOKEN_WAIT_MS
+        } else {
+            TOKEN_WAIT_MS
+        };
         let bucket = self.refilled_bucket(&mut state, workspace, now_us);
         bucket.record_demand(now_us);
         if bucket.take(now_us) {
@@ -179,13 +184,13 @@
         })
     }
 
-    /// Takes a token for a request that waits; whether there was one.
+    /// Takes a token for a request that waits; returns whether there was one.
     pub fn take_waiting(&self, workspace: &Workspace, now_us: u64) -> bool {
         let mut state = self.state.lock();
         self.refilled_bucket(&mut state, workspace, now_us).take(now_us)
     }
 
-    /// A request waits no longer, with or without a token.
+    /// Records that a request waits no longer, whether it got a token or not.
     pub fn end_wait(&self, workspace: &Workspace) {
         if let Some(bucket) = self.state.lock().buckets.get_mut(&workspace.name) {
             bucket.waiting = bucket.waiting.saturating_sub(1);
@@ -195,12 +200,12 @@
     /// Returns the token of a request that did not run.
     pub fn refund(&self, workspace: &Workspace, now_us: u64) {
         if let Some(bucket) = self.state.lock().buckets.get_mut(&workspace.name) {
-            bucket.add_borrowed(1.0, now_us);
+            bucket.add_expiring(1.0, now_us);
         }
     }
 
-    /// Whom to ask for tokens of a workspace now. To be called at a steady pace while the instance
-    /// is short of them, not for each request.
+    /// Whom to ask for tokens of a workspace now; records that they are asked. To be called at a
+    /// steady pace while the instance is short of them, not for each request.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
@@ -237,7 +242,7 @@
         let mut state = self.state.lock();
         let bucket = self.refilled_bucket(&mut state, workspace, now_us);
         bucket.lenders.record_answer(lender, tokens);
-        bucket.add_borrowed(tokens, now_us);
+        bucket.add_expiring(tokens, now_us);
     }
 
     /// Removes up to `wanted` tokens for another instance to use, and returns how many.
@@ -252,8 +257,8 @@
         self.state.lock().buckets.len()
     }
 
-    /// Requests of a workspace that may wait at one instance: as many as the whole fleet may serve
-    /// in that time.
+    /// Requests of a workspace that may wait at one instance: a few more than the whole fleet may
+    /// serve in that time.
     #[expect(clippy::cast_precision_loss, reason = "a few milliseconds")]
     fn waiting_max(&self, workspace: &Workspace, wait_ms: u64) -> f64 {
         let seconds = wait_ms as f64 / 1000.0;
