Forwarder: its decision on retries is in a file of its own

may_retry read like a question but took a retry from the budget; it is take_retry. log_denied_retry also counted; it is record_denied_retry.

--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -28,16 +28,11 @@
 use crate::quarantine::CRASH_CHECK_WAIT;
 use crate::quarantine::Denial;
 use crate::retry::RetryClass;
-use crate::retry::RetryDenial;
-use crate::retry::RetryRank;
 
 /// Unreachable servers after which a request is given up. Each costs a connect timeout.
 const UNREACHABLE_SERVERS_MAX: u32 = 4;
 /// Failed preflight health checks after which a request is sent without one. Each takes about 2 ms.
 const PREFLIGHT_CHECKS_MAX: u32 = 4;
-/// A retry is worthwhile if at least this fraction of the typical duration remains before the
-/// deadline.
-const RETRY_MIN_TIME_RATIO: f64 = 0.6;
 /// Time reserved for a hedged request to meet the latency target, as a factor on the typical
 /// duration.
 const HEDGE_LEAD_RATIO: f64 = 1.3;
@@ -153,44 +148,6 @@
         Err(LocalReply::not_run(code, refusal.retry_after_ms))
     }
 
-    /// Whether the number of attempts, the remaining time and the retry budget allow another
-    /// attempt of this class.
-    fn may_retry(&self, request: &ForwardRequest, attempts: &Attempts, class: RetryClass) -> bool {
-        if attempts.sends >= request.route.attempts_max {
-            return false;
-        }
-        let typical_ms =
-            self.dispatcher.typical_ms(&request.service, &request.spec(&attempts.servers));
-        #[expect(clippy::cast_precision_loss, reason = "milliseconds until a deadline")]
-        let time_suffices = request.remaining_ms() as f64 > RETRY_MIN_TIME_RATIO * typical_ms;
-        if !time_suffices {
-            return false;
-        }
-        #[expect(clippy::cast_precision_loss, reason = "a latency target of a few seconds")]
-        let late = request.spent_ms() + typical_ms > request.route.aim_ms as f64;
-        let rank = RetryRank::new(class, request.priority(), late);
-        let spent = self.dispatcher.spend_retry(&request.service, rank);
-        spent.inspect_err(|denial| self.log_denied_retry(request, rank, denial)).is_ok()
-    }
-
-    /// Counts a denied retry. After a denied retry the request ends, after a denied hedge it goes
-    /// on, so that only the former is logged.
-    fn log_denied_retry(&self, request: &ForwardRequest, rank: RetryRank, denial: &RetryDenial) {
-        if rank.class() == RetryClass::Hedge {
-            self.board.counters.add(Counter::HedgesDenied);
-            return;
-        }
-        self.board.counters.add(Counter::RetriesDenied);
-        info!(
-            event = "retry-denied", id = request.id_text(), service = &*request.service,
-            rank = rank.class().name(), priority = request.priority(), late = rank.is_late(),
-            reason = denial.reason.name(), allowed = denial.allowed.floor(),
-            spent = denial.spent, reserved = denial.reserved.ceil(),
-            rejected_percent = (100.0 * denial.rejected_share).round();
-            "no further send of a request"
-        );
-    }
-
     /// The reply to a request that is not sent because it may crash servers.
     fn denied_reply(
         &self,
@@ -222,14 +179,14 @@
         match result {
             SendResult::Answered(response) => {
                 let failed = response.status.is_server_error();
-                if failed && idempotent && self.may_retry(request, attempts, class) {
+                if failed && idempotent && self.take_retry(request, attempts, class) {
                     attempts.may_have_run = true;
                     return None;
                 }
                 Some(server_reply(response))
             }
             SendResult::Refused { status } => {
-                if status != StatusCode::BAD_REQUEST && self.may_retry(request, attempts, class) {
+                if status != StatusCode::BAD_REQUEST && self.take_retry(request, attempts, class) {
                     return None;
                 }
                 Some(attempts.not_run(Code::NoRepeatLeft, REFUSED_RETRY_MS).into())
@@ -254,7 +211,7 @@
             SendResult::TimedOut => Some(LocalReply::unknown(Code::DeadlineAfterDispatch).into()),
             SendResult::Lost(_) | SendResult::UnprovedRefusal { .. } => {
                 attempts.may_have_run = true;
-                if idempotent && self.may_retry(request, attempts, class) {
+                if idempotent && self.take_retry(request, attempts, class) {
                     return None;
                 }
                 Some(LocalReply::unknown(lost_code(&result)).into())
@@ -285,7 +242,7 @@
         let Some(spare) = self.dispatcher.try_acquire_spare(&request.service, &spec) else {
             return first.await;
         };
-        if !self.may_retry(request, attempts, RetryClass::Hedge) {
+        if !self.take_retry(request, attempts, RetryClass::Hedge) {
             return first.await;
         }
         self.board.counters.add(Counter::Hedges);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod forward_request;
 mod forwarder;
 mod forwarder_peers;
+mod forwarder_retries;
 mod framing;
 mod grant;
 mod health_check;
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -144,10 +144,12 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         request.extensions_mut().insert(caller);
         let handler = handler.clone();
-        let handled = counted.begin();
+        let handled_request = counted.begin();
         async move {
             let response = handler.handle(request).await;
-            Ok::<_, Infallible>(response.map(|body| CountedBody { body, _handled: handled }))
+            Ok::<_, Infallible>(
+                response.map(|body| CountedBody { body, _handled: handled_request }),
+            )
         }
     });
     let ConnLimits { header_timeout, idle_timeout, .. } = limits;
