--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -11,6 +11,11 @@
 use super::daemon::bind_listener;
 use super::daemon::record_bound_address;
 use super::gateway_peer_service::GatewayPeerService;
+use super::gateway_tasks::StoreMirrors;
+use super::gateway_tasks::spawn_followers;
+use super::gateway_tasks::spawn_quarantine_store;
+use super::gateway_tasks::spawn_reach_monitor;
+use super::gateway_tasks::spawn_sharing_tasks;
 use crate::board::Blackboard;
 use crate::board::EventKind;
 use crate::board::Phase;
@@ -27,24 +32,14 @@
 use crate::gateway::CurrentRouteTable;
 use crate::gateway::Dialect;
 use crate::gateway::Dispatcher;
-use crate::gateway::Follower;
 use crate::gateway::Forwarder;
-use crate::gateway::GatewayServerChecker;
-use crate::gateway::HomePlanner;
-use crate::gateway::LoadReporter;
 use crate::gateway::MemoryBudget;
-use crate::gateway::Mirror;
-use crate::gateway::MirrorAge;
-use crate::gateway::OperatorSink;
 use crate::gateway::PeerForwardHandler;
 use crate::gateway::PeerForwarder;
 use crate::gateway::Prober;
-use crate::gateway::QuarantineStore;
 use crate::gateway::QuotaLimiter;
 use crate::gateway::ReadinessHandler;
 use crate::gateway::Registry;
-use crate::gateway::RetryBorrower;
-use crate::gateway::ServerSink;
 use crate::gateway::StartHold;
 use crate::gateway::run_store_check;
 use crate::listener::HttpListener;
@@ -52,13 +47,10 @@
 use crate::member::announce;
 use crate::member::run_failure_detector;
 use crate::member::run_joiner;
-use crate::peer::Feed;
 use crate::peer::Links;
 use crate::peer::PeerListener;
 use crate::quarantine::run_suspect_gossip;
 use crate::quota::Quotas;
-use crate::reach::ReachAnswerer;
-use crate::reach::ReachMonitor;
 use crate::retry::RetryAllowance;
 use crate::status::StatusListener;
 use crate::store::EventStore;
@@ -146,51 +138,6 @@
     gateway.homes_per_zone * gateway.zones.len()
 }
 
-/// Local mirrors of the store's contents, for this instance and for peers that request them.
-struct StoreMirrors<D> {
-    config_age: Arc<MirrorAge>,
-    config: Arc<Mirror<OperatorSink<D>>>,
-    servers: Arc<Mirror<ServerSink<D>>>,
-}
-
-/// Creates the mirrors and starts the tasks that keep them up to date.
-fn spawn_followers<D: Dialect, S: EventStore>(
-    tasks: &mut JoinSet<()>,
-    dialect: &D,
-    store: &S,
-    links: &Links,
-    board: &Arc<Blackboard>,
-    table: &CurrentRouteTable,
-    dispatcher: &Dispatcher,
-) -> StoreMirrors<D> {
-    let keys = dialect.store_keys();
-    let config_age = Arc::new(MirrorAge::default());
-    let operators = OperatorSink {
-        dialect: dialect.clone(),
-        table: Arc::clone(table),
-        board: Arc::clone(board),
-        dispatcher: dispatcher.clone(),
-        age: Arc::clone(&config_age),
-    };
-    let config = Arc::new(Mirror::with_age(operators, Arc::clone(&config_age)));
-    let servers = ServerSink::new(dialect.clone(), dispatcher.clone());
-    let servers = Arc::new(Mirror::new(servers));
-    let follow_config = || {
-        let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
-        Follower::new(store, links, board, Arc::clone(&config), Feed::Config, keys.operators_prefix)
-    };
-    let follow_servers = || {
-        let (store, links, board) = (store.clone(), links.clone(), Arc::clone(board));
-        let prefix = keys.servers_prefix;
-        Follower::new(store, links, board, Arc::clone(&servers), Feed::Servers, prefix)
-    };
-    tasks.spawn(follow_config().run());
-    tasks.spawn(follow_config().cross_check());
-    tasks.spawn(follow_servers().run());
-    tasks.spawn(follow_servers().cross_check());
-    StoreMirrors { config_age, config, servers }
-}
-
 /// The parts that forward requests, to backend servers or to another instance.
 fn new_forwarder<D: Dialect>(
     dialect: &D,
@@ -216,83 +163,6 @@
     }
 }
 
-/// Starts the task that finds out whether this instance has lost the backend servers. Returns what
-/// answers others that have.
-fn spawn_reach_monitor<D: Dialect>(
-    tasks: &mut JoinSet<()>,
-    dialect: &D,
-    board: &Arc<Blackboard>,
-    links: &Links,
-    table: &CurrentRouteTable,
-    dispatcher: &Dispatcher,
-) -> ReachAnswerer<GatewayServerChecker<D>> {
-    let checker = GatewayServerChecker::new(
-        dialect.clone(),
-        Arc::clone(board),
-        dispatcher.clone(),
-        Arc::clone(table),
-    );
-    let reach = dispatcher.reach();
-    let monitor =
-        ReachMonitor::new(Arc::clone(board), Arc::clone(reach), checker.clone(), links.clone());
-    tasks.spawn(monitor.run());
-    ReachAnswerer::new(Arc::clone(reach), checker)
-}
-
-/// Starts the tasks by which instances share backend servers and limits: the plan of homes, the
-/// reports of their load, and loans of retries.
-fn spawn_sharing_tasks(
-    tasks: &mut JoinSet<()>,
-    board: &Arc<Blackboard>,
-    links: &Links,
-    dispatcher: &Dispatcher,
-    table: &CurrentRouteTable,
-    quotas: &Arc<Quotas>,
-) {
-    let load_reporter = LoadReporter {
-        board: Arc::clone(board),
-        links: links.clone(),
-        dispatcher: dispatcher.clone(),
-    };
-    let planner = HomePlanner {
-        board: Arc::clone(board),
-        dispatcher: dispatcher.clone(),
-        table: Arc::clone(table),
-        quotas: Arc::clone(quotas),
-    };
-    let retry_borrower = RetryBorrower {
-        board: Arc::clone(board),
-        links: links.clone(),
-        dispatcher: dispatcher.clone(),
-    };
-    tasks.spawn(planner.run());
-    tasks.spawn(load_reporter.run());
-    if board.settings.gateway.as_ref().is_some_and(|gateway| gateway.retry_loans) {
-        tasks.spawn(retry_borrower.run());
-    }
-}
-
-/// Starts the tasks that keep quarantined requests in the store.
-fn spawn_quarantine_store<D: Dialect, S: EventStore>(
-    tasks: &mut JoinSet<()>,
-    dialect: &D,
-    store: &S,
-    board: &Arc<Blackboard>,
-    first_start: bool,
-) {
-    let quarantine_store = QuarantineStore {
-        dialect: dialect.clone(),
-        store: store.clone(),
-        board: Arc::clone(board),
-    };
-    if !first_start {
-        // At the first start of the fleet the store holds no quarantine records yet.
-        tasks.spawn(quarantine_store.clone().load_when_first_home());
-    }
-    tasks.spawn(quarantine_store.clone().rewrite_after_restores());
-    tasks.spawn(quarantine_store.run_writer());
-}
-
 impl Gateway {
     /// Binds all listeners and starts the background tasks. A port 0 in the settings is replaced by
     /// the port that the system assigned.
--- a/src/app/mod.rs
+++ b/src/app/mod.rs
@@ -5,6 +5,7 @@
 mod daemon_peer_service;
 mod gateway;
 mod gateway_peer_service;
+mod gateway_tasks;
 mod graceful_stop;
 
 pub use daemon::Daemon;
