--- a/src/app/gateway_tasks.rs
+++ b/src/app/gateway_tasks.rs
@@ -1,4 +1,5 @@
-//! Starts the tasks of a gateway: mirrors of the store, checks of paths, sharing with other instances.
+//! Starts the tasks of a gateway: mirrors of the store, checks of paths, sharing with other
+//! instances.
 
 use std::sync::Arc;
 
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -211,8 +211,8 @@
         Arc::clone(&self.view.read())
     }
 
-    /// Records that a call to a peer failed. The failure detector then checks the peer, if a member at
-    /// its address is believed to be alive.
+    /// Records that a call to a peer failed. The failure detector then checks the peer, if a member
+    /// at its address is believed to be alive.
     pub fn record_failed_call(&self, peer: SocketAddr) {
         let now_ms = now_ms();
         if self.members.lock().is_alive_at(peer, now_ms) {
--- a/src/gateway/follower_start.rs
+++ b/src/gateway/follower_start.rs
@@ -47,7 +47,8 @@
 const STORE_RETRY_DELAY: Duration = Duration::from_secs(2);
 /// How long a peer may hold a request for the initial data.
 const HOLD_TIME: Duration = Duration::from_millis(400);
-/// How long it may hold that of the first reader of a zone, for which the rest of the zone may wait.
+/// How long it may hold that of the first reader of a zone, for which the rest of the zone may
+/// wait.
 const FIRST_READER_HOLD_TIME: Duration = Duration::from_millis(50);
 /// Timeout of a request for the initial data, which covers a full transfer over a slow link.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
@@ -157,9 +158,9 @@
         }
     }
 
-    /// The peers that the first reader of a zone asks; empty for the fallback peers. Instances of its
-    /// zone that have started with it wait for it themselves, so it asks the seeds, which read the
-    /// store, at every other try, the first included.
+    /// The peers that the first reader of a zone asks; empty for the fallback peers. Instances of
+    /// its zone that have started with it wait for it themselves, so it asks the seeds, which read
+    /// the store, at every other try, the first included.
     fn peers_of_first_reader(&self, tries: u32) -> PeerAddresses {
         if tries.is_multiple_of(2) { known_seeds(&self.board) } else { PeerAddresses::new() }
     }
--- a/src/gateway/quota_limiter.rs
+++ b/src/gateway/quota_limiter.rs
@@ -49,8 +49,8 @@
     }
 }
 
-/// The workspaces for which a task borrows tokens, by name; each notifies the requests that wait for
-/// one.
+/// The workspaces for which a task borrows tokens, by name; each notifies the requests that wait
+/// for one.
 #[derive(Clone, Debug, Default)]
 pub struct Borrowers(Arc<Mutex<HashMap<Arc<str>, Arc<Notify>>>>);
 
--- a/src/member/failure_detector.rs
+++ b/src/member/failure_detector.rs
@@ -132,9 +132,9 @@
 enum CheckReason {
     /// It is its turn.
     Turn,
-    /// A call to it failed. Such checks concern few members, perhaps often, so their round trips are
-    /// not typical of the fleet. The fault may be this instance's own, so another one must confirm
-    /// it.
+    /// A call to it failed. Such checks concern few members, perhaps often, so their round trips
+    /// are not typical of the fleet. The fault may be this instance's own, so another one must
+    /// confirm it.
     FailedCall,
 }
 
@@ -161,8 +161,8 @@
 }
 
 impl<L: PeerClient> FailureDetector<L> {
-    /// Pings a member in a task of its own. A call that is cut short does not count as timed out, so
-    /// its connection would never be replaced if it went silent.
+    /// Pings a member in a task of its own. A call that is cut short does not count as timed out,
+    /// so its connection would never be replaced if it went silent.
     fn spawn_ping(
         &self,
         target: &MemberRow,
@@ -189,8 +189,8 @@
         }
     }
 
-    /// Checks one member; makes it a suspect if neither this instance nor another one reaches it, as
-    /// far as the reason for the check allows.
+    /// Checks one member; makes it a suspect if neither this instance nor another one reaches it,
+    /// as far as the reason for the check allows.
     async fn check_member(self, target: MemberRow, reason: CheckReason) {
         let started_ms = now_ms();
         let timeout = self.board.pace.lock().stretch(self.board.settings.peers.ping_timeout_ms);
--- a/src/quota/quota_bucket.rs
+++ b/src/quota/quota_bucket.rs
@@ -4,8 +4,8 @@
 use super::lender_schedule::LenderSchedule;
 use super::recent_rate::RecentRate;
 
-/// Time, in seconds, for whose requests an instance that is short borrows tokens, and a lender keeps
-/// some.
+/// Time, in seconds, for whose requests an instance that is short borrows tokens, and a lender
+/// keeps some.
 const DEMAND_SPAN_S: f64 = 0.05;
 /// Most tokens that one round of questions asks for, in seconds of the workspace's whole rate.
 const BORROW_SPAN_MAX_S: f64 = 0.1;
--- a/src/retry/decayed_count.rs
+++ b/src/retry/decayed_count.rs
@@ -2,8 +2,8 @@
 
 /// A count below this begins anew with the next event.
 const COUNT_RESTART_BELOW: f64 = 0.5;
-/// Least age of the first event that [`DecayedCount::steady_value`] assumes, in units of the memory:
-/// the rate of events cannot be told from a shorter time.
+/// Least age of the first event that [`DecayedCount::steady_value`] assumes, in units of the
+/// memory: the rate of events cannot be told from a shorter time.
 const AGE_MIN_MEMORIES: f64 = 0.25;
 
 /// A count in which each event loses weight with its age.
--- a/src/retry/rejected_sends.rs
+++ b/src/retry/rejected_sends.rs
@@ -2,8 +2,8 @@
 
 use super::decayed_count::DecayedCount;
 
-/// Time, in microseconds, for which sends are remembered: long enough to see many, and short against
-/// the timeouts of callers.
+/// Time, in microseconds, for which sends are remembered: long enough to see many, and short
+/// against the timeouts of callers.
 const MEMORY_US: u64 = 1_000_000;
 /// Sends from which on their rejected part is used.
 const SENDS_MIN: f64 = 40.0;
--- a/src/retry/retry_budget.rs
+++ b/src/retry/retry_budget.rs
@@ -181,8 +181,8 @@
     }
 
     /// Retries kept for the ranks before `rank`: what they are expected to ask for until a moment
-    /// within the next window, less the retries that leave the window by then; the most over several
-    /// such moments.
+    /// within the next window, less the retries that leave the window by then; the most over
+    /// several such moments.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
--- a/src/retry/retry_demand.rs
+++ b/src/retry/retry_demand.rs
@@ -26,7 +26,8 @@
 pub(super) struct RetryDemand {
     /// Requests that arrived.
     requests: DecayedCount,
-    /// Retries that were asked for, other than hedges: a send of the request was rejected or failed.
+    /// Retries that were asked for, other than hedges: a send of the request was rejected or
+    /// failed.
     rejected: DecayedCount,
     /// The latest requests since servers began to reject some, and the latest rejected ones, which
     /// show first that they do.
@@ -34,7 +35,8 @@
     latest_rejected: DecayedCount,
     /// Retries that were asked for, by rank.
     asked: [DecayedCount; RetryRank::COUNT],
-    /// First attempts that were refused, or are expected to be in spite of their retry, by priority.
+    /// First attempts that were refused, or are expected to be in spite of their retry, by
+    /// priority.
     refused_first: [DecayedCount; PRIORITIES],
     /// Part of the refused callers that come back, from 0 to 1.
     pub(super) return_share: f64,
@@ -133,8 +135,8 @@
     }
 
     /// Retries that last attempts of a priority are expected to ask for. They follow from the
-    /// callers refused now; more is expected if clearly more is asked for, as when callers come from
-    /// other instances.
+    /// callers refused now; more is expected if clearly more is asked for, as when callers come
+    /// from other instances.
     fn last_attempts(&self, priority: usize, memory_us: u64, now_us: u64) -> f64 {
         let refused = self.refused_first[priority].steady_value(memory_us, now_us);
         let returning = refused * self.return_share * self.rejected_share(memory_us, now_us);
--- a/src/retry/retry_loans.rs
+++ b/src/retry/retry_loans.rs
@@ -119,8 +119,8 @@
         granted
     }
 
-    /// Records that the own budget denied a retry, and takes a borrowed one in its place if it was a
-    /// last attempt; returns whether there was one.
+    /// Records that the own budget denied a retry, and takes a borrowed one in its place if it was
+    /// a last attempt; returns whether there was one.
     pub(super) fn replace_denied(
         &mut self,
         class: RetryClass,
