--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -187,7 +187,8 @@
         let table: CurrentRouteTable = Arc::new(ArcSwapOption::empty());
         let dispatcher = Dispatcher::new(&zone, retry_allowance(&gateway));
         let dispatcher = dispatcher.with_reach(Arc::clone(&board.reach));
-        dispatcher.set_home_count(initial_home_count(&gateway), 0, true);
+        // Others than the homes are not known yet.
+        dispatcher.set_instance_counts(initial_home_count(&gateway), 0, true);
 
         let mut tasks = JoinSet::new();
         let StoreMirrors { config_age, config, servers } =
--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -54,7 +54,7 @@
     /// Divides the slack of the retry budget among the homes and the other instances, and the slots
     /// of all servers among the homes.
     #[expect(clippy::cast_precision_loss, reason = "a small number of homes")]
-    pub fn set_home_count(&self, homes: usize, others: usize, is_home: bool) {
+    pub fn set_instance_counts(&self, homes: usize, others: usize, is_home: bool) {
         let homes = homes.max(1);
         let slack_share = RetryAllowance::slack_share(homes, others, is_home);
         self.retry_slack_share.store(slack_share.to_bits(), Ordering::Release);
@@ -136,7 +136,7 @@
         self.return_share.store(share.to_bits(), Ordering::Release);
     }
 
-    /// Records a response of a service's server, and whether it was a refusal.
+    /// Records, for the retry budget, a response of a service's server and whether it was a refusal.
     pub fn record_response(&self, service: &str, refused: bool) {
         if let Some(pool) = self.state.lock().pools.get_mut(service) {
             pool.retry_budget.record_send(refused, boot_us());
--- a/src/gateway/home_planner.rs
+++ b/src/gateway/home_planner.rs
@@ -150,7 +150,7 @@
         }
         self.dispatcher.set_home_set(self.home_set(&inputs));
         let is_home = inputs.homes.contains(&self.board.incarnation);
-        self.dispatcher.set_home_count(homes.len(), inputs.others, is_home);
+        self.dispatcher.set_instance_counts(homes.len(), inputs.others, is_home);
         if self.may_lack_members(inputs.homes.len() + inputs.others) {
             self.dispatcher.withhold_retry_slack();
         }
