--- a/src/gateway/dispatcher_shares.rs
+++ b/src/gateway/dispatcher_shares.rs
@@ -136,7 +136,8 @@
         self.return_share.store(share.to_bits(), Ordering::Release);
     }
 
-    /// Records, for the retry budget, a response of a service's server and whether it was a refusal.
+    /// Records, for the retry budget, a response of a service's server, and whether it was a
+    /// refusal.
     pub fn record_response(&self, service: &str, refused: bool) {
         if let Some(pool) = self.state.lock().pools.get_mut(service) {
             pool.retry_budget.record_send(refused, boot_us());
