--- a/src/quota/mod.rs
+++ b/src/quota/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! The token bucket of a workspace is split over a few homes (instances that callers are directed
 //! to), each refilled at a fraction of the rate. An instance that runs out borrows tokens from
-//! these homes, at a steady pace while it is short; they expire unless used in time. Tokens are moved, never created, so the total stays within the bound whatever
-//! instances believe of each other.
+//! these homes, at a steady pace while it is short; they expire unless used in time. Tokens are
+//! moved, never created, so the total stays within the bound whatever instances believe
+//! of each other.
 
 mod borrowed_tokens;
 mod lender_schedule;
--- a/src/retry/retry_loans.rs
+++ b/src/retry/retry_loans.rs
@@ -12,7 +12,7 @@
 /// Times of expiry are rounded up to a multiple of this, in microseconds, so that loans and denials
 /// that expire at about the same time are counted together.
 const EXPIRY_STEP_US: u64 = 100_000;
-/// Time, in microseconds, over which the latest demand is measured.
+/// Time, in microseconds, over which the latest demand is counted.
 const RECENT_US: u64 = 1_000_000;
 /// Smallest cap of the retries that an instance keeps ready to lend.
 const LENDABLE_CAP_MIN: f64 = 1.0;
