--- a/review/bed.rs
+++ b/review/bed.rs
@@ -37,6 +37,9 @@
 /// A backend server closes a connection that is idle for this long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// `drain` of the deployment.
+const DRAIN: Duration = Duration::from_secs(2);
+
 // ---------------------------------------------------------------------------------------------
 // Record
 
@@ -789,8 +792,6 @@
     peer: SocketAddr,
     directory: SocketAddr,
     status: SocketAddr,
-    /// `drain` and `config_apply` of the deployment.
-    bound_ms: u64,
     dir: PathBuf,
     child: Option<Child>,
     starts: u32,
@@ -825,7 +826,7 @@
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let (name, zone, caller, peer) = (&self.name, self.zone, self.caller, self.peer);
         let (ready, directory, store) = (self.ready, self.directory, self.store);
-        let (status, seeds, bound_ms) = (self.status, seeds.join(","), self.bound_ms);
+        let (status, seeds) = (self.status, seeds.join(","));
         format!(
             r#"{{
   instance: {{ name: "{name}", zone: "{zone}", cpu_share: 0.2, cores: 1, link_mbps: 1000.0 }},
@@ -835,7 +836,7 @@
   log: {{ level: "info", format: "json" }},
   requests: {{ connections_max: 3000 }},
   gateway: {{ readiness: "{ready}", addresses: "{directory}", store: "{store}", grace_s: 6,
-    drain_ms: {bound_ms}, config_apply_ms: {bound_ms}, address_keep_max_s: 5, repeat_ratio: 0.2,
+    drain_ms: 2000, config_apply_ms: 2000, address_keep_max_s: 5, repeat_ratio: 0.2,
     repeat_window_s: 10, repeat_slack: 64, probes_per_s_max: 60, first_start: {first_start},
     start_hold_ms: 500, zones: ["a", "b", "c"], memory_max_mb: 260 }},
 }}"#
@@ -901,7 +902,7 @@
 }
 
 impl Bed {
-    fn new(record: &Arc<Record>, bound_ms: u64) -> Self {
+    fn new(record: &Arc<Record>) -> Self {
         let dir = std::env::temp_dir().join(format!("sorrelwick-review-{}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
         let store = Store::new();
@@ -919,7 +920,6 @@
                     peer: addresses[2],
                     directory: addresses[3],
                     status: addresses[4],
-                    bound_ms,
                     dir: dir.clone(),
                     child: None,
                     starts: 0,
@@ -1377,12 +1377,11 @@
     if !bed.wait_ready(0) || removed.lock().unwrap().len() != servers.len() {
         return None;
     }
-    let drain_s = bed.instances[1].bound_ms as f64 / 1000.0;
     let mut late = 0;
     for (id, removed_s) in &*removed.lock().unwrap() {
         for (request, runs) in &*bed.runs.lock().unwrap() {
             for (run_s, server) in runs {
-                if server == id && *run_s > removed_s + drain_s {
+                if server == id && *run_s > removed_s + DRAIN.as_secs_f64() {
                     late += 1;
                     let after_s = run_s - removed_s;
                     bed.record.line(&format!("DRAIN: {id} runs {request} {after_s:.3} s after"));
@@ -1408,8 +1407,7 @@
     let record = Arc::new(Record { file: Mutex::new(file), start: Instant::now() });
     record.line(&format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     start_watchdog();
-    let bound_ms = if case == "missed-removal" { 3000 } else { 2000 };
-    let mut bed = Bed::new(&record, bound_ms);
+    let mut bed = Bed::new(&record);
     let verdict = match case.as_str() {
         "late-second-answer" => late_second_answer(&mut bed, trouble),
         "stalled-download" => stalled_download(&mut bed, trouble),
