The deadline covers the whole of a streamed response

Cause: `Sender::send` limits `exchange`, which ends with the buffer of 256 KiB; the task that reads the rest had no time limit, neither on the server nor on the caller. A caller that stopped reading held its server's slot in the same way.

Fix: slot, connection and deadline belong to one `ResponseStream`; no wait outlasts the deadline. Slot and connection are released before the error goes to the caller, whose connection then closes: a part never looks complete, in chunks neither. A silent server counts as timed out, a slow caller says nothing of its server. New line `stream-ended`: before, the logs could not tell how a large response ended.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod reply;
 mod reported_loads;
 mod request_origin;
+mod response_stream;
 mod retry_borrower;
 mod routes;
 mod send;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use http::HeaderMap;
 use http::StatusCode;
-use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::Dialect;
 use super::dispatcher::Dispatcher;
@@ -20,6 +20,7 @@
 use super::memory_budget::MemoryReservation;
 use super::reply::NOT_RUN_STATUSES;
 use super::reply::ReplyBody;
+use super::response_stream::ResponseStream;
 use super::server_conn::ExchangeError;
 use super::server_conn::ResponseHead;
 use super::server_conn::ResponseMatcher;
@@ -30,7 +31,6 @@
 use crate::quarantine::Denial;
 use crate::quarantine::PendingSend;
 use crate::route::is_hop_by_hop;
-use crate::task::TaskGuard;
 
 /// Timeout of opening a connection. A server in the same region that takes longer to accept one
 /// counts as unreachable; the remaining time is better spent on another server.
@@ -43,9 +43,6 @@
 const PREFLIGHT_TIMEOUT: Duration = Duration::from_millis(25);
 /// Responses up to this size are buffered completely, so that a truncated one can still be retried.
 pub(super) const BUFFER_MAX_BYTES: usize = 256 << 10;
-/// Chunks of a streamed response that are read ahead of the caller: one is written while the next
-/// arrives. A slow caller holds no more memory than these, however large the response is.
-const STREAM_CHUNKS_AHEAD: usize = 1;
 
 /// The response of a backend server.
 #[derive(Debug)]
@@ -292,7 +289,9 @@
             failed_send: request.failed_send(&grant.server),
             send: Arc::clone(self.admitted_send),
         };
-        let body = stream_body(grant, conn, head, buffered, decoder, pending_send);
+        let deadline = Instant::now() + Duration::from_millis(request.remaining_ms());
+        let stream = ResponseStream { grant, conn, head, decoder, pending_send, deadline };
+        let body = stream.spawn(buffered);
         SendResult::Answered(ServerResponse { status, headers, body })
     }
 }
@@ -327,7 +326,7 @@
 }
 
 /// Returns the connection to the pool if the response is complete and the server keeps it open.
-fn return_connection(
+pub(super) fn return_connection(
     grant: &Grant,
     mut conn: ServerConn,
     head: &ResponseHead,
@@ -348,40 +347,3 @@
     }
     forwarded
 }
-
-/// Streams a large response to the caller while it is read.
-fn stream_body(
-    grant: Grant,
-    mut conn: ServerConn,
-    head: ResponseHead,
-    first: Bytes,
-    mut decoder: BodyDecoder,
-    pending_send: PendingSend,
-) -> ReplyBody {
-    let (sender, chunks) = mpsc::channel(STREAM_CHUNKS_AHEAD);
-    let bytes = head.body_bytes();
-    let reader = TaskGuard::spawn(async move {
-        let mut chunk = Some(first);
-        while let Some(bytes) = chunk {
-            if sender.send(Ok(bytes)).await.is_err() {
-                return;
-            }
-            chunk = match conn.read_body(&mut decoder).await {
-                Ok(chunk) => chunk,
-                Err(error) => {
-                    grant.finish(SendOutcome::Broken);
-                    drop(pending_send.record_truncated());
-                    // The receiver is gone if the caller left.
-                    let _ = sender.send(Err(error)).await;
-                    return;
-                }
-            };
-        }
-        return_connection(&grant, conn, &head, &decoder);
-        if !head.status.is_server_error() {
-            pending_send.record_response();
-        }
-        grant.finish(SendOutcome::Answered);
-    });
-    ReplyBody::Streamed { chunks, bytes, reader }
-}
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -38,6 +38,7 @@
 pub use raw_server::LARGE_BYTES;
 pub use raw_server::RawServer;
 pub use raw_server::ReportedLimit;
+pub use raw_server::STALLED_AFTER_BYTES;
 pub use relay_fleet::FleetSize;
 pub use relay_fleet::InstanceFault;
 pub use relay_fleet::LastWrite;
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -28,6 +28,8 @@
 /// Body size of a large response: more than all socket buffers on the path can hold.
 pub const LARGE_BYTES: usize = 64 << 20;
 const LARGE_PIECE_BYTES: usize = 64 << 10;
+/// Bytes of a large body before its server falls silent: more than an instance buffers.
+pub const STALLED_AFTER_BYTES: usize = 512 << 10;
 
 /// How the server responds to a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,6 +60,9 @@
     AnswerEarly,
     /// Responds with a body of [`LARGE_BYTES`], as fast as the client reads.
     AnswerLarge,
+    /// As `AnswerLarge`, with chunked encoding or a length, but falls silent after
+    /// [`STALLED_AFTER_BYTES`] of the body.
+    StallMidway { chunked: bool },
 }
 
 /// Rate limit that a server advertises.
@@ -482,6 +487,11 @@
             return stream.write_all(head.as_bytes()).await.is_ok()
                 && write_large(stream, shared).await;
         }
+        Behaviour::StallMidway { chunked } => {
+            let _ = stream.write_all(&first_part(&headers, chunked)).await;
+            std::future::pending::<()>().await;
+            (String::new(), false)
+        }
         Behaviour::Silent => {
             std::future::pending::<()>().await;
             (String::new(), false)
@@ -496,6 +506,19 @@
     head.text.contains(&rule.head_contains).then_some(rule)
 }
 
+/// The head of a large response and the first part of its body.
+fn first_part(headers: &str, chunked: bool) -> Vec<u8> {
+    let part = vec![b'x'; STALLED_AFTER_BYTES];
+    let framing = if chunked {
+        format!("transfer-encoding: chunked\r\n\r\n{STALLED_AFTER_BYTES:x}\r\n")
+    } else {
+        format!("content-length: {LARGE_BYTES}\r\n\r\n")
+    };
+    let mut bytes = format!("HTTP/1.1 200 OK\r\n{headers}{framing}").into_bytes();
+    bytes.extend_from_slice(&part);
+    bytes
+}
+
 /// Writes the body of a large response. Returns `false` if the connection was closed.
 async fn write_large(stream: &mut TcpStream, shared: &Shared) -> bool {
     let piece = vec![b'x'; LARGE_PIECE_BYTES];
