The body that another instance sends ends at the deadline, too

What callers see: a request that one instance forwards to another never ends if that one freezes or is cut off midway through a large body.

Fix: `PeerBody` has the deadline, so it holds for the gateway and for the product's own interface. Bytes that have arrived are passed on; only a wait for more ends then.

Test: peer_responses::body_whose_instance_falls_silent_ends_at_the_deadline. Red with the deadline taken out of `poll_bytes` (still open half a second after it), green with it. The other tests that forward name a deadline now.

--- a/src/gateway/peer_forwarder.rs
+++ b/src/gateway/peer_forwarder.rs
@@ -10,6 +10,7 @@
 use log::info;
 use rand::seq::SliceRandom;
 use smallvec::SmallVec;
+use tokio::time::Instant;
 
 use super::Caller;
 use super::forward_request::ForwardRequest;
@@ -76,9 +77,10 @@
             }
             let head = self.head(request, config_version, sends, counted);
             let began_us = now_us();
-            let remaining = Duration::from_micros(head.remaining_us) + REPLY_GRACE;
-            let offered = self.offer(&peer, &head, &request.body);
-            let result = tokio::time::timeout(remaining, offered).await;
+            let remaining = Duration::from_micros(head.remaining_us);
+            let deadline = Instant::now() + remaining + REPLY_GRACE;
+            let offered = self.offer(&peer, &head, &request.body, deadline);
+            let result = tokio::time::timeout_at(deadline, offered).await;
             let result = result.unwrap_or(PeerForwardResult::Lost(Code::DeadlineAfterDispatch));
             info!(
                 event = "peer-forward", id = request.id_text(), service = &*request.service,
@@ -138,8 +140,9 @@
         peer: &MemberRow,
         head: &PeerForwardHead,
         body: &Bytes,
+        deadline: Instant,
     ) -> PeerForwardResult {
-        match self.links.forward(peer.peer_address, head, body).await {
+        match self.links.forward(peer.peer_address, head, body, deadline).await {
             Ok(reply) if reply.head.code == Code::PeerDeclined.number() => {
                 PeerForwardResult::Declined
             }
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
 
 use super::ForwardReply;
 use super::ForwardReplyHead;
@@ -195,12 +196,13 @@
         }
     }
 
-    /// Forwards a request and waits for the head of the response.
+    /// Forwards a request and waits for the head of the response, whose body ends by `deadline`.
     pub(super) async fn forward(
         &self,
         secret: &str,
         head: &impl Message,
         body: &Bytes,
+        deadline: Instant,
         connect_timeout: Duration,
     ) -> Result<ForwardReply, PeerError> {
         self.last_used_us.store(now_us(), Ordering::Relaxed);
@@ -212,7 +214,7 @@
         let mut rest = self.send_request(secret, "/pass", frame, body, connect_timeout).await?;
         let (head, first) =
             read_prefixed::<ForwardReplyHead>(&mut rest).await.ok_or(PeerError::ResponseLost)?;
-        Ok(ForwardReply { head, body: PeerBody::new(first, rest) })
+        Ok(ForwardReply { head, body: PeerBody::new(first, rest, deadline) })
     }
 }
 
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
+use tokio::time::Instant;
 
 use super::ForwardReply;
 use super::Message;
@@ -62,7 +63,8 @@
         Arc::clone(links.entry(address).or_insert_with(|| Arc::new(Link::new(address))))
     }
 
-    /// Forwards a request to another instance. The caller enforces the deadline.
+    /// Forwards a request to another instance. The body of the response ends by `deadline`; the
+    /// caller enforces it until then.
     ///
     /// # Errors
     /// The error tells whether the request may have arrived.
@@ -71,8 +73,9 @@
         address: SocketAddr,
         head: &impl Message,
         body: &Bytes,
+        deadline: Instant,
     ) -> Result<ForwardReply, PeerError> {
-        self.link(address).forward(&self.secret, head, body, CONNECT_TIMEOUT).await
+        self.link(address).forward(&self.secret, head, body, deadline, CONNECT_TIMEOUT).await
     }
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -40,4 +40,5 @@
 pub use message::zone_hash;
 pub use packed::Packed;
 pub use peer_body::PeerBody;
+pub use peer_body::PeerBodyError;
 pub use peer_client::PeerClient;
--- a/src/route/answer.rs
+++ b/src/route/answer.rs
@@ -28,6 +28,7 @@
 use crate::peer::ForwardReply;
 use crate::peer::ForwardReplyHead;
 use crate::peer::PeerBody;
+use crate::peer::PeerBodyError;
 use crate::peer::PeerError;
 use crate::quarantine::PendingSend;
 
@@ -60,7 +61,7 @@
     /// The connection to the backend server failed.
     Upstream(hyper::Error),
     /// The connection to the instance that ran the request failed.
-    Peer(h2::Error),
+    Peer(PeerBodyError),
     /// The body was not complete at the request's deadline.
     Deadline,
 }
--- a/src/route/runner.rs
+++ b/src/route/runner.rs
@@ -6,6 +6,7 @@
 
 use log::info;
 use smallvec::SmallVec;
+use tokio::time::Instant;
 
 use super::Answer;
 use super::Outcome;
@@ -165,17 +166,19 @@
         stage: ForwardStage,
     ) -> Result<Answer, PeerError> {
         let head = proxy_request.forward_head(stage);
-        let within = Duration::from_micros(proxy_request.remaining_us()) + FORWARD_GRACE;
+        let remaining = Duration::from_micros(proxy_request.remaining_us());
+        let deadline = Instant::now() + remaining + FORWARD_GRACE;
         let buffer_bytes = self.board.settings.requests.answer_buffer_bytes;
         let forwarded = async {
-            let reply = self.links.forward(to.peer_address, &head, &proxy_request.body).await?;
+            let body = &proxy_request.body;
+            let reply = self.links.forward(to.peer_address, &head, body, deadline).await?;
             if let Some(state) = self.board.services().get(&proxy_request.service) {
                 state.runtime.record_free_slots(to.incarnation, reply.head.free_slots);
                 state.runtime.slot_queue.redirect_waiters(reply.head.free_slots);
             }
             Answer::from_peer(reply, buffer_bytes).await
         };
-        let answer = tokio::time::timeout(within, forwarded)
+        let answer = tokio::time::timeout_at(deadline, forwarded)
             .await
             .map_err(|_| PeerError::ResponseLost)??;
         self.board.counters.add(Counter::Passed);
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -317,7 +317,9 @@
             stage: ForwardStage::Home,
             remaining_us: 2_000_000,
         };
-        let passed = links.forward(board.settings.listen.peer, &head, &bytes::Bytes::new()).await;
+        let deadline = tokio::time::Instant::now() + Duration::from_secs(2);
+        let to = board.settings.listen.peer;
+        let passed = links.forward(to, &head, &bytes::Bytes::new(), deadline).await;
         assert!(passed.is_ok());
         let repeat = caller.call(&order(&id).with_key(&key)).await;
         assert_at_most_once(&bed, &HashMap::from([(id, vec![repeat])]));
--- a/tests/peer_forward.rs
+++ b/tests/peer_forward.rs
@@ -89,7 +89,9 @@
     async fn forward(&self, to: usize, head: &PeerForwardHead) -> ForwardReplyHead {
         let board = self.fleet.board(to);
         let links = Links::new(&board.settings.peers.secret);
-        let forwarded = links.forward(board.settings.listen.peer, head, &Bytes::new()).await;
+        let deadline = tokio::time::Instant::now() + WAIT;
+        let to = board.settings.listen.peer;
+        let forwarded = links.forward(to, head, &Bytes::new(), deadline).await;
         forwarded.expect("a reply").head
     }
 }
--- a/tests/peer_responses.rs
+++ b/tests/peer_responses.rs
@@ -23,12 +23,28 @@
 use sorrelwick::quarantine::Fingerprints;
 use sorrelwick::route::AnswerBody;
 use sorrelwick::route::Outcome;
+use tokio::time::Instant;
 
 const PIPE_BYTES: usize = 64 << 10;
 const HALF: &[u8] = b"half of a response";
+/// Time that the request allows.
+const TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after the deadline within which a body must have ended.
+const END_GRACE: Duration = Duration::from_millis(500);
 
-/// A body that yields [`HALF`] and then, without a pause, an error.
-async fn broken_body() -> AnswerBody {
+fn deadline() -> Instant {
+    Instant::now() + TIMEOUT
+}
+
+/// What a stand-in instance does after it sent [`HALF`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AfterHalf {
+    Break,
+    FallSilent,
+}
+
+/// A body that yields [`HALF`] and then, without a pause, an error or nothing more.
+async fn half_body(then: AfterHalf) -> AnswerBody {
     let (near, far) = tokio::io::duplex(PIPE_BYTES);
     tokio::spawn(async move {
         let mut connection = h2::server::handshake(far).await.expect("a connection");
@@ -37,7 +53,10 @@
         stream.send_data(Bytes::from_static(HALF), false).expect("open");
         tokio::spawn(async move { connection.accept().await.is_none() });
         tokio::time::sleep(Duration::from_millis(10)).await;
-        stream.send_reset(h2::Reason::INTERNAL_ERROR);
+        match then {
+            AfterHalf::Break => stream.send_reset(h2::Reason::INTERNAL_ERROR),
+            AfterHalf::FallSilent => std::future::pending().await,
+        }
     });
     let (mut sender, connection) = h2::client::handshake(near).await.expect("a connection");
     tokio::spawn(connection);
@@ -45,7 +64,7 @@
     let rest = response.await.expect("a response").into_body();
     // The half and the reset arrive meanwhile.
     tokio::time::sleep(Duration::from_millis(50)).await;
-    AnswerBody::Peer(PeerBody::new(Bytes::new(), rest))
+    AnswerBody::Peer(PeerBody::new(Bytes::new(), rest, deadline()))
 }
 
 /// Answers one forwarded request with a prepared body.
@@ -110,9 +129,10 @@
     let links = Links::new("");
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let service = PreparedResponse(Arc::new(Mutex::new(Some(broken_body().await))));
+    let service = PreparedResponse(Arc::new(Mutex::new(Some(half_body(AfterHalf::Break).await))));
     let _listener = PeerListener::spawn(listener, links.secret().into(), service);
-    let reply = links.forward(address, &request_head(), &Bytes::new()).await.expect("the head");
+    let reply =
+        links.forward(address, &request_head(), &Bytes::new(), deadline()).await.expect("the head");
     assert_eq!(reply.head.status, 200);
     let mut body = AnswerBody::Peer(reply.body);
     let mut received = Vec::new();
@@ -125,3 +145,15 @@
     assert_eq!(received, HALF);
     assert!(matches!(ended, Some(Err(_))), "a broken body looks complete");
 }
+
+/// Guards against a caller that waits for good for the rest of a response, because the instance that
+/// serves its request froze or was cut off midway.
+#[tokio::test]
+async fn body_whose_instance_falls_silent_ends_at_the_deadline() {
+    let began = Instant::now();
+    let body = half_body(AfterHalf::FallSilent).await;
+    let ended = tokio::time::timeout(TIMEOUT + END_GRACE, body.collect()).await;
+    let ended = ended.expect("the body ends");
+    assert!(ended.is_err(), "half of a body looks complete");
+    assert!(began.elapsed() >= TIMEOUT, "{:?}", began.elapsed());
+}
