A copy hands on each event up to its revision, also one that it reflected before

Cause, as the reviewer guessed, now by logs: an instance that starts reads the list of servers in three pages and takes the revision of the first (1090). Servers leave meanwhile (1091 to 1093), the last page lacks them. Its watch then brings 1091 to 1093; `MirrorState::removed` drops them, as the content reflects them, before they reach the recent events for peers. It tells another instance, which has 1091 from its own watch: no changes, up to 1093. Evidence: with the new line `peer-answer-applied`, on the code before: 0 changes, 1091 to 1093, at both other instances, 0.1 s after the removals; neither has `server-unlisted` for the other two servers. Writes, such as a server that starts to drain, were lost in the same way.

Fix: an event beyond the revision is appended to the recent ones whether or not it changes the content; the invariant stands beside the field. So whatever a read showed too early, the event itself is handed on when it comes. The messages between instances stay as they are. Samples of the list count as changed at such an event.

--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -258,6 +258,7 @@
 
     /// Applies a peer's answer; returns whether the peer's mirror is fresh.
     pub(super) fn apply_answer(&self, answer: FeedAnswer) -> bool {
+        self.log_advance(&answer);
         let upto = match answer.reply {
             FeedReply::Events { events, revision } => {
                 self.board.record_store_era(revision.era);
@@ -290,6 +291,25 @@
         answer.age <= FRESH_AGE_MAX
     }
 
+    /// Logs an answer that takes the mirror to a later revision.
+    fn log_advance(&self, answer: &FeedAnswer) {
+        let (kind, changes, upto) = match &answer.reply {
+            FeedReply::Events { events, revision } => ("events", events.len(), *revision),
+            FeedReply::Snapshot { items, revision } => ("snapshot", items.len(), *revision),
+            FeedReply::Unknown => return,
+        };
+        let known = self.mirror.revision();
+        if known >= Some(upto) {
+            return;
+        }
+        info!(
+            event = "peer-answer-applied", prefix = self.prefix, kind = kind, changes = changes,
+            known_revision = known.map(|known| known.number), revision = upto.number,
+            age_ms = answer.age.as_millis();
+            "a peer took the copy to a later revision"
+        );
+    }
+
     /// Cross-checks with other watchers periodically, until the process ends.
     ///
     /// A watch whose connection went silent, or that the store rejects, would hide changes from the
--- a/src/gateway/mirror_sample.rs
+++ b/src/gateway/mirror_sample.rs
@@ -64,12 +64,13 @@
     /// Redraws all samples in use; returns the current revision if one changed.
     pub(super) fn refresh_samples(&mut self) -> Option<Revision> {
         let revision = self.revision?;
+        let reflected_early = std::mem::take(&mut self.reflected_early);
         let zones: Vec<u64> = self.samples.keys().copied().collect();
         let mut any = None;
         for zone in zones {
             let items = self.sample_items(zone);
             if let Some(sample) = self.samples.get_mut(&zone)
-                && *sample.items != items
+                && (reflected_early || *sample.items != items)
             {
                 *sample = Sample { items: items.into(), changed_at: revision };
                 any = Some(revision);
--- a/src/gateway/mirror_state.rs
+++ b/src/gateway/mirror_state.rs
@@ -23,16 +23,22 @@
 pub(super) struct MirrorState<K> {
     pub(super) sink: K,
     pub(super) items: HashMap<String, Item>,
-    /// The events after `recent_after`, in order.
+    /// The events after `recent_after`, in order. It holds each event up to `revision`, also those
+    /// that the content reflected before they came: peers that ask for changes learn of an event
+    /// only from here.
     recent: VecDeque<ItemEvent>,
     /// Revision after which `recent` is complete.
     recent_after: Revision,
-    /// Revision up to which the mirror is complete; `None` before the first load.
+    /// Revision up to which the mirror is complete; `None` before the first load. The content may
+    /// reflect later changes too: the pages of a read show those made while it was under way.
     pub(super) revision: Option<Revision>,
     /// Whether the mirror follows all keys, not just a sample.
     pub(super) full: bool,
     /// The samples that are served, by zone hash.
     pub(super) samples: HashMap<u64, Sample>,
+    /// Whether the content reflected an event before it came, since the samples were last redrawn.
+    /// They then changed at that event, even if they were drawn from the same content.
+    pub(super) reflected_early: bool,
     /// Replies cached since the last change; valid only at `revision`.
     reply_cache: ReplyCache,
 }
@@ -56,6 +62,7 @@
             revision: None,
             full: true,
             samples: HashMap::new(),
+            reflected_early: false,
             reply_cache: ReplyCache::default(),
         }
     }
@@ -101,12 +108,16 @@
 
     /// Applies a write unless the mirror has it or a newer one.
     pub(super) fn written(&mut self, item: &Item) {
+        if self.covers(item.revision) {
+            return;
+        }
+        self.push_recent(ItemEvent::Written(item.clone()));
         let newer = self.items.get(&item.key).is_none_or(|known| known.revision < item.revision);
-        if self.covers(item.revision) || !newer {
+        if !newer {
+            self.reflected_early = true;
             return;
         }
         let before = self.items.insert(item.key.clone(), item.clone());
-        self.push_recent(ItemEvent::Written(item.clone()));
         // The sink has the value already if only a provisional item is confirmed.
         let confirms =
             |before: Item| before.revision == Revision::default() && before.value == item.value;
@@ -125,12 +136,16 @@
 
     /// Applies a removal unless the mirror has it or a newer write.
     pub(super) fn removed(&mut self, key: &str, revision: Revision, grace: Duration) {
+        if self.covers(revision) {
+            return;
+        }
+        self.push_recent(ItemEvent::Removed { key: key.to_owned(), revision });
         let older = self.items.get(key).is_some_and(|known| known.revision <= revision);
-        if self.covers(revision) || !older {
+        if !older {
+            self.reflected_early = true;
             return;
         }
         self.items.remove(key);
-        self.push_recent(ItemEvent::Removed { key: key.to_owned(), revision });
         self.sink.removed(key, grace);
     }
 
