A sample of the servers takes up servers that were listed before

What callers see: an instance that holds only a sample of the server list (most of a large fleet) refuses requests for lack of servers.

Cause: the sample's holder took its revision for proof that it had each key up to it, as a full copy does; a server that comes into the sample because another one left is usually listed long before, and was dropped as old. So the sample shrank with each server that left. Fix: a sample covers no revision; instead, a whole sample that is older than the one held is ignored, so that a late answer still restores nothing.

Beside it: such an instance was to drop its servers once it hears of no change any more, by a replacement at its own revision, which the same check made void. `Mirror::clear` does it now, but only while no other instance answers at all: peers that answer and are not fresh tell of a store outage, in which no server leaves, and dropping them there would refuse callers.

Tests, both red before (no server held; the server still held): mirror_schedules:: sample_takes_up_servers_that_were_listed_before, ..::cleared_mirror_uses_no_server.

--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -167,7 +167,7 @@
     }
 
     /// Keeps a sample of the servers in sync while this instance does not hold the full list. It
-    /// never calls the store: once no peer was fresh for as long as a removed server may still be
+    /// never calls the store: once no peer has answered for as long as a removed server may still be
     /// used, it drops all servers.
     pub(super) async fn sync_sample(&self) {
         let zone = zone_hash(&self.board.settings.instance.zone);
@@ -176,9 +176,13 @@
             return;
         }
         let polled = self.poll_peers(feed, fallback_peers(&self.board), REQUEST_TIMEOUT).await;
-        if !polled.fresh && self.mirror.age() >= self.stale_max {
-            self.mirror.replace(&[], self.mirror.revision().unwrap_or_default(), Duration::ZERO);
-            self.mirror.reset(false);
+        // Peers that answer and are not fresh report a store outage, in which no server leaves.
+        let isolated = !polled.fresh && polled.stale_peers == 0;
+        if isolated && self.mirror.age() >= self.stale_max && self.mirror.clear() > 0 {
+            info!(
+                event = "copy-dropped", prefix = self.prefix, age_ms = self.mirror.age().as_millis();
+                "no peer answers: which servers still exist is not known"
+            );
         }
         tokio::time::sleep(POLL_PAUSE).await;
     }
--- a/src/gateway/mirror.rs
+++ b/src/gateway/mirror.rs
@@ -85,6 +85,20 @@
         self.revision.send_replace(None);
     }
 
+    /// Removes all keys, as which of them still exist is not known any more, and returns how many
+    /// there were. The next load replaces the content.
+    pub fn clear(&self) -> usize {
+        let mut state = self.state.lock();
+        let full = state.full;
+        state.sink.begin_batch(false);
+        let removed = state.clear();
+        state.sink.end_batch(Revision::default());
+        state.reset(full);
+        drop(state);
+        self.revision.send_replace(None);
+        removed
+    }
+
     /// Registers a watch that waits in the store, until the guard is dropped.
     pub fn start_watch(&self) -> WatchGuard<'_> {
         self.active_watches.fetch_add(1, Ordering::AcqRel);
@@ -186,6 +200,9 @@
     /// Replaces the content by all keys, as they were read at revision `read_at` or later.
     pub fn replace(&self, items: &[Item], read_at: Revision, grace: Duration) {
         let mut state = self.state.lock();
+        if state.is_outdated_sample(read_at) {
+            return;
+        }
         let restored = state.revision.is_some_and(|known| known.era < read_at.era);
         state.sink.begin_batch(restored);
         for item in by_revision(items) {
--- a/src/gateway/mirror_state.rs
+++ b/src/gateway/mirror_state.rs
@@ -101,9 +101,23 @@
     }
 
     /// Whether the mirror already includes the change at `revision`. Without this check, a late
-    /// answer would restore what was removed since.
+    /// answer would restore what was removed since. A sample lacks most keys, whatever its revision.
     fn covers(&self, revision: Revision) -> bool {
-        self.revision.is_some_and(|complete| revision <= complete)
+        self.full && self.revision.is_some_and(|complete| revision <= complete)
+    }
+
+    /// Whether a sample that was drawn at `revision` is older than the one that is held.
+    pub(super) fn is_outdated_sample(&self, revision: Revision) -> bool {
+        !self.full && self.revision.is_some_and(|known| revision < known)
+    }
+
+    /// Removes all keys and returns how many there were.
+    pub(super) fn clear(&mut self) -> usize {
+        let keys: Vec<String> = self.items.drain().map(|(key, _)| key).collect();
+        for key in &keys {
+            self.sink.removed(key, Duration::ZERO);
+        }
+        keys.len()
     }
 
     /// Applies a write unless the mirror has it or a newer one.
--- a/tests/mirror_schedules.rs
+++ b/tests/mirror_schedules.rs
@@ -53,9 +53,9 @@
         let key = format!("k{}", u.int_in_range(0..=4)?);
         let there = self.items(self.events.len()).contains_key(&key);
         if there && u.ratio(1, 3)? {
-            self.remove(&key)
+            self.remove(&key);
         } else {
-            self.write(&key)
+            self.write(&key);
         }
         Ok(())
     }
@@ -147,13 +147,13 @@
 }
 
 /// A store and three mirrors of it.
-struct Mirrors {
+struct MirrorBed {
     store: Store,
     sinks: [RecordingSink; 3],
     mirrors: [Mirror<RecordingSink>; 3],
 }
 
-impl Mirrors {
+impl MirrorBed {
     fn new() -> Self {
         let sinks = [(); 3].map(|()| RecordingSink::default());
         let mirrors = sinks.each_ref().map(|sink| Mirror::new(sink.clone()));
@@ -200,7 +200,7 @@
 #[test]
 fn mirrors_converge_when_keys_change_between_pages() {
     common::property(1_000, |u| {
-        let mut bed = Mirrors::new();
+        let mut bed = MirrorBed::new();
         for _ in 0..u.int_in_range(2..=8)? {
             bed.read_in_pages(u)?;
             for _ in 0..u.int_in_range(0..=6)? {
@@ -258,3 +258,44 @@
         FeedReply::Unknown => {}
     }
 }
+
+/// A mirror that holds a sample, with what it told its sink.
+fn sample_holder() -> (Mirror<RecordingSink>, RecordingSink) {
+    let sink = RecordingSink::default();
+    let holder = Mirror::new(sink.clone());
+    holder.reset(false);
+    (holder, sink)
+}
+
+fn item(key: &str, revision: u64) -> Item {
+    Item { key: key.to_owned(), value: Vec::new(), revision: Revision::new(0, revision) }
+}
+
+/// Guards against an instance that runs out of servers: those that came into its sample were listed
+/// long before, and it took its revision for proof that it had them.
+#[test]
+fn sample_takes_up_servers_that_were_listed_before() {
+    let (holder, sink) = sample_holder();
+    holder.replace(&[item("k2", 2)], Revision::new(0, 5), Duration::ZERO);
+    holder.replace(&[item("k1", 1)], Revision::new(0, 6), Duration::ZERO);
+    // A late answer of another relay, from before.
+    holder.replace(&[item("k2", 2)], Revision::new(0, 5), Duration::ZERO);
+    let keys: Vec<String> = sink.values.lock().keys().cloned().collect();
+    assert_eq!(keys, ["k1"]);
+}
+
+/// Guards against an instance that uses servers for good once it hears of no change any more: it
+/// was to drop them, but took the removal at its own revision for an old one.
+#[test]
+fn cleared_mirror_uses_no_server() {
+    let (holder, sink) = sample_holder();
+    holder.replace(&[item("k1", 1)], Revision::new(0, 5), Duration::ZERO);
+    holder.clear();
+    assert!(sink.values.lock().is_empty());
+    // It held the full list until now, and no sample yet.
+    holder.reset(true);
+    holder.replace(&[item("k1", 1)], Revision::new(0, 5), Duration::ZERO);
+    holder.reset(false);
+    holder.clear();
+    assert!(sink.values.lock().is_empty());
+}
