A connection on which something was refused without an id carries no further request

Cause: the rejection of a health check has no id. Its duplicate arrives where the response to an order is expected, and `ResponseMatcher` takes a response without an id that says "not run" for the refusal of that order. Fix: such a response is still taken for the request that was sent, but its connection carries nothing more, whatever the request was. The invariant stands beside `ResponseHead::keeps_open`. To demand the id was weighed: a server that refuses without it would look silent.

--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -65,7 +65,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     framing: Framing,
-    /// Whether the server keeps the connection open after this response.
+    /// Whether the connection can carry another request: the server keeps it open, the request was
+    /// sent whole, and no duplicate of this response can pass for the next one.
     keeps_open: bool,
 }
 
@@ -83,15 +84,20 @@
     fn matches(&self, head: &ResponseHead) -> bool {
         match (self.id, head.headers.get(self.id_header)) {
             (Some(id), Some(echoed)) => id == echoed,
-            (Some(_), None) => {
-                head.headers.contains_key(self.not_run_header)
-                    || head.status == StatusCode::MISDIRECTED_REQUEST
-            }
+            (Some(_), None) => self.is_unidentified_refusal(head),
             // No id was sent: a response with one is a late response to an earlier request, and
             // reports outdated load and health.
             (None, echoed) => echoed.is_none(),
         }
     }
+
+    /// Whether a response refuses a request and does not tell which. A duplicate of it would match
+    /// the next request on the connection, which may have run.
+    fn is_unidentified_refusal(&self, head: &ResponseHead) -> bool {
+        let refuses = head.headers.contains_key(self.not_run_header)
+            || head.status == StatusCode::MISDIRECTED_REQUEST;
+        refuses && !head.headers.contains_key(self.id_header)
+    }
 }
 
 /// A connection that carries one exchange at a time.
@@ -278,11 +284,12 @@
     matcher: ResponseMatcher<'_>,
 ) -> Result<ResponseHead, ExchangeError> {
     for _ in 0..=STALE_RESPONSES_MAX {
-        let head = read_head(reader, input).await?;
+        let mut head = read_head(reader, input).await?;
         if head.status.is_informational() {
             continue;
         }
         if matcher.matches(&head) {
+            head.keeps_open &= !matcher.is_unidentified_refusal(&head);
             return Ok(head);
         }
         skip_body(reader, input, &head).await?;
--- a/standins/src/routed/raw_server.rs
+++ b/standins/src/routed/raw_server.rs
@@ -88,6 +88,7 @@
     reported_limit: Mutex<Option<ReportedLimit>>,
     retry_after: Mutex<Option<Duration>>,
     draining: AtomicBool,
+    rejects_health_checks_twice: AtomicBool,
     slowdown_percent: AtomicU32,
     /// Ids of the requests that were run, in order.
     ran_ids: Mutex<Vec<String>>,
@@ -140,6 +141,7 @@
             reported_limit: Mutex::default(),
             retry_after: Mutex::default(),
             draining: AtomicBool::new(false),
+            rejects_health_checks_twice: AtomicBool::new(false),
             slowdown_percent: AtomicU32::new(100),
             ran_ids: Mutex::default(),
             request_heads: Mutex::default(),
@@ -205,6 +207,12 @@
         self.shared.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Sets whether the server rejects health checks from now on, with the header that says that they
+    /// were not run, and sends the rejection again when the next request arrives on the connection.
+    pub fn reject_health_checks_twice(&self, rejects: bool) {
+        self.shared.rejects_health_checks_twice.store(rejects, Ordering::Relaxed);
+    }
+
     /// Sets the `Retry-After` of responses that say that the request was not run.
     pub fn set_retry_after(&self, retry_after: Option<Duration>) {
         *self.shared.retry_after.lock() = retry_after;
@@ -366,7 +374,14 @@
             return;
         }
         if is_health_check {
-            if stream.write_all(health_response(&shared).await.as_bytes()).await.is_err() {
+            let mut response = health_response(&shared).await;
+            if shared.rejects_health_checks_twice.load(Ordering::Relaxed) {
+                let not_run = &shared.header_names.not_run;
+                response =
+                    format!("HTTP/1.1 503 Busy\r\n{not_run}: 1\r\ncontent-length: 0\r\n\r\n");
+                stale_response = Some(response.clone());
+            }
+            if stream.write_all(response.as_bytes()).await.is_err() {
                 return;
             }
             continue;
--- a/tests/gateway_requests.rs
+++ b/tests/gateway_requests.rs
@@ -94,6 +94,32 @@
     }
 }
 
+/// Guards against an order that runs although its caller is told that it did not, or that runs
+/// twice: the rejection of a health check has no id, and its duplicate, which arrives where the
+/// response to the order is expected, says that the order was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn duplicate_rejection_of_a_health_check_is_not_taken_for_a_refusal() {
+    let (bed, _, orders) = start_one_of_each().await;
+    orders.reject_health_checks_twice(true);
+    let until = Instant::now() + Duration::from_secs(5);
+    let mut refused = Vec::new();
+    for number in 0.. {
+        let id = format!("order-{number}");
+        let response = bed.call(0, "POST /order/a", &id, &[]).await;
+        assert!(run_count(&orders, &id) <= 1, "{id} ran twice");
+        if response.status == 503 {
+            refused.push(id);
+        }
+        if Instant::now() > until {
+            break;
+        }
+    }
+    assert!(!orders.ran_ids().is_empty());
+    for id in refused {
+        assert_eq!(run_count(&orders, &id), 0, "{id} ran, and its caller was told otherwise");
+    }
+}
+
 /// Guards against the rest of a request body being read as the next request, after the server
 /// responded before reading the whole body and the connection was reused.
 #[tokio::test(flavor = "multi_thread")]
