The slot of a streamed answer is released at the deadline, also while its caller does not read

At the product's own interface a caller that stopped reading a large answer kept its server's slot for good: the deadline was looked at only when the body was polled, and a body is not polled while the caller's connection takes nothing. Now a task releases slot and connection at the deadline; whether the server or the caller is behind decides what it says of the server. `UpstreamBody` has a file of its own.

Test, red before (60 s, the slot is not released): whole_answer:: caller_that_stops_reading_releases_its_slot_at_the_deadline.

--- a/src/route/answer.rs
+++ b/src/route/answer.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -12,16 +11,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use hyper::body::Frame;
-use hyper::body::Incoming;
 use hyper::body::SizeHint;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::time::Sleep;
 
-use super::PooledConn;
-use super::Slot;
+use super::UpstreamBody;
 use super::fields;
-use crate::decide::AttemptOutcome;
 use crate::errors::Code;
 use crate::outcome::RecordedAnswer;
 use crate::outcome::RecordedOutcome;
@@ -30,7 +25,6 @@
 use crate::peer::PeerBody;
 use crate::peer::PeerBodyError;
 use crate::peer::PeerError;
-use crate::quarantine::PendingSend;
 
 /// Whether a request ran; the caller reads it in the `sorrelwick-outcome` header.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -78,47 +72,6 @@
 
 impl std::error::Error for BodyError {}
 
-/// A body that is streamed from a backend server. Its slot stays taken until the last byte, and
-/// its connection returns to the pool only after a complete answer.
-#[derive(Debug)]
-pub struct UpstreamBody {
-    incoming: Incoming,
-    /// `None` once the body has ended.
-    resources: Option<(Slot, PooledConn, PendingSend)>,
-    /// Fires at the request's deadline, which covers the whole answer: without it, a server that
-    /// stalls in the middle would hold its slot and its caller forever.
-    deadline: Pin<Box<Sleep>>,
-}
-
-impl UpstreamBody {
-    pub(super) fn new(
-        incoming: Incoming,
-        slot: Slot,
-        conn: PooledConn,
-        remaining: Duration,
-        pending_send: PendingSend,
-    ) -> Self {
-        let deadline = Box::pin(tokio::time::sleep(remaining));
-        Self { incoming, resources: Some((slot, conn, pending_send)), deadline }
-    }
-
-    /// Releases the slot, and after a complete answer also the connection.
-    fn release(&mut self, complete: bool) {
-        let Some((slot, conn, pending_send)) = self.resources.take() else {
-            return;
-        };
-        if complete {
-            conn.return_to_pool();
-            pending_send.record_response();
-            let latency_us = slot.elapsed_us();
-            slot.release(AttemptOutcome::Answered { latency_us });
-        } else {
-            slot.release(AttemptOutcome::Failed);
-            drop(pending_send.record_truncated());
-        }
-    }
-}
-
 /// The body of an answer. One that is cut short ends with an error, never as if it were complete.
 #[derive(Debug)]
 pub enum AnswerBody {
@@ -141,19 +94,7 @@
         match self.get_mut() {
             Self::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Buffered(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Upstream(body) => {
-                if body.deadline.as_mut().poll(cx).is_ready() {
-                    body.release(false);
-                    return Poll::Ready(Some(Err(BodyError::Deadline)));
-                }
-                let polled = Pin::new(&mut body.incoming).poll_frame(cx);
-                match &polled {
-                    Poll::Ready(None) => body.release(true),
-                    Poll::Ready(Some(Err(_))) => body.release(false),
-                    _ => {}
-                }
-                polled.map_err(BodyError::Upstream)
-            }
+            Self::Upstream(body) => Pin::new(body).poll_frame(cx),
             Self::Peer(body) => body.poll_bytes(cx).map_ok(Frame::data).map_err(BodyError::Peer),
         }
     }
@@ -170,7 +111,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Upstream(body) => body.incoming.size_hint(),
+            Self::Upstream(body) => body.size_hint(),
             Self::Peer(_) => SizeHint::default(),
         }
     }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -19,6 +19,7 @@
 mod slot_queue;
 mod slot_queue_state;
 mod upstream;
+mod upstream_body;
 
 pub use answer::Answer;
 pub use answer::AnswerBody;
@@ -45,3 +46,4 @@
 pub use upstream::Freshness;
 pub use upstream::PooledConn;
 pub use upstream::Upstream;
+pub use upstream_body::UpstreamBody;
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -130,6 +130,33 @@
     assert_eq!((told.outcome(), told.code()), ("unknown", 2202));
 }
 
+/// Guards against a slot that stays taken for good because its caller stopped reading: the end of
+/// the request's time was noticed only while the response was read.
+#[tokio::test(flavor = "multi_thread")]
+async fn caller_that_stops_reading_releases_its_slot_at_the_deadline() {
+    use tokio::io::AsyncReadExt;
+    use tokio::io::AsyncWriteExt;
+    // More than the sockets buffer.
+    const STREAMED_BYTES: usize = 24 << 20;
+    let bed =
+        TestBed::start(TestBedPlan { backends: 1, instances: 1, ..TestBedPlan::default() }).await;
+    bed.create_service("portal").await;
+    let to = bed.caller_addresses()[0];
+    let mut stream = tokio::net::TcpStream::connect(to).await.expect("connected");
+    let head = format!(
+        "GET /list?bytes={STREAMED_BYTES}&work_us=100 HTTP/1.1\r\nhost: portal\r\n\
+         sorrelwick-service: portal\r\nx-request-id: stopped\r\n\
+         sorrelwick-timeout-ms: 3000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let begun = stream.read(&mut [0; 1_024]).await.expect("the response begins");
+    assert!(begun > 0);
+    let state = bed.boards()[0].services().get("portal").cloned().expect("in force");
+    let free_slots = || state.runtime.slot_queue.free_slots_and_waiting().0;
+    assert_eq!(free_slots(), 3);
+    standins::bed::wait_until("the slot is released", async || free_slots() == 4).await;
+}
+
 /// A server sends half of a large response and then nothing. Guards against the caller waiting
 /// forever or taking the half for the whole, and against the slot staying in use.
 #[tokio::test(flavor = "multi_thread")]
