A forwarded request whose sender falls silent is given up after its deadline

An instance that froze, or was cut off, while it sent the body of a forwarded request or received the response kept what that request held at the other instance, the memory of its body above all, until the transport gave the connection up; enough of them and others' requests are declined. The same cause as in docs/incidents/download-never-ends.md: the reads and writes between instances had no deadline. Now a forwarded request is served for the time that it has left, and 2 s more for its response to be sent.

Test, red before (5 s, the memory is still held): peer_responses:: request_whose_instance_falls_silent_is_given_up_after_its_deadline.

--- a/src/gateway/peer_forward_head.rs
+++ b/src/gateway/peer_forward_head.rs
@@ -1,9 +1,12 @@
 //! Head of a request that one gateway forwards to another.
 
+use std::time::Duration;
+
 use http::HeaderMap;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::peer::ForwardedHead;
 use crate::peer::Message;
 use crate::quarantine::Fingerprints;
 use crate::workspace::KeyHash;
@@ -37,6 +40,12 @@
 
 impl Message for PeerForwardHead {}
 
+impl ForwardedHead for PeerForwardHead {
+    fn remaining(&self) -> Duration {
+        Duration::from_micros(self.remaining_us)
+    }
+}
+
 /// Headers as pairs for a message between instances.
 pub(super) fn header_pairs(headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
     let pairs = headers.iter();
--- a/src/peer/forward.rs
+++ b/src/peer/forward.rs
@@ -1,5 +1,7 @@
 //! A request that one instance forwards to another, and the response.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,6 +24,12 @@
     Spill,
 }
 
+/// The head of a request that one instance forwards to another.
+pub trait ForwardedHead {
+    /// Time until the deadline when the request was sent.
+    fn remaining(&self) -> Duration;
+}
+
 /// Head of a forwarded request; the body follows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ForwardHead {
@@ -67,4 +75,10 @@
 
 impl Message for ForwardHead {}
 
+impl ForwardedHead for ForwardHead {
+    fn remaining(&self) -> Duration {
+        Duration::from_micros(self.remaining_us)
+    }
+}
+
 impl Message for ForwardReplyHead {}
--- a/src/peer/listener.rs
+++ b/src/peer/listener.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Semaphore;
 
 use super::ForwardReplyHead;
+use super::ForwardedHead;
 use super::PeerReply;
 use super::PeerRequest;
 use super::auth;
@@ -40,13 +41,14 @@
 const AUTH_TIMEOUT: Duration = Duration::from_secs(2);
 /// HTTP/2 flow-control window of one stream; that of a connection is four times as large.
 const WINDOW_BYTES: u32 = 1 << 20;
-/// Longest wait for a truncated response to be sent before its stream is reset.
+/// Longest wait, after the deadline of a request, for its response to be sent before its stream is
+/// reset.
 const RESET_DELAY_MAX: Duration = Duration::from_secs(2);
 
 /// Serves messages of peers.
 pub trait PeerService: Clone + Send + Sync + 'static {
     /// Head of the requests that other instances forward.
-    type ForwardHead: DeserializeOwned + Send;
+    type ForwardHead: DeserializeOwned + ForwardedHead + Send;
     /// Body of the responses to them.
     type Body: Body<Data = Bytes, Error: Send> + Send + Unpin;
     /// Memory for the body of one such request.
@@ -178,6 +180,22 @@
     if !room.try_grow(first.len()) {
         return None;
     }
+    // The other instance may freeze, or be cut off, while it sends the body or receives the response.
+    let time_limit = head.remaining() + RESET_DELAY_MAX;
+    let served = serve_received(head, first, body, room, respond, service);
+    // Dropping what is not served by then resets the stream.
+    tokio::time::timeout(time_limit, served).await.unwrap_or(Some(()))
+}
+
+/// Receives the rest of the body of a forwarded request and serves it; `None` as above.
+async fn serve_received<S: PeerService>(
+    head: S::ForwardHead,
+    first: Bytes,
+    mut body: RecvStream,
+    mut room: S::Room,
+    respond: &mut SendResponse<QueuedBytes>,
+    service: &S,
+) -> Option<()> {
     let mut whole = BytesMut::from(first);
     while let Some(chunk) = read_chunk(&mut body).await {
         let chunk = chunk.ok()?;
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -19,6 +19,7 @@
 pub use forward::ForwardReply;
 pub use forward::ForwardReplyHead;
 pub use forward::ForwardStage;
+pub use forward::ForwardedHead;
 pub use frame::FRAME_MAX_BYTES;
 pub use frame::Message;
 pub use frame::decode;
--- a/tests/peer_responses.rs
+++ b/tests/peer_responses.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +12,7 @@
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use sorrelwick::errors::Code;
-use sorrelwick::peer::FixedRoom;
+use sorrelwick::peer::BodyRoom;
 use sorrelwick::peer::ForwardHead;
 use sorrelwick::peer::ForwardReplyHead;
 use sorrelwick::peer::ForwardStage;
@@ -69,12 +71,37 @@
 
 /// Answers one forwarded request with a prepared body.
 #[derive(Clone)]
-struct PreparedResponse(Arc<Mutex<Option<AnswerBody>>>);
+struct PreparedResponse {
+    body: Arc<Mutex<Option<AnswerBody>>>,
+    /// Requests that hold memory for their bodies.
+    rooms: Arc<AtomicUsize>,
+}
+
+/// Memory for the body of a request, counted until it is dropped.
+struct CountedRoom(Arc<AtomicUsize>);
+
+impl Drop for CountedRoom {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl BodyRoom for CountedRoom {
+    fn try_grow(&mut self, _: usize) -> bool {
+        true
+    }
+}
+
+impl PreparedResponse {
+    fn new(body: AnswerBody) -> Self {
+        Self { body: Arc::new(Mutex::new(Some(body))), rooms: Arc::default() }
+    }
+}
 
 impl PeerService for PreparedResponse {
     type ForwardHead = ForwardHead;
     type Body = AnswerBody;
-    type Room = FixedRoom;
+    type Room = CountedRoom;
 
     async fn handle_control(&self, _: PeerRequest) -> PeerReply {
         PeerReply::Failed(Code::PeerFrame.number())
@@ -90,11 +117,12 @@
             body_bytes: None,
             free_slots: 1,
         };
-        (head, self.0.lock().take().expect("one request"))
+        (head, self.body.lock().take().expect("one request"))
     }
 
-    fn body_room(&self) -> FixedRoom {
-        FixedRoom { free_bytes: PIPE_BYTES }
+    fn body_room(&self) -> CountedRoom {
+        self.rooms.fetch_add(1, Ordering::AcqRel);
+        CountedRoom(Arc::clone(&self.rooms))
     }
 
     fn connection_refused(&self, from: SocketAddr, why: &str) {
@@ -118,7 +146,7 @@
         key: None,
         idempotent: true,
         stage: ForwardStage::Home,
-        remaining_us: 1_000_000,
+        remaining_us: 500_000,
     }
 }
 
@@ -129,7 +157,7 @@
     let links = Links::new("");
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let service = PreparedResponse(Arc::new(Mutex::new(Some(half_body(AfterHalf::Break).await))));
+    let service = PreparedResponse::new(half_body(AfterHalf::Break).await);
     let _listener = PeerListener::spawn(listener, links.secret().into(), service);
     let reply =
         links.forward(address, &request_head(), &Bytes::new(), deadline()).await.expect("the head");
@@ -157,3 +185,25 @@
     assert!(ended.is_err(), "half of a body looks complete");
     assert!(began.elapsed() >= TIMEOUT, "{:?}", began.elapsed());
 }
+
+/// Guards against memory that other instances fill for good: one that froze or was cut off while it
+/// received a response kept what its request held here.
+#[tokio::test]
+async fn request_whose_instance_falls_silent_is_given_up_after_its_deadline() {
+    let links = Links::new("");
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    // More than the windows between instances take.
+    let body = AnswerBody::Buffered(vec![b'x'; 16 << 20].into());
+    let service = PreparedResponse::new(body);
+    let _listener = PeerListener::spawn(listener, links.secret().into(), service.clone());
+    let reply = links.forward(address, &request_head(), &Bytes::new(), deadline()).await;
+    let _unread = reply.expect("the head");
+    let rooms = || service.rooms.load(Ordering::Acquire);
+    assert_eq!(rooms(), 1);
+    let until = Instant::now() + Duration::from_secs(5);
+    while rooms() > 0 {
+        assert!(Instant::now() < until, "the memory is still held");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
