A sample of the servers is dropped only after 5 s without any other instance

The drop that made effective came at the first poll that failed once the copy was a second old: also right after a store outage, or while an instance outlives the relays of its zone and the rest agree on new ones. Callers that reach it then would be refused, where they were served before. What counts now is when another instance last answered.

Test: follower::sample_is_dropped_only_in_lasting_isolation, red with the age of the copy in its place.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -112,6 +112,8 @@
     pub(super) relay_cooldowns: Mutex<RelayCooldowns>,
     /// When this instance last needed the full mirror, on the clock of [`now_us`].
     last_needed_us: AtomicU64,
+    /// When a peer last answered, or the full mirror was dropped, on the clock of [`now_us`].
+    pub(super) last_answer_us: AtomicU64,
     /// When to prove that the mirror is up to date; `None` if no proof is required.
     pub(super) proof_schedule: Option<ProofSchedule>,
 }
@@ -148,6 +150,7 @@
             history_losses: AtomicU32::new(0),
             relay_cooldowns: Mutex::default(),
             last_needed_us: AtomicU64::new(0),
+            last_answer_us: AtomicU64::new(0),
             proof_schedule,
         }
     }
@@ -165,6 +168,7 @@
                 "the full server list is no longer needed"
             );
             self.mirror.reset(false);
+            self.last_answer_us.store(now_us(), Ordering::Release);
             while !self.needs_full_mirror() {
                 self.sync_sample().await;
             }
--- a/src/gateway/follower_relays.rs
+++ b/src/gateway/follower_relays.rs
@@ -1,6 +1,7 @@
 //! How a follower syncs from other instances, and when it falls back to the store.
 
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::info;
@@ -56,6 +57,9 @@
 const OUTAGE_RETRY_INTERVAL: Duration = Duration::from_secs(5);
 /// Number of stale peers at which a store outage is assumed.
 const OUTAGE_STALE_PEERS: usize = 6;
+/// How long an instance uses a sample of the servers while no other instance answers. If many fail at
+/// once, the rest agree on new relays well within this time, and must serve their callers until then.
+const ISOLATED_MAX: Duration = Duration::from_secs(5);
 /// Interval at which a watcher asks another instance for changes that it may have missed.
 const CROSS_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -167,20 +171,19 @@
     }
 
     /// Keeps a sample of the servers in sync while this instance does not hold the full list. It
-    /// never calls the store: once no peer has answered for as long as a removed server may still be
-    /// used, it drops all servers.
+    /// never calls the store: once no peer has answered for [`ISOLATED_MAX`], it drops all servers.
     pub(super) async fn sync_sample(&self) {
         let zone = zone_hash(&self.board.settings.instance.zone);
         let feed = Feed::SomeServers { zone };
         if self.long_poll_relays(feed).await {
             return;
         }
-        let polled = self.poll_peers(feed, fallback_peers(&self.board), REQUEST_TIMEOUT).await;
+        self.poll_peers(feed, fallback_peers(&self.board), REQUEST_TIMEOUT).await;
         // Peers that answer and are not fresh report a store outage, in which no server leaves.
-        let isolated = !polled.fresh && polled.stale_peers == 0;
-        if isolated && self.mirror.age() >= self.stale_max && self.mirror.clear() > 0 {
+        let silent_us = now_us().saturating_sub(self.last_answer_us.load(Ordering::Acquire));
+        if Duration::from_micros(silent_us) >= ISOLATED_MAX && self.mirror.clear() > 0 {
             info!(
-                event = "copy-dropped", prefix = self.prefix, age_ms = self.mirror.age().as_millis();
+                event = "copy-dropped", prefix = self.prefix, silent_ms = silent_us / 1000;
                 "no peer answers: which servers still exist is not known"
             );
         }
@@ -262,6 +265,7 @@
 
     /// Applies a peer's answer; returns whether the peer's mirror is fresh.
     pub(super) fn apply_answer(&self, answer: FeedAnswer) -> bool {
+        self.last_answer_us.store(now_us(), Ordering::Release);
         self.log_advance(&answer);
         let upto = match answer.reply {
             FeedReply::Events { events, revision } => {
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -1,20 +1,29 @@
 //! Servers that the store no longer lists: removed at once, unless their entries expired in a store
-//! outage. In paused time, on an in-memory store.
+//! outage; and servers of which an instance hears no more. In paused time, on an in-memory store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use sorrelwick::board::Blackboard;
 use sorrelwick::conf::parse_settings;
+use sorrelwick::gateway::FeedAnswer;
+use sorrelwick::gateway::FeedSource;
 use sorrelwick::gateway::Follower;
 use sorrelwick::gateway::Mirror;
 use sorrelwick::gateway::Sink;
+use sorrelwick::member::MemberRow;
 use sorrelwick::peer::Feed;
+use sorrelwick::peer::FeedReply;
 use sorrelwick::peer::Links;
+use sorrelwick::peer::PeerError;
 use sorrelwick::store::Item;
+use sorrelwick::store::Revision;
 use standins::routed::MemoryEventStore;
 use standins::routed::StoreFault;
+use standins::routed::fleet_settings;
+use standins::routed::member_row;
 
 /// Records removals with the grace given to each.
 #[derive(Clone, Debug, Default)]
@@ -44,6 +53,69 @@
     removals
 }
 
+/// How the other instances of a fleet answer those that hold a sample of the servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PeerState {
+    Fresh,
+    /// The store serves none of them.
+    Outdated,
+    Silent,
+}
+
+/// Other instances, all in the same state.
+#[derive(Clone, Debug)]
+struct Peers(Arc<Mutex<PeerState>>);
+
+impl FeedSource for Peers {
+    async fn ask(
+        &self,
+        _: SocketAddr,
+        feed: Feed,
+        after: Option<Revision>,
+        hold: Duration,
+        within: Duration,
+    ) -> Result<FeedAnswer, PeerError> {
+        if !matches!(feed, Feed::SomeServers { .. }) {
+            return Err(PeerError::NotSent);
+        }
+        let state = *self.0.lock();
+        tokio::time::sleep(if state == PeerState::Silent { within } else { hold }).await;
+        let age = match state {
+            PeerState::Fresh => Duration::ZERO,
+            PeerState::Outdated => Duration::from_secs(10),
+            PeerState::Silent => return Err(PeerError::ResponseLost),
+        };
+        let revision = Revision::new(0, 1);
+        let item = Item { key: "servers/s1".into(), value: Vec::new(), revision };
+        let reply = if after.is_some() {
+            FeedReply::Events { events: Vec::new().into(), revision }
+        } else {
+            FeedReply::Snapshot { items: vec![item].into(), revision }
+        };
+        Ok(FeedAnswer { reply, age, proved_us: None, zone_demand_per_s: 0 })
+    }
+}
+
+/// Starts an instance of a large fleet that holds only a sample of the servers.
+fn follow_sample(peers: &Peers) -> Removals {
+    const INSTANCES: u64 = 200;
+    let settings =
+        fleet_settings("last", "z", &["z"], &["127.0.0.1:1".parse().expect("an address")]);
+    let board = Arc::new(Blackboard::new(settings, 1));
+    for incarnation in 2..=INSTANCES {
+        let capacity_per_s = board.own_capacity_per_s();
+        let row = MemberRow { capacity_per_s, ..member_row(incarnation) };
+        board.members.lock().merge(&row, 1_000);
+    }
+    board.publish_members();
+    let removals = Removals::default();
+    let mirror = Arc::new(Mirror::new(removals.clone()));
+    let store = MemoryEventStore::default();
+    let follower = Follower::new(store, peers.clone(), board, mirror, Feed::Servers, "servers/");
+    tokio::spawn(follower.run());
+    removals
+}
+
 async fn pass(ms: u64) {
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
@@ -112,3 +184,22 @@
     let removed = removals.0.lock().clone();
     assert_eq!(removed, [("operators/evacuations/z".to_owned(), Duration::ZERO)]);
 }
+
+/// Guards against servers that are used for good by an instance that hears of no change any more, and
+/// against callers that are refused because the store, or some instances, are away for a while.
+#[tokio::test(start_paused = true)]
+async fn sample_is_dropped_only_in_lasting_isolation() {
+    let peers = Peers(Arc::new(Mutex::new(PeerState::Fresh)));
+    let removals = follow_sample(&peers);
+    pass(2_000).await;
+    *peers.0.lock() = PeerState::Outdated;
+    pass(20_000).await;
+    *peers.0.lock() = PeerState::Silent;
+    pass(3_000).await;
+    *peers.0.lock() = PeerState::Fresh;
+    pass(2_000).await;
+    assert!(removals.0.lock().is_empty());
+    *peers.0.lock() = PeerState::Silent;
+    pass(7_000).await;
+    assert_eq!(*removals.0.lock(), [("servers/s1".to_owned(), Duration::ZERO)]);
+}
