Two files split: what a request involves of other instances, and a connection to a stand-in server

No behaviour and no check changed; the rejection of health checks by the stand-in stands beside its other answers.

--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -14,6 +14,7 @@
 mod queues;
 mod router;
 mod runner;
+mod runner_peers;
 mod service_state;
 mod slot;
 mod slot_queue;
--- a/standins/src/routed/mod.rs
+++ b/standins/src/routed/mod.rs
@@ -10,6 +10,7 @@
 mod plain_dialect;
 mod pool_parts;
 mod raw_call;
+mod raw_conn;
 mod raw_server;
 mod relay_fleet;
 mod server_paths;
