--- a/src/gateway/mirror_state.rs
+++ b/src/gateway/mirror_state.rs
@@ -120,7 +120,8 @@
         keys.len()
     }
 
-    /// Applies a write unless the mirror has it or a newer one.
+    /// Records a write that is not covered yet, and applies it unless the content has it or a newer
+    /// one.
     pub(super) fn written(&mut self, item: &Item) {
         if self.covers(item.revision) {
             return;
@@ -148,7 +149,8 @@
         }
     }
 
-    /// Applies a removal unless the mirror has it or a newer write.
+    /// Records a removal that is not covered yet, and applies it unless the content lacks the key or
+    /// has a newer write.
     pub(super) fn removed(&mut self, key: &str, revision: Revision, grace: Duration) {
         if self.covers(revision) {
             return;
--- a/src/gateway/response_stream.rs
+++ b/src/gateway/response_stream.rs
@@ -29,8 +29,8 @@
     pub decoder: BodyDecoder,
     pub pending_send: PendingSend,
     /// The request's deadline, which covers the whole response: no wait, for the server or for the
-    /// caller, outlasts it. Without it, either one that falls silent would keep the slot, the
-    /// connection and the other one for good.
+    /// caller, outlasts it. Otherwise one that falls silent would hold the slot and the connection
+    /// forever, and the other would wait forever.
     pub deadline: Instant,
 }
 
--- a/src/peer/links.rs
+++ b/src/peer/links.rs
@@ -63,8 +63,8 @@
         Arc::clone(links.entry(address).or_insert_with(|| Arc::new(Link::new(address))))
     }
 
-    /// Forwards a request to another instance. The body of the response ends by `deadline`; the
-    /// caller enforces it until then.
+    /// Forwards a request to another instance. The body of the response ends by `deadline`; until the
+    /// response begins, the caller of this function enforces the deadline.
     ///
     /// # Errors
     /// The error tells whether the request may have arrived.
--- a/src/route/upstream_body.rs
+++ b/src/route/upstream_body.rs
@@ -27,7 +27,7 @@
 pub struct UpstreamBody {
     incoming: Incoming,
     /// Released by the request's deadline, which covers the whole answer, whether or not the body is
-    /// polled then: neither a server nor a caller that stalls in the middle holds the slot for good.
+    /// polled then: neither a server nor a caller that stalls holds the slot forever.
     held: Arc<Mutex<Option<HeldResources>>>,
     /// Ends the body at the deadline.
     deadline: Pin<Box<Sleep>>,
@@ -58,7 +58,8 @@
         drop(self.pending_send.record_truncated());
     }
 
-    /// Dropped otherwise, the slot counts as cancelled: a slow caller says nothing of the server.
+    /// If the caller is slow, the slot is dropped and counts as cancelled: that says nothing about the
+    /// server.
     fn release_at_deadline(self) {
         if self.awaits_server {
             self.release_broken();
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -130,8 +130,8 @@
     assert_eq!((told.outcome(), told.code()), ("unknown", 2202));
 }
 
-/// Guards against a slot that stays taken for good because its caller stopped reading: the end of
-/// the request's time was noticed only while the response was read.
+/// Guards against a slot that stays taken forever because its caller stopped reading: the deadline
+/// was checked only while the response was read.
 #[tokio::test(flavor = "multi_thread")]
 async fn caller_that_stops_reading_releases_its_slot_at_the_deadline() {
     use tokio::io::AsyncReadExt;
