--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -931,6 +931,8 @@
 
 #[path = "4/case.rs"]
 mod case_4;
+#[path = "5/case.rs"]
+mod case_5;
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
@@ -938,6 +940,7 @@
     let journal = Journal::new();
     let code = match name.as_str() {
         "4" => case_4::run(&journal),
+        "5" => case_5::run(&journal),
         _ => NOT_RUN,
     };
     let word = match code {
