--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -933,6 +933,8 @@
 mod case_4;
 #[path = "5/case.rs"]
 mod case_5;
+#[path = "6/case.rs"]
+mod case_6;
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
@@ -941,6 +943,7 @@
     let code = match name.as_str() {
         "4" => case_4::run(&journal),
         "5" => case_5::run(&journal),
+        "6" => case_6::run(&journal),
         _ => NOT_RUN,
     };
     let word = match code {
