--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -935,6 +935,8 @@
 mod case_5;
 #[path = "6/case.rs"]
 mod case_6;
+#[path = "7/case.rs"]
+mod case_7;
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
@@ -944,6 +946,7 @@
         "4" => case_4::run(&journal),
         "5" => case_5::run(&journal),
         "6" => case_6::run(&journal),
+        "7" => case_7::run(&journal),
         _ => NOT_RUN,
     };
     let word = match code {
