--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -937,6 +937,8 @@
 mod case_6;
 #[path = "7/case.rs"]
 mod case_7;
+#[path = "8/case.rs"]
+mod case_8;
 
 fn main() {
     let name = std::env::args().nth(1).unwrap_or_default();
@@ -947,6 +949,7 @@
         "5" => case_5::run(&journal),
         "6" => case_6::run(&journal),
         "7" => case_7::run(&journal),
+        "8" => case_8::run(&journal),
         _ => NOT_RUN,
     };
     let word = match code {
