--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -50,7 +50,7 @@
     status: u16,
 }
 
-pub fn run(journal: &Arc<Journal>) -> i32 {
+pub fn orders_taken_after_a_stop(journal: &Arc<Journal>) -> i32 {
     let dir = temporary_folder();
     let (store, store_address) = Store::spawn();
     store.put("op/config", &config());
--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -945,11 +945,11 @@
     let record = PathBuf::from(std::env::args().nth(2).unwrap_or_else(|| "record.txt".into()));
     let journal = Journal::new();
     let code = match name.as_str() {
-        "4" => case_4::run(&journal),
-        "5" => case_5::run(&journal),
-        "6" => case_6::run(&journal),
-        "7" => case_7::run(&journal),
-        "8" => case_8::run(&journal),
+        "4" => case_4::doubled_check_answer(&journal),
+        "5" => case_5::orders_taken_after_a_stop(&journal),
+        "6" => case_6::two_lost_watch_answers(&journal),
+        "7" => case_7::seeds_down_at_a_start(&journal),
+        "8" => case_8::raised_header_limit(&journal),
         _ => NOT_RUN,
     };
     let word = match code {
