--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -99,7 +99,6 @@
 }
 
 /// Reads one message; `None` if the connection ended or failed before it was complete.
-/// `no_body`: a response to which no body belongs.
 pub fn read_message(stream: &mut TcpStream, rest: &mut Vec<u8>) -> std::io::Result<Option<Message>> {
     let mut buffer = [0_u8; 16 << 10];
     let head_end = loop {
