--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -19,6 +19,8 @@
 const WORK_MS: u64 = 2_700;
 /// The deadline of `benchmark-submit`.
 const DEADLINE_MS: u64 = 5_000;
+/// The timeout of its route.
+const TIMEOUT_MS: u64 = 3_000;
 const CONNECTIONS_PER_ZONE: usize = 2;
 
 fn bounds() -> Vec<(&'static str, &'static str)> {
@@ -36,7 +38,7 @@
 
 fn config() -> String {
     format!(
-        r#"{{"version":7,"routes":[{{"name":"r-submit","host":"shop.example","prefix":"/submit/","kind":"at-most-once","timeout_ms":{DEADLINE_MS},"aim_ms":2000,"priority":1,"service":"case-portal","attempts_max":2,"key_exempt":false}}],"services":[{{"name":"case-portal","health_path":"/health","connections_max":1000,"protocol":"h1","tls":false,"warmup_s":3.0}}],"limits":{{"header_bytes_max":16384,"body_bytes_max":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
+        r#"{{"version":7,"routes":[{{"name":"r-submit","host":"shop.example","prefix":"/submit/","kind":"at-most-once","timeout_ms":{TIMEOUT_MS},"aim_ms":2000,"priority":1,"service":"case-portal","attempts_max":2,"key_exempt":false}}],"services":[{{"name":"case-portal","health_path":"/health","connections_max":1000,"protocol":"h1","tls":false,"warmup_s":3.0}}],"limits":{{"header_bytes_max":16384,"body_bytes_max":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}}}}"#
     )
 }
 
@@ -178,9 +180,9 @@
         let passed_on = run.is_some();
         let cut_by_instance = run.is_some_and(|run| run.cut_ms.is_some());
         let late = one.sent_ms > signalled_ms + 3_000;
-        let before_deadline = one.ended_ms < one.sent_ms + DEADLINE_MS - 50;
+        let before_timeout = one.ended_ms < one.sent_ms + TIMEOUT_MS - 50;
         let in_time = one.ended_ms <= signalled_ms + 7_000;
-        if one.status == 0 && passed_on && cut_by_instance && late && before_deadline && in_time {
+        if one.status == 0 && passed_on && cut_by_instance && late && before_timeout && in_time {
             lost += 1;
             journal.note(&format!(
                 "lost: {} sent {} ms after the signal, cut {} ms after it, its run began and was cut",
--- a/review/bed-2.rs
+++ b/review/bed-2.rs
@@ -164,14 +164,19 @@
     });
 }
 
-/// An address that is free now, at this loopback address.
-pub fn free_address(ip: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((IpAddr::V4(ip), 0)).expect("a free port");
-    listener.local_addr().expect("an address")
+/// Addresses that are free now and differ, at this loopback address.
+pub fn free_addresses<const N: usize>(ip: Ipv4Addr) -> [SocketAddr; N] {
+    // All are held until the last one is found, or one port might be given out twice.
+    let held: [TcpListener; N] = std::array::from_fn(|_| {
+        TcpListener::bind((IpAddr::V4(ip), 0)).expect("a free port")
+    });
+    held.map(|listener| listener.local_addr().expect("an address"))
 }
 
-pub fn free_port_range(ip: Ipv4Addr) -> u16 {
-    free_address(ip).port()
+/// An address that is free now, at this loopback address.
+pub fn free_address(ip: Ipv4Addr) -> SocketAddr {
+    let [address] = free_addresses(ip);
+    address
 }
 
 // ---------------------------------------------------------------------------------------------
@@ -684,16 +689,9 @@
 impl Node {
     pub fn new(name: &str, zone: &str, number: u8) -> Self {
         let ip = Ipv4Addr::new(127, 0, 9, number);
-        Self {
-            name: name.into(),
-            zone: zone.into(),
-            ip,
-            front: free_address(ip),
-            ready: free_address(ip),
-            control: free_address(ip),
-            directory: free_address(ip),
-            inner: free_port_range(ip),
-        }
+        let [front, ready, control, directory, inner] = free_addresses(ip);
+        let (name, zone, inner) = (name.into(), zone.into(), inner.port());
+        Self { name, zone, ip, front, ready, control, directory, inner }
     }
 }
 
@@ -823,6 +821,17 @@
     line.split('"').nth(1).expect("a command").to_owned()
 }
 
+/// Prints the last lines of the logs of instances that are not ready.
+fn print_unready(instances: &[Instance]) {
+    for instance in instances.iter().filter(|instance| !instance.is_ready()) {
+        let name = &instance.node.name;
+        let log = temporary_folder().join(format!("{name}.log"));
+        let text = std::fs::read_to_string(log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        println!("{name} is not ready:\n{}", lines[lines.len().saturating_sub(5)..].join("\n"));
+    }
+}
+
 /// Waits until all instances are ready; `false` after `limit`.
 pub fn wait_until_ready(instances: &[Instance], limit: Duration) -> bool {
     let until = Instant::now() + limit;
@@ -832,6 +841,7 @@
         }
         thread::sleep(Duration::from_millis(50));
     }
+    print_unready(instances);
     false
 }
 
