Log: the stages of a shutdown, with the requests in flight

The log of an instance that shuts down had nothing between 'stopping' and 'stopped', so three causes looked alike: closing connections cuts busy ones, the tasks that answer are ended too early, or the process ends with requests in flight.

So closing cuts none; the process ends with work that it took after the signal, and gives no answer to it. Not mended here.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
+use log::info;
 use rand::RngExt;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
@@ -138,6 +139,15 @@
     gateway.homes_per_zone * gateway.zones.len()
 }
 
+/// Logs a stage of the shutdown. Requests in flight at the last one get no answer.
+fn log_stop_stage(board: &Blackboard, stage: &str, stop_began: tokio::time::Instant) {
+    info!(
+        event = "stop-stage", stage = stage, after_ms = stop_began.elapsed().as_millis(),
+        in_flight = board.requests_in_flight();
+        "shutting down"
+    );
+}
+
 /// The parts that forward requests, to backend servers or to another instance.
 fn new_forwarder<D: Dialect>(
     dialect: &D,
@@ -286,12 +296,14 @@
         let end = started + self.grace.saturating_sub(GRACE_MARGIN);
         let _ = tokio::time::timeout(serve_time, announce(&self.board, &self.links)).await;
         tokio::time::sleep_until(started + serve_time).await;
+        log_stop_stage(&self.board, "closing-connections", started);
         let remaining = end.saturating_duration_since(tokio::time::Instant::now());
         // Connections that are still open after that are closed when the process exits.
         let _ = tokio::time::timeout(remaining, self.callers.stop()).await;
         while self.board.requests_in_flight() > 0 && tokio::time::Instant::now() < end {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
         }
+        log_stop_stage(&self.board, "ending", started);
         self.board.members.lock().set_own_state(MemberState::Left, None, now_ms());
         self.board.publish_members();
         // Peers that miss this announcement detect the stop by failed pings; the process must end
