A stopping instance takes only requests that it can answer, and answers all that it has read

Cause: the instance served for 55% of the grace period whatever a request could last, and its process ended with whatever was in flight.

Change: the end of the process, less a margin for answers, is known to the request path from the signal on. A request whose deadline is later is refused at once (503, code 2116). What was read before and lasts longer gets its final answer then: 503, or 502 (2207) once a server may have begun. A response for another instance counts as in flight until its last byte is sent. Margins follow short grace periods.

Why it works: no request is taken that may outlast the process, and each wait of a request that was taken earlier ends at that time, whichever wait it is.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -72,11 +72,13 @@
 /// How long callers that cache an old address response are served after the stop signal, in
 /// percent of the grace period.
 const SERVE_AFTER_STOP_PERCENT: u32 = 55;
-/// Part of the grace period reserved for the exit of the process itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
-/// Time limit for announcing to the other instances that this one has stopped; part of
-/// [`GRACE_MARGIN`].
-const FINAL_ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(100);
+/// Part of the grace period reserved for the exit of the process itself, at most.
+const EXIT_MARGIN_MAX: Duration = Duration::from_millis(400);
+/// That part of a short grace period, in percent.
+const EXIT_MARGIN_PERCENT: u32 = 10;
+/// Part of the exit margin, in percent, that is reserved before it for sending the last answers, and
+/// within it for announcing to the other instances that this one has stopped.
+const EXIT_STEP_PERCENT: u32 = 25;
 /// Interval at which a stopping instance checks for requests in flight.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -293,7 +295,10 @@
         self.board.publish_members();
         let serve_time = self.grace * SERVE_AFTER_STOP_PERCENT / 100;
         let started = tokio::time::Instant::now();
-        let end = started + self.grace.saturating_sub(GRACE_MARGIN);
+        let exit_margin = EXIT_MARGIN_MAX.min(self.grace * EXIT_MARGIN_PERCENT / 100);
+        let exit_step = exit_margin * EXIT_STEP_PERCENT / 100;
+        let end = started + self.grace.saturating_sub(exit_margin);
+        self.board.stop_deadline.set(end - exit_step);
         let _ = tokio::time::timeout(serve_time, announce(&self.board, &self.links)).await;
         tokio::time::sleep_until(started + serve_time).await;
         log_stop_stage(&self.board, "closing-connections", started);
@@ -308,8 +313,7 @@
         self.board.publish_members();
         // Peers that miss this announcement detect the stop by failed pings; the process must end
         // within the grace period.
-        let _ =
-            tokio::time::timeout(FINAL_ANNOUNCE_TIMEOUT, announce(&self.board, &self.links)).await;
+        let _ = tokio::time::timeout(exit_step, announce(&self.board, &self.links)).await;
         self.board.set_phase(Phase::Stopped);
         self.tasks.shutdown().await;
     }
--- a/src/app/gateway_peer_service.rs
+++ b/src/app/gateway_peer_service.rs
@@ -11,6 +11,7 @@
 use crate::board::Blackboard;
 use crate::board::Counter;
 use crate::errors::Code;
+use crate::gateway::CountedReplyBody;
 use crate::gateway::Dialect;
 use crate::gateway::Dispatcher;
 use crate::gateway::GatewayServerChecker;
@@ -20,7 +21,6 @@
 use crate::gateway::PeerForwardHandler;
 use crate::gateway::PeerForwardHead;
 use crate::gateway::QuotaLimiter;
-use crate::gateway::ReplyBody;
 use crate::gateway::ServerSink;
 use crate::member::handle_indirect_ping;
 use crate::member::handle_member_request;
@@ -82,7 +82,7 @@
 
 impl<D: Dialect> PeerService for GatewayPeerService<D> {
     type ForwardHead = PeerForwardHead;
-    type Body = ReplyBody;
+    type Body = CountedReplyBody;
     type Room = MemoryReservation;
 
     async fn handle_control(&self, request: PeerRequest) -> PeerReply {
@@ -127,7 +127,7 @@
         &self,
         head: PeerForwardHead,
         body: Bytes,
-    ) -> (ForwardReplyHead, ReplyBody) {
+    ) -> (ForwardReplyHead, CountedReplyBody) {
         self.forward_handler.handle(head, body).await
     }
 
--- a/src/board/blackboard.rs
+++ b/src/board/blackboard.rs
@@ -21,6 +21,7 @@
 use super::EventRing;
 use super::Latencies;
 use super::MembersView;
+use super::StopDeadline;
 use super::StoreEra;
 use crate::catalog::Catalog;
 use crate::clock::now_ms;
@@ -101,6 +102,8 @@
     zone_demand_per_s: AtomicU32,
     /// The [`Phase`] of the process.
     phase: AtomicU8,
+    /// The time by which all requests are answered, once the instance stops.
+    pub stop_deadline: StopDeadline,
     /// Callers' requests in flight.
     in_flight: Arc<AtomicUsize>,
 }
@@ -192,6 +195,7 @@
             evacuated_zones: ArcSwap::default(),
             zone_demand_per_s: AtomicU32::new(0),
             phase: AtomicU8::new(Phase::Running as u8),
+            stop_deadline: StopDeadline::default(),
             in_flight: Arc::default(),
         };
         board.publish_members();
--- a/src/board/counters.rs
+++ b/src/board/counters.rs
@@ -26,6 +26,7 @@
     Ran = "outcome_ran", "Requests answered by a backend server.";
     NotRun = "outcome_not_run", "Requests answered as not run.";
     Unknown = "outcome_unknown", "Requests whose outcome is not known.";
+    StopRefusals = "stop_refusals", "Requests refused because the instance stops before they can end.";
     Attempts = "attempts", "Attempts on backend servers.";
     Retries = "retries", "Attempts after a first one that failed.";
     RetryLoanQuestions = "retry_loan_questions", "Questions to other instances for retries.";
--- a/src/board/mod.rs
+++ b/src/board/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod latencies;
 mod members_view;
+mod stop_deadline;
 mod store_era;
 
 pub use blackboard::Blackboard;
@@ -20,4 +21,5 @@
 pub use latencies::Latency;
 pub use members_view::MembersView;
 pub use members_view::compare_rank;
+pub use stop_deadline::StopDeadline;
 pub use store_era::StoreEra;
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -59,12 +59,14 @@
     ConfigurationUnproved = 2113, "This instance cannot confirm that its configuration is recent enough to serve the request, or to reject it for good.", "Come back after the time given, at another instance; check that the store is reachable.";
     QuotaSpent = 2114, "The workspace sends more than its quota, over all instances together.", "Come back after the time given; raise the quota.";
     PeerDeclined = 2115, "No instance that reaches the backend servers takes the request, and this one does not reach them.", "Come back after the time given.";
+    Stopping = 2116, "The instance stops, and would end before the request's deadline.", "Come back after the time given, at another instance.";
     AnswerLost = 2201, "The connection was lost after the request was sent; it may have run.", "Repeat with the same key if there is one; else ask the backing system.";
     AnswerTruncated = 2202, "The answer was cut short by the backend server.", "As for AnswerLost.";
     DeadlineAfterDispatch = 2203, "The deadline passed while the backend server worked; it may have run.", "Repeat with the same key, or allow more time.";
     PeerLost = 2204, "The instance that the request was passed to was lost before it answered.", "As for AnswerLost.";
     AnswerGarbled = 2205, "The backend server sent bytes that are not a valid response to the request.", "As for AnswerLost.";
     FailureUnproved = 2206, "The backend server answered with a status for requests that did not run, without proof that it did not run this one.", "As for AnswerLost.";
+    StoppedAfterDispatch = 2207, "The instance ended while the backend server worked; it may have run.", "As for AnswerLost.";
     ServiceInvalid = 3001, "The service declaration has a value that is not allowed.", "Correct the field that the message names.";
     Conflict = 3002, "Another change came first; the current revision is not the expected one.", "Read the current value and decide again.";
     NotFound = 3003, "There is no service or backend server of this name.", "Check the name with `sorrelwick service list`.";
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -21,6 +21,8 @@
     pub(super) unfit: u32,
     /// Whether an earlier attempt may have run, so that a refusal would be untrue.
     pub(super) may_have_run: bool,
+    /// Whether the request is offered to a server or another instance whose answer is awaited.
+    pub(super) awaits_answer: bool,
     /// Whether the request has been counted towards the retry budget.
     pub(super) counted: bool,
 }
@@ -33,6 +35,14 @@
         Self { sends, counted, ..Self::default() }
     }
 
+    /// The reply to a request that the end of this instance interrupts.
+    pub(super) fn interrupted_by_stop(&self) -> LocalReply {
+        if self.awaits_answer {
+            return LocalReply::unknown(Code::StoppedAfterDispatch);
+        }
+        self.rejected(LocalReply::stopping())
+    }
+
     /// Returns a reply of this instance, or an unknown outcome if an earlier attempt may have run.
     pub(super) fn rejected(&self, reply: LocalReply) -> LocalReply {
         if self.may_have_run { LocalReply::unknown(Code::AnswerLost) } else { reply }
--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -118,14 +118,38 @@
         let names = self.forwarder.dialect.header_names();
         let time_left = caller_timeout_ms(parts, &names.timeout_ms).map(Duration::from_millis);
         let end = self.start_hold.wait(time_left, || self.can_answer(parts)).await;
-        let id = parts.headers.get(&names.request_id).and_then(|id| id.to_str().ok());
         info!(
-            event = "request-held", id = id.unwrap_or("-"), outcome = end.name(),
+            event = "request-held", id = self.request_id(parts), outcome = end.name(),
             held_ms = now_us().saturating_sub(arrived_us) / 1000;
             "held while this instance starts"
         );
     }
 
+    /// Refuses a request that could last longer than this instance, if it stops. Otherwise the caller
+    /// would be left without an answer while a server works on the request.
+    fn check_stop(&self, parts: &http::request::Parts, timeout_ms: u64) -> Result<(), LocalReply> {
+        let board = &self.forwarder.board;
+        let Some(left) = board.stop_deadline.remaining() else {
+            return Ok(());
+        };
+        if Duration::from_millis(timeout_ms) <= left {
+            return Ok(());
+        }
+        board.counters.add(Counter::StopRefusals);
+        info!(
+            event = "refused-by-stop", id = self.request_id(parts), allowed_ms = timeout_ms,
+            left_ms = left.as_millis();
+            "this instance ends before the request's deadline"
+        );
+        Err(LocalReply::stopping())
+    }
+
+    /// The request id as text, for logs.
+    fn request_id<'a>(&self, parts: &'a http::request::Parts) -> &'a str {
+        let name = &self.forwarder.dialect.header_names().request_id;
+        parts.headers.get(name).and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
     /// Reads the complete request, within the quota, size and time limits.
     async fn read_request(
         &self,
@@ -141,6 +165,7 @@
         let caller_timeout_ms = caller_timeout_ms(&parts, &names.timeout_ms);
         let timeout_ms = caller_timeout_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let deadline_us = arrived_us + timeout_ms * 1000;
+        self.check_stop(&parts, timeout_ms)?;
         if now_us() >= deadline_us {
             // It was held past its deadline, since the route's timeout was not known then.
             return Err(LocalReply::not_run(Code::NoConfiguration, NO_CONFIG_RETRY_MS));
@@ -212,7 +237,9 @@
         let hash = request_hash(&request);
         let earlier = self.refused.lock().take(hash, arrived_us);
         let mut reservation = self.body_memory.reservation();
-        let read = self.read_request(request, arrived_us, earlier, &mut reservation).await;
+        let read = self.read_request(request, arrived_us, earlier, &mut reservation);
+        let read = self.forwarder.board.stop_deadline.run(read).await;
+        let read = read.unwrap_or_else(|| Err(LocalReply::stopping()));
         let mut reply = match read {
             Ok(request) => {
                 let reply = self.forwarder.forward(&request).await;
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -59,18 +59,29 @@
 }
 
 impl<D: Dialect> Forwarder<D> {
-    /// Forwards a request and returns the final reply.
+    /// Forwards a request and returns the final reply, before this instance ends.
     pub async fn forward(&self, request: &ForwardRequest) -> Reply {
         let mut attempts = Attempts::of(request);
+        let replied = self.forward_until_final(request, &mut attempts);
+        let replied = self.board.stop_deadline.run(replied).await;
+        replied.unwrap_or_else(|| attempts.interrupted_by_stop().into())
+    }
+
+    async fn forward_until_final(
+        &self,
+        request: &ForwardRequest,
+        attempts: &mut Attempts,
+    ) -> Reply {
         loop {
             if let Some(denial) = self.board.quarantine.denial(&request.fingerprints) {
-                return self.denied_reply(request, &attempts, denial).into();
+                return self.denied_reply(request, attempts, denial).into();
             }
             if request.origin.may_forward() && self.dispatcher.reach().is_lost(&request.service) {
-                return self.forward_to_peer(request, &attempts).await;
+                attempts.awaits_answer = true;
+                return self.forward_to_peer(request, attempts).await;
             }
-            self.count(request, &mut attempts);
-            let grant = match self.acquire_or_lose(request, &attempts).await {
+            self.count(request, attempts);
+            let grant = match self.acquire_or_lose(request, attempts).await {
                 Some(Ok(grant)) => grant,
                 Some(Err(_)) if self.turns_out_lost(request).await => continue,
                 Some(Err(reply)) => return reply.into(),
@@ -79,8 +90,10 @@
             if let Err(reply) = self.admission.check_caller(request.caller.as_ref()) {
                 return attempts.rejected(reply).into();
             }
-            let result = self.send_hedged(request, grant, &mut attempts).await;
-            match self.handle_result(request, result, &mut attempts) {
+            attempts.awaits_answer = true;
+            let result = self.send_hedged(request, grant, attempts).await;
+            attempts.awaits_answer = false;
+            match self.handle_result(request, result, attempts) {
                 Some(reply)
                     if reply.code == Code::ConnectFailed && self.turns_out_lost(request).await => {}
                 Some(reply) => return reply,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -105,6 +105,7 @@
 pub use mirror_sink::Sink;
 pub use parsed_config::ConfigFault;
 pub use parsed_config::ParsedConfig;
+pub use peer_forward_handler::CountedReplyBody;
 pub use peer_forward_handler::PeerForwardHandler;
 pub use peer_forward_head::PeerForwardHead;
 pub use peer_forwarder::PeerForwarder;
--- a/src/gateway/peer_forward_handler.rs
+++ b/src/gateway/peer_forward_handler.rs
@@ -24,9 +24,11 @@
 use super::reply::Reply;
 use super::reply::ReplyBody;
 use super::request_origin::RequestOrigin;
+use crate::board::InFlightGuard;
 use crate::board::Phase;
 use crate::clock::now_us;
 use crate::errors::Code;
+use crate::listener::GuardedBody;
 use crate::peer::BodyRoom;
 use crate::peer::ForwardReplyHead;
 use crate::route::Outcome;
@@ -41,6 +43,9 @@
 /// another instance at once.
 const DECLINED_RETRY_MS: u64 = 100;
 
+/// The body of a reply to another instance. The request counts as in flight until it has been sent.
+pub type CountedReplyBody = GuardedBody<ReplyBody, InFlightGuard>;
+
 /// Serves forwarded requests. Clones share state.
 #[derive(Clone, Debug)]
 pub struct PeerForwardHandler<D> {
@@ -78,7 +83,7 @@
         &self,
         head: PeerForwardHead,
         body: Bytes,
-    ) -> (ForwardReplyHead, ReplyBody) {
+    ) -> (ForwardReplyHead, CountedReplyBody) {
         let in_flight = self.forwarder.board.start_request();
         let permit = self.permits.try_acquire().ok();
         let reply = match self.decline_reason(&head, permit.is_some()) {
@@ -93,8 +98,8 @@
             }
         };
         drop(permit);
-        drop(in_flight);
-        reply_message(reply)
+        let (head, body) = reply_message(reply);
+        (head, GuardedBody::new(body, in_flight))
     }
 
     /// Why this instance cannot take a request that another one may serve.
--- a/src/gateway/reply.rs
+++ b/src/gateway/reply.rs
@@ -106,6 +106,10 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Retry delay, in milliseconds, of a request that a stopping instance refuses: other instances can
+/// serve it at once.
+const STOPPING_RETRY_MS: u64 = 20;
+
 /// A reply produced by this instance instead of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LocalReply {
@@ -123,6 +127,12 @@
         Self { status, code, retry_after_ms: Some(retry_after_ms) }
     }
 
+    /// The request did not run, since this instance stops.
+    #[must_use]
+    pub const fn stopping() -> Self {
+        Self::not_run(Code::Stopping, STOPPING_RETRY_MS)
+    }
+
     /// The request may have run, but its response is missing.
     #[must_use]
     pub fn unknown(code: Code) -> Self {
--- a/src/listener/counted_body.rs
+++ b/src/listener/guarded_body.rs
@@ -1,4 +1,4 @@
-//! A response body during which its request counts as handled.
+//! A response body that keeps a guard until it has been sent or given up.
 
 use std::pin::Pin;
 use std::task::Context;
@@ -8,16 +8,21 @@
 use http_body::Frame;
 use http_body::SizeHint;
 
-use super::timed_stream::HandledRequest;
-
-/// A body whose request counts as handled until the body is dropped.
+/// A body with a guard, such as one that counts its request as in flight, which is dropped with it.
 #[derive(Debug)]
-pub(super) struct CountedBody<B> {
-    pub(super) body: B,
-    pub(super) _handled: HandledRequest,
+pub struct GuardedBody<B, G> {
+    body: B,
+    _guard: G,
+}
+
+impl<B, G> GuardedBody<B, G> {
+    /// `body`, with `guard` kept as long as it.
+    pub const fn new(body: B, guard: G) -> Self {
+        Self { body, _guard: guard }
+    }
 }
 
-impl<B: Body + Unpin> Body for CountedBody<B> {
+impl<B: Body + Unpin, G: Unpin> Body for GuardedBody<B, G> {
     type Data = B::Data;
     type Error = B::Error;
 
--- a/src/listener/http_listener.rs
+++ b/src/listener/http_listener.rs
@@ -20,7 +20,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 
-use super::counted_body::CountedBody;
+use super::guarded_body::GuardedBody;
 use super::timed_stream::ConnRequests;
 use super::timed_stream::TimedStream;
 use crate::task::TaskGuard;
@@ -147,9 +147,7 @@
         let handled_request = counted.begin();
         async move {
             let response = handler.handle(request).await;
-            Ok::<_, Infallible>(
-                response.map(|body| CountedBody { body, _handled: handled_request }),
-            )
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, handled_request)))
         }
     });
     let ConnLimits { header_timeout, idle_timeout, .. } = limits;
--- a/src/listener/mod.rs
+++ b/src/listener/mod.rs
@@ -1,9 +1,10 @@
 //! HTTP listeners with graceful shutdown.
 
-mod counted_body;
+mod guarded_body;
 mod http_listener;
 mod timed_stream;
 
+pub use guarded_body::GuardedBody;
 pub use http_listener::CallerAddress;
 pub use http_listener::ConnLimits;
 pub use http_listener::Handler;
--- a/src/peer/listener.rs
+++ b/src/peer/listener.rs
@@ -249,7 +249,12 @@
             return;
         }
     }
-    let _ = stream.send_data(Bytes::new().into(), true);
+    let ended = stream.send_data(queue.track(Bytes::new()), true);
+    if ended.is_ok() {
+        // The body, and with it what counts its request as in flight, is kept until all of it has
+        // been sent: the process may end as soon as no request is in flight.
+        queue.wait_until_empty().await;
+    }
 }
 
 /// Resets a stream once all that is queued on it has been sent. A reset discards the queue: the
--- a/standins/src/routed/gateway_fleet.rs
+++ b/standins/src/routed/gateway_fleet.rs
@@ -110,11 +110,21 @@
     /// # Panics
     /// If an instance does not start.
     pub async fn start(zones: &[&str]) -> Self {
+        Self::start_with(zones, |_| {}).await
+    }
+
+    /// As [`Self::start`], with settings of its own.
+    ///
+    /// # Panics
+    /// If an instance does not start.
+    pub async fn start_with(zones: &[&str], change: impl Fn(&mut Settings)) -> Self {
         let store = MemoryEventStore::default();
         let (store_clients, paths, instances) = (Vec::new(), Vec::new(), Vec::new());
         let mut fleet = Self { store, store_clients, paths, instances };
         for (number, zone) in zones.iter().enumerate() {
-            fleet.add(&format!("i{number}"), zone, zones).await;
+            let mut settings = fleet.next_settings(&format!("i{number}"), zone, zones);
+            change(&mut settings);
+            fleet.spawn_instance(settings, StoreFault::None).await;
         }
         fleet
     }
@@ -138,11 +148,19 @@
         zones: &[&str],
         fault: StoreFault,
     ) {
+        let settings = self.next_settings(name, zone, zones);
+        self.spawn_instance(settings, fault).await;
+    }
+
+    fn next_settings(&self, name: &str, zone: &str, zones: &[&str]) -> Settings {
         let peers = self.instances.iter().map(|host| host.gateway.board().settings.listen.peer);
         let seeds: Vec<SocketAddr> = peers.take(3).collect();
+        fleet_settings(name, zone, zones, &seeds)
+    }
+
+    async fn spawn_instance(&mut self, settings: Settings, fault: StoreFault) {
         let client = self.store.new_client();
         client.set_fault(fault);
-        let settings = fleet_settings(name, zone, zones, &seeds);
         let paths = Arc::new(ServerPaths::default());
         let dialect = PlainDialect::with_paths(Arc::clone(&paths));
         self.instances.push(FleetInstance::spawn(settings, dialect, client.clone()).await);
