--- a/src/gateway/caller_handler.rs
+++ b/src/gateway/caller_handler.rs
@@ -1,5 +1,6 @@
 //! Serves callers' requests: reads, routes and forwards them, and returns the reply.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -237,8 +238,10 @@
         let hash = request_hash(&request);
         let earlier = self.refused.lock().take(hash, arrived_us);
         let mut reservation = self.body_memory.reservation();
-        let read = self.read_request(request, arrived_us, earlier, &mut reservation);
-        let read = self.forwarder.board.stop_deadline.run(read).await;
+        let read = {
+            let read = pin!(self.read_request(request, arrived_us, earlier, &mut reservation));
+            self.forwarder.board.stop_deadline.run(read).await
+        };
         let read = read.unwrap_or_else(|| Err(LocalReply::stopping()));
         let mut reply = match read {
             Ok(request) => {
--- a/src/gateway/forwarder.rs
+++ b/src/gateway/forwarder.rs
@@ -1,5 +1,6 @@
 //! Sends a request until there is a final reply, with retries and hedging.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -62,8 +63,10 @@
     /// Forwards a request and returns the final reply, before this instance ends.
     pub async fn forward(&self, request: &ForwardRequest) -> Reply {
         let mut attempts = Attempts::of(request);
-        let replied = self.forward_until_final(request, &mut attempts);
-        let replied = self.board.stop_deadline.run(replied).await;
+        let replied = {
+            let replied = pin!(self.forward_until_final(request, &mut attempts));
+            self.board.stop_deadline.run(replied).await
+        };
         replied.unwrap_or_else(|| attempts.interrupted_by_stop().into())
     }
 
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -9,7 +9,6 @@
 use rand_pcg::Pcg64;
 use sorrelwick::board::Counter;
 use sorrelwick::conf::Settings;
-
 use standins::routed::Behaviour;
 use standins::routed::CONFIG_KEY;
 use standins::routed::GatewayFleet;
