Each response is read up to a limit in bytes, not just until the deadline

What callers could see: a server in trouble sends bytes that are no answer without end. The skipped body of a response to another request, a health check's body, trailer fields, and bodies that are passed on (from a server or from another instance) were read as fast as the link allows until the deadline.

Cause: these loops had a limit in time alone.

Change: `ByteLimit`, counted by the decoder of bodies (every byte, also between contents), by bodies from other instances and by those of the own interface; a stated length or chunk over the limit is an error at once.

Open: informational heads without end on the own interface and from the store (hyper skips them).

--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -6,6 +6,8 @@
 use http::HeaderMap;
 use http::StatusCode;
 
+use crate::limit::ByteLimit;
+
 /// How the end of a body is indicated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Framing {
@@ -57,6 +59,9 @@
     framing: Framing,
     chunk: ChunkState,
     complete: bool,
+    /// Counts every byte of the body, also those between its contents.
+    limit: ByteLimit,
+    trailer_limit: ByteLimit,
 }
 
 /// Position of the decoder within a chunked body.
@@ -72,13 +77,16 @@
 
 /// Maximum length of a chunk size line or a trailer field.
 const LINE_MAX_BYTES: usize = 1_024;
+/// Maximum length of all trailer fields together.
+const TRAILER_MAX_BYTES: u64 = 16 << 10;
 
 impl BodyDecoder {
-    /// Creates a decoder for one body.
+    /// Creates a decoder for one body of at most `max_bytes`.
     #[must_use]
-    pub const fn new(framing: Framing) -> Self {
+    pub const fn new(framing: Framing, max_bytes: u64) -> Self {
         let complete = matches!(framing, Framing::Length(0));
-        Self { framing, chunk: ChunkState::Size, complete }
+        let (limit, trailer_limit) = (ByteLimit::new(max_bytes), ByteLimit::new(TRAILER_MAX_BYTES));
+        Self { framing, chunk: ChunkState::Size, complete, limit, trailer_limit }
     }
 
     /// Whether the body is complete.
@@ -98,11 +106,30 @@
     /// The next content in `input`; `None` if more bytes are needed or the body is complete.
     ///
     /// # Errors
-    /// If the chunked framing is invalid.
+    /// If the chunked framing is invalid, or the body is too large. A stated length that is too large
+    /// is an error at once.
     pub fn decode(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, InvalidFraming> {
+        if !self.limit.allows(self.stated_bytes()) {
+            return Err(InvalidFraming);
+        }
         if self.complete || input.is_empty() {
             return Ok(None);
         }
+        let before_bytes = input.len();
+        let content = self.decode_content(input)?;
+        self.limit.count(before_bytes - input.len()).map_err(|_| InvalidFraming)?;
+        Ok(content)
+    }
+
+    /// The bytes that the framing states to follow.
+    const fn stated_bytes(&self) -> u64 {
+        match (self.framing, self.chunk) {
+            (Framing::Length(left), _) | (Framing::Chunked, ChunkState::Data(left)) => left,
+            _ => 0,
+        }
+    }
+
+    fn decode_content(&mut self, input: &mut BytesMut) -> Result<Option<Bytes>, InvalidFraming> {
         match &mut self.framing {
             Framing::Length(left) => {
                 let bytes = take(input, left);
@@ -132,6 +159,9 @@
                     if input.is_empty() {
                         return Ok(None);
                     }
+                    if !self.limit.allows(left) {
+                        return Err(InvalidFraming);
+                    }
                     let bytes = take(input, &mut left);
                     self.chunk =
                         if left == 0 { ChunkState::DataEnd } else { ChunkState::Data(left) };
@@ -147,7 +177,9 @@
                         self.complete = true;
                         return Ok(None);
                     }
-                    Some(_) => {}
+                    Some(length) => {
+                        self.trailer_limit.count(length + 2).map_err(|_| InvalidFraming)?;
+                    }
                     None => return Ok(None),
                 },
             }
--- a/src/gateway/health_check.rs
+++ b/src/gateway/health_check.rs
@@ -10,6 +10,9 @@
 use super::server_notice::header_text;
 use crate::model::ReportSource;
 
+/// Maximum size of the body of a response to a health check, whose content is not used.
+const HEALTH_BODY_MAX_BYTES: u64 = 64 << 10;
+
 /// Sends a health check and records the load and slowdown that the server reports. Returns whether
 /// the connection can be used for the next request.
 ///
@@ -28,7 +31,7 @@
         ResponseMatcher { id_header: &names.request_id, id: None, not_run_header: &names.not_run };
     let response = conn.exchange(head.as_bytes(), &[], matcher).await?;
     dispatcher.record_reach(server, conn.response_evidence());
-    let mut decoder = response.decoder();
+    let mut decoder = response.decoder(HEALTH_BODY_MAX_BYTES);
     while conn.read_body(&mut decoder).await?.is_some() {}
     let header = |name| header_text(&response.headers, name);
     if header(&names.server_id).is_some_and(|id| *id != *server.row.id) {
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -27,6 +27,7 @@
 use super::server_conn::ServerConn;
 use super::server_notice::ServerNotice;
 use crate::balance::SendOutcome;
+use crate::limit::RESPONSE_MAX_BYTES;
 use crate::quarantine::AdmittedSend;
 use crate::quarantine::Denial;
 use crate::quarantine::PendingSend;
@@ -242,7 +243,7 @@
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             grant.record_notice(ServerNotice::read(self.dialect, head.status, &head.headers));
         }
-        let mut decoder = head.decoder();
+        let mut decoder = head.decoder(RESPONSE_MAX_BYTES);
         let mut reservation = self.response_memory.reservation();
         let mut buffered = BytesMut::new();
         while buffered.len() < BUFFER_MAX_BYTES {
--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -29,6 +29,8 @@
 const RESPONSE_HEADERS_MAX: usize = 64;
 /// Responses to other requests that are skipped before the connection is closed.
 const STALE_RESPONSES_MAX: u32 = 3;
+/// Maximum size of the body of a response to another request, which is skipped.
+const STALE_BODY_MAX_BYTES: u64 = 256 << 10;
 /// Idle timeout for servers that send none: they keep idle connections open for some seconds at
 /// least.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
@@ -250,10 +252,10 @@
 }
 
 impl ResponseHead {
-    /// Creates a decoder for the body.
+    /// Creates a decoder for the body, which may have `max_bytes`.
     #[must_use]
-    pub const fn decoder(&self) -> BodyDecoder {
-        BodyDecoder::new(self.framing)
+    pub const fn decoder(&self, max_bytes: u64) -> BodyDecoder {
+        BodyDecoder::new(self.framing, max_bytes)
     }
 
     /// The length of the body, if the head states it.
@@ -305,7 +307,7 @@
     if !head.keeps_open || head.framing == Framing::UntilClose {
         return Err(ExchangeError::Garbled);
     }
-    let mut decoder = head.decoder();
+    let mut decoder = head.decoder(STALE_BODY_MAX_BYTES);
     loop {
         let content = decoder.decode(input).map_err(|_| ExchangeError::Garbled)?;
         if decoder.is_complete() {
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -28,6 +28,7 @@
 use super::frame::FRAME_MAX_BYTES;
 use crate::clock::now_us;
 use crate::errors::Code;
+use crate::limit::RESPONSE_MAX_BYTES;
 
 /// Size of the length prefix of a message that is followed by a body.
 const LENGTH_PREFIX_BYTES: usize = 4;
@@ -214,7 +215,8 @@
         let mut rest = self.send_request(secret, "/pass", frame, body, connect_timeout).await?;
         let (head, first) =
             read_prefixed::<ForwardReplyHead>(&mut rest).await.ok_or(PeerError::ResponseLost)?;
-        Ok(ForwardReply { head, body: PeerBody::new(first, rest, deadline) })
+        let max_bytes = head.body_bytes.unwrap_or(RESPONSE_MAX_BYTES).min(RESPONSE_MAX_BYTES);
+        Ok(ForwardReply { head, body: PeerBody::new(first, rest, deadline, max_bytes) })
     }
 }
 
--- a/src/peer/peer_body.rs
+++ b/src/peer/peer_body.rs
@@ -9,12 +9,16 @@
 use tokio::time::Instant;
 use tokio::time::Sleep;
 
+use crate::limit::ByteLimit;
+
 /// A body that is read from a stream between instances; a truncated one ends with an error.
 #[derive(Debug)]
 pub struct PeerBody {
     /// Bytes received together with the head.
     first: Bytes,
     rest: RecvStream,
+    /// Counts the bytes returned; another instance that never ends the body must not be read forever.
+    limit: ByteLimit,
     /// Fires at the request's deadline: no wait for more bytes outlasts it. The other instance ends
     /// the body by then, unless it is frozen or cut off.
     deadline: Pin<Box<Sleep>>,
@@ -27,28 +31,46 @@
     Stream(h2::Error),
     /// The deadline passed.
     Deadline,
+    /// It is larger than its head states, or than any response may be.
+    TooLarge,
 }
 
 impl std::fmt::Display for PeerBodyError {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Stream(err) => write!(f, "stream from the peer: {err}"),
+            Self::TooLarge => f.write_str("larger than allowed"),
             Self::Deadline => f.write_str("not complete at the request's deadline"),
         }
     }
 }
 
 impl PeerBody {
-    /// The body that begins with `first`, continues on `rest` and ends by `deadline`.
+    /// The body that begins with `first`, continues on `rest`, ends by `deadline` and has at most
+    /// `max_bytes`.
     #[must_use]
-    pub fn new(first: Bytes, rest: RecvStream, deadline: Instant) -> Self {
-        Self { first, rest, deadline: Box::pin(tokio::time::sleep_until(deadline)) }
+    pub fn new(first: Bytes, rest: RecvStream, deadline: Instant, max_bytes: u64) -> Self {
+        let limit = ByteLimit::new(max_bytes);
+        Self { first, rest, limit, deadline: Box::pin(tokio::time::sleep_until(deadline)) }
     }
 
     /// Polls for the next bytes and returns their flow-control capacity.
     pub fn poll_bytes(
         &mut self,
         cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, PeerBodyError>>> {
+        let polled = self.poll_unlimited(cx);
+        if let Poll::Ready(Some(Ok(bytes))) = &polled
+            && self.limit.count(bytes.len()).is_err()
+        {
+            return Poll::Ready(Some(Err(PeerBodyError::TooLarge)));
+        }
+        polled
+    }
+
+    fn poll_unlimited(
+        &mut self,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, PeerBodyError>>> {
         if !self.first.is_empty() {
             return Poll::Ready(Some(Ok(std::mem::take(&mut self.first))));
--- a/src/route/answer.rs
+++ b/src/route/answer.rs
@@ -58,6 +58,8 @@
     Peer(PeerBodyError),
     /// The body was not complete at the request's deadline.
     Deadline,
+    /// The backend server sent more than any answer may have.
+    TooLarge,
 }
 
 impl std::fmt::Display for BodyError {
@@ -65,6 +67,7 @@
         match self {
             Self::Upstream(err) => write!(f, "answer of the backend server cut short: {err}"),
             Self::Peer(err) => write!(f, "answer of the peer cut short: {err}"),
+            Self::TooLarge => f.write_str("answer larger than allowed"),
             Self::Deadline => f.write_str("answer not complete at the request's deadline"),
         }
     }
--- a/src/route/upstream_body.rs
+++ b/src/route/upstream_body.rs
@@ -18,6 +18,8 @@
 use super::Slot;
 use super::answer::BodyError;
 use crate::decide::AttemptOutcome;
+use crate::limit::ByteLimit;
+use crate::limit::RESPONSE_MAX_BYTES;
 use crate::quarantine::PendingSend;
 use crate::task::TaskGuard;
 
@@ -26,6 +28,8 @@
 #[derive(Debug)]
 pub struct UpstreamBody {
     incoming: Incoming,
+    /// Counts the bytes received: a body may have no length, and never end.
+    limit: ByteLimit,
     /// Released by the request's deadline, which covers the whole answer, whether or not the body is
     /// polled then: neither a server nor a caller that stalls holds the slot forever.
     held: Arc<Mutex<Option<HeldResources>>>,
@@ -83,7 +87,8 @@
             release(&at_deadline, HeldResources::release_at_deadline);
         });
         let deadline = Box::pin(tokio::time::sleep(remaining));
-        Self { incoming, held, deadline, _release_task: release_task }
+        let limit = ByteLimit::new(RESPONSE_MAX_BYTES);
+        Self { incoming, limit, held, deadline, _release_task: release_task }
     }
 }
 
@@ -108,6 +113,12 @@
             return Poll::Ready(Some(Err(BodyError::Deadline)));
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled
+            && self.limit.count(frame.data_ref().map_or(0, Bytes::len)).is_err()
+        {
+            release(&self.held, HeldResources::release_broken);
+            return Poll::Ready(Some(Err(BodyError::TooLarge)));
+        }
         match &polled {
             Poll::Ready(None) => release(&self.held, HeldResources::release_complete),
             Poll::Ready(Some(Err(_))) => release(&self.held, HeldResources::release_broken),
--- a/tests/peer_responses.rs
+++ b/tests/peer_responses.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use sorrelwick::errors::Code;
+use sorrelwick::limit::RESPONSE_MAX_BYTES;
 use sorrelwick::peer::BodyRoom;
 use sorrelwick::peer::ForwardHead;
 use sorrelwick::peer::ForwardReplyHead;
@@ -47,6 +48,11 @@
 
 /// A body that yields [`HALF`] and then, without a pause, an error or nothing more.
 async fn half_body(then: AfterHalf) -> AnswerBody {
+    half_body_of(then, RESPONSE_MAX_BYTES).await
+}
+
+/// As [`half_body`], of a body that may have `max_bytes`.
+async fn half_body_of(then: AfterHalf, max_bytes: u64) -> AnswerBody {
     let (near, far) = tokio::io::duplex(PIPE_BYTES);
     tokio::spawn(async move {
         let mut connection = h2::server::handshake(far).await.expect("a connection");
@@ -66,7 +72,7 @@
     let rest = response.await.expect("a response").into_body();
     // The half and the reset arrive meanwhile.
     tokio::time::sleep(Duration::from_millis(50)).await;
-    AnswerBody::Peer(PeerBody::new(Bytes::new(), rest, deadline()))
+    AnswerBody::Peer(PeerBody::new(Bytes::new(), rest, deadline(), max_bytes))
 }
 
 /// Answers one forwarded request with a prepared body.
@@ -207,3 +213,12 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against another instance that sends more than the head of its response states: what it sent
+/// was collected without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn body_longer_than_stated_is_an_error() {
+    let stated_bytes = HALF.len() as u64 - 1;
+    let mut body = half_body_of(AfterHalf::FallSilent, stated_bytes).await;
+    assert!(body.frame().await.expect("a frame").is_err());
+}
