Store: keys and prefixes are escaped in queries

Callers saw nearly every request refused (503, 2103) after a restart of all instances while an entry whose name held &, +, #, %41, a blank or a control character stood at the end of a page of the list of backend servers.

Cause: the client of the platform's store wrote the last key of a page into the query for the next one as it was: cut short, decoded to another key, or no valid URI. No reading of the list was ever complete.

Evidence: platform/tests/odd_entries.rs, on the parent: 'invalid uri character' after a NUL; instances that refuse for 10 s after a start; a draining server that gets requests, since the list isn't read again.

The fix escapes all characters but the unreserved ones and the slash (percent-encoding, a library that was in the tree already), so that what the store decodes is the key, whatever is in it.

--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -7,6 +7,7 @@
 mod memory_store;
 mod platform;
 mod revision;
+mod uri_text;
 
 pub use any_store::AnyStore;
 pub use consul_store::ConsulStore;
@@ -29,3 +30,4 @@
 pub use platform::Store;
 pub use platform::StoreError;
 pub use revision::Revision;
+pub use uri_text::uri_text;
--- a/standins/src/routed/memory_event_store.rs
+++ b/standins/src/routed/memory_event_store.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -19,6 +20,7 @@
 use sorrelwick::store::WatchResult;
 use tokio::sync::watch;
 
+/// Items of a page, unless set otherwise.
 const PAGE_ITEMS: usize = 50;
 /// Time after which a client abandons a call without a response.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -76,6 +78,7 @@
     fault: Arc<watch::Sender<StoreFault>>,
     calls: Arc<AtomicU64>,
     cheap_calls: Arc<AtomicU64>,
+    page_items: Arc<AtomicUsize>,
 }
 
 impl Default for MemoryEventStore {
@@ -86,6 +89,7 @@
             fault: Arc::new(watch::Sender::new(StoreFault::None)),
             calls: Arc::default(),
             cheap_calls: Arc::default(),
+            page_items: Arc::new(AtomicUsize::new(PAGE_ITEMS)),
         }
     }
 }
@@ -100,9 +104,15 @@
             fault: Arc::new(watch::Sender::new(StoreFault::None)),
             calls: Arc::default(),
             cheap_calls: Arc::default(),
+            page_items: Arc::clone(&self.page_items),
         }
     }
 
+    /// Sets how many items a page has, for all clients.
+    pub fn set_page_items(&self, page_items: usize) {
+        self.page_items.store(page_items, Ordering::Relaxed);
+    }
+
     /// Sets the fault for this client; pending watches fail.
     pub fn set_fault(&self, fault: StoreFault) {
         self.fault.send_replace(fault);
@@ -250,7 +260,8 @@
             old.unwrap_or(&state.items).values().filter(|item| item.key.starts_with(prefix));
         let mut remaining =
             matching.filter(|item| after.is_none_or(|after| item.key.as_str() > after));
-        let items: Vec<Item> = remaining.by_ref().take(PAGE_ITEMS).cloned().collect();
+        let items: Vec<Item> =
+            remaining.by_ref().take(self.page_items.load(Ordering::Relaxed)).cloned().collect();
         let has_more = remaining.next().is_some();
         Ok(Page { items, has_more, revision: state.revision })
     }
