Store: keys are escaped in paths of the own interface's store

An operator who drains a server of 'orders?x', which doesn't exist, was told that it is done, and the server of 'orders' was drained; a delete would have lost the condition of its write.

Cause: ConsulStore wrote keys, prefixes and lease ids into paths as they were, so that ? or # ended the key. The stand-in now decodes paths, which the untouched client doesn't survive with % either. The fix uses the escaping of the platform's store; what the store decodes is the key as it was given.

--- a/src/store/consul_store.rs
+++ b/src/store/consul_store.rs
@@ -17,6 +17,7 @@
 use super::RosterEntry;
 use super::Store;
 use super::StoreError;
+use super::uri_text;
 use crate::conf::PlatformSettings;
 
 /// Response header that carries the store's index.
@@ -168,12 +169,13 @@
 
 impl Store for ConsulStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
-        let path = format!("/v1/kv/{key}?consistent");
+        let path = format!("/v1/kv/{}?consistent", uri_text(key));
         let reply = ok_or_not_found(self.call("GET", &path, &[], Duration::ZERO).await?)?;
         Ok(entries(&reply)?.into_iter().next())
     }
 
     async fn watch(&self, prefix: &str, index: u64, wait: Duration) -> Result<Listing, StoreError> {
+        let prefix = uri_text(prefix);
         let path = format!("/v1/kv/{prefix}?recurse&index={index}&wait={}ms", wait.as_millis());
         let reply = ok_or_not_found(self.call("GET", &path, &[], wait).await?)?;
         if index > 0 && reply.index == index {
@@ -184,7 +186,8 @@
     }
 
     async fn put_if(&self, key: &str, value: &[u8], index: u64) -> Result<bool, StoreError> {
-        self.put_returning_bool(&format!("/v1/kv/{key}?cas={index}"), value).await
+        let path = format!("/v1/kv/{}?cas={index}", uri_text(key));
+        self.put_returning_bool(&path, value).await
     }
 
     async fn lease_open(&self, ttl: Duration) -> Result<Lease, StoreError> {
@@ -201,18 +204,19 @@
     }
 
     async fn lease_renew(&self, lease: &Lease) -> Result<bool, StoreError> {
-        let path = format!("/v1/session/renew/{}", lease.0);
+        let path = format!("/v1/session/renew/{}", uri_text(&lease.0));
         let reply = ok_or_not_found(self.call("PUT", &path, &[], Duration::ZERO).await?)?;
         Ok(reply.status != StatusCode::NOT_FOUND)
     }
 
     async fn lease_close(&self, lease: &Lease) -> Result<(), StoreError> {
-        let path = format!("/v1/session/destroy/{}", lease.0);
+        let path = format!("/v1/session/destroy/{}", uri_text(&lease.0));
         self.put_returning_bool(&path, &[]).await.map(|_| ())
     }
 
     async fn acquire(&self, key: &str, value: &[u8], lease: &Lease) -> Result<bool, StoreError> {
-        self.put_returning_bool(&format!("/v1/kv/{key}?acquire={}", lease.0), value).await
+        let path = format!("/v1/kv/{}?acquire={}", uri_text(key), uri_text(&lease.0));
+        self.put_returning_bool(&path, value).await
     }
 }
 
--- a/standins/src/platform/server.rs
+++ b/standins/src/platform/server.rs
@@ -152,6 +152,10 @@
     named.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
 }
 
+fn decode_key(path: &str) -> String {
+    percent_encoding::percent_decode_str(path).decode_utf8_lossy().into_owned()
+}
+
 fn parse_duration(text: &str) -> Option<Duration> {
     if let Some(ms) = text.strip_suffix("ms") {
         return ms.parse().ok().map(Duration::from_millis);
@@ -171,7 +175,8 @@
     let slow_ms = switches.delay_ms.load(Ordering::Acquire);
     tokio::time::sleep(Duration::from_millis(slow_ms)).await;
     let is_write = request.method() == http::Method::PUT;
-    let answer = match path.strip_prefix("/v1/kv/") {
+    let key = path.strip_prefix("/v1/kv/").map(decode_key);
+    let answer = match &key {
         Some(key) if is_write => handle_write(shared, key, request).await,
         Some(key) => handle_read(shared, key, &request).await,
         None if path.starts_with("/v1/session/") => handle_session(shared, &path, request).await,
