Store: a reading ends with an error when its pages repeat

An instance that got the same page again and again read without end, kept every page, and called the store as fast as it answers: no server to use, and in the end no memory.

Cause: the two loops over pages went on as long as the store said that more follows. The fix: one PageReader for both loops; a second page with the same last key is an error that names the key, so that finitely many keys make finitely many pages.

--- a/src/gateway/follower.rs
+++ b/src/gateway/follower.rs
@@ -38,6 +38,7 @@
 use crate::store::Freshness;
 use crate::store::Item;
 use crate::store::ItemEvent;
+use crate::store::PageReader;
 use crate::store::Revision;
 use crate::store::StoreError;
 use crate::store::WatchResult;
@@ -341,20 +342,16 @@
     ) -> Result<(Vec<Item>, Revision), StoreError> {
         let mut items: Vec<Item> = Vec::new();
         let mut read_at: Option<Revision> = None;
-        loop {
-            let after = items.last().map(|item| item.key.clone());
-            let page = self.store.list_page(self.prefix, after.as_deref(), freshness).await?;
+        let mut pages = PageReader::new(&self.store, self.prefix, freshness);
+        while let Some(page) = pages.next_page().await? {
             self.check_era(page.revision.era)?;
             let at = *read_at.get_or_insert(page.revision);
             if at.era != page.revision.era {
                 return Err(answer_outdated());
             }
-            let last = !page.has_more || page.items.is_empty();
             items.extend(page.items.into_iter().map(|item| self.mirror.redacted(item)));
-            if last {
-                return Ok((items, at));
-            }
         }
+        Ok((items, read_at.unwrap_or_default()))
     }
 
     /// Watches the store for events after `revision`.
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -15,6 +15,7 @@
 use crate::quarantine::SuspectRecord;
 use crate::store::EventStore;
 use crate::store::Freshness;
+use crate::store::PageReader;
 use crate::store::StoreError;
 
 /// Lease of a stored record: as long as a first quarantine lasts, and the longest lease that the
@@ -113,17 +114,11 @@
     async fn read_all(&self) -> Result<Vec<SuspectRecord>, StoreError> {
         let prefix = self.dialect.store_keys().suspects_prefix;
         let mut rows = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let page = self.store.list_page(prefix, after.as_deref(), Freshness::Latest).await?;
-            for item in &page.items {
-                rows.extend(decode_rows(&item.key, &item.value));
-            }
-            after = page.items.last().map(|item| item.key.clone());
-            if !page.has_more || after.is_none() {
-                return Ok(rows);
-            }
+        let mut pages = PageReader::new(&self.store, prefix, Freshness::Latest);
+        while let Some(page) = pages.next_page().await? {
+            rows.extend(page.items.iter().flat_map(|item| decode_rows(&item.key, &item.value)));
         }
+        Ok(rows)
     }
 }
 
--- a/standins/src/routed/memory_event_store.rs
+++ b/standins/src/routed/memory_event_store.rs
@@ -34,6 +34,8 @@
     None,
     /// Refuses each call as busy, without effect.
     Busy,
+    /// Answers each call for a page with the first one.
+    RepeatsPages,
     /// Does not respond; pending watches fail at once.
     Silent,
     /// Does not respond, and calls made during the fault or pending at its start get no response even
@@ -217,7 +219,7 @@
         self.calls.fetch_add(1, Ordering::Relaxed);
         let fault = *self.fault.borrow();
         match fault {
-            StoreFault::None => Ok(()),
+            StoreFault::None | StoreFault::RepeatsPages => Ok(()),
             StoreFault::Busy => Err(StoreError::Refused("busy".into())),
             StoreFault::Silent | StoreFault::Hung => {
                 tokio::time::sleep(CALL_TIMEOUT).await;
@@ -254,6 +256,12 @@
             self.cheap_calls.fetch_add(1, Ordering::Relaxed);
         }
         self.begin_call().await?;
+        let repeats = *self.fault.borrow() == StoreFault::RepeatsPages;
+        let after = after.filter(|_| !repeats);
+        if repeats {
+            // Otherwise a client that asks in a loop would stop the paused clock.
+            tokio::time::sleep(ROUND_TRIP).await;
+        }
         let state = self.state.lock();
         let old = state.stale_items.as_ref().filter(|_| freshness == Freshness::Stale);
         let matching =
--- a/tests/follower.rs
+++ b/tests/follower.rs
@@ -203,3 +203,26 @@
     pass(7_000).await;
     assert_eq!(*removals.0.lock(), [("servers/s1".to_owned(), Duration::ZERO)]);
 }
+
+/// Guards against a reading of the list without end, and against a memory that grows with it, while the
+/// store answers with the same page again and again.
+#[tokio::test(start_paused = true)]
+async fn pages_that_do_not_move_on_end_the_reading() {
+    let store = MemoryEventStore::default();
+    store.set_page_items(2);
+    for number in 0..5 {
+        store.put(&format!("servers/s{number}"), "{}");
+    }
+    store.set_fault(StoreFault::RepeatsPages);
+    let removals = follow(&store);
+    pass(5_000).await;
+    // Each attempt checks the store and reads two pages; the shortest pause after one is 200 ms.
+    let calls_max = 5_000 / 200 * 3;
+    assert!((4..=calls_max).contains(&store.calls()), "{} calls in five seconds", store.calls());
+    store.set_fault(StoreFault::None);
+    // Long enough that what is missing then did not expire in an outage.
+    pass(4_000).await;
+    store.remove("servers/s4");
+    pass(1_000).await;
+    assert_eq!(*removals.0.lock(), [("servers/s4".to_owned(), Duration::ZERO)]);
+}
