Registry: the list of instances is read to its end

An instance that knows no other one and asks the store for some found none when entries of other writers filled the first page: it stayed alone, with whole quotas and budgets of its own.

Cause: Registry::instances read one page only. Evidence: store_entries::instances_beyond_the_first_page_are_found, on the parent: [] in place of the one instance.

--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -13,6 +13,8 @@
 use crate::store::EraLease;
 use crate::store::EventStore;
 use crate::store::Freshness;
+use crate::store::Item;
+use crate::store::PageReader;
 use crate::store::Roster;
 use crate::store::RosterEntry;
 use crate::store::StoreError;
@@ -96,15 +98,21 @@
             return Ok(Vec::new());
         }
         let prefix = self.dialect.store_keys().instances_prefix;
-        let page = self.store.list_page(prefix, None, Freshness::Latest).await?;
-        let listed = page.items.iter().filter_map(|item| {
-            let address: SocketAddr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-            Some(RosterEntry { id: item.key.clone(), address, zone: String::new(), leaving: false })
-        });
-        Ok(listed.collect())
+        let mut listed = Vec::new();
+        let mut pages = PageReader::new(&self.store, prefix, Freshness::Latest);
+        while let Some(page) = pages.next_page().await? {
+            listed.extend(page.items.iter().filter_map(roster_entry));
+        }
+        Ok(listed)
     }
 
     async fn backend_servers(&self) -> Result<Vec<RosterEntry>, StoreError> {
         Ok(Vec::new())
     }
 }
+
+/// The instance that an entry names; `None` if its value is no address.
+fn roster_entry(item: &Item) -> Option<RosterEntry> {
+    let address: SocketAddr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
+    Some(RosterEntry { id: item.key.clone(), address, zone: String::new(), leaving: false })
+}
--- a/tests/store_entries.rs
+++ b/tests/store_entries.rs
@@ -1,8 +1,16 @@
-//! Entries of the own interface's store, whatever their names and values are.
+//! Entries of the stores that name no service or instance, or under names with odd characters.
 
+use std::sync::Arc;
+
+use sorrelwick::board::Blackboard;
 use sorrelwick::errors::Code;
+use sorrelwick::gateway::Registry;
+use sorrelwick::store::Roster;
 use standins::bed::TestBed;
 use standins::bed::TestBedPlan;
+use standins::routed::MemoryEventStore;
+use standins::routed::PlainDialect;
+use standins::routed::fleet_settings;
 
 /// Guards against a change to another service than the one named, since a name in a path is read as
 /// part of its syntax.
@@ -21,3 +29,21 @@
     // The next change is the second one, and none was made meanwhile.
     assert_eq!(bed.put_service(0, &service, 1).await.expect("accepted"), 2);
 }
+
+/// Guards against an instance that finds no other one since entries of other writers fill the first page
+/// of the list.
+#[tokio::test]
+async fn instances_beyond_the_first_page_are_found() {
+    let store = MemoryEventStore::default();
+    store.set_page_items(2);
+    for name in ["a&b", "a b", "b\n", "c", "d"] {
+        store.put(&format!("instances/{name}"), "an entry of another writer");
+    }
+    store.put("instances/i1", "127.0.0.1:9");
+    let settings = fleet_settings("i2", "z", &["z"], &[]);
+    let board = Arc::new(Blackboard::new(settings, 1));
+    let registry = Registry { dialect: PlainDialect::default(), store, board };
+    let listed = registry.instances().await.expect("the store answers");
+    let addresses: Vec<String> = listed.iter().map(|row| row.address.to_string()).collect();
+    assert_eq!(addresses, ["127.0.0.1:9"]);
+}
