Servers: an entry whose name no header can carry names no server

A server got header lines that no caller sent: the name of an entry is sent to its server in a header, and another writer's name held a line break.

Cause: the id of a server is the entry's name, written into the head of each request as it is.

--- a/src/model/server_row.rs
+++ b/src/model/server_row.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use http::HeaderValue;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -51,6 +52,9 @@
     /// # Errors
     /// Names the invalid field.
     pub fn validate(&self) -> Result<(), String> {
+        if !fits_header(&self.id) {
+            return Err("id: cannot be sent in a header".into());
+        }
         if self.slots == 0 || self.slots > SLOTS_MAX {
             return Err(format!("slots: {} is not within 1 to {SLOTS_MAX}", self.slots));
         }
@@ -74,3 +78,10 @@
         self.state == ServerState::Draining
     }
 }
+
+/// Whether a recipient of a header with this value reads just this text.
+fn fits_header(text: &str) -> bool {
+    !text.is_empty()
+        && text.trim_ascii() == text
+        && HeaderValue::from_bytes(text.as_bytes()).is_ok()
+}
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -205,6 +205,21 @@
     assert_eq!(bed.free_slots(), whole);
 }
 
+/// Guards against requests whose head another writer extends: the name of an entry is sent to its server
+/// in a header.
+#[tokio::test]
+async fn names_that_no_header_carries_name_no_server() {
+    let mut bed = Bed::new();
+    for unfit in ["", "a\nb", "a\r\nx: y", "a\0", "\u{1b}[a", "a\u{7f}", " a", "a ", "\ta"] {
+        bed.write(unfit, &entry(1_000, 1, 81, "ready"));
+        assert!(bed.dispatcher.servers().is_empty(), "{unfit:?}");
+    }
+    for (number, fit) in ["a&b", "a b", "a%0ab", "a\"b", "\u{e9}"].iter().enumerate() {
+        bed.write(fit, &entry(1_000, 1, 81 + u16::try_from(number).expect("few"), "ready"));
+        assert_eq!(bed.dispatcher.servers().len(), number + 1, "{fit:?}");
+    }
+}
+
 /// Corrupted entries must neither cause a panic nor name a server that no valid entry names.
 #[test]
 fn corrupted_entries_name_no_unwritten_server() {
