Configuration: a health path that no request carries is unreadable

A health check would have sent a server header lines, or a second request, that nobody sent.

Cause: the path of a service's health check is written into a request head as it is, and was read without a check. Evidence: parsed_config::health_path_that_no_request_carries_is_unreadable finds no fault in any of six such paths on the parent.

--- a/src/gateway/parsed_config.rs
+++ b/src/gateway/parsed_config.rs
@@ -115,6 +115,13 @@
     if route.has_target() { Ok(route) } else { Err("the route names no service".into()) }
 }
 
+/// Parses a service and validates it.
+fn parse_service(part: &RawValue) -> Result<ServiceConfig, String> {
+    let service: ServiceConfig = parse(part)?;
+    service.validate()?;
+    Ok(service)
+}
+
 /// Parses a workspace and validates it.
 fn parse_workspace(part: &RawValue) -> Result<Workspace, String> {
     let workspace: Workspace = parse(part)?;
@@ -158,8 +165,8 @@
     }
 
     fn service(&mut self, part: &RawValue) -> Option<ServiceConfig> {
-        match parse::<ServiceConfig>(part) {
-            Ok(rule) => Some(rule),
+        match parse_service(part) {
+            Ok(service) => Some(service),
             Err(why) => {
                 let name = RouteStub::from_part(part).name;
                 let previous = self.previous.and_then(|table| table.services.get(name.as_str()));
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -78,6 +78,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceConfig {
     pub name: Arc<str>,
+    /// Sent in the head of a request as it is.
     pub health_path: String,
     /// Maximum number of connections that a backend server accepts from all clients together.
     #[serde(default = "default_connections_max")]
@@ -92,6 +93,18 @@
 }
 
 impl ServiceConfig {
+    /// Checks the values of the fields.
+    ///
+    /// # Errors
+    /// Names the invalid field.
+    pub fn validate(&self) -> Result<(), String> {
+        let path = &self.health_path;
+        if !path.starts_with('/') || !path.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err("health_path: must be a path, of printable ASCII without spaces".into());
+        }
+        Ok(())
+    }
+
     /// Duration of a backend server's warm-up.
     #[must_use]
     pub fn warmup(&self) -> Duration {
--- a/tests/parsed_config.rs
+++ b/tests/parsed_config.rs
@@ -133,3 +133,17 @@
         assert!(RouteTable::parse(text.as_bytes(), None).is_err(), "{text}");
     }
 }
+
+/// Guards against requests whose head is extended by the path of a health check, which is written into
+/// it as it is.
+#[test]
+fn health_path_that_no_request_carries_is_unreadable() {
+    for unfit in ["", "health", "/he alth", "/health HTTP/1.1\r\nx: y", "/a\0", "/\u{e9}"] {
+        let text = changed(1, |document| document["services"][0]["health_path"] = unfit.into());
+        let ParsedConfig { table, faults } = read(&text, None);
+        assert_eq!(codes(&faults), [(Code::ServiceUnreadable, false)], "{unfit:?}");
+        assert!(!table.services.contains_key("parts"), "{unfit:?}");
+    }
+    let text = changed(1, |document| document["services"][0]["health_path"] = "/a%20b?c=d".into());
+    assert!(read(&text, None).faults.is_empty());
+}
