Servers: an implausible warm-up is refused

Another writer's entry with a warm-up of 2^64 - 1 ms ended the task that follows the list, in a build with overflow checks: all instances went on by the list as it was. A release build wraps around.

Cause: ColdState computed now + warmup * 1000 unchecked. Nested values, slots and ports out of range were refused before; the tests keep that.

--- a/src/cold/cold_state.rs
+++ b/src/cold/cold_state.rs
@@ -22,7 +22,7 @@
     #[must_use]
     pub fn new(warmup_ms: u64, now_us: u64) -> Self {
         Self {
-            entry_until_us: now_us + warmup_ms * 1000,
+            entry_until_us: end_us(warmup_ms, now_us),
             entry_at_us: now_us,
             health_until_us: 0,
             health_at_us: 0,
@@ -32,7 +32,7 @@
 
     /// Records the remaining warm-up time that the platform entry states.
     pub const fn record_entry(&mut self, warmup_ms: u64, now_us: u64) {
-        self.entry_until_us = now_us + warmup_ms * 1000;
+        self.entry_until_us = end_us(warmup_ms, now_us);
         self.entry_at_us = now_us;
     }
 
@@ -40,13 +40,13 @@
     pub fn record_health(&mut self, remaining_ms: Option<u64>, now_us: u64) {
         self.checks_report_cold |= remaining_ms.is_some();
         self.health_at_us = now_us;
-        self.health_until_us = remaining_ms.map_or(0, |remaining_ms| now_us + remaining_ms * 1000);
+        self.health_until_us = remaining_ms.map_or(0, |remaining_ms| end_us(remaining_ms, now_us));
     }
 
     /// Assumes that the server may be cold for this time without a report. The next health check
     /// settles it.
     pub fn presume_cold(&mut self, warmup_us: u64, now_us: u64) {
-        self.health_until_us = self.health_until_us.max(now_us + warmup_us);
+        self.health_until_us = self.health_until_us.max(now_us.saturating_add(warmup_us));
     }
 
     /// Whether the server is warmed up.
@@ -60,3 +60,8 @@
         self.checks_report_cold && self.health_at_us > self.entry_at_us
     }
 }
+
+/// The end of a warm-up, by the time that a server says it takes, which may be any number.
+const fn end_us(remaining_ms: u64, now_us: u64) -> u64 {
+    now_us.saturating_add(remaining_ms.saturating_mul(1000))
+}
--- a/src/model/server_row.rs
+++ b/src/model/server_row.rs
@@ -17,6 +17,8 @@
 
 /// Largest plausible number of slots of one server; an entry with more is rejected.
 const SLOTS_MAX: u32 = 100_000;
+/// Longest plausible warm-up, a day; an entry with a longer one is rejected.
+const WARMUP_MAX_MS: u64 = 24 * 60 * 60 * 1_000;
 
 /// One run of a backend server's process. A restart is another row, with another id or with the
 /// same id and a later `started_ms`.
@@ -58,6 +60,9 @@
         if self.slots == 0 || self.slots > SLOTS_MAX {
             return Err(format!("slots: {} is not within 1 to {SLOTS_MAX}", self.slots));
         }
+        if self.warmup_ms > WARMUP_MAX_MS {
+            return Err(format!("warmup_ms: {} is over {WARMUP_MAX_MS}", self.warmup_ms));
+        }
         if self.address.port() == 0 || self.address.ip().is_unspecified() {
             return Err(format!("address: {} cannot be connected to", self.address));
         }
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -205,6 +205,27 @@
     assert_eq!(bed.free_slots(), whole);
 }
 
+/// Guards against an instance that stops to follow the list, or uses a server at once or never, since a
+/// number of an entry is larger than what is computed with it.
+#[tokio::test]
+async fn largest_numbers_name_no_server_or_do_no_harm() {
+    let mut bed = Bed::new();
+    bed.write("start", &entry(u64::MAX, u64::MAX, 81, "ready"));
+    assert_eq!(bed.dispatcher.servers().len(), 1);
+    let warmup = |warmup_ms: u64| {
+        let mut value: serde_json::Value =
+            serde_json::from_slice(&entry(1_000, 1, 82, "ready")).expect("JSON");
+        value["warmup_ms"] = warmup_ms.into();
+        value.to_string().into_bytes()
+    };
+    for too_long_ms in [u64::MAX, u64::MAX / 1_000, 86_400_001] {
+        bed.write("warmup", &warmup(too_long_ms));
+        assert_eq!(bed.dispatcher.servers().len(), 1, "{too_long_ms}");
+    }
+    bed.write("warmup", &warmup(86_400_000));
+    assert_eq!(bed.dispatcher.servers().len(), 2);
+}
+
 /// Guards against requests whose head another writer extends: the name of an entry is sent to its server
 /// in a header.
 #[tokio::test]
