Store: one odd row of the catalog hides no other

An instance that starts found no other one, and a leaving server wasn't closed, when one row of the platform's list had a port out of range (own interface).

Cause: the rows were decoded at once. Evidence: store_entries::odd_rows_of_machines_hide_no_other, on the parent: the call fails. Now each row is decoded on its own; an unreadable one is skipped and logged once, with 3016 or the new 3022. What was reported is remembered by one type for this, the list of instances and the entries of servers, which had it before.

--- a/src/app/gateway.rs
+++ b/src/app/gateway.rs
@@ -209,7 +209,7 @@
         let check = run_store_check(store.clone(), Arc::clone(&board), config_ref, servers_ref);
         tasks.spawn(check);
         spawn_quarantine_store(&mut tasks, &dialect, &store, &board, gateway.first_start);
-        let registry = Registry { dialect: dialect.clone(), store, board: Arc::clone(&board) };
+        let registry = Registry::new(dialect.clone(), store, Arc::clone(&board));
         tasks.spawn(registry.clone().run());
         tasks.spawn(run_failure_detector(Arc::clone(&board), links.clone()));
         tasks.spawn(run_joiner(Arc::clone(&board), registry, links.clone()));
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -88,6 +88,7 @@
     ServerLimitUnreadable = 3019, "A backend server reports a rate limit that is not a number of requests per second; its previous limit stays in force.", "Correct the field that the server sends.";
     ServerRestUnreadable = 3020, "A backend server refuses a request with a retry time that is not a number of seconds; it gets no cooldown.", "Correct the field that the server sends.";
     WorkspaceUnreadable = 3021, "A workspace cannot be read; its keys are suspended, unless only its priority or quota cannot be read and they are known from before.", "Correct the field that the log line names.";
+    InstanceUnreadable = 3022, "A row in the platform's list of instances cannot be read; no instance is looked for there.", "Find out who wrote the row; the other rows stay valid.";
     PeerUnauthenticated = 4001, "A peer did not prove that it knows the shared secret.", "Give all instances the same `peers.secret`.";
     PeerFrame = 4002, "A peer sent a frame that cannot be decoded.", "Check that all instances run compatible versions.";
     PeerFrameTooLarge = 4003, "A peer sent a frame over the limit.", "As for PeerFrame.";
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -1,15 +1,17 @@
 //! The list of instances in the platform's store, which the instances maintain themselves.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::error;
 use log::warn;
+use parking_lot::Mutex;
 
 use super::Dialect;
 use super::homes::HomesPlan;
 use super::homes::is_home;
 use crate::board::Blackboard;
+use crate::errors::Code;
 use crate::store::EraLease;
 use crate::store::EventStore;
 use crate::store::Freshness;
@@ -18,6 +20,7 @@
 use crate::store::Roster;
 use crate::store::RosterEntry;
 use crate::store::StoreError;
+use crate::store::UnreadableEntries;
 
 /// How often this instance checks whether it is the first of its zone; also the time that homes
 /// need to settle after a start.
@@ -36,9 +39,35 @@
     pub dialect: D,
     pub store: S,
     pub board: Arc<Blackboard>,
+    /// Entries of the list.
+    unreadable: Arc<Mutex<UnreadableEntries>>,
 }
 
 impl<D: Dialect, S: EventStore> Registry<D, S> {
+    /// The list in this store, for the instance of `board`.
+    pub fn new(dialect: D, store: S, board: Arc<Blackboard>) -> Self {
+        Self { dialect, store, board, unreadable: Arc::default() }
+    }
+
+    /// The instance that an entry names; `None` if its value is no address.
+    fn roster_entry(&self, item: &Item) -> Option<RosterEntry> {
+        let address = std::str::from_utf8(&item.value).ok().and_then(|text| text.parse().ok());
+        if address.is_none() && self.unreadable.lock().record(&item.key, "not an address") {
+            error!(
+                event = "row-unreadable", code = Code::InstanceUnreadable.number(),
+                row = item.key.as_str(), why = "not an address";
+                "{}", Code::InstanceUnreadable
+            );
+        }
+        let entry = |address| RosterEntry {
+            id: item.key.clone(),
+            address,
+            zone: String::new(),
+            leaving: false,
+        };
+        address.map(entry)
+    }
+
     /// Writes the entry of this instance; returns its lease.
     async fn register(&self) -> Result<EraLease, StoreError> {
         let lease = self.store.open_lease(LEASE_TTL).await?;
@@ -101,7 +130,7 @@
         let mut listed = Vec::new();
         let mut pages = PageReader::new(&self.store, prefix, Freshness::Latest);
         while let Some(page) = pages.next_page().await? {
-            listed.extend(page.items.iter().filter_map(roster_entry));
+            listed.extend(page.items.iter().filter_map(|item| self.roster_entry(item)));
         }
         Ok(listed)
     }
@@ -110,9 +139,3 @@
         Ok(Vec::new())
     }
 }
-
-/// The instance that an entry names; `None` if its value is no address.
-fn roster_entry(item: &Item) -> Option<RosterEntry> {
-    let address: SocketAddr = std::str::from_utf8(&item.value).ok()?.parse().ok()?;
-    Some(RosterEntry { id: item.key.clone(), address, zone: String::new(), leaving: false })
-}
--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -23,10 +23,9 @@
 use crate::model::ServerRow;
 use crate::store::Item;
 use crate::store::Revision;
+use crate::store::UnreadableEntries;
 use crate::workspace::WorkspaceTable;
 
-/// Number of unreadable entries that are remembered as logged; beyond it, some are logged again.
-const UNREADABLE_LOGGED_MAX: usize = 1_000;
 /// Number of changes of a batch that are logged individually. After a start each of hundreds of
 /// instances receives hundreds of servers at once; one line with their number and revision then
 /// suffices.
@@ -198,9 +197,8 @@
 pub struct ServerSink<D> {
     pub dialect: D,
     pub dispatcher: Dispatcher,
-    /// Current unreadable entries by id, with the parse error. Each is logged once per error,
-    /// however often its writer repeats it.
-    unreadable: HashMap<String, String>,
+    /// By id.
+    unreadable: UnreadableEntries,
     /// `None` outside a batch.
     batch: Option<Batch>,
 }
@@ -225,7 +223,7 @@
     /// Creates a sink that lists servers in `dispatcher`.
     #[must_use]
     pub fn new(dialect: D, dispatcher: Dispatcher) -> Self {
-        Self { dialect, dispatcher, unreadable: HashMap::new(), batch: None }
+        Self { dialect, dispatcher, unreadable: UnreadableEntries::default(), batch: None }
     }
 
     /// Decodes and validates the entry of a server.
@@ -237,20 +235,15 @@
 
     /// Logs an unreadable entry and removes the server that was listed under its id. Other entries
     /// are not affected. The entry may come from a writer that is not a server.
-    fn reject(&mut self, id: &str, why: String, revision: u64) {
+    fn reject(&mut self, id: &str, why: &str, revision: u64) {
         self.dispatcher.unlist_server(id, Duration::ZERO);
-        if self.unreadable.get(id) == Some(&why) {
-            return;
-        }
-        error!(
-            event = "server-unreadable", code = Code::ServerUnreadable.number(), server = id,
-            revision = revision, why = why.as_str();
-            "{}", Code::ServerUnreadable
-        );
-        if self.unreadable.len() >= UNREADABLE_LOGGED_MAX {
-            self.unreadable.clear();
+        if self.unreadable.record(id, why) {
+            error!(
+                event = "server-unreadable", code = Code::ServerUnreadable.number(), server = id,
+                revision = revision, why = why;
+                "{}", Code::ServerUnreadable
+            );
         }
-        self.unreadable.insert(id.to_owned(), why);
     }
 
     /// Counts a change; returns whether it is logged individually.
@@ -269,7 +262,7 @@
             item.key.strip_prefix(self.dialect.store_keys().servers_prefix).unwrap_or(&item.key);
         let row = match self.decode(id, &item.value) {
             Ok(row) => row,
-            Err(why) => return self.reject(id, why, item.revision.number),
+            Err(why) => return self.reject(id, &why, item.revision.number),
         };
         self.unreadable.remove(id);
         if self.count_change(1, 0) {
--- a/src/store/consul_store.rs
+++ b/src/store/consul_store.rs
@@ -1,13 +1,17 @@
 //! The platform's store over Consul's HTTP API.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http::StatusCode;
+use log::error;
+use parking_lot::Mutex;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
 use super::Entry;
 use super::HttpClient;
@@ -17,8 +21,10 @@
 use super::RosterEntry;
 use super::Store;
 use super::StoreError;
+use super::UnreadableEntries;
 use super::uri_text;
 use crate::conf::PlatformSettings;
+use crate::errors::Code;
 
 /// Response header that carries the store's index.
 const INDEX_HEADER: &str = "x-consul-index";
@@ -27,10 +33,15 @@
 /// Name under which the platform's catalog lists backend servers.
 const BACKEND_SERVERS: &str = "backend-servers";
 
+/// Characters of a row that are kept of one that cannot be read.
+const REPORTED_ROW_MAX_CHARS: usize = 200;
+
 /// A [`Store`] and [`Roster`] over HTTP; clones share connections.
 #[derive(Clone, Debug)]
 pub struct ConsulStore {
     http: HttpClient,
+    /// Rows of the catalog.
+    unreadable: Arc<Mutex<UnreadableEntries>>,
 }
 
 /// An entry of the key-value API.
@@ -84,7 +95,7 @@
 }
 
 /// Parses a response body; an invalid one counts as a lost response.
-fn parse<T: serde::de::DeserializeOwned>(reply: &Reply) -> Result<T, StoreError> {
+fn parse<'a, T: Deserialize<'a>>(reply: &'a Reply) -> Result<T, StoreError> {
     serde_json::from_slice(&reply.body).map_err(response_lost)
 }
 
@@ -107,7 +118,8 @@
     #[must_use]
     pub fn open(platform: &PlatformSettings) -> Self {
         let call_timeout = Duration::from_millis(platform.call_timeout_ms);
-        Self { http: HttpClient::open(platform.address, call_timeout) }
+        let http = HttpClient::open(platform.address, call_timeout);
+        Self { http, unreadable: Arc::default() }
     }
 
     /// Makes one call. `extra_wait` is the time that the store may hold it, added to the timeout.
@@ -130,22 +142,46 @@
         Ok(expect_ok(reply)?.body.trim_ascii() == b"true")
     }
 
-    /// The catalog entries of one service name; entries with an invalid address are skipped.
-    async fn list(&self, name: &str) -> Result<Vec<RosterEntry>, StoreError> {
+    /// The catalog entries of one service name. Those that cannot be read are skipped, and logged with
+    /// `code`.
+    async fn list(&self, name: &str, code: Code) -> Result<Vec<RosterEntry>, StoreError> {
         let path = format!("/v1/catalog/service/{name}");
         let reply = expect_ok(self.call("GET", &path, &[], Duration::ZERO).await?)?;
-        let rows: Vec<CatalogRow> = parse(&reply)?;
-        let listed = rows.into_iter().filter_map(|row| {
-            let ip = row.address.parse().ok()?;
-            Some(RosterEntry {
-                id: row.id,
-                address: SocketAddr::new(ip, row.port),
-                zone: row.meta.zone,
-                leaving: row.meta.state == "leaving",
-            })
-        });
-        Ok(listed.collect())
+        let rows: Vec<&RawValue> = parse(&reply)?;
+        let mut listed = Vec::new();
+        for row in rows {
+            match roster_entry(row) {
+                Ok(entry) => listed.push(entry),
+                Err(why) => self.report_unreadable(row.get(), &why, code),
+            }
+        }
+        Ok(listed)
+    }
+
+    fn report_unreadable(&self, row: &str, why: &str, code: Code) {
+        let row: String = row.chars().take(REPORTED_ROW_MAX_CHARS).collect();
+        if self.unreadable.lock().record(&row, why) {
+            error!(
+                event = "row-unreadable", code = code.number(), row = row.as_str(), why = why;
+                "{code}"
+            );
+        }
+    }
+}
+
+/// Decodes an entry of the catalog.
+fn roster_entry(row: &RawValue) -> Result<RosterEntry, String> {
+    let row: CatalogRow = serde_json::from_str(row.get()).map_err(|err| err.to_string())?;
+    let ip = row.address.parse().map_err(|_| "ServiceAddress: not an IP address")?;
+    if row.port == 0 {
+        return Err("ServicePort: 0 cannot be connected to".into());
     }
+    Ok(RosterEntry {
+        id: row.id,
+        address: SocketAddr::new(ip, row.port),
+        zone: row.meta.zone,
+        leaving: row.meta.state == "leaving",
+    })
 }
 
 /// The entries of a key-value response; none for a 404.
@@ -222,10 +258,10 @@
 
 impl Roster for ConsulStore {
     async fn instances(&self) -> Result<Vec<RosterEntry>, StoreError> {
-        self.list(INSTANCES).await
+        self.list(INSTANCES, Code::InstanceUnreadable).await
     }
 
     async fn backend_servers(&self) -> Result<Vec<RosterEntry>, StoreError> {
-        self.list(BACKEND_SERVERS).await
+        self.list(BACKEND_SERVERS, Code::ServerUnreadable).await
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -8,6 +8,7 @@
 mod page_reader;
 mod platform;
 mod revision;
+mod unreadable_entries;
 mod uri_text;
 
 pub use any_store::AnyStore;
@@ -32,4 +33,5 @@
 pub use platform::Store;
 pub use platform::StoreError;
 pub use revision::Revision;
+pub use unreadable_entries::UnreadableEntries;
 pub use uri_text::uri_text;
--- a/standins/src/bed/process_fleet.rs
+++ b/standins/src/bed/process_fleet.rs
@@ -55,7 +55,7 @@
         let listed = self.daemons.iter().map(|daemon| ListedMachine {
             id: daemon.settings.instance.name.clone(),
             ip: daemon.settings.listen.peer.ip().to_string(),
-            port: daemon.settings.listen.peer.port(),
+            port: daemon.settings.listen.peer.port().into(),
             zone: daemon.settings.instance.zone.clone(),
             leaving: false,
         });
--- a/standins/src/bed/test_bed.rs
+++ b/standins/src/bed/test_bed.rs
@@ -98,7 +98,7 @@
         let machine = |board: &Arc<Blackboard>| ListedMachine {
             id: board.settings.instance.name.clone(),
             ip: "127.0.0.1".into(),
-            port: board.settings.listen.peer.port(),
+            port: board.settings.listen.peer.port().into(),
             zone: board.settings.instance.zone.clone(),
             leaving: false,
         };
--- a/standins/src/platform/state.rs
+++ b/standins/src/platform/state.rs
@@ -15,7 +15,8 @@
 pub struct ListedMachine {
     pub id: String,
     pub ip: String,
-    pub port: u16,
+    /// Beyond the ports that exist in a row that no machine has.
+    pub port: u64,
     pub zone: String,
     pub leaving: bool,
 }
--- a/tests/leaving_server.rs
+++ b/tests/leaving_server.rs
@@ -144,7 +144,7 @@
     let listed = |leaving| ListedMachine {
         id: "b3".into(),
         ip: "127.0.0.1".into(),
-        port: backend.address().port(),
+        port: backend.address().port().into(),
         zone: "burnaby".into(),
         leaving,
     };
--- a/tests/store_entries.rs
+++ b/tests/store_entries.rs
@@ -2,12 +2,18 @@
 
 use std::sync::Arc;
 
+use serde_json::json;
 use sorrelwick::board::Blackboard;
+use sorrelwick::conf::PlatformSettings;
 use sorrelwick::errors::Code;
 use sorrelwick::gateway::Registry;
+use sorrelwick::store::ConsulStore;
 use sorrelwick::store::Roster;
 use standins::bed::TestBed;
 use standins::bed::TestBedPlan;
+use standins::platform::ListedMachine;
+use standins::platform::Platform;
+use standins::platform::PlatformState;
 use standins::routed::MemoryEventStore;
 use standins::routed::PlainDialect;
 use standins::routed::fleet_settings;
@@ -42,8 +48,35 @@
     store.put("instances/i1", "127.0.0.1:9");
     let settings = fleet_settings("i2", "z", &["z"], &[]);
     let board = Arc::new(Blackboard::new(settings, 1));
-    let registry = Registry { dialect: PlainDialect::default(), store, board };
+    let registry = Registry::new(PlainDialect::default(), store, board);
     let listed = registry.instances().await.expect("the store answers");
     let addresses: Vec<String> = listed.iter().map(|row| row.address.to_string()).collect();
     assert_eq!(addresses, ["127.0.0.1:9"]);
 }
+
+/// Guards against an instance that finds no other one since one row of the list cannot be read.
+#[tokio::test]
+async fn odd_rows_of_machines_hide_no_other() {
+    let state = PlatformState::default();
+    let machine = |id: &str, ip: &str, port| ListedMachine {
+        id: id.into(),
+        ip: ip.into(),
+        port,
+        zone: "z".into(),
+        leaving: false,
+    };
+    let machines = vec![
+        machine("a", "127.0.0.1", 70_000),
+        machine("b", "not an address", 1),
+        machine("c", "127.0.0.1", 0),
+        machine("i", "127.0.0.1", 9),
+        machine("z", "127.0.0.1", u64::MAX),
+    ];
+    state.set_list("sorrelwick", machines);
+    let platform = Platform::bind(([127, 0, 0, 1], 0).into(), state).await.expect("a free port");
+    let settings = serde_json::from_value(json!({ "address": platform.address() }));
+    let settings: PlatformSettings = settings.expect("settings");
+    let listed = ConsulStore::open(&settings).instances().await.expect("the list is read");
+    let ids: Vec<&str> = listed.iter().map(|row| row.id.as_str()).collect();
+    assert_eq!(ids, ["i"]);
+}
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -211,7 +211,7 @@
     let store = MemoryEventStore::default();
     let board = lone_board();
     let dialect = PlainDialect::default();
-    let registry = Registry { dialect, store: store.clone(), board: Arc::clone(&board) };
+    let registry = Registry::new(dialect, store.clone(), Arc::clone(&board));
     let copy = store.copy();
     tokio::spawn(registry.run());
     tokio::time::sleep(SETTLE_TIME * 2).await;
