Catalog: a row of another writer is no service that operators could not declare

In a build with overflow checks, the row of a service whose slots are out of range ended the task that puts services in force, in all instances; rows under odd names were in force, and no operator could change them.

Cause: decode_entry took whatever had the shape of a service. Now a row passes the check that operators' changes pass, and stands under its own name; else it is logged once (3014). That check also refuses port 0 and a health path that no request carries, as where the other configuration is read.

--- a/src/catalog/committer.rs
+++ b/src/catalog/committer.rs
@@ -129,7 +129,7 @@
         let Some(entry) = entry else {
             return Ok(StoredService { index: 0, row: None });
         };
-        let row = decode_entry(&entry).map(|(_, row)| row);
+        let row = decode_entry(&entry).ok().map(|(_, row)| row);
         Ok(StoredService { index: entry.index, row })
     }
 
--- a/src/catalog/watcher.rs
+++ b/src/catalog/watcher.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use log::warn;
+use log::error;
 use rand::RngExt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -14,11 +14,14 @@
 use super::spread::merge_rows;
 use super::spread::push_rows;
 use crate::board::Blackboard;
+use crate::errors::Code;
 use crate::model::VersionedService;
+use crate::model::check_service;
 use crate::peer::Links;
 use crate::store::Entry;
 use crate::store::Listing;
 use crate::store::Store;
+use crate::store::UnreadableEntries;
 
 /// Prefix of the services' keys in the store.
 pub const SERVICES_PREFIX: &str = "sorrelwick/services/";
@@ -28,12 +31,50 @@
 /// Interval at which an instance that is not a watcher checks whether it has become one.
 const NOT_WATCHER_PAUSE: Duration = Duration::from_millis(500);
 
-/// Decodes a service's row from the store; `None` if it is invalid.
-#[must_use]
-pub fn decode_entry(entry: &Entry) -> Option<(String, VersionedService)> {
-    let name = entry.key.strip_prefix(SERVICES_PREFIX)?;
-    let versioned: VersionedService = serde_json::from_slice(&entry.value).ok()?;
-    Some((name.to_owned(), versioned))
+/// Decodes a service's row from the store. Only a row that operators could have committed is valid:
+/// other writers may have chosen its name or its values.
+///
+/// # Errors
+/// Why it is invalid.
+pub fn decode_entry(entry: &Entry) -> Result<(String, VersionedService), String> {
+    let name = entry.key.strip_prefix(SERVICES_PREFIX).ok_or("not below the services")?;
+    let row: VersionedService =
+        serde_json::from_slice(&entry.value).map_err(|err| err.to_string())?;
+    if row.revision == u64::MAX {
+        return Err("revision: no other can follow".into());
+    }
+    if let Some(service) = &row.service {
+        if service.name != name {
+            return Err(format!("name: {:?} is another service", service.name));
+        }
+        check_service(service).map_err(|err| err.to_string())?;
+    }
+    Ok((name.to_owned(), row))
+}
+
+/// The valid rows of a listing. The others are logged, each once for each reason.
+fn decode_listing(listing: &Listing, unreadable: &mut UnreadableEntries) -> ServiceRows {
+    let mut rows = ServiceRows::new();
+    for entry in &listing.entries {
+        match decode_entry(entry) {
+            Ok(row) => {
+                unreadable.remove(&entry.key);
+                rows.push(row);
+            }
+            Err(why) => report_unreadable(entry, &why, unreadable),
+        }
+    }
+    rows
+}
+
+fn report_unreadable(entry: &Entry, why: &str, unreadable: &mut UnreadableEntries) {
+    if unreadable.record(&entry.key, why) {
+        error!(
+            event = "service-unreadable", code = Code::ServiceUnreadable.number(),
+            key = entry.key.as_str(), why = why;
+            "{}", Code::ServiceUnreadable
+        );
+    }
 }
 
 /// Whether this instance is one of those in its zone that watch the store.
@@ -94,6 +135,7 @@
 pub async fn run_watcher<S: Store>(board: Arc<Blackboard>, store: S, links: Links) {
     let wait_ms = board.settings.platform.as_ref().map_or(10_000, |p| p.watch_wait_ms);
     let mut index = 0;
+    let mut unreadable = UnreadableEntries::default();
     loop {
         if !is_watcher(&board) {
             index = 0;
@@ -107,18 +149,12 @@
             sleep_with_jitter(WATCH_RETRY_MS).await;
             continue;
         };
-        let rows: ServiceRows = listing.entries.iter().filter_map(decode_entry).collect();
+        let rows = decode_listing(&listing, &mut unreadable);
         if listing.index != index {
             write_back_lost_rows(&board, &store, &listing, &rows).await;
         }
         // A lower index means that the store was replaced or restored: list all entries again.
         index = if listing.index < index { 0 } else { listing.index };
-        if rows.len() < listing.entries.len() {
-            warn!(
-                "{} services in the store are invalid and were skipped",
-                listing.entries.len() - rows.len()
-            );
-        }
         let updated = merge_rows(&board, rows);
         push_rows(&board, &links, &updated);
     }
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use smallvec::SmallVec;
 
+use crate::model::is_request_path;
 use crate::workspace::WorkspaceTable;
 
 /// Whether the requests of a route may run more than once.
@@ -98,8 +99,7 @@
     /// # Errors
     /// Names the invalid field.
     pub fn validate(&self) -> Result<(), String> {
-        let path = &self.health_path;
-        if !path.starts_with('/') || !path.bytes().all(|byte| byte.is_ascii_graphic()) {
+        if !is_request_path(&self.health_path) {
             return Err("health_path: must be a path, of printable ASCII without spaces".into());
         }
         Ok(())
--- a/src/model/check.rs
+++ b/src/model/check.rs
@@ -33,6 +33,12 @@
     Ok(())
 }
 
+/// Whether a text can stand in the head of a request as its path.
+#[must_use]
+pub fn is_request_path(text: &str) -> bool {
+    text.starts_with('/') && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 fn check_kind(kind: &RequestKind) -> Result<(), CodedError> {
     check_name("kinds.name", &kind.name)?;
     if !kind.path_prefix.starts_with('/') {
@@ -64,6 +70,10 @@
             let text = format!("'{}' stands twice", server.address);
             return Err(invalid("backend_servers.address", &text));
         }
+        if server.address.port() == 0 || server.address.ip().is_unspecified() {
+            let text = format!("'{}' cannot be connected to", server.address);
+            return Err(invalid("backend_servers.address", &text));
+        }
         if !(1..=SLOTS_MAX).contains(&server.slots) {
             return Err(invalid("backend_servers.slots", &format!("1 to {SLOTS_MAX}")));
         }
@@ -97,8 +107,8 @@
     if service.refusal_statuses.iter().any(|status| !(400..=599).contains(status)) {
         return Err(invalid("refusal_statuses", "each must be 400 to 599"));
     }
-    if !service.health_path.starts_with('/') {
-        return Err(invalid("health_path", "must start with '/'"));
+    if !is_request_path(&service.health_path) {
+        return Err(invalid("health_path", "must be a path, of printable ASCII without spaces"));
     }
     Ok(())
 }
--- a/tests/store_entries.rs
+++ b/tests/store_entries.rs
@@ -2,13 +2,16 @@
 
 use std::sync::Arc;
 
+use serde_json::Value;
 use serde_json::json;
 use sorrelwick::board::Blackboard;
+use sorrelwick::catalog::SERVICES_PREFIX;
 use sorrelwick::conf::PlatformSettings;
 use sorrelwick::errors::Code;
 use sorrelwick::gateway::Registry;
 use sorrelwick::store::ConsulStore;
 use sorrelwick::store::Roster;
+use sorrelwick::store::Store;
 use standins::bed::TestBed;
 use standins::bed::TestBedPlan;
 use standins::platform::ListedMachine;
@@ -54,6 +57,57 @@
     assert_eq!(addresses, ["127.0.0.1:9"]);
 }
 
+/// The row of a service with one server in each of two places, with this value of one of its fields, or
+/// of one of the servers' fields.
+fn service_row(name: &str, field: &str, value: &Value) -> Value {
+    let server = |id: &str, port: u16| {
+        let address = format!("127.0.0.1:{port}");
+        json!({ "id": id, "address": address, "zone": "burnaby", "slots": 4, "connections_max": 9 })
+    };
+    let servers = [server("b1", 81), server("b2", 82)];
+    let mut service = json!({ "name": name, "backend_servers": servers });
+    if service["backend_servers"][0].get(field).is_some() {
+        service["backend_servers"][0][field] = value.clone();
+        service["backend_servers"][1][field] = value.clone();
+    } else {
+        service[field] = value.clone();
+    }
+    json!({ "revision": 1, "change_id": uuid::Uuid::nil(), "service": service })
+}
+
+/// Guards against instances that stop to follow the services, or put one in force that no operator could
+/// declare, since the row of another writer has a number out of range or an odd name.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_rows_of_services_are_not_in_force_and_hide_none() {
+    let bed = TestBed::start(TestBedPlan::default()).await;
+    let platform = bed.boards()[0].settings.platform.clone().expect("a platform");
+    let store = ConsulStore::open(&platform);
+    let mut latest = service_row("latest", "name", &json!("latest"));
+    latest["revision"] = u64::MAX.into();
+    let rows = [
+        ("a&b", service_row("a&b", "name", &json!("a&b")).to_string()),
+        ("a b", service_row("a", "name", &json!("a")).to_string()),
+        ("line\nbreak", service_row("line\nbreak", "name", &json!("line\nbreak")).to_string()),
+        ("nested", "[".repeat(200_000)),
+        ("port", service_row("port", "address", &json!("127.0.0.1:70000")).to_string()),
+        ("no-port", service_row("no-port", "address", &json!("127.0.0.1:0")).to_string()),
+        ("slots", service_row("slots", "slots", &json!(u32::MAX)).to_string()),
+        ("budget", service_row("budget", "measuring_budget_per_s", &json!(u32::MAX)).to_string()),
+        ("path", service_row("path", "health_path", &json!("/a\r\nx: y")).to_string()),
+        ("latest", latest.to_string()),
+    ];
+    for (name, value) in &rows {
+        let key = format!("{SERVICES_PREFIX}{name}");
+        assert_eq!(store.put_if(&key, value.as_bytes(), 0).await, Ok(true), "{name}");
+    }
+    bed.create_service("orders").await;
+    for board in bed.boards() {
+        let services = board.services();
+        let in_force: Vec<&String> = services.keys().collect();
+        assert_eq!(in_force, ["orders"]);
+    }
+}
+
 /// Guards against an instance that finds no other one since one row of the list cannot be read.
 #[tokio::test]
 async fn odd_rows_of_machines_hide_no_other() {
