Server connections: after a failed write their end is the end of no body

Callers got a part of an answer as a complete one: a server answered a long upload unread with a 200 without length, sent part of its body and reset the connection.

Cause: the system reports a reset once per socket. The write of the request met it, its error was dropped, and the reads that followed ended as if the server had closed in order, which ends a body without length. The fix: a connection remembers the failed write. A stated length and chunks end on their own as before.

--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -113,6 +113,9 @@
     is_new: bool,
     /// Idle timeout of the server.
     keep_alive: Duration,
+    /// Whether the request could not be written whole. The system reports a reset once: after a write
+    /// has met it, the reads end as if the server had closed the connection in order.
+    write_failed: bool,
     _open_guard: OpenConnGuard,
 }
 
@@ -157,6 +160,7 @@
             idle_since_us: now_us(),
             is_new: true,
             keep_alive: KEEP_ALIVE_DEFAULT,
+            write_failed: false,
             _open_guard: open,
         })
     }
@@ -205,11 +209,12 @@
         tokio::pin!(write, read);
         let mut response = tokio::select! {
             biased;
+            // A server that refuses early may close its receiving side; its response still counts.
             written = &mut write => {
-                // A server that refuses early may close its receiving side; its response still
-                // counts.
-                let _ = written;
-                return read.await;
+                let mut response = read.await?;
+                self.write_failed = written.is_err();
+                response.keeps_open &= !self.write_failed;
+                return Ok(response);
             }
             response = &mut read => response?,
         };
@@ -235,7 +240,7 @@
             }
             self.input.reserve(READ_BYTES);
             match self.stream.read_buf(&mut self.input).await {
-                Ok(0) if decoder.finish_at_close() => return Ok(None),
+                Ok(0) if !self.write_failed && decoder.finish_at_close() => return Ok(None),
                 Ok(0) | Err(_) => return Err(ExchangeError::Truncated),
                 Ok(_) => {}
             }
