Own interface: only chunks end a response that has a transfer coding

A caller got half of an answer as a complete one when its server sent it with Transfer-Encoding: gzip and broke off. Cause: any transfer coding counted as one that ends by itself. Now only 'chunked' alone counts, as at the gateway; other codings have the outcome unknown (2202), like a response without length.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -88,8 +88,11 @@
         || response.status() == StatusCode::NO_CONTENT
         || response.status() == StatusCode::NOT_MODIFIED;
     bodiless
-        || response.headers().contains_key("content-length")
-        || response.headers().contains_key("transfer-encoding")
+        || match response.headers().get("transfer-encoding") {
+            // A body with another coding ends with its connection, whatever length is stated.
+            Some(coding) => coding.as_bytes().eq_ignore_ascii_case(b"chunked"),
+            None => response.headers().contains_key("content-length"),
+        }
 }
 
 /// Sends the request to the slot's server and receives its answer.
--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -105,10 +105,8 @@
     assert!(hedges > 0, "no request was hedged, so the test shows nothing");
 }
 
-/// A response without a length ends when its connection closes, so a truncated one cannot be told
-/// from a complete one. Guards against forwarding it: the outcome must be reported as unknown.
-#[tokio::test(flavor = "multi_thread")]
-async fn response_without_length_is_not_forwarded() {
+/// Sends an order to a server that answers with a part of a body after this head, and closes.
+async fn order_answered_by(head: &'static str) -> CallResult {
     use tokio::io::AsyncReadExt;
     use tokio::io::AsyncWriteExt;
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port");
@@ -117,7 +115,8 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut seen = [0; 4096];
             let _ = stream.read(&mut seen).await;
-            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\nhalf an answ").await;
+            let answer = format!("{head}\r\n\r\nhalf an answ");
+            let _ = stream.write_all(answer.as_bytes()).await;
         }
     });
     let bed = TestBed::start(TestBedPlan { backends: 1, ..TestBedPlan::default() }).await;
@@ -125,11 +124,30 @@
     service.backend_servers[0].address = address;
     let revision = bed.put_service(0, &service, 0).await.expect("accepted");
     bed.wait_until_applied("odd", revision).await;
-    let told =
-        bed.caller("odd", 0).call(&Call { body: Bytes::from("x"), ..Call::post("/", "p") }).await;
+    bed.caller("odd", 0).call(&Call { body: Bytes::from("x"), ..Call::post("/", "p") }).await
+}
+
+/// A response without a length ends when its connection closes, so a truncated one cannot be told
+/// from a complete one. Guards against forwarding it: the outcome must be reported as unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_without_length_is_not_forwarded() {
+    let told = order_answered_by("HTTP/1.1 200 OK").await;
     assert_eq!((told.outcome(), told.code()), ("unknown", 2202));
 }
 
+/// Guards against the same where the response has a transfer coding that does not end by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn response_that_is_coded_without_chunks_is_not_forwarded() {
+    for coding in [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked, gzip",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: identity",
+    ] {
+        let told = order_answered_by(coding).await;
+        assert_eq!((told.outcome(), told.code()), ("unknown", 2202), "{coding}: {told:?}");
+    }
+}
+
 /// Guards against a slot that stays taken forever because its caller stopped reading: the deadline
 /// was checked only while the response was read.
 #[tokio::test(flavor = "multi_thread")]
