--- a/tests/whole_answer.rs
+++ b/tests/whole_answer.rs
@@ -148,6 +148,23 @@
     }
 }
 
+/// Guards against callers that get as an answer what is none: a status that does not exist, or a field
+/// whose name holds a blank or a control character.
+#[tokio::test(flavor = "multi_thread")]
+async fn head_that_is_no_answer_is_not_forwarded() {
+    for head in [
+        "HTTP/1.1 000 OK\r\ncontent-length: 12",
+        "HTTP/1.1 099 OK\r\ncontent-length: 12",
+        "HTTP/1.1 200 OK\r\nodd name: 1\r\ncontent-length: 12",
+        "HTTP/1.1 200 OK\r\nodd : 1\r\ncontent-length: 12",
+        "HTTP/1.1 200 OK\r\nodd\u{1}: 1\r\ncontent-length: 12",
+        "HTTP/1.1 200 OK\r\nodd\0: 1\r\ncontent-length: 12",
+    ] {
+        let told = order_answered_by(head).await;
+        assert_eq!((told.outcome(), told.code()), ("unknown", 2201), "{head:?}: {told:?}");
+    }
+}
+
 /// Guards against a slot that stays taken forever because its caller stopped reading: the deadline
 /// was checked only while the response was read.
 #[tokio::test(flavor = "multi_thread")]
