Server connections: a keep-alive time of ages ends no request

The next request on a connection whose server had stated 'Keep-Alive: timeout=' closed without an answer: multiplying such a duration panics, in release builds too.

Now at most an hour is believed, so that three quarters of it can always be computed.

--- a/src/gateway/server_conn.rs
+++ b/src/gateway/server_conn.rs
@@ -34,6 +34,8 @@
 /// Idle timeout for servers that send none: they keep idle connections open for some seconds at
 /// least.
 const KEEP_ALIVE_DEFAULT: Duration = Duration::from_secs(4);
+/// Longest idle timeout that is believed; a server may state any number.
+const KEEP_ALIVE_MAX: Duration = Duration::from_hours(1);
 /// Percentage of the server's idle timeout during which a connection is reused: the server counts
 /// from the last byte that it sent, and a request must not be sent while it closes the connection.
 const KEEP_ALIVE_USE_PERCENT: u32 = 75;
@@ -278,7 +280,7 @@
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let mut values = text.split(',').filter_map(|part| part.trim().strip_prefix("timeout="));
     let seconds = values.find_map(|value| value.parse().ok())?;
-    Some(Duration::from_secs(seconds))
+    Some(Duration::from_secs(seconds).min(KEEP_ALIVE_MAX))
 }
 
 /// Reads response heads until one matches the request, and skips the bodies of the others.
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -229,3 +229,43 @@
         until_served(&fleet, 0).await;
     }
 }
+
+/// Panics of any thread from now on; the libraries catch those of tasks, whose work is lost.
+fn count_panics() -> Arc<AtomicUsize> {
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    let before = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        counted.fetch_add(1, Ordering::SeqCst);
+        before(info);
+    }));
+    count
+}
+
+/// Guards against requests, or tasks of an instance, that end in the middle since a server stated a number
+/// that is larger than what is computed with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn largest_numbers_in_answers_end_no_request() {
+    let (fleet, server) = start(&["z"]).await;
+    let panics = count_panics();
+    for line in [
+        "keep-alive: timeout=18446744073709551615",
+        "keep-alive: timeout=18446744073709551616",
+        "cold-left-ms: 18446744073709551615",
+        "cold-left-ms: 18446744073709552",
+        "rate-limit: 1e308",
+        "retry-after: 18446744073709551615",
+    ] {
+        let head = format!("HTTP/1.1 200 OK\r\n{line}").into_bytes();
+        server.set(Script { order: head.clone(), health_check: head });
+        for number in 0..4 {
+            let id = format!("order-{number}");
+            let response = fleet.call(0, "POST /order/a", &id, b"").await;
+            assert!([200, 503].contains(&response.status), "{line}: {response:?}");
+            tokio::time::sleep(POLL_INTERVAL * 10).await;
+        }
+        assert_eq!(panics.load(Ordering::SeqCst), 0, "{line}");
+        server.set(Script::good());
+        until_served(&fleet, 0).await;
+    }
+}
