Load reports: an implausible one counts as none

In a build with overflow checks, requests closed without an answer after a server had reported a load of '4294967295,4294967295,...' or a slowdown of 0. By reading, 0 also makes the usual service time of a route infinite in any build: a sample is divided by it.

The fix refuses a slowdown of 0 or over a thousandfold, and more than a million requests, where a response is read; it then counts as a response without a report, as one that cannot be parsed does.

--- a/src/gateway/server_notice.rs
+++ b/src/gateway/server_notice.rs
@@ -37,6 +37,7 @@
     pub fn read<D: Dialect>(dialect: &D, status: StatusCode, headers: &HeaderMap) -> Self {
         let names = dialect.header_names();
         let load = header_text(headers, &names.load).and_then(|text| dialect.parse_load(text));
+        let load = load.filter(LoadReport::is_plausible);
         let rate_limit = headers.get(&names.rate_limit).map(|value| {
             let text = value.to_str().map_err(|_| InvalidRateLimit)?;
             text.parse()
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -251,6 +251,8 @@
     for line in [
         "keep-alive: timeout=18446744073709551615",
         "keep-alive: timeout=18446744073709551616",
+        "load: 4294967295,4294967295,4294967295,4294967295",
+        "load: 4294967295,1,4,0",
         "cold-left-ms: 18446744073709551615",
         "cold-left-ms: 18446744073709552",
         "rate-limit: 1e308",
