Refusals: a cooldown of ages is not believed

A server that refused one request with 'Retry-After: 1e15' was never used again by the instance that read it.

Any time that a Duration holds was a cooldown; now one over an hour is unreadable (3020), at the gateway and at the own interface, which share the parsing that stood twice.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -139,7 +139,6 @@
 pub use server_conn::ServerConn;
 pub use server_conn_pool::ServerConnPool;
 pub use server_list_holders::holds_server_list;
-pub use server_notice::InvalidRetryAfter;
 pub use server_notice::ServerNotice;
 pub use sinks::OperatorSink;
 pub use sinks::ServerSink;
--- a/src/gateway/server_notice.rs
+++ b/src/gateway/server_notice.rs
@@ -8,7 +8,9 @@
 
 use super::Dialect;
 use crate::limit::InvalidRateLimit;
+use crate::limit::InvalidRetryAfter;
 use crate::limit::RateLimit;
+use crate::limit::parse_retry_after;
 use crate::model::LoadReport;
 
 /// Header value of a server that drains.
@@ -27,10 +29,6 @@
     pub retry_after: Result<Option<Duration>, InvalidRetryAfter>,
 }
 
-/// A `Retry-After` value that is not a number of seconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct InvalidRetryAfter;
-
 impl ServerNotice {
     /// Reads the reports from the headers of a response.
     #[must_use]
@@ -50,14 +48,13 @@
     }
 }
 
-/// The time of the `Retry-After` header, in seconds with fractions.
+/// The time of the `Retry-After` header.
 fn retry_after(headers: &HeaderMap) -> Result<Option<Duration>, InvalidRetryAfter> {
     let Some(value) = headers.get(http::header::RETRY_AFTER) else {
         return Ok(None);
     };
-    let seconds = value.to_str().ok().and_then(|text| text.trim().parse().ok());
-    let duration = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    duration.map(Some).ok_or(InvalidRetryAfter)
+    let text = value.to_str().map_err(|_| InvalidRetryAfter)?;
+    parse_retry_after(text).map(Some)
 }
 
 /// The value of a header, if it is present and valid text.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -4,6 +4,7 @@
 mod advertised_limit;
 mod byte_limit;
 mod rate_limit;
+mod retry_after;
 
 pub use advertised_limit::AdvertisedLimit;
 pub use byte_limit::ByteLimit;
@@ -13,3 +14,5 @@
 pub use rate_limit::LIMIT_WINDOW_S;
 pub use rate_limit::LIMIT_WINDOW_US;
 pub use rate_limit::RateLimit;
+pub use retry_after::InvalidRetryAfter;
+pub use retry_after::parse_retry_after;
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -26,6 +26,7 @@
 use super::upstream_body::UpstreamBody;
 use crate::decide::AttemptOutcome;
 use crate::errors::Code;
+use crate::limit::parse_retry_after;
 use crate::model::Service;
 use crate::quarantine::AdmittedSend;
 use crate::quarantine::PendingSend;
@@ -200,7 +201,7 @@
 
 /// Handles a status that the service declares as a refusal: the server did not run the request.
 async fn handle_refusal(response: Response<Incoming>, slot: Slot, conn: PooledConn) -> Answer {
-    let cooldown = parse_retry_after(response.headers(), &slot.upstream.id);
+    let cooldown = requested_cooldown(response.headers(), &slot.upstream.id);
     // The body is not used, but the connection can be reused only after it is read.
     let body = http_body_util::Limited::new(response.into_body(), REFUSAL_BODY_MAX_BYTES);
     if body.collect().await.is_ok() {
@@ -217,12 +218,10 @@
 }
 
 /// How long the server asks for no further requests, by the `retry-after` of a refusal; `None`
-/// without a valid number of seconds.
-fn parse_retry_after(headers: &HeaderMap, server: &str) -> Option<Duration> {
+/// without a valid time.
+fn requested_cooldown(headers: &HeaderMap, server: &str) -> Option<Duration> {
     let text = fields::header_text(headers, "retry-after")?;
-    let seconds = text.trim().parse().ok();
-    let Some(cooldown) = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
-    else {
+    let Ok(cooldown) = parse_retry_after(text) else {
         warn!(
             event = "server-rest-unreadable", server = server, text = text,
             code = Code::ServerRestUnreadable.number();
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -271,3 +271,16 @@
         until_served(&fleet, 0).await;
     }
 }
+
+/// Guards against a server that is never used again after one refusal with a time of ages.
+#[tokio::test(flavor = "multi_thread")]
+async fn cooldown_of_ages_is_not_believed() {
+    let (fleet, server) = start(&["z"]).await;
+    for time in ["1e15", "3601", "18446744073709551616"] {
+        let busy = format!("HTTP/1.1 503 Busy\r\nnot-run: 1\r\nretry-after: {time}");
+        server.set(Script { order: busy.into_bytes(), ..Script::good() });
+        assert_eq!(order_at_server(&fleet, &server, 0).await.status, 503);
+        server.set(Script::good());
+        until_served(&fleet, 0).await;
+    }
+}
