--- a/src/gateway/parsed_config.rs
+++ b/src/gateway/parsed_config.rs
@@ -109,10 +109,18 @@
     serde_json::from_str(part.get()).map_err(|err| err.to_string())
 }
 
-/// Parses a route and checks that it names a service.
+/// Parses a route and validates it.
 fn parse_route(part: &RawValue) -> Result<Route, String> {
     let route: Route = parse(part)?;
-    if route.has_target() { Ok(route) } else { Err("the route names no service".into()) }
+    route.validate()?;
+    Ok(route)
+}
+
+/// Parses the limits and validates them.
+fn parse_limits(part: &RawValue) -> Result<CallerLimits, String> {
+    let limits: CallerLimits = parse(part)?;
+    limits.validate()?;
+    Ok(limits)
 }
 
 /// Parses a service and validates it.
@@ -219,7 +227,7 @@
     }
 
     fn limits(&mut self, part: &RawValue) -> CallerLimits {
-        parse(part).unwrap_or_else(|why| {
+        parse_limits(part).unwrap_or_else(|why| {
             self.record_fault(
                 Code::LimitsUnreadable,
                 "limits".into(),
--- a/src/gateway/routes.rs
+++ b/src/gateway/routes.rs
@@ -28,6 +28,16 @@
     Unknown,
 }
 
+/// Longest time that a route or a limit may state, a day.
+const TIME_MAX_MS: u64 = 24 * 60 * 60 * 1_000;
+
+fn check_time(field: &str, time_ms: u64) -> Result<(), String> {
+    if time_ms > TIME_MAX_MS {
+        return Err(format!("{field}: {time_ms} is over {TIME_MAX_MS}"));
+    }
+    Ok(())
+}
+
 /// A service that receives a fraction of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
@@ -122,6 +132,17 @@
     pub idle_timeout_ms: u64,
 }
 
+impl CallerLimits {
+    /// Checks the values of the fields.
+    ///
+    /// # Errors
+    /// Names the invalid field.
+    pub fn validate(&self) -> Result<(), String> {
+        check_time("header_timeout_ms", self.header_timeout_ms)?;
+        check_time("idle_timeout_ms", self.idle_timeout_ms)
+    }
+}
+
 impl Default for CallerLimits {
     /// The limits until the operators' configuration is loaded.
     fn default() -> Self {
@@ -198,6 +219,18 @@
         matches!(self.kind, RouteKind::Idempotent | RouteKind::Download)
     }
 
+    /// Checks the values of the fields.
+    ///
+    /// # Errors
+    /// Names the invalid field.
+    pub fn validate(&self) -> Result<(), String> {
+        if !self.has_target() {
+            return Err("the route names no service".into());
+        }
+        check_time("timeout_ms", self.timeout_ms)?;
+        check_time("aim_ms", self.aim_ms)
+    }
+
     /// Whether the route names a service.
     #[must_use]
     pub fn has_target(&self) -> bool {
@@ -213,8 +246,8 @@
     /// no service.
     #[must_use]
     pub fn pick_service(&self, random: f64) -> Option<&Arc<str>> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut left = random * f64::from(total);
+        let total: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut left = random * total;
         for target in &self.targets {
             left -= f64::from(target.weight);
             if left < 0.0 {
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod bed;
 pub mod caller;
 pub mod load;
+pub mod panics;
 pub mod platform;
 mod rebind;
 pub mod routed;
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -8,6 +8,7 @@
 
 use parking_lot::Mutex;
 use sorrelwick::task::TaskGuard;
+use standins::panics::count_panics;
 use standins::routed::CONFIG_KEY;
 use standins::routed::GatewayFleet;
 use standins::routed::PathFault;
@@ -230,18 +231,6 @@
     }
 }
 
-/// Panics of any thread from now on; the libraries catch those of tasks, whose work is lost.
-fn count_panics() -> Arc<AtomicUsize> {
-    let count = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&count);
-    let before = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        counted.fetch_add(1, Ordering::SeqCst);
-        before(info);
-    }));
-    count
-}
-
 /// Guards against requests, or tasks of an instance, that end in the middle since a server stated a number
 /// that is larger than what is computed with it.
 #[tokio::test(flavor = "multi_thread")]
