--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -14,6 +14,9 @@
 use sorrelwick::gateway::Framing;
 use sorrelwick::limit::RESPONSE_MAX_BYTES;
 use sorrelwick::task::TaskGuard;
+use standins::bed::TestBed;
+use standins::bed::TestBedPlan;
+use standins::caller::Call;
 use standins::routed::CONFIG_KEY;
 use standins::routed::GatewayFleet;
 use standins::routed::PathFault;
@@ -299,3 +302,55 @@
         assert!(received <= 1_000, "{framing:?}: {received} bytes");
     }
 }
+
+/// Guards the own interface against the same: bytes without end, in a head or between the heads of
+/// informational responses, must not be kept; all but the latter must end the request before its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_interface_reads_bytes_without_end_up_to_a_limit() {
+    const TIMEOUT: Duration = Duration::from_secs(3);
+    let starts: [(&str, &[u8], bool); 5] = [
+        ("HTTP/1.1 200 OK\r\nx: ", b"xxxxxxxx", true),
+        ("HTTP/1.1 200 OK\r\n", b"name: value\r\n", true),
+        ("", b"no answer ", true),
+        ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n", b"name: value\r\n", true),
+        ("", b"HTTP/1.1 103 Early\r\nx: y\r\n\r\n", false),
+    ];
+    for (start, unit, ends_early) in starts {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let shared = Arc::new(Shared {
+            bad: Mutex::new(Bad::Nothing),
+            sent_bytes: AtomicU64::default(),
+            orders: AtomicUsize::default(),
+            health_checks: AtomicUsize::default(),
+        });
+        let sending = Arc::clone(&shared);
+        let _task = TaskGuard::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let sending = Arc::clone(&sending);
+                tokio::spawn(async move {
+                    if read_head(&mut stream).await.is_some() {
+                        let _ = stream.write_all(start.as_bytes()).await;
+                        send_without_end(&mut stream, &sending, unit).await;
+                    }
+                });
+            }
+        });
+        let plan = TestBedPlan { backends: 1, instances: 1, ..TestBedPlan::default() };
+        let bed = TestBed::start(plan).await;
+        let mut service = bed.service("odd");
+        service.backend_servers[0].address = address;
+        let revision = bed.put_service(0, &service, 0).await.expect("accepted");
+        bed.wait_until_applied("odd", revision).await;
+        let began = Instant::now();
+        let timeout_ms = u64::try_from(TIMEOUT.as_millis()).expect("a few seconds");
+        let caller = bed.caller("odd", 0);
+        let told = caller.call(&Call::post("/", "s").with_timeout_ms(timeout_ms)).await;
+        assert_ne!(told.outcome(), "ran", "{start:?}: {told:?}");
+        if ends_early {
+            assert!(began.elapsed() < TIMEOUT / 2, "{start:?}: {:?}", began.elapsed());
+            let sent = shared.sent_bytes.load(Ordering::SeqCst);
+            assert!(sent < SENT_MAX_BYTES, "{start:?}: {sent} bytes");
+        }
+    }
+}
