--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -2,10 +2,6 @@
 
 use std::io::Read;
 use std::io::Write;
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -15,19 +11,14 @@
 use sorrelwick::gateway::ExchangeError;
 use sorrelwick::gateway::ResponseMatcher;
 use sorrelwick::gateway::ServerConnPool;
-use sorrelwick::task::TaskGuard;
-use standins::routed::CONFIG_KEY;
-use standins::routed::GatewayFleet;
-use standins::routed::PathFault;
-use standins::routed::two_routes;
-use tokio::io::AsyncReadExt;
+use standins::routed::AnswerEnd;
+use standins::routed::ScriptedAnswer;
+use standins::routed::ScriptedOrders;
+use standins::routed::ScriptedOrdersPlan;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 const WAIT: Duration = Duration::from_secs(10);
-const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// More than all socket buffers on the path hold.
 const UPLOAD_BYTES: usize = 6 << 20;
 /// Orders that reach a server in each run.
@@ -100,96 +91,25 @@
     assert_eq!(exchange_with_reset(chunks).await.as_deref(), Ok(b"whole".as_slice()));
 }
 
-/// A server that answers the head of each order with a part and resets the connection.
-struct ResettingServer {
-    address: SocketAddr,
-    orders: Arc<AtomicUsize>,
-    _task: TaskGuard,
-}
-
-impl ResettingServer {
-    async fn spawn() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let orders = Arc::new(AtomicUsize::new(0));
-        let counted = Arc::clone(&orders);
-        let task = TaskGuard::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&counted)));
-            }
-        });
-        Self { address, orders, _task: task }
-    }
-}
-
-async fn serve(mut stream: TcpStream, orders: Arc<AtomicUsize>) {
-    let mut head = Vec::new();
-    while let Ok(byte) = stream.read_u8().await {
-        head.push(byte);
-        if !head.ends_with(b"\r\n\r\n") {
-            continue;
-        }
-        let text = String::from_utf8_lossy(&std::mem::take(&mut head)).into_owned();
-        let id = text.lines().find_map(|line| line.strip_prefix("request-id: "));
-        let is_warm = id == Some("warm");
-        let text = match id {
-            None => "HTTP/1.1 200 OK\r\nload: 0,0,4,100\r\ncontent-length: 0\r\n\r\n".to_owned(),
-            Some(id) if is_warm => answer(id, "content-length: 4\r\n", "good"),
-            Some(id) => answer(id, "", "a part"),
-        };
-        if stream.write_all(text.as_bytes()).await.is_err() {
-            return;
-        }
-        if id.is_some() && !is_warm {
-            orders.fetch_add(1, Ordering::SeqCst);
-            let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            return;
-        }
-    }
-}
-
-/// Starts instances and servers; the last of several instances has no path to them.
-async fn start(zones: &[&str]) -> (GatewayFleet, Vec<ResettingServer>) {
-    let fleet = GatewayFleet::start(zones).await;
-    let mut servers = Vec::new();
-    for number in 0..SERVERS {
-        let server = ResettingServer::spawn().await;
-        if zones.len() > 1 {
-            fleet.paths[zones.len() - 1].add(server.address).await;
-        }
-        let entry = serde_json::json!({
-            "service": "orders", "address": server.address, "zone": zones[0], "slots": 4,
-            "state": "ready", "started_ms": 0,
-        });
-        fleet.store.put(&format!("servers/o{number}"), &entry.to_string());
-        servers.push(server);
-    }
-    let limits = format!("\"limits\":{{\"body_bytes_max\":{}}}", 2 * UPLOAD_BYTES);
-    fleet.store.put(CONFIG_KEY, &two_routes(1).replace("\"limits\":{}", &limits));
-    fleet.wait_until_ready().await;
-    fleet.paths[zones.len() - 1].set_fault(PathFault::Reset);
-    let until = Instant::now() + WAIT;
-    while fleet.call(zones.len() - 1, "POST /order/warm", "warm", b"").await.status != 200 {
-        assert!(Instant::now() < until, "not served");
-        tokio::time::sleep(POLL_INTERVAL).await;
+/// Starts instances whose servers answer each order with a part and reset the connection.
+async fn start(zones: &[&str]) -> ScriptedOrders {
+    let body_bytes_max = 2 * UPLOAD_BYTES;
+    let plan = ScriptedOrdersPlan { servers: SERVERS, body_bytes_max, direct: true };
+    let orders = ScriptedOrders::start(zones, plan).await;
+    for server in &orders.servers {
+        let part = ScriptedAnswer::to_request("HTTP/1.1 200 OK", "\r\na part", AnswerEnd::Reset);
+        server.set_answer(part);
     }
-    (fleet, servers)
+    orders
 }
 
-/// Sends long orders to the instance at index `at` until enough of them reached a server; none may get a
-/// whole answer.
-async fn expect_no_whole_answer(fleet: &GatewayFleet, servers: &[ResettingServer], at: usize) {
-    let reached =
-        || servers.iter().map(|server| server.orders.load(Ordering::SeqCst)).sum::<usize>();
+/// Sends long orders until enough of them reached a server; none may get a whole answer.
+async fn expect_no_whole_answer(orders: &ScriptedOrders) {
     let body = vec![b'x'; UPLOAD_BYTES];
-    let until = Instant::now() + WAIT * 3;
-    let mut number = 0;
-    while reached() < ORDERS {
-        assert!(Instant::now() < until, "{} orders reached a server", reached());
-        number += 1;
-        let id = format!("order-{number}");
-        let response = fleet.call(at, &format!("POST /order/{number}"), &id, &body).await;
-        assert!([502, 503].contains(&response.status), "{id}: {response:?}");
+    let before = orders.requests();
+    while orders.requests() < before + ORDERS {
+        let (response, _) = orders.order_at_server(&body).await;
+        assert_eq!(response.status, 502, "{response:?}");
     }
 }
 
@@ -197,22 +117,21 @@
 /// upload unread and reset the connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn early_answer_that_a_reset_cut_reaches_no_caller() {
-    let (fleet, servers) = start(&["z"]).await;
-    expect_no_whole_answer(&fleet, &servers, 0).await;
+    expect_no_whole_answer(&start(&["z"]).await).await;
 }
 
 /// Guards against the same where another instance passes the request on.
 #[tokio::test(flavor = "multi_thread")]
 async fn early_answer_that_a_reset_cut_reaches_no_caller_through_another_instance() {
-    let (fleet, servers) = start(&["a", "b"]).await;
-    expect_no_whole_answer(&fleet, &servers, 1).await;
+    expect_no_whole_answer(&start(&["a", "b"]).await).await;
 }
 
 /// Guards against orders that run although their upload was cut, by an end or a reset of the connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn upload_that_is_cut_reaches_no_server() {
-    let (fleet, servers) = start(&["z"]).await;
-    let address = fleet.board(0).settings.listen.caller;
+    let orders = start(&["z"]).await;
+    let before = orders.requests();
+    let address = orders.fleet.board(0).settings.listen.caller;
     let framings =
         ["content-length: 9\r\n\r\na part", "transfer-encoding: chunked\r\n\r\n6\r\na part\r\n"];
     for (number, framing) in framings.iter().enumerate() {
@@ -228,5 +147,5 @@
         }
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    assert_eq!(servers.iter().map(|server| server.orders.load(Ordering::SeqCst)).sum::<usize>(), 0);
+    assert_eq!(orders.requests(), before);
 }
--- a/tests/endless_responses.rs
+++ b/tests/endless_responses.rs
@@ -1,31 +1,21 @@
 //! Bytes of a backend server, or of another instance, that are no answer: without end, or cut in the
 //! head.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::BytesMut;
-use parking_lot::Mutex;
 use sorrelwick::gateway::BodyDecoder;
 use sorrelwick::gateway::Framing;
 use sorrelwick::limit::RESPONSE_MAX_BYTES;
-use sorrelwick::task::TaskGuard;
 use standins::bed::TestBed;
 use standins::bed::TestBedPlan;
 use standins::caller::Call;
-use standins::routed::CONFIG_KEY;
-use standins::routed::GatewayFleet;
-use standins::routed::PathFault;
-use standins::routed::RawResponse;
-use standins::routed::two_routes;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
+use standins::routed::AnswerEnd;
+use standins::routed::Script;
+use standins::routed::ScriptedAnswer;
+use standins::routed::ScriptedOrders;
+use standins::routed::ScriptedOrdersPlan;
+use standins::routed::ScriptedServer;
 use tokio::time::Instant;
 
 const WAIT: Duration = Duration::from_secs(10);
@@ -34,235 +24,98 @@
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// More than the limits of an instance and all socket buffers on the path together.
 const SENT_MAX_BYTES: u64 = 24 << 20;
-const PIECE_BYTES: usize = 64 << 10;
 
-/// What the server sends in place of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Bad {
-    Nothing,
+/// What a server sends without end in place of an answer to a request.
+#[derive(Clone, Copy, Debug)]
+enum Endless {
     /// A head whose last field never ends.
     Head,
-    /// Trailer fields without end.
+    /// Trailer fields.
     Trailer,
-    /// The body of a response to another request, without end.
+    /// The body of a response to another request.
     StaleBody,
     /// A length beyond all limits, and as many bytes as are read.
     Length,
     /// The same with one chunk.
     Chunk,
-    /// A good answer to a request, and a health check whose body never ends.
-    HealthBody,
-    /// A head that is cut after this many bytes.
-    CutHead(usize),
 }
 
-/// A server of orders that answers as scripted.
-struct ScriptedServer {
-    address: SocketAddr,
-    shared: Arc<Shared>,
-    _task: TaskGuard,
-}
-
-struct Shared {
-    bad: Mutex<Bad>,
-    sent_bytes: AtomicU64,
-    orders: AtomicUsize,
-    health_checks: AtomicUsize,
-}
-
-impl ScriptedServer {
-    async fn spawn() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let shared = Arc::new(Shared {
-            bad: Mutex::new(Bad::Nothing),
-            sent_bytes: AtomicU64::default(),
-            orders: AtomicUsize::default(),
-            health_checks: AtomicUsize::default(),
-        });
-        let serving = Arc::clone(&shared);
-        let task = TaskGuard::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&serving)));
-            }
-        });
-        Self { address, shared, _task: task }
-    }
-
-    fn set(&self, bad: Bad) {
-        *self.shared.bad.lock() = bad;
-        self.shared.sent_bytes.store(0, Ordering::SeqCst);
-    }
-
-    fn sent_bytes(&self) -> u64 {
-        self.shared.sent_bytes.load(Ordering::SeqCst)
-    }
-}
-
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n\r\n") {
-        bytes.push(stream.read_u8().await.ok()?);
-    }
-    String::from_utf8(bytes).ok()
-}
-
-/// The head of a good answer with this field for its framing.
-fn head(id: &str, framing: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s-{id}\r\nload: 0,0,4,100\r\n{framing}\r\n\r\n"
-    )
-}
-
-async fn serve(mut stream: TcpStream, shared: Arc<Shared>) {
-    while let Some(request) = read_head(&mut stream).await {
-        let bad = *shared.bad.lock();
-        if request.starts_with("GET /health") {
-            shared.health_checks.fetch_add(1, Ordering::SeqCst);
-            let framing = if bad == Bad::HealthBody {
-                "transfer-encoding: chunked"
-            } else {
-                "content-length: 0"
-            };
-            let answer = format!("HTTP/1.1 200 OK\r\nload: 0,0,4,100\r\n{framing}\r\n\r\n");
-            if stream.write_all(answer.as_bytes()).await.is_err() {
-                return;
-            }
-            if bad == Bad::HealthBody {
-                return send_without_end(&mut stream, &shared, b"4\r\nbody\r\n").await;
-            }
-            continue;
-        }
-        shared.orders.fetch_add(1, Ordering::SeqCst);
-        let id = request.lines().find_map(|line| line.strip_prefix("request-id: "));
-        let id = id.unwrap_or("-");
-        let good = head(id, "content-length: 4") + "good";
-        let (first, then): (String, &[u8]) = match bad {
-            Bad::Nothing | Bad::HealthBody => (good, b""),
-            Bad::CutHead(at) => (good[..at].to_owned(), b""),
-            Bad::Head => (head(id, "x: ").trim_end().to_owned(), b"xxxxxxxx"),
-            Bad::Trailer => (head(id, "transfer-encoding: chunked") + "0\r\n", b"name: value\r\n"),
-            Bad::StaleBody => (head("other", "transfer-encoding: chunked"), b"4\r\nbody\r\n"),
-            Bad::Length => {
-                (head(id, &format!("content-length: {}", RESPONSE_MAX_BYTES + 1)), b"xxxx")
-            }
-            Bad::Chunk => {
-                let size = format!("{:x}\r\n", RESPONSE_MAX_BYTES + 1);
-                (head(id, "transfer-encoding: chunked") + &size, b"xxxx")
-            }
+impl Endless {
+    fn answer(self) -> ScriptedAnswer {
+        let too_long = RESPONSE_MAX_BYTES + 1;
+        let coded = "transfer-encoding: chunked\r\n\r\n";
+        let (rest, repeated): (String, &'static [u8]) = match self {
+            Self::Head => ("x:".into(), b"xxxxxxxx"),
+            Self::Trailer => (format!("{coded}0\r\n"), b"name: value\r\n"),
+            Self::StaleBody => (coded.into(), b"4\r\nbody\r\n"),
+            Self::Length => (format!("content-length: {too_long}\r\n\r\n"), b"xxxx"),
+            Self::Chunk => (format!("{coded}{too_long:x}\r\n"), b"xxxx"),
         };
-        if stream.write_all(first.as_bytes()).await.is_err() || matches!(bad, Bad::CutHead(_)) {
-            return;
-        }
-        if !then.is_empty() {
-            return send_without_end(&mut stream, &shared, then).await;
+        let end = AnswerEnd::Repeat(repeated);
+        let mut answer = ScriptedAnswer::to_request("HTTP/1.1 200 OK", &rest, end);
+        if matches!(self, Self::StaleBody) {
+            answer.text = answer.text.replace("{id}", "other");
         }
+        answer
     }
 }
 
-async fn send_without_end(stream: &mut TcpStream, shared: &Shared, unit: &[u8]) {
-    let piece = unit.repeat(PIECE_BYTES / unit.len());
-    while stream.write_all(&piece).await.is_ok() {
-        shared.sent_bytes.fetch_add(piece.len() as u64, Ordering::SeqCst);
-    }
-}
-
-/// Starts instances and one server; the last instance has no path to it.
-async fn start(zones: &[&str]) -> (GatewayFleet, ScriptedServer) {
-    let fleet = GatewayFleet::start(zones).await;
-    let server = ScriptedServer::spawn().await;
-    for paths in &fleet.paths {
-        paths.add(server.address).await;
-    }
-    let entry = serde_json::json!({
-        "service": "orders", "address": server.address, "zone": zones[0], "slots": 4,
-        "state": "ready", "started_ms": 0,
-    });
-    fleet.store.put("servers/o1", &entry.to_string());
-    fleet.store.put(CONFIG_KEY, &two_routes(1));
-    fleet.wait_until_ready().await;
-    if zones.len() > 1 {
-        fleet.paths[zones.len() - 1].set_fault(PathFault::Reset);
-    }
-    until_served(&fleet, zones.len() - 1).await;
-    (fleet, server)
-}
-
-async fn until_served(fleet: &GatewayFleet, at: usize) {
-    let until = Instant::now() + WAIT;
-    while fleet.call(at, "POST /order/warm", "warm", b"").await.status != 200 {
-        assert!(Instant::now() < until, "not served");
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
-
-/// Sends orders until one has reached the server; returns its answer and how long it took. The
-/// instance refuses orders for a while after a server's failure.
-async fn order_at_server(
-    fleet: &GatewayFleet,
-    server: &ScriptedServer,
-    at: usize,
-) -> (RawResponse, Duration) {
-    let until = Instant::now() + WAIT;
-    loop {
-        let before = server.shared.orders.load(Ordering::SeqCst);
-        let began = Instant::now();
-        let id = format!("order-{before}");
-        let response = fleet.call(at, &format!("POST /order/{before}"), &id, b"").await;
-        if server.shared.orders.load(Ordering::SeqCst) > before {
-            return (response, began.elapsed());
-        }
-        assert_eq!(response.status, 503, "{response:?}");
-        assert!(Instant::now() < until, "no order reaches the server");
-        tokio::time::sleep(POLL_INTERVAL).await;
+async fn expect_bounded(orders: &ScriptedOrders) {
+    use Endless::Chunk;
+    use Endless::Head;
+    use Endless::Length;
+    use Endless::StaleBody;
+    use Endless::Trailer;
+    let server = &orders.servers[0];
+    for endless in [Head, Trailer, StaleBody, Length, Chunk] {
+        server.set_answer(endless.answer());
+        let (response, took) = orders.order_at_server(b"").await;
+        assert_eq!(response.status, 502, "{endless:?}: {response:?}");
+        assert!(took < ROUTE_TIMEOUT, "{endless:?} was read until the deadline");
+        let sent = server.repeated_bytes();
+        assert!(sent < SENT_MAX_BYTES, "{endless:?}: {sent} bytes");
+        server.set(Script::default());
+        orders.until_served().await;
     }
 }
 
-async fn expect_bounded(fleet: &GatewayFleet, server: &ScriptedServer, at: usize) {
-    for bad in [Bad::Head, Bad::Trailer, Bad::StaleBody, Bad::Length, Bad::Chunk] {
-        server.set(bad);
-        let (response, took) = order_at_server(fleet, server, at).await;
-        assert_eq!(response.status, 502, "{bad:?}: {response:?}");
-        assert!(took < ROUTE_TIMEOUT, "{bad:?} was read until the deadline");
-        assert!(server.sent_bytes() < SENT_MAX_BYTES, "{bad:?}: {} bytes", server.sent_bytes());
-        server.set(Bad::Nothing);
-        until_served(fleet, at).await;
-    }
+/// Starts instances and one server.
+async fn start(zones: &[&str]) -> ScriptedOrders {
+    ScriptedOrders::start(zones, ScriptedOrdersPlan::default()).await
 }
 
 /// Guards against a server whose bytes without end, in a head or a body, are read until the deadline.
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_are_read_up_to_a_limit() {
-    let (fleet, server) = start(&["z"]).await;
-    expect_bounded(&fleet, &server, 0).await;
+    expect_bounded(&start(&["z"]).await).await;
 }
 
 /// Guards against the same where another instance reads them and passes the result on.
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_without_end_are_read_up_to_a_limit_for_another_instance() {
-    let (fleet, server) = start(&["a", "b"]).await;
-    expect_bounded(&fleet, &server, 1).await;
+    expect_bounded(&start(&["a", "b"]).await).await;
 }
 
 /// Guards against health checks whose response never ends: each read as much as its time allowed.
 #[tokio::test(flavor = "multi_thread")]
 async fn endless_response_to_a_health_check_is_read_up_to_a_limit() {
-    let (fleet, server) = start(&["z"]).await;
-    server.set(Bad::HealthBody);
-    let before = server.shared.health_checks.load(Ordering::SeqCst);
+    let orders = start(&["z"]).await;
+    let server = &orders.servers[0];
+    let text = "HTTP/1.1 200 OK\r\nload: 0,0,4,100\r\ntransfer-encoding: chunked\r\n\r\n";
+    let end = AnswerEnd::Repeat(b"4\r\nbody\r\n");
+    let health_check = ScriptedAnswer { text: text.into(), end };
+    server.set(Script { health_check, ..Script::default() });
+    let before = server.health_checks();
     let until = Instant::now() + WAIT;
-    while server.shared.health_checks.load(Ordering::SeqCst) < before + 3 {
+    while server.health_checks() < before + 3 {
         assert!(Instant::now() < until, "no health checks");
-        let _ = fleet.call(0, "POST /order/a", "a", b"").await;
+        let _ = orders.fleet.call(0, "POST /order/a", "a", b"").await;
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let checks = (server.shared.health_checks.load(Ordering::SeqCst) - before) as u64;
-    assert!(
-        server.sent_bytes() < checks * (SENT_MAX_BYTES / 3),
-        "{} bytes in {checks} checks",
-        server.sent_bytes()
-    );
+    let checks = (server.health_checks() - before) as u64;
+    let sent = server.repeated_bytes();
+    assert!(sent < checks * (SENT_MAX_BYTES / 3), "{sent} bytes in {checks} checks");
 }
 
 /// Guards against an answer that is cut in its head and reaches the caller as a whole one with an
@@ -270,11 +123,19 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answer_cut_in_its_head_is_no_answer() {
     for zones in [&["z"][..], &["a", "b"]] {
-        let (fleet, server) = start(zones).await;
-        let length = head("order-10", "content-length: 4").len();
+        let orders = start(zones).await;
+        let whole = ScriptedAnswer::to_request(
+            "HTTP/1.1 200 OK",
+            "content-length: 4\r\n\r\ngood",
+            AnswerEnd::Close,
+        );
+        // The id stands for itself in a text that may be cut within its placeholder.
+        let length = whole.text.replace("{id}", "order-10").len() - "good".len();
         for cut in (1..length).step_by(40).chain([length - 2, length - 1]) {
-            server.set(Bad::CutHead(cut));
-            let (response, _) = order_at_server(&fleet, &server, zones.len() - 1).await;
+            let id = format!("order-{}", orders.requests());
+            let text = whole.text.replace("{id}", &id)[..cut].to_owned();
+            orders.servers[0].set_answer(ScriptedAnswer { text, ..whole });
+            let (response, _) = orders.order_at_server(b"").await;
             assert_eq!(response.status, 502, "cut after {cut} bytes: {response:?}");
             assert!(response.body.is_empty(), "cut after {cut} bytes: {response:?}");
         }
@@ -303,8 +164,8 @@
     }
 }
 
-/// Guards the own interface against the same: bytes without end, in a head or between the heads of
-/// informational responses, must not be kept; all but the latter must end the request before its deadline.
+/// Guards the own interface against the same: a head, trailers or bytes that are no answer, without end,
+/// must end a request before its deadline. Informational heads are skipped until then.
 #[tokio::test(flavor = "multi_thread")]
 async fn own_interface_reads_bytes_without_end_up_to_a_limit() {
     const TIMEOUT: Duration = Duration::from_secs(3);
@@ -316,30 +177,12 @@
         ("", b"HTTP/1.1 103 Early\r\nx: y\r\n\r\n", false),
     ];
     for (start, unit, ends_early) in starts {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let address = listener.local_addr().expect("an address");
-        let shared = Arc::new(Shared {
-            bad: Mutex::new(Bad::Nothing),
-            sent_bytes: AtomicU64::default(),
-            orders: AtomicUsize::default(),
-            health_checks: AtomicUsize::default(),
-        });
-        let sending = Arc::clone(&shared);
-        let _task = TaskGuard::spawn(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let sending = Arc::clone(&sending);
-                tokio::spawn(async move {
-                    if read_head(&mut stream).await.is_some() {
-                        let _ = stream.write_all(start.as_bytes()).await;
-                        send_without_end(&mut stream, &sending, unit).await;
-                    }
-                });
-            }
-        });
+        let server = ScriptedServer::spawn().await;
+        server.set_answer(ScriptedAnswer { text: start.into(), end: AnswerEnd::Repeat(unit) });
         let plan = TestBedPlan { backends: 1, instances: 1, ..TestBedPlan::default() };
         let bed = TestBed::start(plan).await;
         let mut service = bed.service("odd");
-        service.backend_servers[0].address = address;
+        service.backend_servers[0].address = server.address;
         let revision = bed.put_service(0, &service, 0).await.expect("accepted");
         bed.wait_until_applied("odd", revision).await;
         let began = Instant::now();
@@ -349,7 +192,7 @@
         assert_ne!(told.outcome(), "ran", "{start:?}: {told:?}");
         if ends_early {
             assert!(began.elapsed() < TIMEOUT / 2, "{start:?}: {:?}", began.elapsed());
-            let sent = shared.sent_bytes.load(Ordering::SeqCst);
+            let sent = server.repeated_bytes();
             assert!(sent < SENT_MAX_BYTES, "{start:?}: {sent} bytes");
         }
     }
