Mirrors: values that no server writes are not kept or passed on

With a few entries of other writers, as large as the store takes, an instance's answer to another one was larger than what an instance reads, so that each had to ask the store itself.

Cause: a mirror kept and passed on whatever stood below its prefix.

--- a/src/gateway/sinks.rs
+++ b/src/gateway/sinks.rs
@@ -26,6 +26,11 @@
 use crate::store::UnreadableEntries;
 use crate::workspace::WorkspaceTable;
 
+/// Largest value of a server's entry. What other writers left beyond it is not kept: passed on to
+/// other instances, a few such values would exceed what they read at once.
+const ENTRY_MAX_BYTES: usize = 64 << 10;
+/// Replaces a larger value; no dialect decodes it.
+const OVERSIZED_VALUE: &str = "the value is larger than any server's";
 /// Number of changes of a batch that are logged individually. After a start each of hundreds of
 /// instances receives hundreds of servers at once; one line with their number and revision then
 /// suffices.
@@ -159,6 +164,9 @@
     fn redact(&self, item: &mut Item) {
         if item.key == self.dialect.store_keys().config {
             item.value = self.dialect.redact_config(std::mem::take(&mut item.value));
+        } else {
+            // Only the existence of other keys matters.
+            item.value.clear();
         }
     }
 
@@ -228,6 +236,9 @@
 
     /// Decodes and validates the entry of a server.
     fn decode(&self, id: &str, value: &[u8]) -> Result<ServerRow, String> {
+        if value == OVERSIZED_VALUE.as_bytes() {
+            return Err(OVERSIZED_VALUE.into());
+        }
         let row = self.dialect.decode_server(id, value)?;
         row.validate()?;
         Ok(row)
@@ -257,6 +268,12 @@
 }
 
 impl<D: Dialect> Sink for ServerSink<D> {
+    fn redact(&self, item: &mut Item) {
+        if item.value.len() > ENTRY_MAX_BYTES {
+            item.value = OVERSIZED_VALUE.into();
+        }
+    }
+
     fn written(&mut self, item: &Item) {
         let id =
             item.key.strip_prefix(self.dialect.store_keys().servers_prefix).unwrap_or(&item.key);
--- a/tests/relay_size.rs
+++ b/tests/relay_size.rs
@@ -3,13 +3,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use sorrelwick::gateway::Dispatcher;
 use sorrelwick::gateway::Mirror;
+use sorrelwick::gateway::ServerSink;
 use sorrelwick::gateway::Sink;
 use sorrelwick::peer::FeedReply;
 use sorrelwick::peer::PeerReply;
+use sorrelwick::retry::RetryAllowance;
 use sorrelwick::store::Item;
 use sorrelwick::store::ItemEvent;
 use sorrelwick::store::Revision;
+use standins::routed::PlainDialect;
 
 /// A change every 5.8 s (15,000 per day) at 5 KB per second for control traffic.
 const CHANGE_MAX_BYTES: usize = 29_000;
@@ -103,3 +107,31 @@
     // Copying some kilobytes per peer remains; a tenth of the encoding work per peer must not.
     assert!(hundred < one * 10, "{one:?} for one, {hundred:?} for a hundred");
 }
+
+/// Guards against instances that get no list of servers from another one any more: with some entries of
+/// other writers, as large as the store takes, its answer exceeded what an instance reads.
+#[tokio::test]
+async fn large_entries_of_other_writers_do_not_hide_the_list() {
+    const VALUE_MAX_BYTES: usize = 1 << 20;
+    const LARGE: u64 = 6;
+    let allowance = RetryAllowance { ratio: 0.2, window_us: 10_000_000, slack_retries: 10.0 };
+    let dispatcher = Dispatcher::new("z", allowance);
+    let mirror = Mirror::new(ServerSink::new(PlainDialect::default(), dispatcher.clone()));
+    let large = |number, text: &str| {
+        let (value, revision) =
+            (text.repeat(VALUE_MAX_BYTES).into_bytes(), Revision::new(0, number));
+        mirror.redacted(Item { key: format!("servers/{number}"), value, revision })
+    };
+    let mut items: Vec<Item> = (1..=LARGE).map(|number| large(number, "x")).collect();
+    items.push(server(1, LARGE + 1));
+    mirror.replace(&items, Revision::new(0, LARGE + 1), Duration::ZERO);
+    let events: Vec<ItemEvent> =
+        (LARGE + 2..=2 * LARGE).map(|number| ItemEvent::Written(large(number, "y"))).collect();
+    mirror.apply(&events, Revision::new(0, 2 * LARGE), Duration::ZERO);
+    assert_eq!(dispatcher.servers().len(), 1);
+    for known in [None, Some(Revision::new(0, LARGE + 1))] {
+        let message = PeerReply::Feed(mirror.serve(known, Duration::ZERO).await);
+        let decoded = sorrelwick::peer::decode::<PeerReply>(&sorrelwick::peer::encode(&message));
+        assert!(decoded.is_ok(), "after {known:?}");
+    }
+}
