--- a/src/store/consul_store.rs
+++ b/src/store/consul_store.rs
@@ -22,7 +22,7 @@
 use super::Store;
 use super::StoreError;
 use super::UnreadableEntries;
-use super::uri_text;
+use super::uri_escape;
 use crate::conf::PlatformSettings;
 use crate::errors::Code;
 
@@ -205,13 +205,13 @@
 
 impl Store for ConsulStore {
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
-        let path = format!("/v1/kv/{}?consistent", uri_text(key));
+        let path = format!("/v1/kv/{}?consistent", uri_escape(key));
         let reply = ok_or_not_found(self.call("GET", &path, &[], Duration::ZERO).await?)?;
         Ok(entries(&reply)?.into_iter().next())
     }
 
     async fn watch(&self, prefix: &str, index: u64, wait: Duration) -> Result<Listing, StoreError> {
-        let prefix = uri_text(prefix);
+        let prefix = uri_escape(prefix);
         let path = format!("/v1/kv/{prefix}?recurse&index={index}&wait={}ms", wait.as_millis());
         let reply = ok_or_not_found(self.call("GET", &path, &[], wait).await?)?;
         if index > 0 && reply.index == index {
@@ -222,7 +222,7 @@
     }
 
     async fn put_if(&self, key: &str, value: &[u8], index: u64) -> Result<bool, StoreError> {
-        let path = format!("/v1/kv/{}?cas={index}", uri_text(key));
+        let path = format!("/v1/kv/{}?cas={index}", uri_escape(key));
         self.put_returning_bool(&path, value).await
     }
 
@@ -240,18 +240,18 @@
     }
 
     async fn lease_renew(&self, lease: &Lease) -> Result<bool, StoreError> {
-        let path = format!("/v1/session/renew/{}", uri_text(&lease.0));
+        let path = format!("/v1/session/renew/{}", uri_escape(&lease.0));
         let reply = ok_or_not_found(self.call("PUT", &path, &[], Duration::ZERO).await?)?;
         Ok(reply.status != StatusCode::NOT_FOUND)
     }
 
     async fn lease_close(&self, lease: &Lease) -> Result<(), StoreError> {
-        let path = format!("/v1/session/destroy/{}", uri_text(&lease.0));
+        let path = format!("/v1/session/destroy/{}", uri_escape(&lease.0));
         self.put_returning_bool(&path, &[]).await.map(|_| ())
     }
 
     async fn acquire(&self, key: &str, value: &[u8], lease: &Lease) -> Result<bool, StoreError> {
-        let path = format!("/v1/kv/{}?acquire={}", uri_text(key), uri_text(&lease.0));
+        let path = format!("/v1/kv/{}?acquire={}", uri_escape(key), uri_escape(&lease.0));
         self.put_returning_bool(&path, value).await
     }
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -9,7 +9,7 @@
 mod platform;
 mod revision;
 mod unreadable_entries;
-mod uri_text;
+mod uri_escape;
 
 pub use any_store::AnyStore;
 pub use consul_store::ConsulStore;
@@ -34,4 +34,4 @@
 pub use platform::StoreError;
 pub use revision::Revision;
 pub use unreadable_entries::UnreadableEntries;
-pub use uri_text::uri_text;
+pub use uri_escape::uri_escape;
--- a/src/store/uri_text.rs
+++ b/src/store/uri_escape.rs
@@ -1,4 +1,4 @@
-//! Texts as parts of a URI.
+//! Escapes texts that become parts of a URI.
 
 use percent_encoding::AsciiSet;
 use percent_encoding::NON_ALPHANUMERIC;
@@ -10,9 +10,11 @@
 const ESCAPED: &AsciiSet =
     &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~').remove(b'/');
 
-/// A key or id as a part of a path or as a value in a query. Other writers choose keys of their own;
-/// unescaped, `&` or `#` would end one there, and a blank would make the URI invalid.
+/// Escapes a key or id that becomes a part of a path or a value in a query.
+///
+/// Other writers choose keys of their own. Unescaped, `&` or `#` would end one, and a blank would make
+/// the URI invalid.
 #[must_use]
-pub fn uri_text(text: &str) -> PercentEncode<'_> {
+pub fn uri_escape(text: &str) -> PercentEncode<'_> {
     utf8_percent_encode(text, ESCAPED)
 }
