Review of the change: one check of addresses, and plainer names

Whether a server can listen at an address was checked in two places alike and in two others not, or in part: model::is_connectable serves all four, so that an instance's entry with port 0 is refused like others (3022; store_entries::instances_beyond_the_first_page_are_found lists it on the parent).

--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -86,7 +86,7 @@
     ServerOutdated = 3017, "An entry for an earlier start of a backend server arrived after that for a later one; it is ignored.", "None, unless it repeats: then check the clock of that server.";
     EvacuationUnreadable = 3018, "A key that evacuates an availability zone does not name the zone.", "Remove the key; write one that ends with the zone's name.";
     ServerLimitUnreadable = 3019, "A backend server reports a rate limit that is not a number of requests per second; its previous limit stays in force.", "Correct the field that the server sends.";
-    ServerRestUnreadable = 3020, "A backend server refuses a request with a retry time that is not a number of seconds; it gets no cooldown.", "Correct the field that the server sends.";
+    ServerRestUnreadable = 3020, "A backend server refuses a request with a retry time that is not a number of seconds, or is over an hour; it gets no cooldown.", "Correct the field that the server sends.";
     WorkspaceUnreadable = 3021, "A workspace cannot be read; its keys are suspended, unless only its priority or quota cannot be read and they are known from before.", "Correct the field that the log line names.";
     InstanceUnreadable = 3022, "A row in the platform's list of instances cannot be read; no instance is looked for there.", "Find out who wrote the row; the other rows stay valid.";
     PeerUnauthenticated = 4001, "A peer did not prove that it knows the shared secret.", "Give all instances the same `peers.secret`.";
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -12,6 +12,7 @@
 use super::homes::is_home;
 use crate::board::Blackboard;
 use crate::errors::Code;
+use crate::model::is_connectable;
 use crate::store::EraLease;
 use crate::store::EventStore;
 use crate::store::Freshness;
@@ -52,6 +53,7 @@
     /// The instance that an entry names; `None` if its value is no address.
     fn roster_entry(&self, item: &Item) -> Option<RosterEntry> {
         let address = std::str::from_utf8(&item.value).ok().and_then(|text| text.parse().ok());
+        let address = address.filter(|address| is_connectable(*address));
         if address.is_none() && self.unreadable.lock().record(&item.key, "not an address") {
             error!(
                 event = "row-unreadable", code = Code::InstanceUnreadable.number(),
--- a/src/model/check.rs
+++ b/src/model/check.rs
@@ -1,6 +1,7 @@
 //! Validation of a declared service.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 
 use super::RequestKind;
 use super::Service;
@@ -33,6 +34,12 @@
     Ok(())
 }
 
+/// Whether a server can listen at this address.
+#[must_use]
+pub const fn is_connectable(address: SocketAddr) -> bool {
+    address.port() != 0 && !address.ip().is_unspecified()
+}
+
 /// Whether a text can stand in the head of a request as its path.
 #[must_use]
 pub fn is_request_path(text: &str) -> bool {
@@ -70,7 +77,7 @@
             let text = format!("'{}' stands twice", server.address);
             return Err(invalid("backend_servers.address", &text));
         }
-        if server.address.port() == 0 || server.address.ip().is_unspecified() {
+        if !is_connectable(server.address) {
             let text = format!("'{}' cannot be connected to", server.address);
             return Err(invalid("backend_servers.address", &text));
         }
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -13,6 +13,7 @@
 pub use backend_server::BackendServer;
 pub use check::BACKEND_SERVERS_MAX;
 pub use check::check_service;
+pub use check::is_connectable;
 pub use check::is_request_path;
 pub use load_report::LoadReport;
 pub use report_source::ReportSource;
--- a/src/model/server_row.rs
+++ b/src/model/server_row.rs
@@ -7,6 +7,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::check::is_connectable;
+
 /// Whether a backend server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -63,7 +65,7 @@
         if self.warmup_ms > WARMUP_MAX_MS {
             return Err(format!("warmup_ms: {} is over {WARMUP_MAX_MS}", self.warmup_ms));
         }
-        if self.address.port() == 0 || self.address.ip().is_unspecified() {
+        if !is_connectable(self.address) {
             return Err(format!("address: {} cannot be connected to", self.address));
         }
         Ok(())
--- a/src/store/consul_store.rs
+++ b/src/store/consul_store.rs
@@ -25,6 +25,7 @@
 use super::uri_escape;
 use crate::conf::PlatformSettings;
 use crate::errors::Code;
+use crate::model::is_connectable;
 
 /// Response header that carries the store's index.
 const INDEX_HEADER: &str = "x-consul-index";
@@ -173,12 +174,13 @@
 fn roster_entry(row: &RawValue) -> Result<RosterEntry, String> {
     let row: CatalogRow = serde_json::from_str(row.get()).map_err(|err| err.to_string())?;
     let ip = row.address.parse().map_err(|_| "ServiceAddress: not an IP address")?;
-    if row.port == 0 {
-        return Err("ServicePort: 0 cannot be connected to".into());
+    let address = SocketAddr::new(ip, row.port);
+    if !is_connectable(address) {
+        return Err(format!("{address} cannot be connected to"));
     }
     Ok(RosterEntry {
         id: row.id,
-        address: SocketAddr::new(ip, row.port),
+        address,
         zone: row.meta.zone,
         leaving: row.meta.state == "leaving",
     })
--- a/standins/src/routed/scripted_server.rs
+++ b/standins/src/routed/scripted_server.rs
@@ -62,7 +62,9 @@
         Self { text, end: AnswerEnd::KeepOpen }
     }
 
-    fn for_id(&self, id: &str) -> String {
+    /// The text of the answer to this request.
+    #[must_use]
+    pub fn for_id(&self, id: &str) -> String {
         self.text.replace("{id}", id).replace("{id_bytes}", &id.len().to_string())
     }
 }
--- a/tests/early_answers.rs
+++ b/tests/early_answers.rs
@@ -25,11 +25,10 @@
 const ORDERS: usize = 24;
 const SERVERS: usize = 8;
 
-/// The answer to request `id` with this framing and body.
-fn answer(id: &str, framing: &str, body: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nsignature: s-{id}\r\nload: 0,0,4,100\r\n{framing}\r\n{body}"
-    )
+/// The answer to request `a` with this framing and body.
+fn answer(framing: &str, body: &str) -> String {
+    let rest = format!("{framing}\r\n{body}");
+    ScriptedAnswer::to_request("HTTP/1.1 200 OK", &rest, AnswerEnd::Reset).for_id("a")
 }
 
 /// Sends a long request to a server that answers it unread and resets the connection while the client is
@@ -73,21 +72,21 @@
 /// it was reported to the write of the request.
 #[tokio::test]
 async fn answer_without_length_that_a_reset_ends_is_not_whole() {
-    let cut = exchange_with_reset(answer("a", "", "a part")).await;
+    let cut = exchange_with_reset(answer("", "a part")).await;
     assert_eq!(cut, Err(ExchangeError::Truncated));
-    let cut = exchange_with_reset(answer("a", "content-length: 9\r\n", "a part")).await;
+    let cut = exchange_with_reset(answer("content-length: 9\r\n", "a part")).await;
     assert_eq!(cut, Err(ExchangeError::Truncated));
     let cut =
-        exchange_with_reset(answer("a", "transfer-encoding: chunked\r\n", "6\r\na part\r\n")).await;
+        exchange_with_reset(answer("transfer-encoding: chunked\r\n", "6\r\na part\r\n")).await;
     assert_eq!(cut, Err(ExchangeError::Truncated));
 }
 
 /// Guards against whole answers that are lost with the connection: their end does not depend on its.
 #[tokio::test]
 async fn answer_with_an_end_of_its_own_is_whole_before_a_reset() {
-    let whole = exchange_with_reset(answer("a", "content-length: 5\r\n", "whole")).await;
+    let whole = exchange_with_reset(answer("content-length: 5\r\n", "whole")).await;
     assert_eq!(whole.as_deref(), Ok(b"whole".as_slice()));
-    let chunks = answer("a", "transfer-encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n");
+    let chunks = answer("transfer-encoding: chunked\r\n", "5\r\nwhole\r\n0\r\n\r\n");
     assert_eq!(exchange_with_reset(chunks).await.as_deref(), Ok(b"whole".as_slice()));
 }
 
--- a/tests/odd_answers.rs
+++ b/tests/odd_answers.rs
@@ -122,9 +122,9 @@
     }
 }
 
-/// Guards against a server that is never used again after one refusal with a time of ages.
+/// Guards against a server that is never used again after one refusal that asks for a very long time.
 #[tokio::test(flavor = "multi_thread")]
-async fn cooldown_of_ages_is_not_believed() {
+async fn cooldown_over_an_hour_is_not_believed() {
     let orders = start(&["z"]).await;
     for time in ["1e15", "3601", "18446744073709551616"] {
         let busy = format!("HTTP/1.1 503 Busy\r\nnot-run: 1\r\nretry-after: {time}");
--- a/tests/server_entries.rs
+++ b/tests/server_entries.rs
@@ -205,7 +205,7 @@
     assert_eq!(bed.free_slots(), whole);
 }
 
-/// Guards against an instance that stops to follow the list, or uses a server at once or never, since a
+/// Guards against an instance that stops following the list, or uses a server at once or never, since a
 /// number of an entry is larger than what is computed with it.
 #[tokio::test]
 async fn largest_numbers_name_no_server_or_do_no_harm() {
--- a/tests/store_entries.rs
+++ b/tests/store_entries.rs
@@ -48,6 +48,7 @@
     for name in ["a&b", "a b", "b\n", "c", "d"] {
         store.put(&format!("instances/{name}"), "an entry of another writer");
     }
+    store.put("instances/no-port", "127.0.0.1:0");
     store.put("instances/i1", "127.0.0.1:9");
     let settings = fleet_settings("i2", "z", &["z"], &[]);
     let board = Arc::new(Blackboard::new(settings, 1));
@@ -75,7 +76,7 @@
     json!({ "revision": 1, "change_id": uuid::Uuid::nil(), "service": service })
 }
 
-/// Guards against instances that stop to follow the services, or put one in force that no operator could
+/// Guards against instances that stop following the services, or put one in force that no operator could
 /// declare, since the row of another writer has a number out of range or an odd name.
 #[tokio::test(flavor = "multi_thread")]
 async fn odd_rows_of_services_are_not_in_force_and_hide_none() {
